Thin path: sign-off to six proxies, and calls through them

Cause: the repository was empty; the whole path had to run end to end before any part of it is improved. What runs: bundle, release, platform client and stand-in, membership, distribution by tree and datagrams, data path over cheroot and urllib3, operator tools, demo.

--- /dev/null
+++ b/features/settings.feature
@@ -0,0 +1,27 @@
+Feature: Settings are validated at start
+  A mistake gives one line with a numbered code and the path of the key.
+
+  Scenario Outline: A wrong setting is refused
+    Given proxy settings where <key> is <value>
+    When the settings are loaded
+    Then they are refused with code <code> naming "<named>"
+
+    Examples:
+      | key                             | value       | code | named                      |
+      | tpyo                            | 1           | 1002 | tpyo                       |
+      | peer_port                       | "seven"     | 1002 | $.peer_port                |
+      | platform.timeout                | 5           | 1002 | did you mean `timeout_ms`  |
+      | address                         | localhost   | 1004 | $.address                  |
+      | platform.address                | example.com | 1004 | $.platform.address         |
+      | peer_port                       | 70000       | 1005 | $.peer_port                |
+      | distribution.fan_out            | 1           | 1005 | $.distribution.fan_out     |
+      | membership.compare_interval_ms  | 0           | 1005 | compare_interval_ms        |
+      | host                            | ~           | 1003 | host                       |
+
+  Scenario: The program ends with status 2 and one line
+    Given proxy settings where peer_port is 70000
+    When sedgering-proxy is started with them
+    Then it ends with status 2 and one line starting with "SDG-1005"
+
+  Scenario: The table of codes in the docs is the table in the code
+    Then docs/errors.md lists every code with its text
--- /dev/null
+++ b/features/steps/settings_steps.py
@@ -0,0 +1,104 @@
+"""Steps on settings and codes."""
+
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+from behave import given
+from behave import then
+from behave import when
+import yaml
+
+from sedgering import exceptions
+from sedgering import settings
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+
+
+class SettingsSubject:
+    """A settings file and what loading it gives."""
+
+    def __init__(self):
+        folder = tempfile.mkdtemp(prefix='sedgering-settings-')
+        self.path = pathlib.Path(folder) / 'proxy.yaml'
+        self.error = None
+        self.document = {
+            'mesh': 'tuulai',
+            'host': 'host-1',
+            'data_centre': 'khan-uul',
+            'address': '127.0.0.1',
+            'data_port': 8000,
+            'peer_port': 8001,
+            'admin_port': 8002,
+            'platform': {'address': '127.0.0.1', 'port': 9000},
+        }
+
+    def change(self, key, value):
+        *parents, last = key.split('.')
+        place = self.document
+        for parent in parents:
+            place = place.setdefault(parent, {})
+        if value is None:
+            del place[last]
+        else:
+            place[last] = value
+        self.path.write_text(yaml.safe_dump(self.document))
+
+    def load(self):
+        try:
+            settings.load_settings(self.path, settings.ProxySettings)
+        except exceptions.SettingsError as error:
+            self.error = error
+
+
+@given('proxy settings where {key} is {value}')
+def step_settings(context, key, value):
+    context.settings = SettingsSubject()
+    context.settings.change(key, yaml.safe_load(value))
+
+
+@when('the settings are loaded')
+def step_load(context):
+    context.settings.load()
+
+
+@then('they are refused with code {code:d} naming "{named}"')
+def step_refused(context, code, named):
+    error = context.settings.error
+    assert error is not None, 'the settings were accepted'
+    assert int(error.code) == code, str(error)
+    assert named in str(error), str(error)
+    assert '\n' not in str(error)
+
+
+@when('sedgering-proxy is started with them')
+def step_start(context):
+    context.completed = subprocess.run(
+        [
+            *(sys.executable, '-m', 'sedgering.cli.proxy'),
+            *('--config', str(context.settings.path)),
+        ],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+
+
+@then('it ends with status {status:d} and one line starting with "{start}"')
+def step_ended(context, status, start):
+    lines = context.completed.stderr.splitlines()
+    assert context.completed.returncode == status, lines
+    assert len(lines) == 1 and lines[0].startswith(start), lines
+
+
+@then('docs/errors.md lists every code with its text')
+def step_errors_page(context):
+    page = (ROOT / 'docs' / 'errors.md').read_text()
+    listed = [line for line in page.splitlines() if line.startswith('| SDG-')]
+    expected = {
+        f'| SDG-{int(code)} | {code.text} ' for code in exceptions.Code
+    }
+    assert len(listed) == len(expected), (len(listed), len(expected))
+    for start in expected:
+        assert any(line.startswith(start) for line in listed), start
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,151 @@
+"""The main job on the embedded stand-ins, from first bundle to verdict.
+
+Starts the platform stand-in, six proxies in three data centres and the
+targets of Tuulai; checks, signs off and rolls a bundle; sends calls; rolls
+a second version under load; ends with status 0 only when no call was lost,
+doubled or cut.
+"""
+
+import collections
+import json
+import pathlib
+import signal
+import sys
+import time
+
+import yaml
+
+from sedgering import testing
+
+DATA_CENTRES = ('sukhbaatar', 'khan-uul', 'bayanzurkh')
+PROXIES_PER_DATA_CENTRE = 2
+TARGET_SETS = {'calendar': 6, 'ledger': 4, 'archive': 3}
+SLOTS = 12
+HOST = 'tuulai.example'
+#: Method, path, body size in bytes, whether the route is repeatable.
+CALLS = (
+    ('GET', '/calendar/halls', 0, True),
+    ('POST', '/bookings', 300, False),
+    ('GET', '/calendar/halls/3', 0, True),
+    ('PUT', '/scores/parts.pdf', 200_000, False),
+)
+CALLERS = 6
+CALL_PAUSE_S = 0.01
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples' / 'tuulai'
+
+
+def main() -> int:
+    """Run the demo and return its exit status."""
+    with testing.make_fleet('tuulai') as fleet:
+        start_fleet(fleet)
+        roll(fleet, EXAMPLES / 'bundle.yaml')
+        wait_targets(fleet)
+        callers = start_callers(fleet)
+        time.sleep(2)
+        print('rolling a second version under load')
+        convergence_ms = roll(fleet, EXAMPLES / 'bundle-2.yaml')
+        time.sleep(2)
+        for caller in callers:
+            caller.stop()
+        verdict = judge(fleet, callers)
+        report(fleet, convergence_ms, verdict)
+    is_sound = not (verdict.lost or verdict.doubled or verdict.cut)
+    return 0 if is_sound and not verdict.told_wrongly else 1
+
+
+def start_fleet(fleet: testing.Fleet) -> None:
+    """Start platform, proxies and targets."""
+    fleet.start_platform()
+    fleet.add_proxies(DATA_CENTRES * PROXIES_PER_DATA_CENTRE)
+    config = fleet.folder / 'targets.yaml'
+    config.write_text(yaml.safe_dump(list(place_targets(fleet))))
+    fleet.start_program('standin', ['targets', '--config', str(config)], 't')
+    fleet.wait_members()
+    print(f'{len(fleet.proxies)} proxies know each other')
+
+
+def place_targets(fleet: testing.Fleet):
+    """Place the targets of each set on the hosts in turn."""
+    ports = iter(testing.free_ports(sum(TARGET_SETS.values())))
+    number = 0
+    for target_set, count in TARGET_SETS.items():
+        for index in range(count):
+            proxy = fleet.proxies[number % len(fleet.proxies)]
+            number += 1
+            yield {
+                'name': f'{target_set}-{index}',
+                'target_set': target_set,
+                'address': '127.0.0.1',
+                'port': next(ports),
+                'admin_port': proxy.admin_port,
+                'slots': SLOTS,
+            }
+
+
+def wait_targets(fleet: testing.Fleet) -> None:
+    """Wait until every proxy knows every target."""
+    for proxy in fleet.proxies:
+        fleet.wait_until(
+            lambda proxy=proxy: fleet.status(proxy)['targets'] == TARGET_SETS,
+            f'{proxy.host} to know all targets',
+        )
+    print(f'all proxies know {sum(TARGET_SETS.values())} targets')
+
+
+def roll(fleet: testing.Fleet, path: pathlib.Path) -> float:
+    """Check, sign off, roll and watch; return the convergence time."""
+    print(fleet.run_operator('check', str(path), needs_config=False).strip())
+    print(fleet.run_operator('sign-off', str(path)).strip())
+    version = len(fleet.run_operator('history', '--json').splitlines())
+    started_s = time.monotonic()
+    print(fleet.run_operator('roll', str(version)).strip())
+    fleet.wait_version(version)
+    convergence_ms = (time.monotonic() - started_s) * 1000
+    print(fleet.run_operator('watch').strip().splitlines()[-1])
+    return convergence_ms
+
+
+def start_callers(fleet: testing.Fleet) -> list[testing.Caller]:
+    """Start the load."""
+    ports = [proxy.data_port for proxy in fleet.proxies]
+    callers = [
+        testing.Caller(ports, HOST, CALLS, seed, CALL_PAUSE_S)
+        for seed in range(CALLERS)
+    ]
+    for caller in callers:
+        caller.start()
+    return callers
+
+
+def judge(
+    fleet: testing.Fleet, callers: list[testing.Caller]
+) -> testing.Verdict:
+    """Compare the callers' records with the targets' ledgers."""
+    ledger: collections.Counter = collections.Counter()
+    for target in yaml.safe_load((fleet.folder / 'targets.yaml').read_text()):
+        ledger.update(fleet.get_json(target['port'], '/standin/ledger'))
+    records = [record for caller in callers for record in caller.records]
+    return testing.judge_calls(records, ledger)
+
+
+def report(
+    fleet: testing.Fleet, convergence_ms: float, verdict: testing.Verdict
+) -> None:
+    """Print the figures."""
+    control_bytes = sum(fleet.control_bytes(proxy) for proxy in fleet.proxies)
+    print(f'convergence: {convergence_ms:.0f} ms from roll to all proxies')
+    print(f'control bytes: {control_bytes} received by all proxies so far')
+    print(
+        f'calls: {verdict.sent} sent, {verdict.answered} answered, '
+        f'{verdict.lost} lost, {verdict.doubled} doubled, {verdict.cut} cut, '
+        f'{verdict.told_not_run} told not run, '
+        f'{verdict.told_wrongly} of them wrongly, '
+        f'{verdict.told_unknown} told unknown'
+    )
+    stats = fleet.stats()
+    print(json.dumps({'platform_reads': stats.reads, 'writes': stats.writes}))
+
+
+if __name__ == '__main__':
+    signal.signal(signal.SIGTERM, lambda *_arguments: sys.exit(1))
+    sys.exit(main())
--- /dev/null
+++ b/sedgering/base.py
@@ -0,0 +1,64 @@
+"""Identifiers and abstract classes that all packages share.
+
+Identifiers are ``NewType`` over plain strings and integers, so that a
+type checker tells a host from a party while nothing is paid at run time.
+"""
+
+import abc
+from typing import Any, Generic, NewType, TypeVar
+
+__all__ = [
+    'DataCentre',
+    'Digest',
+    'HostId',
+    'Incarnation',
+    'NO_VERSION',
+    'OperationId',
+    'PartyId',
+    'PolicyName',
+    'RequestId',
+    'RouteName',
+    'System',
+    'TargetName',
+    'TargetSetName',
+    'Version',
+]
+
+DataCentre = NewType('DataCentre', str)
+Digest = NewType('Digest', bytes)
+HostId = NewType('HostId', str)
+Incarnation = NewType('Incarnation', int)
+OperationId = NewType('OperationId', str)
+PartyId = NewType('PartyId', str)
+PolicyName = NewType('PolicyName', str)
+RequestId = NewType('RequestId', str)
+RouteName = NewType('RouteName', str)
+TargetName = NewType('TargetName', str)
+TargetSetName = NewType('TargetSetName', str)
+Version = NewType('Version', int)
+
+#: Held by a proxy that has not applied any bundle yet.
+NO_VERSION = Version(0)
+
+TablesT = TypeVar('TablesT', bound=Any)
+
+
+class System(abc.ABC, Generic[TablesT]):
+    """A decision that runs over the tables each tick.
+
+    A system has no socket, clock or thread.  It reads the tables and
+    their inbox, writes the tables it owns and appends commands to the
+    outbox.  Adapters carry the commands out.
+    """
+
+    @abc.abstractmethod
+    def run(self, tables: TablesT, now_ms: int) -> None:
+        """Advance by one tick.
+
+        Parameters
+        ----------
+        tables
+            The tables of the process; written by the control thread only.
+        now_ms : int
+            Monotonic time in milliseconds, handed in by the caller.
+        """
--- /dev/null
+++ b/sedgering/bundle/_codec.py
@@ -0,0 +1,75 @@
+"""Canonical encoding of a bundle, and its digest.
+
+Two equal bundles have the same bytes: objects are sorted by name, and
+every field is written, in the order in which its struct declares it.
+"""
+
+import hashlib
+
+import msgspec
+
+from sedgering import base
+from sedgering.bundle import _model
+from sedgering import exceptions
+
+__all__ = ['compute_digest', 'decode_bundle', 'encode_bundle']
+
+#: Largest encoded bundle accepted, in bytes.
+MAX_BUNDLE_BYTES = 32 * 1024 * 1024
+
+_ENCODER = msgspec.msgpack.Encoder(order='deterministic')
+_DECODER = msgspec.msgpack.Decoder(_model.Bundle)
+
+
+def encode_bundle(bundle: _model.Bundle) -> bytes:
+    """Encode a bundle canonically.
+
+    Parameters
+    ----------
+    bundle : Bundle
+        Made by :func:`make_bundle` or decoded.
+
+    Returns
+    -------
+    bytes
+        The same bytes for equal bundles.
+    """
+    return _ENCODER.encode(bundle)
+
+
+def compute_digest(encoded: bytes) -> base.Digest:
+    """Return the SHA-256 digest (32 bytes) of an encoded bundle."""
+    return base.Digest(hashlib.sha256(encoded).digest())
+
+
+def decode_bundle(encoded: bytes, digest: base.Digest) -> _model.Bundle:
+    """Decode a bundle and compare it with its digest.
+
+    Parameters
+    ----------
+    encoded : bytes
+        As made by :func:`encode_bundle`.
+    digest : Digest
+        What the sign-off recorded.
+
+    Returns
+    -------
+    Bundle
+        Not yet validated; see :func:`check_bundle`.
+
+    Raises
+    ------
+    BundleError
+        When it is too large, differs from its digest or is no bundle.
+    """
+    if len(encoded) > MAX_BUNDLE_BYTES:
+        detail = f'{len(encoded)} bytes'
+        raise exceptions.BundleError(exceptions.Code.BUNDLE_UNREADABLE, detail)
+    if compute_digest(encoded) != digest:
+        raise exceptions.BundleError(exceptions.Code.BUNDLE_DIGEST)
+    try:
+        return _DECODER.decode(encoded)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise exceptions.BundleError(
+            exceptions.Code.BUNDLE_UNREADABLE, str(error)
+        ) from error
--- /dev/null
+++ b/sedgering/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The programs."""
--- /dev/null
+++ b/sedgering/cli/proxy.py
@@ -0,0 +1,48 @@
+"""sedgering-proxy: the daemon of one host."""
+
+import pathlib
+import signal
+import threading
+from typing import Annotated
+
+import typer
+
+from sedgering.cli import _common
+from sedgering import observability
+from sedgering import proxy
+from sedgering import settings
+
+__all__ = ['main']
+
+app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+
+@app.command()
+def run(
+    config: Annotated[
+        pathlib.Path, typer.Option(help='YAML settings of this proxy.')
+    ],
+) -> None:
+    """Run the proxy until SIGTERM or SIGINT, then leave gracefully."""
+    proxy_settings = settings.load_settings(config, settings.ProxySettings)
+    observability.configure_logging(
+        proxy_settings.log_level,
+        host=proxy_settings.host,
+        data_centre=proxy_settings.data_centre,
+    )
+    stopping = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_arguments: stopping.set())
+    daemon = proxy.make_daemon(proxy_settings)
+    daemon.start()
+    stopping.wait()
+    daemon.leave()
+
+
+def main() -> None:
+    """Entry point."""
+    _common.run_program(app)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/sedgering/observability/_logs.py
@@ -0,0 +1,65 @@
+"""Logs as JSON lines on standard error."""
+
+import datetime
+import logging
+
+import msgspec
+
+__all__ = ['JsonFormatter', 'configure_logging']
+
+#: Fields that a record may carry through `extra`.
+FIELDS = ('code', 'version', 'request_id', 'operation_id', 'peer', 'detail')
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats a record as one JSON object on one line.
+
+    Parameters
+    ----------
+    constants : dict of str to str
+        Fields of every line, such as host and data_centre.
+    """
+
+    def __init__(self, constants: dict[str, str]):
+        super().__init__()
+        self.constants = constants
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line of one record."""
+        moment = datetime.datetime.fromtimestamp(
+            record.created, datetime.timezone.utc
+        )
+        line = {
+            'time': moment.isoformat(timespec='milliseconds'),
+            'level': record.levelname,
+            'logger': record.name,
+            'message': record.getMessage(),
+            **self.constants,
+        }
+        for name in FIELDS:
+            if hasattr(record, name):
+                line[name] = getattr(record, name)
+        if record.exc_info:
+            line['exception'] = self.formatException(record.exc_info)
+        return msgspec.json.encode(line).decode()
+
+
+def configure_logging(level: str, **constants: str) -> None:
+    """Write JSON lines to standard error.
+
+    Parameters
+    ----------
+    level : str
+        Least level written.
+    **constants : str
+        Fields of every line.
+    """
+    handler = logging.StreamHandler()
+    handler.setFormatter(JsonFormatter(constants))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    # The library logs a line for each connection.
+    logging.getLogger('urllib3').setLevel(logging.WARNING)
+    logging.getLogger('thrift').setLevel(logging.CRITICAL)
+    logging.getLogger('cherrypy').setLevel(logging.WARNING)
--- /dev/null
+++ b/sedgering/peer/gen/wire/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peer']
--- /dev/null
+++ b/sedgering/platform/_base.py
@@ -0,0 +1,180 @@
+"""Abstract stores and the three outcomes of a write."""
+
+import abc
+from collections.abc import Sequence
+import enum
+
+import msgspec
+
+from sedgering import base
+from sedgering import exceptions
+
+__all__ = [
+    'Condition',
+    'ObjectStore',
+    'Outcome',
+    'OutcomeKind',
+    'Put',
+    'Row',
+    'TableStore',
+    'Transaction',
+]
+
+#: Revision of a row that is not there.
+ABSENT = 0
+
+
+class Row(msgspec.Struct, frozen=True):
+    """One row as read.
+
+    Parameters
+    ----------
+    key : str
+        Key of the row.
+    revision : int
+        Grows with each write to the row; 0 when the row is absent.
+    value : bytes
+        Empty when the row is absent.
+    """
+
+    key: str
+    revision: int = ABSENT
+    value: bytes = b''
+
+
+class Condition(msgspec.Struct, frozen=True):
+    """The row must be at this revision; 0 means that it must be absent."""
+
+    key: str
+    revision: int
+
+
+class Put(msgspec.Struct, frozen=True):
+    """The row gets this value."""
+
+    key: str
+    value: bytes
+
+
+class Transaction(msgspec.Struct, frozen=True):
+    """Writes that take effect together, or none of them.
+
+    Parameters
+    ----------
+    operation_id : str
+        Names the write in logs; rows that record it are among `puts`.
+    conditions : tuple of Condition
+        All must hold.
+    puts : tuple of Put
+        Rows written.
+    deletes : tuple of str
+        Keys of rows removed.
+    """
+
+    operation_id: base.OperationId
+    conditions: tuple[Condition, ...] = ()
+    puts: tuple[Put, ...] = ()
+    deletes: tuple[str, ...] = ()
+
+
+class OutcomeKind(enum.Enum):
+    """What is known of a write."""
+
+    DONE = 'done'
+    NOT_DONE = 'not done'
+    UNKNOWN = 'unknown'
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """Outcome of one write.
+
+    Parameters
+    ----------
+    kind : OutcomeKind
+        Done, not done, or unknown.
+    code : Code or None
+        Why it is not done or not known.
+    detail : str
+        The particulars.
+    """
+
+    kind: OutcomeKind
+    code: exceptions.Code | None = None
+    detail: str = ''
+
+    @property
+    def is_conflict(self) -> bool:
+        """Whether a condition did not hold."""
+        return self.code is exceptions.Code.PLATFORM_CONFLICT
+
+    def make_error(self) -> exceptions.PlatformError:
+        """Make the error that tells of an outcome other than done."""
+        code = self.code or exceptions.Code.PLATFORM_UNKNOWN
+        return exceptions.PlatformError(code, self.detail)
+
+
+class TableStore(abc.ABC):
+    """The transactional table service."""
+
+    @abc.abstractmethod
+    def read(self, keys: Sequence[str]) -> tuple[Row, ...]:
+        """Read rows as of one moment.
+
+        Parameters
+        ----------
+        keys : sequence of str
+            Keys wanted.
+
+        Returns
+        -------
+        tuple of Row
+            One for each key, in order.
+
+        Raises
+        ------
+        PlatformError
+            When the platform gives no answer in time.
+        """
+
+    @abc.abstractmethod
+    def scan(
+        self, prefix: str, after: str = '', limit: int = 1000
+    ) -> tuple[Row, ...]:
+        """Read rows whose key starts with `prefix`, in the order of keys.
+
+        Parameters
+        ----------
+        prefix : str
+            Start of the keys.
+        after : str
+            Only keys greater than this one.
+        limit : int
+            Most rows returned.
+
+        Raises
+        ------
+        PlatformError
+            When the platform gives no answer in time.
+        """
+
+    @abc.abstractmethod
+    def transact(self, transaction: Transaction) -> Outcome:
+        """Try a transaction once.  Never raises for the platform's faults."""
+
+
+class ObjectStore(abc.ABC):
+    """The object store; objects are named by their digest."""
+
+    @abc.abstractmethod
+    def put_object(self, digest: base.Digest, body: bytes) -> Outcome:
+        """Store an object.  Idempotent: the name fixes the content."""
+
+    @abc.abstractmethod
+    def get_object(self, digest: base.Digest) -> bytes:
+        """Fetch an object.
+
+        Raises
+        ------
+        PlatformError
+            When it is missing, or the platform gives no answer in time.
+        """
--- /dev/null
+++ b/sedgering/proxy/_daemon.py
@@ -0,0 +1,213 @@
+"""Puts the parts of one sedgering-proxy together, and takes them apart."""
+
+import logging
+import random
+import threading
+import time
+
+from sedgering import base
+from sedgering import control
+from sedgering import exceptions
+from sedgering import membership
+from sedgering import observability
+from sedgering import peer
+from sedgering.peer import _server as peer_server
+from sedgering import platform
+from sedgering.proxy import _admin
+from sedgering.proxy import _control
+from sedgering.proxy import _data_path
+from sedgering.proxy import _shared
+from sedgering.proxy import _status
+from sedgering.proxy import _workers
+from sedgering import settings
+from sedgering import traffic
+
+__all__ = ['Daemon', 'make_daemon']
+
+LOG = logging.getLogger(__name__)
+
+STATUS_TIMEOUT_S = 2.0
+
+
+class _PeerHandler(peer_server.PeerHandler):
+    """Answers peers from the tables."""
+
+    def __init__(self, tables: control.ControlTables, metrics):
+        self.tables = tables
+        self.bytes_out = metrics.control_bytes.labels('peer-tcp', 'out')
+
+    def content_since(self, held_version: int) -> peer.Content:
+        """Return the version held."""
+        history = self.tables.updates.history
+        if history is None:
+            raise exceptions.PeerError(exceptions.Code.PEER_NOTHING_HELD)
+        content = history.content_since(held_version)
+        self.bytes_out.inc(len(content.body) + _workers.TCP_OVERHEAD_BYTES)
+        return content
+
+    def list_bucket_digests(self) -> list[int]:
+        """Return the digests of the member buckets."""
+        return list(self.tables.hosts.bucket_digests)
+
+    def list_rows(self, buckets: list[int]) -> list[peer.HostRow]:
+        """Return the rows of the buckets named."""
+        return self.tables.hosts.list_bucket(frozenset(buckets))
+
+
+class Daemon:
+    """One sedgering-proxy.
+
+    Parameters
+    ----------
+    tables : ControlTables
+        State of the control thread.
+    loop : ControlLoop
+        The control thread.
+    peers : PeerServer
+        Answers peers.
+    data_path : DataPath
+        Answers callers.
+    admin : AdminServer
+        Answers operators and local targets.
+    state : RequestState
+        Shared by control thread and request threads.
+    """
+
+    def __init__(self, tables, loop, peers, data_path, admin, state):
+        self.tables: control.ControlTables = tables
+        self.loop: _control.ControlLoop = loop
+        self.peers = peers
+        self.data_path: _data_path.DataPath = data_path
+        self.admin: _admin.AdminServer = admin
+        self.state: _shared.RequestState = state
+
+    def start(self) -> None:
+        """Bind all ports and run in the background."""
+        self.loop.bind()
+        self.peers.start()
+        self.data_path.start()
+        self.loop.platform_worker.start()
+        self.loop.peer_worker.start()
+        self.loop.start()
+        self.admin.start()
+        LOG.info('started')
+
+    def leave(self) -> None:
+        """Leave without cutting a request.
+
+        Peers and targets' callers learn that the host is leaving while
+        it still accepts; then whatever is in flight is finished, bounded
+        by `drain_limit_ms`; then the host is gone.
+        """
+        limits = self.tables.settings.traffic
+        self._set_state(peer.HostState.DRAINING)
+        self.state.gate.is_leaving = True
+        time.sleep(limits.drain_grace_ms / 1000)
+        if not self.state.gate.wait_idle(limits.drain_limit_ms / 1000):
+            LOG.warning('requests in flight at the drain limit')
+        self.data_path.stop()
+        self._set_state(peer.HostState.GONE)
+        # A few ticks, so that the news leaves this host.
+        time.sleep(3 * self.tables.settings.tick_interval_ms / 1000)
+        self.loop.stop()
+        self.admin.stop()
+        LOG.info('left')
+
+    def announce(self, report: membership.TargetReport) -> None:
+        """Take in the report of a local target."""
+        now_ms = time.monotonic_ns() // 1_000_000
+        self.loop.post(
+            lambda: membership.announce_target(
+                self.tables.self_row, report, now_ms
+            )
+        )
+
+    def read_status(self) -> _status.ProxyStatus:
+        """Return the status, made by the control thread."""
+        result: list[_status.ProxyStatus] = []
+        done = threading.Event()
+
+        def read() -> None:
+            result.append(_status.make_status(self.tables))
+            done.set()
+
+        self.loop.post(read)
+        if not done.wait(STATUS_TIMEOUT_S):
+            raise TimeoutError('control thread is busy')
+        return result[0]
+
+    def _set_state(self, state: peer.HostState) -> None:
+        self.loop.post(lambda: self.tables.self_row.set_state(state))
+
+
+def make_daemon(proxy_settings: settings.ProxySettings) -> Daemon:
+    """Make a proxy from its settings.
+
+    Parameters
+    ----------
+    proxy_settings : ProxySettings
+        Validated.
+
+    Returns
+    -------
+    Daemon
+        Not yet started.
+    """
+    rng = random.Random()
+    incarnation = base.Incarnation(time.time_ns() // 1_000_000)
+    tables = control.make_control_tables(proxy_settings, incarnation, rng)
+    metrics = observability.make_metrics()
+    state = _shared.RequestState(
+        tables.holder,
+        tables.view,
+        traffic.LoadTable(),
+        _shared.Gate(),
+        metrics,
+    )
+    loop = _control.ControlLoop(
+        tables, metrics, lambda tables: _publish(tables, state)
+    )
+    _add_workers(loop, proxy_settings, incarnation, metrics)
+    peers = peer.make_peer_server(
+        str(proxy_settings.address),
+        proxy_settings.peer_port,
+        proxy_settings.mesh,
+        _PeerHandler(tables, metrics),
+    )
+    data_path = _data_path.make_data_path(
+        proxy_settings, state, random.Random()
+    )
+    daemon = Daemon(tables, loop, peers, data_path, None, state)
+    daemon.admin = _admin.make_admin_server(
+        proxy_settings, metrics, daemon.read_status, daemon.announce
+    )
+    return daemon
+
+
+def _add_workers(loop, proxy_settings, incarnation, metrics) -> None:
+    store = platform.make_http_platform(
+        proxy_settings.platform, random.Random()
+    )
+    loop.platform_worker = _workers.PlatformWorker(
+        loop.post, metrics, store, store
+    )
+    caller = peer.Caller(
+        mesh=proxy_settings.mesh,
+        protocol=peer.PROTOCOL_VERSION,
+        host=proxy_settings.host,
+        incarnation=incarnation,
+    )
+    loop.peer_worker = _workers.PeerWorker(loop.post, metrics, caller)
+
+
+def _publish(
+    tables: control.ControlTables, state: _shared.RequestState
+) -> None:
+    """Show the request threads and the metrics what a tick decided."""
+    own = tables.self_row.state
+    state.gate.is_open = own in (
+        peer.HostState.SERVING,
+        peer.HostState.DRAINING,
+    )
+    state.metrics.held_version.set(tables.holder.version)
+    state.metrics.members.set(len(tables.hosts))
--- /dev/null
+++ b/sedgering/testing/__init__.py
@@ -0,0 +1,37 @@
+"""Stand-ins for what surrounds the product: platform, targets, callers.
+
+Used by the tests, the demo and the benchmarks; no part of the product
+imports it but the program ``sedgering-standin``.
+"""
+
+from sedgering.testing._callers import Caller
+from sedgering.testing._callers import CallRecord
+from sedgering.testing._callers import judge_calls
+from sedgering.testing._callers import Verdict
+from sedgering.testing._engine import Faults
+from sedgering.testing._engine import InMemoryPlatform
+from sedgering.testing._engine import PlatformEngine
+from sedgering.testing._fleet import Fleet
+from sedgering.testing._fleet import free_ports
+from sedgering.testing._fleet import make_fleet
+from sedgering.testing._platform_server import make_platform_server
+from sedgering.testing._targets import make_target
+from sedgering.testing._targets import StandinTarget
+from sedgering.testing._targets import TargetSettings
+
+__all__ = [
+    'CallRecord',
+    'Caller',
+    'Faults',
+    'Fleet',
+    'InMemoryPlatform',
+    'PlatformEngine',
+    'StandinTarget',
+    'TargetSettings',
+    'Verdict',
+    'free_ports',
+    'judge_calls',
+    'make_fleet',
+    'make_platform_server',
+    'make_target',
+]
--- /dev/null
+++ b/sedgering/testing/_fleet.py
@@ -0,0 +1,291 @@
+"""Starts and stops the processes of a small fleet on loopback.
+
+A development tool: no program of the product starts another process.
+"""
+
+from collections.abc import Sequence
+import contextlib
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import msgspec
+import urllib3
+import yaml
+
+from sedgering.testing import _engine
+
+__all__ = ['Fleet', 'ProxyProcess', 'free_ports', 'make_fleet']
+
+ADDRESS = '127.0.0.1'
+START_TIMEOUT_S = 60.0
+STOP_TIMEOUT_S = 20.0
+POLL_S = 0.05
+
+
+def free_ports(count: int) -> list[int]:
+    """Find ports that are free for both TCP and UDP.
+
+    All are held until the last one is found, so that none comes twice.
+    """
+    ports = []
+    with contextlib.ExitStack() as held:
+        while len(ports) < count:
+            tcp = held.enter_context(socket.socket())
+            tcp.bind((ADDRESS, 0))
+            port = tcp.getsockname()[1]
+            udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            held.enter_context(udp)
+            try:
+                udp.bind((ADDRESS, port))
+            except OSError:
+                continue
+            ports.append(port)
+    return ports
+
+
+class ProxyProcess(msgspec.Struct):
+    """One sedgering-proxy and how to reach it."""
+
+    host: str
+    data_centre: str
+    data_port: int
+    peer_port: int
+    admin_port: int
+    config: pathlib.Path
+    process: subprocess.Popen | None = None
+
+
+class Fleet:
+    """Platform stand-in and proxies, each a process of its own.
+
+    Parameters
+    ----------
+    folder : Path
+        Settings and logs.
+    mesh : str
+        Mesh of all of them.
+    overrides : dict
+        Settings of every proxy, over the defaults.
+    """
+
+    def __init__(self, folder: pathlib.Path, mesh: str, overrides: dict):
+        self.folder = folder
+        self.mesh = mesh
+        self.overrides = overrides
+        self.platform_port = free_ports(1)[0]
+        self.proxies: list[ProxyProcess] = []
+        self.http = urllib3.PoolManager(
+            num_pools=400, timeout=5.0, retries=False
+        )
+        self._processes: list[subprocess.Popen] = []
+
+    def start_platform(self) -> None:
+        """Start the platform stand-in and wait for it."""
+        self.start_program(
+            'standin',
+            ['platform', '--port', str(self.platform_port)],
+            'platform',
+        )
+        self.wait_until(lambda: self.stats() is not None, 'platform')
+
+    def add_proxies(self, data_centres: Sequence[str]) -> None:
+        """Write the settings of one proxy for each entry, and start it."""
+        ports = free_ports(3 * len(data_centres))
+        for index, data_centre in enumerate(data_centres):
+            data_port, peer_port, admin_port = ports[3 * index : 3 * index + 3]
+            number = len(self.proxies) + 1
+            proxy = ProxyProcess(
+                f'{data_centre}-{number:03d}',
+                data_centre,
+                data_port,
+                peer_port,
+                admin_port,
+                self.folder / f'proxy-{number:03d}.yaml',
+            )
+            self._write_settings(proxy)
+            self.start_proxy(proxy)
+            self.proxies.append(proxy)
+
+    def start_proxy(self, proxy: ProxyProcess) -> None:
+        """Start or restart a proxy."""
+        proxy.process = self.start_program(
+            'proxy', ['--config', str(proxy.config)], proxy.host
+        )
+
+    def start_program(
+        self, name: str, arguments: list[str], log: str
+    ) -> subprocess.Popen:
+        """Start one of the programs with its output in a log file."""
+        with (self.folder / f'{log}.log').open('ab') as output:
+            process = subprocess.Popen(
+                [sys.executable, '-m', f'sedgering.cli.{name}', *arguments],
+                stdout=output,
+                stderr=output,
+            )
+        self._processes.append(process)
+        return process
+
+    def run_operator(self, *arguments: str, needs_config: bool = True) -> str:
+        """Run `sedgering` to its end and return what it printed.
+
+        Raises
+        ------
+        RuntimeError
+            When it fails.
+        """
+        command = [sys.executable, '-m', 'sedgering.cli.operator', *arguments]
+        if needs_config:
+            command += ['--config', str(self.write_operator_settings())]
+        completed = subprocess.run(
+            command,
+            capture_output=True,
+            text=True,
+            timeout=START_TIMEOUT_S,
+        )
+        if completed.returncode:
+            raise RuntimeError(completed.stdout + completed.stderr)
+        return completed.stdout
+
+    def write_operator_settings(self) -> pathlib.Path:
+        """Write settings for the operator's tools."""
+        path = self.folder / 'operator.yaml'
+        content = {
+            'mesh': self.mesh,
+            'operator': 'anna',
+            'platform': self._platform(),
+        }
+        path.write_text(yaml.safe_dump(content))
+        return path
+
+    def status(self, proxy: ProxyProcess) -> dict | None:
+        """Return what a proxy says of itself; None when it is silent."""
+        return self.get_json(proxy.admin_port, '/status')
+
+    def control_bytes(self, proxy: ProxyProcess) -> float:
+        """Return the control bytes that a proxy received so far."""
+        response = self.http.request(
+            'GET', f'http://{ADDRESS}:{proxy.admin_port}/metrics'
+        )
+        total = 0.0
+        for line in response.data.decode().splitlines():
+            name, _, value = line.rpartition(' ')
+            is_counter = name.startswith('sedgering_control_bytes_total')
+            if is_counter and 'direction="in"' in name:
+                total += float(value)
+        return total
+
+    def stats(self) -> _engine.Stats | None:
+        """Return the counts of the platform stand-in."""
+        found = self.get_json(self.platform_port, '/standin/stats')
+        return None if found is None else msgspec.convert(found, _engine.Stats)
+
+    def set_faults(self, **faults) -> None:
+        """Put faults of the platform in force; none given, none left."""
+        self.http.request(
+            'POST',
+            f'http://{ADDRESS}:{self.platform_port}/standin/faults',
+            body=msgspec.json.encode(faults),
+        )
+
+    def wait_until(
+        self, condition, what: str, timeout_s: float = START_TIMEOUT_S
+    ) -> None:
+        """Wait for a condition, with a limit.
+
+        Raises
+        ------
+        TimeoutError
+            Names what did not come about.
+        """
+        deadline_s = time.monotonic() + timeout_s
+        while not condition():
+            if time.monotonic() > deadline_s:
+                raise TimeoutError(what)
+            time.sleep(POLL_S)
+
+    def wait_members(self, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Wait until every proxy knows every other."""
+        count = len(self.proxies)
+        for proxy in self.proxies:
+            self.wait_until(
+                lambda proxy=proxy: (
+                    (self.status(proxy) or {}).get('members') == count
+                ),
+                f'{proxy.host} to know {count} members',
+                timeout_s,
+            )
+
+    def wait_version(
+        self, version: int, timeout_s: float = START_TIMEOUT_S
+    ) -> None:
+        """Wait until every proxy holds a version."""
+        for proxy in self.proxies:
+            self.wait_until(
+                lambda proxy=proxy: (
+                    (self.status(proxy) or {}).get('held_version', 0)
+                    >= version
+                ),
+                f'{proxy.host} to hold version {version}',
+                timeout_s,
+            )
+
+    def stop(self) -> None:
+        """Stop every process that this fleet started."""
+        for process in self._processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGKILL)
+        for process in self._processes:
+            process.wait(STOP_TIMEOUT_S)
+
+    def get_json(self, port: int, path: str):
+        """Fetch a JSON document from loopback; None when there is none."""
+        try:
+            response = self.http.request(
+                'GET', f'http://{ADDRESS}:{port}{path}'
+            )
+        except urllib3.exceptions.HTTPError:
+            return None
+        if response.status != 200:
+            return None
+        return msgspec.json.decode(response.data)
+
+    def _platform(self) -> dict:
+        return {'address': ADDRESS, 'port': self.platform_port}
+
+    def _write_settings(self, proxy: ProxyProcess) -> None:
+        content = {
+            'mesh': self.mesh,
+            'host': proxy.host,
+            'data_centre': proxy.data_centre,
+            'address': ADDRESS,
+            'data_port': proxy.data_port,
+            'peer_port': proxy.peer_port,
+            'admin_port': proxy.admin_port,
+            'platform': self._platform(),
+            **self.overrides,
+        }
+        proxy.config.write_text(yaml.safe_dump(content))
+
+
+@contextlib.contextmanager
+def make_fleet(mesh: str, overrides: dict | None = None):
+    """Make a fleet whose processes end with the context.
+
+    Parameters
+    ----------
+    mesh : str
+        Mesh of all of them.
+    overrides : dict
+        Settings of every proxy, over the defaults.
+    """
+    with tempfile.TemporaryDirectory(prefix='sedgering-') as folder:
+        fleet = Fleet(pathlib.Path(folder), mesh, overrides or {})
+        try:
+            yield fleet
+        finally:
+            fleet.stop()
--- /dev/null
+++ b/sedgering/testing/_http.py
@@ -0,0 +1,33 @@
+"""Short cuts over cheroot for the stand-ins."""
+
+import logging
+
+import msgspec
+
+__all__ = ['ignore_errors', 'read_body', 'send', 'send_json']
+
+
+def read_body(request) -> bytes:
+    """Read a whole request body."""
+    return request.rfile.read()
+
+
+def send(request, status: bytes, body: bytes, headers=()) -> None:
+    """Send a whole response."""
+    request.status = status
+    request.outheaders.extend(headers)
+    request.outheaders.append((b'Content-Length', str(len(body)).encode()))
+    request.sent_headers = True
+    request.send_headers()
+    request.write(body)
+
+
+def send_json(request, status: bytes, value) -> bytes:
+    """Send a value as JSON and return the body."""
+    body = msgspec.json.encode(value)
+    send(request, status, body, ((b'Content-Type', b'application/json'),))
+    return body
+
+
+def ignore_errors(msg='', level=logging.INFO, traceback=False) -> None:
+    """Keep quiet about connections that a fault cut on purpose."""
--- /dev/null
+++ b/sedgering/testing/_targets.py
@@ -0,0 +1,169 @@
+"""Targets that keep a ledger of what they ran."""
+
+import collections
+import hashlib
+import ipaddress
+import logging
+import threading
+import time
+
+from cheroot import server as cheroot_server
+import msgspec
+import urllib3
+
+from sedgering import membership
+from sedgering.testing import _http
+from sedgering import traffic
+
+__all__ = ['StandinTarget', 'TargetSettings', 'make_target']
+
+LOG = logging.getLogger(__name__)
+
+ANNOUNCE_INTERVAL_S = 1.0
+ANNOUNCE_TIMEOUT_S = 1.0
+LEDGER_PATH = '/standin/ledger'
+
+
+class TargetSettings(msgspec.Struct, frozen=True):
+    """One target stand-in.
+
+    Parameters
+    ----------
+    name, target_set : str
+        What it announces.
+    address, port
+        Where it listens.
+    admin_port : int
+        Admin port of the proxy of its host, on the same address.
+    slots : int
+        Requests that it works on at a time.
+    work_ms : int
+        Time that each request takes.
+    """
+
+    name: str
+    target_set: str
+    address: ipaddress.IPv4Address
+    port: int
+    admin_port: int
+    slots: int = 12
+    work_ms: int = 2
+
+
+class _Gateway(cheroot_server.Gateway):
+    """Runs one request and writes it down."""
+
+    def respond(self):
+        """Answer with who ran what."""
+        target: StandinTarget = self.req.server.target
+        if self.req.uri.decode('ascii') == LEDGER_PATH:
+            _http.send_json(self.req, b'200 OK', target.ledger)
+            return
+        if not target.slots.acquire(blocking=False):
+            self._refuse()
+            return
+        try:
+            self._run(target)
+        finally:
+            target.slots.release()
+
+    def _run(self, target) -> None:
+        body = _http.read_body(self.req)
+        name = self.req.inheaders.get(b'X-Request-Id', b'').decode()
+        if target.settings.work_ms:
+            time.sleep(target.settings.work_ms / 1000)
+        with target.lock:
+            target.ledger[name] += 1
+        answer = {
+            'target': target.settings.name,
+            'request': name,
+            'body_sha256': hashlib.sha256(body).hexdigest(),
+        }
+        self.req.close_connection |= target.is_leaving
+        _http.send_json(self.req, b'200 OK', answer)
+
+    def _refuse(self) -> None:
+        marker = (traffic.NOT_RUN_HEADER.encode(), b'1')
+        self.req.close_connection = True
+        _http.send(
+            self.req, b'503 Service Unavailable', b'', headers=(marker,)
+        )
+
+
+class StandinTarget:
+    """One target with slots and a ledger.
+
+    Parameters
+    ----------
+    target_settings : TargetSettings
+        What it is.
+    server : HTTPServer
+        Listens for proxies.
+    """
+
+    def __init__(self, target_settings, server):
+        self.settings: TargetSettings = target_settings
+        self.server: cheroot_server.HTTPServer = server
+        self.ledger: collections.Counter = collections.Counter()
+        self.lock = threading.Lock()
+        self.slots = threading.BoundedSemaphore(target_settings.slots)
+        self.is_leaving = False
+        self._is_stopped = threading.Event()
+        self._pool = urllib3.HTTPConnectionPool(
+            str(target_settings.address),
+            target_settings.admin_port,
+            timeout=ANNOUNCE_TIMEOUT_S,
+            retries=False,
+        )
+
+    def start(self) -> None:
+        """Serve and announce in the background."""
+        self.server.prepare()
+        for work in (self.server.serve, self._keep_announcing):
+            threading.Thread(target=work, daemon=True).start()
+
+    def leave(self, grace_s: float) -> None:
+        """Say that it is leaving, go on for a while, then stop."""
+        self.announce('draining')
+        time.sleep(grace_s)
+        self.is_leaving = True
+        self._is_stopped.set()
+        self.announce('gone')
+        self.server.stop()
+
+    def announce(self, state: str) -> None:
+        """Report to the proxy of the host; it may not be up yet."""
+        report = membership.TargetReport(
+            name=self.settings.name,
+            target_set=self.settings.target_set,
+            port=self.settings.port,
+            slots=self.settings.slots,
+            state=state,
+        )
+        try:
+            self._pool.urlopen(
+                'POST', '/targets', body=msgspec.json.encode(report)
+            )
+        except urllib3.exceptions.HTTPError as error:
+            LOG.debug('announce: %s', error)
+
+    def _keep_announcing(self) -> None:
+        while not self._is_stopped.is_set():
+            if not self.is_leaving:
+                self.announce('serving')
+            self._is_stopped.wait(ANNOUNCE_INTERVAL_S)
+
+
+def make_target(target_settings: TargetSettings) -> StandinTarget:
+    """Make a target stand-in; its owner starts it."""
+    server = cheroot_server.HTTPServer(
+        (str(target_settings.address), target_settings.port),
+        _Gateway,
+        minthreads=target_settings.slots + 4,
+        maxthreads=target_settings.slots + 4,
+    )
+    server.error_log = _http.ignore_errors
+    server.request_queue_size = 256
+    target = StandinTarget(target_settings, server)
+    server.target = target
+    return target
