--- a/sedgering/proxy/_status.py
+++ b/sedgering/proxy/_status.py
@@ -37,6 +37,10 @@
         Hosts that acknowledge here.
     members_digest : int
         Digest of the member table, to compare with that of others.
+    targets : dict of str to int
+        Number of targets that take new work, by target set.
+    applied_at_ms : int
+        Monotonic time of this host at which the version came into force.
     """
 
     host: str
@@ -55,6 +59,7 @@
     children: int
     members_digest: int
     targets: dict[str, int]
+    applied_at_ms: int
 
 
 def make_status(tables: control.ControlTables) -> ProxyStatus:
@@ -82,4 +87,5 @@
             name: len(endpoints)
             for name, endpoints in tables.view.by_set.items()
         },
+        applied_at_ms=updates.applied_at_ms,
     )
--- a/sedgering/testing/__init__.py
+++ b/sedgering/testing/__init__.py
@@ -14,6 +14,8 @@
 from sedgering.testing._fleet import Fleet
 from sedgering.testing._fleet import free_ports
 from sedgering.testing._fleet import make_fleet
+from sedgering.testing._naive import make_sample_bundle
+from sedgering.testing._naive import NaivePoller
 from sedgering.testing._platform_server import make_platform_server
 from sedgering.testing._targets import make_target
 from sedgering.testing._targets import StandinTarget
@@ -25,6 +27,7 @@
     'Faults',
     'Fleet',
     'InMemoryPlatform',
+    'NaivePoller',
     'PlatformEngine',
     'StandinTarget',
     'TargetSettings',
@@ -33,5 +36,6 @@
     'judge_calls',
     'make_fleet',
     'make_platform_server',
+    'make_sample_bundle',
     'make_target',
 ]
--- a/sedgering/testing/_fleet.py
+++ b/sedgering/testing/_fleet.py
@@ -168,16 +168,31 @@
 
     def control_bytes(self, proxy: ProxyProcess) -> float:
         """Return the control bytes that a proxy received so far."""
+        samples = self._samples(proxy, 'sedgering_control_bytes_total')
+        return sum(
+            value for name, value in samples if 'direction="in"' in name
+        )
+
+    def sum_metric(self, name: str) -> float:
+        """Return the sum of a metric over all proxies."""
+        return sum(
+            value
+            for proxy in self.proxies
+            for _name, value in self._samples(proxy, name)
+        )
+
+    def _samples(
+        self, proxy: ProxyProcess, metric: str
+    ) -> list[tuple[str, float]]:
         response = self.http.request(
             'GET', f'http://{ADDRESS}:{proxy.admin_port}/metrics'
         )
-        total = 0.0
+        samples = []
         for line in response.data.decode().splitlines():
             name, _, value = line.rpartition(' ')
-            is_counter = name.startswith('sedgering_control_bytes_total')
-            if is_counter and 'direction="in"' in name:
-                total += float(value)
-        return total
+            if name.partition('{')[0] == metric:
+                samples.append((name, float(value)))
+        return samples
 
     def stats(self) -> _engine.Stats | None:
         """Return the counts of the platform stand-in."""
@@ -234,13 +249,13 @@
                 timeout_s,
             )
 
+    def stop_proxies(self) -> None:
+        """Kill all proxies and wait for their end."""
+        _kill([proxy.process for proxy in self.proxies])
+
     def stop(self) -> None:
-        """Stop every process that this fleet started."""
-        for process in self._processes:
-            if process.poll() is None:
-                process.send_signal(signal.SIGKILL)
-        for process in self._processes:
-            process.wait(STOP_TIMEOUT_S)
+        """Kill every process that this fleet started."""
+        _kill(self._processes)
 
     def get_json(self, port: int, path: str):
         """Fetch a JSON document from loopback; None when there is none."""
@@ -272,6 +287,14 @@
         proxy.config.write_text(yaml.safe_dump(content))
 
 
+def _kill(processes: list[subprocess.Popen]) -> None:
+    for process in processes:
+        if process.poll() is None:
+            process.send_signal(signal.SIGKILL)
+    for process in processes:
+        process.wait(STOP_TIMEOUT_S)
+
+
 @contextlib.contextmanager
 def make_fleet(mesh: str, overrides: dict | None = None):
     """Make a fleet whose processes end with the context.
