--- a/sedgering/testing/_engine.py
+++ b/sedgering/testing/_engine.py
@@ -28,14 +28,15 @@
         Every call takes this much longer.
     lose_answers : int
         So many writes to come take effect without an answer.
-    lose_writes : int
-        So many writes to come vanish without an answer.
+    delay_writes : int
+        So many transactions to come get no answer, and are carried out
+        only by :meth:`PlatformEngine.deliver_delayed`, or never.
     """
 
     down: bool = False
     slow_ms: int = 0
     lose_answers: int = 0
-    lose_writes: int = 0
+    delay_writes: int = 0
 
 
 class Stats(msgspec.Struct):
@@ -87,6 +88,7 @@
         self._now_s = now_s
         self._rows: dict[str, platform.Row] = {}
         self._objects: dict[str, bytes] = {}
+        self._delayed: list[platform.Transaction] = []
         self._revision = 0
         self._lock = threading.Lock()
         self._writes = _Bucket(WRITES_PER_S)
@@ -120,18 +122,21 @@
         with self._lock:
             self._admit(self._writes)
             self.stats.writes += 1
-            if self.faults.lose_writes > 0:
-                self.faults.lose_writes -= 1
+            if self.faults.delay_writes > 0:
+                self.faults.delay_writes -= 1
+                self._delayed.append(transaction)
                 raise AnswerLost
-            is_met = all(
-                self._revision_of(item.key) == item.revision
-                for item in transaction.conditions
-            )
-            if is_met:
-                self._commit(transaction)
+            is_met = self._try(transaction)
             self._lose_answer()
             return is_met
 
+    def deliver_delayed(self) -> None:
+        """Carry out the transactions that were held up on their way."""
+        with self._lock:
+            for transaction in self._delayed:
+                self._try(transaction)
+            self._delayed.clear()
+
     def put_object(self, name: str, body: bytes) -> None:
         """Store an object."""
         with self._lock:
@@ -158,6 +163,15 @@
         row = self._rows.get(key)
         return row.revision if row else 0
 
+    def _try(self, transaction: platform.Transaction) -> bool:
+        is_met = all(
+            self._revision_of(item.key) == item.revision
+            for item in transaction.conditions
+        )
+        if is_met:
+            self._commit(transaction)
+        return is_met
+
     def _commit(self, transaction: platform.Transaction) -> None:
         self._revision += 1
         for put in transaction.puts:
