Tests: distribution over the real systems under faults

Cause: no proof yet that crossing, lost, doubled and reordered updates, dead relays, parted data centres, source outages and restarts leave every proxy on the version rolled. A fake exchange carries commands to inboxes; systems and codec are the real ones.

--- a/sedgering/testing/__init__.py
+++ b/sedgering/testing/__init__.py
@@ -11,6 +11,8 @@
 from sedgering.testing._engine import Faults
 from sedgering.testing._engine import InMemoryPlatform
 from sedgering.testing._engine import PlatformEngine
+from sedgering.testing._exchange import Exchange
+from sedgering.testing._exchange import Node
 from sedgering.testing._fleet import Fleet
 from sedgering.testing._fleet import free_ports
 from sedgering.testing._fleet import make_fleet
@@ -24,10 +26,12 @@
 __all__ = [
     'CallRecord',
     'Caller',
+    'Exchange',
     'Faults',
     'Fleet',
     'InMemoryPlatform',
     'NaivePoller',
+    'Node',
     'PlatformEngine',
     'StandinTarget',
     'TargetSettings',
