--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -61,6 +61,9 @@
             env=ENVIRONMENT,
             timeout=TIMEOUT_S,
         )
+        if not report.exists():
+            # Behave could not even load the steps.
+            return 0, 1
         features = json.loads(report.read_text() or '[]')
     statuses = [
         element['status']
--- a/sedgering/testing/_platform_server.py
+++ b/sedgering/testing/_platform_server.py
@@ -121,6 +121,7 @@
         (address, port), _Gateway, minthreads=THREADS, maxthreads=THREADS
     )
     server.request_queue_size = 512
+    server.shutdown_timeout = 1
     server.keep_alive_conn_limit = 2000
     server.error_log = _http.ignore_errors
     server.engine = engine
