Relays follow differences in the object store

Cause: each relay fetched the whole bundle at each change. Change: a sign-off stores the difference from the version rolled, and a relay follows differences back to what it holds, whole bundle otherwise. Ruled out: only the last difference, which fails for every relay that missed a version between two of its reads.

--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -93,3 +93,8 @@
 
   Scenario: Any faults in any order
     Then whatever happens, no proxy goes back and all end up together
+
+  Scenario: Relays follow differences, also over versions that they missed
+    When versions 2, 3 and 4 are rolled at once
+    And every proxy holds version 4 within 5 s
+    Then no whole bundle was fetched from the object store
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -437,3 +437,22 @@
         floor = fleet.histories.get(node.name, 0)
         if node.is_serving:
             assert node.version >= floor, (node.name, node.version, floor)
+
+
+@when('versions 2, 3 and 4 are rolled at once')
+def step_roll_at_once(context):
+    fleet = context.fleet
+    digests = fleet.engine.fetched_objects
+    digests.clear()
+    for version in (2, 3, 4):
+        fleet.roll(version)
+    # What the operator read to make the differences does not count.
+    digests.clear()
+
+
+@then('no whole bundle was fetched from the object store')
+def step_no_whole(context):
+    fleet = context.fleet
+    names = {record.digest.hex() for record in fleet.client.list_sign_offs()}
+    assert fleet.engine.fetched_objects
+    assert not names & set(fleet.engine.fetched_objects)
--- a/features/steps/release_steps.py
+++ b/features/steps/release_steps.py
@@ -120,7 +120,8 @@
 @when('anna signs off while bela is between reading and writing')
 def step_race_sign_off(context):
     subject = context.release
-    # Call 1 reads, call 2 stores the content, call 3 is the transaction.
+    # Call 1 reads, call 2 stores the content, call 3 is the transaction:
+    # nothing is rolled yet, so that there is no difference to store.
     subject.store('bela').hooks[3] = lambda: subject.sign_off('anna')
     try:
         subject.sign_off('bela')
--- a/sedgering/distribution/_update.py
+++ b/sedgering/distribution/_update.py
@@ -11,6 +11,7 @@
 from sedgering import exceptions
 from sedgering import messages
 from sedgering import peer
+from sedgering import release
 
 if TYPE_CHECKING:
     from sedgering import control
@@ -176,13 +177,12 @@
                 self._back_off(tables, now_ms)
         for fetched in tables.inbox.objects:
             self._is_fetching = False
+            content = fetched.content
             self._try(
                 tables,
-                fetched.version,
-                fetched.digest,
-                lambda fetched=fetched: bundles.decode_bundle(
-                    fetched.body, fetched.digest
-                ),
+                content.version,
+                base.Digest(content.digest),
+                lambda content=content: _decode_stored(tables, content),
                 now_ms,
             )
 
@@ -257,15 +257,15 @@
             tables.updates.wanted = None
             return
         self._is_fetching = True
-        if self._should_ask_store(tables, wanted):
-            tables.outbox.platform.append(
-                messages.FetchObject(wanted.version, wanted.digest)
-            )
-            return
         # A delta that was damaged once may be wrong at its source, too.
         held = tables.holder.version
         if self._damages > 1:
             held = base.NO_VERSION
+        if self._should_ask_store(tables, wanted):
+            tables.outbox.platform.append(
+                messages.FetchObject(wanted.version, wanted.digest, held)
+            )
+            return
         source = wanted.sources[0]
         tables.outbox.peers.append(messages.FetchContent(source, held))
 
@@ -295,6 +295,26 @@
     return bundles.apply_delta(snapshot.bundle, snapshot.digest, delta)
 
 
+def _decode_stored(
+    tables: control.ControlTables, content: release.VersionContent
+) -> bundles.Bundle:
+    if not content.base_version:
+        digest = base.Digest(content.digest)
+        return bundles.decode_bundle(content.full, digest)
+    snapshot = tables.holder.snapshot
+    if snapshot is None or snapshot.version != content.base_version:
+        raise exceptions.BundleError(exceptions.Code.BUNDLE_BASE)
+    reached = snapshot.bundle
+    reached_digest = snapshot.digest
+    for encoded in content.deltas:
+        delta = bundles.decode_delta(encoded)
+        reached = bundles.apply_delta(reached, reached_digest, delta)
+        reached_digest = base.Digest(delta.digest)
+    if reached_digest != content.digest:
+        raise exceptions.BundleError(exceptions.Code.BUNDLE_DIGEST)
+    return reached
+
+
 def _note_applied(
     tables: control.ControlTables,
     snapshot: bundles.Snapshot,
--- a/sedgering/messages.py
+++ b/sedgering/messages.py
@@ -64,11 +64,9 @@
 
 
 class ObjectFetched(msgspec.Struct, frozen=True):
-    """A whole encoded bundle from the object store."""
+    """Content of a version from the object store."""
 
-    version: base.Version
-    digest: base.Digest
-    body: bytes
+    content: release.VersionContent
 
 
 class FetchFailed(msgspec.Struct, frozen=True):
@@ -97,10 +95,11 @@
 
 
 class FetchObject(msgspec.Struct, frozen=True):
-    """Ask the object store for a whole bundle."""
+    """Ask the object store for a version, by differences if possible."""
 
     version: base.Version
     digest: base.Digest
+    held_version: base.Version
 
 
 class PullRows(msgspec.Struct, frozen=True):
--- a/sedgering/proxy/_workers.py
+++ b/sedgering/proxy/_workers.py
@@ -151,9 +151,15 @@
     def _fetch_object(
         self, command: messages.FetchObject
     ) -> messages.ObjectFetched:
-        body = self.objects.get_object(command.digest)
-        self._count('in', len(body))
-        return messages.ObjectFetched(command.version, command.digest, body)
+        content = release.read_content(
+            self.table,
+            self.objects,
+            command.version,
+            command.digest,
+            command.held_version,
+        )
+        self._count('in', content.size)
+        return messages.ObjectFetched(content)
 
     def _write_row(self, command: messages.WriteRow) -> None:
         self._count('out', len(command.value))
--- a/sedgering/release/__init__.py
+++ b/sedgering/release/__init__.py
@@ -2,6 +2,8 @@
 
 from sedgering.release._client import make_operation_id
 from sedgering.release._client import ReleaseClient
+from sedgering.release._content import read_content
+from sedgering.release._content import VersionContent
 from sedgering.release._records import Contact
 from sedgering.release._records import contact_key
 from sedgering.release._records import CONTACT_PREFIX
@@ -33,11 +35,13 @@
     'ReleaseClient',
     'RollRecord',
     'SignOffRecord',
+    'VersionContent',
     'check_complete',
     'contact_key',
     'decode_record',
     'encode_record',
     'make_operation_id',
     'progress_key',
+    'read_content',
     'read_progress',
 ]
--- a/sedgering/release/_client.py
+++ b/sedgering/release/_client.py
@@ -123,6 +123,7 @@
                 f'version {state.head.version}',
             )
         self._put_content(digest, encoded)
+        delta_digest = self._put_delta(state.head, content, digest)
         record = _records.SignOffRecord(
             version=base.Version(state.head.latest_signed + 1),
             digest=digest,
@@ -130,6 +131,7 @@
             operator=operator,
             signed_at_ms=self.wall_ms(),
             operation_id=operation_id,
+            delta_digest=delta_digest,
         )
         head = msgspec.structs.replace(
             state.head, latest_signed=record.version, changed_by=operator
@@ -273,6 +275,25 @@
             exceptions.Code.PLATFORM_DOWN, f'content: {outcome.detail}'
         )
 
+    def _put_delta(
+        self,
+        head: _records.HeadRecord,
+        content: bundles.Bundle,
+        digest: base.Digest,
+    ) -> bytes:
+        """Store the difference from the version rolled; return its name."""
+        if not head.version:
+            return b''
+        base_digest = base.Digest(head.digest)
+        encoded = self.objects.get_object(base_digest)
+        old = bundles.decode_bundle(encoded, base_digest)
+        delta = bundles.encode_delta(
+            bundles.make_delta(old, base_digest, content, digest)
+        )
+        name = bundles.compute_digest(delta)
+        self._put_content(name, delta)
+        return name
+
     def _read_state(self, operation_id: base.OperationId) -> _HeadState:
         head_row, proof_row = self.table.read(
             [_records.HEAD_KEY, _records.operation_key(operation_id)]
--- a/sedgering/release/_records.py
+++ b/sedgering/release/_records.py
@@ -58,7 +58,20 @@
 
 
 class SignOffRecord(msgspec.Struct, frozen=True):
-    """One signed-off version; never changes."""
+    """One signed-off version; never changes.
+
+    Parameters
+    ----------
+    version, digest
+        The version and its content.
+    base_version : Version
+        Version that was rolled when it was signed off.
+    operator, signed_at_ms, operation_id
+        Who, when, and by which operation.
+    delta_digest : bytes
+        Names the difference from `base_version` in the object store;
+        empty when there is none.
+    """
 
     version: base.Version
     digest: bytes
@@ -66,6 +79,7 @@
     operator: str
     signed_at_ms: int
     operation_id: base.OperationId
+    delta_digest: bytes = b''
 
 
 class RollRecord(msgspec.Struct, frozen=True):
--- a/sedgering/testing/_engine.py
+++ b/sedgering/testing/_engine.py
@@ -1,5 +1,6 @@
 """Table service and object store in memory, with faults on demand."""
 
+import collections
 from collections.abc import Sequence
 import threading
 import time
@@ -15,6 +16,8 @@
 #: Budgets of the brief: several hundred writes, two thousand reads.
 WRITES_PER_S = 400
 READS_PER_S = 2000
+#: Names of fetched objects that are kept for tests.
+FETCHED_LIMIT = 1000
 
 
 class Faults(msgspec.Struct):
@@ -85,6 +88,9 @@
     def __init__(self, now_s=time.monotonic):
         self.faults = Faults()
         self.stats = Stats()
+        self.fetched_objects: collections.deque[str] = collections.deque(
+            maxlen=FETCHED_LIMIT
+        )
         self._now_s = now_s
         self._rows: dict[str, platform.Row] = {}
         self._objects: dict[str, bytes] = {}
@@ -150,6 +156,7 @@
         with self._lock:
             self._admit(self._reads)
             self.stats.object_gets += 1
+            self.fetched_objects.append(name)
             return self._objects.get(name)
 
     def _admit(self, bucket: _Bucket) -> None:
--- a/sedgering/testing/_exchange.py
+++ b/sedgering/testing/_exchange.py
@@ -239,10 +239,14 @@
             if isinstance(command, messages.ReadHead):
                 return self._read_head(command)
             if isinstance(command, messages.FetchObject):
-                body = self.store.get_object(command.digest)
-                return messages.ObjectFetched(
-                    command.version, command.digest, body
+                content = release.read_content(
+                    self.store,
+                    self.store,
+                    command.version,
+                    command.digest,
+                    command.held_version,
                 )
+                return messages.ObjectFetched(content)
             return self._write_row(command)
         except exceptions.PlatformError as error:
             if isinstance(command, messages.ReadHead):
