A notice from the operator wakes the relays

Cause: convergence was bounded by the relays' poll interval. With reads once a second, a change waits up to a second (less with three relays, whose reads fall at different moments) before anybody knows of it. Change: after a roll the tool sends one datagram to each contact; a relay then reads the head at once, at most twice a second, and believes nothing but the head row. A lost notice costs one poll interval, as before. Ruled out: polling four times a second, which costs the source four times the reads for a quarter of the wait.

--- a/benchmarks/bench_convergence.py
+++ b/benchmarks/bench_convergence.py
@@ -11,6 +11,7 @@
 import statistics
 import time
 
+from sedgering.cli import _notice
 from sedgering import platform
 from sedgering import release
 from sedgering import settings
@@ -22,6 +23,8 @@
 POLL_INTERVAL_S = 1.0
 START_BATCH = 25
 CHANGE_TIMEOUT_S = 30.0
+#: News of the last join is passed on for a while.
+SETTLE_S = 5.0
 
 PROFILES = {
     'default': {},
@@ -47,12 +50,12 @@
     with testing.make_fleet(MESH, PROFILES[options.profile]) as fleet:
         fleet.start_platform()
         client = make_client(fleet)
-        versions = Versions(client, options.services)
+        versions = Versions(client, options.services, not options.no_notice)
         start_proxies(fleet, options.proxies)
         versions.roll_next()
         fleet.wait_version(1)
-        fleet.wait_members()
-        time.sleep(3)
+        fleet.wait_settled()
+        time.sleep(SETTLE_S)
         idle = measure_idle(fleet, options.idle_s)
         measured = measure_changes(fleet, versions, options, idle)
         fleet.stop_proxies()
@@ -68,6 +71,7 @@
     parser.add_argument('--services', type=int, default=200)
     parser.add_argument('--idle-s', type=float, default=10.0)
     parser.add_argument('--pause-s', type=float, default=2.0)
+    parser.add_argument('--no-notice', action='store_true')
     parser.add_argument(
         '--profile', choices=sorted(PROFILES), default='default'
     )
@@ -77,8 +81,9 @@
 class Versions:
     """Signs off and rolls one change after the other."""
 
-    def __init__(self, client: release.ReleaseClient, services: int):
-        self.client = client
+    def __init__(self, client, services: int, sends_notice: bool):
+        self.client: release.ReleaseClient = client
+        self.sends_notice = sends_notice
         self.services = services
         self.number = 0
 
@@ -91,6 +96,8 @@
             content, OPERATOR, release.make_operation_id()
         )
         self.client.roll(record.version, OPERATOR, release.make_operation_id())
+        if self.sends_notice:
+            _notice.notify_relays(self.client.table, MESH, OPERATOR)
         return record.version, started_ms
 
 
--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -98,3 +98,10 @@
     When versions 2, 3 and 4 are rolled at once
     And every proxy holds version 4 within 5 s
     Then no whole bundle was fetched from the object store
+
+  Scenario: A notice wakes the relays, and a flood of notices is bounded
+    Given relays that read the head once in 60 s
+    When version 2 is rolled with a notice
+    Then every proxy holds version 2 within 2 s
+    When 500 notices arrive at a relay within 5 s
+    Then it has read the head at most 20 times
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -456,3 +456,43 @@
     names = {record.digest.hex() for record in fleet.client.list_sign_offs()}
     assert fleet.engine.fetched_objects
     assert not names & set(fleet.engine.fetched_objects)
+
+
+@given('relays that read the head once in 60 s')
+def step_slow_relays(context):
+    options = {'distribution': {'head_poll_interval_ms': 60_000}}
+    context.fleet = FleetSubject(6, options=options)
+    context.fleet.start()
+
+
+def send_notice(fleet, node):
+    datagram = peer.Datagram(
+        mesh='mesh', sender='anna', incarnation=0, head_changed=True
+    )
+    fleet.exchange.replay(node, node, datagram)
+
+
+@when('version {version:d} is rolled with a notice')
+def step_roll_notice(context, version):
+    fleet = context.fleet
+    assert fleet.roll(version) == version
+    for node in fleet.nodes:
+        send_notice(fleet, node)
+
+
+@when('{count:d} notices arrive at a relay within {seconds:d} s')
+def step_flood(context, count, seconds):
+    fleet = context.fleet
+    relay = next(n for n in fleet.nodes if n.tables.tree.is_relay)
+    context.reads_before = fleet.engine.stats.reads
+    steps = seconds * 10
+    for _ in range(steps):
+        for _ in range(count // steps):
+            send_notice(fleet, relay)
+        fleet.exchange.step()
+
+
+@then('it has read the head at most {limit:d} times')
+def step_reads(context, limit):
+    reads = context.fleet.engine.stats.reads - context.reads_before
+    assert 1 <= reads <= limit, reads
--- a/sedgering/cli/operator.py
+++ b/sedgering/cli/operator.py
@@ -15,6 +15,7 @@
 from sedgering import bundle as bundles
 from sedgering.cli import _common
 from sedgering.cli import _diff
+from sedgering.cli import _notice
 from sedgering import exceptions
 from sedgering import platform
 from sedgering import release
@@ -144,6 +145,7 @@
         own.operator,
         _choose_operation_id(operation_id),
     )
+    _notice.notify_relays(client.table, own.mesh, own.operator)
     print(f'rolled version {record.version} over {record.from_version}')
 
 
--- a/sedgering/peer/__init__.py
+++ b/sedgering/peer/__init__.py
@@ -11,6 +11,7 @@
 from sedgering.peer._codec import encode_datagram
 from sedgering.peer._codec import MAX_DATAGRAM_BYTES
 from sedgering.peer._codec import PROTOCOL_VERSION
+from sedgering.peer._notice import send_head_notice
 from sedgering.peer._server import make_peer_server
 from sedgering.peer._server import PeerServer
 from sedgering.peer.gen.wire.ttypes import Acknowledgement
@@ -48,4 +49,5 @@
     'fetch_content',
     'make_peer_server',
     'pull_rows',
+    'send_head_notice',
 ]
--- a/sedgering/peer/gen/wire/ttypes.py
+++ b/sedgering/peer/gen/wire/ttypes.py
@@ -794,6 +794,7 @@
      - acknowledgement
      - compare
      - rows
+     - head_changed
 
     """
 
@@ -806,10 +807,11 @@
         'acknowledgement',
         'compare',
         'rows',
+        'head_changed',
     )
 
 
-    def __init__(self, mesh=None, protocol=None, sender=None, incarnation=None, announcement=None, acknowledgement=None, compare=None, rows=None,):
+    def __init__(self, mesh=None, protocol=None, sender=None, incarnation=None, announcement=None, acknowledgement=None, compare=None, rows=None, head_changed=None,):
         self.mesh = mesh
         self.protocol = protocol
         self.sender = sender
@@ -818,6 +820,7 @@
         self.acknowledgement = acknowledgement
         self.compare = compare
         self.rows = rows
+        self.head_changed = head_changed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -877,6 +880,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.head_changed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -922,6 +930,10 @@
                 iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.head_changed is not None:
+            oprot.writeFieldBegin('head_changed', TType.BOOL, 9)
+            oprot.writeBool(self.head_changed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1333,6 +1345,7 @@
     (6, TType.STRUCT, 'acknowledgement', [Acknowledgement, None], None, ),  # 6
     (7, TType.STRUCT, 'compare', [Compare, None], None, ),  # 7
     (8, TType.LIST, 'rows', (TType.STRUCT, [HostRow, None], False), None, ),  # 8
+    (9, TType.BOOL, 'head_changed', None, None, ),  # 9
 )
 all_structs.append(Caller)
 Caller.thrift_spec = (
--- a/sedgering/peer/wire.thrift
+++ b/sedgering/peer/wire.thrift
@@ -90,6 +90,8 @@
   6: optional Acknowledgement acknowledgement,
   7: optional Compare compare,
   8: optional list<HostRow> rows,
+  /* From an operator: the head row has changed, read it now. */
+  9: optional bool head_changed,
 }
 
 struct Caller {
--- a/sedgering/testing/_fleet.py
+++ b/sedgering/testing/_fleet.py
@@ -235,6 +235,15 @@
                 timeout_s,
             )
 
+    def wait_settled(self, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Wait until the member tables of all proxies are equal."""
+        self.wait_members(timeout_s)
+        self.wait_until(self._is_settled, 'equal member tables', timeout_s)
+
+    def _is_settled(self) -> bool:
+        statuses = [self.status(proxy) or {} for proxy in self.proxies]
+        return len({item.get('members_digest') for item in statuses}) == 1
+
     def wait_version(
         self, version: int, timeout_s: float = START_TIMEOUT_S
     ) -> None:
