--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -10,6 +10,16 @@
     Then every proxy holds version 2 within 5 s
     And the progress rows say 12 of 12
 
+  Scenario: The tree alone is quick
+    Given proxies that compare versions once in 600 s
+    When version 2 is rolled
+    Then every proxy holds version 2 within 3 s
+
+  Scenario: Comparison alone is enough
+    Given no announcement and no acknowledgement arrives
+    When version 2 is rolled
+    Then every proxy holds version 2 within 20 s
+
   Scenario: Lost, doubled, delayed and reordered messages
     Given 30 % of the messages are lost, 30 % doubled and all delayed
     When versions 2, 3 and 4 are rolled one second apart
@@ -61,10 +71,14 @@
     Then it is still waiting for a floor
 
   Scenario: A restarted proxy whose peers lag does not serve under its floor
-    When version 2 is rolled
-    And the first proxy holds version 2
-    And that proxy restarts while its peers cannot hear of version 2
+    Given a data centre that can reach neither others nor the platform
+    And version 2 is rolled and held by the others
+    And the platform is down and the others are paused
+    When a proxy that held version 2 restarts where only the lagging ones answer
+    And 30 s pass
     Then it serves nothing under version 2
+    When the others wake
+    Then it serves version 2 within 20 s
 
   Scenario: Damaged content is asked for again elsewhere
     Given the next 3 contents that peers send are damaged
--- a/features/steps/bundle_steps.py
+++ b/features/steps/bundle_steps.py
@@ -121,6 +121,9 @@
         subject.apply(1, held)
         encoded = bundles.encode_bundle(offered)
         damaged = damage(data, encoded)
+        if data.draw(st.booleans()):
+            # Sound in itself, but not what was signed off.
+            damaged = bundles.encode_bundle(data.draw(valid_bundles()))
         hypothesis.assume(damaged != encoded)
         try:
             subject.receive_full(damaged, subject.digest(offered))
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -6,6 +6,7 @@
 from behave import when
 import hypothesis
 from hypothesis import strategies as st
+import msgspec
 
 from sedgering import bundle as bundles
 from sedgering.distribution import _tree
@@ -125,6 +126,25 @@
     fleet.exchange.run_until(is_complete, seconds)
 
 
+@given('proxies that compare versions once in 600 s')
+def step_rare_compare(context):
+    for node in context.fleet.nodes:
+        options = msgspec.structs.replace(
+            node.tables.settings.membership, compare_interval_ms=600_000
+        )
+        node.tables.settings = msgspec.structs.replace(
+            node.tables.settings, membership=options
+        )
+    # The probes that are due already still go out.
+    context.fleet.exchange.run(3)
+
+
+@given('no announcement and no acknowledgement arrives')
+def step_no_tree(context):
+    parts = {'announcement', 'acknowledgement'}
+    context.fleet.exchange.dropped_parts = parts
+
+
 @given('30 % of the messages are lost, 30 % doubled and all delayed')
 def step_faults(context):
     exchange = context.fleet.exchange
@@ -256,13 +276,42 @@
     assert not context.restarted.is_serving
 
 
-@when('that proxy restarts while its peers cannot hear of version 2')
-def step_restart_first(context):
+@given('version 2 is rolled and held by the others')
+def step_others_hold(context):
     fleet = context.fleet
-    others = [node for node in fleet.nodes if node is not context.first]
-    for node in others:
+    fleet.roll(2)
+    context.others = [
+        node
+        for node in fleet.nodes
+        if node.tables.settings.data_centre != 'dc-a'
+    ]
+    fleet.exchange.run_until(
+        lambda: all(node.version == 2 for node in context.others), 5
+    )
+
+
+@given('the platform is down and the others are paused')
+def step_others_paused(context):
+    context.fleet.engine.faults = testing.Faults(down=True)
+    for node in context.others:
         node.is_paused = True
-    context.restarted = fleet.restart(context.first)
+
+
+@when(
+    'a proxy that held version 2 restarts where only the lagging ones answer'
+)
+def step_restart_lagging(context):
+    fleet = context.fleet
+    held = context.others.pop()
+    assert held.is_serving and held.version == 2
+    context.restarted = fleet.restart(held)
+    fleet.exchange.cut = set()
+
+
+@when('the others wake')
+def step_others_wake(context):
+    for node in context.others:
+        node.is_paused = False
 
 
 @given('the next 3 contents that peers send are damaged')
--- a/sedgering/distribution/_relay.py
+++ b/sedgering/distribution/_relay.py
@@ -13,9 +13,9 @@
 __all__ = ['RelaySystem']
 
 LONGEST_PAUSE_MS = 8000
-#: Shortest time between two reads, however many notices arrive: anybody
-#: can send a notice.
-SHORTEST_PAUSE_MS = 500
+#: Shortest time between two reads that notices bring forward: anybody can
+#: send a notice.
+NOTICE_PAUSE_MS = 500
 
 
 class RelaySystem(base.System):
@@ -26,7 +26,7 @@
 
     def __init__(self):
         self._next_poll_ms = 0
-        self._polled_at_ms = 0
+        self._noticed_at_ms = -NOTICE_PAUSE_MS
         self._failures = 0
         self._is_reading = False
 
@@ -42,11 +42,12 @@
         if not tables.tree.is_relay or self._is_reading:
             return
         if any(item.datagram.head_changed for item in tables.inbox.datagrams):
-            earliest_ms = self._polled_at_ms + SHORTEST_PAUSE_MS
-            self._next_poll_ms = min(self._next_poll_ms, earliest_ms)
+            earliest_ms = max(now_ms, self._noticed_at_ms + NOTICE_PAUSE_MS)
+            if earliest_ms < self._next_poll_ms:
+                self._next_poll_ms = earliest_ms
+                self._noticed_at_ms = earliest_ms
         if now_ms >= self._next_poll_ms:
             self._is_reading = True
-            self._polled_at_ms = now_ms
             self._next_poll_ms = now_ms + self._pause_ms(tables)
             tables.outbox.platform.append(messages.ReadHead(False))
 
--- a/sedgering/distribution/_update.py
+++ b/sedgering/distribution/_update.py
@@ -43,7 +43,8 @@
     An earlier process of this host may have held a version that this one
     does not know of.  The head row is a strict floor: nothing greater was
     ever in force anywhere when it was read.  Without the table, several
-    peers must say what they hold.
+    peers must say what they hold, and every data centre ever heard of
+    must be among them: a part of the fleet that is cut off may all lag.
     """
 
     def __init__(self):
@@ -81,9 +82,16 @@
     def _is_enough(self, tables: control.ControlTables, now_ms: int) -> bool:
         if self._first_heard_ms is None:
             return False
-        enough = tables.settings.membership.floor_peers
-        waited_ms = now_ms - self._first_heard_ms
-        return len(self._heard) >= enough and waited_ms >= FLOOR_SETTLE_MS
+        if now_ms - self._first_heard_ms < FLOOR_SETTLE_MS:
+            return False
+        if len(self._heard) < tables.settings.membership.floor_peers:
+            return False
+        return tables.hosts.seen_data_centres <= self._answering(tables)
+
+    def _answering(self, tables: control.ControlTables) -> set[str]:
+        hosts = tables.hosts
+        rows = [hosts.find(base.HostId(host)) for host in self._heard]
+        return {hosts.data_centres[row] for row in rows if row is not None}
 
 
 class UpdateSystem(base.System):
--- a/sedgering/membership/_join.py
+++ b/sedgering/membership/_join.py
@@ -89,9 +89,9 @@
             compare = _probe.make_compare(tables, _NONCE, False)
             tables.datagram_to(address).compare = compare
         if unknown:
-            digests = tuple(tables.hosts.bucket_digests)
             address = tables.rng.choice(unknown)
-            tables.outbox.peers.append(messages.PullRows(address, digests))
+            request = _probe.make_pull(tables, address)
+            tables.outbox.peers.append(request)
 
     def _refresh(
         self,
--- a/sedgering/membership/_probe.py
+++ b/sedgering/membership/_probe.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from sedgering import control
 
-__all__ = ['ProbeSystem', 'choose_peers']
+__all__ = ['ProbeSystem', 'choose_peers', 'make_compare', 'make_pull']
 
 #: Shortest time between two pulls of rows.
 PULL_PAUSE_MS = 1000
@@ -124,8 +124,8 @@
         if now_ms < self._next_pull_ms or not (is_settled or is_new):
             return
         self._next_pull_ms = now_ms + PULL_PAUSE_MS
-        digests = tuple(tables.hosts.bucket_digests)
-        tables.outbox.peers.append(messages.PullRows(address, digests))
+        request = make_pull(tables, address)
+        tables.outbox.peers.append(request)
 
     def _check_silence(
         self, tables: control.ControlTables, now_ms: int
@@ -159,6 +159,15 @@
         datagram.compare = make_compare(tables, nonce, False)
 
 
+def make_pull(
+    tables: control.ControlTables, address: messages.PeerAddress
+) -> messages.PullRows:
+    """Make the request for the rows that differ; for all when new here."""
+    if len(tables.hosts) <= 1:
+        return messages.PullRows(address, ())
+    return messages.PullRows(address, tuple(tables.hosts.bucket_digests))
+
+
 def make_compare(
     tables: control.ControlTables, nonce: int, is_reply: bool
 ) -> peer.Compare:
--- a/sedgering/membership/_table.py
+++ b/sedgering/membership/_table.py
@@ -103,6 +103,8 @@
         Target sets whose members changed since it was last emptied.
     unsettled : set of int
         Rows of hosts that are suspected or gone.
+    seen_data_centres : set of DataCentre
+        Named by any row that ever arrived, also of hosts that are gone.
     """
 
     def __init__(self):
@@ -124,6 +126,7 @@
         self.bucket_digests = array.array('q', [0] * BUCKETS)
         self.changed_sets: set[str] = set()
         self.unsettled: set[int] = set()
+        self.seen_data_centres: set[base.DataCentre] = set()
         self.lock = threading.Lock()
         self._rows: dict[base.HostId, int] = {}
         self._free: list[int] = []
@@ -177,6 +180,7 @@
         The held version never decreases, whatever the order of arrival:
         a new incarnation inherits what its host held before.
         """
+        self.seen_data_centres.add(sys.intern(message.data_centre))
         row = self._rows.get(message.host)
         if row is None:
             if message.state == peer.HostState.GONE:
--- a/sedgering/messages.py
+++ b/sedgering/messages.py
@@ -23,6 +23,7 @@
     'RowWriteFailed',
     'RowsPulled',
     'WriteRow',
+    'list_differing',
 ]
 
 #: IP number and peer port.
@@ -103,12 +104,26 @@
 
 
 class PullRows(msgspec.Struct, frozen=True):
-    """Ask a peer for the rows of the buckets that differ."""
+    """Ask a peer for the rows of the buckets that differ.
+
+    Buckets without a digest here are asked for in any case.
+    """
 
     address: PeerAddress
     bucket_digests: tuple[int, ...]
 
 
+def list_differing(
+    own: tuple[int, ...], digests: list[int] | tuple[int, ...]
+) -> list[int]:
+    """Return the buckets whose digests differ, or that `own` lacks."""
+    return [
+        index
+        for index, digest in enumerate(digests)
+        if index >= len(own) or digest != own[index]
+    ]
+
+
 class WriteRow(msgspec.Struct, frozen=True):
     """Write a row for display or contact; the last writer wins."""
 
--- a/sedgering/proxy/_workers.py
+++ b/sedgering/proxy/_workers.py
@@ -230,12 +230,7 @@
         digests = peer.bucket_digests(
             command.address, self.caller, FETCH_TIMEOUT_MS
         )
-        own = command.bucket_digests
-        buckets = [
-            index
-            for index, digest in enumerate(digests[: len(own)])
-            if digest != own[index]
-        ]
+        buckets = messages.list_differing(command.bucket_digests, digests)
         self._count(len(digests) * 8)
         if not buckets:
             return messages.RowsPulled(())
--- a/sedgering/release/_client.py
+++ b/sedgering/release/_client.py
@@ -392,10 +392,9 @@
     proof_key = _records.operation_key(record.operation_id)
     transaction = platform.Transaction(
         operation_id=record.operation_id,
-        conditions=(
-            platform.Condition(_records.HEAD_KEY, state.revision),
-            platform.Condition(proof_key, 0),
-        ),
+        # Any effect moves the head, so that no second copy, however late,
+        # meets this condition again.
+        conditions=(platform.Condition(_records.HEAD_KEY, state.revision),),
         puts=(
             platform.Put(_records.HEAD_KEY, _records.encode_record(head)),
             platform.Put(key, _records.encode_record(record)),
--- a/sedgering/settings.py
+++ b/sedgering/settings.py
@@ -27,7 +27,7 @@
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Name = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9._-]{0,62}$')]
-IntervalMs = Annotated[int, msgspec.Meta(ge=10, le=600_000)]
+IntervalMs = Annotated[int, msgspec.Meta(ge=10, le=86_400_000)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=10_000)]
 Percent = Annotated[int, msgspec.Meta(ge=0, le=100)]
 
@@ -134,7 +134,8 @@
     suspicion_ms : int
         Time that a suspected host has to answer for itself.
     forget_ms : int
-        Time for which the row of a host that is gone is kept.
+        Time for which the row of a host that is gone is kept; longer
+        than regions are apart.
     remote_percent : int
         Share of probes that goes to other data centres.
     gossip_fan_out : int
@@ -142,13 +143,14 @@
     seeds : list of PeerAddress
         Peers to ask when the platform cannot name any.
     floor_peers : int
-        Peers that must answer before a floor counts without the table.
+        Peers that must answer, among them one of each data centre ever
+        heard of, before a floor counts without the table.
     """
 
     compare_interval_ms: IntervalMs = 1000
     probe_timeout_ms: IntervalMs = 500
     suspicion_ms: IntervalMs = 3000
-    forget_ms: IntervalMs = 600_000
+    forget_ms: IntervalMs = 7_200_000
     remote_percent: Percent = 10
     gossip_fan_out: Annotated[int, msgspec.Meta(ge=1, le=16)] = 3
     seeds: tuple[PeerAddress, ...] = ()
--- a/sedgering/testing/_exchange.py
+++ b/sedgering/testing/_exchange.py
@@ -93,6 +93,8 @@
         Longest delay of a datagram; with more than one, order is lost.
     cut : set of frozenset of str
         Pairs of data centres, or single hosts, that cannot talk.
+    dropped_parts : set of str
+        Parts that are taken out of every datagram.
     cut_platform : set of str
         Data centres and hosts that cannot reach the platform.
     """
@@ -107,6 +109,7 @@
         self.duplication = 0.0
         self.delay_ticks = 1
         self.cut: set[frozenset[str]] = set()
+        self.dropped_parts: set[str] = set()
         self.cut_platform: set[str] = set()
         self.damage_contents = 0
         self._incarnations = 0
@@ -206,6 +209,8 @@
     def _send(self, node: Node, address, datagram) -> None:
         if not self._can_talk(node, address):
             return
+        for part in self.dropped_parts:
+            setattr(datagram, part, None)
         data = peer.encode_datagram(datagram)
         assert len(data) <= peer.MAX_DATAGRAM_BYTES, len(data)
         if self.rng.random() < self.loss:
@@ -298,10 +303,8 @@
 
 
 def _pull_rows(other: Node, command) -> messages.RowsPulled:
-    digests = other.tables.hosts.bucket_digests
+    digests = tuple(other.tables.hosts.bucket_digests)
     buckets = frozenset(
-        index
-        for index, digest in enumerate(digests)
-        if digest != command.bucket_digests[index]
+        messages.list_differing(command.bucket_digests, digests)
     )
     return messages.RowsPulled(tuple(other.tables.hosts.list_bucket(buckets)))
