Data path: limits, fair shares, ejection, budget, hedging, cancelling

Cause: the thin data path had two choices and nothing else. Now: scores of own and reported load, ejection with growing pauses and a panic share, slow start, adaptive admission with fair shares of parties and a bounded queue by deadline, one retry budget for the proxy, attempts counted over layers, hedging, and cancelling when the caller goes away. urllib3's connections are used directly, which is what makes cancelling possible.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -39,7 +39,8 @@
     with testing.make_fleet('tuulai') as fleet:
         start_fleet(fleet)
         roll(fleet, EXAMPLES / 'bundle.yaml')
-        wait_targets(fleet)
+        fleet.wait_targets(TARGET_SETS)
+        print(f'all proxies know {sum(TARGET_SETS.values())} targets')
         callers = start_callers(fleet)
         time.sleep(2)
         print('rolling a second version under load')
@@ -57,9 +58,7 @@
     """Start platform, proxies and targets."""
     fleet.start_platform()
     fleet.add_proxies(DATA_CENTRES * PROXIES_PER_DATA_CENTRE)
-    config = fleet.folder / 'targets.yaml'
-    config.write_text(yaml.safe_dump(list(place_targets(fleet))))
-    fleet.start_program('standin', ['targets', '--config', str(config)], 't')
+    fleet.start_targets(list(place_targets(fleet)))
     fleet.wait_members()
     print(f'{len(fleet.proxies)} proxies know each other')
 
@@ -82,16 +81,6 @@
             }
 
 
-def wait_targets(fleet: testing.Fleet) -> None:
-    """Wait until every proxy knows every target."""
-    for proxy in fleet.proxies:
-        fleet.wait_until(
-            lambda proxy=proxy: fleet.status(proxy)['targets'] == TARGET_SETS,
-            f'{proxy.host} to know all targets',
-        )
-    print(f'all proxies know {sum(TARGET_SETS.values())} targets')
-
-
 def roll(fleet: testing.Fleet, path: pathlib.Path) -> float:
     """Check, sign off, roll and watch; return the convergence time."""
     print(fleet.run_operator('check', str(path), needs_config=False).strip())
@@ -122,7 +111,9 @@
 ) -> testing.Verdict:
     """Compare the callers' records with the targets' ledgers."""
     ledger: collections.Counter = collections.Counter()
-    for target in yaml.safe_load((fleet.folder / 'targets.yaml').read_text()):
+    for target in yaml.safe_load(
+        (fleet.folder / 'targets-0.yaml').read_text()
+    ):
         ledger.update(fleet.get_json(target['port'], '/standin/ledger'))
     records = [record for caller in callers for record in caller.records]
     return testing.judge_calls(records, ledger)
--- a/sedgering/bundle/_model.py
+++ b/sedgering/bundle/_model.py
@@ -41,12 +41,16 @@
         Most attempts for a request that may be sent again.
     retry_budget_percent : int
         Retries allowed, as a share of requests in percent.
+    hedge_after_ms : int
+        Silence after which a repeatable request without body is also sent
+        to a second target; 0 never.
     """
 
     name: base.PolicyName
     timeout_ms: int = DEFAULT_TIMEOUT_MS
     attempts: int = 2
     retry_budget_percent: int = 10
+    hedge_after_ms: int = 0
 
 
 class TargetSet(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/sedgering/bundle/_validation.py
+++ b/sedgering/bundle/_validation.py
@@ -11,6 +11,7 @@
 METHOD_PATTERN = re.compile(r'[A-Z]{1,20}')
 TIMEOUT_RANGE_MS = range(1, 3_600_001)
 ATTEMPTS_RANGE = range(1, 11)
+HEDGE_RANGE_MS = range(0, 60_001)
 BUDGET_RANGE_PERCENT = range(0, 101)
 SLOTS_RANGE = range(1, 10_001)
 CONNECTIONS_RANGE = range(1, 100_001)
@@ -71,6 +72,9 @@
         BUDGET_RANGE_PERCENT,
         f'{path}.retry_budget_percent',
     )
+    _check_range(
+        policy.hedge_after_ms, HEDGE_RANGE_MS, f'{path}.hedge_after_ms'
+    )
 
 
 def _check_target_set(target_set: _model.TargetSet) -> None:
--- a/sedgering/cli/standin.py
+++ b/sedgering/cli/standin.py
@@ -60,6 +60,24 @@
         thread.join()
 
 
+@app.command()
+def passthrough(
+    port: Annotated[int, typer.Option(help='Port to listen on.')],
+    target: Annotated[
+        list[int], typer.Option(help='Port of a target; repeat for more.')
+    ],
+    address: Annotated[str, typer.Option(help='IP number.')] = '127.0.0.1',
+) -> None:
+    """Run the naive proxy: one attempt, round robin, no decisions."""
+    server = testing.make_passthrough(
+        address, port, [(address, number) for number in target]
+    )
+    server.prepare()
+    threading.Thread(target=server.serve, daemon=True).start()
+    _wait_for_signal()
+    server.stop()
+
+
 def _load_targets(path: pathlib.Path) -> list[testing.TargetSettings]:
     try:
         return msgspec.convert(
--- a/sedgering/proxy/_daemon.py
+++ b/sedgering/proxy/_daemon.py
@@ -27,6 +27,9 @@
 LOG = logging.getLogger(__name__)
 
 STATUS_TIMEOUT_S = 2.0
+#: Time between two looks at the latencies of targets.
+OUTLIER_INTERVAL_MS = 1000
+_OPEN_STATES = (peer.HostState.SERVING, peer.HostState.DRAINING)
 
 
 class _PeerHandler(peer_server.PeerHandler):
@@ -158,15 +161,14 @@
     tables = control.make_control_tables(proxy_settings, incarnation, rng)
     metrics = observability.make_metrics()
     state = _shared.RequestState(
+        proxy_settings,
         tables.holder,
         tables.view,
-        traffic.LoadTable(),
-        _shared.Gate(),
         metrics,
+        random.Random(),
+        time.monotonic_ns() // 1_000_000,
     )
-    loop = _control.ControlLoop(
-        tables, metrics, lambda tables: _publish(tables, state)
-    )
+    loop = _control.ControlLoop(tables, metrics, _Publisher(state).publish)
     _add_workers(loop, proxy_settings, incarnation, metrics)
     peers = peer.make_peer_server(
         str(proxy_settings.address),
@@ -174,9 +176,7 @@
         proxy_settings.mesh,
         _PeerHandler(tables, metrics),
     )
-    data_path = _data_path.make_data_path(
-        proxy_settings, state, random.Random()
-    )
+    data_path = _data_path.make_data_path(proxy_settings, state)
     daemon = Daemon(tables, loop, peers, data_path, None, state)
     daemon.admin = _admin.make_admin_server(
         proxy_settings, metrics, daemon.read_status, daemon.announce
@@ -200,14 +200,33 @@
     loop.peer_worker = _workers.PeerWorker(loop.post, metrics, caller)
 
 
-def _publish(
-    tables: control.ControlTables, state: _shared.RequestState
-) -> None:
-    """Show the request threads and the metrics what a tick decided."""
-    own = tables.self_row.state
-    state.gate.is_open = own in (
-        peer.HostState.SERVING,
-        peer.HostState.DRAINING,
-    )
-    state.metrics.held_version.set(tables.holder.version)
-    state.metrics.members.set(len(tables.hosts))
+class _Publisher:
+    """Shows the request threads and the metrics what a tick decided."""
+
+    def __init__(self, state: _shared.RequestState):
+        self.state = state
+        self._next_check_ms = 0
+
+    def publish(self, tables: control.ControlTables) -> None:
+        """Called in the control thread after each tick."""
+        state = self.state
+        own = tables.self_row.state
+        state.gate.is_open = own in _OPEN_STATES
+        state.metrics.held_version.set(tables.holder.version)
+        state.metrics.members.set(len(tables.hosts))
+        now_ms = time.monotonic_ns() // 1_000_000
+        if now_ms >= self._next_check_ms:
+            self._next_check_ms = now_ms + OUTLIER_INTERVAL_MS
+            self._check_targets(now_ms)
+
+    def _check_targets(self, now_ms: int) -> None:
+        """Eject slow targets and forget those that are gone."""
+        loads = self.state.loads
+        keys = set()
+        # Only the target sets that this proxy has sent to.
+        for target_set in self.state.admission.list_target_sets():
+            endpoints = self.state.view.by_set.get(target_set, ())
+            keys.update((item.address, item.port) for item in endpoints)
+            for endpoint in traffic.find_slow(endpoints, loads, now_ms):
+                loads.eject(endpoint, now_ms)
+        loads.retain(keys)
--- a/sedgering/proxy/_shared.py
+++ b/sedgering/proxy/_shared.py
@@ -1,11 +1,15 @@
 """What the threads of one daemon share."""
 
-import queue
+import random
 import threading
 
+from sedgering import base
 from sedgering import bundle as bundles
 from sedgering import membership
 from sedgering import observability
+from sedgering.proxy import _admission
+from sedgering.proxy import _upstream
+from sedgering import settings
 from sedgering import traffic
 
 __all__ = ['Gate', 'RequestState']
@@ -52,37 +56,42 @@
 
     Parameters
     ----------
+    proxy_settings : ProxySettings
+        Limits, and the own data centre.
     holder : BundleHolder
         Its snapshot is in force.
     view : TargetView
         Targets by target set.
-    loads : LoadTable
-        Requests in flight.
-    gate : Gate
-        Whether requests are taken.
     metrics : Metrics
         Counts requests.
+    rng : random.Random
+        Source of choices; its methods are atomic under the interpreter
+        lock.
+    now_ms : int
+        Time of the start.
     """
 
     def __init__(
         self,
+        proxy_settings: settings.ProxySettings,
         holder: bundles.BundleHolder,
         view: membership.TargetView,
-        loads: traffic.LoadTable,
-        gate: Gate,
         metrics: observability.Metrics,
+        rng: random.Random,
+        now_ms: int,
     ):
+        limits = proxy_settings.traffic
+        self.data_centre = base.DataCentre(proxy_settings.data_centre)
         self.holder = holder
         self.view = view
-        self.loads = loads
-        self.gate = gate
         self.metrics = metrics
-
-
-def put_or_drop(target: queue.Queue, item: object) -> bool:
-    """Queue an item; say whether there was room."""
-    try:
-        target.put_nowait(item)
-    except queue.Full:
-        return False
-    return True
+        self.rng = rng
+        self.gate = Gate()
+        self.loads = traffic.LoadTable(rng)
+        self.upstream = _upstream.Upstream()
+        self.admission = _admission.AdmissionGates(
+            limits.waiting_limit, limits.waiting_ms
+        )
+        self.retry_budget = traffic.make_retry_budget(
+            limits.retry_floor_per_s, now_ms
+        )
--- a/sedgering/proxy/_upstream.py
+++ b/sedgering/proxy/_upstream.py
@@ -1,29 +1,49 @@
-"""One attempt at one target over urllib3."""
+"""Attempts at targets over urllib3's connections.
+
+urllib3's connection objects are used directly, without its pool manager:
+the time of a request is spent in fewer layers, and an attempt that is no
+longer wanted can be cancelled by closing its connection.
+"""
 
 from collections.abc import Iterator
+import http.client
+import select
+import socket
 import threading
+import time
 
 import msgspec
 import urllib3
+from urllib3 import connection as urllib3_connection
 
 from sedgering import exceptions
 from sedgering import membership
 from sedgering import traffic
 
-__all__ = ['Attempt', 'Upstream', 'UpstreamRequest']
+__all__ = ['Attempt', 'CallerGone', 'Flight', 'Upstream', 'UpstreamRequest']
 
 CHUNK_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 1.0
 UNAVAILABLE = 503
-#: Pools kept for targets; the least recently used one is closed.
+#: Idle time after which a kept connection is not used again: a target
+#: that closes it at the same moment would leave the outcome unknown.
+IDLE_LIMIT_S = 4.0
+#: Pools kept; the least recently used one is closed.
 POOLS_LIMIT = 256
+_PEEK = socket.MSG_PEEK | socket.MSG_DONTWAIT
+_READABLE = select.POLLIN | select.POLLHUP | select.POLLERR
 
-_NEVER_SENT = (
-    urllib3.exceptions.NewConnectionError,
-    urllib3.exceptions.ConnectTimeoutError,
+_FAILURES = (
+    OSError,
+    http.client.HTTPException,
+    urllib3.exceptions.HTTPError,
 )
 
 
+class CallerGone(Exception):
+    """The caller went away; nothing can be told to it."""
+
+
 class UpstreamRequest(msgspec.Struct, frozen=True):
     """What goes to a target.
 
@@ -31,92 +51,243 @@
     ----------
     method, url : str
         Request line; the URL is path and query.
-    headers : HTTPHeaderDict
+    headers : dict of str to str
         End-to-end headers.
     body : iterator of bytes or None
         Consumed while it is sent.
+    is_chunked : bool
+        Whether the length of the body is unknown.
     timeout_ms : int
         Time until the deadline.
     """
 
     method: str
     url: str
-    headers: urllib3.HTTPHeaderDict
+    headers: dict[str, str]
     body: Iterator[bytes] | None
+    is_chunked: bool
     timeout_ms: int
 
 
+class Flight:
+    """An attempt under way: a request was sent on a connection.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Where to.
+    connection : HTTPConnection
+        Used for nothing else meanwhile.
+    """
+
+    def __init__(self, endpoint, connection):
+        self.endpoint: membership.Endpoint = endpoint
+        self.connection: urllib3_connection.HTTPConnection = connection
+        self.started_s = time.monotonic()
+
+    @property
+    def elapsed_ms(self) -> float:
+        """Time since the start."""
+        return (time.monotonic() - self.started_s) * 1000
+
+
 class Attempt(msgspec.Struct, frozen=True):
-    """How one attempt ended; with the response when there is one."""
+    """How one attempt ended, or that it is under way."""
 
-    outcome: traffic.AttemptOutcome
+    outcome: traffic.AttemptOutcome | None
+    endpoint: membership.Endpoint
+    flight: Flight | None = None
     response: urllib3.BaseHTTPResponse | None = None
     detail: str = ''
 
 
+class _Pool:
+    """Idle connections to one target, the last used first."""
+
+    def __init__(self, endpoint: membership.Endpoint):
+        self.endpoint = endpoint
+        self._lock = threading.Lock()
+        self._idle: list[tuple[float, urllib3_connection.HTTPConnection]] = []
+
+    def take(self) -> urllib3_connection.HTTPConnection | None:
+        """Take an idle connection that is still sound."""
+        limit_s = time.monotonic() - IDLE_LIMIT_S
+        while True:
+            with self._lock:
+                if not self._idle:
+                    return None
+                since_s, connection = self._idle.pop()
+            if since_s >= limit_s and connection.is_connected:
+                return connection
+            connection.close()
+
+    def put(self, connection: urllib3_connection.HTTPConnection) -> None:
+        """Keep a connection whose exchange ended cleanly."""
+        with self._lock:
+            if len(self._idle) < self.endpoint.slots:
+                self._idle.append((time.monotonic(), connection))
+                return
+        connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            idle, self._idle = self._idle, []
+        for _since_s, connection in idle:
+            connection.close()
+
+
 class Upstream:
     """Connections to targets.
 
-    A connection whose exchange did not end cleanly is closed by urllib3
-    or by :meth:`Upstream.drop`, and never used again.
+    A connection whose exchange did not end cleanly is closed, and never
+    used again: a late answer can then reach nobody.
     """
 
     def __init__(self):
         self._lock = threading.Lock()
-        self._pools: dict[tuple[str, int], urllib3.HTTPConnectionPool] = {}
+        self._pools: dict[tuple[str, int], _Pool] = {}
 
-    def attempt(
+    def start(
         self, endpoint: membership.Endpoint, request: UpstreamRequest
     ) -> Attempt:
-        """Send a request to one target and wait for the response head.
+        """Send a request to one target.
 
         Returns
         -------
         Attempt
-            With outcome ANSWERED, the caller reads the response and then
-            releases or drops its connection.
+            With a flight when the request is under way.
+
+        Raises
+        ------
+        CallerGone
+            When the caller's body ends early; the target's connection is
+            closed then.
         """
-        timeout_s = request.timeout_ms / 1000
-        timeout = urllib3.Timeout(
-            connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
+        timeout_s = max(0.001, request.timeout_ms / 1000)
+        connection = self._find_pool(endpoint).take()
+        if connection is None:
+            connection = urllib3_connection.HTTPConnection(
+                endpoint.address,
+                endpoint.port,
+                timeout=min(CONNECT_TIMEOUT_S, timeout_s),
+            )
+            try:
+                connection.connect()
+            except _FAILURES as error:
+                connection.close()
+                return Attempt(
+                    traffic.AttemptOutcome.NOT_SENT,
+                    endpoint,
+                    detail=_describe(error),
+                )
+        connection.timeout = timeout_s
+        flight = Flight(endpoint, connection)
+        return self._send(flight, request)
+
+    def wait(
+        self,
+        flights: list[Flight],
+        caller: socket.socket,
+        timeout_ms: float,
+    ) -> Flight | None:
+        """Wait for the first answer.
+
+        Returns
+        -------
+        Flight or None
+            The one whose answer begins; None when time runs out.
+
+        Raises
+        ------
+        CallerGone
+            When the caller closes its connection meanwhile.
+        """
+        poller = select.poll()
+        by_descriptor = {}
+        for flight in flights:
+            descriptor = flight.connection.sock.fileno()
+            by_descriptor[descriptor] = flight
+            poller.register(descriptor, _READABLE)
+        caller_descriptor = caller.fileno()
+        poller.register(caller_descriptor, _READABLE)
+        deadline_s = time.monotonic() + timeout_ms / 1000
+        while True:
+            remaining_ms = (deadline_s - time.monotonic()) * 1000
+            ready = poller.poll(max(0, remaining_ms))
+            if not ready:
+                return None
+            for descriptor, _event in ready:
+                if descriptor in by_descriptor:
+                    return by_descriptor[descriptor]
+            if _is_closed(caller):
+                raise CallerGone
+            # The caller's next request is there already; it can wait.
+            poller.unregister(caller_descriptor)
+
+    def finish(self, flight: Flight) -> Attempt:
+        """Read the head of an answer."""
+        try:
+            response = flight.connection.getresponse()
+        except TimeoutError as error:
+            return self._fail(flight, traffic.AttemptOutcome.LATE, error)
+        except _FAILURES as error:
+            return self._fail(flight, traffic.AttemptOutcome.UNKNOWN, error)
+        if _is_refusal(response):
+            self.drop(flight)
+            return Attempt(traffic.AttemptOutcome.REFUSED, flight.endpoint)
+        return Attempt(
+            traffic.AttemptOutcome.ANSWERED,
+            flight.endpoint,
+            flight,
+            response,
         )
+
+    def release(self, flight: Flight) -> None:
+        """Keep the connection of an exchange that ended cleanly."""
+        if flight.connection.sock is not None:
+            self._find_pool(flight.endpoint).put(flight.connection)
+
+    def drop(self, flight: Flight) -> None:
+        """Close the connection of an exchange; cancels it if under way."""
+        flight.connection.close()
+
+    def _send(self, flight: Flight, request: UpstreamRequest) -> Attempt:
         try:
-            response = self._pool(endpoint).urlopen(
+            flight.connection.request(
                 request.method,
                 request.url,
                 body=request.body,
                 headers=request.headers,
-                retries=False,
-                redirect=False,
-                timeout=timeout,
+                chunked=request.is_chunked,
                 preload_content=False,
                 decode_content=False,
-                chunked=_is_chunked(request),
             )
-        except _NEVER_SENT as error:
-            return Attempt(traffic.AttemptOutcome.NOT_SENT, None, str(error))
-        except urllib3.exceptions.HTTPError as error:
-            detail = f'{type(error).__name__}: {error}'
-            return Attempt(traffic.AttemptOutcome.UNKNOWN, None, detail)
-        if _is_refusal(response):
-            response.drain_conn()
-            return Attempt(traffic.AttemptOutcome.REFUSED)
-        return Attempt(traffic.AttemptOutcome.ANSWERED, response)
+        except (BrokenPipeError, ConnectionResetError):
+            # The target may have answered early, with a refusal say.
+            return self.finish(flight)
+        except _FAILURES as error:
+            return self._fail(flight, traffic.AttemptOutcome.UNKNOWN, error)
+        except BaseException:
+            self.drop(flight)
+            raise
+        return Attempt(None, flight.endpoint, flight)
 
-    def drop(self, response: urllib3.BaseHTTPResponse) -> None:
-        """Close a connection whose response was not read to its end."""
-        response.close()
+    def _fail(
+        self,
+        flight: Flight,
+        outcome: traffic.AttemptOutcome,
+        error: Exception,
+    ) -> Attempt:
+        self.drop(flight)
+        return Attempt(outcome, flight.endpoint, detail=_describe(error))
 
-    def _pool(
-        self, endpoint: membership.Endpoint
-    ) -> urllib3.HTTPConnectionPool:
+    def _find_pool(self, endpoint: membership.Endpoint) -> _Pool:
         key = (endpoint.address, endpoint.port)
         with self._lock:
             pool = self._pools.pop(key, None)
             if pool is None:
-                pool = urllib3.HTTPConnectionPool(
-                    endpoint.address, endpoint.port, maxsize=endpoint.slots
-                )
+                pool = _Pool(endpoint)
             # Re-inserted last: the first one is the least recently used.
             self._pools[key] = pool
             if len(self._pools) > POOLS_LIMIT:
@@ -125,16 +296,6 @@
         return pool
 
 
-def _is_chunked(request: UpstreamRequest) -> bool:
-    has_length = 'content-length' in request.headers
-    return request.body is not None and not has_length
-
-
-def _is_refusal(response: urllib3.BaseHTTPResponse) -> bool:
-    marker = response.headers.get(traffic.NOT_RUN_HEADER)
-    return response.status == UNAVAILABLE and marker is not None
-
-
 def read_body(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
     """Read a response body in pieces.
 
@@ -145,7 +306,26 @@
     """
     try:
         yield from response.stream(CHUNK_BYTES, decode_content=False)
-    except urllib3.exceptions.HTTPError as error:
+    except _FAILURES as error:
         raise exceptions.RequestError(
             exceptions.Code.REQUEST_UNKNOWN, f'short body: {error}'
         ) from error
+
+
+def _is_refusal(response: urllib3.BaseHTTPResponse) -> bool:
+    if response.status != UNAVAILABLE:
+        return False
+    return response.headers.get(traffic.NOT_RUN_HEADER) is not None
+
+
+def _is_closed(caller: socket.socket) -> bool:
+    try:
+        return not caller.recv(1, _PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def _describe(error: Exception) -> str:
+    return f'{type(error).__name__}: {error}'
--- a/sedgering/settings.py
+++ b/sedgering/settings.py
@@ -166,6 +166,12 @@
         Requests worked on at a time.
     queue_limit : int
         Connections that wait for a thread.
+    waiting_limit : int
+        Requests that wait for a target set at its limit.
+    waiting_ms : int
+        Longest such wait.
+    retry_floor_per_s : int
+        Retries allowed each second however few requests there are.
     caller_timeout_ms : int
         Longest silence of a caller within a request.
     drain_grace_ms : int
@@ -176,8 +182,11 @@
         Silence after which a target counts as leaving.
     """
 
-    threads: Count = 16
+    threads: Count = 40
     queue_limit: Count = 128
+    waiting_limit: Count = 32
+    waiting_ms: IntervalMs = 100
+    retry_floor_per_s: Count = 1
     caller_timeout_ms: IntervalMs = 10_000
     drain_grace_ms: IntervalMs = 2000
     drain_limit_ms: IntervalMs = 30_000
--- a/sedgering/testing/__init__.py
+++ b/sedgering/testing/__init__.py
@@ -18,6 +18,7 @@
 from sedgering.testing._fleet import make_fleet
 from sedgering.testing._naive import make_sample_bundle
 from sedgering.testing._naive import NaivePoller
+from sedgering.testing._passthrough import make_passthrough
 from sedgering.testing._platform_server import make_platform_server
 from sedgering.testing._targets import make_target
 from sedgering.testing._targets import StandinTarget
@@ -39,6 +40,7 @@
     'free_ports',
     'judge_calls',
     'make_fleet',
+    'make_passthrough',
     'make_platform_server',
     'make_sample_bundle',
     'make_target',
--- a/sedgering/testing/_fleet.py
+++ b/sedgering/testing/_fleet.py
@@ -130,6 +130,24 @@
         self._processes.append(process)
         return process
 
+    def start_targets(self, targets: list[dict]) -> subprocess.Popen:
+        """Start target stand-ins, all in one process."""
+        number = len(list(self.folder.glob('targets-*.yaml')))
+        config = self.folder / f'targets-{number}.yaml'
+        config.write_text(yaml.safe_dump(targets))
+        arguments = ['targets', '--config', str(config)]
+        return self.start_program('standin', arguments, config.stem)
+
+    def wait_targets(self, expected: dict[str, int]) -> None:
+        """Wait until every proxy knows so many targets of each set."""
+        for proxy in self.proxies:
+            self.wait_until(
+                lambda proxy=proxy: (
+                    (self.status(proxy) or {}).get('targets') == expected
+                ),
+                f'{proxy.host} to know {expected}',
+            )
+
     def run_operator(self, *arguments: str, needs_config: bool = True) -> str:
         """Run `sedgering` to its end and return what it printed.
 
--- /dev/null
+++ b/sedgering/testing/_passthrough.py
@@ -0,0 +1,70 @@
+"""The naive proxy: one attempt, round robin, no decisions."""
+
+import itertools
+
+from cheroot import wsgi
+import urllib3
+
+__all__ = ['make_passthrough']
+
+THREADS = 16
+TIMEOUT_S = 10.0
+SKIPPED = frozenset(('connection', 'transfer-encoding', 'keep-alive'))
+
+
+class _Application:
+    """A WSGI application that passes every request on.
+
+    Parameters
+    ----------
+    addresses : list of (str, int)
+        Targets, taken in turn.
+    """
+
+    def __init__(self, addresses):
+        self._pools = itertools.cycle(
+            [
+                urllib3.HTTPConnectionPool(
+                    address, port, maxsize=THREADS, timeout=TIMEOUT_S
+                )
+                for address, port in addresses
+            ]
+        )
+
+    def __call__(self, environ, start_response):
+        """Answer one request."""
+        length = int(environ.get('CONTENT_LENGTH') or 0)
+        headers = {
+            name[5:].replace('_', '-'): value
+            for name, value in environ.items()
+            if name.startswith('HTTP_')
+        }
+        try:
+            response = next(self._pools).urlopen(
+                environ['REQUEST_METHOD'],
+                environ['REQUEST_URI'],
+                body=environ['wsgi.input'].read(length) if length else None,
+                headers=headers,
+                retries=False,
+            )
+        except urllib3.exceptions.HTTPError:
+            start_response('502 Bad Gateway', [('Content-Length', '0')])
+            return [b'']
+        out = [
+            (name, value)
+            for name, value in response.headers.items()
+            if name.lower() not in SKIPPED
+        ]
+        start_response(f'{response.status} {response.reason}', out)
+        return [response.data]
+
+
+def make_passthrough(
+    address: str, port: int, targets: list[tuple[str, int]]
+) -> wsgi.Server:
+    """Make the naive proxy; its owner calls start and stop."""
+    server = wsgi.Server(
+        (address, port), _Application(targets), numthreads=THREADS
+    )
+    server.request_queue_size = 256
+    return server
--- a/sedgering/traffic/__init__.py
+++ b/sedgering/traffic/__init__.py
@@ -1,21 +1,41 @@
-"""Decisions on requests: route, target, attempts, and what to tell."""
+"""Decisions on requests: route, target, limits, attempts, what to tell."""
 
+from sedgering.traffic._admission import AdmissionTable
+from sedgering.traffic._admission import Waiter
+from sedgering.traffic._admission import WaiterState
 from sedgering.traffic._attempts import AttemptOutcome
+from sedgering.traffic._attempts import count_allowed
+from sedgering.traffic._attempts import may_hedge
 from sedgering.traffic._attempts import may_try_again
 from sedgering.traffic._attempts import NOT_RUN_HEADER
+from sedgering.traffic._attempts import pause_before
+from sedgering.traffic._budget import make_retry_budget
+from sedgering.traffic._budget import RetryBudget
 from sedgering.traffic._choice import choose_endpoint
 from sedgering.traffic._choice import choose_target_set
+from sedgering.traffic._load import EndpointKey
 from sedgering.traffic._load import LoadTable
+from sedgering.traffic._outliers import find_slow
 from sedgering.traffic._router import find_route
 from sedgering.traffic._router import RequestHead
 
 __all__ = [
+    'AdmissionTable',
     'AttemptOutcome',
+    'EndpointKey',
     'LoadTable',
     'NOT_RUN_HEADER',
     'RequestHead',
+    'RetryBudget',
+    'Waiter',
+    'WaiterState',
     'choose_endpoint',
     'choose_target_set',
+    'count_allowed',
     'find_route',
+    'find_slow',
+    'make_retry_budget',
+    'may_hedge',
     'may_try_again',
+    'pause_before',
 ]
--- a/sedgering/traffic/_choice.py
+++ b/sedgering/traffic/_choice.py
@@ -11,8 +11,11 @@
 
 __all__ = ['choose_endpoint', 'choose_target_set']
 
-#: Consecutive failures after which a target is chosen only if all are bad.
-FAILURE_LIMIT = 3
+#: Share of a target set that may be ejected; with more, nobody is, since
+#: a view from which most look bad is more likely wrong than right.
+EJECTED_LIMIT_PERCENT = 50
+#: Score above which targets of other data centres are considered, too.
+SPILL_SCORE = 0.8
 
 
 def choose_target_set(
@@ -32,6 +35,7 @@
     loads: _load.LoadTable,
     data_centre: base.DataCentre,
     rng: random.Random,
+    now_ms: int,
 ) -> membership.Endpoint | None:
     """Choose the better one of two random targets.
 
@@ -44,9 +48,11 @@
     loads : LoadTable
         What this proxy knows of them.
     data_centre : DataCentre
-        Preferred while its targets have free slots.
+        Preferred while its targets are not busy.
     rng : random.Random
         Source of the choice.
+    now_ms : int
+        Monotonic time in milliseconds.
 
     Returns
     -------
@@ -59,33 +65,45 @@
        balancing", IEEE Transactions on Parallel and Distributed Systems,
        2001.
     """
+    sound = _drop_ejected(endpoints, loads, now_ms)
     free = [
         endpoint
-        for endpoint in endpoints
-        if endpoint not in tried and loads.in_flight(endpoint) < endpoint.slots
+        for endpoint in sound
+        if endpoint not in tried
+        and loads.get(endpoint, now_ms).in_flight < endpoint.slots
     ]
+    near = [item for item in free if item.data_centre == data_centre]
+    chosen = _choose_of_two(near, loads, rng, now_ms)
+    if chosen and loads.score(chosen, now_ms) <= SPILL_SCORE:
+        return chosen
+    return _choose_of_two(free, loads, rng, now_ms)
+
+
+def _drop_ejected(
+    endpoints: Sequence[membership.Endpoint],
+    loads: _load.LoadTable,
+    now_ms: int,
+) -> Sequence[membership.Endpoint]:
     sound = [
         endpoint
-        for endpoint in free
-        if loads.failures(endpoint) < FAILURE_LIMIT
-    ]
-    candidates = sound or free
-    near = [
-        endpoint
-        for endpoint in candidates
-        if endpoint.data_centre == data_centre
+        for endpoint in endpoints
+        if not loads.is_ejected(endpoint, now_ms)
     ]
-    candidates = near or candidates
-    if not candidates:
-        return None
-    first = rng.choice(candidates)
-    second = rng.choice(candidates)
-    if _load_share(second, loads) < _load_share(first, loads):
-        return second
-    return first
+    ejected = len(endpoints) - len(sound)
+    if 100 * ejected > EJECTED_LIMIT_PERCENT * len(endpoints):
+        return endpoints
+    return sound
 
 
-def _load_share(
-    endpoint: membership.Endpoint, loads: _load.LoadTable
-) -> float:
-    return loads.in_flight(endpoint) / endpoint.slots
+def _choose_of_two(
+    candidates: Sequence[membership.Endpoint],
+    loads: _load.LoadTable,
+    rng: random.Random,
+    now_ms: int,
+) -> membership.Endpoint | None:
+    if len(candidates) < 2:
+        return candidates[0] if candidates else None
+    first, second = rng.sample(candidates, 2)
+    if loads.score(second, now_ms) < loads.score(first, now_ms):
+        return second
+    return first
--- a/sedgering/traffic/_load.py
+++ b/sedgering/traffic/_load.py
@@ -1,51 +1,191 @@
 """What this proxy knows of the targets from its own requests."""
 
+import random
 import threading
 
+import msgspec
+
 from sedgering import membership
 
-__all__ = ['LoadTable']
+__all__ = ['EndpointKey', 'LoadTable', 'TargetLoad']
+
+#: IP number and port.
+EndpointKey = tuple[str, int]
+
+#: A reported load counts half after this time: reports lag.
+REPORT_HALF_LIFE_MS = 1000
+#: Weight of the newest latency in the moving average.
+LATENCY_WEIGHT = 0.1
+#: Failures in a row that eject a target.
+FAILURE_LIMIT = 5
+FIRST_EJECTION_MS = 1000
+LONGEST_EJECTION_MS = 30_000
+#: Time over which a target that is new here gets more and more work.
+SLOW_START_MS = 10_000
+LEAST_START_SHARE = 0.1
+
+
+class TargetLoad(msgspec.Struct):
+    """One target as seen from here.
+
+    Parameters
+    ----------
+    first_seen_ms : int
+        When it was first considered.
+    in_flight : int
+        Requests of this proxy that it works on.
+    failures : int
+        Failures since the last success.
+    ejections : int
+        Ejections since the last success.
+    ejected_until_ms : int
+        Until when it gets no work; after that one probe, then more.
+    is_probing : bool
+        Whether the one request after an ejection is under way.
+    reported, reported_at_ms : int
+        Slots in use as it said last, and when.
+    latency_ms : float
+        Moving average; 0 when unknown.
+    answers : int
+        Whole answers so far.
+    """
+
+    first_seen_ms: int
+    in_flight: int = 0
+    failures: int = 0
+    ejections: int = 0
+    ejected_until_ms: int = 0
+    is_probing: bool = False
+    reported: int = 0
+    reported_at_ms: int = 0
+    latency_ms: float = 0.0
+    answers: int = 0
 
 
 class LoadTable:
-    """Requests in flight and consecutive failures, by target.
+    """Loads by target; shared by the request threads.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Jitter of ejections.
 
-    Shared by the request threads; every method holds the lock briefly.
+    Notes
+    -----
+    Methods that write hold the lock briefly.  Methods that read take what
+    they find: a choice that is a moment old is still a good choice.
     """
 
-    def __init__(self):
+    def __init__(self, rng: random.Random):
+        self.rng = rng
         self._lock = threading.Lock()
-        self._in_flight: dict[tuple[str, int], int] = {}
-        self._failures: dict[tuple[str, int], int] = {}
+        self._loads: dict[EndpointKey, TargetLoad] = {}
+
+    def get(self, endpoint: membership.Endpoint, now_ms: int) -> TargetLoad:
+        """Return the load of a target, which is new if never seen."""
+        load = self._loads.get((endpoint.address, endpoint.port))
+        if load is None:
+            load = TargetLoad(first_seen_ms=now_ms)
+            key = (endpoint.address, endpoint.port)
+            load = self._loads.setdefault(key, load)
+        return load
+
+    def is_ejected(self, endpoint: membership.Endpoint, now_ms: int) -> bool:
+        """Say whether a target gets no work for now."""
+        load = self.get(endpoint, now_ms)
+        if not load.ejections:
+            return False
+        return now_ms < load.ejected_until_ms or load.is_probing
 
-    def in_flight(self, endpoint: membership.Endpoint) -> int:
-        """Return the number of requests in flight to a target."""
-        return self._in_flight.get((endpoint.address, endpoint.port), 0)
+    def score(self, endpoint: membership.Endpoint, now_ms: int) -> float:
+        """Return how busy a target is: the lower, the better.
 
-    def failures(self, endpoint: membership.Endpoint) -> int:
-        """Return the number of failures since the last success."""
-        return self._failures.get((endpoint.address, endpoint.port), 0)
+        Notes
+        -----
+        The own count is exact.  What the target reported beyond it comes
+        from other proxies, and loses weight with its age.
+        """
+        load = self.get(endpoint, now_ms)
+        age_ms = now_ms - load.reported_at_ms
+        weight = 0.5 ** (age_ms / REPORT_HALF_LIFE_MS)
+        others = max(0, load.reported - load.in_flight) * weight
+        busy = (load.in_flight + others + 1) / endpoint.slots
+        started = (now_ms - load.first_seen_ms) / SLOW_START_MS
+        return busy / min(1.0, max(LEAST_START_SHARE, started))
 
-    def start(self, endpoint: membership.Endpoint) -> bool:
+    def start(self, endpoint: membership.Endpoint, now_ms: int) -> bool:
         """Take a slot of a target; say whether there was one."""
-        key = (endpoint.address, endpoint.port)
+        load = self.get(endpoint, now_ms)
         with self._lock:
-            in_flight = self._in_flight.get(key, 0)
-            if in_flight >= endpoint.slots:
+            if load.in_flight >= endpoint.slots:
                 return False
-            self._in_flight[key] = in_flight + 1
+            load.in_flight += 1
+            if load.ejections:
+                load.is_probing = True
             return True
 
-    def finish(self, endpoint: membership.Endpoint, succeeded: bool) -> None:
-        """Give the slot back and note how the request ended."""
-        key = (endpoint.address, endpoint.port)
+    def cancel(self, endpoint: membership.Endpoint, now_ms: int) -> None:
+        """Give a slot back without having learned anything."""
+        load = self.get(endpoint, now_ms)
         with self._lock:
-            remaining = self._in_flight.get(key, 1) - 1
-            if remaining:
-                self._in_flight[key] = remaining
-            else:
-                self._in_flight.pop(key, None)
-            if succeeded:
-                self._failures.pop(key, None)
+            load.in_flight -= 1
+            load.is_probing = False
+
+    def succeed(
+        self, endpoint: membership.Endpoint, elapsed_ms: float, now_ms: int
+    ) -> None:
+        """Give a slot back after an answer."""
+        load = self.get(endpoint, now_ms)
+        with self._lock:
+            load.in_flight -= 1
+            load.is_probing = False
+            load.failures = 0
+            load.ejections = 0
+            load.answers += 1
+            if load.latency_ms:
+                change = elapsed_ms - load.latency_ms
+                load.latency_ms += LATENCY_WEIGHT * change
             else:
-                self._failures[key] = self._failures.get(key, 0) + 1
+                load.latency_ms = elapsed_ms
+
+    def fail(self, endpoint: membership.Endpoint, now_ms: int) -> None:
+        """Give a slot back after a failure, and eject if it was one more."""
+        load = self.get(endpoint, now_ms)
+        with self._lock:
+            load.in_flight -= 1
+            load.failures += 1
+            was_probe = load.is_probing
+            load.is_probing = False
+            if was_probe or load.failures >= FAILURE_LIMIT:
+                self._eject(load, now_ms)
+
+    def eject(self, endpoint: membership.Endpoint, now_ms: int) -> None:
+        """Eject a target for another reason than failures."""
+        load = self.get(endpoint, now_ms)
+        with self._lock:
+            self._eject(load, now_ms)
+
+    def report(
+        self, endpoint: membership.Endpoint, in_use: int, now_ms: int
+    ) -> None:
+        """Take in what a target says of its load."""
+        load = self.get(endpoint, now_ms)
+        load.reported = in_use
+        load.reported_at_ms = now_ms
+
+    def retain(self, keys: set[EndpointKey]) -> None:
+        """Forget targets that are gone and have nothing in flight."""
+        with self._lock:
+            for key, load in tuple(self._loads.items()):
+                if key not in keys and not load.in_flight:
+                    del self._loads[key]
+
+    def _eject(self, load: TargetLoad, now_ms: int) -> None:
+        longest_ms = min(
+            FIRST_EJECTION_MS << min(load.ejections, 10),
+            LONGEST_EJECTION_MS,
+        )
+        load.ejections += 1
+        load.failures = 0
+        pause_ms = self.rng.randint(longest_ms // 2, longest_ms)
+        load.ejected_until_ms = now_ms + pause_ms
