--- a/sedgering/cli/proxy.py
+++ b/sedgering/cli/proxy.py
@@ -1,7 +1,9 @@
 """sedgering-proxy: the daemon of one host."""
 
+import gc
 import pathlib
 import signal
+import sys
 import threading
 from typing import Annotated
 
@@ -14,6 +16,8 @@
 
 __all__ = ['main']
 
+SWITCH_INTERVAL_S = 0.0002
+
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
@@ -34,11 +38,23 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_arguments: stopping.set())
     daemon = proxy.make_daemon(proxy_settings)
+    _tune_interpreter()
     daemon.start()
     stopping.wait()
     daemon.leave()
 
 
+def _tune_interpreter() -> None:
+    """Let threads take turns sooner, and keep modules out of collections.
+
+    A request hands the interpreter over at each system call; waiting for
+    the default 5 ms behind a busy thread would be ten times its budget.
+    """
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
+    gc.collect()
+    gc.freeze()
+
+
 def main() -> None:
     """Entry point."""
     _common.run_program(app)
