--- /dev/null
+++ b/features/steps/request_steps.py
@@ -0,0 +1,533 @@
+"""Steps on requests, through the real data path and scripted targets."""
+
+import http.client
+import random
+import socket
+import threading
+import time
+import tracemalloc
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies as st
+import scripted_target
+
+from sedgering import bundle as bundles
+from sedgering import membership
+from sedgering import observability
+from sedgering.proxy import _data_path
+from sedgering.proxy import _shared
+from sedgering import settings
+from sedgering import testing
+
+TIMEOUT_MS = 400
+WAIT_S = 5.0
+HOST = 'host.example'
+PATHS = {
+    'repeatable': '/read',
+    'non-repeatable': '/write',
+    'hedged': '/hedged',
+}
+METHODS = {'repeatable': 'GET', 'non-repeatable': 'POST', 'hedged': 'GET'}
+
+
+def make_content():
+    policies = (
+        bundles.Policy('p', timeout_ms=TIMEOUT_MS, attempts=3),
+        bundles.Policy('hedged', attempts=2, hedge_after_ms=50),
+    )
+    share = (bundles.WeightedTargetSet('s'),)
+
+    def route(kind, policy):
+        return bundles.Route(
+            kind,
+            'party',
+            HOST,
+            PATHS[kind],
+            share,
+            policy,
+            repeatable=kind != 'non-repeatable',
+        )
+
+    return bundles.make_bundle(
+        'mesh',
+        policies,
+        (bundles.TargetSet('s', 'party'),),
+        (
+            route('repeatable', 'p'),
+            route('non-repeatable', 'p'),
+            route('hedged', 'hedged'),
+        ),
+    )
+
+
+class Answer:
+    """What a caller got."""
+
+    def __init__(self, told, body=b'', headers=None, status=0):
+        self.told = told
+        self.body = body
+        self.headers = headers or {}
+        self.status = status
+
+
+class RequestSubject:
+    """A data path, its targets and its callers."""
+
+    def __init__(self, seed=1):
+        (self.port,) = testing.free_ports(1)
+        own = settings.ProxySettings(
+            mesh='mesh',
+            host='host',
+            data_centre='dc',
+            address='127.0.0.1',
+            data_port=self.port,
+            peer_port=1,
+            admin_port=2,
+            platform=settings.PlatformSettings(address='127.0.0.1', port=3),
+            traffic=settings.TrafficSettings(
+                threads=12, caller_timeout_ms=1500, retry_floor_per_s=100
+            ),
+        )
+        self.targets = []
+        self.view = membership.TargetView()
+        holder = bundles.BundleHolder('mesh')
+        holder.apply(1, b'd', make_content())
+        self.state = _shared.RequestState(
+            own,
+            holder,
+            self.view,
+            observability.make_metrics(),
+            random.Random(seed),
+            0,
+        )
+        self.state.gate.is_open = True
+        self.path = _data_path.make_data_path(own, self.state)
+        self.path.server.shutdown_timeout = 0.2
+        self.path.start()
+        self.numbers = iter(range(10_000))
+        self.answers = {}
+
+    def stop(self):
+        self.path.stop()
+        for target in self.targets:
+            target.stop()
+
+    def add_target(self, behaviour):
+        target = scripted_target.ScriptedTarget(behaviour)
+        self.targets.append(target)
+        endpoint = membership.Endpoint(
+            f't{len(self.targets)}',
+            'host',
+            'dc',
+            '127.0.0.1',
+            target.port,
+            12,
+        )
+        known = self.view.by_set.get('s', ())
+        self.view.by_set = {'s': (*known, endpoint)}
+
+    def send(self, kind, headers=None, body=None):
+        """Send a request and say what its caller was told."""
+        name = f'r{next(self.numbers)}'
+        caller = http.client.HTTPConnection(
+            '127.0.0.1', self.port, timeout=WAIT_S
+        )
+        try:
+            caller.request(
+                METHODS[kind],
+                PATHS[kind],
+                body,
+                {'Host': HOST, 'X-Request-Id': name, **(headers or {})},
+            )
+            response = caller.getresponse()
+            answer = Answer(
+                response.headers.get('X-Sedgering-Outcome', 'answer'),
+                response.read(),
+                response.headers,
+                response.status,
+            )
+            if answer.told == 'answer' and answer.body != name.encode():
+                answer.told = 'wrong'
+        except (http.client.HTTPException, OSError):
+            answer = Answer('cut')
+        finally:
+            caller.close()
+        self.answers[name] = answer
+        return answer
+
+    def runs(self, name):
+        return sum(target.ran.count(name) for target in self.targets)
+
+    def send_raw(self, data):
+        """Send bytes; return all that comes until the end."""
+        with socket.create_connection(('127.0.0.1', self.port)) as caller:
+            caller.settimeout(WAIT_S)
+            caller.sendall(data)
+            caller.shutdown(socket.SHUT_WR)
+            received = b''
+            try:
+                while piece := caller.recv(65536):
+                    received += piece
+            except OSError:
+                pass
+            return received
+
+
+def get_subject(context):
+    if not hasattr(context, 'requests'):
+        context.requests = RequestSubject()
+        context.cleanups.append(context.requests.stop)
+    return context.requests
+
+
+@given('a target that {behaves}')
+def step_target(context, behaves):
+    get_subject(context).add_target(behaves)
+
+
+@when('a request of another host is sent')
+def step_other_host(context):
+    context.answer = context.requests.send(
+        'non-repeatable', {'Host': 'other.example'}
+    )
+
+
+@when('a request with hop-by-hop headers is sent')
+def step_hop(context):
+    context.answer = context.requests.send(
+        'non-repeatable',
+        {
+            'Connection': 'close, X-Private',
+            'X-Private': 'secret',
+            'TE': 'trailers',
+            'X-Deadline-Ms': '300',
+        },
+    )
+
+
+@when('a {kind} request is sent')
+def step_send(context, kind):
+    context.answer = context.requests.send(kind)
+
+
+@then('its caller is told {told} and the target ran it {runs:d} times')
+def step_told(context, told, runs):
+    subject = context.requests
+    assert context.answer.told == told, context.answer.told
+    (name,) = subject.answers
+    assert subject.runs(name) == runs, subject.runs(name)
+
+
+@when('{count:d} {kind} requests are sent')
+def step_send_many(context, count, kind):
+    for _ in range(count):
+        context.requests.send(kind)
+
+
+@then(
+    'all that are not answered are told {told}, and none ran twice '
+    'unless {kind}'
+)
+def step_all_told(context, told, kind):
+    subject = context.requests
+    seen = {answer.told for answer in subject.answers.values()} - {'answer'}
+    assert seen == (set() if told == 'nothing' else {told}), seen
+    if kind == 'non-repeatable':
+        for name in subject.answers:
+            assert subject.runs(name) <= 1, name
+
+
+@when('a request times out and another one follows at once')
+def step_late(context):
+    subject = context.requests
+    assert subject.send('non-repeatable').told == 'unknown'
+    context.answer = subject.send('non-repeatable')
+    time.sleep(scripted_target.LATE_S)
+    context.third = subject.send('non-repeatable')
+
+
+@then('the second caller gets its own answer or none')
+def step_own(context):
+    assert context.answer.told != 'wrong'
+    assert context.third.told != 'wrong'
+
+
+@when('a caller sends a request and goes away')
+def step_gone(context):
+    subject = context.requests
+    caller = socket.create_connection(('127.0.0.1', subject.port))
+    caller.sendall(f'POST /write HTTP/1.1\r\nHost: {HOST}\r\n\r\n'.encode())
+    wait_for(lambda: subject.targets[0].ran)
+    caller.close()
+
+
+@then('the target sees its connection closed')
+def step_cancelled(context):
+    # Well before the deadline of the request would close it.
+    assert context.requests.targets[0].closed.wait(TIMEOUT_MS / 2000)
+
+
+@when('a caller goes away in the middle of an upload')
+def step_half_upload(context):
+    subject = context.requests
+    caller = socket.create_connection(('127.0.0.1', subject.port))
+    head = f'POST /write HTTP/1.1\r\nHost: {HOST}\r\n'
+    caller.sendall(head.encode() + b'Content-Length: 1000\r\n\r\nhalf')
+    wait_for(lambda: subject.targets[0].heads)
+    caller.close()
+    wait_for(lambda: not subject.state.gate.in_flight)
+
+
+@then('the target ran nothing')
+def step_nothing(context):
+    assert context.requests.targets[0].ran == []
+
+
+@when('{size:d} MB are uploaded')
+def step_upload(context, size):
+    subject = context.requests
+    subject.state.holder.apply(2, b'e', _with_long_timeout())
+    chunk = b'x' * 65536
+    tracemalloc.start()
+    context.answer = subject.send(
+        'non-repeatable',
+        {'Content-Length': str(size * 2**20)},
+        iter([chunk] * (size * 16)),
+    )
+    context.peak_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    context.size_bytes = size * 2**20
+
+
+def _with_long_timeout():
+    content = make_content()
+    slow = bundles.Policy('p', timeout_ms=60_000)
+    return bundles.make_bundle(
+        'mesh',
+        (slow, content.policies[0]),
+        content.target_sets,
+        content.routes,
+    )
+
+
+@then('the target got all of it and the proxy held less than {limit:d} MB')
+def step_bounded(context, limit):
+    assert context.answer.told == 'answer', context.answer.told
+    assert context.requests.targets[0].body_bytes == context.size_bytes
+    assert context.peak_bytes < limit * 2**20, context.peak_bytes
+
+
+@then('all are answered and each slow attempt is cancelled')
+def step_hedged(context):
+    subject = context.requests
+    told = [answer.told for answer in subject.answers.values()]
+    assert told == ['answer'] * len(told), told
+    slow = subject.targets[0]
+    assert slow.ran, 'the slow target was never chosen'
+    assert slow.closed.wait(WAIT_S)
+
+
+RAW = {
+    'length and chunked': (
+        b'POST /write HTTP/1.1\r\nHost: %s\r\nContent-Length: 5\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
+        b'GET /read HTTP/1.1\r\nHost: %s\r\n\r\n'
+    ),
+    'two lengths': (
+        b'POST /write HTTP/1.1\r\nHost: %s\r\nContent-Length: 4\r\n'
+        b'Content-Length: 5\r\n\r\nabcde'
+    ),
+    'a negative length': (
+        b'POST /write HTTP/1.1\r\nHost: %s\r\nContent-Length: -1\r\n\r\n'
+    ),
+    'a length that is no number': (
+        b'POST /write HTTP/1.1\r\nHost: %s\r\nContent-Length: +4\r\n\r\nabcd'
+    ),
+    'an unknown encoding': (
+        b'POST /write HTTP/1.1\r\nHost: %s\r\n'
+        b'Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n'
+    ),
+    'a chunk size that is no hex': (
+        b'POST /write HTTP/1.1\r\nHost: %s\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n'
+    ),
+    'a folded header': (
+        b'GET /read HTTP/1.1\r\nHost: %s\r\nX-A: b\r\n c: d\r\n\r\n'
+    ),
+    'a space before the colon': (
+        b'POST /write HTTP/1.1\r\nHost: %s\r\n'
+        b'Transfer-Encoding : chunked\r\nContent-Length: 3\r\n\r\nabc'
+    ),
+    'CONNECT': b'CONNECT %s:80 HTTP/1.1\r\nHost: %s\r\n\r\n',
+    'absolute form of another': (
+        b'GET http://other.example/read HTTP/1.1\r\nHost: %s\r\n\r\n'
+    ),
+    'a deadline that is no number': (
+        b'GET /read HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: soon\r\n\r\n'
+    ),
+    'headers without end': (
+        b'GET /read HTTP/1.1\r\nHost: %s\r\nX-A: ' + b'a' * 100_000
+    ),
+    'garbage': b'\x00\xff\x00\xff\r\n\r\n',
+}
+
+
+@when('"{name}" is sent')
+def step_raw(context, name):
+    data = RAW[name]
+    context.received = context.requests.send_raw(
+        data.replace(b'%s', HOST.encode())
+    )
+
+
+@then('it is refused and no target saw it, and the proxy lives')
+def step_refused(context):
+    subject = context.requests
+    first = context.received.split(b'\r\n', 1)[0]
+    is_refused = not first or first.split(b' ')[1][:1] in (b'4', b'5')
+    assert is_refused, first
+    time.sleep(0.05)
+    assert not subject.targets[0].ran, subject.targets[0].heads
+    assert subject.send('non-repeatable').told == 'answer'
+
+
+@when('a caller expects 100-continue before it sends its body')
+def step_continue(context):
+    head = (
+        f'POST /write HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: me\r\n'
+        'Content-Length: 4\r\nExpect: 100-continue\r\n\r\n'
+    )
+    address = ('127.0.0.1', context.requests.port)
+    with socket.create_connection(address) as caller:
+        caller.settimeout(WAIT_S)
+        caller.sendall(head.encode())
+        context.interim = caller.recv(1000)
+        caller.sendall(b'body')
+        context.received = caller.recv(1000)
+
+
+@then('it gets the interim answer, and then its own')
+def step_continued(context):
+    assert context.interim.startswith(b'HTTP/1.1 100'), context.interim
+    assert context.received.startswith(b'HTTP/1.1 200'), context.received
+    assert context.requests.targets[0].ran == ['me']
+
+
+@when('a repeatable request is sent by a caller that reads piece by piece')
+def step_pieces(context):
+    subject = context.requests
+    caller = http.client.HTTPConnection(
+        '127.0.0.1', subject.port, timeout=WAIT_S
+    )
+    caller.request('GET', '/read', headers={'Host': HOST})
+    response = caller.getresponse()
+    context.first = response.read(4)
+    subject.targets[0].resume.set()
+    context.second = response.read()
+    caller.close()
+
+
+@then('it has the first half before the second is sent')
+def step_halves(context):
+    assert (context.first, context.second) == (b'half', b'done')
+
+
+@then('the target saw none of them, and a deadline that has shrunk')
+def step_no_hop(context):
+    (head,) = context.requests.targets[0].heads
+    assert not {'te', 'x-private', 'keep-alive'} & head.keys(), head
+    assert head.get('connection') is None
+    assert 0 < int(head['x-deadline-ms']) <= 300
+
+
+@given('the proxy is not ready')
+def step_not_ready(context):
+    context.requests.state.gate.is_open = False
+
+
+@given('the proxy is leaving')
+def step_leaving(context):
+    context.requests.state.gate.is_leaving = True
+
+
+@then('it gets code {code} and outcome {told}')
+def step_code(context, code, told):
+    assert context.answer.headers['X-Sedgering-Code'] == code
+    assert context.answer.told == told
+
+
+@then('it is answered and the connection ends')
+def step_closes(context):
+    assert context.answer.told == 'answer'
+    assert context.answer.headers['Connection'] == 'close'
+
+
+def wait_for(condition):
+    deadline_s = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < deadline_s, 'waited too long'
+        time.sleep(0.005)
+
+
+BEHAVIOURS = [
+    'answers',
+    'refuses before work',
+    'is not there',
+    'closes before its answer',
+    'cuts its answer',
+    'answers garbage',
+]
+
+
+@then('over any faults nothing is lost, doubled or told wrongly')
+def step_any(context):
+    @hypothesis.settings(
+        derandomize=True, database=None, deadline=None, max_examples=25
+    )
+    @hypothesis.given(
+        st.lists(st.sampled_from(BEHAVIOURS), min_size=1, max_size=3),
+        st.lists(
+            st.sampled_from(['repeatable', 'non-repeatable']),
+            min_size=1,
+            max_size=6,
+        ),
+        st.integers(0, 9),
+    )
+    def check(behaviours, kinds, seed):
+        subject = RequestSubject(seed)
+        try:
+            for behaviour in behaviours:
+                subject.add_target(behaviour)
+            senders = [
+                threading.Thread(target=subject.send, args=(kind,))
+                for kind in kinds
+            ]
+            for sender in senders:
+                sender.start()
+            for sender in senders:
+                sender.join(WAIT_S)
+            judge(subject, kinds)
+        finally:
+            subject.stop()
+
+    check()
+
+
+def judge(subject, kinds):
+    assert len(subject.answers) == len(kinds), 'lost'
+    paths = {}
+    for target in subject.targets:
+        for head in target.heads:
+            paths[head['x-request-id']] = head[':line']
+    for name, answer in subject.answers.items():
+        runs = subject.runs(name)
+        assert answer.told != 'wrong', name
+        if answer.told == 'not-run':
+            assert runs == 0, 'told not run, and ran'
+        if answer.told == 'answer':
+            assert runs >= 1, 'answered, and did not run'
+        if '/write' in paths.get(name, ''):
+            assert runs <= 1, 'doubled'
--- a/sedgering/proxy/_exchange.py
+++ b/sedgering/proxy/_exchange.py
@@ -2,7 +2,6 @@
 
 import logging
 import time
-import uuid
 
 from cheroot import server as cheroot_server
 
@@ -21,6 +20,7 @@
 
 LOG = logging.getLogger(__name__)
 
+REQUEST_ID_BITS = 128
 MAX_DEADLINE_MS = 3_600_000
 MAX_ATTEMPTS_SPENT = 100
 MAX_LOAD = 100_000
@@ -56,7 +56,8 @@
         self.headers = _headers.decode_headers(request)
         self.url = request.uri.decode('iso-8859-1')
         self.request_id = base.RequestId(
-            self.headers.get(_headers.REQUEST_ID_HEADER) or uuid.uuid4().hex
+            self.headers.get(_headers.REQUEST_ID_HEADER)
+            or f'{state.rng.getrandbits(REQUEST_ID_BITS):032x}'
         )
         self.body = _body.make_body(request)
         self.deadline_ms = self.started_ms
@@ -338,12 +339,19 @@
             if self._is_bodiless(attempt.response):
                 attempt.response.read()
             else:
-                for chunk in _upstream.read_body(attempt.response):
-                    self.request.write(chunk)
+                self._send_body(attempt.response)
             is_whole = True
         finally:
             self._end(attempt, is_whole)
 
+    def _send_body(self, response) -> None:
+        for chunk in _upstream.read_body(response):
+            self.request.write(chunk)
+            if response.length_remaining != 0:
+                # More may be long in coming; a short answer that is whole
+                # leaves in one write with its head.
+                self.request.conn.wfile.flush()
+
     def _note_load(self, attempt: _upstream.Attempt) -> None:
         stated = attempt.response.headers.get(_headers.LOAD_HEADER)
         if stated and stated.isascii() and stated.isdigit():
--- a/sedgering/proxy/_upstream.py
+++ b/sedgering/proxy/_upstream.py
@@ -297,7 +297,7 @@
 
 
 def read_body(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
-    """Read a response body in pieces.
+    """Read a response body in pieces, each as soon as it is there.
 
     Raises
     ------
@@ -305,7 +305,11 @@
         When the target's body ends early.
     """
     try:
-        yield from response.stream(CHUNK_BYTES, decode_content=False)
+        if response.chunked:
+            yield from response.stream(CHUNK_BYTES, decode_content=False)
+            return
+        while chunk := response.read1(CHUNK_BYTES, decode_content=False):
+            yield chunk
     except _FAILURES as error:
         raise exceptions.RequestError(
             exceptions.Code.REQUEST_UNKNOWN, f'short body: {error}'
