--- a/sedgering/exceptions.py
+++ b/sedgering/exceptions.py
@@ -83,6 +83,10 @@
     REQUEST_SHED = 5008, 'over its limit; not run, come back later'
     REQUEST_MALFORMED = 5009, 'request is malformed; not run'
     REQUEST_LEAVING = 5010, 'proxy is leaving; not run'
+    REQUEST_GUARD_DOWN = 5011, 'repeat guard is unavailable; not run'
+    REQUEST_ALREADY_RUN = 5012, 'request with this key ran already'
+    REQUEST_CLAIMED = 5013, 'request with this key has no known outcome'
+    REQUEST_KEY_REUSED = 5014, 'key belongs to another request; not run'
 
 
 class SedgeringError(Exception):
--- a/sedgering/proxy/_answers.py
+++ b/sedgering/proxy/_answers.py
@@ -18,6 +18,8 @@
 
     NOT_RUN = 'not-run'
     UNKNOWN = 'unknown'
+    #: An earlier request with the same key ran; this one did not.
+    RUN_BEFORE = 'run-before'
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -55,19 +57,26 @@
     exceptions.Code.REQUEST_NOT_READY: _UNAVAILABLE,
     exceptions.Code.REQUEST_SHED: _UNAVAILABLE,
     exceptions.Code.REQUEST_LEAVING: _UNAVAILABLE,
+    exceptions.Code.REQUEST_GUARD_DOWN: _UNAVAILABLE,
+    exceptions.Code.REQUEST_ALREADY_RUN: b'409 Conflict',
+    exceptions.Code.REQUEST_CLAIMED: b'409 Conflict',
+    exceptions.Code.REQUEST_KEY_REUSED: b'422 Unprocessable Content',
     exceptions.Code.REQUEST_MALFORMED: b'400 Bad Request',
     exceptions.Code.REQUEST_DEADLINE: b'504 Gateway Timeout',
     exceptions.Code.REQUEST_LATE: b'504 Gateway Timeout',
     exceptions.Code.REQUEST_UNKNOWN: b'502 Bad Gateway',
 }
-_UNKNOWN_CODES = frozenset(
-    (exceptions.Code.REQUEST_UNKNOWN, exceptions.Code.REQUEST_LATE)
-)
+_TOLD = {
+    exceptions.Code.REQUEST_UNKNOWN: Told.UNKNOWN,
+    exceptions.Code.REQUEST_LATE: Told.UNKNOWN,
+    exceptions.Code.REQUEST_CLAIMED: Told.UNKNOWN,
+    exceptions.Code.REQUEST_ALREADY_RUN: Told.RUN_BEFORE,
+}
 
 
 def make_answer(error: exceptions.RequestError) -> Answer:
     """Make the answer that tells a caller of an error."""
-    told = Told.UNKNOWN if error.code in _UNKNOWN_CODES else Told.NOT_RUN
+    told = _TOLD.get(error.code, Told.NOT_RUN)
     status = _STATUSES[error.code]
     body = msgspec.json.encode(
         _Body(code=int(error.code), outcome=told.value, message=str(error))
--- a/sedgering/proxy/_daemon.py
+++ b/sedgering/proxy/_daemon.py
@@ -16,6 +16,7 @@
 from sedgering.proxy import _admin
 from sedgering.proxy import _control
 from sedgering.proxy import _data_path
+from sedgering.proxy import _guard
 from sedgering.proxy import _shared
 from sedgering.proxy import _status
 from sedgering.proxy import _workers
@@ -91,6 +92,7 @@
         self.data_path.start()
         self.loop.platform_worker.start()
         self.loop.peer_worker.start()
+        self.state.guard.start()
         self.loop.start()
         self.admin.start()
         LOG.info('started')
@@ -160,16 +162,30 @@
     incarnation = base.Incarnation(time.time_ns() // 1_000_000)
     tables = control.make_control_tables(proxy_settings, incarnation, rng)
     metrics = observability.make_metrics()
+    store = platform.make_http_platform(
+        proxy_settings.platform, random.Random()
+    )
+    # Claims have a circuit and a queue of their own, so that neither
+    # bookings nor control wait behind the other.
+    claims_store = platform.make_http_platform(
+        proxy_settings.platform, random.Random()
+    )
+    guard = _guard.RepeatGuard(
+        claims_store,
+        proxy_settings.traffic.guard_writes_per_s,
+        lambda: len(tables.hosts),
+    )
     state = _shared.RequestState(
         proxy_settings,
         tables.holder,
         tables.view,
         metrics,
+        guard,
         random.Random(),
         time.monotonic_ns() // 1_000_000,
     )
     loop = _control.ControlLoop(tables, metrics, _Publisher(state).publish)
-    _add_workers(loop, proxy_settings, incarnation, metrics)
+    _add_workers(loop, proxy_settings, incarnation, metrics, store)
     peers = peer.make_peer_server(
         str(proxy_settings.address),
         proxy_settings.peer_port,
@@ -184,10 +200,7 @@
     return daemon
 
 
-def _add_workers(loop, proxy_settings, incarnation, metrics) -> None:
-    store = platform.make_http_platform(
-        proxy_settings.platform, random.Random()
-    )
+def _add_workers(loop, proxy_settings, incarnation, metrics, store) -> None:
     loop.platform_worker = _workers.PlatformWorker(
         loop.post, metrics, store, store
     )
--- a/sedgering/proxy/_exchange.py
+++ b/sedgering/proxy/_exchange.py
@@ -26,6 +26,8 @@
 MAX_LOAD = 100_000
 #: Least time left for which a request is still sent.
 LEAST_TIME_MS = 1
+#: Longest wait for a claim to stand.
+GUARD_WAIT_MS = 3000
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -62,6 +64,7 @@
         self.body = _body.make_body(request)
         self.deadline_ms = self.started_ms
         self.attempts = 0
+        self.answered_status = 0
 
     def run(self) -> None:
         """Answer the request: with a target's answer, or an own one."""
@@ -133,7 +136,7 @@
         )
         refused = False
         try:
-            refused = self._try_targets(route, policy, endpoints)
+            refused = self._guard(route, policy, endpoints)
         except exceptions.RequestError as error:
             refused = error.code is exceptions.Code.REQUEST_NOT_RUN
             raise
@@ -142,6 +145,53 @@
                 target_set, route.party, refused, monotonic_ms()
             )
 
+    def _guard(
+        self,
+        route: bundles.Route,
+        policy: bundles.Policy,
+        endpoints: tuple[membership.Endpoint, ...],
+    ) -> bool:
+        """Claim the idempotency key first, where there is one to claim."""
+        key = self.headers.get(_headers.IDEMPOTENCY_HEADER)
+        if key is None or route.repeatable:
+            return self._try_targets(route, policy, endpoints)
+        method = self.request.method.decode('ascii')
+        claim = traffic.make_claim(
+            route.party,
+            key,
+            f'{method} {route.host} {self.url}',
+            f'{self.state.rng.getrandbits(REQUEST_ID_BITS):032x}',
+            time.time_ns() // 1_000_000,
+        )
+        self.state.guard.claim(
+            claim, max(LEAST_TIME_MS, min(GUARD_WAIT_MS, self._remaining_ms()))
+        )
+        return self._run_claimed(claim, route, policy, endpoints)
+
+    def _run_claimed(
+        self,
+        claim: traffic.Claim,
+        route: bundles.Route,
+        policy: bundles.Policy,
+        endpoints: tuple[membership.Endpoint, ...],
+    ) -> bool:
+        """Try targets, and record what is known afterwards.
+
+        A claim without a record stays as it is: "outcome unknown".
+        """
+        try:
+            refused = self._try_targets(route, policy, endpoints)
+        except exceptions.RequestError as error:
+            told = _answers.make_answer(error).told
+            was_sent = self.answered_status or self.request.sent_headers
+            if told is _answers.Told.NOT_RUN and not was_sent:
+                self.state.guard.record(claim, traffic.ClaimState.NOT_RUN, 0)
+            raise
+        self.state.guard.record(
+            claim, traffic.ClaimState.RUN, self.answered_status
+        )
+        return refused
+
     def _try_targets(
         self,
         route: bundles.Route,
@@ -333,6 +383,7 @@
     def _pass_on(self, attempt: _upstream.Attempt) -> None:
         """Send the target's answer; an early end cuts the connection."""
         is_whole = False
+        self.answered_status = attempt.response.status
         try:
             self._note_load(attempt)
             self._send_head(attempt.response)
--- a/sedgering/proxy/_headers.py
+++ b/sedgering/proxy/_headers.py
@@ -9,6 +9,7 @@
     'ATTEMPTS_HEADER',
     'DEADLINE_HEADER',
     'HOP_HEADERS',
+    'IDEMPOTENCY_HEADER',
     'LOAD_HEADER',
     'REQUEST_ID_HEADER',
     'decode_headers',
@@ -21,6 +22,8 @@
 DEADLINE_HEADER = 'x-deadline-ms'
 #: Attempts that proxies on the way made beyond their first.
 ATTEMPTS_HEADER = 'x-attempts-spent'
+#: Names a request that may come again; the guard claims it.
+IDEMPOTENCY_HEADER = 'idempotency-key'
 #: Slots in use, on answers of targets.
 LOAD_HEADER = 'X-Target-Load'
 #: Meaningful for one connection only (RFC 9110, section 7.6.1).
--- a/sedgering/proxy/_shared.py
+++ b/sedgering/proxy/_shared.py
@@ -8,6 +8,7 @@
 from sedgering import membership
 from sedgering import observability
 from sedgering.proxy import _admission
+from sedgering.proxy import _guard
 from sedgering.proxy import _upstream
 from sedgering import settings
 from sedgering import traffic
@@ -64,6 +65,8 @@
         Targets by target set.
     metrics : Metrics
         Counts requests.
+    guard : RepeatGuard
+        Claims idempotency keys.
     rng : random.Random
         Source of choices; its methods are atomic under the interpreter
         lock.
@@ -77,6 +80,7 @@
         holder: bundles.BundleHolder,
         view: membership.TargetView,
         metrics: observability.Metrics,
+        guard: _guard.RepeatGuard,
         rng: random.Random,
         now_ms: int,
     ):
@@ -85,6 +89,7 @@
         self.holder = holder
         self.view = view
         self.metrics = metrics
+        self.guard = guard
         self.rng = rng
         self.gate = Gate()
         self.loads = traffic.LoadTable(rng)
--- a/sedgering/settings.py
+++ b/sedgering/settings.py
@@ -172,6 +172,8 @@
         Longest such wait.
     retry_floor_per_s : int
         Retries allowed each second however few requests there are.
+    guard_writes_per_s : int
+        Table writes that the repeat guards of the whole fleet may use.
     caller_timeout_ms : int
         Longest silence of a caller within a request.
     drain_grace_ms : int
@@ -187,6 +189,7 @@
     waiting_limit: Count = 32
     waiting_ms: IntervalMs = 100
     retry_floor_per_s: Count = 1
+    guard_writes_per_s: Count = 200
     caller_timeout_ms: IntervalMs = 10_000
     drain_grace_ms: IntervalMs = 2000
     drain_limit_ms: IntervalMs = 30_000
--- a/sedgering/traffic/__init__.py
+++ b/sedgering/traffic/__init__.py
@@ -13,6 +13,12 @@
 from sedgering.traffic._budget import RetryBudget
 from sedgering.traffic._choice import choose_endpoint
 from sedgering.traffic._choice import choose_target_set
+from sedgering.traffic._claims import Claim
+from sedgering.traffic._claims import ClaimRecord
+from sedgering.traffic._claims import ClaimResult
+from sedgering.traffic._claims import ClaimState
+from sedgering.traffic._claims import commit_claims
+from sedgering.traffic._claims import make_claim
 from sedgering.traffic._load import EndpointKey
 from sedgering.traffic._load import LoadTable
 from sedgering.traffic._outliers import find_slow
@@ -22,6 +28,10 @@
 __all__ = [
     'AdmissionTable',
     'AttemptOutcome',
+    'Claim',
+    'ClaimRecord',
+    'ClaimResult',
+    'ClaimState',
     'EndpointKey',
     'LoadTable',
     'NOT_RUN_HEADER',
@@ -31,9 +41,11 @@
     'WaiterState',
     'choose_endpoint',
     'choose_target_set',
+    'commit_claims',
     'count_allowed',
     'find_route',
     'find_slow',
+    'make_claim',
     'make_retry_budget',
     'may_hedge',
     'may_try_again',
--- a/sedgering/traffic/_load.py
+++ b/sedgering/traffic/_load.py
@@ -14,6 +14,9 @@
 
 #: A reported load counts half after this time: reports lag.
 REPORT_HALF_LIFE_MS = 1000
+#: Slots below which what is left of a report no longer counts; among idle
+#: targets any difference, however small, would decide.
+LEAST_REPORT = 0.5
 #: Weight of the newest latency in the moving average.
 LATENCY_WEIGHT = 0.1
 #: Failures in a row that eject a target.
@@ -109,6 +112,8 @@
         age_ms = now_ms - load.reported_at_ms
         weight = 0.5 ** (age_ms / REPORT_HALF_LIFE_MS)
         others = max(0, load.reported - load.in_flight) * weight
+        if others < LEAST_REPORT:
+            others = 0.0
         busy = (load.in_flight + others + 1) / endpoint.slots
         started = (now_ms - load.first_seen_ms) / SLOW_START_MS
         return busy / min(1.0, max(LEAST_START_SHARE, started))
