Ask of each target what it takes, and let the rest wait

Cause: under load nearly every refusal came from choosing a target whose slots other proxies use. Refused requests spent the retry budget, after which callers were told 'not run' although slots were free elsewhere. Change: each proxy keeps a limit for each target, which shrinks with a refusal and grows again with answers; admission to a target set is the sum of these, and what is beyond it waits up to 200 ms (100 ms tried first). Targets are compared by busy share times latency, so that one that reports no load but is slow cannot attract more.

--- a/features/traffic.feature
+++ b/features/traffic.feature
@@ -50,9 +50,9 @@
     Then waiters of one party go on in the order of their deadlines
     And who waits longer than 100 ms is shed
 
-  Scenario: The limit shrinks with refusals and grows with answers
-    Given a target set with 40 slots and a queue of 16
-    Then 10 refusals spread over a second shrink the limit, and answers restore it
+  Scenario: What is asked of a target shrinks with refusals
+    Given 2 near and 0 far targets with 12 slots
+    Then 10 refusals over a second shrink its limit, and answers restore it
 
   Scenario: Any sequence keeps the limits
     Then admission never exceeds its limit and loses no waiter
--- a/sedgering/proxy/_admission.py
+++ b/sedgering/proxy/_admission.py
@@ -31,7 +31,7 @@
     def enter(
         self,
         target_set: str,
-        slots: int,
+        limit: int,
         party: base.PartyId,
         deadline_ms: int,
         now_ms: int,
@@ -45,7 +45,7 @@
         """
         with self._lock:
             table = self._find(target_set)
-            table.set_capacity(slots)
+            table.set_limit(limit)
             waiter, changed = table.enter(party, deadline_ms, now_ms)
             self._wake(changed)
             if waiter.state is traffic.WaiterState.WAITING:
@@ -61,14 +61,15 @@
     def leave(
         self,
         target_set: str,
+        limit: int,
         party: base.PartyId,
-        was_refused: bool,
         now_ms: int,
     ) -> None:
         """Note that a request ended, and let others go on."""
         with self._lock:
             table = self._tables[target_set]
-            self._wake(table.leave(party, was_refused, now_ms))
+            table.set_limit(limit)
+            self._wake(table.leave(party, now_ms))
 
     def list_target_sets(self) -> list[str]:
         """Return the target sets that requests went to so far."""
--- a/sedgering/proxy/_exchange.py
+++ b/sedgering/proxy/_exchange.py
@@ -129,32 +129,42 @@
             )
         self.state.admission.enter(
             target_set,
-            sum(endpoint.slots for endpoint in endpoints),
+            self._limit_of(endpoints),
             route.party,
             self.deadline_ms,
             monotonic_ms(),
         )
-        refused = False
         try:
-            refused = self._guard(route, policy, endpoints)
-        except exceptions.RequestError as error:
-            refused = error.code is exceptions.Code.REQUEST_NOT_RUN
-            raise
+            self._guard(route, policy, endpoints)
         finally:
             self.state.admission.leave(
-                target_set, route.party, refused, monotonic_ms()
+                target_set,
+                self._limit_of(endpoints),
+                route.party,
+                monotonic_ms(),
             )
 
+    def _limit_of(self, endpoints: tuple[membership.Endpoint, ...]) -> int:
+        """Return what the targets may get from here together."""
+        now_ms = monotonic_ms()
+        loads = self.state.loads
+        return sum(
+            int(loads.get(endpoint, now_ms).limit)
+            for endpoint in endpoints
+            if not loads.is_ejected(endpoint, now_ms)
+        )
+
     def _guard(
         self,
         route: bundles.Route,
         policy: bundles.Policy,
         endpoints: tuple[membership.Endpoint, ...],
-    ) -> bool:
+    ) -> None:
         """Claim the idempotency key first, where there is one to claim."""
         key = self.headers.get(_headers.IDEMPOTENCY_HEADER)
         if key is None or route.repeatable:
-            return self._try_targets(route, policy, endpoints)
+            self._try_targets(route, policy, endpoints)
+            return
         method = self.request.method.decode('ascii')
         claim = traffic.make_claim(
             route.party,
@@ -166,7 +176,7 @@
         self.state.guard.claim(
             claim, max(LEAST_TIME_MS, min(GUARD_WAIT_MS, self._remaining_ms()))
         )
-        return self._run_claimed(claim, route, policy, endpoints)
+        self._run_claimed(claim, route, policy, endpoints)
 
     def _run_claimed(
         self,
@@ -174,13 +184,13 @@
         route: bundles.Route,
         policy: bundles.Policy,
         endpoints: tuple[membership.Endpoint, ...],
-    ) -> bool:
+    ) -> None:
         """Try targets, and record what is known afterwards.
 
         A claim without a record stays as it is: "outcome unknown".
         """
         try:
-            refused = self._try_targets(route, policy, endpoints)
+            self._try_targets(route, policy, endpoints)
         except exceptions.RequestError as error:
             told = _answers.make_answer(error).told
             was_sent = self.answered_status or self.request.sent_headers
@@ -190,15 +200,14 @@
         self.state.guard.record(
             claim, traffic.ClaimState.RUN, self.answered_status
         )
-        return refused
 
     def _try_targets(
         self,
         route: bundles.Route,
         policy: bundles.Policy,
         endpoints: tuple[membership.Endpoint, ...],
-    ) -> bool:
-        """Try targets until one answers; say whether any refused."""
+    ) -> None:
+        """Try targets until one answers."""
         spent = _headers.parse_number(
             self.headers, _headers.ATTEMPTS_HEADER, MAX_ATTEMPTS_SPENT
         )
@@ -206,7 +215,6 @@
         self.state.retry_budget.deposit(policy.retry_budget_percent)
         tried: list[membership.Endpoint] = []
         last: _upstream.Attempt | None = None
-        refused = False
         while True:
             endpoint = self._take_endpoint(endpoints, tried)
             if endpoint is None:
@@ -215,8 +223,7 @@
             last = self._attempt(endpoint, endpoints, tried, route, policy)
             if last.outcome is traffic.AttemptOutcome.ANSWERED:
                 self._pass_on(last)
-                return refused
-            refused |= last.outcome is traffic.AttemptOutcome.REFUSED
+                return
             if not self._may_try_again(last, route, len(tried), allowed):
                 raise _make_error(last)
 
@@ -372,10 +379,7 @@
         """Note an attempt that ended without an answer."""
         now_ms = monotonic_ms()
         if attempt.outcome is traffic.AttemptOutcome.REFUSED:
-            # Shedding is no failure: it says that all slots are taken.
-            slots = attempt.endpoint.slots
-            self.state.loads.report(attempt.endpoint, slots, now_ms)
-            self.state.loads.cancel(attempt.endpoint, now_ms)
+            self.state.loads.refuse(attempt.endpoint, now_ms)
         elif attempt.outcome is not traffic.AttemptOutcome.ANSWERED:
             self.state.loads.fail(attempt.endpoint, now_ms)
         return attempt
--- a/sedgering/settings.py
+++ b/sedgering/settings.py
@@ -187,7 +187,7 @@
     threads: Count = 40
     queue_limit: Count = 128
     waiting_limit: Count = 32
-    waiting_ms: IntervalMs = 100
+    waiting_ms: IntervalMs = 200
     retry_floor_per_s: Count = 1
     guard_writes_per_s: Count = 200
     caller_timeout_ms: IntervalMs = 10_000
--- a/sedgering/testing/__init__.py
+++ b/sedgering/testing/__init__.py
@@ -15,6 +15,7 @@
 from sedgering.testing._exchange import Node
 from sedgering.testing._fleet import Fleet
 from sedgering.testing._fleet import free_ports
+from sedgering.testing._fleet import is_listening
 from sedgering.testing._fleet import make_fleet
 from sedgering.testing._naive import make_sample_bundle
 from sedgering.testing._naive import NaivePoller
@@ -38,6 +39,7 @@
     'TargetSettings',
     'Verdict',
     'free_ports',
+    'is_listening',
     'judge_calls',
     'make_fleet',
     'make_passthrough',
--- a/sedgering/testing/_fleet.py
+++ b/sedgering/testing/_fleet.py
@@ -19,7 +19,13 @@
 
 from sedgering.testing import _engine
 
-__all__ = ['Fleet', 'ProxyProcess', 'free_ports', 'make_fleet']
+__all__ = [
+    'Fleet',
+    'ProxyProcess',
+    'free_ports',
+    'is_listening',
+    'make_fleet',
+]
 
 ADDRESS = '127.0.0.1'
 START_TIMEOUT_S = 60.0
@@ -48,6 +54,15 @@
     return ports
 
 
+def is_listening(port: int) -> bool:
+    """Say whether a process accepts connections on a loopback port."""
+    try:
+        socket.create_connection((ADDRESS, port), timeout=1.0).close()
+    except OSError:
+        return False
+    return True
+
+
 class ProxyProcess(msgspec.Struct):
     """One sedgering-proxy and how to reach it."""
 
--- a/sedgering/testing/_targets.py
+++ b/sedgering/testing/_targets.py
@@ -22,6 +22,8 @@
 ANNOUNCE_INTERVAL_S = 1.0
 ANNOUNCE_TIMEOUT_S = 1.0
 LEDGER_PATH = '/standin/ledger'
+COUNTS_PATH = '/standin/counts'
+LIE_FACTOR = 5
 
 
 class TargetSettings(msgspec.Struct, frozen=True):
@@ -39,6 +41,9 @@
         Requests that it works on at a time.
     work_ms : int
         Time that each request takes.
+    lies : bool
+        Whether it reports that it is idle, always, and takes five times
+        as long as it should.
     """
 
     name: str
@@ -48,6 +53,7 @@
     admin_port: int
     slots: int = 12
     work_ms: int = 2
+    lies: bool = False
 
 
 class _Gateway(cheroot_server.Gateway):
@@ -56,11 +62,15 @@
     def respond(self):
         """Answer with who ran what."""
         target: StandinTarget = self.req.server.target
-        if self.req.uri.decode('ascii') == LEDGER_PATH:
+        path = self.req.uri.decode('ascii')
+        if path == LEDGER_PATH:
             _http.send_json(self.req, b'200 OK', target.ledger)
             return
+        if path == COUNTS_PATH:
+            _http.send_json(self.req, b'200 OK', target.counts)
+            return
         if not target.slots.acquire(blocking=False):
-            self._refuse()
+            self._refuse(target)
             return
         try:
             self._run(target)
@@ -70,19 +80,27 @@
     def _run(self, target) -> None:
         body = _http.read_body(self.req)
         name = self.req.inheaders.get(b'X-Request-Id', b'').decode()
-        if target.settings.work_ms:
-            time.sleep(target.settings.work_ms / 1000)
+        work_ms = target.settings.work_ms
+        in_use = target.settings.slots - target.slots._value
+        if target.settings.lies:
+            work_ms *= LIE_FACTOR
+            in_use = 0
+        time.sleep(work_ms / 1000)
         with target.lock:
             target.ledger[name] += 1
+            target.counts['run'] += 1
         answer = {
             'target': target.settings.name,
             'request': name,
             'body_sha256': hashlib.sha256(body).hexdigest(),
         }
         self.req.close_connection |= target.is_leaving
+        self.req.outheaders.append((b'X-Target-Load', str(in_use).encode()))
         _http.send_json(self.req, b'200 OK', answer)
 
-    def _refuse(self) -> None:
+    def _refuse(self, target) -> None:
+        with target.lock:
+            target.counts['refused'] += 1
         marker = (traffic.NOT_RUN_HEADER.encode(), b'1')
         self.req.close_connection = True
         _http.send(
@@ -105,6 +123,7 @@
         self.settings: TargetSettings = target_settings
         self.server: cheroot_server.HTTPServer = server
         self.ledger: collections.Counter = collections.Counter()
+        self.counts: collections.Counter = collections.Counter()
         self.lock = threading.Lock()
         self.slots = threading.BoundedSemaphore(target_settings.slots)
         self.is_leaving = False
--- a/sedgering/traffic/_admission.py
+++ b/sedgering/traffic/_admission.py
@@ -1,10 +1,10 @@
 """How many requests to one target set are under way from this proxy.
 
-The limit adapts: it shrinks when targets refuse, and grows while answers
-come and it is used.  Beyond it requests wait for a moment in a bounded
-queue, the nearest deadline first, and are shed at once when the queue is
-full.  Parties share both the limit and the queue: the one that uses least
-comes next, and the one that uses most is shed first.
+The limit is what the targets of the set may get from here together; it
+shrinks when they refuse.  Beyond it requests wait for a moment in a
+bounded queue, the nearest deadline first, and are shed at once when the
+queue is full.  Parties share both the limit and the queue: the one that
+uses least comes next, and the one that uses most is shed first.
 """
 
 import enum
@@ -15,11 +15,6 @@
 
 __all__ = ['AdmissionTable', 'Waiter', 'WaiterState']
 
-LEAST_LIMIT = 1.0
-#: Factor by which a refusal shrinks the limit, and how often it may.
-SHRINK_FACTOR = 0.9
-SHRINK_PAUSE_MS = 100
-
 
 class WaiterState(enum.Enum):
     """What became of a request that asked to go on."""
@@ -62,7 +57,7 @@
 
     Attributes
     ----------
-    limit : float
+    limit : int
         Requests under way at a time.
     in_flight : int
         Requests under way.
@@ -71,25 +66,19 @@
     def __init__(self, queue_limit: int, wait_ms: int):
         self.queue_limit = queue_limit
         self.wait_ms = wait_ms
-        self.limit = 0.0
+        self.limit = 1
         self.in_flight = 0
-        self._capacity = 0
         self._by_party: dict[base.PartyId, int] = {}
         self._waiting: list[Waiter] = []
-        self._shrunk_at_ms = 0
 
     @property
     def waiting(self) -> int:
         """Number of requests that wait."""
         return len(self._waiting)
 
-    def set_capacity(self, slots: int) -> None:
-        """Note the slots of all targets of the set."""
-        if slots != self._capacity:
-            # The limit starts at, and never exceeds, what there is.
-            self.limit += slots - self._capacity
-            self._capacity = slots
-        self.limit = min(max(self.limit, LEAST_LIMIT), float(slots or 1))
+    def set_limit(self, limit: int) -> None:
+        """Set what the targets of the set may get; at least one."""
+        self.limit = max(1, limit)
 
     def enter(
         self, party: base.PartyId, deadline_ms: int, now_ms: int
@@ -105,7 +94,7 @@
         """
         changed = self.expire(now_ms)
         waiter = Waiter(party, deadline_ms, now_ms + self.wait_ms)
-        if not self._waiting and self.in_flight < int(self.limit):
+        if not self._waiting and self.in_flight < self.limit:
             self._admit(waiter)
             return waiter, changed
         self._waiting.append(waiter)
@@ -113,22 +102,14 @@
             changed.append(self._shed_of_greediest())
         return waiter, changed
 
-    def leave(
-        self, party: base.PartyId, was_refused: bool, now_ms: int
-    ) -> list[Waiter]:
+    def leave(self, party: base.PartyId, now_ms: int) -> list[Waiter]:
         """Note that a request ended; return waiters that changed."""
-        is_used = self.in_flight >= int(self.limit) - 1
         self.in_flight -= 1
         self._by_party[party] -= 1
         if not self._by_party[party]:
             del self._by_party[party]
-        if was_refused:
-            self._shrink(now_ms)
-        elif is_used:
-            grown = self.limit + 1 / max(self.limit, 1.0)
-            self.limit = min(grown, float(self._capacity or 1))
         changed = self.expire(now_ms)
-        while self._waiting and self.in_flight < int(self.limit):
+        while self._waiting and self.in_flight < self.limit:
             changed.append(self._admit_next())
         return changed
 
@@ -172,9 +153,3 @@
         self._waiting.remove(chosen)
         chosen.state = WaiterState.SHED
         return chosen
-
-    def _shrink(self, now_ms: int) -> None:
-        if now_ms - self._shrunk_at_ms < SHRINK_PAUSE_MS:
-            return
-        self._shrunk_at_ms = now_ms
-        self.limit = max(LEAST_LIMIT, self.limit * SHRINK_FACTOR)
--- a/sedgering/traffic/_choice.py
+++ b/sedgering/traffic/_choice.py
@@ -14,8 +14,8 @@
 #: Share of a target set that may be ejected; with more, nobody is, since
 #: a view from which most look bad is more likely wrong than right.
 EJECTED_LIMIT_PERCENT = 50
-#: Score above which targets of other data centres are considered, too.
-SPILL_SCORE = 0.8
+#: Busy share above which other data centres are considered, too.
+SPILL_SHARE = 0.8
 
 
 def choose_target_set(
@@ -69,12 +69,11 @@
     free = [
         endpoint
         for endpoint in sound
-        if endpoint not in tried
-        and loads.get(endpoint, now_ms).in_flight < endpoint.slots
+        if endpoint not in tried and loads.free(endpoint, now_ms) > 0
     ]
     near = [item for item in free if item.data_centre == data_centre]
     chosen = _choose_of_two(near, loads, rng, now_ms)
-    if chosen and loads.score(chosen, now_ms) <= SPILL_SCORE:
+    if chosen and loads.busy_share(chosen, now_ms) <= SPILL_SHARE:
         return chosen
     return _choose_of_two(free, loads, rng, now_ms)
 
--- a/sedgering/traffic/_load.py
+++ b/sedgering/traffic/_load.py
@@ -17,6 +17,12 @@
 #: Slots below which what is left of a report no longer counts; among idle
 #: targets any difference, however small, would decide.
 LEAST_REPORT = 0.5
+#: Factor by which a refusal shrinks what this proxy asks of a target at a
+#: time, how often it may, and by how much an answer lets it grow again.
+SHRINK_FACTOR = 0.7
+SHRINK_PAUSE_MS = 50
+GROWTH = 0.05
+LEAST_LIMIT = 1.0
 #: Weight of the newest latency in the moving average.
 LATENCY_WEIGHT = 0.1
 #: Failures in a row that eject a target.
@@ -26,6 +32,8 @@
 #: Time over which a target that is new here gets more and more work.
 SLOW_START_MS = 10_000
 LEAST_START_SHARE = 0.1
+#: Latencies below this are not told apart.
+LEAST_LATENCY_MS = 1.0
 
 
 class TargetLoad(msgspec.Struct):
@@ -35,8 +43,13 @@
     ----------
     first_seen_ms : int
         When it was first considered.
+    limit : float
+        Requests of this proxy that it may work on at a time: its slots,
+        or fewer when others use them, too.
     in_flight : int
         Requests of this proxy that it works on.
+    shrunk_at_ms : int
+        When the limit was last made smaller.
     failures : int
         Failures since the last success.
     ejections : int
@@ -54,7 +67,9 @@
     """
 
     first_seen_ms: int
+    limit: float
     in_flight: int = 0
+    shrunk_at_ms: int = 0
     failures: int = 0
     ejections: int = 0
     ejected_until_ms: int = 0
@@ -88,7 +103,7 @@
         """Return the load of a target, which is new if never seen."""
         load = self._loads.get((endpoint.address, endpoint.port))
         if load is None:
-            load = TargetLoad(first_seen_ms=now_ms)
+            load = TargetLoad(now_ms, float(endpoint.slots))
             key = (endpoint.address, endpoint.port)
             load = self._loads.setdefault(key, load)
         return load
@@ -100,8 +115,13 @@
             return False
         return now_ms < load.ejected_until_ms or load.is_probing
 
-    def score(self, endpoint: membership.Endpoint, now_ms: int) -> float:
-        """Return how busy a target is: the lower, the better.
+    def free(self, endpoint: membership.Endpoint, now_ms: int) -> int:
+        """Return how many more requests a target may get from here."""
+        load = self.get(endpoint, now_ms)
+        return int(load.limit) - load.in_flight
+
+    def busy_share(self, endpoint: membership.Endpoint, now_ms: int) -> float:
+        """Return the share of a target's limit that is in use.
 
         Notes
         -----
@@ -114,15 +134,27 @@
         others = max(0, load.reported - load.in_flight) * weight
         if others < LEAST_REPORT:
             others = 0.0
-        busy = (load.in_flight + others + 1) / endpoint.slots
+        return load.in_flight / load.limit + others / endpoint.slots
+
+    def score(self, endpoint: membership.Endpoint, now_ms: int) -> float:
+        """Return how long one more request may take: the lower, the better.
+
+        Notes
+        -----
+        A target that reports no load but answers slowly is avoided by its
+        latency, which it cannot hide.
+        """
+        load = self.get(endpoint, now_ms)
+        busy = self.busy_share(endpoint, now_ms) + 1 / load.limit
         started = (now_ms - load.first_seen_ms) / SLOW_START_MS
-        return busy / min(1.0, max(LEAST_START_SHARE, started))
+        expected = busy * max(load.latency_ms, LEAST_LATENCY_MS)
+        return expected / min(1.0, max(LEAST_START_SHARE, started))
 
     def start(self, endpoint: membership.Endpoint, now_ms: int) -> bool:
         """Take a slot of a target; say whether there was one."""
         load = self.get(endpoint, now_ms)
         with self._lock:
-            if load.in_flight >= endpoint.slots:
+            if load.in_flight >= int(load.limit):
                 return False
             load.in_flight += 1
             if load.ejections:
@@ -142,6 +174,8 @@
         """Give a slot back after an answer."""
         load = self.get(endpoint, now_ms)
         with self._lock:
+            if load.in_flight >= int(load.limit):
+                load.limit = min(float(endpoint.slots), load.limit + GROWTH)
             load.in_flight -= 1
             load.is_probing = False
             load.failures = 0
@@ -153,6 +187,20 @@
             else:
                 load.latency_ms = elapsed_ms
 
+    def refuse(self, endpoint: membership.Endpoint, now_ms: int) -> None:
+        """Give a slot back after a refusal, and ask for less from now on.
+
+        A refusal is no failure: others use the slots.
+        """
+        load = self.get(endpoint, now_ms)
+        with self._lock:
+            load.in_flight -= 1
+            load.is_probing = False
+            if now_ms - load.shrunk_at_ms >= SHRINK_PAUSE_MS:
+                load.shrunk_at_ms = now_ms
+                shrunk = load.limit * SHRINK_FACTOR
+                load.limit = max(LEAST_LIMIT, shrunk)
+
     def fail(self, endpoint: membership.Endpoint, now_ms: int) -> None:
         """Give a slot back after a failure, and eject if it was one more."""
         load = self.get(endpoint, now_ms)
--- a/sedgering/traffic/_outliers.py
+++ b/sedgering/traffic/_outliers.py
@@ -11,7 +11,7 @@
 #: Answers before the latency of a target counts.
 ANSWERS_NEEDED = 20
 #: Multiple of the median of the target set that ejects.
-SLOW_FACTOR = 5.0
+SLOW_FACTOR = 4.0
 #: Latency under which nobody is ejected, in milliseconds.
 HARMLESS_MS = 50.0
 
