--- a/features/requests.feature
+++ b/features/requests.feature
@@ -34,7 +34,7 @@
       | closes before its answer | non-repeatable | unknown |
 
   Scenario: A late answer reaches nobody else
-    Given a target that answers 600 ms late
+    Given a target that answers too late
     When a request times out and another one follows at once
     Then the second caller gets its own answer or none
 
--- a/features/steps/request_subject.py
+++ b/features/steps/request_subject.py
@@ -15,8 +15,8 @@
 from sedgering import settings
 from sedgering import testing
 
-TIMEOUT_MS = 400
-WAIT_S = 5.0
+TIMEOUT_MS = 1000
+WAIT_S = 10.0
 HOST = 'host.example'
 PATHS = {
     'repeatable': '/read',
@@ -82,7 +82,7 @@
             admin_port=2,
             platform=settings.PlatformSettings(address='127.0.0.1', port=3),
             traffic=settings.TrafficSettings(
-                threads=12, caller_timeout_ms=1500, retry_floor_per_s=100
+                threads=12, caller_timeout_ms=3000, retry_floor_per_s=100
             ),
         )
         self.targets = []
--- a/features/steps/scripted_target.py
+++ b/features/steps/scripted_target.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-LATE_S = 0.6
+LATE_S = 1.5
 STALL_S = 5.0
 
 
@@ -96,7 +96,7 @@
         if self.behaviour == 'answers':
             connection.sendall(whole)
             return True
-        if self.behaviour == 'answers 600 ms late':
+        if self.behaviour == 'answers too late':
             time.sleep(LATE_S)
             connection.sendall(whole)
             return True
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -22,12 +22,11 @@
 TARGET_SETS = {'calendar': 6, 'ledger': 4, 'archive': 3}
 SLOTS = 12
 HOST = 'tuulai.example'
-#: Method, path, body size in bytes, whether the route is repeatable.
 CALLS = (
-    ('GET', '/calendar/halls', 0, True),
-    ('POST', '/bookings', 300, False),
-    ('GET', '/calendar/halls/3', 0, True),
-    ('PUT', '/scores/parts.pdf', 200_000, False),
+    testing.CallKind('GET', '/calendar/halls'),
+    testing.CallKind('POST', '/bookings', 300, False, True),
+    testing.CallKind('GET', '/calendar/halls/3'),
+    testing.CallKind('PUT', '/scores/parts.pdf', 200_000, False),
 )
 CALLERS = 6
 CALL_PAUSE_S = 0.01
--- a/sedgering/testing/__init__.py
+++ b/sedgering/testing/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from sedgering.testing._callers import Caller
+from sedgering.testing._callers import CallKind
 from sedgering.testing._callers import CallRecord
 from sedgering.testing._callers import judge_calls
 from sedgering.testing._callers import Verdict
@@ -26,6 +27,7 @@
 from sedgering.testing._targets import TargetSettings
 
 __all__ = [
+    'CallKind',
     'CallRecord',
     'Caller',
     'Exchange',
--- a/sedgering/testing/_callers.py
+++ b/sedgering/testing/_callers.py
@@ -8,34 +8,47 @@
 import msgspec
 import urllib3
 
-__all__ = ['Caller', 'CallRecord', 'Verdict', 'judge_calls']
+__all__ = ['CallKind', 'CallRecord', 'Caller', 'Verdict', 'judge_calls']
 
 TIMEOUT_S = 15.0
+#: Tries of a call with a key, and the time between two of them.
+TRIES = 4
+REPEAT_PAUSE_S = 0.3
+NEVER_SENT = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
 OUTCOME_HEADER = 'X-Sedgering-Outcome'
 
 
 class CallRecord(msgspec.Struct):
-    """One call and what its caller was told.
+    """One call, its tries, and what its caller was told.
 
     Parameters
     ----------
     request_id : str
         Names the call in the ledgers of the targets.
+    is_repeatable : bool
+        Whether the call may run more than once.
     is_answered : bool
-        Whether the whole answer to this very call arrived.
+        Whether the whole answer to this very call arrived, or the word
+        that it ran before.
     is_cut : bool
         Whether an answer began and was not whole, or was another's.
-    told_not_run, told_unknown : bool
-        What the proxy said of a call that it did not answer.
-    is_repeatable : bool
-        Whether the call may run more than once.
+    is_broken : bool
+        Whether a connection ended without any answer.
+    told_not_run : bool
+        Whether every try was told "not run", or not even sent.
+    told_unknown : bool
+        Whether the last word was "outcome unknown".
     """
 
     request_id: str
     is_repeatable: bool
     is_answered: bool = False
     is_cut: bool = False
-    told_not_run: bool = False
+    is_broken: bool = False
+    told_not_run: bool = True
     told_unknown: bool = False
 
 
@@ -54,8 +67,8 @@
         Answers that were not whole or belonged to another call.
     told_wrongly : int
         Calls told "not run" that stand in a ledger.
-    told_not_run, told_unknown : int
-        Calls refused with a code.
+    told_not_run, told_unknown, broken : int
+        Calls whose last word was one of these.
     """
 
     sent: int
@@ -66,6 +79,30 @@
     told_wrongly: int
     told_not_run: int
     told_unknown: int
+    broken: int
+
+
+class CallKind(msgspec.Struct, frozen=True):
+    """What to send.
+
+    Parameters
+    ----------
+    method, path : str
+        Request line.
+    size_bytes : int
+        Size of the body; 0 for none.
+    is_repeatable : bool
+        Whether its route is repeatable.
+    has_key : bool
+        Whether it carries an Idempotency-Key and is tried again, through
+        another proxy, while its outcome is not known.
+    """
+
+    method: str
+    path: str
+    size_bytes: int = 0
+    is_repeatable: bool = True
+    has_key: bool = False
 
 
 class Caller:
@@ -77,7 +114,7 @@
         Data ports of proxies on loopback.
     host : str
         Host name of the routes.
-    calls : sequence of (method, path, body size, repeatable)
+    kinds : sequence of CallKind
         Sent in turn.
     seed : int
         Makes request ids and bodies.
@@ -85,11 +122,11 @@
         Time between two calls.
     """
 
-    def __init__(self, ports, host, calls, seed, pause_s):
+    def __init__(self, ports, host, kinds, seed, pause_s):
         self.records: list[CallRecord] = []
         self._ports = ports
         self._host = host
-        self._calls = calls
+        self._kinds = kinds
         self._rng = random.Random(seed)
         self._seed = seed
         self._pause_s = pause_s
@@ -110,43 +147,58 @@
         for number in itertools.count():
             if self._is_stopped.wait(self._pause_s):
                 return
-            call = self._calls[number % len(self._calls)]
-            self._send(f'{self._seed}-{number}', *call)
+            kind = self._kinds[number % len(self._kinds)]
+            record = CallRecord(f'{self._seed}-{number}', kind.is_repeatable)
+            self.records.append(record)
+            self._send(record, kind)
+
+    def _send(self, record: CallRecord, kind: CallKind) -> None:
+        body = self._rng.randbytes(kind.size_bytes)
+        for _ in range(TRIES if kind.has_key else 1):
+            self._try(record, kind, body)
+            if record.is_answered or record.is_cut:
+                return
+            self._is_stopped.wait(REPEAT_PAUSE_S)
 
-    def _send(self, request_id, method, path, size, is_repeatable) -> None:
-        record = CallRecord(request_id, is_repeatable)
-        self.records.append(record)
-        body = self._rng.randbytes(size) if size else None
+    def _try(self, record: CallRecord, kind: CallKind, body: bytes) -> None:
+        headers = {'Host': self._host, 'X-Request-Id': record.request_id}
+        if kind.has_key:
+            headers['Idempotency-Key'] = record.request_id
         port = self._rng.choice(self._ports)
         try:
             response = self._pool.urlopen(
-                method,
-                f'http://127.0.0.1:{port}{path}',
-                body=body,
-                headers={'Host': self._host, 'X-Request-Id': request_id},
+                kind.method,
+                f'http://127.0.0.1:{port}{kind.path}',
+                body=body or None,
+                headers=headers,
             )
-        except (
-            urllib3.exceptions.IncompleteRead,
-            urllib3.exceptions.ProtocolError,
-        ):
-            record.is_cut = True
+        except NEVER_SENT:
             return
-        except urllib3.exceptions.HTTPError:
+        except urllib3.exceptions.IncompleteRead:
+            record.is_cut = True
+        except urllib3.exceptions.HTTPError as error:
+            record.is_broken = True
+            record.is_cut = 'IncompleteRead' in repr(error)
+        else:
+            _judge_answer(record, response, body)
             return
-        _judge_answer(record, response, body or b'')
+        record.told_not_run = False
 
 
 def _judge_answer(record: CallRecord, response, body: bytes) -> None:
     told = response.headers.get(OUTCOME_HEADER)
-    if told is not None:
-        record.told_not_run = told == 'not-run'
-        record.told_unknown = not record.told_not_run
+    record.told_unknown = told == 'unknown'
+    if told == 'not-run':
         return
-    answer = msgspec.json.decode(response.data)
-    is_own = answer['request'] == record.request_id
-    is_whole = answer['body_sha256'] == hashlib.sha256(body).hexdigest()
-    record.is_answered = is_own and is_whole
-    record.is_cut = not record.is_answered
+    record.told_not_run = False
+    if told == 'run-before':
+        record.is_answered = True
+    elif told is None:
+        answer = msgspec.json.decode(response.data)
+        is_own = answer['request'] == record.request_id
+        digest = hashlib.sha256(body).hexdigest()
+        record.is_answered = is_own and answer['body_sha256'] == digest
+        record.is_cut = not record.is_answered
 
 
 def judge_calls(records: list[CallRecord], ledger: dict[str, int]) -> Verdict:
@@ -175,10 +227,13 @@
         told_wrongly=sum(runs[item.request_id] > 0 for item in told),
         told_not_run=len(told),
         told_unknown=sum(item.told_unknown for item in records),
+        broken=sum(item.is_broken for item in records),
     )
 
 
 def _is_lost(record: CallRecord, runs: int) -> bool:
     if record.is_answered:
         return runs == 0
-    return not (record.is_cut or record.told_not_run or record.told_unknown)
+    if record.is_cut or record.is_broken:
+        return False
+    return not (record.told_not_run or record.told_unknown)
--- a/sedgering/testing/_targets.py
+++ b/sedgering/testing/_targets.py
@@ -44,6 +44,9 @@
     lies : bool
         Whether it reports that it is idle, always, and takes five times
         as long as it should.
+    ledger_file : str
+        File to which each run is appended, so that it outlives the
+        process; empty for none.
     """
 
     name: str
@@ -54,6 +57,7 @@
     slots: int = 12
     work_ms: int = 2
     lies: bool = False
+    ledger_file: str = ''
 
 
 class _Gateway(cheroot_server.Gateway):
@@ -87,8 +91,7 @@
             in_use = 0
         time.sleep(work_ms / 1000)
         with target.lock:
-            target.ledger[name] += 1
-            target.counts['run'] += 1
+            target.write_down(name)
         answer = {
             'target': target.settings.name,
             'request': name,
@@ -127,6 +130,12 @@
         self.lock = threading.Lock()
         self.slots = threading.BoundedSemaphore(target_settings.slots)
         self.is_leaving = False
+        self.is_draining = False
+        self.draining_at_s = 0.0
+        self._ledger_file = None
+        if target_settings.ledger_file:
+            # Line by line: what ran must stand there before the answer.
+            self._ledger_file = open(target_settings.ledger_file, 'a', 1)
         self._is_stopped = threading.Event()
         self._pool = urllib3.HTTPConnectionPool(
             str(target_settings.address),
@@ -135,6 +144,16 @@
             retries=False,
         )
 
+    def write_down(self, name: str) -> None:
+        """Write a run down; called with the lock held."""
+        self.ledger[name] += 1
+        self.counts['run'] += 1
+        if self.draining_at_s:
+            since_ms = (time.monotonic() - self.draining_at_s) * 1000
+            self.counts['last_run_after_draining_ms'] = int(since_ms)
+        if self._ledger_file is not None:
+            self._ledger_file.write(f'{name}\n')
+
     def start(self) -> None:
         """Serve and announce in the background."""
         self.server.prepare()
@@ -143,6 +162,8 @@
 
     def leave(self, grace_s: float) -> None:
         """Say that it is leaving, go on for a while, then stop."""
+        self.draining_at_s = time.monotonic()
+        self.is_draining = True
         self.announce('draining')
         time.sleep(grace_s)
         self.is_leaving = True
@@ -168,7 +189,7 @@
 
     def _keep_announcing(self) -> None:
         while not self._is_stopped.is_set():
-            if not self.is_leaving:
+            if not self.is_draining:
                 self.announce('serving')
             self._is_stopped.wait(ANNOUNCE_INTERVAL_S)
 
