--- a/features/steps/repeat_steps.py
+++ b/features/steps/repeat_steps.py
@@ -7,7 +7,6 @@
 from behave import when
 import hypothesis
 from hypothesis import strategies as st
-import msgspec
 import request_subject
 from strategies import PROPERTY
 
@@ -202,10 +201,7 @@
             chosen = self.held.pop(chosen)
         else:
             self.refused.remove(chosen)
-        record = msgspec.structs.replace(
-            chosen.record, state=traffic.ClaimState.NOT_RUN
-        )
-        outcome = msgspec.structs.replace(chosen, record=record)
+        outcome = traffic.change_claim(chosen, traffic.ClaimState.NOT_RUN)
         traffic.commit_claims(self.store, [outcome])
 
 
--- a/sedgering/distribution/_update.py
+++ b/sedgering/distribution/_update.py
@@ -9,6 +9,7 @@
 from sedgering.distribution import _history
 from sedgering.distribution import _tables
 from sedgering import exceptions
+from sedgering import membership
 from sedgering import messages
 from sedgering import peer
 from sedgering import release
@@ -27,6 +28,8 @@
 #: Time for which answers are gathered before a floor counts without the
 #: table: news of a version reaches every peer within it.
 FLOOR_SETTLE_MS = 3000
+#: Time between two questions to a data centre that has not answered.
+FLOOR_ASK_MS = 500
 #: Codes that say that the transfer failed, not that the bundle is bad.
 _TRANSFER_CODES = frozenset(
     (
@@ -50,6 +53,7 @@
     def __init__(self):
         self._heard: dict[str, int] = {}
         self._first_heard_ms: int | None = None
+        self._next_ask_ms = 0
 
     def run(self, tables: control.ControlTables, now_ms: int) -> None:
         """Take in what the table and the peers say until it suffices."""
@@ -78,6 +82,28 @@
         if self._is_enough(tables, now_ms):
             updates.raise_floor(base.Version(max(self._heard.values())))
             updates.is_floor_known = True
+        elif self._first_heard_ms and now_ms >= self._next_ask_ms:
+            self._next_ask_ms = now_ms + FLOOR_ASK_MS
+            self._ask_missing(tables)
+
+    def _ask_missing(self, tables: control.ControlTables) -> None:
+        """Ask a random host of each data centre that has not answered.
+
+        The usual probes rarely go to other data centres.
+        """
+        hosts = tables.hosts
+        missing = hosts.seen_data_centres - self._answering(tables)
+        for data_centre in sorted(missing):
+            rows = [
+                row
+                for row in hosts
+                if hosts.data_centres[row] == data_centre
+                and hosts.is_alive(row)
+            ]
+            if rows:
+                address = hosts.address_of(tables.rng.choice(rows))
+                compare = membership.make_compare(tables, 0, False)
+                tables.datagram_to(address).compare = compare
 
     def _is_enough(self, tables: control.ControlTables, now_ms: int) -> bool:
         if self._first_heard_ms is None:
--- a/sedgering/membership/__init__.py
+++ b/sedgering/membership/__init__.py
@@ -1,5 +1,6 @@
 """Who is there: hosts and targets, in compact tables."""
 
+from sedgering.membership._probe import make_compare
 from sedgering.membership._rank import choose_parent
 from sedgering.membership._rank import rank_of
 from sedgering.membership._rank import tree_level
@@ -25,6 +26,7 @@
     'TargetView',
     'announce_target',
     'choose_parent',
+    'make_compare',
     'make_host_row',
     'make_host_table',
     'make_membership_systems',
--- a/sedgering/proxy/_guard.py
+++ b/sedgering/proxy/_guard.py
@@ -100,10 +100,7 @@
         self, claim: traffic.Claim, state: traffic.ClaimState, status: int
     ) -> None:
         """Record what became of a claimed request; does not wait."""
-        record = msgspec.structs.replace(
-            claim.record, state=state, status=status
-        )
-        outcome = traffic.Claim(claim.key, record)
+        outcome = traffic.change_claim(claim, state, status)
         self._add(_Pending(outcome, threading.Event()))
 
     def _add(self, pending: _Pending) -> bool:
--- a/sedgering/testing/__init__.py
+++ b/sedgering/testing/__init__.py
@@ -22,6 +22,8 @@
 from sedgering.testing._naive import NaivePoller
 from sedgering.testing._passthrough import make_passthrough
 from sedgering.testing._platform_server import make_platform_server
+from sedgering.testing._replay import OutcomeDiffers
+from sedgering.testing._replay import replay_trace
 from sedgering.testing._targets import make_target
 from sedgering.testing._targets import StandinTarget
 from sedgering.testing._targets import TargetSettings
@@ -36,6 +38,7 @@
     'InMemoryPlatform',
     'NaivePoller',
     'Node',
+    'OutcomeDiffers',
     'PlatformEngine',
     'StandinTarget',
     'TargetSettings',
@@ -48,4 +51,5 @@
     'make_platform_server',
     'make_sample_bundle',
     'make_target',
+    'replay_trace',
 ]
--- a/sedgering/traffic/__init__.py
+++ b/sedgering/traffic/__init__.py
@@ -13,6 +13,7 @@
 from sedgering.traffic._budget import RetryBudget
 from sedgering.traffic._choice import choose_endpoint
 from sedgering.traffic._choice import choose_target_set
+from sedgering.traffic._claims import change_claim
 from sedgering.traffic._claims import Claim
 from sedgering.traffic._claims import ClaimRecord
 from sedgering.traffic._claims import ClaimResult
@@ -39,6 +40,7 @@
     'RetryBudget',
     'Waiter',
     'WaiterState',
+    'change_claim',
     'choose_endpoint',
     'choose_target_set',
     'commit_claims',
--- a/sedgering/traffic/_claims.py
+++ b/sedgering/traffic/_claims.py
@@ -21,6 +21,7 @@
     'ClaimRecord',
     'ClaimResult',
     'ClaimState',
+    'change_claim',
     'commit_claims',
     'make_claim',
 ]
@@ -128,6 +129,12 @@
     return Claim(f'{CLAIM_PREFIX}{digest.hexdigest()}', record)
 
 
+def change_claim(claim: Claim, state: ClaimState, status: int = 0) -> Claim:
+    """Make the outcome of a claim, to be committed as well."""
+    record = msgspec.structs.replace(claim.record, state=state, status=status)
+    return Claim(claim.key, record)
+
+
 def commit_claims(
     table: platform.TableStore, claims: Sequence[Claim]
 ) -> tuple[ClaimResult, ...]:
