Read answers through http.client, not urllib3's response

Cause: a profile of samples that hold the interpreter lock puts 28 % into urllib3's getresponse, of which its own layer over http.client is more than a third, and more into its reading of bodies. Change: the answer is taken from http.client, on which urllib3's connections are built. A body that ends before its stated length raises nothing there, so that this is checked here; the scenarios of cut answers cover it, chunked and not.

--- a/sedgering/proxy/_exchange.py
+++ b/sedgering/proxy/_exchange.py
@@ -402,13 +402,13 @@
     def _send_body(self, response) -> None:
         for chunk in _upstream.read_body(response):
             self.request.write(chunk)
-            if response.length_remaining != 0:
+            if response.length != 0:
                 # More may be long in coming; a short answer that is whole
                 # leaves in one write with its head.
                 self.request.conn.wfile.flush()
 
     def _note_load(self, attempt: _upstream.Attempt) -> None:
-        stated = attempt.response.headers.get(_headers.LOAD_HEADER)
+        stated = attempt.response.getheader(_headers.LOAD_HEADER)
         if stated and stated.isascii() and stated.isdigit():
             self.state.loads.report(
                 attempt.endpoint, min(int(stated), MAX_LOAD), monotonic_ms()
@@ -419,7 +419,7 @@
         if is_whole:
             elapsed_ms = attempt.flight.elapsed_ms
             self.state.loads.succeed(attempt.endpoint, elapsed_ms, now_ms)
-            self.state.upstream.release(attempt.flight)
+            self.state.upstream.release(attempt)
         else:
             self.state.loads.fail(attempt.endpoint, now_ms)
             self.state.upstream.drop(attempt.flight)
@@ -428,7 +428,7 @@
         status = f'{response.status} {response.reason or ""}'.strip()
         self.request.status = status.encode('iso-8859-1')
         out = self.request.outheaders
-        for name, value in response.headers.iteritems():
+        for name, value in response.getheaders():
             if name.lower() not in _headers.HOP_HEADERS:
                 out.append(
                     (name.encode('iso-8859-1'), value.encode('iso-8859-1'))
--- a/sedgering/proxy/_upstream.py
+++ b/sedgering/proxy/_upstream.py
@@ -1,8 +1,9 @@
 """Attempts at targets over urllib3's connections.
 
 urllib3's connection objects are used directly, without its pool manager:
-the time of a request is spent in fewer layers, and an attempt that is no
-longer wanted can be cancelled by closing its connection.
+an attempt that is no longer wanted can be cancelled by closing its
+connection.  Answers are read through http.client, on which these
+connections are built: see docs/design/0006-call-overhead.md.
 """
 
 from collections.abc import Iterator
@@ -97,7 +98,7 @@
     outcome: traffic.AttemptOutcome | None
     endpoint: membership.Endpoint
     flight: Flight | None = None
-    response: urllib3.BaseHTTPResponse | None = None
+    response: http.client.HTTPResponse | None = None
     detail: str = ''
 
 
@@ -228,7 +229,9 @@
     def finish(self, flight: Flight) -> Attempt:
         """Read the head of an answer."""
         try:
-            response = flight.connection.getresponse()
+            response = http.client.HTTPConnection.getresponse(
+                flight.connection
+            )
         except TimeoutError as error:
             return self._fail(flight, traffic.AttemptOutcome.LATE, error)
         except _FAILURES as error:
@@ -243,8 +246,10 @@
             response,
         )
 
-    def release(self, flight: Flight) -> None:
+    def release(self, attempt: Attempt) -> None:
         """Keep the connection of an exchange that ended cleanly."""
+        flight = attempt.flight
+        attempt.response.close()
         if flight.connection.sock is not None:
             self._find_pool(flight.endpoint).put(flight.connection)
 
@@ -296,7 +301,7 @@
         return pool
 
 
-def read_body(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+def read_body(response: http.client.HTTPResponse) -> Iterator[bytes]:
     """Read a response body in pieces, each as soon as it is there.
 
     Raises
@@ -305,21 +310,25 @@
         When the target's body ends early.
     """
     try:
-        if response.chunked:
-            yield from response.stream(CHUNK_BYTES, decode_content=False)
-            return
-        while chunk := response.read1(CHUNK_BYTES, decode_content=False):
+        while chunk := response.read1(CHUNK_BYTES):
             yield chunk
     except _FAILURES as error:
-        raise exceptions.RequestError(
-            exceptions.Code.REQUEST_UNKNOWN, f'short body: {error}'
-        ) from error
+        raise _short_body(_describe(error)) from error
+    # An end before the stated length raises nothing by itself.
+    if response.length:
+        raise _short_body(f'{response.length} bytes missing')
+
+
+def _short_body(detail: str) -> exceptions.RequestError:
+    return exceptions.RequestError(
+        exceptions.Code.REQUEST_UNKNOWN, f'short body: {detail}'
+    )
 
 
-def _is_refusal(response: urllib3.BaseHTTPResponse) -> bool:
+def _is_refusal(response: http.client.HTTPResponse) -> bool:
     if response.status != UNAVAILABLE:
         return False
-    return response.headers.get(traffic.NOT_RUN_HEADER) is not None
+    return response.getheader(traffic.NOT_RUN_HEADER) is not None
 
 
 def _is_closed(caller: socket.socket) -> bool:
