--- a/benchmarks/bench_convergence.py
+++ b/benchmarks/bench_convergence.py
@@ -12,6 +12,7 @@
 import time
 
 from sedgering.cli import _notice
+from sedgering import clock
 from sedgering import platform
 from sedgering import release
 from sedgering import settings
@@ -91,7 +92,7 @@
         """Roll the next change; return version and start in ms."""
         content = testing.make_sample_bundle(MESH, self.services, self.number)
         self.number += 1
-        started_ms = monotonic_ms()
+        started_ms = clock.monotonic_ms()
         record = self.client.sign_off(
             content, OPERATOR, release.make_operation_id()
         )
@@ -101,11 +102,6 @@
         return record.version, started_ms
 
 
-def monotonic_ms() -> int:
-    """Return the time that all processes of this machine share."""
-    return time.monotonic_ns() // 1_000_000
-
-
 def make_store(fleet: testing.Fleet) -> platform.HttpPlatform:
     """Make a client of the platform stand-in."""
     return platform.make_http_platform(
@@ -120,7 +116,7 @@
     """Make the operator's client."""
     store = make_store(fleet)
     return release.ReleaseClient(
-        store, store, monotonic_ms, lambda attempt: time.sleep(0.2)
+        store, store, clock.monotonic_ms, lambda attempt: time.sleep(0.2)
     )
 
 
--- a/sedgering/cli/operator.py
+++ b/sedgering/cli/operator.py
@@ -16,6 +16,7 @@
 from sedgering.cli import _common
 from sedgering.cli import _diff
 from sedgering.cli import _notice
+from sedgering import clock
 from sedgering import exceptions
 from sedgering import platform
 from sedgering import release
@@ -237,7 +238,7 @@
     client = release.ReleaseClient(
         store,
         store,
-        wall_ms=lambda: time.time_ns() // 1_000_000,
+        wall_ms=clock.wall_ms,
         pause=lambda attempt: time.sleep(SETTLE_PAUSE_S * attempt),
     )
     return own, client
--- /dev/null
+++ b/sedgering/clock.py
@@ -0,0 +1,17 @@
+"""The two clocks; systems are handed the time and read neither."""
+
+import time
+
+__all__ = ['monotonic_ms', 'wall_ms']
+
+_NS_PER_MS = 1_000_000
+
+
+def monotonic_ms() -> int:
+    """Return monotonic time in milliseconds; every decision rests on it."""
+    return time.monotonic_ns() // _NS_PER_MS
+
+
+def wall_ms() -> int:
+    """Return wall-clock time in milliseconds, for records to read."""
+    return time.time_ns() // _NS_PER_MS
--- a/sedgering/platform/_http.py
+++ b/sedgering/platform/_http.py
@@ -4,13 +4,13 @@
 from collections.abc import Sequence
 import random
 import threading
-import time
 from typing import TypeVar
 
 import msgspec
 import urllib3
 
 from sedgering import base
+from sedgering import clock
 from sedgering import exceptions
 from sedgering.platform import _base
 from sedgering.platform import _circuit
@@ -197,11 +197,7 @@
         platform_settings.circuit_max_open_ms,
         rng,
     )
-    return HttpPlatform(platform_settings, circuit, _monotonic_ms)
-
-
-def _monotonic_ms() -> int:
-    return time.monotonic_ns() // 1_000_000
+    return HttpPlatform(platform_settings, circuit, clock.monotonic_ms)
 
 
 def _object_path(digest: base.Digest) -> str:
--- a/sedgering/proxy/_admission.py
+++ b/sedgering/proxy/_admission.py
@@ -1,9 +1,9 @@
 """Lets request threads wait for admission."""
 
 import threading
-import time
 
 from sedgering import base
+from sedgering import clock
 from sedgering import exceptions
 from sedgering import traffic
 
@@ -82,7 +82,7 @@
             self._events.pop(waiter, None)
             # A waiter whose event did not come in time is late by now.
             if waiter.state is traffic.WaiterState.WAITING:
-                now_ms = time.monotonic_ns() // 1_000_000
+                now_ms = clock.monotonic_ms()
                 self._wake(table.expire(max(now_ms, waiter.give_up_ms)))
 
     def _wake(self, changed: list[traffic.Waiter]) -> None:
--- a/sedgering/proxy/_control.py
+++ b/sedgering/proxy/_control.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from sedgering import base
+from sedgering import clock
 from sedgering import control
 from sedgering import exceptions
 from sedgering import messages
@@ -159,9 +160,7 @@
 
     def _tick(self) -> None:
         try:
-            control.run_tick(
-                self._systems, self.tables, time.monotonic_ns() // 1_000_000
-            )
+            control.run_tick(self._systems, self.tables, clock.monotonic_ms())
         except Exception:
             # A defect in one decision must not end the process's control.
             LOG.exception('tick failed')
--- a/sedgering/proxy/_daemon.py
+++ b/sedgering/proxy/_daemon.py
@@ -6,6 +6,7 @@
 import time
 
 from sedgering import base
+from sedgering import clock
 from sedgering import control
 from sedgering import exceptions
 from sedgering import membership
@@ -120,7 +121,7 @@
 
     def announce(self, report: membership.TargetReport) -> None:
         """Take in the report of a local target."""
-        now_ms = time.monotonic_ns() // 1_000_000
+        now_ms = clock.monotonic_ms()
         self.loop.post(
             lambda: membership.announce_target(
                 self.tables.self_row, report, now_ms
@@ -159,7 +160,7 @@
         Not yet started.
     """
     rng = random.Random()
-    incarnation = base.Incarnation(time.time_ns() // 1_000_000)
+    incarnation = base.Incarnation(clock.wall_ms())
     tables = control.make_control_tables(proxy_settings, incarnation, rng)
     metrics = observability.make_metrics()
     store = platform.make_http_platform(
@@ -182,7 +183,7 @@
         metrics,
         guard,
         random.Random(),
-        time.monotonic_ns() // 1_000_000,
+        clock.monotonic_ms(),
     )
     loop = _control.ControlLoop(tables, metrics, _Publisher(state).publish)
     _add_workers(loop, proxy_settings, incarnation, metrics, store)
@@ -227,7 +228,7 @@
         state.gate.is_open = own in _OPEN_STATES
         state.metrics.held_version.set(tables.holder.version)
         state.metrics.members.set(len(tables.hosts))
-        now_ms = time.monotonic_ns() // 1_000_000
+        now_ms = clock.monotonic_ms()
         if now_ms >= self._next_check_ms:
             self._next_check_ms = now_ms + OUTLIER_INTERVAL_MS
             self._check_targets(now_ms)
--- a/sedgering/testing/_naive.py
+++ b/sedgering/testing/_naive.py
@@ -1,10 +1,10 @@
 """The naive version: every proxy polls the whole bundle from the source."""
 
 import threading
-import time
 
 from sedgering import base
 from sedgering import bundle as bundles
+from sedgering import clock
 from sedgering import exceptions
 from sedgering import platform
 from sedgering import release
@@ -68,7 +68,7 @@
         body = self.store.get_object(digest)
         self.received_bytes += len(body) + OVERHEAD_BYTES
         bundles.check_bundle(bundles.decode_bundle(body, digest))
-        now_ms = time.monotonic_ns() // 1_000_000
+        now_ms = clock.monotonic_ms()
         self.applied_at_ms.setdefault(head.version, now_ms)
 
 
