--- a/sedgering/proxy/_daemon.py
+++ b/sedgering/proxy/_daemon.py
@@ -5,6 +5,8 @@
 import threading
 import time
 
+import msgspec
+
 from sedgering import base
 from sedgering import clock
 from sedgering import control
@@ -214,17 +216,57 @@
     loop.peer_worker = _workers.PeerWorker(loop.post, metrics, caller)
 
 
+class _Logged(msgspec.Struct, frozen=True):
+    """What was logged last, so that each change is logged once."""
+
+    state: peer.HostState = peer.HostState.STARTING
+    version: base.Version = base.NO_VERSION
+    refused: frozenset[base.Version] = frozenset()
+    is_relay: bool = False
+    is_floor_known: bool = False
+
+
+def _log_changes(logged: _Logged, tables: control.ControlTables) -> _Logged:
+    """Log what a tick changed, for operators who ask what happened."""
+    updates = tables.updates
+    present = _Logged(
+        tables.self_row.state,
+        tables.holder.version,
+        frozenset(updates.refused),
+        tables.tree.is_relay,
+        updates.is_floor_known,
+    )
+    if present == logged:
+        return logged
+    if present.version != logged.version:
+        LOG.info('version in force', extra={'version': present.version})
+    for version in present.refused - logged.refused:
+        code = updates.refused[version]
+        LOG.error('version refused', extra={'version': version, 'code': code})
+    if present.state is not logged.state:
+        name = present.state.name.lower()
+        LOG.info('state changed', extra={'detail': name})
+    if present.is_relay != logged.is_relay:
+        word = 'became' if present.is_relay else 'is no longer'
+        LOG.info('%s a relay', word)
+    if present.is_floor_known != logged.is_floor_known:
+        LOG.info('floor known', extra={'version': updates.floor})
+    return present
+
+
 class _Publisher:
     """Shows the request threads and the metrics what a tick decided."""
 
     def __init__(self, state: _shared.RequestState):
         self.state = state
         self._next_check_ms = 0
+        self._logged = _Logged()
 
     def publish(self, tables: control.ControlTables) -> None:
         """Called in the control thread after each tick."""
         state = self.state
         own = tables.self_row.state
+        self._logged = _log_changes(self._logged, tables)
         state.gate.is_open = own in _OPEN_STATES
         state.metrics.held_version.set(tables.holder.version)
         state.metrics.members.set(len(tables.hosts))
--- a/sedgering/testing/__init__.py
+++ b/sedgering/testing/__init__.py
@@ -18,6 +18,7 @@
 from sedgering.testing._fleet import free_ports
 from sedgering.testing._fleet import is_listening
 from sedgering.testing._fleet import make_fleet
+from sedgering.testing._fleet import ProxyProcess
 from sedgering.testing._naive import make_sample_bundle
 from sedgering.testing._naive import NaivePoller
 from sedgering.testing._passthrough import make_passthrough
@@ -40,6 +41,7 @@
     'Node',
     'OutcomeDiffers',
     'PlatformEngine',
+    'ProxyProcess',
     'StandinTarget',
     'TargetSettings',
     'Verdict',
--- a/sedgering/testing/_http.py
+++ b/sedgering/testing/_http.py
@@ -1,10 +1,19 @@
 """Short cuts over cheroot for the stand-ins."""
 
+import hashlib
 import logging
 
 import msgspec
 
-__all__ = ['ignore_errors', 'read_body', 'send', 'send_json']
+__all__ = [
+    'digest_body',
+    'ignore_errors',
+    'read_body',
+    'send',
+    'send_json',
+]
+
+CHUNK_BYTES = 64 * 1024
 
 
 def read_body(request) -> bytes:
@@ -12,6 +21,14 @@
     return request.rfile.read()
 
 
+def digest_body(request) -> str:
+    """Read a request body in pieces and return its SHA-256."""
+    digest = hashlib.sha256()
+    while chunk := request.rfile.read(CHUNK_BYTES):
+        digest.update(chunk)
+    return digest.hexdigest()
+
+
 def send(request, status: bytes, body: bytes, headers=()) -> None:
     """Send a whole response."""
     request.status = status
--- a/sedgering/testing/_targets.py
+++ b/sedgering/testing/_targets.py
@@ -1,7 +1,6 @@
 """Targets that keep a ledger of what they ran."""
 
 import collections
-import hashlib
 import ipaddress
 import logging
 import threading
@@ -82,7 +81,7 @@
             target.slots.release()
 
     def _run(self, target) -> None:
-        body = _http.read_body(self.req)
+        body_sha256 = _http.digest_body(self.req)
         name = self.req.inheaders.get(b'X-Request-Id', b'').decode()
         work_ms = target.settings.work_ms
         in_use = target.settings.slots - target.slots._value
@@ -95,7 +94,7 @@
         answer = {
             'target': target.settings.name,
             'request': name,
-            'body_sha256': hashlib.sha256(body).hexdigest(),
+            'body_sha256': body_sha256,
         }
         self.req.close_connection |= target.is_leaving
         self.req.outheaders.append((b'X-Target-Load', str(in_use).encode()))
