A version that nobody has does not keep the real ones away

Cause: a host wants the greatest version that it heard of. One forged or damaged message with an absurd version made it ask for that for ever, and deaf to lesser, real ones. Change: after six failures in a row a version that only peers named is doubted for 5 s, in which real ones come through; what the head row names is never doubted. Weighed: 60 s, which would delay a real version whose sources were overloaded.

--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -119,3 +119,8 @@
     Then every proxy holds version 2 within 2 s
     When 500 notices arrive at a relay within 5 s
     Then it has read the head at most 20 times
+
+  Scenario: A version that nobody has does not keep the real ones away
+    Given every proxy hears again and again of version 999999 that nobody has
+    When version 2 is rolled
+    Then every proxy holds version 2 within 20 s
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -545,3 +545,25 @@
 def step_reads(context, limit):
     reads = context.fleet.engine.stats.reads - context.reads_before
     assert 1 <= reads <= limit, reads
+
+
+@given('every proxy hears again and again of version 999999 that nobody has')
+def step_forged(context):
+    fleet = context.fleet
+    liar = fleet.nodes[0]
+    forged = peer.Datagram(
+        mesh='mesh',
+        protocol=peer.PROTOCOL_VERSION,
+        sender='nobody',
+        incarnation=1,
+        announcement=peer.Announcement(version=999999, digest=b'x' * 32),
+    )
+    step = fleet.exchange.step
+
+    def step_and_lie():
+        for node in fleet.nodes:
+            fleet.exchange.replay(liar, node, forged)
+        step()
+
+    fleet.exchange.step = step_and_lie
+    fleet.exchange.run(2)
--- a/sedgering/distribution/_tables.py
+++ b/sedgering/distribution/_tables.py
@@ -43,6 +43,9 @@
         What to get next.
     refused : dict of Version to Code
         Versions that this host refuses for good.
+    doubted : dict of Version to int
+        Versions that somebody named and nobody had, and until when (in
+        ms) they are not asked for again.
     history : ContentHistory or None
         The version held, as others may fetch it.
     delta_from : Version
@@ -54,6 +57,7 @@
         self.is_floor_known = False
         self.wanted: Wanted | None = None
         self.refused: dict[base.Version, int] = {}
+        self.doubted: dict[base.Version, int] = {}
         self.history: _history.ContentHistory | None = None
         self.delta_from = base.NO_VERSION
         self.delta: bytes | None = None
--- a/sedgering/distribution/_update.py
+++ b/sedgering/distribution/_update.py
@@ -30,6 +30,11 @@
 FLOOR_SETTLE_MS = 3000
 #: Time between two questions to a data centre that has not answered.
 FLOOR_ASK_MS = 500
+#: Failures in a row after which a version that only peers named is
+#: doubted, and for how long: a forged or damaged version must not keep
+#: this host from the real ones for ever.
+DOUBT_FAILURES = 6
+DOUBT_MS = 5000
 #: Codes that say that the transfer failed, not that the bundle is bad.
 _TRANSFER_CODES = frozenset(
     (
@@ -142,6 +147,8 @@
         self._take_in_content(tables, now_ms)
         if tables.inbox.fetch_failures:
             self._back_off(tables, now_ms)
+        if tables.updates.doubted:
+            _forget_doubts(tables.updates, now_ms)
         self._fetch(tables, now_ms)
 
     def _hear(
@@ -185,6 +192,8 @@
         updates = tables.updates
         if version <= tables.holder.version or version in updates.refused:
             return
+        if version in updates.doubted and address is not None:
+            return
         wanted = updates.wanted
         if wanted is None or version > wanted.version:
             wanted = _tables.Wanted(version, digest, [])
@@ -279,7 +288,12 @@
         longest_ms = min(doubled_ms, LONGEST_RETRY_MS)
         self._retry_at_ms = now_ms + tables.rng.randint(1, longest_ms)
         wanted = tables.updates.wanted
-        if wanted is not None and wanted.sources:
+        if wanted is None:
+            return
+        if self._failures >= DOUBT_FAILURES and not wanted.is_from_head:
+            tables.updates.doubted[wanted.version] = now_ms + DOUBT_MS
+            tables.updates.wanted = None
+        elif wanted.sources:
             # Another source comes first next time.
             wanted.sources.append(wanted.sources.pop(0))
 
@@ -313,6 +327,14 @@
         return self._failures >= PEER_ATTEMPTS and self._failures % 2 == 0
 
 
+def _forget_doubts(updates: _tables.UpdateTable, now_ms: int) -> None:
+    updates.doubted = {
+        version: until_ms
+        for version, until_ms in updates.doubted.items()
+        if now_ms < until_ms
+    }
+
+
 def _decode_content(
     tables: control.ControlTables,
     content: peer.Content,
