sedgering collect: old claims go, in bounded batches

Cause: claims of idempotency keys stayed in the table for ever. Removal is conditional on the revision read; scenarios for two at once, a claim taken anew in between, lost answers and late writes.

--- a/features/repeats.feature
+++ b/features/repeats.feature
@@ -56,3 +56,19 @@
 
   Scenario: Any faults of the table and any order of repeats
     Then under any faults of the table no key is granted twice
+
+  Scenario: Old claims are collected, and no others
+    Given 250 old claims and 30 new ones
+    When they are collected
+    Then the 30 new claims are left
+
+  Scenario: Two collections at once, with a claim taken anew meanwhile
+    Given 1 old claims and 0 new ones
+    When it is taken anew between the look and the removal
+    Then the claim that was taken anew is left
+
+  Scenario: A collection in an outage removes nothing, and goes on later
+    Given 250 old claims and 30 new ones
+    When they are collected while answers are lost and writes are late
+    And they are collected
+    Then the 30 new claims are left
--- a/features/steps/repeat_steps.py
+++ b/features/steps/repeat_steps.py
@@ -222,3 +222,68 @@
                 model.let_go(what)
 
     check()
+
+
+OLD_MS = 1000
+NEW_MS = 5000
+BEFORE_MS = 2000
+
+
+@given('{old:d} old claims and {new:d} new ones')
+def step_old_claims(context, old, new):
+    clock = iter(range(100_000))
+    context.engine = testing.PlatformEngine(now_s=lambda: next(clock))
+    context.store = testing.InMemoryPlatform(context.engine)
+    for number in range(old + new):
+        made_ms = OLD_MS if number < old else NEW_MS
+        claim = traffic.make_claim(
+            'party', f'key-{number}', 'POST /', f'id-{number}', made_ms
+        )
+        traffic.commit_claims(context.store, [claim])
+
+
+def collect(context):
+    return traffic.collect_claims(context.store, BEFORE_MS, 'op', 10_000)
+
+
+@when('they are collected')
+def step_collect(context):
+    context.engine.faults = testing.Faults()
+    collect(context)
+
+
+@when('they are collected while answers are lost and writes are late')
+def step_collect_faults(context):
+    context.engine.faults = testing.Faults(lose_answers=1, delay_writes=1)
+    report = collect(context)
+    assert report.skipped > 0, report
+    context.engine.deliver_delayed()
+
+
+@when('it is taken anew between the look and the removal')
+def step_taken_anew(context):
+    claim = traffic.make_claim('party', 'key-0', 'POST /', 'id-0', OLD_MS)
+    let_go = traffic.change_claim(claim, traffic.ClaimState.NOT_RUN)
+    anew = traffic.make_claim('party', 'key-0', 'POST /', 'id-1', NEW_MS)
+    scan = context.store.scan
+
+    def scan_and_change(*arguments):
+        rows = scan(*arguments)
+        if rows:
+            traffic.commit_claims(context.store, [let_go])
+            traffic.commit_claims(context.store, [anew])
+        return rows
+
+    context.store.scan = scan_and_change
+    assert collect(context).skipped == 1
+
+
+@then('the {count:d} new claims are left')
+def step_left(context, count):
+    assert len(context.engine.scan('claim/', '', 1000)) == count
+
+
+@then('the claim that was taken anew is left')
+def step_anew_left(context):
+    (row,) = context.engine.scan('claim/', '', 10)
+    assert b'id-1' in row.value
--- a/sedgering/cli/operator.py
+++ b/sedgering/cli/operator.py
@@ -21,6 +21,7 @@
 from sedgering import platform
 from sedgering import release
 from sedgering import settings
+from sedgering import traffic
 
 __all__ = ['main']
 
@@ -33,6 +34,7 @@
 
 WATCH_INTERVAL_S = 0.2
 SETTLE_PAUSE_S = 0.2
+MS_PER_DAY = 86_400_000
 
 Config = Annotated[
     pathlib.Path,
@@ -230,6 +232,36 @@
             )
 
 
+@app.command()
+def collect(
+    config: Config,
+    older_than_days: Annotated[
+        int, typer.Option(help='Age of claims to remove.', min=1)
+    ] = 7,
+    limit: Annotated[
+        int, typer.Option(help='Most claims to look at.', min=1)
+    ] = 100_000,
+) -> None:
+    """Remove old idempotency claims, in bounded batches.
+
+    Repeats of a request older than that are no longer caught. Safe to run
+    twice at once, and again after an outage.
+
+    Example: sedgering collect --older-than-days 7 --config operator.yaml
+    """
+    client = _make_client(config)[1]
+    report = traffic.collect_claims(
+        client.table,
+        clock.wall_ms() - older_than_days * MS_PER_DAY,
+        release.make_operation_id(),
+        limit,
+    )
+    print(
+        f'{report.seen} claims seen, {report.removed} removed, '
+        f'{report.skipped} skipped'
+    )
+
+
 def _make_client(
     config: pathlib.Path,
 ) -> tuple[settings.OperatorSettings, release.ReleaseClient]:
--- a/sedgering/traffic/__init__.py
+++ b/sedgering/traffic/__init__.py
@@ -20,6 +20,8 @@
 from sedgering.traffic._claims import ClaimState
 from sedgering.traffic._claims import commit_claims
 from sedgering.traffic._claims import make_claim
+from sedgering.traffic._collect import collect_claims
+from sedgering.traffic._collect import CollectReport
 from sedgering.traffic._load import EndpointKey
 from sedgering.traffic._load import LoadTable
 from sedgering.traffic._outliers import find_slow
@@ -33,6 +35,7 @@
     'ClaimRecord',
     'ClaimResult',
     'ClaimState',
+    'CollectReport',
     'EndpointKey',
     'LoadTable',
     'NOT_RUN_HEADER',
@@ -43,6 +46,7 @@
     'change_claim',
     'choose_endpoint',
     'choose_target_set',
+    'collect_claims',
     'commit_claims',
     'count_allowed',
     'find_route',
