A request is 'not run' only if every attempt is

Cause: a repeatable request whose first attempt may have run, and whose next one was refused or found nobody, was told 'not run': only the last attempt was looked at. The differential test found it once its examples changed; 25 examples had missed it, so that it runs 40 now, and a named scenario causes it each time (fails before, passes after).

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -33,6 +33,13 @@
       | closes before its answer | repeatable     | nothing |
       | closes before its answer | non-repeatable | unknown |
 
+  Scenario: An attempt that may have run is not forgotten
+    Given a target that closes before its answer
+    And a target that refuses before work
+    And a target that is not there
+    When 12 repeatable requests are sent
+    Then some ran without an answer, and none of these is told not-run
+
   Scenario: A late answer reaches nobody else
     Given a target that answers too late
     When a request times out and another one follows at once
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -85,6 +85,14 @@
             assert subject.runs(name) <= 1, name
 
 
+@then('some ran without an answer, and none of these is told not-run')
+def step_not_forgotten(context):
+    subject = context.requests
+    ran = [name for name in subject.answers if subject.runs(name)]
+    assert ran, 'no request reached the first target'
+    assert {subject.answers[name].told for name in ran} == {'unknown'}
+
+
 @when('a request times out and another one follows at once')
 def step_late(context):
     subject = context.requests
@@ -333,7 +341,7 @@
         derandomize=True,
         database=None,
         deadline=None,
-        max_examples=25,
+        max_examples=40,
         # Each example starts servers; shrinking would take minutes.
         phases=[hypothesis.Phase.generate],
     )
--- a/sedgering/proxy/_attempts.py
+++ b/sedgering/proxy/_attempts.py
@@ -22,6 +22,9 @@
     traffic.AttemptOutcome.LATE: exceptions.Code.REQUEST_LATE,
     traffic.AttemptOutcome.REFUSED: exceptions.Code.REQUEST_NOT_RUN,
 }
+_UNKNOWN_CODES = frozenset(
+    (exceptions.Code.REQUEST_UNKNOWN, exceptions.Code.REQUEST_LATE)
+)
 
 
 class Attempts:
@@ -54,6 +57,7 @@
         self.endpoints = endpoints
         self._tried: list[membership.Endpoint] = []
         self._sent = 0
+        self._may_have_run = False
 
     def run(self) -> _upstream.Attempt:
         """Try targets until one answers.
@@ -78,12 +82,14 @@
         while True:
             endpoint = self._take_endpoint()
             if endpoint is None:
-                raise _make_error(last)
+                raise self._make_error(last)
             last = self._attempt(endpoint)
             if last.outcome is traffic.AttemptOutcome.ANSWERED:
                 return last
+            if last.outcome not in traffic.PROVEN_NOT_RUN:
+                self._may_have_run = True
             if not self._may_try_again(last, allowed):
-                raise _make_error(last)
+                raise self._make_error(last)
 
     def _may_try_again(self, last: _upstream.Attempt, allowed: int) -> bool:
         tried = len(self._tried)
@@ -151,7 +157,7 @@
         remaining_ms = self.request.remaining_ms
         if remaining_ms < LEAST_TIME_MS:
             self.state.loads.cancel(endpoint, clock.monotonic_ms())
-            raise exceptions.RequestError(exceptions.Code.REQUEST_DEADLINE)
+            raise self._make_error(None, exceptions.Code.REQUEST_DEADLINE)
         headers = _headers.make_request_headers(self.request.headers)
         headers[_headers.REQUEST_ID_HEADER] = self.request.request_id
         headers[_headers.DEADLINE_HEADER] = str(remaining_ms)
@@ -217,6 +223,23 @@
         else:
             self.state.loads.cancel(flight.endpoint, now_ms)
 
+    def _make_error(
+        self,
+        last: _upstream.Attempt | None,
+        code: exceptions.Code = exceptions.Code.REQUEST_NO_TARGET,
+    ) -> exceptions.RequestError:
+        """Make the error that tells what is known of all attempts.
+
+        The last attempt may be proven not run while an earlier one is
+        not: the request as a whole is "not run" only if every one is.
+        """
+        detail = last.detail if last else ''
+        if last is not None:
+            code = _CODES.get(last.outcome, code)
+        if self._may_have_run and code not in _UNKNOWN_CODES:
+            code = exceptions.Code.REQUEST_UNKNOWN
+        return exceptions.RequestError(code, detail)
+
     def _note(self, attempt: _upstream.Attempt) -> _upstream.Attempt:
         """Note an attempt that ended; one that answered holds its slot."""
         now_ms = clock.monotonic_ms()
@@ -225,13 +248,3 @@
         elif attempt.outcome is not traffic.AttemptOutcome.ANSWERED:
             self.state.loads.fail(attempt.endpoint, now_ms)
         return attempt
-
-
-def _make_error(
-    last: _upstream.Attempt | None,
-) -> exceptions.RequestError:
-    """Make the error that tells what is known after the last attempt."""
-    if last is None:
-        return exceptions.RequestError(exceptions.Code.REQUEST_NO_TARGET)
-    code = _CODES.get(last.outcome, exceptions.Code.REQUEST_NO_TARGET)
-    return exceptions.RequestError(code, last.detail)
--- a/sedgering/traffic/__init__.py
+++ b/sedgering/traffic/__init__.py
@@ -9,6 +9,7 @@
 from sedgering.traffic._attempts import may_try_again
 from sedgering.traffic._attempts import NOT_RUN_HEADER
 from sedgering.traffic._attempts import pause_before
+from sedgering.traffic._attempts import PROVEN_NOT_RUN
 from sedgering.traffic._budget import make_retry_budget
 from sedgering.traffic._budget import RetryBudget
 from sedgering.traffic._choice import choose_endpoint
@@ -39,6 +40,7 @@
     'EndpointKey',
     'LoadTable',
     'NOT_RUN_HEADER',
+    'PROVEN_NOT_RUN',
     'RequestHead',
     'RetryBudget',
     'Waiter',
--- a/sedgering/traffic/_attempts.py
+++ b/sedgering/traffic/_attempts.py
@@ -8,6 +8,7 @@
 __all__ = [
     'AttemptOutcome',
     'NOT_RUN_HEADER',
+    'PROVEN_NOT_RUN',
     'count_allowed',
     'may_hedge',
     'may_try_again',
