A refused hedge neither hides nor ends the first attempt

The first of two hedged attempts to end was taken as the answer, also when it was a refusal: the other one, perhaps at work, was cancelled, and the caller was told 'not run'. Change: an attempt without an answer leaves the other one under way. A deadline that passes while the hedge starts no longer leaves the first attempt's slot taken.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -66,6 +66,18 @@
     When 4 hedged requests are sent
     Then all are answered and each slow attempt is cancelled
 
+  Scenario: A refused hedge does not hide the first attempt
+    Given a target that stalls
+    And a target that refuses before work
+    When 6 hedged requests are sent
+    Then some ran without an answer, and none of these is told not-run
+
+  Scenario: A refused hedge does not end the first attempt
+    Given a target that answers after a while
+    And a target that refuses before work
+    When 6 hedged requests are sent
+    Then all are answered
+
   Scenario Outline: Malformed requests reach no target
     Given a target that answers
     When "<name>" is sent
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -173,6 +173,12 @@
     assert context.peak_bytes < limit * 2**20, context.peak_bytes
 
 
+@then('all are answered')
+def step_all_answered(context):
+    told = [answer.told for answer in context.requests.answers.values()]
+    assert told == ['answer'] * len(told), told
+
+
 @then('all are answered and each slow attempt is cancelled')
 def step_hedged(context):
     subject = context.requests
--- a/features/steps/request_subject.py
+++ b/features/steps/request_subject.py
@@ -29,7 +29,12 @@
 def make_content():
     policies = (
         bundles.Policy('p', timeout_ms=TIMEOUT_MS, attempts=3),
-        bundles.Policy('hedged', attempts=2, hedge_after_ms=50),
+        bundles.Policy(
+            'hedged',
+            timeout_ms=TIMEOUT_MS,
+            attempts=2,
+            hedge_after_ms=50,
+        ),
     )
     share = (bundles.WeightedTargetSet('s'),)
 
--- a/features/steps/scripted_target.py
+++ b/features/steps/scripted_target.py
@@ -6,6 +6,7 @@
 import time
 
 LATE_S = 1.5
+WHILE_S = 0.2
 STALL_S = 5.0
 
 
@@ -96,6 +97,10 @@
         if self.behaviour == 'answers':
             connection.sendall(whole)
             return True
+        if self.behaviour == 'answers after a while':
+            time.sleep(WHILE_S)
+            connection.sendall(whole)
+            return True
         if self.behaviour == 'answers too late':
             time.sleep(LATE_S)
             connection.sendall(whole)
--- a/sedgering/proxy/_attempts.py
+++ b/sedgering/proxy/_attempts.py
@@ -86,8 +86,7 @@
             last = self._attempt(endpoint)
             if last.outcome is traffic.AttemptOutcome.ANSWERED:
                 return last
-            if last.outcome not in traffic.PROVEN_NOT_RUN:
-                self._may_have_run = True
+            self._remember(last)
             if not self._may_try_again(last, allowed):
                 raise self._make_error(last)
 
@@ -182,11 +181,15 @@
         endpoint = self._take_endpoint()
         if endpoint is None:
             return
-        started = self._start(endpoint)
+        try:
+            started = self._start(endpoint)
+        except exceptions.RequestError:
+            # The deadline is at hand; the first attempt goes on.
+            return
         if started.flight is not None:
             flights.append(started.flight)
         else:
-            self._note(started)
+            self._remember(self._note(started))
 
     def _wait(
         self, flights: list[_upstream.Flight], timeout_ms: float
@@ -200,19 +203,39 @@
     def _finish_first(
         self, flights: list[_upstream.Flight]
     ) -> _upstream.Attempt:
-        """Take the first answer, and cancel the other attempt if any."""
-        first = self._wait(flights, self.request.remaining_ms)
-        last_endpoint = flights[-1].endpoint
-        for flight in tuple(flights):
-            if flight is not first:
-                flights.remove(flight)
-                self._give_up(flight, first is None)
-        if first is None:
-            return _upstream.Attempt(
-                traffic.AttemptOutcome.LATE, last_endpoint
-            )
-        flights.remove(first)
-        return self._note(self.state.upstream.finish(first))
+        """Take the first answer, and cancel the other attempt if any.
+
+        An attempt that ends without an answer leaves the other one
+        under way.
+        """
+        while True:
+            first = self._wait(flights, self.request.remaining_ms)
+            if first is None:
+                return self._give_all_up(flights)
+            flights.remove(first)
+            attempt = self._note(self.state.upstream.finish(first))
+            if attempt.outcome is traffic.AttemptOutcome.ANSWERED:
+                for flight in flights:
+                    self._give_up(flight, False)
+                return attempt
+            if not flights:
+                return attempt
+            self._remember(attempt)
+
+    def _give_all_up(
+        self, flights: list[_upstream.Flight]
+    ) -> _upstream.Attempt:
+        """End all attempts at the deadline."""
+        for flight in flights:
+            self._give_up(flight, True)
+        return _upstream.Attempt(
+            traffic.AttemptOutcome.LATE, flights[-1].endpoint
+        )
+
+    def _remember(self, attempt: _upstream.Attempt) -> None:
+        """Remember an attempt that may have run."""
+        if attempt.outcome not in traffic.PROVEN_NOT_RUN:
+            self._may_have_run = True
 
     def _give_up(self, flight: _upstream.Flight, is_late: bool) -> None:
         """Cancel an attempt and give its slot back."""
