A difference from another version is refused as such

Cause: a mutation without the check of a difference's base survived: the digest of the result refuses it as well, with a code that misleads. The scenario asks for 1107; it fails without the check, passes with it.

--- a/features/bundle.feature
+++ b/features/bundle.feature
@@ -17,6 +17,9 @@
   Scenario: A damaged difference is refused whole
     Then any damage to an encoded difference leaves the version in force
 
+  Scenario: A difference from another version is refused as such
+    Then a difference that starts from another bundle is refused with 1107
+
   Scenario: No route in force lacks what it points at
     Then taking away a policy or a target set in use is refused with 1103
 
--- a/features/steps/bundle_steps.py
+++ b/features/steps/bundle_steps.py
@@ -160,6 +160,27 @@
     check()
 
 
+@then('a difference that starts from another bundle is refused with 1107')
+def step_other_base(context):
+    @PROPERTY
+    @hypothesis.given(valid_bundles(), valid_bundles(), valid_bundles())
+    def check(held, other, new):
+        hypothesis.assume(held != other)
+        subject = BundleSubject()
+        subject.apply(1, held)
+        try:
+            subject.receive_delta(
+                bundles.encode_delta(subject.delta(other, new))
+            )
+        except exceptions.BundleError as error:
+            assert error.code is exceptions.Code.BUNDLE_BASE, str(error)
+        else:
+            raise AssertionError('it was accepted')
+        assert subject.holder.snapshot.bundle == held
+
+    check()
+
+
 @then('taking away a policy or a target set in use is refused with 1103')
 def step_dangling(context):
     @PROPERTY
