One place that makes targets for a fleet, and one that rolls a file

Fleet.make_targets and Fleet.roll_file serve all of them; 27 lines fewer. No test or check changed what it asks.

--- a/benchmarks/bench_call_overhead.py
+++ b/benchmarks/bench_call_overhead.py
@@ -78,32 +78,21 @@
     fleet.start_platform()
     fleet.add_proxies(['khan-uul'])
     proxy = fleet.proxies[0]
-    ports = testing.free_ports(TARGETS + 1)
-    fleet.start_targets(
-        [
-            {
-                'name': f'calendar-{index}',
-                'target_set': 'calendar',
-                'address': '127.0.0.1',
-                'port': ports[index],
-                'admin_port': proxy.admin_port,
-                'slots': 12,
-                'work_ms': 0,
-            }
-            for index in range(TARGETS)
-        ]
+    targets = fleet.make_targets(
+        [proxy], ['calendar'] * TARGETS, slots=12, work_ms=0
     )
-    arguments = ['passthrough', '--port', str(ports[-1])]
-    for port in ports[:TARGETS]:
+    fleet.start_targets(targets)
+    ports = [target['port'] for target in targets]
+    (naive_port,) = testing.free_ports(1)
+    arguments = ['passthrough', '--port', str(naive_port)]
+    for port in ports:
         arguments += ['--target', str(port)]
     naive = fleet.start_program('standin', arguments, 'naive')
     fleet.wait_until(lambda: fleet.status(proxy), 'the proxy')
-    fleet.run_operator('sign-off', str(BUNDLE))
-    fleet.run_operator('roll', '1')
-    fleet.wait_version(1)
+    fleet.wait_version(fleet.roll_file(BUNDLE))
     fleet.wait_targets({'calendar': TARGETS})
     return Setup(
-        {'direct': ports[0], 'naive': ports[-1], 'proxy': proxy.data_port},
+        {'direct': ports[0], 'naive': naive_port, 'proxy': proxy.data_port},
         {'naive': naive, 'proxy': proxy.process},
     )
 
--- a/benchmarks/bench_faults.py
+++ b/benchmarks/bench_faults.py
@@ -51,27 +51,18 @@
         fleet.wait_members()
         for number in range(GROUPS):
             self.start_targets(number)
-        fleet.run_operator('sign-off', str(EXAMPLE / 'bundle.yaml'))
-        fleet.run_operator('roll', '1')
-        fleet.wait_version(1)
+        fleet.wait_version(fleet.roll_file(EXAMPLE / 'bundle.yaml'))
         self.wait_targets(GROUPS)
 
     def start_targets(self, number: int) -> None:
         """Start one target of each set in one process."""
-        ports = testing.free_ports(len(TARGET_SETS))
-        targets = [
-            {
-                'name': f'{target_set}-{number}-{port}',
-                'target_set': target_set,
-                'address': '127.0.0.1',
-                'port': port,
-                'admin_port': self.fleet.proxies[number].admin_port,
-                'slots': SLOTS,
-                'work_ms': WORK_MS,
-                'ledger_file': str(self.ledger_file),
-            }
-            for target_set, port in zip(TARGET_SETS, ports)
-        ]
+        targets = self.fleet.make_targets(
+            [self.fleet.proxies[number]],
+            TARGET_SETS,
+            slots=SLOTS,
+            work_ms=WORK_MS,
+            ledger_file=str(self.ledger_file),
+        )
         self.groups.append(targets)
         self.processes.append(self.fleet.start_targets(targets))
 
--- a/benchmarks/bench_overload.py
+++ b/benchmarks/bench_overload.py
@@ -65,29 +65,19 @@
     """Start targets and one kind of proxy; return both kinds of ports."""
     fleet.start_platform()
     fleet.add_proxies(['dc'] * PROXIES)
-    ports = testing.free_ports(TARGETS + PROXIES)
-    targets = ports[:TARGETS]
-    fleet.start_targets(
-        [
-            {
-                'name': f'target-{index}',
-                'target_set': 'set',
-                'address': '127.0.0.1',
-                'port': port,
-                'admin_port': fleet.proxies[0].admin_port,
-                'slots': SLOTS,
-                'work_ms': WORK_MS,
-                'lies': index == 0,
-            }
-            for index, port in enumerate(targets)
-        ]
+    settings_of_targets = fleet.make_targets(
+        fleet.proxies[:1], ['set'] * TARGETS, slots=SLOTS, work_ms=WORK_MS
     )
+    settings_of_targets[0]['lies'] = True
+    fleet.start_targets(settings_of_targets)
+    targets = [target['port'] for target in settings_of_targets]
     fleet.wait_members()
     roll(fleet)
     fleet.wait_targets({'set': TARGETS})
     if way == 'proxy':
         return [proxy.data_port for proxy in fleet.proxies], targets
-    for port in ports[TARGETS:]:
+    ports = testing.free_ports(PROXIES)
+    for port in ports:
         arguments = ['passthrough', '--port', str(port)]
         for target in targets:
             arguments += ['--target', str(target)]
@@ -95,7 +85,7 @@
         fleet.wait_until(
             lambda port=port: testing.is_listening(port), 'naive proxy'
         )
-    return ports[TARGETS:], targets
+    return ports, targets
 
 
 def roll(fleet: testing.Fleet) -> None:
--- a/benchmarks/bench_upload.py
+++ b/benchmarks/bench_upload.py
@@ -52,22 +52,9 @@
     fleet.start_platform()
     fleet.add_proxies(['khan-uul'])
     proxy = fleet.proxies[0]
-    (port,) = testing.free_ports(1)
-    fleet.start_targets(
-        [
-            {
-                'name': 'archive-0',
-                'target_set': 'archive',
-                'address': '127.0.0.1',
-                'port': port,
-                'admin_port': proxy.admin_port,
-            }
-        ]
-    )
+    fleet.start_targets(fleet.make_targets([proxy], ['archive']))
     fleet.wait_until(lambda: fleet.status(proxy), 'the proxy')
-    fleet.run_operator('sign-off', str(EXAMPLE / 'bundle.yaml'))
-    fleet.run_operator('roll', '1')
-    fleet.wait_version(1)
+    fleet.wait_version(fleet.roll_file(EXAMPLE / 'bundle.yaml'))
     fleet.wait_targets({'archive': 1})
     return proxy
 
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -38,26 +38,13 @@
 
     def start_targets(self):
         for number in range(GROUPS):
-            ports = testing.free_ports(len(TARGET_SETS))
-            targets = [
-                {
-                    'name': f'{target_set}-{number}',
-                    'target_set': target_set,
-                    'address': '127.0.0.1',
-                    'port': port,
-                    'admin_port': self.fleet.proxies[number].admin_port,
-                    'ledger_file': str(self.ledger_file),
-                }
-                for target_set, port in zip(TARGET_SETS, ports)
-            ]
+            targets = self.fleet.make_targets(
+                [self.fleet.proxies[number]],
+                TARGET_SETS,
+                ledger_file=str(self.ledger_file),
+            )
             self.groups.append(self.fleet.start_targets(targets))
 
-    def roll(self, which):
-        self.fleet.run_operator('sign-off', self.path(which))
-        lines = self.fleet.run_operator('history', '--json').splitlines()
-        self.fleet.run_operator('roll', str(len(lines)))
-        return len(lines)
-
     def start_callers(self, ports):
         for seed in range(3):
             caller = testing.Caller(ports, 'tuulai.example', CALLS, seed, 0.01)
@@ -129,7 +116,7 @@
 def step_in_force(context):
     subject = context.process
     subject.start_targets()
-    version = subject.roll('first')
+    version = subject.fleet.roll_file(subject.path('first'))
     subject.fleet.wait_version(version)
     subject.fleet.wait_targets(dict.fromkeys(TARGET_SETS, GROUPS))
     # The third proxy is the one that goes; callers that would go on
@@ -171,7 +158,7 @@
     proxy = subject.fleet.proxies[2]
     proxy.process.send_signal(signal.SIGKILL)
     proxy.process.wait(STOP_TIMEOUT_S)
-    context.version = subject.roll('second')
+    context.version = subject.fleet.roll_file(subject.path('second'))
     subject.fleet.start_proxy(proxy)
     subject.wait_calls(60)
 
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -57,29 +57,18 @@
     """Start platform, proxies and targets."""
     fleet.start_platform()
     fleet.add_proxies(DATA_CENTRES * PROXIES_PER_DATA_CENTRE)
-    fleet.start_targets(list(place_targets(fleet)))
+    target_sets = [
+        target_set
+        for target_set, count in TARGET_SETS.items()
+        for _ in range(count)
+    ]
+    fleet.start_targets(
+        fleet.make_targets(fleet.proxies, target_sets, slots=SLOTS)
+    )
     fleet.wait_members()
     print(f'{len(fleet.proxies)} proxies know each other')
 
 
-def place_targets(fleet: testing.Fleet):
-    """Place the targets of each set on the hosts in turn."""
-    ports = iter(testing.free_ports(sum(TARGET_SETS.values())))
-    number = 0
-    for target_set, count in TARGET_SETS.items():
-        for index in range(count):
-            proxy = fleet.proxies[number % len(fleet.proxies)]
-            number += 1
-            yield {
-                'name': f'{target_set}-{index}',
-                'target_set': target_set,
-                'address': '127.0.0.1',
-                'port': next(ports),
-                'admin_port': proxy.admin_port,
-                'slots': SLOTS,
-            }
-
-
 def roll(fleet: testing.Fleet, path: pathlib.Path) -> float:
     """Check, sign off, roll and watch; return the convergence time."""
     print(fleet.run_operator('check', str(path), needs_config=False).strip())
--- a/sedgering/testing/_fleet.py
+++ b/sedgering/testing/_fleet.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Sequence
 import contextlib
+import itertools
 import pathlib
 import signal
 import socket
@@ -145,6 +146,37 @@
         self._processes.append(process)
         return process
 
+    def make_targets(
+        self,
+        proxies: Sequence[ProxyProcess],
+        target_sets: Sequence[str],
+        **options,
+    ) -> list[dict]:
+        """Make the settings of one target for each entry.
+
+        Parameters
+        ----------
+        proxies : sequence of ProxyProcess
+            Whose hosts they run on, in turn.
+        target_sets : sequence of str
+            Target set of each target.
+        **options
+            Further fields of :class:`TargetSettings`.
+        """
+        ports = free_ports(len(target_sets))
+        hosts = itertools.cycle(proxies)
+        return [
+            {
+                'name': f'{target_set}-{port}',
+                'target_set': target_set,
+                'address': ADDRESS,
+                'port': port,
+                'admin_port': next(hosts).admin_port,
+                **options,
+            }
+            for target_set, port in zip(target_sets, ports)
+        ]
+
     def start_targets(self, targets: list[dict]) -> subprocess.Popen:
         """Start target stand-ins, all in one process."""
         number = len(list(self.folder.glob('targets-*.yaml')))
@@ -184,6 +216,14 @@
             raise RuntimeError(completed.stdout + completed.stderr)
         return completed.stdout
 
+    def roll_file(self, path: pathlib.Path) -> int:
+        """Sign off and roll a bundle; return its version."""
+        self.run_operator('sign-off', str(path))
+        history = self.run_operator('history', '--json')
+        version = sum(1 for _line in history.splitlines())
+        self.run_operator('roll', str(version))
+        return version
+
     def write_operator_settings(self) -> pathlib.Path:
         """Write settings for the operator's tools."""
         path = self.folder / 'operator.yaml'
