--- a/benchmarks/bench_convergence.py
+++ b/benchmarks/bench_convergence.py
@@ -13,9 +13,9 @@
 
 from sedgering.cli import _notice
 from sedgering import clock
-from sedgering import platform
 from sedgering import release
 from sedgering import settings
+from sedgering import storage
 from sedgering import testing
 
 MESH = 'bench'
@@ -102,9 +102,9 @@
         return record.version, started_ms
 
 
-def make_store(fleet: testing.Fleet) -> platform.HttpPlatform:
+def make_store(fleet: testing.Fleet) -> storage.HttpPlatform:
     """Make a client of the platform stand-in."""
-    return platform.make_http_platform(
+    return storage.make_http_platform(
         settings.PlatformSettings(
             address='127.0.0.1', port=fleet.platform_port
         ),
--- a/features/steps/bundle_steps.py
+++ b/features/steps/bundle_steps.py
@@ -15,7 +15,6 @@
 
 from sedgering import bundle as bundles
 from sedgering import exceptions
-from sedgering import traffic
 
 EXAMPLES = pathlib.Path(__file__).parent.parent.parent / 'examples'
 
@@ -285,6 +284,6 @@
 
 @then('the request still finds its route, and a new one does not')
 def step_route_kept(context):
-    head = traffic.RequestHead('GET', 'tuulai.example', '/calendar', {})
-    assert traffic.find_route(context.snapshot, head).name == 'calendar'
-    assert traffic.find_route(context.bundle.holder.snapshot, head) is None
+    head = bundles.RequestHead('GET', 'tuulai.example', '/calendar', {})
+    assert bundles.find_route(context.snapshot, head).name == 'calendar'
+    assert bundles.find_route(context.bundle.holder.snapshot, head) is None
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -12,8 +12,8 @@
 from sedgering.distribution import _tree
 from sedgering import exceptions
 from sedgering import peer
-from sedgering import platform
 from sedgering import release
+from sedgering import storage
 from sedgering import testing
 
 DATA_CENTRES = ('dc-a', 'dc-b', 'dc-c')
@@ -360,8 +360,8 @@
     head = release.HeadRecord(
         version=2, digest=digest, latest_signed=2, changed_by='mallory'
     )
-    put = platform.Put(release.HEAD_KEY, release.encode_record(head))
-    fleet.store.transact(platform.Transaction('op', puts=(put,)))
+    put = storage.Put(release.HEAD_KEY, release.encode_record(head))
+    fleet.store.transact(storage.Transaction('op', puts=(put,)))
 
 
 @then('the progress rows name code {code:d} from {hosts:d} hosts')
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -8,8 +8,8 @@
 from behave import when
 
 from sedgering import exceptions
-from sedgering import platform
 from sedgering import settings
+from sedgering import storage
 from sedgering import testing
 
 
@@ -34,9 +34,9 @@
             queue_wait_ms=20,
             circuit_failures=3,
         )
-        self.client = platform.HttpPlatform(
+        self.client = storage.HttpPlatform(
             self.settings,
-            platform.Circuit(3, 500, 8000, random.Random(1)),
+            storage.Circuit(3, 500, 8000, random.Random(1)),
             lambda: self.now_ms,
         )
 
@@ -46,7 +46,7 @@
 
     def write(self, key='k', conditions=()):
         return self.client.transact(
-            platform.Transaction('op', conditions, (platform.Put(key, b'v'),))
+            storage.Transaction('op', conditions, (storage.Put(key, b'v'),))
         )
 
     def get_in_state(self, state):
@@ -87,16 +87,16 @@
 @given('a row written once')
 def step_row(context):
     outcome = context.platform.write()
-    assert outcome.kind is platform.OutcomeKind.DONE
+    assert outcome.kind is storage.OutcomeKind.DONE
 
 
 @then('writing it as if it were absent is a conflict and changes nothing')
 def step_conflict(context):
     subject = context.platform
     (before,) = subject.client.read(['k'])
-    outcome = subject.write(conditions=(platform.Condition('k', 0),))
+    outcome = subject.write(conditions=(storage.Condition('k', 0),))
     assert outcome.is_conflict
-    assert outcome.kind is platform.OutcomeKind.NOT_DONE
+    assert outcome.kind is storage.OutcomeKind.NOT_DONE
     assert subject.client.read(['k']) == (before,)
 
 
@@ -133,7 +133,7 @@
     before = subject.engine.stats.writes
     outcome = subject.write()
     assert int(outcome.code) == code
-    assert outcome.kind is platform.OutcomeKind.NOT_DONE
+    assert outcome.kind is storage.OutcomeKind.NOT_DONE
     assert subject.engine.stats.writes == before
 
 
@@ -145,13 +145,13 @@
 @then('one call passes and closes the circuit')
 def step_closed(context):
     subject = context.platform
-    assert subject.write().kind is platform.OutcomeKind.DONE
-    assert subject.client.circuit.state is platform.CircuitState.CLOSED
+    assert subject.write().kind is storage.OutcomeKind.DONE
+    assert subject.client.circuit.state is storage.CircuitState.CLOSED
 
 
 @then('a circuit whose probes fail waits at most 8000 ms, jittered')
 def step_growth(context):
-    circuit = platform.Circuit(1, 500, 8000, random.Random(7))
+    circuit = storage.Circuit(1, 500, 8000, random.Random(7))
     circuit.record(False, 0)
     now_ms = 0
     pauses = []
@@ -178,5 +178,5 @@
     subject = context.platform
     outcome = subject.write()
     assert int(outcome.code) == code
-    assert outcome.kind is platform.OutcomeKind.NOT_DONE
+    assert outcome.kind is storage.OutcomeKind.NOT_DONE
     assert subject.engine.stats.writes == 0
--- a/features/steps/traffic_steps.py
+++ b/features/steps/traffic_steps.py
@@ -90,8 +90,8 @@
     snapshot = bundles.make_snapshot(1, b'', content)
 
     def find(path):
-        head = traffic.RequestHead('GET', 'host', path, {})
-        return traffic.find_route(snapshot, head)
+        head = bundles.RequestHead('GET', 'host', path, {})
+        return bundles.find_route(snapshot, head)
 
     assert find('/hall/3') and find('/hall') and not find('/hallway')
 
--- a/sedgering/bundle/__init__.py
+++ b/sedgering/bundle/__init__.py
@@ -18,6 +18,8 @@
 from sedgering.bundle._model import Route
 from sedgering.bundle._model import TargetSet
 from sedgering.bundle._model import WeightedTargetSet
+from sedgering.bundle._router import find_route
+from sedgering.bundle._router import RequestHead
 from sedgering.bundle._snapshot import BundleHolder
 from sedgering.bundle._snapshot import make_snapshot
 from sedgering.bundle._snapshot import Snapshot
@@ -31,6 +33,7 @@
     'HeaderMatch',
     'MAX_BUNDLE_BYTES',
     'Policy',
+    'RequestHead',
     'Route',
     'Snapshot',
     'TargetSet',
@@ -44,6 +47,7 @@
     'decompress',
     'encode_bundle',
     'encode_delta',
+    'find_route',
     'load_bundle',
     'make_bundle',
     'make_delta',
--- a/sedgering/bundle/_model.py
+++ b/sedgering/bundle/_model.py
@@ -44,6 +44,10 @@
     hedge_after_ms : int
         Silence after which a repeatable request without body is also sent
         to a second target; 0 never.
+    latency_goal_ms : int
+        Time within which an answer is worth most; 0 when none is stated.
+    priority : int
+        Rank under load; 0 is served first.
     """
 
     name: base.PolicyName
@@ -51,6 +55,8 @@
     attempts: int = 2
     retry_budget_percent: int = 10
     hedge_after_ms: int = 0
+    latency_goal_ms: int = 0
+    priority: int = 0
 
 
 class TargetSet(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/sedgering/traffic/_router.py
+++ b/sedgering/bundle/_router.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from sedgering import bundle as bundles
+from sedgering.bundle import _model
+from sedgering.bundle import _snapshot
 
 __all__ = ['RequestHead', 'find_route']
 
@@ -31,8 +32,8 @@
 
 
 def find_route(
-    snapshot: bundles.Snapshot, head: RequestHead
-) -> bundles.Route | None:
+    snapshot: _snapshot.Snapshot, head: RequestHead
+) -> _model.Route | None:
     """Find the most specific route that matches a request.
 
     Parameters
@@ -53,7 +54,7 @@
     return None
 
 
-def _matches(route: bundles.Route, head: RequestHead) -> bool:
+def _matches(route: _model.Route, head: RequestHead) -> bool:
     if not _has_prefix(head.path, route.path_prefix):
         return False
     if route.methods and head.method not in route.methods:
--- a/sedgering/bundle/_validation.py
+++ b/sedgering/bundle/_validation.py
@@ -12,6 +12,8 @@
 TIMEOUT_RANGE_MS = range(1, 3_600_001)
 ATTEMPTS_RANGE = range(1, 11)
 HEDGE_RANGE_MS = range(0, 60_001)
+GOAL_RANGE_MS = range(0, 3_600_001)
+PRIORITY_RANGE = range(0, 1_001)
 BUDGET_RANGE_PERCENT = range(0, 101)
 SLOTS_RANGE = range(1, 10_001)
 CONNECTIONS_RANGE = range(1, 100_001)
@@ -75,6 +77,10 @@
     _check_range(
         policy.hedge_after_ms, HEDGE_RANGE_MS, f'{path}.hedge_after_ms'
     )
+    _check_range(
+        policy.latency_goal_ms, GOAL_RANGE_MS, f'{path}.latency_goal_ms'
+    )
+    _check_range(policy.priority, PRIORITY_RANGE, f'{path}.priority')
 
 
 def _check_target_set(target_set: _model.TargetSet) -> None:
--- a/sedgering/cli/_notice.py
+++ b/sedgering/cli/_notice.py
@@ -2,13 +2,13 @@
 
 from sedgering import exceptions
 from sedgering import peer
-from sedgering import platform
 from sedgering import release
+from sedgering import storage
 
 __all__ = ['notify_relays']
 
 
-def notify_relays(table: platform.TableStore, mesh: str, operator: str) -> int:
+def notify_relays(table: storage.TableStore, mesh: str, operator: str) -> int:
     """Tell the contacts of all data centres that the head has changed.
 
     Returns
--- a/sedgering/cli/operator.py
+++ b/sedgering/cli/operator.py
@@ -18,9 +18,9 @@
 from sedgering.cli import _notice
 from sedgering import clock
 from sedgering import exceptions
-from sedgering import platform
 from sedgering import release
 from sedgering import settings
+from sedgering import storage
 from sedgering import traffic
 
 __all__ = ['main']
@@ -170,7 +170,7 @@
     Example: sedgering watch --config operator.yaml
     """
     own = settings.load_settings(config, settings.OperatorSettings)
-    store = platform.make_http_platform(own.platform, random.Random())
+    store = storage.make_http_platform(own.platform, random.Random())
     deadline_s = time.monotonic() + timeout_s
     shown = ''
     while True:
@@ -268,7 +268,7 @@
     config: pathlib.Path,
 ) -> tuple[settings.OperatorSettings, release.ReleaseClient]:
     own = settings.load_settings(config, settings.OperatorSettings)
-    store = platform.make_http_platform(own.platform, random.Random())
+    store = storage.make_http_platform(own.platform, random.Random())
     client = release.ReleaseClient(
         store,
         store,
@@ -285,7 +285,7 @@
 
 
 def _look(
-    store: platform.TableStore, as_json: bool
+    store: storage.TableStore, as_json: bool
 ) -> tuple[release.FleetProgress, str]:
     """Read the progress and make the line that shows it."""
     progress = release.read_progress(store)
--- a/sedgering/exceptions.py
+++ b/sedgering/exceptions.py
@@ -63,6 +63,7 @@
     PLATFORM_CONFLICT = 3005, 'a condition of the transaction did not hold'
     PLATFORM_NO_OBJECT = 3006, 'object is missing from the object store'
     PLATFORM_BUSY = 3007, 'platform is over its budget'
+    PLATFORM_HISTORY = 3008, 'platform has dropped its history; read again'
 
     PEER_MESH = 4001, 'peer belongs to another mesh'
     PEER_PROTOCOL = 4002, 'peer speaks another protocol version'
--- /dev/null
+++ b/sedgering/mesh/__init__.py
@@ -0,0 +1,62 @@
+"""The event-driven request path: gate beside the target, choice, retries.
+
+Every daemon is the only caller of the target beside it.  A request goes
+from the daemon of its caller to the daemon of the chosen target, which
+admits it, lets it wait, or refuses it before any work.
+"""
+
+from sedgering.mesh._budget import RetryWindow
+from sedgering.mesh._choice import choose_member
+from sedgering.mesh._choice import WeightedTurns
+from sedgering.mesh._config import AcceptedConfig
+from sedgering.mesh._config import ConfigHolder
+from sedgering.mesh._daemon import make_mesh_daemon
+from sedgering.mesh._daemon import MeshDaemon
+from sedgering.mesh._fleet import FleetTable
+from sedgering.mesh._gate import Gate
+from sedgering.mesh._gate import GateRefused
+from sedgering.mesh._gate import Ticket
+from sedgering.mesh._messages import Addresses
+from sedgering.mesh._messages import CallAnswer
+from sedgering.mesh._messages import CallOutcome
+from sedgering.mesh._messages import HeaderNames
+from sedgering.mesh._messages import LoadReport
+from sedgering.mesh._messages import MemberRow
+from sedgering.mesh._messages import MeshIdentity
+from sedgering.mesh._messages import RefusalReason
+from sedgering.mesh._messages import TargetCall
+from sedgering.mesh._messages import TargetReport
+from sedgering.mesh._messages import TargetState
+from sedgering.mesh._peers import PeerTable
+from sedgering.mesh._settings import MeshSettings
+from sedgering.mesh._source import MeshSource
+from sedgering.mesh._target import LocalTarget
+
+__all__ = [
+    'AcceptedConfig',
+    'Addresses',
+    'CallAnswer',
+    'CallOutcome',
+    'ConfigHolder',
+    'FleetTable',
+    'Gate',
+    'GateRefused',
+    'HeaderNames',
+    'LoadReport',
+    'LocalTarget',
+    'MemberRow',
+    'MeshDaemon',
+    'MeshIdentity',
+    'MeshSettings',
+    'MeshSource',
+    'PeerTable',
+    'RefusalReason',
+    'RetryWindow',
+    'TargetCall',
+    'TargetReport',
+    'TargetState',
+    'Ticket',
+    'WeightedTurns',
+    'choose_member',
+    'make_mesh_daemon',
+]
--- /dev/null
+++ b/sedgering/mesh/_choice.py
@@ -0,0 +1,128 @@
+"""Which target set, and which target, a request goes to."""
+
+from collections.abc import Collection
+from collections.abc import Sequence
+import random
+
+from sedgering import base
+from sedgering import bundle as bundles
+from sedgering.mesh import _messages
+from sedgering.mesh import _peers
+from sedgering.mesh import _settings
+
+__all__ = ['WeightedTurns', 'choose_member']
+
+#: Relative noise on estimates, so that many daemons with the same reports
+#: do not all choose the same target.
+NOISE_SHARE = 0.15
+
+
+class WeightedTurns:
+    """Smooth weighted turns: shares are met over any short run.
+
+    Random draws miss a weight by chance; turns are off by less than one
+    request for each target set.
+    """
+
+    def __init__(self):
+        self._balances: dict[
+            tuple[base.RouteName, tuple], dict[base.TargetSetName, float]
+        ] = {}
+
+    def choose(self, route: bundles.Route) -> base.TargetSetName:
+        """Return the target set whose turn it is."""
+        if len(route.targets) == 1:
+            return route.targets[0].target_set
+        key = (route.name, route.targets)
+        balances = self._balances.get(key)
+        if balances is None:
+            balances = dict.fromkeys(
+                (share.target_set for share in route.targets), 0.0
+            )
+            self._balances[key] = balances
+        total = 0
+        for share in route.targets:
+            balances[share.target_set] += share.weight
+            total += share.weight
+        chosen = max(balances, key=balances.get)
+        balances[chosen] -= total
+        return chosen
+
+    def retain(self, routes: Collection[bundles.Route]) -> None:
+        """Forget routes that are no longer in force."""
+        keys = {(route.name, route.targets) for route in routes}
+        for key in [key for key in self._balances if key not in keys]:
+            del self._balances[key]
+
+
+def estimate_ms(
+    peer: _peers.Peer,
+    data_centre: base.DataCentre,
+    body_bytes: int,
+    mesh_settings: _settings.MeshSettings,
+    now_s: float,
+) -> float:
+    """Estimate the time until a target has finished one more request."""
+    present = peer.estimate_present(now_s)
+    turns = max(0.0, present + 1 - peer.limit) / peer.limit
+    # A busy target is preferred less before it is full.
+    spread = 0.1 * present / peer.limit
+    cost_ms = peer.work_ms * (1 + turns + spread)
+    if peer.row.data_centre != data_centre:
+        cost_ms += mesh_settings.remote_penalty_ms
+        cost_ms += mesh_settings.remote_penalty_us_per_byte * body_bytes / 1000
+    return cost_ms
+
+
+def choose_member(
+    members: Sequence[_messages.MemberRow],
+    tried: Collection[base.HostId],
+    peers: _peers.PeerTable,
+    data_centre: base.DataCentre,
+    body_bytes: int,
+    rng: random.Random,
+    now_s: float,
+) -> _peers.Peer | None:
+    """Choose the target that is expected to finish first.
+
+    Parameters
+    ----------
+    members : sequence of MemberRow
+        Open targets of the set.
+    tried : collection of HostId
+        Hosts that were asked already.
+    peers : PeerTable
+        What is known of them.
+    data_centre : DataCentre
+        Of this daemon.
+    body_bytes : int
+        Size of the request body.
+    rng : random.Random
+        Noise on the estimates.
+    now_s : float
+        Time of the event loop.
+
+    Returns
+    -------
+    Peer or None
+        None when there is nobody left to ask.  Suspects are asked only
+        when there is nobody else.
+    """
+    best = None
+    best_key = None
+    for row in members:
+        if row.host in tried:
+            continue
+        peer = peers.find(row)
+        cost_ms = estimate_ms(
+            peer, data_centre, body_bytes, peers.mesh_settings, now_s
+        )
+        cost_ms *= 1 + NOISE_SHARE * rng.random()
+        key = (
+            now_s < peer.suspect_until_s,
+            now_s < peer.shed_until_s,
+            cost_ms,
+        )
+        if best_key is None or key < best_key:
+            best, best_key = peer, key
+    return best
--- /dev/null
+++ b/sedgering/mesh/_daemon.py
@@ -0,0 +1,205 @@
+"""Puts the event-driven daemon together, and takes it apart."""
+
+import asyncio
+import logging
+import random
+
+from sedgering import base
+from sedgering.mesh import _budget
+from sedgering.mesh import _config
+from sedgering.mesh import _decisions
+from sedgering.mesh import _fleet
+from sedgering.mesh import _gate
+from sedgering.mesh import _inbound
+from sedgering.mesh import _messages
+from sedgering.mesh import _outbound
+from sedgering.mesh import _peers
+from sedgering.mesh import _settings
+from sedgering.mesh import _source
+from sedgering.mesh import _target
+from sedgering import transport
+
+__all__ = ['MeshDaemon', 'make_mesh_daemon']
+
+LOG = logging.getLogger(__name__)
+
+#: Between two looks at whether a leaving daemon is idle.
+LEAVE_CHECK_S = 0.05
+
+
+class MeshDaemon:
+    """One daemon: its tables, its listeners, and its end.
+
+    Parameters
+    ----------
+    identity, addresses
+        Who it is and where it listens.
+    state : RequestState
+        Shared by all requests.
+    source : MeshSource
+        Versions and members.
+    """
+
+    def __init__(
+        self,
+        identity: _messages.MeshIdentity,
+        addresses: _messages.Addresses,
+        state: _outbound.RequestState,
+        source: _source.MeshSource,
+    ):
+        self.identity = identity
+        self.addresses = addresses
+        self.state = state
+        self.source = source
+        self.outbound = _outbound.OutboundService(state)
+        self.inbound = _inbound.InboundService(state.side)
+        self.is_leaving = False
+        self._servers: list[asyncio.AbstractServer] = []
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers of this host may send new work."""
+        return (
+            not self.is_leaving
+            and self.state.config.snapshot is not None
+            and self.state.fleet.is_known
+        )
+
+    async def start(self) -> None:
+        """Listen for callers and peers, and start to watch."""
+        own = self.addresses
+        self._servers = [
+            await transport.serve(
+                self.outbound, own.address, own.callers_port
+            ),
+            await transport.serve(self.inbound, own.address, own.peers_port),
+        ]
+        self.source.start(self.take_config, self.take_members)
+        LOG.info('started', extra={'detail': f'{own.address}'})
+
+    def take_config(self, config: _config.AcceptedConfig) -> None:
+        """Put a version in force, if it is newer."""
+        if self.state.config.apply(config):
+            self.state.turns.retain(config.bundle.routes)
+
+    def take_members(
+        self, members: dict[base.HostId, _messages.MemberRow]
+    ) -> None:
+        """Take over the list of members."""
+        self.state.fleet.replace(members)
+        self.state.peers.retain(frozenset(members))
+        self.state.budget.daemons = max(1, len(members))
+
+    def take_report(self, report: _messages.TargetReport) -> None:
+        """Take in what the local target says of itself."""
+        now_s = self.state.side.gate.now_s()
+        if self.state.side.target.take_report(report, now_s):
+            self._show_target()
+
+    def take_leave(self, target: base.TargetName) -> None:
+        """Note that the local target is leaving for good."""
+        if self.state.side.target.leave(target):
+            self._show_target()
+
+    def _show_target(self) -> None:
+        self.state.side.refresh_gate()
+        self.source.publish(self._make_row())
+
+    def _make_row(self) -> _messages.MemberRow | None:
+        report = self.state.side.target.report
+        if report is None or self.is_leaving:
+            return None
+        return _messages.MemberRow(
+            host=self.identity.host,
+            data_centre=self.identity.data_centre,
+            address=self.addresses.address,
+            port=self.addresses.peers_port,
+            target_set=report.target_set,
+            target=report.target,
+            slots=report.slots,
+            state=report.state,
+            cold_ms=report.cold_ms,
+        )
+
+    async def leave(self, grace_ms: int) -> None:
+        """Leave without cutting a request.
+
+        Peers learn that this host is leaving; callers stop when they
+        have found it not ready.  Meanwhile it goes on answering both.
+
+        Parameters
+        ----------
+        grace_ms : int
+            Time after which the process is ended from outside.
+        """
+        loop = asyncio.get_running_loop()
+        limits = self.state.mesh_settings
+        started_s = loop.time()
+        self.is_leaving = True
+        self.outbound.is_closing = True
+        self.source.publish(None)
+        LOG.info('leaving')
+        await asyncio.sleep(limits.leave_serving_ms / 1000)
+        for server in self._servers:
+            server.close()
+        end_s = started_s + (grace_ms - limits.leave_margin_ms) / 1000
+        while loop.time() < end_s and self._close_idle():
+            await asyncio.sleep(LEAVE_CHECK_S)
+        self.source.stop()
+        left = len(self.outbound.connections)
+        LOG.info('left', extra={'detail': f'{left} connections cut'})
+
+    def _close_idle(self) -> bool:
+        """Close idle connections; say whether any are busy."""
+        is_busy = False
+        for service in (self.outbound, self.inbound):
+            for connection in list(service.connections):
+                if not connection.close_idle():
+                    is_busy = True
+        return is_busy
+
+
+def make_mesh_daemon(
+    identity: _messages.MeshIdentity,
+    addresses: _messages.Addresses,
+    names: _messages.HeaderNames,
+    mesh_settings: _settings.MeshSettings,
+    budget: _budget.RetryWindow,
+    source: _source.MeshSource,
+    mesh: str,
+) -> MeshDaemon:
+    """Make a daemon inside a running event loop.
+
+    Parameters
+    ----------
+    identity, addresses, names, mesh_settings
+        See the classes.
+    budget : RetryWindow
+        Of the whole fleet; the daemon takes its share.
+    source : MeshSource
+        Versions and members.
+    mesh : str
+        Mesh whose bundles are accepted.
+    """
+    now_s = asyncio.get_running_loop().time
+    rng = random.Random()
+    gate = _gate.Gate(mesh_settings, now_s)
+    side = _inbound.TargetSide(
+        names, addresses, mesh_settings, _target.LocalTarget(), gate
+    )
+    decisions = _decisions.DecisionLog(
+        mesh_settings.success_log_every, mesh_settings.log_lines_per_s, now_s
+    )
+    state = _outbound.RequestState(
+        identity,
+        names,
+        mesh_settings,
+        _config.ConfigHolder(mesh),
+        _fleet.FleetTable(),
+        _peers.PeerTable(mesh_settings),
+        side,
+        budget,
+        decisions,
+        rng,
+    )
+    return MeshDaemon(identity, addresses, state, source)
--- /dev/null
+++ b/sedgering/mesh/_gate.py
@@ -0,0 +1,240 @@
+"""The gate before the local target: admits, lets wait, or refuses."""
+
+import asyncio
+from collections.abc import Callable
+import heapq
+
+import msgspec
+
+from sedgering import base
+from sedgering.mesh import _messages
+from sedgering.mesh import _settings
+
+__all__ = ['Gate', 'GateRefused', 'Ticket']
+
+#: Weight of the newest work time in the moving mean.
+WORK_WEIGHT = 0.1
+#: Work time assumed of a route that has not been seen.
+FIRST_WORK_MS = 100.0
+#: Answers without a refusal after which a lowered limit grows by one.
+RECOVER_AFTER = 10
+
+
+class GateRefused(Exception):
+    """The call was refused before any work.
+
+    Parameters
+    ----------
+    reason : RefusalReason
+        Why.
+    retry_after_ms : int
+        When it may be tried again.
+    """
+
+    def __init__(
+        self, reason: _messages.RefusalReason, retry_after_ms: int = 0
+    ):
+        super().__init__(reason, retry_after_ms)
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+
+
+class Ticket(msgspec.Struct):
+    """What the gate needs to know of a call.
+
+    Parameters
+    ----------
+    route : str
+        Work times are kept by route.
+    priority : int
+        0 is served first.
+    is_return : bool
+        Refused before; worth waiting for until its deadline.
+    deadline_s, goal_s : float
+        Times of the event loop.
+    """
+
+    route: base.RouteName
+    priority: int
+    is_return: bool
+    deadline_s: float
+    goal_s: float
+
+
+class _Waiter:
+    __slots__ = ('future', 'ticket', 'timer')
+
+    def __init__(self, ticket: Ticket, future: asyncio.Future):
+        self.ticket = ticket
+        self.future = future
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Gate:
+    """Keeps at most `limit` calls at the target, and a short queue.
+
+    Parameters
+    ----------
+    mesh_settings : MeshSettings
+        Limits.
+    now_s : callable
+        Time of the event loop.
+    """
+
+    def __init__(
+        self,
+        mesh_settings: _settings.MeshSettings,
+        now_s: Callable[[], float],
+    ):
+        self.mesh_settings = mesh_settings
+        self.now_s = now_s
+        self.slots = 1
+        self.limit = 1
+        self.running = 0
+        self.is_open = False
+        self.mean_work_ms = FIRST_WORK_MS
+        self._work_ms: dict[base.RouteName, float] = {}
+        self._queue: list[tuple[int, float, int, _Waiter]] = []
+        self._sequence = 0
+        self._calm = 0
+
+    @property
+    def waiting(self) -> int:
+        """Calls that wait."""
+        return len(self._queue)
+
+    def open(self, slots: int) -> None:
+        """Take new calls."""
+        if not self.is_open or slots != self.slots:
+            self.slots = slots
+            self.limit = slots
+        self.is_open = True
+        self._admit_waiting()
+
+    def close(self, reason: _messages.RefusalReason) -> None:
+        """Refuse new calls and those that wait; the rest goes on."""
+        self.is_open = False
+        queue, self._queue = self._queue, []
+        for _rank, _deadline_s, _sequence, waiter in queue:
+            self._refuse(waiter, reason)
+
+    def make_report(self) -> _messages.LoadReport:
+        """Make what other daemons are told with each answer."""
+        return _messages.LoadReport(
+            self.running, self.waiting, self.limit, int(self.mean_work_ms)
+        )
+
+    def work_ms(self, route: base.RouteName) -> float:
+        """Return the recent mean work time of a route."""
+        return self._work_ms.get(route, self.mean_work_ms)
+
+    async def enter(self, ticket: Ticket) -> None:
+        """Wait for a place at the target.
+
+        Raises
+        ------
+        GateRefused
+            When the gate is closed, or the call could not end in time.
+        """
+        if not self.is_open:
+            raise GateRefused(_messages.RefusalReason.LEAVING)
+        if self.running < self.limit and not self._queue:
+            self.running += 1
+            return
+        self._check_time(ticket)
+        waiter = self._enqueue(ticket)
+        try:
+            await waiter.future
+        except asyncio.CancelledError:
+            if waiter.future.done() and not waiter.future.cancelled():
+                if waiter.future.exception() is None:
+                    # Admitted and cancelled at the same moment.
+                    self._free()
+            else:
+                self._drop(waiter)
+            raise
+        finally:
+            waiter.timer.cancel()
+
+    def leave(
+        self, ticket: Ticket, elapsed_ms: float | None, is_full: bool
+    ) -> None:
+        """Give the place back.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            With which it was taken.
+        elapsed_ms : float or None
+            Time at the target, where it ended by itself.
+        is_full : bool
+            Whether the target refused because it had no room.
+        """
+        if is_full:
+            self.limit = max(1, min(self.limit, self.running) - 1)
+            self._calm = 0
+        elif elapsed_ms is not None:
+            self._learn(ticket.route, elapsed_ms)
+        self._free()
+
+    def _learn(self, route: base.RouteName, elapsed_ms: float) -> None:
+        old_ms = self._work_ms.get(route, elapsed_ms)
+        self._work_ms[route] = old_ms + WORK_WEIGHT * (elapsed_ms - old_ms)
+        self.mean_work_ms += WORK_WEIGHT * (elapsed_ms - self.mean_work_ms)
+        self._calm += 1
+        if self._calm >= RECOVER_AFTER and self.limit < self.slots:
+            self.limit += 1
+            self._calm = 0
+
+    def _free(self) -> None:
+        self.running -= 1
+        self._admit_waiting()
+
+    def _admit_waiting(self) -> None:
+        while self._queue and self.running < self.limit:
+            waiter = heapq.heappop(self._queue)[-1]
+            if not waiter.future.done():
+                self.running += 1
+                waiter.future.set_result(None)
+
+    def _check_time(self, ticket: Ticket) -> None:
+        """Refuse what could not end before its goal, or its deadline."""
+        ahead = sum(1 for entry in self._queue if entry[0] <= ticket.priority)
+        wait_ms = (ahead + 1) * self.mean_work_ms / self.limit
+        end_s = self.now_s() + (wait_ms + self.work_ms(ticket.route)) / 1000
+        limit_s = ticket.deadline_s if ticket.is_return else ticket.goal_s
+        if end_s > limit_s:
+            raise GateRefused(_messages.RefusalReason.SHED, int(wait_ms))
+
+    def _enqueue(self, ticket: Ticket) -> _Waiter:
+        loop = asyncio.get_running_loop()
+        waiter = _Waiter(ticket, loop.create_future())
+        self._sequence += 1
+        heapq.heappush(
+            self._queue,
+            (ticket.priority, ticket.deadline_s, self._sequence, waiter),
+        )
+        margin = self.mesh_settings.shed_margin_percent / 100
+        work_s = self.work_ms(ticket.route) / 1000
+        latest_s = ticket.deadline_s - margin * work_s
+        waiter.timer = loop.call_at(latest_s, self._expire, waiter)
+        return waiter
+
+    def _expire(self, waiter: _Waiter) -> None:
+        if not waiter.future.done():
+            self._drop(waiter)
+            self._refuse(waiter, _messages.RefusalReason.SHED)
+
+    def _drop(self, waiter: _Waiter) -> None:
+        self._queue = [
+            entry for entry in self._queue if entry[-1] is not waiter
+        ]
+        heapq.heapify(self._queue)
+
+    def _refuse(
+        self, waiter: _Waiter, reason: _messages.RefusalReason
+    ) -> None:
+        if not waiter.future.done():
+            waiter.future.set_exception(
+                GateRefused(reason, int(self.mean_work_ms))
+            )
--- /dev/null
+++ b/sedgering/mesh/_hop.py
@@ -0,0 +1,153 @@
+"""Calls between daemons: our own header fields over HTTP/1.1.
+
+Fields that start with the prefix belong to the daemons; they are removed
+from what callers and targets send.
+"""
+
+from sedgering import base
+from sedgering.mesh import _messages
+from sedgering import transport
+
+__all__ = [
+    'HopError',
+    'decode_answer',
+    'decode_call',
+    'encode_answer',
+    'encode_call',
+    'strip_own',
+]
+
+PREFIX = 'sedgering-'
+CALL = 'sedgering-call'
+OUTCOME = 'sedgering-outcome'
+LOAD = 'sedgering-load'
+SEPARATOR = '|'
+
+
+class HopError(Exception):
+    """A message between daemons that cannot be read."""
+
+
+def strip_own(headers: transport.Headers) -> transport.Headers:
+    """Remove the fields that belong to the daemons."""
+    return [item for item in headers if not item[0].lower().startswith(PREFIX)]
+
+
+def encode_call(call: _messages.TargetCall) -> bytes:
+    """Encode a call for the daemon beside its target."""
+    request = call.request
+    fields = (
+        call.request_id,
+        call.target_set,
+        call.target,
+        call.route,
+        call.origin,
+        str(call.priority),
+        str(int(call.is_repeatable)),
+        str(int(call.is_return)),
+        str(call.remaining_ms),
+        str(call.goal_ms),
+        str(call.version),
+    )
+    headers = transport.strip_hop_headers(strip_own(request.headers))
+    headers.append((CALL, SEPARATOR.join(fields)))
+    return transport.encode_request(
+        transport.Request(
+            request.method,
+            request.url,
+            headers,
+            request.body,
+            request.has_body,
+        )
+    )
+
+
+def decode_call(request: transport.Request) -> _messages.TargetCall:
+    """Decode a call.
+
+    Raises
+    ------
+    HopError
+        When it does not come from a daemon.
+    """
+    value = transport.find_header(request.headers, CALL)
+    fields = (value or '').split(SEPARATOR)
+    try:
+        (request_id, target_set, target, route, origin) = fields[:5]
+        numbers = [int(field) for field in fields[5:]]
+        (priority, repeatable, is_return, remaining_ms, goal_ms, version) = (
+            numbers
+        )
+    except ValueError as error:
+        raise HopError(f'call: {value!r}') from error
+    request.headers = strip_own(request.headers)
+    return _messages.TargetCall(
+        request=request,
+        request_id=base.RequestId(request_id),
+        target_set=base.TargetSetName(target_set),
+        target=base.TargetName(target),
+        route=base.RouteName(route),
+        origin=base.TargetSetName(origin),
+        priority=priority,
+        is_repeatable=bool(repeatable),
+        is_return=bool(is_return),
+        remaining_ms=remaining_ms,
+        goal_ms=goal_ms,
+        version=base.Version(version),
+    )
+
+
+def encode_answer(answer: _messages.CallAnswer) -> transport.Response:
+    """Make the response that tells a daemon how a call ended."""
+    response = answer.response or transport.Response(503, [])
+    headers = transport.strip_hop_headers(strip_own(response.headers))
+    outcome = (
+        answer.outcome.value,
+        answer.reason.value,
+        str(answer.retry_after_ms),
+        str(int(answer.reached_target)),
+        answer.detail[:100].replace('\r', ' ').replace('\n', ' '),
+    )
+    headers.append((OUTCOME, SEPARATOR.join(outcome)))
+    if answer.load is not None:
+        load = answer.load
+        numbers = (load.running, load.waiting, load.limit, load.work_ms)
+        headers.append((LOAD, SEPARATOR.join(map(str, numbers))))
+    return transport.Response(
+        response.status, headers, response.body, response.reason
+    )
+
+
+def decode_answer(response: transport.Response) -> _messages.CallAnswer:
+    """Decode the response of another daemon.
+
+    Raises
+    ------
+    HopError
+        When it does not come from a daemon.
+    """
+    value = transport.find_header(response.headers, OUTCOME)
+    fields = (value or '').split(SEPARATOR, 4)
+    try:
+        outcome = _messages.CallOutcome(fields[0])
+        reason = _messages.RefusalReason(fields[1])
+        retry_after_ms, reached = int(fields[2]), bool(int(fields[3]))
+        detail = fields[4]
+        load = _decode_load(response.headers)
+    except (ValueError, IndexError) as error:
+        raise HopError(f'answer: {value!r}') from error
+    answer = _messages.CallAnswer(
+        outcome, None, reason, retry_after_ms, load, reached, detail
+    )
+    if outcome is _messages.CallOutcome.ANSWERED:
+        response.headers = strip_own(response.headers)
+        answer.response = response
+    return answer
+
+
+def _decode_load(headers: transport.Headers) -> _messages.LoadReport | None:
+    value = transport.find_header(headers, LOAD)
+    if value is None:
+        return None
+    running, waiting, limit, work_ms = map(int, value.split(SEPARATOR))
+    return _messages.LoadReport(running, waiting, limit, work_ms)
--- /dev/null
+++ b/sedgering/mesh/_inbound.py
@@ -0,0 +1,249 @@
+"""The side of the target: calls of other daemons, gate, and the target."""
+
+import asyncio
+import logging
+
+from sedgering.mesh import _gate
+from sedgering.mesh import _hop
+from sedgering.mesh import _messages
+from sedgering.mesh import _settings
+from sedgering.mesh import _target
+from sedgering import transport
+
+__all__ = ['InboundService', 'TargetSide']
+
+LOG = logging.getLogger(__name__)
+
+#: Limits between daemons; the caller's own limits were checked before.
+PEER_LIMITS = transport.CallerLimits(header_bytes=256 * 1024)
+#: Time kept back from a deadline, for the way of the answer.
+ANSWER_WAY_MS = 5
+#: Idle connections to the target beyond its slots.
+SPARE_CONNECTIONS = 4
+MISDIRECTED = 421
+#: Fields of the caller that the daemon sets itself.
+_REPLACED = ('deadline_ms', 'expected_target', 'origin')
+
+
+class TargetSide:
+    """Runs calls at the local target.
+
+    Parameters
+    ----------
+    names : HeaderNames
+        Fields shared with targets.
+    addresses : Addresses
+        Where the target listens.
+    mesh_settings : MeshSettings
+        Limits.
+    target : LocalTarget
+        What the target reported.
+    gate : Gate
+        Admits calls.
+    """
+
+    def __init__(
+        self,
+        names: _messages.HeaderNames,
+        addresses: _messages.Addresses,
+        mesh_settings: _settings.MeshSettings,
+        target: _target.LocalTarget,
+        gate: _gate.Gate,
+    ):
+        self.names = names
+        self.target = target
+        self.gate = gate
+        self.pool = transport.ConnectionPool(
+            addresses.target_address,
+            addresses.target_port,
+            mesh_settings.target_connect_timeout_ms / 1000,
+            gate.slots + SPARE_CONNECTIONS,
+            mesh_settings.target_idle_ms / 1000,
+        )
+        self._replaced = frozenset(
+            getattr(names, field).lower() for field in _REPLACED
+        )
+
+    def refresh_gate(self) -> None:
+        """Open or close the gate as the target last reported."""
+        if self.target.is_open:
+            slots = max(1, self.target.report.slots)
+            self.pool.idle_limit = slots + SPARE_CONNECTIONS
+            self.gate.open(slots)
+        else:
+            self.gate.close(_messages.RefusalReason.LEAVING)
+
+    async def run(self, call: _messages.TargetCall) -> _messages.CallAnswer:
+        """Run a call at the local target, or refuse it."""
+        if self.target.target != call.target:
+            return self._refuse(_messages.RefusalReason.WRONG_TARGET)
+        now_s = self.gate.now_s()
+        ticket = _gate.Ticket(
+            call.route,
+            call.priority,
+            call.is_return,
+            now_s + call.remaining_ms / 1000,
+            now_s + call.goal_ms / 1000,
+        )
+        try:
+            await self.gate.enter(ticket)
+        except _gate.GateRefused as error:
+            return self._refuse(error.reason, error.retry_after_ms)
+        answer = None
+        started_s = self.gate.now_s()
+        try:
+            answer = await self._send(call, ticket)
+        finally:
+            elapsed_ms = None
+            is_full = False
+            if answer is not None:
+                is_full = (
+                    answer.reason is _messages.RefusalReason.TARGET_REFUSED
+                )
+                if answer.outcome is _messages.CallOutcome.ANSWERED:
+                    elapsed_ms = (self.gate.now_s() - started_s) * 1000
+            self.gate.leave(ticket, elapsed_ms, is_full)
+        answer.load = self.gate.make_report()
+        return answer
+
+    def _refuse(
+        self, reason: _messages.RefusalReason, retry_after_ms: int = 0
+    ) -> _messages.CallAnswer:
+        return _messages.CallAnswer(
+            _messages.CallOutcome.NOT_RUN,
+            reason=reason,
+            retry_after_ms=retry_after_ms,
+            load=self.gate.make_report(),
+        )
+
+    async def _send(
+        self, call: _messages.TargetCall, ticket: _gate.Ticket
+    ) -> _messages.CallAnswer:
+        try:
+            connection = await self.pool.take()
+        except transport.ConnectFailed as error:
+            return _messages.CallAnswer(
+                _messages.CallOutcome.NOT_RUN,
+                reason=_messages.RefusalReason.UNREACHABLE,
+                detail=str(error),
+            )
+        remaining_ms = int((ticket.deadline_s - self.gate.now_s()) * 1000)
+        if remaining_ms <= ANSWER_WAY_MS:
+            self.pool.put(connection)
+            return self._refuse(_messages.RefusalReason.DEADLINE)
+        data = self._encode(call, remaining_ms)
+        try:
+            response = await connection.exchange(
+                data,
+                lambda item: self._is_own(item, call),
+                call.request.method == 'HEAD',
+            )
+        except transport.ExchangeFailed as error:
+            return _messages.CallAnswer(
+                _messages.CallOutcome.UNKNOWN,
+                reason=_messages.RefusalReason.CONNECTION_LOST,
+                reached_target=True,
+                detail=str(error),
+            )
+        self.pool.put(connection)
+        return self._classify(response)
+
+    def _encode(self, call: _messages.TargetCall, remaining_ms: int) -> bytes:
+        names = self.names
+        request = call.request
+        headers = transport.strip_hop_headers(request.headers, self._replaced)
+        headers.append((names.deadline_ms, str(remaining_ms)))
+        headers.append((names.expected_target, call.target))
+        headers.append((names.origin, call.origin))
+        return transport.encode_request(
+            transport.Request(
+                request.method,
+                request.url,
+                headers,
+                request.body,
+                request.has_body,
+            )
+        )
+
+    def _is_own(
+        self, response: transport.Response, call: _messages.TargetCall
+    ) -> bool:
+        """An answer that names another request belongs to that one."""
+        echoed = transport.find_header(
+            response.headers, self.names.request_id.lower()
+        )
+        return echoed is None or echoed == call.request_id
+
+    def _classify(self, response: transport.Response) -> _messages.CallAnswer:
+        """Tell the target's answer from a refusal and from damage."""
+        headers = response.headers
+        if response.status == MISDIRECTED:
+            self.target.forget()
+            self.refresh_gate()
+            return _messages.CallAnswer(
+                _messages.CallOutcome.NOT_RUN,
+                reason=_messages.RefusalReason.WRONG_TARGET,
+                reached_target=True,
+            )
+        if transport.find_header(headers, self.names.not_run.lower()):
+            return _messages.CallAnswer(
+                _messages.CallOutcome.NOT_RUN,
+                reason=_messages.RefusalReason.TARGET_REFUSED,
+                reached_target=True,
+                detail=f'status {response.status}',
+            )
+        if not self._is_sound(response):
+            return _messages.CallAnswer(
+                _messages.CallOutcome.UNKNOWN,
+                reason=_messages.RefusalReason.DAMAGED,
+                reached_target=True,
+                detail=f'status {response.status}',
+            )
+        return _messages.CallAnswer(
+            _messages.CallOutcome.ANSWERED, response, reached_target=True
+        )
+
+    def _is_sound(self, response: transport.Response) -> bool:
+        headers = response.headers
+        if transport.find_header(headers, 'content-encoding') is not None:
+            return False
+        return (
+            transport.find_header(headers, self.names.proof.lower())
+            is not None
+        )
+
+
+class InboundService(transport.Service):
+    """Answers other daemons.
+
+    Parameters
+    ----------
+    side : TargetSide
+        Runs the calls.
+    """
+
+    def __init__(self, side: TargetSide):
+        super().__init__()
+        self.side = side
+
+    def find_limits(self) -> transport.CallerLimits:
+        """Return wide limits: the caller's were checked before."""
+        return PEER_LIMITS
+
+    async def answer(self, request: transport.Request) -> transport.Response:
+        """Run a call and tell how it ended."""
+        try:
+            call = _hop.decode_call(request)
+        except _hop.HopError as error:
+            LOG.warning('call refused', extra={'detail': str(error)})
+            return transport.make_json_response(400, {'error': str(error)})
+        try:
+            async with asyncio.timeout(call.remaining_ms / 1000):
+                answer = await self.side.run(call)
+        except TimeoutError:
+            answer = _messages.CallAnswer(
+                _messages.CallOutcome.UNKNOWN,
+                reason=_messages.RefusalReason.DEADLINE,
+                load=self.side.gate.make_report(),
+            )
+        return _hop.encode_answer(answer)
--- /dev/null
+++ b/sedgering/mesh/_messages.py
@@ -0,0 +1,273 @@
+"""Typed messages of the request path."""
+
+import enum
+
+import msgspec
+
+from sedgering import base
+from sedgering import transport
+
+__all__ = [
+    'Addresses',
+    'CallAnswer',
+    'CallOutcome',
+    'HeaderNames',
+    'LoadReport',
+    'MemberRow',
+    'MeshIdentity',
+    'RefusalReason',
+    'TargetCall',
+    'TargetReport',
+    'TargetState',
+]
+
+
+class TargetState(enum.Enum):
+    """What a target says of itself."""
+
+    READY = 'ready'
+    #: It still works, but takes no new work.
+    DRAINING = 'draining'
+    #: It has said that it is leaving, and says nothing more.
+    GONE = 'gone'
+
+
+class CallOutcome(enum.Enum):
+    """What is known of a call to a target."""
+
+    #: The target answered, be it with a failure of its own.
+    ANSWERED = 'answered'
+    #: It is proven that no work was done.
+    NOT_RUN = 'not run'
+    #: It may have run, and no whole answer came.
+    UNKNOWN = 'unknown'
+
+
+class RefusalReason(enum.Enum):
+    """Why a call was not run, or why its answer is missing."""
+
+    NONE = ''
+    #: The host cannot be reached.
+    UNREACHABLE = 'unreachable'
+    #: Another target, or none, is beside that daemon.
+    WRONG_TARGET = 'wrong target'
+    #: The target or its host is leaving.
+    LEAVING = 'leaving'
+    #: It could not have finished in time.
+    SHED = 'shed'
+    #: The target itself refused before work.
+    TARGET_REFUSED = 'target refused'
+    #: The connection ended without a whole answer.
+    CONNECTION_LOST = 'connection lost'
+    #: The answer was not the target's, or was damaged.
+    DAMAGED = 'damaged answer'
+    #: The deadline passed.
+    DEADLINE = 'deadline'
+
+
+class HeaderNames(msgspec.Struct, frozen=True):
+    """Names of the header fields that are shared with callers and targets.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of one attempt of the caller; echoed in answers.
+    deadline_ms : str
+        Time for which the sender waits, in milliseconds.
+    proof : str
+        Set by a target on each answer that is its own.
+    expected_target : str
+        Id of the only target that may run the request.
+    origin : str
+        Target set of the host on which the request began.
+    not_run : str
+        Set by a target on a refusal before any work.
+    target : str
+        Id of the target that answers.
+    """
+
+    request_id: str
+    deadline_ms: str
+    proof: str
+    expected_target: str
+    origin: str
+    not_run: str
+    target: str
+
+
+class MeshIdentity(msgspec.Struct, frozen=True):
+    """Who this daemon is.
+
+    Parameters
+    ----------
+    host, data_centre
+        Of this daemon.
+    target_set : str
+        Of the target beside it.
+    """
+
+    host: base.HostId
+    data_centre: base.DataCentre
+    target_set: base.TargetSetName
+
+
+class Addresses(msgspec.Struct, frozen=True):
+    """Where this daemon listens, and where its target does.
+
+    Parameters
+    ----------
+    address : str
+        IP number of the host.
+    callers_port, readiness_port, reports_port, peers_port : int
+        Ports for callers of this host, for questions of readiness, for
+        reports of the local target, and for other daemons.
+    target_address, target_port
+        Of the local target.
+    """
+
+    address: str
+    callers_port: int
+    readiness_port: int
+    reports_port: int
+    peers_port: int
+    target_address: str
+    target_port: int
+
+
+class TargetReport(msgspec.Struct, frozen=True):
+    """What the local target says of itself.
+
+    Parameters
+    ----------
+    target : str
+        Id of this lifetime of the target.
+    target_set : str
+        What it belongs to.
+    slots : int
+        Requests that it works on at a time.
+    state : TargetState
+        Ready or draining.
+    cold_ms : int
+        For how much longer it is slow after its start.
+    sequence : int
+        Grows with each report of one target.
+    """
+
+    target: base.TargetName
+    target_set: base.TargetSetName
+    slots: int
+    state: TargetState
+    cold_ms: int
+    sequence: int
+
+
+class MemberRow(msgspec.Struct, frozen=True):
+    """A host and its target, as other daemons find them.
+
+    Parameters
+    ----------
+    host, data_centre, address, port
+        Of the daemon.
+    target_set, target, slots, state
+        Of the target beside it.
+    cold_ms : int
+        For how long the target was still cold when the row was written.
+    """
+
+    host: base.HostId
+    data_centre: base.DataCentre
+    address: str
+    port: int
+    target_set: base.TargetSetName
+    target: base.TargetName
+    slots: int
+    state: TargetState
+    cold_ms: int = 0
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """What a gate tells of itself with each answer.
+
+    Parameters
+    ----------
+    running, waiting, limit : int
+        Calls at the target, calls that wait, and most calls at a time.
+    work_ms : int
+        Recent mean time at the target.
+    """
+
+    running: int
+    waiting: int
+    limit: int
+    work_ms: int
+
+
+class TargetCall(msgspec.Struct):
+    """A request on its way to the daemon of a chosen target.
+
+    Parameters
+    ----------
+    request : Request
+        As the caller sent it.
+    request_id : str
+        Of the caller's attempt.
+    target_set, target
+        Where it is to run.
+    route : str
+        Route that it matched; work times are kept by route.
+    origin : str
+        Target set of the host on which it began.
+    priority : int
+        0 is served first.
+    is_repeatable : bool
+        Whether it may run more than once.
+    is_return : bool
+        Whether its caller seems to have asked before.
+    remaining_ms, goal_ms : int
+        Time left until its deadline, and until its latency goal.
+    version : int
+        Bundle version by which it was routed.
+    """
+
+    request: transport.Request
+    request_id: base.RequestId
+    target_set: base.TargetSetName
+    target: base.TargetName
+    route: base.RouteName
+    origin: base.TargetSetName
+    priority: int
+    is_repeatable: bool
+    is_return: bool
+    remaining_ms: int
+    goal_ms: int
+    version: base.Version
+
+
+class CallAnswer(msgspec.Struct):
+    """How a call to a target ended.
+
+    Parameters
+    ----------
+    outcome : CallOutcome
+        What is known.
+    response : Response or None
+        The target's answer.
+    reason : RefusalReason
+        Why there is none.
+    retry_after_ms : int
+        When a refused call may be tried again; 0 when nothing is known.
+    load : LoadReport or None
+        Of the gate that answered.
+    reached_target : bool
+        Whether the request arrived at the target.
+    detail : str
+        For logs.
+    """
+
+    outcome: CallOutcome
+    response: transport.Response | None = None
+    reason: RefusalReason = RefusalReason.NONE
+    retry_after_ms: int = 0
+    load: LoadReport | None = None
+    reached_target: bool = False
+    detail: str = ''
--- /dev/null
+++ b/sedgering/mesh/_outbound.py
@@ -0,0 +1,409 @@
+"""The side of the caller: route, target, attempts, and what is told."""
+
+import asyncio
+import json
+import logging
+import random
+
+from sedgering import base
+from sedgering import bundle as bundles
+from sedgering import exceptions
+from sedgering.mesh import _budget
+from sedgering.mesh import _choice
+from sedgering.mesh import _config
+from sedgering.mesh import _decisions
+from sedgering.mesh import _fleet
+from sedgering.mesh import _hop
+from sedgering.mesh import _inbound
+from sedgering.mesh import _messages
+from sedgering.mesh import _peers
+from sedgering.mesh import _settings
+from sedgering import transport
+
+__all__ = ['OutboundService', 'RequestState']
+
+LOG = logging.getLogger(__name__)
+
+#: Deadline of a request that states none is that of its route.
+MAX_DEADLINE_MS = 3_600_000
+#: A request with less of its time left than this share seems to have been
+#: asked before; callers state the time that is left.
+RETURN_SHARE = 0.97
+#: Longest wait that callers honour, as a share of the time they have left.
+RETRY_AFTER_SHARE = 0.3
+#: Spread of the time after which refused callers return.
+RETRY_AFTER_NOISE = 0.5
+SERVER_ERROR = 500
+
+_Outcome = _messages.CallOutcome
+_Reason = _messages.RefusalReason
+
+
+class RequestState:
+    """What all requests of a daemon share.
+
+    Parameters
+    ----------
+    identity : MeshIdentity
+        Who this daemon is.
+    names : HeaderNames
+        Fields shared with callers.
+    mesh_settings : MeshSettings
+        Limits.
+    config : ConfigHolder
+        The version in force.
+    fleet : FleetTable
+        Hosts and targets.
+    peers : PeerTable
+        What is known of them.
+    side : TargetSide
+        The local target.
+    budget : RetryWindow
+        Retries.
+    decisions : DecisionLog
+        Logs and metrics.
+    rng : random.Random
+        Source of choices.
+    """
+
+    def __init__(
+        self,
+        identity: _messages.MeshIdentity,
+        names: _messages.HeaderNames,
+        mesh_settings: _settings.MeshSettings,
+        config: _config.ConfigHolder,
+        fleet: _fleet.FleetTable,
+        peers: _peers.PeerTable,
+        side: _inbound.TargetSide,
+        budget: _budget.RetryWindow,
+        decisions: _decisions.DecisionLog,
+        rng: random.Random,
+    ):
+        self.identity = identity
+        self.names = names
+        self.mesh_settings = mesh_settings
+        self.config = config
+        self.fleet = fleet
+        self.peers = peers
+        self.side = side
+        self.budget = budget
+        self.decisions = decisions
+        self.rng = rng
+        self.turns = _choice.WeightedTurns()
+        #: Longest deadline that callers of a route have stated.
+        self.longest_ms: dict[base.RouteName, int] = {}
+
+
+class _Exchange:
+    """One request of a caller of this host."""
+
+    def __init__(self, request: transport.Request, state: RequestState):
+        self.request = request
+        self.state = state
+        self.loop = asyncio.get_running_loop()
+        names = state.names
+        self.request_id = base.RequestId(
+            transport.find_header(request.headers, names.request_id.lower())
+            or ''
+        )
+        self.route: bundles.Route | None = None
+        self.policy: bundles.Policy | None = None
+        self.target_set = base.TargetSetName('')
+        self.version = base.NO_VERSION
+        self.deadline_s = 0.0
+        self.goal_s = 0.0
+        self.is_return = False
+        self.arrivals = 0
+        self.asked: list[base.HostId] = []
+        self.may_have_run = False
+        self.is_under_way = False
+        self.last: _messages.CallAnswer | None = None
+        self.answered: _messages.CallAnswer | None = None
+
+    async def run(self) -> transport.Response:
+        """Answer the request."""
+        snapshot = self.state.config.snapshot
+        if snapshot is None:
+            return self._refuse(exceptions.Code.REQUEST_NOT_READY)
+        self.version = snapshot.version
+        host = transport.find_header(self.request.headers, 'host') or ''
+        self.route = bundles.find_route(
+            snapshot,
+            bundles.RequestHead(
+                self.request.method,
+                host.partition(':')[0].lower(),
+                self.request.url.partition('?')[0],
+                {},
+            ),
+        )
+        if self.route is None:
+            return self._refuse(exceptions.Code.REQUEST_NO_ROUTE)
+        self.policy = snapshot.policies[self.route.policy]
+        self.target_set = self.state.turns.choose(self.route)
+        try:
+            self._set_times()
+        except ValueError:
+            return self._refuse(exceptions.Code.REQUEST_MALFORMED)
+        try:
+            async with asyncio.timeout_at(self.deadline_s):
+                return await self._attempt_all()
+        except TimeoutError:
+            if self.is_under_way:
+                return self._refuse(exceptions.Code.REQUEST_LATE)
+            return self._refuse_after(self.last)
+
+    def _set_times(self) -> None:
+        """Set deadline and goal from the head of the request."""
+        name = self.state.names.deadline_ms.lower()
+        text = transport.find_header(self.request.headers, name)
+        timeout_ms = self.policy.timeout_ms
+        stated_ms = timeout_ms
+        if text is not None:
+            stated_ms = int(text)
+            if not 0 <= stated_ms <= MAX_DEADLINE_MS:
+                raise ValueError(text)
+        started_s = self.request.received_s
+        self.deadline_s = started_s + min(timeout_ms, stated_ms) / 1000
+        longest = self.state.longest_ms
+        longest_ms = max(longest.get(self.route.name, 0), stated_ms)
+        longest[self.route.name] = longest_ms
+        self.is_return = stated_ms < longest_ms * RETURN_SHARE
+        goal_ms = self.policy.latency_goal_ms or timeout_ms
+        # The goal counts from the caller's first attempt.
+        spent_ms = longest_ms - stated_ms
+        self.goal_s = started_s + max(0, goal_ms - spent_ms) / 1000
+
+    @property
+    def _now_s(self) -> float:
+        return self.loop.time()
+
+    async def _attempt_all(self) -> transport.Response:
+        """Ask targets until one answers."""
+        while True:
+            peer = self._choose()
+            if peer is None:
+                return self._refuse_after(self.last)
+            answer = await self._attempt(peer)
+            self.last = answer
+            if self._is_final(answer):
+                return self._pass_on(answer)
+            if not self._may_go_on(answer):
+                return self._refuse_after(answer)
+
+    def _choose(self) -> _peers.Peer | None:
+        if len(self.asked) >= self.state.mesh_settings.hops_limit:
+            return None
+        return _choice.choose_member(
+            self.state.fleet.by_set.get(self.target_set, ()),
+            self.asked,
+            self.state.peers,
+            self.state.identity.data_centre,
+            len(self.request.body),
+            self.state.rng,
+            self._now_s,
+        )
+
+    async def _attempt(self, peer: _peers.Peer) -> _messages.CallAnswer:
+        self.asked.append(peer.row.host)
+        if not self.arrivals:
+            self.state.budget.note_request(self.target_set, self._now_s)
+        call = self._make_call(peer.row)
+        peer.in_flight += 1
+        self.is_under_way = True
+        try:
+            if peer.row.host == self.state.identity.host:
+                answer = await self.state.side.run(call)
+            else:
+                answer = await self._ask(peer, call)
+        finally:
+            peer.in_flight -= 1
+        self.is_under_way = False
+        self._learn(peer, answer)
+        return answer
+
+    async def _ask(
+        self, peer: _peers.Peer, call: _messages.TargetCall
+    ) -> _messages.CallAnswer:
+        """Send a call to another daemon."""
+        try:
+            connection = await peer.pool.take()
+        except transport.ConnectFailed as error:
+            peer.fail(self._now_s, str(error))
+            return _messages.CallAnswer(
+                _Outcome.NOT_RUN,
+                reason=_Reason.UNREACHABLE,
+                detail=str(error),
+            )
+        try:
+            response = await connection.exchange(
+                _hop.encode_call(call),
+                lambda _response: True,
+                self.request.method == 'HEAD',
+            )
+            answer = _hop.decode_answer(response)
+        except (transport.ExchangeFailed, _hop.HopError) as error:
+            connection.close()
+            peer.fail(self._now_s, str(error))
+            return _messages.CallAnswer(
+                _Outcome.UNKNOWN,
+                reason=_Reason.CONNECTION_LOST,
+                reached_target=True,
+                detail=str(error),
+            )
+        peer.pool.put(connection)
+        peer.take_report(answer.load, self._now_s)
+        return answer
+
+    def _make_call(self, row: _messages.MemberRow) -> _messages.TargetCall:
+        now_s = self._now_s
+        return _messages.TargetCall(
+            request=self.request,
+            request_id=self.request_id,
+            target_set=self.target_set,
+            target=row.target,
+            route=self.route.name,
+            origin=self.state.identity.target_set,
+            priority=self.policy.priority,
+            is_repeatable=self.route.repeatable,
+            is_return=self.is_return,
+            remaining_ms=max(0, int((self.deadline_s - now_s) * 1000)),
+            goal_ms=max(0, int((self.goal_s - now_s) * 1000)),
+            version=self.version,
+        )
+
+    def _learn(self, peer: _peers.Peer, answer: _messages.CallAnswer) -> None:
+        """Remember what an answer tells of its target."""
+        if answer.reached_target:
+            self.arrivals += 1
+        if answer.outcome is not _Outcome.NOT_RUN:
+            self.may_have_run = True
+        if answer.outcome is _Outcome.ANSWERED:
+            self.answered = answer
+        if answer.reason in (_Reason.WRONG_TARGET, _Reason.LEAVING):
+            self.state.fleet.close(peer.row.host, peer.row.target)
+        elif answer.reason is _Reason.SHED:
+            peer.shed_until_s = self._now_s + answer.retry_after_ms / 2000
+        if answer.outcome is not _Outcome.ANSWERED:
+            self.state.decisions.log_attempt(
+                self.request_id, self.target_set, peer.row, answer
+            )
+
+    def _is_final(self, answer: _messages.CallAnswer) -> bool:
+        """Whether the answer goes to the caller as it is."""
+        if answer.outcome is not _Outcome.ANSWERED:
+            return False
+        if answer.response.status < SERVER_ERROR or not self.route.repeatable:
+            return True
+        # A failure of the target's own may pass at another one.
+        return not self._may_send_again() or self._choose() is None
+
+    def _may_go_on(self, answer: _messages.CallAnswer) -> bool:
+        if answer.outcome is _Outcome.NOT_RUN and not answer.reached_target:
+            # Nothing arrived at a target: neither attempts nor the
+            # retry budget are touched.
+            return True
+        if answer.outcome is _Outcome.NOT_RUN or self.route.repeatable:
+            return self._may_send_again() and self._spend()
+        return False
+
+    def _may_send_again(self) -> bool:
+        return self.arrivals < self.policy.attempts
+
+    def _spend(self) -> bool:
+        return self.state.budget.take(self.target_set, self._now_s)
+
+    # What the caller is told.
+
+    def _pass_on(self, answer: _messages.CallAnswer) -> transport.Response:
+        response = answer.response
+        self.state.decisions.log_success(
+            self.request_id,
+            self.target_set,
+            self.asked[-1],
+            response.status,
+            self._elapsed_ms(),
+            self.version,
+        )
+        headers = transport.strip_hop_headers(response.headers)
+        return transport.Response(
+            response.status, headers, response.body, response.reason
+        )
+
+    def _refuse_after(
+        self, answer: _messages.CallAnswer | None
+    ) -> transport.Response:
+        """Tell what is known after the last attempt."""
+        if self.answered is not None:
+            return self._pass_on(self.answered)
+        if self.may_have_run:
+            return self._refuse(exceptions.Code.REQUEST_UNKNOWN)
+        if answer is None:
+            return self._refuse(exceptions.Code.REQUEST_NO_TARGET)
+        if answer.reason is _Reason.SHED:
+            return self._refuse(exceptions.Code.REQUEST_SHED)
+        return self._refuse(exceptions.Code.REQUEST_NOT_RUN)
+
+    def _refuse(self, code: exceptions.Code) -> transport.Response:
+        status = _STATUS.get(code, 503)
+        headers = [('Content-Type', 'application/json')]
+        if self.request_id:
+            headers.append((self.state.names.request_id, self.request_id))
+        if status == 503:
+            headers.append(('Retry-After', f'{self._find_pause_s():.3f}'))
+        self.state.decisions.log_refusal(
+            self.request_id,
+            int(code),
+            self.target_set,
+            tuple(self.asked),
+            self.last,
+            self._elapsed_ms(),
+            self.version,
+        )
+        body = json.dumps({'code': int(code), 'error': code.text}).encode()
+        return transport.Response(status, headers, body)
+
+    def _find_pause_s(self) -> float:
+        """Return when a refused caller should come back."""
+        limits = self.state.mesh_settings
+        pause_ms = limits.least_retry_after_ms
+        if self.last is not None:
+            pause_ms = max(pause_ms, self.last.retry_after_ms)
+        pause_ms *= 1 + RETRY_AFTER_NOISE * self.state.rng.random()
+        pause_ms = min(pause_ms, limits.longest_retry_after_ms)
+        left_s = self.deadline_s - self._now_s
+        if left_s > 0:
+            return min(pause_ms / 1000, RETRY_AFTER_SHARE * left_s)
+        return pause_ms / 1000
+
+    def _elapsed_ms(self) -> int:
+        return int((self._now_s - self.request.received_s) * 1000)
+
+
+_STATUS = {
+    exceptions.Code.REQUEST_NO_ROUTE: 404,
+    exceptions.Code.REQUEST_MALFORMED: 400,
+    exceptions.Code.REQUEST_UNKNOWN: 502,
+    exceptions.Code.REQUEST_LATE: 504,
+}
+
+
+class OutboundService(transport.Service):
+    """Answers the callers of this host.
+
+    Parameters
+    ----------
+    state : RequestState
+        Shared by all requests.
+    """
+
+    def __init__(self, state: RequestState):
+        super().__init__()
+        self.state = state
+
+    def find_limits(self) -> transport.CallerLimits:
+        """Return the limits that the operator set."""
+        return self.state.config.limits
+
+    async def answer(self, request: transport.Request) -> transport.Response:
+        """Answer one request."""
+        return await _Exchange(request, self.state).run()
--- /dev/null
+++ b/sedgering/mesh/_settings.py
@@ -0,0 +1,71 @@
+"""Limits and weights of the request path, each with its source."""
+
+from sedgering import settings
+
+__all__ = ['MeshSettings']
+
+
+class MeshSettings(settings.SettingsStruct):
+    """How the request path decides.
+
+    Parameters
+    ----------
+    connect_timeout_ms : int
+        Longest wait for a connection to a peer.  A round trip between
+        data centres takes 3 ms, a lost opening packet is sent again
+        after 1 s: it is quicker to try another host.
+    target_connect_timeout_ms : int
+        The same to the local target.
+    target_idle_ms : int
+        Longest time for which an idle connection to the target is used.
+    peer_idle_ms : int
+        The same for connections to peers.
+    hops_limit : int
+        Most hosts that are asked for one request while none has run it.
+    suspect_ms, suspect_limit_ms : int
+        For how long a peer that failed gets nothing, at first and at
+        most; doubles with each failure.
+    report_half_life_ms : int
+        Age at which a load report of a peer counts half.
+    remote_penalty_ms : int
+        What another data centre must be quicker by to be chosen.
+    remote_penalty_us_per_byte : int
+        Added for each byte of the request body.  Bytes between data
+        centres are paid for: a 60 kB upload costs about as much as
+        missing its goal.
+    shed_margin_percent : int
+        Share of the mean work time that must fit before the deadline.
+    retry_share_percent : int
+        Share of the platform's retry budget that is used, since each
+        daemon sees only its own part of the window.
+    least_retry_after_ms, longest_retry_after_ms : int
+        Bounds of the time after which a refused caller is told to return.
+    leave_serving_ms : int
+        For how long a leaving daemon goes on accepting: its callers stop
+        after two missed questions of readiness, one a second.
+    leave_margin_ms : int
+        Time before the end of the grace time at which it ends anyway.
+    success_log_every : int
+        One in so many plain successes is logged.
+    log_lines_per_s : int
+        Most log lines a second; more are counted and dropped.
+    """
+
+    connect_timeout_ms: settings.IntervalMs = 300
+    target_connect_timeout_ms: settings.IntervalMs = 500
+    target_idle_ms: settings.IntervalMs = 8000
+    peer_idle_ms: settings.IntervalMs = 20_000
+    hops_limit: settings.Count = 4
+    suspect_ms: settings.IntervalMs = 500
+    suspect_limit_ms: settings.IntervalMs = 4000
+    report_half_life_ms: settings.IntervalMs = 300
+    remote_penalty_ms: settings.Count = 40
+    remote_penalty_us_per_byte: settings.Count = 5
+    shed_margin_percent: settings.Percent = 70
+    retry_share_percent: settings.Percent = 60
+    least_retry_after_ms: settings.IntervalMs = 100
+    longest_retry_after_ms: settings.IntervalMs = 800
+    leave_serving_ms: settings.IntervalMs = 2500
+    leave_margin_ms: settings.IntervalMs = 400
+    success_log_every: settings.Count = 100
+    log_lines_per_s: settings.Count = 50
--- a/sedgering/observability/__init__.py
+++ b/sedgering/observability/__init__.py
@@ -1,7 +1,19 @@
 """Logs and metrics."""
 
+from typing import Any
+
 from sedgering.observability._logs import configure_logging
-from sedgering.observability._metrics import make_metrics
-from sedgering.observability._metrics import Metrics
+from sedgering.observability._logs import JsonFormatter
+
+__all__ = ['JsonFormatter', 'Metrics', 'configure_logging', 'make_metrics']
+
+_LAZY = frozenset(('Metrics', 'make_metrics'))
+
+
+def __getattr__(name: str) -> Any:
+    """Import metrics on first use: their library takes 6 MB."""
+    if name not in _LAZY:
+        raise AttributeError(name)
+    from sedgering.observability import _metrics
 
-__all__ = ['Metrics', 'configure_logging', 'make_metrics']
+    return getattr(_metrics, name)
--- a/sedgering/observability/_logs.py
+++ b/sedgering/observability/_logs.py
@@ -1,14 +1,34 @@
-"""Logs as JSON lines on standard error."""
+"""Logs as JSON lines."""
 
 import datetime
 import logging
+from typing import TextIO
 
 import msgspec
 
 __all__ = ['JsonFormatter', 'configure_logging']
 
 #: Fields that a record may carry through `extra`.
-FIELDS = ('code', 'version', 'request_id', 'operation_id', 'peer', 'detail')
+FIELDS = (
+    'age_ms',
+    'asked',
+    'code',
+    'detail',
+    'dropped_lines',
+    'elapsed_ms',
+    'load',
+    'operation_id',
+    'outcome',
+    'peer',
+    'reason',
+    'request_id',
+    'sequence',
+    'status',
+    'target',
+    'target_set',
+    'version',
+    'wait_ms',
+)
 
 
 class JsonFormatter(logging.Formatter):
@@ -44,17 +64,21 @@
         return msgspec.json.encode(line).decode()
 
 
-def configure_logging(level: str, **constants: str) -> None:
-    """Write JSON lines to standard error.
+def configure_logging(
+    level: str, stream: TextIO | None = None, **constants: str
+) -> None:
+    """Write JSON lines.
 
     Parameters
     ----------
     level : str
         Least level written.
+    stream : file
+        Standard error where it is left out.
     **constants : str
         Fields of every line.
     """
-    handler = logging.StreamHandler()
+    handler = logging.StreamHandler(stream)
     handler.setFormatter(JsonFormatter(constants))
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/sedgering/platform/__init__.py
+++ b/sedgering/platform/__init__.py
@@ -1,39 +1,44 @@
-"""The platform's table service and object store, and how they are asked."""
+"""The adapter to the users' platform: names decoded once, nothing decided.
 
-from sedgering.platform._base import Condition
-from sedgering.platform._base import ObjectStore
-from sedgering.platform._base import Outcome
-from sedgering.platform._base import OutcomeKind
-from sedgering.platform._base import Put
-from sedgering.platform._base import Row
-from sedgering.platform._base import TableStore
-from sedgering.platform._base import Transaction
-from sedgering.platform._circuit import Circuit
-from sedgering.platform._circuit import CircuitState
-from sedgering.platform._http import HttpPlatform
-from sedgering.platform._http import make_http_platform
-from sedgering.platform._wire import ErrorBody
-from sedgering.platform._wire import NOT_RUN_HEADER
-from sedgering.platform._wire import ReadRequest
-from sedgering.platform._wire import RowsBody
-from sedgering.platform._wire import ScanRequest
+Nothing outside this package knows a name of the platform.
+"""
+
+from sedgering.platform._document import decode_document
+from sedgering.platform._document import DocumentError
+from sedgering.platform._program import run_daemon
+from sedgering.platform._readiness import ReadinessService
+from sedgering.platform._reports import ReportsService
+from sedgering.platform._settings import decode_settings
+from sedgering.platform._settings import HostSettings
+from sedgering.platform._settings import read_settings
+from sedgering.platform._settings import StoreSettings
+from sedgering.platform._source import PlatformSource
+from sedgering.platform._store import Condition
+from sedgering.platform._store import Page
+from sedgering.platform._store import Put
+from sedgering.platform._store import StoreClient
+from sedgering.platform._store import StoredRow
+from sedgering.platform._wire import HEADERS
+from sedgering.platform._wire import parse_duration_ms
+from sedgering.platform._wire import parse_version
 
 __all__ = [
-    'Circuit',
-    'CircuitState',
     'Condition',
-    'ErrorBody',
-    'HttpPlatform',
-    'NOT_RUN_HEADER',
-    'ObjectStore',
-    'Outcome',
-    'OutcomeKind',
+    'DocumentError',
+    'HEADERS',
+    'HostSettings',
+    'Page',
+    'PlatformSource',
     'Put',
-    'ReadRequest',
-    'Row',
-    'RowsBody',
-    'ScanRequest',
-    'TableStore',
-    'Transaction',
-    'make_http_platform',
+    'ReadinessService',
+    'ReportsService',
+    'StoreClient',
+    'StoreSettings',
+    'StoredRow',
+    'decode_document',
+    'decode_settings',
+    'parse_duration_ms',
+    'parse_version',
+    'read_settings',
+    'run_daemon',
 ]
--- /dev/null
+++ b/sedgering/platform/_document.py
@@ -0,0 +1,160 @@
+"""The operator's document, decoded into a bundle of our own."""
+
+from typing import Any
+
+import msgspec
+
+from sedgering import base
+from sedgering import bundle as bundles
+from sedgering import mesh
+from sedgering.platform import _wire
+from sedgering import transport
+
+__all__ = ['MESH', 'DocumentError', 'decode_document']
+
+#: Name of the mesh in bundles that come from the operator's document.
+MESH = 'platform'
+#: Owner of all routes: the document names none.
+PARTY = base.PartyId('operator')
+#: The kind of routes whose requests may run more than once.
+REPEATABLE_KIND = 'safe'
+
+
+class DocumentError(Exception):
+    """A document that cannot be decoded; the version in force stays."""
+
+
+class _Metadata(msgspec.Struct):
+    name: str = ''
+
+
+class _Resource(msgspec.Struct):
+    resource_type: str
+    spec: dict[str, Any]
+    metadata: _Metadata = msgspec.field(default_factory=_Metadata)
+
+
+class _Document(msgspec.Struct):
+    version: str
+    resources: list[_Resource]
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: int
+
+
+class _Route(msgspec.Struct):
+    host: str
+    prefix: str
+    kind: str
+    #: Longest time for which the operator lets a caller wait.
+    timeout: str
+    #: Time within which an answer earns most.
+    target_latency: str = '0ms'
+    priority: int = 0
+    #: Most targets that one attempt of a caller may reach.
+    attempts: int = 1
+    #: Either one service, or shares of several.
+    service: str = ''
+    split: list[_Share] = []
+
+
+class _Service(msgspec.Struct):
+    health_path: str = ''
+    max_connections: int = 130
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout: str
+    idle_timeout: str
+
+
+def decode_document(data: bytes) -> mesh.AcceptedConfig:
+    """Decode the document of the operator's row.
+
+    Raises
+    ------
+    DocumentError
+        When it is malformed; rules of bundles are checked later.
+    """
+    try:
+        document = msgspec.json.decode(data, type=_Document)
+        return _convert(document)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise DocumentError(str(error)) from error
+
+
+def _convert(document: _Document) -> mesh.AcceptedConfig:
+    routes = []
+    policies = []
+    target_sets = []
+    health_paths = {}
+    limits = transport.CallerLimits()
+    for resource in document.resources:
+        name = resource.metadata.name
+        if resource.resource_type == 'routes':
+            spec = msgspec.convert(resource.spec, _Route)
+            routes.append(_make_route(name, spec))
+            policies.append(_make_policy(name, spec))
+        elif resource.resource_type == 'services':
+            service = msgspec.convert(resource.spec, _Service)
+            target_sets.append(_make_target_set(name, service))
+            health_paths[name] = service.health_path
+        elif resource.resource_type == 'limits':
+            limits = _make_limits(msgspec.convert(resource.spec, _Limits))
+    return mesh.AcceptedConfig(
+        version=_wire.parse_version(document.version),
+        bundle=bundles.make_bundle(
+            MESH, tuple(policies), tuple(target_sets), tuple(routes)
+        ),
+        limits=limits,
+        health_paths=health_paths,
+    )
+
+
+def _make_route(name: str, spec: _Route) -> bundles.Route:
+    shares = spec.split or [_Share(spec.service, 1)]
+    return bundles.Route(
+        name=base.RouteName(name),
+        party=PARTY,
+        host=spec.host.lower(),
+        path_prefix=spec.prefix,
+        targets=tuple(
+            bundles.WeightedTargetSet(
+                base.TargetSetName(share.service), share.weight
+            )
+            for share in shares
+        ),
+        policy=base.PolicyName(name),
+        repeatable=spec.kind == REPEATABLE_KIND,
+    )
+
+
+def _make_policy(name: str, spec: _Route) -> bundles.Policy:
+    return bundles.Policy(
+        name=base.PolicyName(name),
+        timeout_ms=_wire.parse_duration_ms(spec.timeout),
+        attempts=spec.attempts,
+        latency_goal_ms=_wire.parse_duration_ms(spec.target_latency),
+        priority=spec.priority,
+    )
+
+
+def _make_target_set(name: str, spec: _Service) -> bundles.TargetSet:
+    return bundles.TargetSet(
+        name=base.TargetSetName(name),
+        party=PARTY,
+        connections=spec.max_connections,
+    )
+
+
+def _make_limits(spec: _Limits) -> transport.CallerLimits:
+    return transport.CallerLimits(
+        header_bytes=spec.max_header_bytes,
+        body_bytes=spec.max_body_bytes,
+        header_timeout_ms=_wire.parse_duration_ms(spec.header_timeout),
+        idle_timeout_ms=_wire.parse_duration_ms(spec.idle_timeout),
+    )
--- /dev/null
+++ b/sedgering/platform/_program.py
@@ -0,0 +1,77 @@
+"""Runs a daemon on a host of the platform."""
+
+import asyncio
+import gc
+import logging
+import signal
+
+from sedgering import mesh
+from sedgering.platform import _document
+from sedgering.platform import _readiness
+from sedgering.platform import _reports
+from sedgering.platform import _settings
+from sedgering.platform import _source
+from sedgering.platform import _wire
+from sedgering import transport
+
+__all__ = ['run_daemon']
+
+LOG = logging.getLogger(__name__)
+
+
+async def _serve(
+    host_settings: _settings.HostSettings, mesh_settings: mesh.MeshSettings
+) -> None:
+    loop = asyncio.get_running_loop()
+    share = mesh_settings.retry_share_percent / 100
+    budget = mesh.RetryWindow(
+        host_settings.retry_ratio * share,
+        host_settings.retry_extra * share,
+        host_settings.retry_window_s,
+    )
+    source = _source.PlatformSource(
+        host_settings.store, host_settings.identity.host, loop
+    )
+    daemon = mesh.make_mesh_daemon(
+        host_settings.identity,
+        host_settings.addresses,
+        _wire.HEADERS,
+        mesh_settings,
+        budget,
+        source,
+        _document.MESH,
+    )
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload)
+    own = host_settings.addresses
+    readiness = _readiness.ReadinessService(lambda: daemon.is_ready)
+    reports = _reports.ReportsService(daemon)
+    await transport.serve(readiness, own.address, own.readiness_port)
+    await transport.serve(reports, own.address, own.reports_port)
+    await daemon.start()
+    # Modules and tables made so far are left out of collections.
+    gc.collect()
+    gc.freeze()
+    await stopping.wait()
+    await daemon.leave(host_settings.grace_ms)
+
+
+def _reload() -> None:
+    LOG.info('settings file changed; nothing to reload')
+
+
+def run_daemon(
+    host_settings: _settings.HostSettings, mesh_settings: mesh.MeshSettings
+) -> None:
+    """Run until SIGTERM or SIGINT, then leave gracefully.
+
+    Parameters
+    ----------
+    host_settings : HostSettings
+        From the platform's settings file.
+    mesh_settings : MeshSettings
+        Our own.
+    """
+    asyncio.run(_serve(host_settings, mesh_settings))
--- /dev/null
+++ b/sedgering/platform/_settings.py
@@ -0,0 +1,152 @@
+"""The settings file of the platform, decoded into typed fields."""
+
+import os
+import pathlib
+from typing import Any
+
+import msgspec
+
+from sedgering import base
+from sedgering import exceptions
+from sedgering import mesh
+from sedgering.platform import _wire
+
+__all__ = [
+    'HostSettings',
+    'StoreSettings',
+    'decode_settings',
+    'read_settings',
+]
+
+
+class StoreSettings(msgspec.Struct, frozen=True):
+    """The platform's metadata store.
+
+    Parameters
+    ----------
+    address, port
+        Where it listens.
+    """
+
+    address: str
+    port: int
+
+
+class HostSettings(msgspec.Struct, frozen=True):
+    """What the platform tells a process of its host.
+
+    Parameters
+    ----------
+    identity : MeshIdentity
+        Who this daemon is.
+    addresses : Addresses
+        Where it and its target listen.
+    store : StoreSettings
+        Where the metadata store listens.
+    grace_ms : int
+        Time from the request to end until the process is killed.
+    retry_ratio, retry_extra, retry_window_s : float
+        Retry budget of the whole fleet.
+    """
+
+    identity: mesh.MeshIdentity
+    addresses: mesh.Addresses
+    store: StoreSettings
+    grace_ms: int
+    retry_ratio: float
+    retry_extra: float
+    retry_window_s: float
+
+
+class _Listen(msgspec.Struct):
+    #: For callers of this host and its target.
+    outbound: str
+    ready: str
+    #: For the heartbeats of the local target.
+    control: str
+
+
+class _Platform(msgspec.Struct):
+    address: str
+
+
+class _File(msgspec.Struct):
+    """The file as it is written; fields that are not used are left out."""
+
+    node: str
+    ip: str
+    zone: str
+    listen: _Listen
+    internal_ports: tuple[int, int]
+    bounds: list[str]
+    #: Address of the local target.
+    app: str
+    #: Target set of the local target.
+    service: str
+    platform: _Platform
+
+
+def read_settings() -> HostSettings:
+    """Read the settings file that the environment names.
+
+    Raises
+    ------
+    SettingsError
+        When it cannot be read or decoded.
+    """
+    name = os.environ.get(_wire.SETTINGS_VARIABLE, '')
+    try:
+        data = pathlib.Path(name).read_bytes()
+    except OSError as error:
+        raise exceptions.SettingsError(
+            exceptions.Code.SETTINGS_UNREADABLE, str(error)
+        ) from error
+    return decode_settings(data)
+
+
+def decode_settings(data: bytes) -> HostSettings:
+    """Decode a settings file.
+
+    Raises
+    ------
+    SettingsError
+        When it is malformed.
+    """
+    try:
+        return _convert(msgspec.json.decode(data, type=_File))
+    except (msgspec.MsgspecError, ValueError, KeyError) as error:
+        raise exceptions.SettingsError(
+            exceptions.Code.SETTINGS_INVALID, str(error)
+        ) from error
+
+
+def _convert(file: _File) -> HostSettings:
+    bounds = dict(item.split('=', 1) for item in file.bounds)
+    target_address, target_port = _split(file.app)
+    store_address, store_port = _split(file.platform.address)
+    return HostSettings(
+        identity=mesh.MeshIdentity(
+            base.HostId(file.node),
+            base.DataCentre(file.zone),
+            base.TargetSetName(file.service),
+        ),
+        addresses=mesh.Addresses(
+            address=file.ip,
+            callers_port=_split(file.listen.outbound)[1],
+            readiness_port=_split(file.listen.ready)[1],
+            reports_port=_split(file.listen.control)[1],
+            peers_port=file.internal_ports[0],
+            target_address=target_address,
+            target_port=target_port,
+        ),
+        store=StoreSettings(store_address, store_port),
+        grace_ms=_wire.parse_duration_ms(bounds['grace']),
+        retry_ratio=float(bounds['budget_ratio']),
+        retry_extra=float(bounds['budget_extra']),
+        retry_window_s=_wire.parse_duration_ms(bounds['budget_window']) / 1000,
+    )
+
+
+def _split(address: str) -> tuple[Any, int]:
+    host, _colon, port = address.rpartition(':')
+    return host, int(port)
--- a/sedgering/platform/_wire.py
+++ b/sedgering/platform/_wire.py
@@ -1,42 +1,62 @@
-"""Bodies of the platform's HTTP interface; docs/platform.md publishes it."""
+"""Names, durations and versions as the platform writes them."""
 
-import msgspec
+import re
 
-from sedgering.platform import _base
+from sedgering import base
+from sedgering import mesh
 
 __all__ = [
-    'ErrorBody',
-    'NOT_RUN_HEADER',
-    'ReadRequest',
-    'RowsBody',
-    'ScanRequest',
+    'HEADERS',
+    'SETTINGS_VARIABLE',
+    'parse_duration_ms',
+    'parse_version',
 ]
 
-#: Set on an error answer that proves that nothing was written.
-NOT_RUN_HEADER = 'X-Platform-Not-Run'
-
-
-class ReadRequest(msgspec.Struct, frozen=True):
-    """Body of `POST /v1/table/read`."""
-
-    keys: tuple[str, ...]
-
-
-class ScanRequest(msgspec.Struct, frozen=True):
-    """Body of `POST /v1/table/scan`."""
-
-    prefix: str
-    after: str = ''
-    limit: int = 1000
-
-
-class RowsBody(msgspec.Struct, frozen=True):
-    """Answer to a read or scan."""
-
-    rows: tuple[_base.Row, ...]
-
-
-class ErrorBody(msgspec.Struct, frozen=True):
-    """Answer with a status of 400 or more."""
-
-    error: str
+#: Environment variable that names the settings file.
+SETTINGS_VARIABLE = 'SEDGERING_NODE_FILE'
+
+#: The platform's header fields by what they hold.
+HEADERS = mesh.HeaderNames(
+    request_id='X-Request-Id',
+    # The time that the sender still waits, not a moment.
+    deadline_ms='X-Request-Deadline',
+    proof='X-Response-Signature',
+    # The id of one lifetime of a target.
+    expected_target='X-Expect-Instance',
+    # The target set of the host where the request began.
+    origin='X-Caller-Service',
+    not_run='X-Not-Executed',
+    target='X-Instance-Id',
+)
+
+_DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
+_VERSION = re.compile(r'r(\d{1,18})')
+
+
+def parse_duration_ms(text: str) -> int:
+    """Parse a number with its unit, such as ``1500ms`` or ``2.5s``.
+
+    Raises
+    ------
+    ValueError
+        When it is no duration.
+    """
+    match = _DURATION.fullmatch(text)
+    if match is None:
+        raise ValueError(f'no duration: {text!r}')
+    number, unit = match.groups()
+    return round(float(number) * (1000 if unit == 's' else 1))
+
+
+def parse_version(text: str) -> base.Version:
+    """Parse a version, such as ``r12``.
+
+    Raises
+    ------
+    ValueError
+        When it is no version.
+    """
+    match = _VERSION.fullmatch(text)
+    if match is None:
+        raise ValueError(f'no version: {text!r}')
+    return base.Version(int(match.group(1)))
--- a/sedgering/proxy/_daemon.py
+++ b/sedgering/proxy/_daemon.py
@@ -14,7 +14,6 @@
 from sedgering import membership
 from sedgering import observability
 from sedgering import peer
-from sedgering import platform
 from sedgering.proxy import _admin
 from sedgering.proxy import _control
 from sedgering.proxy import _data_path
@@ -23,6 +22,7 @@
 from sedgering.proxy import _status
 from sedgering.proxy import _workers
 from sedgering import settings
+from sedgering import storage
 from sedgering import traffic
 
 __all__ = ['Daemon', 'make_daemon']
@@ -164,12 +164,12 @@
     incarnation = base.Incarnation(clock.wall_ms())
     tables = control.make_control_tables(proxy_settings, incarnation, rng)
     metrics = observability.make_metrics()
-    store = platform.make_http_platform(
+    store = storage.make_http_platform(
         proxy_settings.platform, random.Random()
     )
     # Claims have a circuit and a queue of their own, so that neither
     # bookings nor control wait behind the other.
-    claims_store = platform.make_http_platform(
+    claims_store = storage.make_http_platform(
         proxy_settings.platform, random.Random()
     )
     guard = _guard.RepeatGuard(
--- a/sedgering/proxy/_exchange.py
+++ b/sedgering/proxy/_exchange.py
@@ -66,7 +66,7 @@
         snapshot = self.state.holder.snapshot
         if snapshot is None or not self.state.gate.is_open:
             raise exceptions.RequestError(exceptions.Code.REQUEST_NOT_READY)
-        route = traffic.find_route(snapshot, self.request.make_head())
+        route = bundles.find_route(snapshot, self.request.make_head())
         if route is None:
             raise exceptions.RequestError(
                 exceptions.Code.REQUEST_NO_ROUTE, self.request.request_id
--- a/sedgering/proxy/_guard.py
+++ b/sedgering/proxy/_guard.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from sedgering import exceptions
-from sedgering import platform
+from sedgering import storage
 from sedgering import traffic
 
 __all__ = ['RepeatGuard']
@@ -53,7 +53,7 @@
 
     def __init__(
         self,
-        table: platform.TableStore,
+        table: storage.TableStore,
         writes_per_s: int,
         count_members: Callable[[], int],
     ):
--- a/sedgering/proxy/_request.py
+++ b/sedgering/proxy/_request.py
@@ -8,7 +8,6 @@
 from sedgering.proxy import _body
 from sedgering.proxy import _headers
 from sedgering.proxy import _shared
-from sedgering import traffic
 
 __all__ = ['CallerRequest', 'make_caller_request', 'make_random_id']
 
@@ -64,11 +63,11 @@
             or 0
         )
 
-    def make_head(self) -> traffic.RequestHead:
+    def make_head(self) -> bundles.RequestHead:
         """Make what routing needs."""
         host = self.headers.get('host', '').partition(':')[0].lower()
         path = self.url.partition('?')[0]
-        return traffic.RequestHead(self.method, host, path, self.headers)
+        return bundles.RequestHead(self.method, host, path, self.headers)
 
     def set_deadline(self, policy: bundles.Policy) -> None:
         """Set the deadline: the policy's, or an earlier one as stated.
--- a/sedgering/proxy/_workers.py
+++ b/sedgering/proxy/_workers.py
@@ -12,8 +12,8 @@
 from sedgering import messages
 from sedgering import observability
 from sedgering import peer
-from sedgering import platform
 from sedgering import release
+from sedgering import storage
 
 __all__ = ['PeerWorker', 'PlatformWorker']
 
@@ -109,8 +109,8 @@
         self,
         post: Post,
         metrics: observability.Metrics,
-        table: platform.TableStore,
-        objects: platform.ObjectStore,
+        table: storage.TableStore,
+        objects: storage.ObjectStore,
     ):
         super().__init__(post, metrics)
         self.table = table
@@ -164,12 +164,12 @@
     def _write_row(self, command: messages.WriteRow) -> None:
         self._count('out', len(command.value))
         outcome = self.table.transact(
-            platform.Transaction(
+            storage.Transaction(
                 operation_id=release.make_operation_id(),
-                puts=(platform.Put(command.key, command.value),),
+                puts=(storage.Put(command.key, command.value),),
             )
         )
-        if outcome.kind is not platform.OutcomeKind.DONE:
+        if outcome.kind is not storage.OutcomeKind.DONE:
             raise outcome.make_error()
 
     def _count(self, direction: str, size: int) -> None:
--- a/sedgering/release/_client.py
+++ b/sedgering/release/_client.py
@@ -17,8 +17,8 @@
 from sedgering import base
 from sedgering import bundle as bundles
 from sedgering import exceptions
-from sedgering import platform
 from sedgering.release import _records
+from sedgering import storage
 
 __all__ = ['ReleaseClient', 'make_operation_id']
 
@@ -52,7 +52,7 @@
     kind: _records.OperationKind
     version: base.Version
     head_revision: int
-    transaction: platform.Transaction
+    transaction: storage.Transaction
 
 
 class ReleaseClient:
@@ -73,8 +73,8 @@
 
     def __init__(
         self,
-        table: platform.TableStore,
-        objects: platform.ObjectStore,
+        table: storage.TableStore,
+        objects: storage.ObjectStore,
         wall_ms: Callable[[], int],
         pause: Callable[[int], None],
     ):
@@ -268,7 +268,7 @@
                 self.pause(attempt)
             # Idempotent, so an unknown outcome is simply tried again.
             outcome = self.objects.put_object(digest, encoded)
-            if outcome.kind is platform.OutcomeKind.DONE:
+            if outcome.kind is storage.OutcomeKind.DONE:
                 return
         # Content without a sign-off changes nothing for anybody.
         raise exceptions.PlatformError(
@@ -312,9 +312,9 @@
             if number:
                 self.pause(number)
             outcome = self.table.transact(attempt.transaction)
-            if outcome.kind is platform.OutcomeKind.DONE:
+            if outcome.kind is storage.OutcomeKind.DONE:
                 return
-            if outcome.kind is platform.OutcomeKind.UNKNOWN:
+            if outcome.kind is storage.OutcomeKind.UNKNOWN:
                 is_unknown = True
             elif not outcome.is_conflict and not is_unknown:
                 raise outcome.make_error()
@@ -390,15 +390,15 @@
 ) -> _Attempt:
     proof = _records.OperationRecord(kind=kind, version=record.version)
     proof_key = _records.operation_key(record.operation_id)
-    transaction = platform.Transaction(
+    transaction = storage.Transaction(
         operation_id=record.operation_id,
         # Any effect moves the head, so that no second copy, however late,
         # meets this condition again.
-        conditions=(platform.Condition(_records.HEAD_KEY, state.revision),),
+        conditions=(storage.Condition(_records.HEAD_KEY, state.revision),),
         puts=(
-            platform.Put(_records.HEAD_KEY, _records.encode_record(head)),
-            platform.Put(key, _records.encode_record(record)),
-            platform.Put(proof_key, _records.encode_record(proof)),
+            storage.Put(_records.HEAD_KEY, _records.encode_record(head)),
+            storage.Put(key, _records.encode_record(record)),
+            storage.Put(proof_key, _records.encode_record(proof)),
         ),
     )
     return _Attempt(
--- a/sedgering/release/_content.py
+++ b/sedgering/release/_content.py
@@ -9,8 +9,8 @@
 
 from sedgering import base
 from sedgering import exceptions
-from sedgering import platform
 from sedgering.release import _records
+from sedgering import storage
 
 __all__ = ['VersionContent', 'read_content']
 
@@ -49,8 +49,8 @@
 
 
 def read_content(
-    table: platform.TableStore,
-    objects: platform.ObjectStore,
+    table: storage.TableStore,
+    objects: storage.ObjectStore,
     version: base.Version,
     digest: base.Digest,
     held_version: base.Version,
@@ -79,7 +79,7 @@
 
 
 def _find_chain(
-    table: platform.TableStore,
+    table: storage.TableStore,
     version: base.Version,
     held_version: base.Version,
 ) -> tuple[_records.SignOffRecord, ...]:
@@ -110,7 +110,7 @@
 
 
 def _read_deltas(
-    objects: platform.ObjectStore,
+    objects: storage.ObjectStore,
     chain: tuple[_records.SignOffRecord, ...],
 ) -> tuple[bytes, ...]:
     try:
--- a/sedgering/release/_records.py
+++ b/sedgering/release/_records.py
@@ -7,7 +7,7 @@
 
 from sedgering import base
 from sedgering import exceptions
-from sedgering import platform
+from sedgering import storage
 
 __all__ = [
     'CONTACT_PREFIX',
@@ -198,7 +198,7 @@
 
 
 def decode_record(
-    row: platform.Row, record_type: type[RecordT]
+    row: storage.Row, record_type: type[RecordT]
 ) -> RecordT | None:
     """Decode the value of a row.
 
--- a/sedgering/release/_watch.py
+++ b/sedgering/release/_watch.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from sedgering import base
-from sedgering import platform
 from sedgering.release import _records
+from sedgering import storage
 
 __all__ = ['FleetProgress', 'check_complete', 'read_progress']
 
@@ -39,7 +39,7 @@
         )
 
 
-def read_progress(table: platform.TableStore) -> FleetProgress:
+def read_progress(table: storage.TableStore) -> FleetProgress:
     """Read the progress of all data centres.
 
     Raises
--- a/sedgering/settings.py
+++ b/sedgering/settings.py
@@ -19,6 +19,7 @@
     'PeerAddress',
     'PlatformSettings',
     'ProxySettings',
+    'SettingsStruct',
     'TrafficSettings',
     'load_settings',
 ]
@@ -39,13 +40,13 @@
 )
 
 
-class _SettingsStruct(
+class SettingsStruct(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
     """Settings are frozen, named, and refuse keys that they do not know."""
 
 
-class PeerAddress(_SettingsStruct):
+class PeerAddress(SettingsStruct):
     """Where a peer listens.
 
     Parameters
@@ -60,7 +61,7 @@
     port: Port
 
 
-class PlatformSettings(_SettingsStruct):
+class PlatformSettings(SettingsStruct):
     """How the platform is asked.
 
     Parameters
@@ -89,7 +90,7 @@
     circuit_max_open_ms: IntervalMs = 8000
 
 
-class DistributionSettings(_SettingsStruct):
+class DistributionSettings(SettingsStruct):
     """How versions spread.
 
     Parameters
@@ -122,7 +123,7 @@
     progress_interval_ms: IntervalMs = 1000
 
 
-class MembershipSettings(_SettingsStruct):
+class MembershipSettings(SettingsStruct):
     """How hosts learn of each other.
 
     Parameters
@@ -157,7 +158,7 @@
     floor_peers: Count = 3
 
 
-class TrafficSettings(_SettingsStruct):
+class TrafficSettings(SettingsStruct):
     """How requests are treated.
 
     Parameters
@@ -196,7 +197,7 @@
     heartbeat_limit_ms: IntervalMs = 5000
 
 
-class ProxySettings(_SettingsStruct):
+class ProxySettings(SettingsStruct):
     """Settings of one sedgering-proxy.
 
     Parameters
@@ -241,7 +242,7 @@
         return base.HostId(self.host)
 
 
-class OperatorSettings(_SettingsStruct):
+class OperatorSettings(SettingsStruct):
     """Settings of the operator's tools.
 
     Parameters
@@ -332,7 +333,7 @@
     for field in msgspec.structs.fields(settings_type):
         keys.append(field.name)
         if isinstance(field.type, type) and issubclass(
-            field.type, _SettingsStruct
+            field.type, SettingsStruct
         ):
             keys.extend(_list_keys(field.type))
     return keys
--- a/sedgering/platform/_http.py
+++ b/sedgering/storage/_http.py
@@ -12,10 +12,10 @@
 from sedgering import base
 from sedgering import clock
 from sedgering import exceptions
-from sedgering.platform import _base
-from sedgering.platform import _circuit
-from sedgering.platform import _wire
 from sedgering import settings
+from sedgering.storage import _base
+from sedgering.storage import _circuit
+from sedgering.storage import _wire
 
 __all__ = ['HttpPlatform', 'make_http_platform']
 
--- a/sedgering/testing/_engine.py
+++ b/sedgering/testing/_engine.py
@@ -9,7 +9,7 @@
 
 from sedgering import base
 from sedgering import exceptions
-from sedgering import platform
+from sedgering import storage
 
 __all__ = ['Faults', 'InMemoryPlatform', 'PlatformEngine', 'Stats']
 
@@ -92,26 +92,26 @@
             maxlen=FETCHED_LIMIT
         )
         self._now_s = now_s
-        self._rows: dict[str, platform.Row] = {}
+        self._rows: dict[str, storage.Row] = {}
         self._objects: dict[str, bytes] = {}
-        self._delayed: list[platform.Transaction] = []
+        self._delayed: list[storage.Transaction] = []
         self._revision = 0
         self._lock = threading.Lock()
         self._writes = _Bucket(WRITES_PER_S)
         self._reads = _Bucket(READS_PER_S)
 
-    def read(self, keys: Sequence[str]) -> tuple[platform.Row, ...]:
+    def read(self, keys: Sequence[str]) -> tuple[storage.Row, ...]:
         """Read rows as of one moment."""
         with self._lock:
             self._admit(self._reads)
             self.stats.reads += 1
             return tuple(
-                self._rows.get(key) or platform.Row(key) for key in keys
+                self._rows.get(key) or storage.Row(key) for key in keys
             )
 
     def scan(
         self, prefix: str, after: str, limit: int
-    ) -> tuple[platform.Row, ...]:
+    ) -> tuple[storage.Row, ...]:
         """Read rows by prefix."""
         with self._lock:
             self._admit(self._reads)
@@ -123,7 +123,7 @@
             )
             return tuple(self._rows[key] for key in keys[:limit])
 
-    def transact(self, transaction: platform.Transaction) -> bool:
+    def transact(self, transaction: storage.Transaction) -> bool:
         """Try a transaction; False when a condition does not hold."""
         with self._lock:
             self._admit(self._writes)
@@ -170,7 +170,7 @@
         row = self._rows.get(key)
         return row.revision if row else 0
 
-    def _try(self, transaction: platform.Transaction) -> bool:
+    def _try(self, transaction: storage.Transaction) -> bool:
         is_met = all(
             self._revision_of(item.key) == item.revision
             for item in transaction.conditions
@@ -179,10 +179,10 @@
             self._commit(transaction)
         return is_met
 
-    def _commit(self, transaction: platform.Transaction) -> None:
+    def _commit(self, transaction: storage.Transaction) -> None:
         self._revision += 1
         for put in transaction.puts:
-            self._rows[put.key] = platform.Row(
+            self._rows[put.key] = storage.Row(
                 put.key, self._revision, put.value
             )
         for key in transaction.deletes:
@@ -194,7 +194,7 @@
             raise AnswerLost
 
 
-class InMemoryPlatform(platform.TableStore, platform.ObjectStore):
+class InMemoryPlatform(storage.TableStore, storage.ObjectStore):
     """The stores of an engine without a network between.
 
     Parameters
@@ -206,35 +206,35 @@
     def __init__(self, engine: PlatformEngine):
         self.engine = engine
 
-    def read(self, keys: Sequence[str]) -> tuple[platform.Row, ...]:
+    def read(self, keys: Sequence[str]) -> tuple[storage.Row, ...]:
         """Read rows."""
         return self.engine.read(keys)
 
     def scan(
         self, prefix: str, after: str = '', limit: int = 1000
-    ) -> tuple[platform.Row, ...]:
+    ) -> tuple[storage.Row, ...]:
         """Read rows by prefix."""
         return self.engine.scan(prefix, after, limit)
 
-    def transact(self, transaction: platform.Transaction) -> platform.Outcome:
+    def transact(self, transaction: storage.Transaction) -> storage.Outcome:
         """Try a transaction."""
         try:
             is_met = self.engine.transact(transaction)
         except (AnswerLost, exceptions.PlatformError) as error:
             return _tell_failure(error)
         if is_met:
-            return platform.Outcome(platform.OutcomeKind.DONE)
-        return platform.Outcome(
-            platform.OutcomeKind.NOT_DONE, exceptions.Code.PLATFORM_CONFLICT
+            return storage.Outcome(storage.OutcomeKind.DONE)
+        return storage.Outcome(
+            storage.OutcomeKind.NOT_DONE, exceptions.Code.PLATFORM_CONFLICT
         )
 
-    def put_object(self, digest: base.Digest, body: bytes) -> platform.Outcome:
+    def put_object(self, digest: base.Digest, body: bytes) -> storage.Outcome:
         """Store an object."""
         try:
             self.engine.put_object(digest.hex(), body)
         except (AnswerLost, exceptions.PlatformError) as error:
             return _tell_failure(error)
-        return platform.Outcome(platform.OutcomeKind.DONE)
+        return storage.Outcome(storage.OutcomeKind.DONE)
 
     def get_object(self, digest: base.Digest) -> bytes:
         """Fetch an object."""
@@ -246,9 +246,9 @@
         return body
 
 
-def _tell_failure(error: Exception) -> platform.Outcome:
+def _tell_failure(error: Exception) -> storage.Outcome:
     if isinstance(error, exceptions.PlatformError):
-        return platform.Outcome(platform.OutcomeKind.NOT_DONE, error.code)
-    return platform.Outcome(
-        platform.OutcomeKind.UNKNOWN, exceptions.Code.PLATFORM_UNKNOWN
+        return storage.Outcome(storage.OutcomeKind.NOT_DONE, error.code)
+    return storage.Outcome(
+        storage.OutcomeKind.UNKNOWN, exceptions.Code.PLATFORM_UNKNOWN
     )
--- a/sedgering/testing/_exchange.py
+++ b/sedgering/testing/_exchange.py
@@ -14,9 +14,9 @@
 from sedgering import exceptions
 from sedgering import messages
 from sedgering import peer
-from sedgering import platform
 from sedgering import release
 from sedgering import settings
+from sedgering import storage
 
 __all__ = ['Exchange', 'Node']
 
@@ -100,7 +100,7 @@
     """
 
     def __init__(self, store, seed: int, options: dict | None = None):
-        self.store: platform.TableStore = store
+        self.store: storage.TableStore = store
         self.rng = random.Random(seed)
         self.options = options or {}
         self.now_ms = 1_000_000
@@ -274,11 +274,11 @@
         return messages.HeadRead(head or release.HeadRecord(), contacts)
 
     def _write_row(self, command):
-        put = platform.Put(command.key, command.value)
+        put = storage.Put(command.key, command.value)
         outcome = self.store.transact(
-            platform.Transaction(release.make_operation_id(), puts=(put,))
+            storage.Transaction(release.make_operation_id(), puts=(put,))
         )
-        if outcome.kind is platform.OutcomeKind.DONE:
+        if outcome.kind is storage.OutcomeKind.DONE:
             return None
         return messages.RowWriteFailed(command.key)
 
--- a/sedgering/testing/_naive.py
+++ b/sedgering/testing/_naive.py
@@ -6,8 +6,8 @@
 from sedgering import bundle as bundles
 from sedgering import clock
 from sedgering import exceptions
-from sedgering import platform
 from sedgering import release
+from sedgering import storage
 
 __all__ = ['NaivePoller', 'make_sample_bundle']
 
@@ -29,7 +29,7 @@
     """
 
     def __init__(self, store, interval_s: float, offset_s: float):
-        self.store: platform.HttpPlatform = store
+        self.store: storage.HttpPlatform = store
         self.interval_s = interval_s
         self.offset_s = offset_s
         self.received_bytes = 0
--- a/sedgering/testing/_platform_server.py
+++ b/sedgering/testing/_platform_server.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from sedgering import exceptions
-from sedgering import platform
+from sedgering import storage
 from sedgering.testing import _engine
 from sedgering.testing import _http
 
@@ -38,23 +38,23 @@
         except exceptions.PlatformError as error:
             self._send_failure(error)
         except msgspec.DecodeError as error:
-            self._send(b'400 Bad Request', platform.ErrorBody(str(error)))
+            self._send(b'400 Bad Request', storage.ErrorBody(str(error)))
 
     def _answer(self, engine, path: str, body: bytes) -> None:
         if path == '/v1/table/read':
-            request = msgspec.json.decode(body, type=platform.ReadRequest)
+            request = msgspec.json.decode(body, type=storage.ReadRequest)
             self._send_rows(engine.read(request.keys))
         elif path == '/v1/table/scan':
-            request = msgspec.json.decode(body, type=platform.ScanRequest)
+            request = msgspec.json.decode(body, type=storage.ScanRequest)
             rows = engine.scan(request.prefix, request.after, request.limit)
             self._send_rows(rows)
         elif path == '/v1/table/transact':
-            transaction = msgspec.json.decode(body, type=platform.Transaction)
+            transaction = msgspec.json.decode(body, type=storage.Transaction)
             self._send_outcome(engine.transact(transaction))
         elif path.startswith(OBJECT_PATH):
             self._answer_object(engine, path.removeprefix(OBJECT_PATH), body)
         else:
-            self._send(b'404 Not Found', platform.ErrorBody(path))
+            self._send(b'404 Not Found', storage.ErrorBody(path))
 
     def _answer_object(self, engine, name: str, body: bytes) -> None:
         if self.req.method == b'PUT':
@@ -63,26 +63,26 @@
             return
         found = engine.get_object(name)
         if found is None:
-            self._send(b'404 Not Found', platform.ErrorBody(name))
+            self._send(b'404 Not Found', storage.ErrorBody(name))
             return
         engine.stats.bytes_out += len(found)
         _http.send(self.req, b'200 OK', found)
 
     def _send_rows(self, rows) -> None:
-        self._send(b'200 OK', platform.RowsBody(rows))
+        self._send(b'200 OK', storage.RowsBody(rows))
 
     def _send_outcome(self, is_met: bool) -> None:
         if is_met:
             self._send(b'200 OK', {})
         else:
-            self._send(b'409 Conflict', platform.ErrorBody('condition'))
+            self._send(b'409 Conflict', storage.ErrorBody('condition'))
 
     def _send_failure(self, error: exceptions.PlatformError) -> None:
         status = b'503 Service Unavailable'
         if error.code is exceptions.Code.PLATFORM_BUSY:
             status = b'429 Too Many Requests'
-        header = (platform.NOT_RUN_HEADER.encode(), b'1')
-        body = msgspec.json.encode(platform.ErrorBody(str(error)))
+        header = (storage.NOT_RUN_HEADER.encode(), b'1')
+        body = msgspec.json.encode(storage.ErrorBody(str(error)))
         _http.send(self.req, status, body, (header,))
 
     def _send(self, status: bytes, value) -> None:
--- a/sedgering/traffic/__init__.py
+++ b/sedgering/traffic/__init__.py
@@ -26,8 +26,6 @@
 from sedgering.traffic._load import EndpointKey
 from sedgering.traffic._load import LoadTable
 from sedgering.traffic._outliers import find_slow
-from sedgering.traffic._router import find_route
-from sedgering.traffic._router import RequestHead
 
 __all__ = [
     'AdmissionTable',
@@ -41,7 +39,6 @@
     'LoadTable',
     'NOT_RUN_HEADER',
     'PROVEN_NOT_RUN',
-    'RequestHead',
     'RetryBudget',
     'Waiter',
     'WaiterState',
@@ -51,7 +48,6 @@
     'collect_claims',
     'commit_claims',
     'count_allowed',
-    'find_route',
     'find_slow',
     'make_claim',
     'make_retry_budget',
--- a/sedgering/traffic/_claims.py
+++ b/sedgering/traffic/_claims.py
@@ -14,7 +14,7 @@
 
 from sedgering import base
 from sedgering import exceptions
-from sedgering import platform
+from sedgering import storage
 
 __all__ = [
     'Claim',
@@ -136,7 +136,7 @@
 
 
 def commit_claims(
-    table: platform.TableStore, claims: Sequence[Claim]
+    table: storage.TableStore, claims: Sequence[Claim]
 ) -> tuple[ClaimResult, ...]:
     """Commit claims and outcomes together, as far as they hold.
 
@@ -172,12 +172,12 @@
         if not open_claims:
             break
         outcome = table.transact(_make_transaction(open_claims, revisions))
-        if outcome.kind is platform.OutcomeKind.DONE:
+        if outcome.kind is storage.OutcomeKind.DONE:
             for key, claim in open_claims.items():
                 results[key] = ClaimResult(claim)
             open_claims = {}
         elif outcome.is_conflict or (
-            outcome.kind is platform.OutcomeKind.UNKNOWN
+            outcome.kind is storage.OutcomeKind.UNKNOWN
         ):
             _look(table, open_claims, revisions, results)
     for key, claim in open_claims.items():
@@ -188,23 +188,23 @@
 
 def _make_transaction(
     claims: dict[str, Claim], revisions: dict[str, int]
-) -> platform.Transaction:
+) -> storage.Transaction:
     conditions = tuple(
-        platform.Condition(key, revisions[key])
+        storage.Condition(key, revisions[key])
         for key, claim in claims.items()
         if claim.is_new or claim.lets_go
     )
     puts = tuple(
-        platform.Put(key, msgspec.json.encode(claim.record))
+        storage.Put(key, msgspec.json.encode(claim.record))
         for key, claim in claims.items()
     )
     first = next(iter(claims.values()))
     operation_id = base.OperationId(first.record.claim_id)
-    return platform.Transaction(operation_id, conditions, puts)
+    return storage.Transaction(operation_id, conditions, puts)
 
 
 def _look(
-    table: platform.TableStore,
+    table: storage.TableStore,
     claims: dict[str, Claim],
     revisions: dict[str, int],
     results: dict[str, ClaimResult],
--- a/sedgering/traffic/_collect.py
+++ b/sedgering/traffic/_collect.py
@@ -4,7 +4,7 @@
 
 from sedgering import base
 from sedgering import exceptions
-from sedgering import platform
+from sedgering import storage
 from sedgering.traffic import _claims
 
 __all__ = ['CollectReport', 'collect_claims']
@@ -33,7 +33,7 @@
 
 
 def collect_claims(
-    table: platform.TableStore,
+    table: storage.TableStore,
     before_ms: int,
     operation_id: base.OperationId,
     limit: int,
@@ -83,7 +83,7 @@
     return report
 
 
-def _is_old(row: platform.Row, before_ms: int) -> bool:
+def _is_old(row: storage.Row, before_ms: int) -> bool:
     try:
         record = msgspec.json.decode(row.value, type=_claims.ClaimRecord)
     except msgspec.DecodeError as error:
@@ -94,15 +94,15 @@
 
 
 def _remove(
-    table: platform.TableStore,
-    rows: list[platform.Row],
+    table: storage.TableStore,
+    rows: list[storage.Row],
     operation_id: base.OperationId,
 ) -> bool:
     outcome = table.transact(
-        platform.Transaction(
+        storage.Transaction(
             operation_id,
-            tuple(platform.Condition(row.key, row.revision) for row in rows),
+            tuple(storage.Condition(row.key, row.revision) for row in rows),
             deletes=tuple(row.key for row in rows),
         )
     )
-    return outcome.kind is platform.OutcomeKind.DONE
+    return outcome.kind is storage.OutcomeKind.DONE
--- /dev/null
+++ b/sedgering/transport/__init__.py
@@ -0,0 +1,37 @@
+"""HTTP/1.1 on an event loop: messages, caller and target connections."""
+
+from sedgering.transport._client import ClientConnection
+from sedgering.transport._client import connect
+from sedgering.transport._client import ConnectFailed
+from sedgering.transport._client import ExchangeFailed
+from sedgering.transport._headers import find_header
+from sedgering.transport._headers import Headers
+from sedgering.transport._headers import strip_hop_headers
+from sedgering.transport._messages import encode_request
+from sedgering.transport._messages import encode_response
+from sedgering.transport._messages import make_json_response
+from sedgering.transport._messages import Request
+from sedgering.transport._messages import Response
+from sedgering.transport._pool import ConnectionPool
+from sedgering.transport._server import CallerLimits
+from sedgering.transport._server import serve
+from sedgering.transport._server import Service
+
+__all__ = [
+    'CallerLimits',
+    'ClientConnection',
+    'ConnectFailed',
+    'ConnectionPool',
+    'ExchangeFailed',
+    'Headers',
+    'Request',
+    'Response',
+    'Service',
+    'connect',
+    'encode_request',
+    'encode_response',
+    'find_header',
+    'make_json_response',
+    'serve',
+    'strip_hop_headers',
+]
--- /dev/null
+++ b/sedgering/transport/_client.py
@@ -0,0 +1,267 @@
+"""Connections to targets and peers: one exchange at a time."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+import httptools
+
+from sedgering.transport import _headers
+from sedgering.transport import _messages
+from sedgering.transport import _sockets
+
+__all__ = ['ClientConnection', 'ConnectFailed', 'ExchangeFailed', 'connect']
+
+LOG = logging.getLogger(__name__)
+
+#: A peer that acknowledges nothing for so long is taken as gone.
+UNACKNOWLEDGED_LIMIT_MS = 2000
+#: Silence after which a peer is probed, and between probes.
+PROBE_AFTER_S = 1
+#: Largest answer kept; beyond it the exchange fails.
+BODY_LIMIT_BYTES = 16 * 1024 * 1024
+#: Share of a stated keep-alive time for which an idle connection is used;
+#: the rest covers the way of a request that crosses the close.
+KEPT_SHARE = 0.7
+#: Answers that belong to earlier requests and may precede the own one.
+FOREIGN_LIMIT = 4
+
+
+class ConnectFailed(Exception):
+    """No connection came about; nothing was sent."""
+
+
+class ExchangeFailed(Exception):
+    """The exchange ended without a whole answer; it may have run."""
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a target or peer.
+
+    A connection whose exchange did not end cleanly is closed and never
+    used again, so that a late answer reaches nobody.
+
+    Parameters
+    ----------
+    loop : AbstractEventLoop
+        Runs the connection.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        self.loop = loop
+        self.transport: asyncio.Transport | None = None
+        self.is_sound = True
+        self.kept_until_s = float('inf')
+        self._parser: httptools.HttpResponseParser | None = None
+        self._waiter: asyncio.Future | None = None
+        self._is_own: Callable[[_messages.Response], bool] | None = None
+        self._response: _messages.Response | None = None
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._foreign = 0
+        self._is_unframed = False
+        self._is_head = False
+
+    async def exchange(
+        self,
+        data: bytes,
+        is_own: Callable[[_messages.Response], bool],
+        is_head: bool = False,
+    ) -> _messages.Response:
+        """Send an encoded request and wait for its whole answer.
+
+        Parameters
+        ----------
+        data : bytes
+            The encoded request.
+        is_own : callable
+            Says whether an answer belongs to this request; others are
+            left out, and the connection is not used again.
+        is_head : bool
+            Whether the answer has no body.
+
+        Raises
+        ------
+        ExchangeFailed
+            When the connection ends or the answer is malformed.
+        """
+        self._parser = httptools.HttpResponseParser(self)
+        self._waiter = self.loop.create_future()
+        self._is_own = is_own
+        self._is_head = is_head
+        self._is_unframed = False
+        self._foreign = 0
+        self.transport.write(data)
+        try:
+            response = await self._waiter
+        except BaseException:
+            self.close()
+            raise
+        finally:
+            self._waiter = None
+            self._parser = None
+        if self.transport.get_write_buffer_size():
+            # Answered before the body had left: what is due next on this
+            # connection is the rest of that body.
+            self.is_sound = False
+        if not self.is_sound:
+            self.close()
+        return response
+
+    def close(self) -> None:
+        """Close at once; what is under way is cancelled at the peer."""
+        self.is_sound = False
+        if self.transport is not None:
+            self.transport.abort()
+
+    # What the transport tells.
+
+    def connection_made(self, transport):
+        """Set the options of the socket."""
+        self.transport = transport
+        _sockets.tune_socket(
+            transport.get_extra_info('socket'),
+            UNACKNOWLEDGED_LIMIT_MS,
+            PROBE_AFTER_S,
+        )
+
+    def data_received(self, data):
+        """Feed the parser; bytes that nobody waits for spoil it."""
+        if self._parser is None or self._waiter is None:
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
+            self.is_sound = False
+            if not self._is_answered():
+                self._fail(f'malformed answer: {e}')
+
+    def eof_received(self):
+        """End an answer without length, or fail."""
+        self.is_sound = False
+        if self._response is not None and self._is_unframed:
+            self._complete()
+        return False
+
+    def connection_lost(self, exc):
+        """Fail what is under way."""
+        self.is_sound = False
+        self._fail(f'connection lost: {exc}')
+
+    # What the parser tells.
+
+    def on_message_begin(self):
+        """Start an answer; a second one after the own spoils it."""
+        if self._is_answered():
+            self.is_sound = False
+            self._response = None
+            return
+        self._response = _messages.Response(0, [])
+        self._chunks = []
+        self._size = 0
+
+    def on_status(self, status):
+        """Keep the reason phrase."""
+        if self._response is not None:
+            self._response.reason += status.decode('latin-1')
+
+    def on_header(self, name, value):
+        """Gather one field."""
+        if self._response is not None:
+            self._response.headers.append(
+                (name.decode('latin-1'), value.decode('latin-1'))
+            )
+
+    def on_headers_complete(self):
+        """Find out how the body ends."""
+        response = self._response
+        if response is None:
+            return
+        response.status = self._parser.get_status_code()
+        names = {name.lower() for name, _value in response.headers}
+        is_framed = bool(names & {'content-length', 'transfer-encoding'})
+        bodiless = response.status < 200 or response.status in (204, 304)
+        self._is_unframed = not is_framed and not bodiless
+        if self._is_head and response.status >= 200:
+            self.is_sound = False
+            self._complete()
+
+    def on_body(self, body):
+        """Gather a piece of the body."""
+        if self._response is None:
+            return
+        self._size += len(body)
+        if self._size > BODY_LIMIT_BYTES:
+            self.is_sound = False
+            self._fail('answer too large')
+            return
+        self._chunks.append(body)
+
+    def on_message_complete(self):
+        """End an answer whose length is known."""
+        response = self._response
+        if response is None or response.status < 200:
+            self._response = None
+            return
+        if not self._parser.should_keep_alive():
+            self.is_sound = False
+        self._complete()
+
+    def _complete(self):
+        response = self._response
+        self._response = None
+        response.body = b''.join(self._chunks)
+        self._chunks = []
+        if not self._is_own(response):
+            # A late answer to an earlier request; the own one may follow.
+            self.is_sound = False
+            self._foreign += 1
+            LOG.info('answer of another request left out')
+            if self._foreign > FOREIGN_LIMIT:
+                self._fail('too many answers of other requests')
+            return
+        self._note_keep_alive(response)
+        if not self._is_answered():
+            self._waiter.set_result(response)
+
+    def _note_keep_alive(self, response: _messages.Response) -> None:
+        stated = _headers.find_header(response.headers, 'keep-alive')
+        if not stated:
+            return
+        for part in stated.split(','):
+            name, _equals, value = part.strip().partition('=')
+            if name.lower() == 'timeout' and value.isdigit():
+                kept_s = int(value) * KEPT_SHARE
+                self.kept_until_s = self.loop.time() + kept_s
+
+    def _is_answered(self) -> bool:
+        return self._waiter is None or self._waiter.done()
+
+    def _fail(self, detail: str) -> None:
+        if not self._is_answered():
+            self._waiter.set_exception(ExchangeFailed(detail))
+
+
+async def connect(
+    address: str, port: int, timeout_s: float
+) -> ClientConnection:
+    """Open a connection.
+
+    Raises
+    ------
+    ConnectFailed
+        When it does not come about in time.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        _transport, connection = await asyncio.wait_for(
+            loop.create_connection(
+                lambda: ClientConnection(loop), address, port
+            ),
+            timeout_s,
+        )
+    except (OSError, TimeoutError) as error:
+        detail = f'{address}:{port}: {type(error).__name__}: {error}'
+        raise ConnectFailed(detail) from error
+    return connection
--- /dev/null
+++ b/sedgering/transport/_headers.py
@@ -0,0 +1,56 @@
+"""Header fields: kept as they came, found by their name in lower case."""
+
+__all__ = ['Headers', 'find_header', 'strip_hop_headers']
+
+#: Name and value as they came, in the order of the message.
+Headers = list[tuple[str, str]]
+
+#: Fields that concern one connection only (RFC 9110, section 7.6.1).
+HOP_NAMES = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+
+
+def find_header(headers: Headers, name: str) -> str | None:
+    """Return the first value of a field; `name` is in lower case."""
+    for other, value in headers:
+        if other.lower() == name:
+            return value
+    return None
+
+
+def strip_hop_headers(
+    headers: Headers, extra: frozenset[str] = frozenset()
+) -> Headers:
+    """Return the fields that are passed on to the next hop.
+
+    Parameters
+    ----------
+    headers : Headers
+        Of the message received.
+    extra : frozenset of str
+        Further names to leave out, in lower case.
+
+    Returns
+    -------
+    Headers
+        Without the fields of the connection, those that the field
+        ``Connection`` names, and `extra`.
+    """
+    dropped = HOP_NAMES | extra
+    named = find_header(headers, 'connection')
+    if named:
+        dropped |= {item.strip().lower() for item in named.split(',')}
+    return [item for item in headers if item[0].lower() not in dropped]
--- /dev/null
+++ b/sedgering/transport/_pool.py
@@ -0,0 +1,76 @@
+"""Idle connections to one address, the last used first."""
+
+import asyncio
+
+from sedgering.transport import _client
+
+__all__ = ['ConnectionPool']
+
+
+class ConnectionPool:
+    """Connections to one address.
+
+    Parameters
+    ----------
+    address, port
+        Where to connect.
+    connect_timeout_s : float
+        Longest wait for a new connection.
+    idle_limit : int
+        Most idle connections kept.
+    idle_s : float
+        Longest time for which an idle connection is used again, unless
+        the peer states a shorter one.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        connect_timeout_s: float,
+        idle_limit: int,
+        idle_s: float,
+    ):
+        self.address = address
+        self.port = port
+        self.connect_timeout_s = connect_timeout_s
+        self.idle_limit = idle_limit
+        self.idle_s = idle_s
+        self._idle: list[tuple[float, _client.ClientConnection]] = []
+
+    async def take(self) -> _client.ClientConnection:
+        """Take an idle connection that is still sound, or open one.
+
+        Raises
+        ------
+        ConnectFailed
+            When a new connection does not come about.
+        """
+        now_s = asyncio.get_running_loop().time()
+        while self._idle:
+            since_s, connection = self._idle.pop()
+            is_fresh = now_s - since_s < self.idle_s
+            if (
+                connection.is_sound
+                and is_fresh
+                and now_s < connection.kept_until_s
+            ):
+                return connection
+            connection.close()
+        return await _client.connect(
+            self.address, self.port, self.connect_timeout_s
+        )
+
+    def put(self, connection: _client.ClientConnection) -> None:
+        """Keep a connection whose exchange ended cleanly."""
+        if not connection.is_sound or len(self._idle) >= self.idle_limit:
+            connection.close()
+            return
+        now_s = asyncio.get_running_loop().time()
+        self._idle.append((now_s, connection))
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        idle, self._idle = self._idle, []
+        for _since_s, connection in idle:
+            connection.close()
--- /dev/null
+++ b/sedgering/transport/_server.py
@@ -0,0 +1,421 @@
+"""Connections of callers: whole requests in, answers out in their order."""
+
+import abc
+import asyncio
+import collections
+import logging
+
+import httptools
+import msgspec
+
+from sedgering.transport import _headers
+from sedgering.transport import _messages
+from sedgering.transport import _sockets
+
+__all__ = ['CallerLimits', 'Service', 'serve']
+
+LOG = logging.getLogger(__name__)
+
+#: Requests of one connection that are worked on at the same time; more
+#: wait unread.  A caller that sends ahead rarely goes beyond a few.
+PIPELINE_DEPTH = 16
+#: Connections that wait to be accepted.
+BACKLOG = 1024
+#: A peer that acknowledges nothing for so long is taken as gone.
+UNACKNOWLEDGED_LIMIT_MS = 4000
+#: Silence after which a peer is probed, and between probes.
+PROBE_AFTER_S = 2
+#: Largest chunk of request bodies kept by one process; beyond it requests
+#: with a body are refused.  A fifth of the smallest memory limit, 200 MB.
+BODY_MEMORY_BYTES = 40 * 1024 * 1024
+
+#: Time for which the rest of a refused request is read and dropped.
+LINGER_S = 1.0
+
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+class CallerLimits(msgspec.Struct, frozen=True):
+    """What a caller may send, and how long it may take.
+
+    Parameters
+    ----------
+    header_bytes, body_bytes : int
+        Largest head and body.
+    header_timeout_ms : int
+        Longest time from the first byte of a head to its end.
+    body_timeout_ms : int
+        Longest silence within a body.
+    idle_timeout_ms : int
+        Longest time without a request on a kept connection.
+    """
+
+    header_bytes: int = 64 * 1024
+    body_bytes: int = 64 * 1024 * 1024
+    header_timeout_ms: int = 5000
+    body_timeout_ms: int = 10_000
+    idle_timeout_ms: int = 60_000
+
+
+class Service(abc.ABC):
+    """Answers the requests of one listener."""
+
+    #: Whether answers carry ``Connection: close`` from now on.
+    is_closing = False
+
+    def __init__(self):
+        self.connections: set[ServerConnection] = set()
+
+    @abc.abstractmethod
+    async def answer(
+        self, request: _messages.Request
+    ) -> _messages.Response | None:
+        """Answer one request; None closes the connection unanswered.
+
+        The call is cancelled when the caller is gone.
+        """
+
+    @abc.abstractmethod
+    def find_limits(self) -> CallerLimits:
+        """Return the limits in force now."""
+
+    def refuse(self, status: int) -> _messages.Response:
+        """Make the answer to a request that could not be read."""
+        return _messages.make_json_response(status, {'error': status})
+
+
+class _Pending:
+    """A request that waits for its answer, and its place in the order."""
+
+    __slots__ = ('data', 'is_head', 'must_close', 'task')
+
+    def __init__(self):
+        self.data: bytes | None = None
+        self.is_head = False
+        self.must_close = False
+        self.task: asyncio.Task | None = None
+
+
+class BodyMemory:
+    """Bytes of request bodies that this process holds."""
+
+    used_bytes = 0
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection of a caller.
+
+    Parameters
+    ----------
+    service : Service
+        Answers the requests.
+    loop : AbstractEventLoop
+        Runs the connection.
+    """
+
+    def __init__(self, service: Service, loop: asyncio.AbstractEventLoop):
+        self.service = service
+        self.loop = loop
+        self.transport: asyncio.Transport | None = None
+        self.pending: collections.deque[_Pending] = collections.deque()
+        self.last_activity_s = loop.time()
+        self._parser = httptools.HttpRequestParser(self)
+        self._timer: asyncio.TimerHandle | None = None
+        self._request: _messages.Request | None = None
+        self._chunks: list[bytes] = []
+        self._body_size = 0
+        self._head_size = 0
+        self._url = b''
+        self._is_reading_head = False
+        self._is_refused = False
+        self._is_paused = False
+        self._is_ended = False
+
+    # What the transport tells.
+
+    def connection_made(self, transport):
+        """Start to wait for the first head."""
+        self.transport = transport
+        self.service.connections.add(self)
+        _sockets.tune_socket(
+            transport.get_extra_info('socket'),
+            UNACKNOWLEDGED_LIMIT_MS,
+            PROBE_AFTER_S,
+        )
+        self._arm()
+
+    def connection_lost(self, exc):
+        """Cancel what is under way: the caller is gone."""
+        self._is_ended = True
+        self.service.connections.discard(self)
+        if self._timer is not None:
+            self._timer.cancel()
+        self._release_body()
+        for item in self.pending:
+            if item.task is not None:
+                item.task.cancel()
+        self.pending.clear()
+
+    def data_received(self, data):
+        """Feed the parser; whole requests start as they end."""
+        if self._is_refused:
+            return
+        self.last_activity_s = self.loop.time()
+        if self._is_reading_head:
+            self._head_size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except _Refused as error:
+            self._refuse(error.status)
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            status = cause.status if isinstance(cause, _Refused) else 400
+            self._refuse(status)
+        except httptools.HttpParserError as error:
+            LOG.info('request refused: %s', error)
+            self._refuse(400)
+        if len(self.pending) >= PIPELINE_DEPTH and not self._is_paused:
+            self._is_paused = True
+            self.transport.pause_reading()
+
+    def eof_received(self):
+        """Take the end of the stream as the end of the caller."""
+        return False
+
+    # What the parser tells.
+
+    def on_message_begin(self):
+        """Note when a head begins."""
+        self._is_reading_head = True
+        self._head_size = 0
+        self._url = b''
+        self._chunks = []
+        self._body_size = 0
+        self._request = _messages.Request(
+            '', '', [], received_s=self.loop.time()
+        )
+
+    def on_url(self, url):
+        """Gather the request target."""
+        self._url += url
+        self._check_head(len(self._url))
+
+    def on_header(self, name, value):
+        """Gather one field."""
+        self._request.headers.append(
+            (name.decode('latin-1'), value.decode('latin-1'))
+        )
+        self._check_head(
+            sum(len(n) + len(v) for n, v in self._request.headers)
+        )
+
+    def on_headers_complete(self):
+        """Check the head, and ask for the body where the caller waits."""
+        self._is_reading_head = False
+        request = self._request
+        request.method = self._parser.get_method().decode('ascii')
+        request.url = self._url.decode('latin-1')
+        _check_framing(request, self._parser.get_http_version())
+        length = _headers.find_header(request.headers, 'content-length')
+        is_chunked = (
+            _headers.find_header(request.headers, 'transfer-encoding')
+            is not None
+        )
+        request.has_body = is_chunked or length is not None
+        limit = self.service.find_limits().body_bytes
+        if length is not None and int(length) > limit:
+            raise _Refused(413)
+        expects = _headers.find_header(request.headers, 'expect')
+        if expects and expects.lower() == '100-continue' and not self.pending:
+            self.transport.write(_CONTINUE)
+
+    def on_body(self, body):
+        """Gather a piece of the body."""
+        self._body_size += len(body)
+        if self._body_size > self.service.find_limits().body_bytes:
+            raise _Refused(413)
+        if BodyMemory.used_bytes + len(body) > BODY_MEMORY_BYTES:
+            raise _Refused(503)
+        BodyMemory.used_bytes += len(body)
+        self._chunks.append(body)
+
+    def on_message_complete(self):
+        """Start to answer a whole request."""
+        request = self._request
+        request.body = b''.join(self._chunks)
+        self._chunks = []
+        self._request = None
+        item = _Pending()
+        item.is_head = request.method == 'HEAD'
+        item.must_close = not self._parser.should_keep_alive()
+        self.pending.append(item)
+        item.task = self.loop.create_task(self._answer(request, item))
+
+    # Answers.
+
+    async def _answer(self, request: _messages.Request, item: _Pending):
+        try:
+            response = await self.service.answer(request)
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            # A defect must not leave the caller without an answer; what
+            # ran is unknown.
+            LOG.exception('request failed')
+            response = self.service.refuse(502)
+        finally:
+            BodyMemory.used_bytes -= len(request.body)
+        self._finish(item, response)
+
+    def _finish(self, item: _Pending, response: _messages.Response | None):
+        if self._is_ended:
+            return
+        if response is None:
+            self.transport.abort()
+            return
+        must_close = item.must_close or response.must_close
+        if self.service.is_closing and item is self.pending[-1]:
+            # Requests sent ahead get their answers first.
+            must_close = True
+        item.must_close = must_close
+        if must_close:
+            connection = 'Connection: close'
+        else:
+            idle_ms = self.service.find_limits().idle_timeout_ms
+            connection = f'Keep-Alive: timeout={max(1, idle_ms // 1000)}'
+        item.data = _messages.encode_response(
+            response, connection, item.is_head
+        )
+        self._flush()
+
+    def _flush(self):
+        """Write the answers that are next in order."""
+        while self.pending and self.pending[0].data is not None:
+            item = self.pending.popleft()
+            self.transport.write(item.data)
+            if item.must_close:
+                self._close()
+                return
+        self.last_activity_s = self.loop.time()
+        if self._is_paused and len(self.pending) < PIPELINE_DEPTH // 2:
+            self._is_paused = False
+            self.transport.resume_reading()
+
+    def _close(self):
+        """Close after an answer; requests behind it were not passed on."""
+        for item in self.pending:
+            if item.task is not None:
+                item.task.cancel()
+        self.pending.clear()
+        self._is_ended = True
+        if self._is_refused:
+            # Bytes that are still on their way would reset the connection
+            # before the caller has read the answer.
+            self.loop.call_later(LINGER_S, self.transport.close)
+        else:
+            self._is_refused = True
+            self.transport.close()
+
+    def close_idle(self) -> bool:
+        """Close the connection if nothing is under way on it."""
+        if self.pending or self._request is not None:
+            return False
+        self._is_ended = True
+        self.transport.close()
+        return True
+
+    def _refuse(self, status: int):
+        """Answer a request that cannot be read, then close."""
+        self._is_refused = True
+        self._release_body()
+        self._request = None
+        item = _Pending()
+        item.must_close = True
+        self.pending.append(item)
+        self._finish(item, self.service.refuse(status))
+
+    def _release_body(self):
+        BodyMemory.used_bytes -= sum(len(chunk) for chunk in self._chunks)
+        self._chunks = []
+
+    # Time.
+
+    def _arm(self):
+        """Look again when the earliest limit may have passed."""
+        limits = self.service.find_limits()
+        wait_ms = min(limits.header_timeout_ms, limits.idle_timeout_ms) / 4
+        self._timer = self.loop.call_later(wait_ms / 1000, self._check_time)
+
+    def _check_time(self):
+        limits = self.service.find_limits()
+        now_s = self.loop.time()
+        silent_ms = (now_s - self.last_activity_s) * 1000
+        if self._request is None:
+            is_late = not self.pending and silent_ms > limits.idle_timeout_ms
+            if is_late:
+                self._is_ended = True
+                self.transport.close()
+                return
+        elif self._is_reading_head:
+            age_ms = (now_s - self._request.received_s) * 1000
+            if age_ms > limits.header_timeout_ms:
+                self._refuse(408)
+        elif silent_ms > limits.body_timeout_ms:
+            self._refuse(408)
+        if not self._is_ended:
+            self._arm()
+
+    def _check_head(self, size: int):
+        if size > self.service.find_limits().header_bytes:
+            raise _Refused(431)
+
+
+class _Refused(Exception):
+    """A request that is answered without being passed on."""
+
+    def __init__(self, status: int):
+        super().__init__(status)
+        self.status = status
+
+
+#: Fields of which two may be read differently by the next reader.
+_SINGLE_NAMES = ('content-length', 'transfer-encoding', 'host')
+
+
+def _check_framing(request: _messages.Request, version: str) -> None:
+    """Refuse heads that two readers may frame differently (RFC 9112)."""
+    names = [name.lower() for name, _value in request.headers]
+    for name in _SINGLE_NAMES:
+        if names.count(name) > 1:
+            raise _Refused(400)
+    if version == '1.1' and 'host' not in names:
+        raise _Refused(400)
+    coding = _headers.find_header(request.headers, 'transfer-encoding')
+    if coding is not None:
+        if coding.strip().lower() != 'chunked' or 'content-length' in names:
+            raise _Refused(400)
+    for name, value in request.headers:
+        if '\0' in value or not name:
+            raise _Refused(400)
+
+
+async def serve(
+    service: Service, address: str, port: int
+) -> asyncio.AbstractServer:
+    """Listen and answer by a service.
+
+    Raises
+    ------
+    OSError
+        When the port cannot be bound.
+    """
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(
+        lambda: ServerConnection(service, loop),
+        address,
+        port,
+        backlog=BACKLOG,
+        reuse_address=True,
+    )
