Scenarios of the request path over the published store protocol

52 scenarios with daemons, targets and a store stand-in in one event loop: proof, bad answers, cut bodies, strict heads, pipelining, cancelling, deadlines, slots, leaving, versions, store faults.

--- /dev/null
+++ b/features/mesh.feature
@@ -0,0 +1,188 @@
+Feature: The request path on the users' platform
+  Daemons, targets and the published store protocol, without the bench.
+
+  Background:
+    Given a mesh with two calendar hosts
+
+  Scenario: A request reaches a target unchanged
+    When a caller posts "notes" to "/r0/a?b=c" with id "id-1"
+    Then the answer is 200 with the proof and the body of "id-1"
+    And one target ran "id-1" as "POST /r0/a?b=c HTTP/1.1" with body "notes"
+    And it saw its own id, the origin "calendar" and less time than asked
+
+  Scenario: What a caller claims of its origin is replaced
+    When a caller sets "X-Caller-Service" to "ledger" and asks "/r0/" as "id-2"
+    Then the target saw exactly one "x-caller-service", which was "calendar"
+
+  Scenario: The longest prefix wins, and a path without a route gets 404
+    Given routes "/r0/" and "/r0/deep/" where the second fails at once
+    Then "/r0/deep/x" is answered by the second and "/r0/x" by the first
+    And "/nowhere/" gets 404
+
+  Scenario Outline: Bad answers of a target to a request that may be repeated
+    Given the targets are <habit>
+    When a caller asks "/r0/" with id "id-3"
+    Then the answer is <status>
+    And it arrived <arrivals> times at targets
+
+    Examples:
+      | habit                | status | arrivals |
+      | encoded              | 502    | 2        |
+      | no proof             | 502    | 2        |
+      | reset                | 502    | 2        |
+      | cut short            | 502    | 2        |
+      | foreign answer first | 200    | 1        |
+      | extra answer after   | 200    | 1        |
+      | unframed             | 200    | 1        |
+      | failing              | 500    | 2        |
+      | shed                 | 503    | 0        |
+
+  Scenario Outline: A request that may run once is never sent again
+    Given the targets are <habit>
+    When a caller posts "x" to "/once/" with id "id-4"
+    Then the answer is <status>
+    And it arrived 1 times at targets
+
+    Examples:
+      | habit     | status |
+      | reset     | 502    |
+      | encoded   | 502    |
+      | cut short | 502    |
+      | failing   | 500    |
+
+  Scenario: An answer that comes after its own is nobody's
+    Given the targets are extra answer after
+    When a caller asks "/r0/" with ids "a" to "f"
+    Then each gets the body of its own id
+
+  Scenario: A body that its caller cuts is not passed on
+    When a caller sends half of a body to "/once/" and closes
+    Then no target ran anything
+
+  Scenario Outline: Heads that two readers may read differently are refused
+    When a caller sends a head with <fault>
+    Then the raw answer is <status> and the connection is closed
+    And no target ran anything
+
+    Examples:
+      | fault                        | status |
+      | two lengths                  | 400    |
+      | a length and chunks          | 400    |
+      | a folded line                | 400    |
+      | white space before the colon | 400    |
+      | a NUL in a value             | 400    |
+      | an overflowing chunk size    | 400    |
+      | no host                      | 400    |
+      | two hosts                    | 400    |
+      | a huge field                 | 431    |
+      | a huge length                | 413    |
+
+  Scenario: Requests sent ahead are answered in their order
+    Given the targets work 0.05 s
+    When a caller sends 6 requests ahead on one connection
+    Then their answers come in the order in which they were sent
+
+  Scenario: Half heads do not keep others waiting
+    Given 300 connections that each sent half a head
+    When a caller asks "/r0/" with id "id-5"
+    Then the answer is 200
+
+  Scenario: A head that does not end is answered 408
+    Given a header timeout of 200 ms
+    When a caller sends half a head and waits
+    Then the raw answer is 408 and the connection is closed
+
+  Scenario: A request of which the caller is gone is cancelled at the target
+    Given the targets work 5 s
+    When a caller asks "/r0/" and closes once a target is at work
+    Then the target sees its connection close
+
+  Scenario: The timeout of the route bounds the answer
+    Given the targets work 5 s
+    And a route "/brief/" with a timeout of 200 ms
+    When a caller asks "/brief/" with id "id-6"
+    Then the answer is 504
+    And the target sees its connection close
+
+  Scenario: The deadline of the caller bounds the answer
+    Given the targets work 5 s
+    When a caller sets "X-Request-Deadline" to "150" and asks "/r0/" as "id-7"
+    Then the answer is 504
+
+  Scenario: A target never works on more requests than it has slots
+    Given the targets work 0.05 s
+    When 30 callers ask "/r0/" at the same time
+    Then every answer is 200 or 503 with a time to return
+    And no target worked on more than 2 at a time
+    And every 503 was not run
+
+  Scenario: A draining target gets nothing new, from any daemon
+    When the target of the first host says "draining"
+    Then it is acknowledged, and 20 requests all run at the second host
+
+  Scenario: A target that leaves without draining gets nothing new
+    When the target of the first host deregisters
+    Then it is acknowledged, and 20 requests all run at the second host
+
+  Scenario: A late heartbeat does not revive a target that left
+    When the target of the first host deregisters
+    And it reports "ready" again
+    Then it is acknowledged, and 20 requests all run at the second host
+
+  Scenario: A draining target stays closed while the store is away
+    Given the store is silent
+    When the target of the first host says "draining"
+    Then it is acknowledged, and 20 requests all run at the second host
+
+  Scenario: Another target at the same address is not taken for the first
+    When the target of the first host is replaced unannounced
+    Then 20 requests all run at the second host
+
+  Scenario: A version without a new store call is in force everywhere
+    When version 2 sends "/r0/" to a service without targets
+    Then "/r0/" gets 503 from both hosts
+
+  Scenario: An older version never comes back
+    When version 3 and then version 2 are written
+    Then both hosts stay at version 3
+
+  Scenario: A document that cannot be decoded keeps the version in force
+    When a document that is cut short is written
+    Then both hosts stay at version 1
+
+  Scenario: A daemon that knows no version answers 503, never 404
+    Given the store is silent
+    And another host that has just started
+    When a caller of it asks "/r0/" with id "id-8"
+    Then the answer is 503
+    And it is not ready until the store answers again
+
+  Scenario Outline: The store fails in each of its ways, and daemons recover
+    Given the store is <mode>
+    And another host that has just started
+    When the store is sound again
+    Then all hosts know each other
+
+    Examples:
+      | mode         |
+      | busy         |
+      | limited      |
+      | reset        |
+      | lose answers |
+      | late         |
+
+  Scenario: History that was dropped is read anew
+    When the store drops its history
+    And version 2 sends "/r0/" to a service without targets
+    Then "/r0/" gets 503 from both hosts
+
+  Scenario: A leaving daemon is not ready, and answers what it has
+    Given the targets work 0.3 s
+    When the first host is told to leave while a request is under way
+    Then it is not ready at once, and the request is answered 200
+    And requests of the second host all run there
+
+  Scenario: Weights of a split are met over a short run
+    Given a route "/split/" with weights 90 and 10 to calendar and ledger
+    When 50 requests are sent to "/split/"
+    Then 5 of them ran at ledger
--- /dev/null
+++ b/features/steps/mesh_steps.py
@@ -0,0 +1,546 @@
+"""Steps over daemons, targets and the store stand-in."""
+
+import asyncio
+import json
+import re
+
+from behave import given
+from behave import then
+from behave import when
+
+from sedgering import testing
+
+ROUTE_FIELDS = [
+    {},
+    {'name': 'once', 'prefix': '/once/', 'kind': 'non_idempotent'},
+]
+LEAVING_GRACE_MS = 4000
+HEAD = 'GET /r0/ HTTP/1.1\r\nHost: calendar.example\r\nX-Request-Id: x\r\n'
+POST = 'POST /once/ HTTP/1.1\r\nHost: calendar.example\r\nX-Request-Id: x\r\n'
+FAULTS = {
+    'two lengths': POST + 'Content-Length: 1\r\nContent-Length: 2\r\n\r\nab',
+    'a length and chunks': POST
+    + 'Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+    'a folded line': HEAD + 'X-A: b\r\n c\r\n\r\n',
+    'white space before the colon': HEAD + 'X-A : b\r\n\r\n',
+    'a NUL in a value': HEAD + 'X-A: b\0c\r\n\r\n',
+    'an overflowing chunk size': POST
+    + 'Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff1\r\nab',
+    'no host': 'GET /r0/ HTTP/1.1\r\n\r\n',
+    'two hosts': HEAD + 'Host: other.example\r\n\r\n',
+    'a huge field': HEAD + f'X-A: {"a" * 20000}\r\n\r\n',
+    'a huge length': POST + 'Content-Length: 99999999\r\n\r\n',
+}
+
+
+class MeshSubject:
+    """A fleet, and what its callers saw."""
+
+    def __init__(self):
+        self.fleet = testing.MeshFleet()
+        self.routes = list(ROUTE_FIELDS)
+        self.version = 0
+        self.answers: list = []
+        self.raw = b''
+        self.first: testing.MeshHost | None = None
+        self.second: testing.MeshHost | None = None
+
+    def configure(self, *routes: dict, **limits) -> None:
+        """Write the next version, with more routes."""
+        self.routes += routes
+        self.version += 1
+        self.fleet.configure(
+            testing.make_document(self.version, self.routes, **limits)
+        )
+        self.wait_version(self.version)
+
+    def wait_version(self, version: int) -> None:
+        """Wait until all hosts have a version in force."""
+        self.fleet.wait_for(
+            lambda: all(
+                host.daemon.state.config.version == version
+                for host in self.fleet.hosts.values()
+            )
+        )
+
+    def ask(self, path: str, request_id: str, body=None, **headers):
+        """Ask the first host."""
+        port = self.first.addresses.callers_port
+        headers.setdefault('X_Request_Id', request_id)
+        headers.setdefault('X_Request_Deadline', '3000')
+        answer = self.fleet.call(port, path, body, **headers)
+        self.answers.append(answer)
+        return answer
+
+    def list_runs(self) -> list[tuple]:
+        """Return what all targets ran."""
+        return [
+            run
+            for host in self.fleet.hosts.values()
+            for run in host.books.runs
+        ]
+
+    def list_books(self) -> list:
+        """Return the books of all targets."""
+        return [host.books for host in self.fleet.hosts.values()]
+
+    async def send_raw(self, data: bytes, wait_s: float = 5.0) -> bytes:
+        """Send bytes to the first host, and read until it closes."""
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.first.addresses.callers_port
+        )
+        writer.write(data)
+        try:
+            return await asyncio.wait_for(reader.read(-1), wait_s)
+        finally:
+            writer.close()
+
+
+@given('a mesh with two calendar hosts')
+def step_mesh(context):
+    mesh = MeshSubject()
+    context.mesh = mesh
+    context.cleanups.append(mesh.fleet.stop)
+    mesh.first = mesh.fleet.add_host('hall-1')
+    mesh.second = mesh.fleet.add_host('hall-2')
+    mesh.configure()
+    mesh.fleet.wait_ready()
+
+
+@given('the targets are {habit}')
+def step_habit(context, habit):
+    for books in context.mesh.list_books():
+        books.habit = testing.TargetHabit(habit)
+
+
+@given('the targets work {work_s:g} s')
+def step_work(context, work_s):
+    for books in context.mesh.list_books():
+        books.work_s = work_s
+
+
+@given('the store is {mode}')
+@when('the store is {mode} again')
+def step_store_mode(context, mode):
+    context.mesh.fleet.store.mode = testing.StoreMode(mode)
+
+
+@given('routes "{short}" and "{long}" where the second fails at once')
+def step_two_routes(context, short, long):
+    context.mesh.configure({'name': 'deep', 'prefix': long, 'service': 'none'})
+
+
+@given('a route "{prefix}" with a timeout of {timeout_ms:d} ms')
+def step_brief_route(context, prefix, timeout_ms):
+    context.mesh.configure(
+        {'name': 'brief', 'prefix': prefix, 'timeout': f'{timeout_ms}ms'}
+    )
+
+
+@given('a header timeout of {timeout_ms:d} ms')
+def step_header_timeout(context, timeout_ms):
+    context.mesh.configure(header_timeout=f'{timeout_ms}ms')
+
+
+@given('a route "{prefix}" with weights 90 and 10 to calendar and ledger')
+def step_split(context, prefix):
+    mesh = context.mesh
+    split = [
+        {'service': 'calendar', 'weight': 90},
+        {'service': 'ledger', 'weight': 10},
+    ]
+    mesh.fleet.add_host('ledger-1', 'ledger')
+    mesh.configure({'name': 'split', 'prefix': prefix, 'split': split})
+    mesh.fleet.wait_ready()
+
+
+@given('{count:d} connections that each sent half a head')
+def step_half_heads(context, count):
+    mesh = context.mesh
+
+    async def open_all():
+        port = mesh.first.addresses.callers_port
+        for _ in range(count):
+            _reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(b'GET /r0/ HT')
+            context.cleanups.append(
+                lambda writer=writer: mesh.loop_call(writer.close)
+            )
+
+    mesh.loop_call = mesh.fleet.loop.call_soon_threadsafe
+    mesh.fleet.run(open_all())
+
+
+@given('another host that has just started')
+def step_another_host(context):
+    context.mesh.third = context.mesh.fleet.add_host('hall-3')
+
+
+@when('a caller posts "{body}" to "{path}" with id "{request_id}"')
+def step_post(context, body, path, request_id):
+    context.mesh.ask(path, request_id, body.encode())
+
+
+@when('a caller asks "{path}" with id "{request_id}"')
+def step_ask(context, path, request_id):
+    context.mesh.ask(path, request_id)
+
+
+@when(
+    'a caller sets "{name}" to "{value}" and asks "{path}" as "{request_id}"'
+)
+def step_ask_header(context, name, value, path, request_id):
+    fields = {name.replace('-', '_'): value}
+    context.mesh.ask(path, request_id, **fields)
+
+
+@when('a caller of it asks "{path}" with id "{request_id}"')
+def step_ask_third(context, path, request_id):
+    mesh = context.mesh
+    mesh.answers.append(
+        mesh.fleet.call(
+            mesh.third.addresses.callers_port, path, X_Request_Id=request_id
+        )
+    )
+
+
+@when('a caller asks "{path}" with ids "{first}" to "{last}"')
+def step_ask_many(context, path, first, last):
+    context.mesh.ids = [chr(n) for n in range(ord(first), ord(last) + 1)]
+    for request_id in context.mesh.ids:
+        context.mesh.ask(path, request_id)
+
+
+@when('a caller sends half of a body to "{path}" and closes')
+def step_half_body(context, path):
+    async def send():
+        _reader, writer = await asyncio.open_connection(
+            '127.0.0.1', context.mesh.first.addresses.callers_port
+        )
+        writer.write(f'{POST}Content-Length: 100\r\n\r\nhalf'.encode())
+        await asyncio.sleep(0.1)
+        writer.close()
+        await asyncio.sleep(0.2)
+
+    context.mesh.fleet.run(send())
+
+
+@when('a caller sends a head with {fault}')
+def step_bad_head(context, fault):
+    mesh = context.mesh
+    mesh.raw = mesh.fleet.run(mesh.send_raw(FAULTS[fault].encode('latin-1')))
+
+
+@when('a caller sends half a head and waits')
+def step_half_head(context):
+    mesh = context.mesh
+    mesh.raw = mesh.fleet.run(mesh.send_raw(b'GET /r0/ HTTP/1.1\r\nHo'))
+
+
+@when('a caller sends {count:d} requests ahead on one connection')
+def step_pipeline(context, count):
+    mesh = context.mesh
+    mesh.ids = [f'ahead-{number}' for number in range(count)]
+    requests = [HEAD.replace('Id: x', f'Id: {item}') for item in mesh.ids]
+    requests[-1] += 'Connection: close\r\n'
+    data = ''.join(f'{request}\r\n' for request in requests)
+    mesh.raw = mesh.fleet.run(mesh.send_raw(data.encode()))
+
+
+@when('a caller asks "{path}" and closes once a target is at work')
+def step_give_up(context, path):
+    mesh = context.mesh
+
+    async def leave():
+        _reader, writer = await asyncio.open_connection(
+            '127.0.0.1', mesh.first.addresses.callers_port
+        )
+        writer.write(f'{HEAD}\r\n'.encode())
+        while not any(books.running for books in mesh.list_books()):
+            await asyncio.sleep(0.01)
+        writer.close()
+
+    mesh.fleet.run(leave())
+
+
+@when('{count:d} callers ask "{path}" at the same time')
+def step_many(context, count, path):
+    mesh = context.mesh
+
+    async def ask_all():
+        port = mesh.first.addresses.callers_port
+        calls = [
+            mesh.fleet.start_call(port, path, X_Request_Id=f'many-{number}')
+            for number in range(count)
+        ]
+        return await asyncio.gather(*calls)
+
+    mesh.answers = mesh.fleet.run(ask_all())
+
+
+@when('the target of the first host says "{state}"')
+def step_say(context, state):
+    mesh = context.mesh
+    mesh.acknowledged = mesh.fleet.report(mesh.first, state)
+
+
+@when('the target of the first host deregisters')
+def step_deregister(context):
+    mesh = context.mesh
+    mesh.acknowledged = mesh.fleet.deregister(mesh.first)
+
+
+@when('it reports "{state}" again')
+def step_report_again(context, state):
+    context.mesh.fleet.report(context.mesh.first, state)
+
+
+@when('the target of the first host is replaced unannounced')
+def step_replace(context):
+    context.mesh.first.books.target = 'i-another'
+
+
+@when('version 2 sends "{path}" to a service without targets')
+def step_version_away(context, path):
+    mesh = context.mesh
+    mesh.routes[0] = {'service': 'none'}
+    mesh.configure()
+
+
+@when('version 3 and then version 2 are written')
+def step_old_version(context):
+    mesh = context.mesh
+    for version in (3, 2):
+        mesh.fleet.configure(testing.make_document(version, mesh.routes))
+        mesh.wait_version(3)
+
+
+@when('a document that is cut short is written')
+def step_cut_document(context):
+    mesh = context.mesh
+    mesh.fleet.configure(testing.make_document(2, mesh.routes)[:-20])
+
+
+@when('the store drops its history')
+def step_compact(context):
+    context.mesh.fleet.store.compact()
+
+
+@when('the first host is told to leave while a request is under way')
+def step_leave(context):
+    mesh = context.mesh
+    port = mesh.first.addresses.callers_port
+
+    async def leave():
+        call = asyncio.ensure_future(
+            mesh.fleet.start_call(port, '/r0/', X_Request_Id='leaving')
+        )
+        while not any(books.running for books in mesh.list_books()):
+            await asyncio.sleep(0.01)
+        mesh.leaving = asyncio.ensure_future(
+            mesh.first.daemon.leave(LEAVING_GRACE_MS)
+        )
+        await asyncio.sleep(0)
+        mesh.was_ready = mesh.first.daemon.is_ready
+        return await call
+
+    mesh.answers.append(mesh.fleet.run(leave()))
+
+
+@when('{count:d} requests are sent to "{path}"')
+def step_ask_count(context, count, path):
+    for number in range(count):
+        context.mesh.ask(path, f'split-{number}')
+
+
+@then('the answer is {status:d}')
+def step_status(context, status):
+    answer = context.mesh.answers[-1]
+    assert answer.status == status, (answer.status, answer.body)
+
+
+@then('the answer is 200 with the proof and the body of "{request_id}"')
+def step_whole(context, request_id):
+    answer = context.mesh.answers[-1]
+    assert answer.status == 200, answer
+    assert answer.body == f'answer to {request_id}'.encode()
+    names = [name for name, _value in answer.headers]
+    assert 'X-Response-Signature' in names, names
+    assert not [name for name in names if name.startswith('sedgering')]
+
+
+@then('one target ran "{request_id}" as "{line}" with body "{body}"')
+def step_ran(context, request_id, line, body):
+    ((ran_id, ran_line, headers, ran_body),) = context.mesh.list_runs()
+    assert (ran_id, ran_line) == (request_id, line)
+    assert ran_body == body.encode()
+    context.mesh.headers = {
+        name.lower(): value for name, value in headers.items()
+    }
+
+
+@then('it saw its own id, the origin "{origin}" and less time than asked')
+def step_saw(context, origin):
+    headers = context.mesh.headers
+    targets = [books.target for books in context.mesh.list_books()]
+    assert headers['x-expect-instance'] in targets
+    assert headers['x-caller-service'] == origin
+    assert 0 < int(headers['x-request-deadline']) <= 1000
+    assert not [name for name in headers if name.startswith('sedgering')]
+
+
+@then('the target saw exactly one "{name}", which was "{value}"')
+def step_saw_one(context, name, value):
+    ((_id, _line, headers, _body),) = context.mesh.list_runs()
+    found = [item for key, item in headers.items() if key.lower() == name]
+    assert found == [value], found
+
+
+@then('"{long}" is answered by the second and "{short}" by the first')
+def step_longest(context, long, short):
+    assert context.mesh.ask(long, 'long').status == 503
+    assert context.mesh.ask(short, 'short').status == 200
+
+
+@then('"{path}" gets 404')
+def step_not_found(context, path):
+    assert context.mesh.ask(path, 'lost').status == 404
+
+
+@then('it arrived {count:d} times at targets')
+def step_arrivals(context, count):
+    assert len(context.mesh.list_runs()) == count, context.mesh.list_runs()
+
+
+@then('each gets the body of its own id')
+def step_own_bodies(context):
+    bodies = [answer.body.decode() for answer in context.mesh.answers]
+    assert bodies == [f'answer to {item}' for item in context.mesh.ids], bodies
+
+
+@then('no target ran anything')
+def step_nothing_ran(context):
+    assert not context.mesh.list_runs(), context.mesh.list_runs()
+
+
+@then('the raw answer is {status:d} and the connection is closed')
+def step_raw(context, status):
+    raw = context.mesh.raw
+    assert raw.startswith(f'HTTP/1.1 {status} '.encode()), raw[:200]
+    assert b'Connection: close' in raw, raw
+
+
+@then('their answers come in the order in which they were sent')
+def step_in_order(context):
+    mesh = context.mesh
+    found = re.findall(r'answer to (ahead-\d+)', mesh.raw.decode())
+    assert found == mesh.ids, mesh.raw
+
+
+@then('the target sees its connection close')
+def step_cancelled(context):
+    mesh = context.mesh
+    mesh.fleet.wait_for(
+        lambda: sum(books.cancelled for books in mesh.list_books()) == 1
+    )
+
+
+@then('every answer is 200 or 503 with a time to return')
+def step_all_final(context):
+    for answer in context.mesh.answers:
+        names = {name for name, _value in answer.headers}
+        assert answer.status in (200, 503), answer
+        assert answer.status == 200 or 'Retry-After' in names, answer
+
+
+@then('no target worked on more than {count:d} at a time')
+def step_most_running(context, count):
+    for books in context.mesh.list_books():
+        assert 0 < books.most_running <= count, books.most_running
+
+
+@then('every 503 was not run')
+def step_not_run(context):
+    served = [item for item in context.mesh.answers if item.status == 200]
+    assert len(context.mesh.list_runs()) == len(served)
+
+
+@then('it is acknowledged, and {count:d} requests all run at the second host')
+def step_all_second(context, count):
+    assert context.mesh.acknowledged == 200
+    step_run_second(context, count)
+
+
+@then('{count:d} requests all run at the second host')
+def step_run_second(context, count):
+    mesh = context.mesh
+    for host in (mesh.first, mesh.second):
+        port = host.addresses.callers_port
+        for number in range(count // 2):
+            answer = mesh.fleet.call(
+                port, '/r0/', X_Request_Id=f'{host.name}-{number}'
+            )
+            assert answer.status == 200, (answer.status, answer.body)
+    assert not mesh.first.books.runs
+    assert len(mesh.second.books.runs) == count
+
+
+@then('"{path}" gets 503 from both hosts')
+def step_unavailable(context, path):
+    mesh = context.mesh
+    for host in (mesh.first, mesh.second):
+        answer = mesh.fleet.call(host.addresses.callers_port, path)
+        assert answer.status == 503, answer
+        assert json.loads(answer.body)['code'] == 5002
+
+
+@then('both hosts stay at version {version:d}')
+def step_stay(context, version):
+    mesh = context.mesh
+    mesh.fleet.run(asyncio.sleep(1.0))
+    mesh.wait_version(version)
+
+
+@then('it is not ready until the store answers again')
+def step_ready_later(context):
+    mesh = context.mesh
+    assert not mesh.third.daemon.is_ready
+    mesh.fleet.store.mode = testing.StoreMode.SOUND
+    mesh.fleet.wait_ready()
+
+
+@then('all hosts know each other')
+def step_all_known(context):
+    context.mesh.fleet.wait_ready()
+
+
+@then('it is not ready at once, and the request is answered 200')
+def step_left(context):
+    mesh = context.mesh
+    assert not mesh.was_ready
+    assert mesh.answers[-1].status == 200
+
+
+@then('requests of the second host all run there')
+def step_second_only(context):
+    mesh = context.mesh
+    # The row is gone once the store has it; then nothing goes there.
+    mesh.fleet.wait_for(
+        lambda: len(mesh.second.daemon.state.fleet.members) == 1
+    )
+    before = len(mesh.second.books.runs)
+    for number in range(6):
+        answer = mesh.fleet.call(
+            mesh.second.addresses.callers_port,
+            '/r0/',
+            X_Request_Id=f'after-{number}',
+        )
+        assert answer.status == 200, answer
+    assert len(mesh.second.books.runs) == before + 6
+    mesh.fleet.run(asyncio.wait_for(mesh.leaving, 10))
+
+
+@then('{count:d} of them ran at ledger')
+def step_split_runs(context, count):
+    ledger = context.mesh.fleet.hosts['ledger-1'].books
+    assert len(ledger.runs) == count, len(ledger.runs)
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -149,6 +149,15 @@
         left = len(self.outbound.connections)
         LOG.info('left', extra={'detail': f'{left} connections cut'})
 
+    async def close(self) -> None:
+        """End at once, without leaving."""
+        self.source.stop()
+        for server in self._servers:
+            server.close()
+        for service in (self.outbound, self.inbound):
+            for connection in list(service.connections):
+                connection.transport.abort()
+
     def _close_idle(self) -> bool:
         """Close idle connections; say whether any are busy."""
         is_busy = False
--- a/sedgering/platform/__init__.py
+++ b/sedgering/platform/__init__.py
@@ -5,6 +5,7 @@
 
 from sedgering.platform._document import decode_document
 from sedgering.platform._document import DocumentError
+from sedgering.platform._document import MESH
 from sedgering.platform._program import run_daemon
 from sedgering.platform._readiness import ReadinessService
 from sedgering.platform._reports import ReportsService
@@ -27,6 +28,7 @@
     'DocumentError',
     'HEADERS',
     'HostSettings',
+    'MESH',
     'Page',
     'PlatformSource',
     'Put',
--- a/sedgering/testing/__init__.py
+++ b/sedgering/testing/__init__.py
@@ -19,12 +19,18 @@
 from sedgering.testing._fleet import is_listening
 from sedgering.testing._fleet import make_fleet
 from sedgering.testing._fleet import ProxyProcess
+from sedgering.testing._mesh_fleet import make_document
+from sedgering.testing._mesh_fleet import MeshFleet
+from sedgering.testing._mesh_fleet import MeshHost
+from sedgering.testing._mesh_target import TargetHabit
 from sedgering.testing._naive import make_sample_bundle
 from sedgering.testing._naive import NaivePoller
 from sedgering.testing._passthrough import make_passthrough
 from sedgering.testing._platform_server import make_platform_server
 from sedgering.testing._replay import OutcomeDiffers
 from sedgering.testing._replay import replay_trace
+from sedgering.testing._table_standin import StoreMode
+from sedgering.testing._table_standin import TableStandin
 from sedgering.testing._targets import make_target
 from sedgering.testing._targets import StandinTarget
 from sedgering.testing._targets import TargetSettings
@@ -37,17 +43,23 @@
     'Faults',
     'Fleet',
     'InMemoryPlatform',
+    'MeshFleet',
+    'MeshHost',
     'NaivePoller',
     'Node',
     'OutcomeDiffers',
     'PlatformEngine',
     'ProxyProcess',
     'StandinTarget',
+    'StoreMode',
+    'TableStandin',
+    'TargetHabit',
     'TargetSettings',
     'Verdict',
     'free_ports',
     'is_listening',
     'judge_calls',
+    'make_document',
     'make_fleet',
     'make_passthrough',
     'make_platform_server',
--- /dev/null
+++ b/sedgering/testing/_mesh_fleet.py
@@ -0,0 +1,254 @@
+"""Daemons, targets and a store in one event loop of a test's thread."""
+
+import asyncio
+from collections.abc import Coroutine
+import json
+import threading
+from typing import Any
+
+from sedgering import base
+from sedgering import mesh
+from sedgering import platform
+from sedgering.testing import _fleet
+from sedgering.testing import _mesh_target
+from sedgering.testing import _table_standin
+from sedgering import transport
+
+__all__ = ['MeshFleet', 'MeshHost', 'make_document']
+
+ADDRESS = '127.0.0.1'
+#: Longest time that a test waits for anything.
+PATIENCE_S = 20.0
+PORTS_PER_HOST = 5
+HOST_HEADER = 'calendar.example'
+
+
+def make_document(version: int, routes: list[dict], **limits: Any) -> bytes:
+    """Make an operator's document.
+
+    Parameters
+    ----------
+    version : int
+        Number of the version.
+    routes : list of dict
+        Fields that differ from those of a repeatable route to `calendar`.
+    **limits
+        Fields of the limits that differ from wide ones.
+    """
+    resources = []
+    services = set()
+    for number, fields in enumerate(routes):
+        spec = {
+            'host': HOST_HEADER,
+            'prefix': f'/r{number}/',
+            'kind': 'safe',
+            'timeout': '1000ms',
+            'target_latency': '400ms',
+            'priority': 1,
+            'attempts': 2,
+            'service': 'calendar',
+            **fields,
+        }
+        services.update(
+            share['service'] for share in spec.get('split', [spec])
+        )
+        name = fields.get('name', f'route-{number}')
+        resources.append(_resource('routes', name, spec))
+    for name in sorted(services):
+        spec = {'health_path': '/health', 'max_connections': 130}
+        resources.append(_resource('services', name, spec))
+    wide = {
+        'max_header_bytes': 16384,
+        'max_body_bytes': 1048576,
+        'header_timeout': '3000ms',
+        'idle_timeout': '15000ms',
+    }
+    resources.append(_resource('limits', '', {**wide, **limits}))
+    document = {'version': f'r{version}', 'resources': resources}
+    return json.dumps(document).encode()
+
+
+def _resource(kind: str, name: str, spec: dict) -> dict:
+    return {'resource_type': kind, 'metadata': {'name': name}, 'spec': spec}
+
+
+class MeshHost:
+    """One host: its daemon, its target, and the target's books.
+
+    Parameters
+    ----------
+    name, target_set : str
+        Of the host and of its target.
+    ports : list of int
+        Free ports.
+    """
+
+    def __init__(self, name: str, target_set: str, ports: list[int]):
+        self.name = name
+        self.target_set = target_set
+        self.addresses = mesh.Addresses(ADDRESS, *ports[:4], ADDRESS, ports[4])
+        self.books = _mesh_target.TargetBooks(f'i-{name}')
+        self.daemon: mesh.MeshDaemon | None = None
+        self.servers: list = []
+        self.sequence = 0
+
+
+class MeshFleet:
+    """A store and hosts, started and stopped by a test."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever)
+        self.thread.start()
+        self.store_port = _fleet.free_ports(1)[0]
+        self.hosts: dict[str, MeshHost] = {}
+        self.store: _table_standin.TableStandin = self.run(self._start_store())
+
+    def run(self, work: Coroutine) -> Any:
+        """Run a coroutine in the loop and return its result."""
+        future = asyncio.run_coroutine_threadsafe(work, self.loop)
+        return future.result(PATIENCE_S)
+
+    def add_host(self, name: str, target_set: str = 'calendar') -> MeshHost:
+        """Start a host whose target reports itself ready."""
+        ports = _fleet.free_ports(PORTS_PER_HOST)
+        host = MeshHost(name, target_set, ports)
+        self.hosts[name] = host
+        self.run(self._start_host(host))
+        self.report(host)
+        return host
+
+    def report(self, host: MeshHost, state: str = 'ready') -> int:
+        """Let a target report itself; return the status it was given."""
+        host.sequence += 1
+        body = {
+            'service': host.target_set,
+            'slots': 2,
+            'state': state,
+            'cold_remaining': '0ms',
+            'sequence': host.sequence,
+        }
+        path = f'/v1/instances/{host.books.target}/heartbeat'
+        return self.call(
+            host.addresses.reports_port, path, json.dumps(body).encode()
+        ).status
+
+    def deregister(self, host: MeshHost) -> int:
+        """Let a target say that it leaves for good."""
+        path = f'/v1/instances/{host.books.target}/deregister'
+        return self.call(host.addresses.reports_port, path, b'{}').status
+
+    def configure(self, document: bytes) -> None:
+        """Write the operator's document."""
+        self.run(self.store.write('op', 'config', document))
+
+    def call(
+        self, port: int, path: str, body: bytes | None = None, **headers: str
+    ) -> transport.Response:
+        """Send one request on a connection of its own."""
+        return self.run(self.start_call(port, path, body, **headers))
+
+    async def start_call(
+        self, port: int, path: str, body: bytes | None = None, **headers: str
+    ) -> transport.Response:
+        """Send one request; a coroutine."""
+        connection = await transport.connect(ADDRESS, port, PATIENCE_S)
+        fields = [('Host', HOST_HEADER)]
+        fields += [
+            (name.replace('_', '-'), value) for name, value in headers.items()
+        ]
+        request = transport.Request(
+            'GET' if body is None else 'POST',
+            path,
+            fields,
+            body or b'',
+            body is not None,
+        )
+        try:
+            return await connection.exchange(
+                transport.encode_request(request), lambda _response: True
+            )
+        finally:
+            connection.close()
+
+    def wait_for(self, condition) -> None:
+        """Wait until a condition holds; fail after some seconds."""
+
+        async def poll() -> None:
+            async with asyncio.timeout(PATIENCE_S / 2):
+                while not condition():
+                    await asyncio.sleep(0.01)
+
+        self.run(poll())
+
+    def wait_ready(self, members: int | None = None) -> None:
+        """Wait until all daemons are ready and know all members."""
+        count = len(self.hosts) if members is None else members
+        self.wait_for(
+            lambda: all(
+                host.daemon.is_ready
+                and len(host.daemon.state.fleet.members) == count
+                for host in self.hosts.values()
+            )
+        )
+
+    def stop(self) -> None:
+        """Stop everything that was started."""
+        self.run(self._stop())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+
+    async def _start_store(self) -> _table_standin.TableStandin:
+        store = _table_standin.TableStandin()
+        await transport.serve(store, ADDRESS, self.store_port)
+        return store
+
+    async def _start_host(self, host: MeshHost) -> None:
+        identity = mesh.MeshIdentity(
+            base.HostId(host.name),
+            base.DataCentre('hall'),
+            base.TargetSetName(host.target_set),
+        )
+        source = platform.PlatformSource(
+            platform.StoreSettings(ADDRESS, self.store_port),
+            identity.host,
+            self.loop,
+        )
+        host.daemon = mesh.make_mesh_daemon(
+            identity,
+            host.addresses,
+            platform.HEADERS,
+            mesh.MeshSettings(),
+            mesh.RetryWindow(0.2, 62, 10),
+            source,
+            platform.MESH,
+        )
+        daemon = host.daemon
+        own = host.addresses
+        loop = self.loop
+        host.servers = [
+            await loop.create_server(
+                lambda: _mesh_target.TargetStandin(host.books),
+                ADDRESS,
+                own.target_port,
+            ),
+            await transport.serve(
+                platform.ReadinessService(lambda: daemon.is_ready),
+                ADDRESS,
+                own.readiness_port,
+            ),
+            await transport.serve(
+                platform.ReportsService(daemon), ADDRESS, own.reports_port
+            ),
+        ]
+        await daemon.start()
+
+    async def _stop(self) -> None:
+        for host in self.hosts.values():
+            for server in host.servers:
+                server.close()
+            await host.daemon.close()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/sedgering/testing/_mesh_target.py
@@ -0,0 +1,145 @@
+"""Stand-in of a target that speaks the platform's protocol."""
+
+import asyncio
+import enum
+
+from sedgering import transport
+
+__all__ = ['TargetHabit', 'TargetStandin']
+
+#: Proof that an answer is the target's own.
+PROOF = '3e1b.07.5a2.600.0.c9f2a4d1'
+
+
+class TargetHabit(enum.Enum):
+    """How the target treats requests."""
+
+    SOUND = 'sound'
+    SHED = 'shed'
+    RESET = 'reset'
+    ENCODED = 'encoded'
+    NO_PROOF = 'no proof'
+    FOREIGN = 'foreign answer first'
+    EXTRA = 'extra answer after'
+    UNFRAMED = 'unframed'
+    CUT_SHORT = 'cut short'
+    FAILING = 'failing'
+
+
+class TargetStandin(asyncio.Protocol):
+    """Answers over raw connections, well or badly.
+
+    Parameters
+    ----------
+    state : TargetState
+        Shared by its connections.
+    """
+
+    def __init__(self, state: 'TargetBooks'):
+        self.state = state
+        self.buffer = b''
+        self.transport: asyncio.Transport | None = None
+        self.task: asyncio.Task | None = None
+
+    def connection_made(self, transport):
+        """Count the connection."""
+        self.transport = transport
+        self.state.connections += 1
+
+    def connection_lost(self, exc):
+        """Drop a request whose connection is closed."""
+        if self.task is not None and not self.task.done():
+            self.state.cancelled += 1
+            self.task.cancel()
+
+    def data_received(self, data):
+        """Start a request once its body is there."""
+        self.buffer += data
+        head, mark, body = self.buffer.partition(b'\r\n\r\n')
+        if not mark:
+            return
+        lines = head.decode('latin-1').split('\r\n')
+        headers = [tuple(line.split(': ', 1)) for line in lines[1:]]
+        length = transport.find_header(headers, 'content-length') or '0'
+        if len(body) < int(length):
+            return
+        self.buffer = b''
+        self.task = asyncio.get_running_loop().create_task(
+            self._answer(lines[0], headers, body)
+        )
+
+    async def _answer(self, line: str, headers, body: bytes) -> None:
+        books = self.state
+        request_id = transport.find_header(headers, 'x-request-id')
+        expected = transport.find_header(headers, 'x-expect-instance')
+        if expected not in (None, books.target):
+            self._write('421 Misdirected Request', [], b'')
+            return
+        if books.habit is TargetHabit.SHED:
+            self._write(
+                '503 Service Unavailable', [('X-Not-Executed', '1')], b''
+            )
+            return
+        books.runs.append((request_id, line, dict(headers), body))
+        books.running += 1
+        books.most_running = max(books.most_running, books.running)
+        try:
+            await asyncio.sleep(books.work_s)
+        finally:
+            books.running -= 1
+        self._finish(request_id, books.habit)
+
+    def _finish(self, request_id: str, habit: TargetHabit) -> None:
+        own = [('X-Request-Id', request_id), ('X-Response-Signature', PROOF)]
+        body = f'answer to {request_id}'.encode()
+        if habit is TargetHabit.RESET:
+            self.transport.abort()
+        elif habit is TargetHabit.ENCODED:
+            self._write('200 OK', [*own, ('Content-Encoding', 'gzip')], body)
+        elif habit is TargetHabit.NO_PROOF:
+            self._write('200 OK', own[:1], body)
+        elif habit is TargetHabit.FOREIGN:
+            foreign = [('X-Request-Id', 'other'), own[1]]
+            self._write('200 OK', foreign, b'another body')
+            self._write('200 OK', own, body)
+        elif habit is TargetHabit.EXTRA:
+            self._write('200 OK', own, body)
+            self._write('200 OK', own, b'another body')
+        elif habit is TargetHabit.UNFRAMED:
+            self._write('200 OK', own, body, is_framed=False)
+            self.transport.close()
+        elif habit is TargetHabit.CUT_SHORT:
+            self._write('200 OK', own, body, missing=3)
+            self.transport.close()
+        elif habit is TargetHabit.FAILING:
+            self._write('500 Internal Server Error', own, body)
+        else:
+            self._write('200 OK', own, body)
+
+    def _write(self, status, headers, body, is_framed=True, missing=0) -> None:
+        lines = [f'HTTP/1.1 {status}']
+        lines += [f'{name}: {value}' for name, value in headers]
+        if is_framed:
+            lines.append(f'Content-Length: {len(body) + missing}')
+        head = '\r\n'.join([*lines, '\r\n']).encode()
+        self.transport.write(head + body)
+
+
+class TargetBooks:
+    """What a target did, and how it is to behave.
+
+    Parameters
+    ----------
+    target : str
+        Id of its lifetime.
+    """
+
+    def __init__(self, target: str):
+        self.target = target
+        self.habit = TargetHabit.SOUND
+        self.work_s = 0.0
+        self.runs: list[tuple] = []
+        self.running = 0
+        self.most_running = 0
+        self.cancelled = 0
+        self.connections = 0
