--- /dev/null
+++ b/features/gate.feature
@@ -0,0 +1,115 @@
+Feature: Decisions of the request path
+  Gate, choice, retry window and member table, with an injected clock.
+
+  Scenario: Free places are taken at once, and no more than there are
+    Given a gate with 2 places where work takes 100 ms
+    When 3 first calls arrive with a goal of 400 ms
+    Then 2 calls run and 1 waits
+
+  Scenario: A call that could not end within its goal is refused at once
+    Given a gate with 2 places where work takes 100 ms
+    And 2 calls run and 6 first calls wait
+    When a first call arrives with a goal of 400 ms
+    Then it is refused as shed with a time to return
+
+  Scenario: A call of a target waits until its deadline, before all others
+    Given a gate with 2 places where work takes 100 ms
+    And 2 calls run and 6 first calls wait
+    When a target's call arrives with a goal of 100 ms
+    And a place becomes free
+    Then the target's call runs
+
+  Scenario: A caller that comes back goes before one that asks first
+    Given a gate with 1 places where work takes 50 ms
+    And 1 calls run and 2 first calls wait
+    When a returning call arrives with a goal of 400 ms
+    And a place becomes free
+    Then the returning call runs
+
+  Scenario: A lower priority number goes first
+    Given a gate with 1 places where work takes 50 ms
+    And 1 calls run and 2 first calls wait
+    When a first call of priority 0 arrives with a goal of 400 ms
+    And a place becomes free
+    Then the call of priority 0 runs
+
+  Scenario: A cancelled waiter gives its place in the queue up
+    Given a gate with 1 places where work takes 50 ms
+    And 1 calls run and 2 first calls wait
+    When the first waiter is cancelled
+    And a place becomes free
+    Then 1 calls run and 0 waits
+
+  Scenario: Random refusals do not starve a target
+    Given a gate with 12 places where work takes 100 ms
+    When the target refuses 50 calls
+    Then the limit is 6
+    And the gate's reported work time is above 300 ms
+    And the limit is 12 again after 40 good calls
+
+  Scenario: A target that fails at once does not seem quick
+    Given a gate with 12 places where work takes 100 ms
+    When the target fails 50 calls after 1 ms each
+    Then the gate's reported work time is above 300 ms
+
+  Scenario: A closed gate refuses those that wait, and lets the rest end
+    Given a gate with 1 places where work takes 50 ms
+    And 1 calls run and 2 first calls wait
+    When the gate closes
+    Then the waiting calls are refused as leaving
+    And 1 calls run and 0 waits
+
+  Scenario: The window allows its share and its part of the extra
+    Given a retry window of ratio 0.2 and extra 10 over 10 s for 5 daemons
+    When 100 requests are counted at 0 s
+    Then 22 retries are allowed at 1 s
+    And 0 retries are allowed at 9 s
+    And 2 retries are allowed at 11 s
+
+  Scenario: Each target set has its own window
+    Given a retry window of ratio 0.2 and extra 10 over 10 s for 5 daemons
+    When 100 requests are counted at 0 s
+    Then 2 retries are allowed at 1 s for another target set
+
+  Scenario: Any sequence of requests, retries and time keeps the window
+    Then no sliding window of any sequence holds more than is allowed
+
+  Scenario: The nearer target is chosen until the wait there is longer
+    Given targets "near" in hall and "far" elsewhere with 2 slots each
+    Then "near" is chosen with 0 calls under way there
+    And "far" is chosen with 6 calls under way at near
+
+  Scenario: A large body stays near longer
+    Given targets "near" in hall and "far" elsewhere with 2 slots each
+    Then "near" is chosen for 60000 bytes with 6 calls under way at near
+
+  Scenario: A peer that failed is left out while another one is there
+    Given targets "near" in hall and "far" elsewhere with 2 slots each
+    When "near" fails
+    Then "far" is chosen with 0 calls under way there
+    And "near" is chosen when "far" was asked already
+
+  Scenario: A row whose address another host took over is not used
+    Given member rows where a later host has the address of an earlier one
+    Then only the later host is open
+
+  Scenario: A target that refused as gone stays closed until its row changes
+    Given targets "near" in hall and "far" elsewhere with 2 slots each
+    When "near" is closed and the same rows arrive again
+    Then only "far" is open
+    And "near" is open again with another target
+
+  Scenario Outline: Reports out of order
+    Given a target that reported <first>
+    When it reports <second>
+    Then the local target is <state>
+
+    Examples:
+      | first      | second     | state  |
+      | ready 2    | draining 1 | open   |
+      | ready 2    | draining 3 | closed |
+      | draining 2 | ready 3    | closed |
+      | ready 2    | ready 3    | open   |
+
+  Scenario: Calls and answers between daemons come out as they went in
+    Then any call and any answer is the same after encoding and decoding
--- /dev/null
+++ b/features/steps/gate_steps.py
@@ -0,0 +1,457 @@
+"""Steps over gate, choice, retry window and member table."""
+
+import asyncio
+import random
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies as st
+
+from sedgering import base
+from sedgering import mesh
+from sedgering.mesh import _gate
+from sedgering.mesh import _hop
+from sedgering import transport
+
+ROUTE = base.RouteName('calendar')
+SET = base.TargetSetName('calendar')
+DEADLINE_S = 2.0
+EXAMPLES = 200
+
+
+class GateSubject:
+    """A gate whose clock stands still, and calls that entered it."""
+
+    def __init__(self, places: int, work_ms: float):
+        self.loop = asyncio.new_event_loop()
+        self.gate = mesh.Gate(mesh.MeshSettings(), self.loop.time)
+        self.gate.open(places)
+        self.gate.mean_work_ms = work_ms
+        self.tasks: list[asyncio.Task] = []
+        self.running: list[mesh.Ticket] = []
+
+    def settle(self) -> None:
+        """Let everything that can go on go on."""
+        for _ in range(5):
+            self.loop.run_until_complete(asyncio.sleep(0))
+
+    def arrive(self, urgency, goal_ms=400, priority=1) -> asyncio.Task:
+        """Let a call arrive."""
+        now_s = self.loop.time()
+        ticket = mesh.Ticket(
+            ROUTE, priority, urgency, now_s + DEADLINE_S, now_s + goal_ms / 1e3
+        )
+
+        async def enter():
+            await self.gate.enter(ticket)
+            self.running.append(ticket)
+
+        task = self.loop.create_task(enter())
+        self.tasks.append(task)
+        self.settle()
+        return task
+
+    def free(self) -> None:
+        """Let one call end."""
+        self.gate.leave(self.running.pop(0), _gate.CallResult.CANCELLED, 0)
+        self.settle()
+
+    def close(self) -> None:
+        """End what is left."""
+        for task in self.tasks:
+            task.cancel()
+        self.loop.run_until_complete(
+            asyncio.gather(*self.tasks, return_exceptions=True)
+        )
+        self.loop.close()
+
+
+@given('a gate with {places:d} places where work takes {work_ms:d} ms')
+def step_gate(context, places, work_ms):
+    context.gate = GateSubject(places, work_ms)
+    context.cleanups.append(context.gate.close)
+
+
+@given('{running:d} calls run and {waiting:d} first calls wait')
+def step_full(context, running, waiting):
+    subject = context.gate
+    for _ in range(running + waiting):
+        subject.arrive(mesh.CallUrgency.FIRST, 100_000)
+    step_running(context, running, waiting)
+
+
+@when('{count:d} first calls arrive with a goal of {goal_ms:d} ms')
+def step_arrive_many(context, count, goal_ms):
+    for _ in range(count):
+        context.gate.arrive(mesh.CallUrgency.FIRST, goal_ms)
+
+
+@when('a first call arrives with a goal of {goal_ms:d} ms')
+def step_arrive_first(context, goal_ms):
+    context.task = context.gate.arrive(mesh.CallUrgency.FIRST, goal_ms)
+
+
+@when("a target's call arrives with a goal of {goal_ms:d} ms")
+def step_arrive_target(context, goal_ms):
+    context.task = context.gate.arrive(mesh.CallUrgency.TARGET, goal_ms)
+
+
+@when('a returning call arrives with a goal of {goal_ms:d} ms')
+def step_arrive_return(context, goal_ms):
+    context.task = context.gate.arrive(mesh.CallUrgency.RETURN, goal_ms)
+
+
+@when('a first call of priority 0 arrives with a goal of {goal_ms:d} ms')
+def step_arrive_urgent(context, goal_ms):
+    context.task = context.gate.arrive(mesh.CallUrgency.FIRST, goal_ms, 0)
+
+
+@when('a place becomes free')
+def step_free(context):
+    context.gate.free()
+
+
+@when('the first waiter is cancelled')
+def step_cancel(context):
+    subject = context.gate
+    next(task for task in subject.tasks if not task.done()).cancel()
+    subject.settle()
+
+
+@when('the target refuses {count:d} calls')
+def step_refuse(context, count):
+    end_calls(context.gate, count, _gate.CallResult.REFUSED, 1)
+
+
+@when('the target fails {count:d} calls after {elapsed_ms:d} ms each')
+def step_fail(context, count, elapsed_ms):
+    end_calls(context.gate, count, _gate.CallResult.FAILED, elapsed_ms)
+
+
+@when('the gate closes')
+def step_close(context):
+    context.gate.gate.close(mesh.RefusalReason.LEAVING)
+    context.gate.settle()
+
+
+@then('{running:d} calls run and {waiting:d} waits')
+def step_running(context, running, waiting):
+    gate = context.gate.gate
+    assert (gate.running, gate.waiting) == (running, waiting)
+
+
+@then('it is refused as shed with a time to return')
+def step_refused(context):
+    error = context.task.exception()
+    assert error.reason is mesh.RefusalReason.SHED
+    assert error.retry_after_ms > 0
+
+
+@then("the target's call runs")
+@then('the returning call runs')
+@then('the call of priority 0 runs')
+def step_runs(context):
+    assert context.task.done() and context.task.exception() is None
+
+
+@then('the waiting calls are refused as leaving')
+def step_left(context):
+    errors = [
+        task.exception()
+        for task in context.gate.tasks
+        if task.done() and task.exception()
+    ]
+    assert len(errors) == 2, errors
+    assert {item.reason for item in errors} == {mesh.RefusalReason.LEAVING}
+
+
+@then('the limit is {limit:d}')
+def step_limit(context, limit):
+    assert context.gate.gate.limit == limit, context.gate.gate.limit
+
+
+@then('the limit is {limit:d} again after {count:d} good calls')
+def step_limit_again(context, limit, count):
+    end_calls(context.gate, count, _gate.CallResult.DONE, 100)
+    step_limit(context, limit)
+
+
+@then("the gate's reported work time is above {least_ms:d} ms")
+def step_reported(context, least_ms):
+    report = context.gate.gate.make_report()
+    assert report.work_ms > least_ms, report
+
+
+def end_calls(subject, count, result, elapsed_ms):
+    """Let calls arrive and end, one after the other."""
+    for _ in range(count):
+        subject.arrive(mesh.CallUrgency.FIRST)
+        subject.gate.leave(subject.running.pop(), result, elapsed_ms)
+
+
+@given(
+    'a retry window of ratio {ratio:g} and extra {extra:g} over {window_s:g}'
+    ' s for {daemons:d} daemons'
+)
+def step_window(context, ratio, extra, window_s, daemons):
+    context.window = mesh.RetryWindow(ratio, extra, window_s)
+    context.window.daemons = daemons
+
+
+@when('{count:d} requests are counted at {now_s:g} s')
+def step_count(context, count, now_s):
+    for _ in range(count):
+        context.window.note_request(SET, now_s)
+
+
+@then('{count:d} retries are allowed at {now_s:g} s')
+def step_retries(context, count, now_s):
+    assert count_retries(context.window, SET, now_s) == count
+
+
+@then('{count:d} retries are allowed at {now_s:g} s for another target set')
+def step_retries_other(context, count, now_s):
+    other = base.TargetSetName('ledger')
+    assert count_retries(context.window, other, now_s) == count
+
+
+def count_retries(window, target_set, now_s) -> int:
+    """Spend all that there is."""
+    count = 0
+    while window.take(target_set, now_s):
+        count += 1
+    return count
+
+
+@then('no sliding window of any sequence holds more than is allowed')
+def step_any_sequence(context):
+    steps = st.lists(
+        st.tuples(st.integers(0, 900), st.sampled_from(['ask', 'retry'])),
+        max_size=150,
+    )
+
+    @hypothesis.settings(
+        max_examples=EXAMPLES, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(steps)
+    def check(moves):
+        window = mesh.RetryWindow(0.2, 4, 10)
+        now_ms = 0
+        asked = []
+        retried = []
+        for pause_ms, move in moves:
+            now_ms += pause_ms
+            if move == 'ask':
+                window.note_request(SET, now_ms / 1000)
+                asked.append(now_ms)
+            elif window.take(SET, now_ms / 1000):
+                retried.append(now_ms)
+                # As the rule counts: the window that ends now, and the
+                # requests of the same window.
+                start_ms = now_ms - 9500
+                count = sum(at_ms >= start_ms for at_ms in retried)
+                requests = sum(at_ms >= now_ms - 10_000 for at_ms in asked)
+                assert count <= 0.2 * requests + 4, (moves, retried)
+
+    check()
+
+
+@given('targets "near" in hall and "far" elsewhere with 2 slots each')
+def step_targets(context):
+    context.rows = {
+        'near': make_row('near', 'hall', 1),
+        'far': make_row('far', 'elsewhere', 2),
+    }
+    context.fleet = mesh.FleetTable()
+    context.fleet.replace(context.rows)
+    context.peers = mesh.PeerTable(mesh.MeshSettings())
+
+
+def make_row(host, data_centre, port, target='i-1') -> mesh.MemberRow:
+    """Make a row of a calendar target."""
+    return mesh.MemberRow(
+        host=base.HostId(host),
+        data_centre=base.DataCentre(data_centre),
+        address='10.0.0.1',
+        port=port,
+        target_set=SET,
+        target=base.TargetName(target),
+        slots=2,
+        state=mesh.TargetState.READY,
+    )
+
+
+def choose(context, body_bytes=0, tried=()):
+    """Choose from hall."""
+    peer = mesh.choose_member(
+        context.fleet.by_set[SET],
+        tried,
+        context.peers,
+        base.DataCentre('hall'),
+        body_bytes,
+        random.Random(1),
+        0.0,
+    )
+    return peer.row.host
+
+
+@when('"{host}" fails')
+def step_peer_fails(context, host):
+    context.peers.find(context.rows[host]).fail(0.0, 'test')
+
+
+@when('"near" is closed and the same rows arrive again')
+def step_closed(context):
+    context.fleet.close(base.HostId('near'), base.TargetName('i-1'))
+    context.fleet.replace(dict(context.rows))
+
+
+@then('"{host}" is chosen with {count:d} calls under way there')
+@then('"{host}" is chosen with {count:d} calls under way at near')
+def step_chosen(context, host, count):
+    context.peers.find(context.rows['near']).in_flight = count
+    assert choose(context) == host
+
+
+@then(
+    '"{host}" is chosen for {size:d} bytes with {count:d} calls under way at'
+    ' near'
+)
+def step_chosen_large(context, host, size, count):
+    context.peers.find(context.rows['near']).in_flight = count
+    assert choose(context, size) == host
+
+
+@then('"near" is chosen when "far" was asked already')
+def step_chosen_suspect(context):
+    assert choose(context, tried=('far',)) == 'near'
+
+
+@given('member rows where a later host has the address of an earlier one')
+def step_same_address(context):
+    context.fleet = mesh.FleetTable()
+    context.fleet.replace(
+        {
+            'old': make_row('old', 'hall', 1, 'i-1'),
+            'new': make_row('new', 'hall', 1, 'i-2'),
+        }
+    )
+
+
+@then('only the later host is open')
+def step_only_later(context):
+    assert [row.host for row in context.fleet.by_set[SET]] == ['new']
+
+
+@then('only "far" is open')
+def step_only_far(context):
+    assert [row.host for row in context.fleet.by_set[SET]] == ['far']
+
+
+@then('"near" is open again with another target')
+def step_near_again(context):
+    rows = dict(context.rows, near=make_row('near', 'hall', 1, 'i-9'))
+    context.fleet.replace(rows)
+    hosts = {row.host for row in context.fleet.by_set[SET]}
+    assert hosts == {'near', 'far'}
+
+
+@given('a target that reported {state} {sequence:d}')
+def step_reported_first(context, state, sequence):
+    context.target = mesh.LocalTarget()
+    report(context, state, sequence)
+
+
+@when('it reports {state} {sequence:d}')
+def step_reported_second(context, state, sequence):
+    report(context, state, sequence)
+
+
+@then('the local target is {state}')
+def step_local_state(context, state):
+    assert context.target.is_open == (state == 'open')
+
+
+def report(context, state, sequence):
+    """Take in a report."""
+    context.target.take_report(
+        mesh.TargetReport(
+            target=base.TargetName('i-1'),
+            target_set=SET,
+            slots=2,
+            state=mesh.TargetState(state),
+            cold_ms=0,
+            sequence=sequence,
+        ),
+        0.0,
+    )
+
+
+NAMES = st.text('abcdefghij0123456789-.', min_size=1, max_size=12)
+FIELDS = st.lists(
+    st.tuples(st.sampled_from(['X-A', 'Accept']), NAMES), max_size=3
+)
+CALLS = st.builds(
+    mesh.TargetCall,
+    request=st.builds(
+        transport.Request,
+        method=st.sampled_from(['GET', 'POST']),
+        url=st.just('/a?b'),
+        headers=FIELDS,
+        body=st.binary(max_size=20),
+        has_body=st.just(True),
+    ),
+    request_id=NAMES,
+    target_set=NAMES,
+    target=NAMES,
+    route=NAMES,
+    origin=NAMES,
+    priority=st.integers(0, 9),
+    is_repeatable=st.booleans(),
+    urgency=st.sampled_from(list(mesh.CallUrgency)),
+    remaining_ms=st.integers(0, 9999),
+    goal_ms=st.integers(0, 9999),
+    version=st.integers(0, 9999),
+)
+ANSWERS = st.builds(
+    mesh.CallAnswer,
+    outcome=st.just(mesh.CallOutcome.ANSWERED),
+    response=st.builds(
+        transport.Response,
+        status=st.sampled_from([200, 404, 500]),
+        headers=FIELDS,
+        body=st.binary(max_size=20),
+    ),
+    reason=st.sampled_from(list(mesh.RefusalReason)),
+    retry_after_ms=st.integers(0, 9999),
+    load=st.none()
+    | st.builds(mesh.LoadReport, *[st.integers(0, 999) for _ in range(4)]),
+    reached_target=st.booleans(),
+    detail=NAMES,
+)
+
+
+@then('any call and any answer is the same after encoding and decoding')
+def step_hop(context):
+    @hypothesis.settings(
+        max_examples=EXAMPLES, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(CALLS, ANSWERS)
+    def check(call, answer):
+        data = _hop.encode_call(call)
+        head, _mark, body = data.partition(b'\r\n\r\n')
+        lines = head.decode('latin-1').split('\r\n')[1:]
+        headers = [tuple(line.split(': ', 1)) for line in lines]
+        request = transport.Request(
+            call.request.method,
+            call.request.url,
+            transport.strip_hop_headers(headers),
+            body,
+            True,
+        )
+        assert _hop.decode_call(request) == call
+        assert _hop.decode_answer(_hop.encode_answer(answer)) == answer
+
+    check()
--- a/sedgering/mesh/__init__.py
+++ b/sedgering/mesh/__init__.py
@@ -19,6 +19,7 @@
 from sedgering.mesh._messages import Addresses
 from sedgering.mesh._messages import CallAnswer
 from sedgering.mesh._messages import CallOutcome
+from sedgering.mesh._messages import CallUrgency
 from sedgering.mesh._messages import HeaderNames
 from sedgering.mesh._messages import LoadReport
 from sedgering.mesh._messages import MemberRow
@@ -37,6 +38,7 @@
     'Addresses',
     'CallAnswer',
     'CallOutcome',
+    'CallUrgency',
     'ConfigHolder',
     'FleetTable',
     'Gate',
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -13,7 +13,9 @@
 from sedgering.mesh import _inbound
 from sedgering.mesh import _messages
 from sedgering.mesh import _outbound
+from sedgering.mesh import _pause
 from sedgering.mesh import _peers
+from sedgering.mesh import _probe
 from sedgering.mesh import _settings
 from sedgering.mesh import _source
 from sedgering.mesh import _target
@@ -23,6 +25,9 @@
 
 LOG = logging.getLogger(__name__)
 
+#: Time for which the first report of the local target is awaited before it
+#: is asked.
+AWAIT_REPORT_S = 0.1
 #: Between two looks at whether a leaving daemon is idle.
 LEAVE_CHECK_S = 0.05
 
@@ -51,10 +56,14 @@
         self.addresses = addresses
         self.state = state
         self.source = source
-        self.outbound = _outbound.OutboundService(state)
-        self.inbound = _inbound.InboundService(state.side)
+        self.pause = _pause.PauseWatch()
+        self.outbound = _outbound.OutboundService(state, self.pause)
+        self.inbound = _inbound.InboundService(
+            state.side, self.note_version, self.pause
+        )
         self.is_leaving = False
         self._servers: list[asyncio.AbstractServer] = []
+        self._tasks: list[asyncio.Task] = []
 
     @property
     def is_ready(self) -> bool:
@@ -74,14 +83,47 @@
             ),
             await transport.serve(self.inbound, own.address, own.peers_port),
         ]
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self.pause.run()),
+            loop.create_task(self._find_target()),
+        ]
         self.source.start(self.take_config, self.take_members)
         LOG.info('started', extra={'detail': f'{own.address}'})
 
+    async def _find_target(self) -> None:
+        """Ask the local target who it is, unless it says so first."""
+        await asyncio.sleep(AWAIT_REPORT_S)
+        while not self.is_ready:
+            await asyncio.sleep(AWAIT_REPORT_S)
+        side = self.state.side
+        path = self.state.config.health_paths.get(self.identity.target_set)
+        if side.target.report is not None or not path:
+            return
+        report = await _probe.probe_target(
+            side.pool, path, self.state.names, self.identity.target_set
+        )
+        if report is None or side.target.report is not None:
+            return
+        row = self.state.fleet.members.get(self.identity.host)
+        is_known = row is not None and row.target == report.target
+        if is_known and row.state is not _messages.TargetState.READY:
+            # An earlier lifetime of this daemon has acknowledged that
+            # the target is leaving.
+            LOG.info('target is leaving', extra={'target': row.target})
+            return
+        self.take_report(report)
+
     def take_config(self, config: _config.AcceptedConfig) -> None:
         """Put a version in force, if it is newer."""
         if self.state.config.apply(config):
             self.state.turns.retain(config.bundle.routes)
 
+    def note_version(self, version: base.Version) -> None:
+        """Read the newest version when a peer uses a newer one."""
+        if version > self.state.config.version:
+            self.source.ask_config()
+
     def take_members(
         self, members: dict[base.HostId, _messages.MemberRow]
     ) -> None:
@@ -145,19 +187,24 @@
         end_s = started_s + (grace_ms - limits.leave_margin_ms) / 1000
         while loop.time() < end_s and self._close_idle():
             await asyncio.sleep(LEAVE_CHECK_S)
-        self.source.stop()
+        self._stop_tasks()
         left = len(self.outbound.connections)
         LOG.info('left', extra={'detail': f'{left} connections cut'})
 
     async def close(self) -> None:
         """End at once, without leaving."""
-        self.source.stop()
+        self._stop_tasks()
         for server in self._servers:
             server.close()
         for service in (self.outbound, self.inbound):
             for connection in list(service.connections):
                 connection.transport.abort()
 
+    def _stop_tasks(self) -> None:
+        self.source.stop()
+        for task in self._tasks:
+            task.cancel()
+
     def _close_idle(self) -> bool:
         """Close idle connections; say whether any are busy."""
         is_busy = False
--- a/sedgering/mesh/_gate.py
+++ b/sedgering/mesh/_gate.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import enum
 import heapq
 
 import msgspec
@@ -10,14 +11,34 @@
 from sedgering.mesh import _messages
 from sedgering.mesh import _settings
 
-__all__ = ['Gate', 'GateRefused', 'Ticket']
+__all__ = ['CallResult', 'Gate', 'GateRefused', 'Ticket']
 
 #: Weight of the newest work time in the moving mean.
 WORK_WEIGHT = 0.1
+#: Weight of the newest result in the share of failures: about the last
+#: thirty calls count.
+FAILURE_WEIGHT = 0.03
+#: How much more a target seems to cost for each share that it fails.
+FAILURE_COST = 5.0
 #: Work time assumed of a route that has not been seen.
 FIRST_WORK_MS = 100.0
-#: Answers without a refusal after which a lowered limit grows by one.
-RECOVER_AFTER = 10
+#: Calls that end well after which a lowered limit grows by one.
+RECOVER_AFTER = 5
+#: The limit is not lowered below this share of the slots: a target that
+#: refuses at random is avoided by choice, not starved.
+LEAST_LIMIT_SHARE = 0.5
+
+
+class CallResult(enum.Enum):
+    """How a call ended, as far as its target shows."""
+
+    DONE = 'done'
+    #: The target refused before work.
+    REFUSED = 'refused'
+    #: An error of the target's, or no whole answer.
+    FAILED = 'failed'
+    #: The caller went away; nothing is learned.
+    CANCELLED = 'cancelled'
 
 
 class GateRefused(Exception):
@@ -48,18 +69,24 @@
         Work times are kept by route.
     priority : int
         0 is served first.
-    is_return : bool
-        Refused before; worth waiting for until its deadline.
+    urgency : CallUrgency
+        Who waits for it.
     deadline_s, goal_s : float
         Times of the event loop.
     """
 
     route: base.RouteName
     priority: int
-    is_return: bool
+    urgency: _messages.CallUrgency
     deadline_s: float
     goal_s: float
 
+    @property
+    def rank(self) -> tuple:
+        """Order of service: calls of targets go before all others."""
+        is_outer = self.urgency is not _messages.CallUrgency.TARGET
+        return (is_outer, self.priority, self.urgency, self.deadline_s)
+
 
 class _Waiter:
     __slots__ = ('future', 'ticket', 'timer')
@@ -94,7 +121,8 @@
         self.is_open = False
         self.mean_work_ms = FIRST_WORK_MS
         self._work_ms: dict[base.RouteName, float] = {}
-        self._queue: list[tuple[int, float, int, _Waiter]] = []
+        self._queue: list[tuple[tuple, int, _Waiter]] = []
+        self._failure_share = 0.0
         self._sequence = 0
         self._calm = 0
 
@@ -115,13 +143,17 @@
         """Refuse new calls and those that wait; the rest goes on."""
         self.is_open = False
         queue, self._queue = self._queue, []
-        for _rank, _deadline_s, _sequence, waiter in queue:
+        for _rank, _sequence, waiter in queue:
             self._refuse(waiter, reason)
 
     def make_report(self) -> _messages.LoadReport:
         """Make what other daemons are told with each answer."""
+        cost = 1 + FAILURE_COST * self._failure_share
         return _messages.LoadReport(
-            self.running, self.waiting, self.limit, int(self.mean_work_ms)
+            self.running,
+            self.waiting,
+            self.limit,
+            int(self.mean_work_ms * cost),
         )
 
     def work_ms(self, route: base.RouteName) -> float:
@@ -157,7 +189,7 @@
             waiter.timer.cancel()
 
     def leave(
-        self, ticket: Ticket, elapsed_ms: float | None, is_full: bool
+        self, ticket: Ticket, result: CallResult, elapsed_ms: float
     ) -> None:
         """Give the place back.
 
@@ -165,19 +197,29 @@
         ----------
         ticket : Ticket
             With which it was taken.
-        elapsed_ms : float or None
-            Time at the target, where it ended by itself.
-        is_full : bool
-            Whether the target refused because it had no room.
+        result : CallResult
+            How the call ended.
+        elapsed_ms : float
+            Time at the target.
         """
-        if is_full:
-            self.limit = max(1, min(self.limit, self.running) - 1)
-            self._calm = 0
-        elif elapsed_ms is not None:
-            self._learn(ticket.route, elapsed_ms)
+        if result is not CallResult.CANCELLED:
+            self._learn(ticket.route, result, elapsed_ms)
         self._free()
 
-    def _learn(self, route: base.RouteName, elapsed_ms: float) -> None:
+    def _learn(
+        self, route: base.RouteName, result: CallResult, elapsed_ms: float
+    ) -> None:
+        is_failure = float(result is not CallResult.DONE)
+        self._failure_share += FAILURE_WEIGHT * (
+            is_failure - self._failure_share
+        )
+        if result is CallResult.REFUSED:
+            least = max(1, int(self.slots * LEAST_LIMIT_SHARE))
+            self.limit = max(least, self.limit - 1)
+            self._calm = 0
+        if result is not CallResult.DONE:
+            # A target that fails at once must not seem quick.
+            return
         old_ms = self._work_ms.get(route, elapsed_ms)
         self._work_ms[route] = old_ms + WORK_WEIGHT * (elapsed_ms - old_ms)
         self.mean_work_ms += WORK_WEIGHT * (elapsed_ms - self.mean_work_ms)
@@ -198,11 +240,23 @@
                 waiter.future.set_result(None)
 
     def _check_time(self, ticket: Ticket) -> None:
-        """Refuse what could not end before its goal, or its deadline."""
-        ahead = sum(1 for entry in self._queue if entry[0] <= ticket.priority)
-        wait_ms = (ahead + 1) * self.mean_work_ms / self.limit
+        """Refuse what could not end in time.
+
+        A caller that is refused at once may come back and still be
+        served within its goal; one that waits beyond its goal holds a
+        place that another one could have used in time.
+        """
+        rank = ticket.rank
+        ahead_ms = self.mean_work_ms + sum(
+            self.work_ms(entry[-1].ticket.route)
+            for entry in self._queue
+            if entry[0] <= rank
+        )
+        wait_ms = ahead_ms / self.limit
         end_s = self.now_s() + (wait_ms + self.work_ms(ticket.route)) / 1000
-        limit_s = ticket.deadline_s if ticket.is_return else ticket.goal_s
+        limit_s = ticket.goal_s
+        if ticket.urgency is _messages.CallUrgency.TARGET:
+            limit_s = ticket.deadline_s
         if end_s > limit_s:
             raise GateRefused(_messages.RefusalReason.SHED, int(wait_ms))
 
@@ -210,10 +264,7 @@
         loop = asyncio.get_running_loop()
         waiter = _Waiter(ticket, loop.create_future())
         self._sequence += 1
-        heapq.heappush(
-            self._queue,
-            (ticket.priority, ticket.deadline_s, self._sequence, waiter),
-        )
+        heapq.heappush(self._queue, (ticket.rank, self._sequence, waiter))
         margin = self.mesh_settings.shed_margin_percent / 100
         work_s = self.work_ms(ticket.route) / 1000
         latest_s = ticket.deadline_s - margin * work_s
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -44,7 +44,7 @@
         call.origin,
         str(call.priority),
         str(int(call.is_repeatable)),
-        str(int(call.is_return)),
+        str(int(call.urgency)),
         str(call.remaining_ms),
         str(call.goal_ms),
         str(call.version),
@@ -75,7 +75,7 @@
     try:
         (request_id, target_set, target, route, origin) = fields[:5]
         numbers = [int(field) for field in fields[5:]]
-        (priority, repeatable, is_return, remaining_ms, goal_ms, version) = (
+        (priority, repeatable, urgency, remaining_ms, goal_ms, version) = (
             numbers
         )
     except ValueError as error:
@@ -90,7 +90,7 @@
         origin=base.TargetSetName(origin),
         priority=priority,
         is_repeatable=bool(repeatable),
-        is_return=bool(is_return),
+        urgency=_messages.CallUrgency(urgency),
         remaining_ms=remaining_ms,
         goal_ms=goal_ms,
         version=base.Version(version),
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -1,11 +1,14 @@
 """The side of the target: calls of other daemons, gate, and the target."""
 
 import asyncio
+from collections.abc import Callable
 import logging
 
+from sedgering import base
 from sedgering.mesh import _gate
 from sedgering.mesh import _hop
 from sedgering.mesh import _messages
+from sedgering.mesh import _pause
 from sedgering.mesh import _settings
 from sedgering.mesh import _target
 from sedgering import transport
@@ -21,6 +24,7 @@
 #: Idle connections to the target beyond its slots.
 SPARE_CONNECTIONS = 4
 MISDIRECTED = 421
+SERVER_ERROR = 500
 #: Fields of the caller that the daemon sets itself.
 _REPLACED = ('deadline_ms', 'expected_target', 'origin')
 
@@ -81,7 +85,7 @@
         ticket = _gate.Ticket(
             call.route,
             call.priority,
-            call.is_return,
+            call.urgency,
             now_s + call.remaining_ms / 1000,
             now_s + call.goal_ms / 1000,
         )
@@ -94,15 +98,8 @@
         try:
             answer = await self._send(call, ticket)
         finally:
-            elapsed_ms = None
-            is_full = False
-            if answer is not None:
-                is_full = (
-                    answer.reason is _messages.RefusalReason.TARGET_REFUSED
-                )
-                if answer.outcome is _messages.CallOutcome.ANSWERED:
-                    elapsed_ms = (self.gate.now_s() - started_s) * 1000
-            self.gate.leave(ticket, elapsed_ms, is_full)
+            elapsed_ms = (self.gate.now_s() - started_s) * 1000
+            self.gate.leave(ticket, _judge(answer), elapsed_ms)
         answer.load = self.gate.make_report()
         return answer
 
@@ -213,6 +210,19 @@
         )
 
 
+def _judge(answer: _messages.CallAnswer | None) -> _gate.CallResult:
+    """Tell the gate how a call ended, as far as its target shows."""
+    if answer is None:
+        return _gate.CallResult.CANCELLED
+    if answer.reason is _messages.RefusalReason.TARGET_REFUSED:
+        return _gate.CallResult.REFUSED
+    if answer.outcome is not _messages.CallOutcome.ANSWERED:
+        return _gate.CallResult.FAILED
+    if answer.response.status >= SERVER_ERROR:
+        return _gate.CallResult.FAILED
+    return _gate.CallResult.DONE
+
+
 class InboundService(transport.Service):
     """Answers other daemons.
 
@@ -220,11 +230,22 @@
     ----------
     side : TargetSide
         Runs the calls.
+    note_version : callable
+        Told the version by which each call was routed.
+    pause : PauseWatch
+        Tells how late a call is read.
     """
 
-    def __init__(self, side: TargetSide):
+    def __init__(
+        self,
+        side: TargetSide,
+        note_version: Callable[[base.Version], None],
+        pause: _pause.PauseWatch,
+    ):
         super().__init__()
         self.side = side
+        self.note_version = note_version
+        self.pause = pause
 
     def find_limits(self) -> transport.CallerLimits:
         """Return wide limits: the caller's were checked before."""
@@ -237,6 +258,10 @@
         except _hop.HopError as error:
             LOG.warning('call refused', extra={'detail': str(error)})
             return transport.make_json_response(400, {'error': str(error)})
+        self.note_version(call.version)
+        lag_ms = int(1000 * await self.pause.settle())
+        call.remaining_ms = max(0, call.remaining_ms - lag_ms)
+        call.goal_ms = max(0, call.goal_ms - lag_ms)
         try:
             async with asyncio.timeout(call.remaining_ms / 1000):
                 answer = await self.side.run(call)
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -11,6 +11,7 @@
     'Addresses',
     'CallAnswer',
     'CallOutcome',
+    'CallUrgency',
     'HeaderNames',
     'LoadReport',
     'MemberRow',
@@ -65,6 +66,18 @@
     DEADLINE = 'deadline'
 
 
+class CallUrgency(enum.IntEnum):
+    """Who waits for a call; smaller values are served first."""
+
+    #: A target that works on a request: its slot is held meanwhile, and
+    #: its work is lost if the call fails.
+    TARGET = 0
+    #: A caller that seems to have been refused before.
+    RETURN = 1
+    #: A caller that asks for the first time.
+    FIRST = 2
+
+
 class HeaderNames(msgspec.Struct, frozen=True):
     """Names of the header fields that are shared with callers and targets.
 
@@ -84,6 +97,8 @@
         Set by a target on a refusal before any work.
     target : str
         Id of the target that answers.
+    load : str
+        Calls that run and that wait, and slots, in answers of targets.
     """
 
     request_id: str
@@ -93,6 +108,7 @@
     origin: str
     not_run: str
     target: str
+    load: str
 
 
 class MeshIdentity(msgspec.Struct, frozen=True):
@@ -193,7 +209,8 @@
     running, waiting, limit : int
         Calls at the target, calls that wait, and most calls at a time.
     work_ms : int
-        Recent mean time at the target.
+        Recent mean time at the target, raised by the share of calls that
+        it fails.
     """
 
     running: int
@@ -221,8 +238,8 @@
         0 is served first.
     is_repeatable : bool
         Whether it may run more than once.
-    is_return : bool
-        Whether its caller seems to have asked before.
+    urgency : CallUrgency
+        Who waits for it.
     remaining_ms, goal_ms : int
         Time left until its deadline, and until its latency goal.
     version : int
@@ -237,7 +254,7 @@
     origin: base.TargetSetName
     priority: int
     is_repeatable: bool
-    is_return: bool
+    urgency: CallUrgency
     remaining_ms: int
     goal_ms: int
     version: base.Version
--- a/sedgering/mesh/_outbound.py
+++ b/sedgering/mesh/_outbound.py
@@ -16,6 +16,7 @@
 from sedgering.mesh import _hop
 from sedgering.mesh import _inbound
 from sedgering.mesh import _messages
+from sedgering.mesh import _pause
 from sedgering.mesh import _peers
 from sedgering.mesh import _settings
 from sedgering import transport
@@ -29,10 +30,12 @@
 #: A request with less of its time left than this share seems to have been
 #: asked before; callers state the time that is left.
 RETURN_SHARE = 0.97
-#: Longest wait that callers honour, as a share of the time they have left.
-RETRY_AFTER_SHARE = 0.3
-#: Spread of the time after which refused callers return.
-RETRY_AFTER_NOISE = 0.5
+#: Bounds of the time after which a refused caller returns, as shares of the
+#: time that it has left.  Callers honour a third; the spread keeps those
+#: that were refused together from returning together.
+RETRY_AFTER_SHARES = (0.12, 0.32)
+#: Gates that may refuse a request before it is given up.
+SHEDS_LIMIT = 2
 SERVER_ERROR = 500
 
 _Outcome = _messages.CallOutcome
@@ -112,7 +115,9 @@
         self.version = base.NO_VERSION
         self.deadline_s = 0.0
         self.goal_s = 0.0
-        self.is_return = False
+        self.urgency = _messages.CallUrgency.FIRST
+        self.caller_left_ms = 0
+        self.sheds = 0
         self.arrivals = 0
         self.asked: list[base.HostId] = []
         self.may_have_run = False
@@ -167,11 +172,17 @@
         longest = self.state.longest_ms
         longest_ms = max(longest.get(self.route.name, 0), stated_ms)
         longest[self.route.name] = longest_ms
-        self.is_return = stated_ms < longest_ms * RETURN_SHARE
+        self.caller_left_ms = stated_ms
+        if longest_ms <= timeout_ms:
+            # Callers of this route never have time to come back: it is
+            # called by targets that work on requests of their own.
+            self.urgency = _messages.CallUrgency.TARGET
+        elif stated_ms < longest_ms * RETURN_SHARE:
+            self.urgency = _messages.CallUrgency.RETURN
+        # A caller that was refused at once earns most of the worth within
+        # the goal as counted from the new attempt.
         goal_ms = self.policy.latency_goal_ms or timeout_ms
-        # The goal counts from the caller's first attempt.
-        spent_ms = longest_ms - stated_ms
-        self.goal_s = started_s + max(0, goal_ms - spent_ms) / 1000
+        self.goal_s = started_s + goal_ms / 1000
 
     @property
     def _now_s(self) -> float:
@@ -265,7 +276,7 @@
             origin=self.state.identity.target_set,
             priority=self.policy.priority,
             is_repeatable=self.route.repeatable,
-            is_return=self.is_return,
+            urgency=self.urgency,
             remaining_ms=max(0, int((self.deadline_s - now_s) * 1000)),
             goal_ms=max(0, int((self.goal_s - now_s) * 1000)),
             version=self.version,
@@ -282,6 +293,7 @@
         if answer.reason in (_Reason.WRONG_TARGET, _Reason.LEAVING):
             self.state.fleet.close(peer.row.host, peer.row.target)
         elif answer.reason is _Reason.SHED:
+            self.sheds += 1
             peer.shed_until_s = self._now_s + answer.retry_after_ms / 2000
         if answer.outcome is not _Outcome.ANSWERED:
             self.state.decisions.log_attempt(
@@ -301,7 +313,7 @@
         if answer.outcome is _Outcome.NOT_RUN and not answer.reached_target:
             # Nothing arrived at a target: neither attempts nor the
             # retry budget are touched.
-            return True
+            return self.sheds < SHEDS_LIMIT
         if answer.outcome is _Outcome.NOT_RUN or self.route.repeatable:
             return self._may_send_again() and self._spend()
         return False
@@ -365,15 +377,10 @@
     def _find_pause_s(self) -> float:
         """Return when a refused caller should come back."""
         limits = self.state.mesh_settings
-        pause_ms = limits.least_retry_after_ms
-        if self.last is not None:
-            pause_ms = max(pause_ms, self.last.retry_after_ms)
-        pause_ms *= 1 + RETRY_AFTER_NOISE * self.state.rng.random()
-        pause_ms = min(pause_ms, limits.longest_retry_after_ms)
-        left_s = self.deadline_s - self._now_s
-        if left_s > 0:
-            return min(pause_ms / 1000, RETRY_AFTER_SHARE * left_s)
-        return pause_ms / 1000
+        left_ms = self.caller_left_ms - self._elapsed_ms()
+        share = self.state.rng.uniform(*RETRY_AFTER_SHARES)
+        pause_ms = max(limits.least_retry_after_ms, share * left_ms)
+        return min(pause_ms, limits.longest_retry_after_ms) / 1000
 
     def _elapsed_ms(self) -> int:
         return int((self._now_s - self.request.received_s) * 1000)
@@ -394,11 +401,14 @@
     ----------
     state : RequestState
         Shared by all requests.
+    pause : PauseWatch
+        Tells how late a request is read.
     """
 
-    def __init__(self, state: RequestState):
+    def __init__(self, state: RequestState, pause: _pause.PauseWatch):
         super().__init__()
         self.state = state
+        self.pause = pause
 
     def find_limits(self) -> transport.CallerLimits:
         """Return the limits that the operator set."""
@@ -406,4 +416,5 @@
 
     async def answer(self, request: transport.Request) -> transport.Response:
         """Answer one request."""
+        request.received_s -= await self.pause.settle()
         return await _Exchange(request, self.state).run()
--- /dev/null
+++ b/sedgering/mesh/_probe.py
@@ -0,0 +1,74 @@
+"""Asks the local target who it is, when its report is still awaited."""
+
+import asyncio
+import logging
+
+from sedgering import base
+from sedgering.mesh import _messages
+from sedgering import transport
+
+__all__ = ['probe_target']
+
+LOG = logging.getLogger(__name__)
+
+#: Longest wait; the next heartbeat comes within some 1.5 s in any case.
+PROBE_TIMEOUT_S = 1.0
+STATUS_OK = 200
+
+
+async def probe_target(
+    pool: transport.ConnectionPool,
+    path: str,
+    names: _messages.HeaderNames,
+    target_set: base.TargetSetName,
+) -> _messages.TargetReport | None:
+    """Ask the health check of the local target.
+
+    A daemon that was restarted beside a running target need not wait for
+    the next heartbeat.  A target that is leaving does not answer 200.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Connections to the target.
+    path : str
+        Of the health check.
+    names : HeaderNames
+        Fields shared with targets.
+    target_set : str
+        Of the target, from the settings.
+
+    Returns
+    -------
+    TargetReport or None
+        None when it gives no good answer.
+    """
+    request = transport.Request('GET', path, [('Host', pool.address)])
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            connection = await pool.take()
+            response = await connection.exchange(
+                transport.encode_request(request), lambda _response: True
+            )
+    except (
+        transport.ConnectFailed,
+        transport.ExchangeFailed,
+        TimeoutError,
+    ) as error:
+        LOG.info('probe failed', extra={'detail': repr(error)})
+        return None
+    pool.put(connection)
+    target = transport.find_header(response.headers, names.target.lower())
+    load = transport.find_header(response.headers, names.load.lower()) or ''
+    slots = load.rpartition(',')[2].strip()
+    if response.status != STATUS_OK or target is None or not slots.isdigit():
+        LOG.info('probe refused', extra={'status': response.status})
+        return None
+    return _messages.TargetReport(
+        target=base.TargetName(target),
+        target_set=target_set,
+        slots=int(slots),
+        state=_messages.TargetState.READY,
+        cold_ms=0,
+        sequence=-1,
+    )
--- a/sedgering/platform/__init__.py
+++ b/sedgering/platform/__init__.py
@@ -8,6 +8,7 @@
 from sedgering.platform._document import MESH
 from sedgering.platform._program import run_daemon
 from sedgering.platform._readiness import ReadinessService
+from sedgering.platform._reload import SettingsFollower
 from sedgering.platform._reports import ReportsService
 from sedgering.platform._settings import decode_settings
 from sedgering.platform._settings import HostSettings
@@ -34,6 +35,7 @@
     'Put',
     'ReadinessService',
     'ReportsService',
+    'SettingsFollower',
     'StoreClient',
     'StoreSettings',
     'StoredRow',
--- a/sedgering/platform/_program.py
+++ b/sedgering/platform/_program.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import gc
-import logging
 import signal
 
 from sedgering import mesh
 from sedgering.platform import _document
 from sedgering.platform import _readiness
+from sedgering.platform import _reload
 from sedgering.platform import _reports
 from sedgering.platform import _settings
 from sedgering.platform import _source
@@ -16,8 +16,6 @@
 
 __all__ = ['run_daemon']
 
-LOG = logging.getLogger(__name__)
-
 
 async def _serve(
     host_settings: _settings.HostSettings, mesh_settings: mesh.MeshSettings
@@ -44,7 +42,14 @@
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload)
+
+    def apply(found: _settings.HostSettings) -> None:
+        budget.ratio = found.retry_ratio * share
+        budget.extra = found.retry_extra * share
+        source.use_store(found.store)
+
+    follower = _reload.SettingsFollower(host_settings, apply)
+    loop.add_signal_handler(signal.SIGHUP, follower.reload)
     own = host_settings.addresses
     readiness = _readiness.ReadinessService(lambda: daemon.is_ready)
     reports = _reports.ReportsService(daemon)
@@ -54,12 +59,10 @@
     # Modules and tables made so far are left out of collections.
     gc.collect()
     gc.freeze()
+    following = loop.create_task(follower.run())
     await stopping.wait()
-    await daemon.leave(host_settings.grace_ms)
-
-
-def _reload() -> None:
-    LOG.info('settings file changed; nothing to reload')
+    following.cancel()
+    await daemon.leave(follower.host_settings.grace_ms)
 
 
 def run_daemon(
--- a/sedgering/platform/_source.py
+++ b/sedgering/platform/_source.py
@@ -32,6 +32,8 @@
 #: Pause after changes: several that come in quick succession cost one
 #: call.  A fifth of the shortest time in which a version must be in force.
 GATHER_S = 0.4
+#: Between two reads that peers with a newer version cause.
+ASK_INTERVAL_S = 0.5
 #: Pauses after failures; spread so that many daemons do not return at once.
 FIRST_PAUSE_S = 0.2
 LONGEST_PAUSE_S = 1.0
@@ -69,6 +71,10 @@
     def read_all(self) -> int:
         """Read the table; return the counter of the store."""
 
+    def read_aside(self, client: _store.StoreClient) -> None:
+        """Read the table with another thread's client."""
+        raise NotImplementedError
+
     @abc.abstractmethod
     def take_changes(self, rows: tuple[_store.StoredRow, ...]) -> None:
         """Take in changed rows."""
@@ -128,7 +134,14 @@
 
     def read_all(self) -> int:
         """Read the operator's row."""
-        page = self.client.read(self.table, CONFIG_KEY, CONFIG_KEY + '\0')
+        return self._read(self.client)
+
+    def read_aside(self, client: _store.StoreClient) -> None:
+        """Read the operator's row with another thread's client."""
+        self._read(client)
+
+    def _read(self, client: _store.StoreClient) -> int:
+        page = client.read(self.table, CONFIG_KEY, CONFIG_KEY + '\0')
         self.take_changes(page.rows)
         return page.revision
 
@@ -195,8 +208,9 @@
         self.host = host
         self.is_stopping = False
         self._wanted: bytes | None = None
+        self._is_new = False
         self._is_wanted = threading.Event()
-        self._ask: Callable[[], None] | None = None
+        self._read: Callable[[_store.StoreClient], None] | None = None
         self._lock = threading.Lock()
         self._revision: int | None = None
         self._rng = random.Random()
@@ -209,6 +223,13 @@
         """Make this the row; the newest wish replaces older ones."""
         with self._lock:
             self._wanted = None if row is None else _ENCODER.encode(row)
+            self._is_new = True
+            self._is_wanted.set()
+
+    def ask(self, read: Callable[[_store.StoreClient], None]) -> None:
+        """Read something once in this thread."""
+        with self._lock:
+            self._read = read
             self._is_wanted.set()
 
     def _run(self) -> None:
@@ -217,8 +238,13 @@
             with self._lock:
                 self._is_wanted.clear()
                 wanted = self._wanted
+                is_new, self._is_new = self._is_new, False
+                read, self._read = self._read, None
             try:
-                self._write(wanted)
+                if read is not None:
+                    read(self.client)
+                if is_new:
+                    self._write(wanted)
             except exceptions.PlatformError as error:
                 LOG.info(
                     'row not written',
@@ -227,7 +253,10 @@
                 if error.code is not exceptions.Code.PLATFORM_DOWN:
                     # It may have been written, or be written later.
                     self._revision = None
-                self._is_wanted.set()
+                with self._lock:
+                    self._is_new = self._is_new or is_new
+                    if self._is_new:
+                        self._is_wanted.set()
                 time.sleep(FIRST_PAUSE_S * self._rng.uniform(0.5, 1.0))
 
     def _write(self, wanted: bytes | None) -> None:
@@ -277,6 +306,7 @@
         self.loop = loop
         self._keeper = _RowKeeper(_store.StoreClient(store_settings), host)
         self._watchers: list[_Watcher] = []
+        self._asked_s = 0.0
 
     def start(self, on_config, on_members) -> None:
         """Start the threads."""
@@ -298,8 +328,24 @@
         """Make this the row of this host."""
         self._keeper.want(row)
 
+    def use_store(self, store_settings: _settings.StoreSettings) -> None:
+        """Call the store at another address from now on."""
+        if store_settings == self.store_settings:
+            return
+        self.store_settings = store_settings
+        for client in (
+            self._keeper.client,
+            *(watcher.client for watcher in self._watchers),
+        ):
+            client.move(store_settings)
+
     def ask_config(self) -> None:
         """Read the newest version soon."""
+        now_s = self.loop.time()
+        if now_s - self._asked_s < ASK_INTERVAL_S or not self._watchers:
+            return
+        self._asked_s = now_s
+        self._keeper.ask(self._watchers[0].read_aside)
 
     def stop(self) -> None:
         """Stop the threads after their calls."""
--- a/sedgering/platform/_store.py
+++ b/sedgering/platform/_store.py
@@ -112,12 +112,12 @@
 
     def __init__(self, store_settings: _settings.StoreSettings):
         self.store_settings = store_settings
-        self._pool = urllib3.HTTPConnectionPool(
-            store_settings.address,
-            store_settings.port,
-            maxsize=CONNECTIONS,
-            retries=False,
-        )
+        self._pool = _make_pool(store_settings)
+
+    def move(self, store_settings: _settings.StoreSettings) -> None:
+        """Call the store at another address from now on."""
+        self.store_settings = store_settings
+        self._pool = _make_pool(store_settings)
 
     def read(self, table: str, start: str = '', end: str = '') -> Page:
         """Read all rows of a table, or those of a range of keys.
@@ -241,6 +241,17 @@
         return response.data
 
 
+def _make_pool(
+    store_settings: _settings.StoreSettings,
+) -> urllib3.HTTPConnectionPool:
+    return urllib3.HTTPConnectionPool(
+        store_settings.address,
+        store_settings.port,
+        maxsize=CONNECTIONS,
+        retries=False,
+    )
+
+
 def _make_timeout(read_s: float) -> urllib3.Timeout:
     return urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_s)
 
--- a/sedgering/platform/_wire.py
+++ b/sedgering/platform/_wire.py
@@ -27,6 +27,7 @@
     origin='X-Caller-Service',
     not_run='X-Not-Executed',
     target='X-Instance-Id',
+    load='X-Server-Load',
 )
 
 _DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
