A restarted daemon's target is not closed for good

Their daemons, just restarted, refused calls as 'wrong target' before the first heartbeat; the senders closed them until the member row changes, which it never did, since the target is the same. Change: 'target unknown' is a reason of its own and closes for 200 ms, a leaving or wrong target for 2 s. Also: the bytes of a request's body are given back when its task is cancelled before its first step.

--- a/features/gate.feature
+++ b/features/gate.feature
@@ -93,11 +93,18 @@
     Given member rows where a later host has the address of an earlier one
     Then only the later host is open
 
-  Scenario: A target that refused as gone stays closed until its row changes
+  Scenario: A target that refused as leaving is closed until its row changes
     Given targets "near" in hall and "far" elsewhere with 2 slots each
-    When "near" is closed and the same rows arrive again
-    Then only "far" is open
-    And "near" is open again with another target
+    When "near" refuses as leaving and the same rows arrive again
+    Then nothing is chosen at 1.9 s when "far" was asked already
+    And "near" is chosen at 2.1 s when "far" was asked already
+    And "near" is chosen at 0.1 s with another target
+
+  Scenario: A daemon that does not know its target yet is soon asked again
+    Given targets "near" in hall and "far" elsewhere with 2 slots each
+    When "near" refuses as target unknown and the same rows arrive again
+    Then nothing is chosen at 0.1 s when "far" was asked already
+    And "near" is chosen at 0.3 s when "far" was asked already
 
   Scenario Outline: Reports out of order
     Given a target that reported <first>
--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -134,6 +134,21 @@
     When the target of the first host says "draining"
     Then it is acknowledged, and 20 requests all run at the second host
 
+  Scenario: A daemon restarted beside the same target gets work again
+    When the daemon of the first host is killed and started again
+    And both hosts are asked before its target reports again
+    And the target of the first host says "ready"
+    Then requests of the second host reach the first host within 3 s
+
+  Scenario: A restarted daemon asks its target who it is
+    When the daemon of the first host is killed and started again
+    Then requests of the second host reach the first host within 3 s
+
+  Scenario: A restarted daemon keeps the acknowledgement of its draining target
+    Given the target of the first host said "draining"
+    When the daemon of the first host is killed and started again
+    Then 20 requests all run at the second host
+
   Scenario: Another target at the same address is not taken for the first
     When the target of the first host is replaced unannounced
     Then 20 requests all run at the second host
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -284,6 +284,48 @@
     mesh.acknowledged = mesh.fleet.report(mesh.first, state)
 
 
+@given('the target of the first host said "{state}"')
+def step_said(context, state):
+    step_say(context, state)
+    mesh = context.mesh
+    mesh.first.books.is_leaving = True
+    mesh.fleet.wait_for(
+        lambda: (
+            b'draining'
+            in mesh.fleet.store.read('sedgering_members', mesh.first.name)
+        )
+    )
+
+
+@when('the daemon of the first host is killed and started again')
+def step_restart(context):
+    context.mesh.fleet.restart(context.mesh.first)
+
+
+@when('both hosts are asked before its target reports again')
+def step_ask_early(context):
+    mesh = context.mesh
+    for number in range(20):
+        for host in (mesh.first, mesh.second):
+            mesh.fleet.call(
+                host.addresses.callers_port, '/r0/', X_Request_Id=f'{number}'
+            )
+
+
+@then('requests of the second host reach the first host within 3 s')
+def step_reach_first(context):
+    mesh = context.mesh
+    before = len(mesh.first.books.runs)
+
+    async def ask_until():
+        port = mesh.second.addresses.callers_port
+        async with asyncio.timeout(3):
+            while len(mesh.first.books.runs) == before:
+                await mesh.fleet.start_call(port, '/r0/', X_Request_Id='x')
+
+    mesh.fleet.run(ask_until())
+
+
 @when('the target of the first host deregisters')
 def step_deregister(context):
     mesh = context.mesh
--- a/sedgering/mesh/_choice.py
+++ b/sedgering/mesh/_choice.py
@@ -114,6 +114,8 @@
         if row.host in tried:
             continue
         peer = peers.find(row)
+        if now_s < peer.closed_until_s:
+            continue
         cost_ms = estimate_ms(
             peer, data_centre, body_bytes, peers.mesh_settings, now_s
         )
--- a/sedgering/mesh/_fleet.py
+++ b/sedgering/mesh/_fleet.py
@@ -19,7 +19,6 @@
             base.TargetSetName, tuple[_messages.MemberRow, ...]
         ] = {}
         self.is_known = False
-        self._closed: dict[base.HostId, base.TargetName] = {}
 
     def replace(self, members: dict[base.HostId, _messages.MemberRow]) -> None:
         """Take over the list as the store has it."""
@@ -32,35 +31,12 @@
                 _log_change('member removed', row)
         self.members = members
         self.is_known = True
-        self._closed = {
-            host: target
-            for host, target in self._closed.items()
-            if host in members and members[host].target == target
-        }
-        self._index()
-
-    def close(self, host: base.HostId, target: base.TargetName) -> None:
-        """Send nothing more to a target that refused as leaving or gone.
-
-        It stays closed until another row of its host arrives.
-        """
-        row = self.members.get(host)
-        if row is None or row.target != target:
-            return
-        if self._closed.get(host) == target:
-            return
-        self._closed[host] = target
-        _log_change('member closed', row)
         self._index()
 
     def _index(self) -> None:
         by_set: dict[base.TargetSetName, list[_messages.MemberRow]] = {}
-        for host, row in self._latest_by_address().items():
-            is_open = (
-                row.state is _messages.TargetState.READY
-                and self._closed.get(host) != row.target
-            )
-            if is_open:
+        for row in self._latest_by_address().values():
+            if row.state is _messages.TargetState.READY:
                 by_set.setdefault(row.target_set, []).append(row)
         self.by_set = {name: tuple(rows) for name, rows in by_set.items()}
 
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -79,6 +79,8 @@
 
     async def run(self, call: _messages.TargetCall) -> _messages.CallAnswer:
         """Run a call at the local target, or refuse it."""
+        if self.target.target is None:
+            return self._refuse(_messages.RefusalReason.TARGET_UNKNOWN)
         if self.target.target != call.target:
             return self._refuse(_messages.RefusalReason.WRONG_TARGET)
         now_s = self.gate.now_s()
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -52,6 +52,8 @@
     UNREACHABLE = 'unreachable'
     #: Another target, or none, is beside that daemon.
     WRONG_TARGET = 'wrong target'
+    #: The daemon has just started, and does not know its target yet.
+    TARGET_UNKNOWN = 'target unknown'
     #: The target or its host is leaving.
     LEAVING = 'leaving'
     #: It could not have finished in time.
--- a/sedgering/mesh/_outbound.py
+++ b/sedgering/mesh/_outbound.py
@@ -290,8 +290,8 @@
             self.may_have_run = True
         if answer.outcome is _Outcome.ANSWERED:
             self.answered = answer
-        if answer.reason in (_Reason.WRONG_TARGET, _Reason.LEAVING):
-            self.state.fleet.close(peer.row.host, peer.row.target)
+        if answer.reason in _CLOSING_REASONS:
+            peer.close(self._now_s, answer.reason)
         elif answer.reason is _Reason.SHED:
             self.sheds += 1
             peer.shed_until_s = self._now_s + answer.retry_after_ms / 2000
@@ -386,6 +386,10 @@
         return int((self._now_s - self.request.received_s) * 1000)
 
 
+#: Refusals after which a target gets nothing for a while.
+_CLOSING_REASONS = frozenset(
+    (_Reason.WRONG_TARGET, _Reason.TARGET_UNKNOWN, _Reason.LEAVING)
+)
 _STATUS = {
     exceptions.Code.REQUEST_NO_ROUTE: 404,
     exceptions.Code.REQUEST_MALFORMED: 400,
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -14,6 +14,11 @@
 #: Idle connections kept to one peer; more than run there at a time are
 #: never needed.
 IDLE_CONNECTIONS = 32
+#: For how long a target gets nothing after a refusal as leaving or gone:
+#: about as long as its row takes to change everywhere.
+CLOSED_MS = 2000
+#: The same when its daemon has just started and does not know it yet.
+UNKNOWN_TARGET_MS = 200
 #: Work time assumed of a target that has told nothing yet.
 UNKNOWN_WORK_MS = 100
 
@@ -42,6 +47,7 @@
         self.failures = 0
         self.suspect_until_s = 0.0
         self.shed_until_s = 0.0
+        self.closed_until_s = 0.0
         self.pool = transport.ConnectionPool(
             row.address,
             row.port,
@@ -84,6 +90,27 @@
         self.report_in_flight = self.in_flight
         self.reported_s = now_s
 
+    def close(self, now_s: float, reason: _messages.RefusalReason) -> None:
+        """Send nothing to its target for a while.
+
+        A target that is leaving has its row changed meanwhile; a daemon
+        that was restarted learns of its target again.
+        """
+        pause_ms = CLOSED_MS
+        if reason is _messages.RefusalReason.TARGET_UNKNOWN:
+            pause_ms = UNKNOWN_TARGET_MS
+        if now_s >= self.closed_until_s:
+            LOG.info(
+                'target closed',
+                extra={
+                    'peer': self.row.host,
+                    'target': self.row.target,
+                    'reason': reason.value,
+                    'wait_ms': pause_ms,
+                },
+            )
+        self.closed_until_s = now_s + pause_ms / 1000
+
     def fail(self, now_s: float, detail: str) -> None:
         """Note a failed connection: it gets nothing for a while."""
         if now_s < self.suspect_until_s:
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -90,6 +90,7 @@
         self.books = _mesh_target.TargetBooks(f'i-{name}')
         self.daemon: mesh.MeshDaemon | None = None
         self.servers: list = []
+        self.target_server: asyncio.AbstractServer | None = None
         self.sequence = 0
 
 
@@ -118,6 +119,11 @@
         self.report(host)
         return host
 
+    def restart(self, host: MeshHost) -> None:
+        """Kill a daemon, and start it again beside the same target."""
+        self.run(self._kill(host))
+        self.run(self._start_daemon(host))
+
     def report(self, host: MeshHost, state: str = 'ready') -> int:
         """Let a target report itself; return the status it was given."""
         host.sequence += 1
@@ -204,6 +210,19 @@
         return store
 
     async def _start_host(self, host: MeshHost) -> None:
+        host.target_server = await self.loop.create_server(
+            lambda: _mesh_target.TargetStandin(host.books),
+            ADDRESS,
+            host.addresses.target_port,
+        )
+        await self._start_daemon(host)
+
+    async def _kill(self, host: MeshHost) -> None:
+        for server in host.servers:
+            server.close()
+        await host.daemon.close()
+
+    async def _start_daemon(self, host: MeshHost) -> None:
         identity = mesh.MeshIdentity(
             base.HostId(host.name),
             base.DataCentre('hall'),
@@ -225,13 +244,7 @@
         )
         daemon = host.daemon
         own = host.addresses
-        loop = self.loop
         host.servers = [
-            await loop.create_server(
-                lambda: _mesh_target.TargetStandin(host.books),
-                ADDRESS,
-                own.target_port,
-            ),
             await transport.serve(
                 platform.ReadinessService(lambda: daemon.is_ready),
                 ADDRESS,
@@ -245,9 +258,8 @@
 
     async def _stop(self) -> None:
         for host in self.hosts.values():
-            for server in host.servers:
-                server.close()
-            await host.daemon.close()
+            await self._kill(host)
+            host.target_server.close()
         tasks = asyncio.all_tasks() - {asyncio.current_task()}
         for task in tasks:
             task.cancel()
--- a/sedgering/testing/_mesh_target.py
+++ b/sedgering/testing/_mesh_target.py
@@ -71,6 +71,16 @@
     async def _answer(self, line: str, headers, body: bytes) -> None:
         books = self.state
         request_id = transport.find_header(headers, 'x-request-id')
+        if line.startswith('GET /health '):
+            status = (
+                '503 Service Unavailable' if books.is_leaving else '200 OK'
+            )
+            own = [
+                ('X-Instance-Id', books.target),
+                ('X-Server-Load', '0,0,2'),
+            ]
+            self._write(status, own, b'')
+            return
         expected = transport.find_header(headers, 'x-expect-instance')
         if expected not in (None, books.target):
             self._write('421 Misdirected Request', [], b'')
@@ -143,3 +153,4 @@
         self.most_running = 0
         self.cancelled = 0
         self.connections = 0
+        self.is_leaving = False
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -102,6 +102,10 @@
     used_bytes = 0
 
 
+def _release(size: int) -> None:
+    BodyMemory.used_bytes -= size
+
+
 class ServerConnection(asyncio.Protocol):
     """One connection of a caller.
 
@@ -252,6 +256,9 @@
         item.must_close = not self._parser.should_keep_alive()
         self.pending.append(item)
         item.task = self.loop.create_task(self._answer(request, item))
+        # Also when it is cancelled before its first step.
+        size = len(request.body)
+        item.task.add_done_callback(lambda _task: _release(size))
 
     # Answers.
 
@@ -265,8 +272,6 @@
             # ran is unknown.
             LOG.exception('request failed')
             response = self.service.refuse(502)
-        finally:
-            BodyMemory.used_bytes -= len(request.body)
         self._finish(item, response)
 
     def _finish(self, item: _Pending, response: _messages.Response | None):
@@ -337,7 +342,7 @@
         self._finish(item, self.service.refuse(status))
 
     def _release_body(self):
-        BodyMemory.used_bytes -= sum(len(chunk) for chunk in self._chunks)
+        _release(sum(len(chunk) for chunk in self._chunks))
         self._chunks = []
 
     # Time.
