--- a/sedgering/mesh/__init__.py
+++ b/sedgering/mesh/__init__.py
@@ -28,6 +28,7 @@
 from sedgering.mesh._messages import TargetCall
 from sedgering.mesh._messages import TargetReport
 from sedgering.mesh._messages import TargetState
+from sedgering.mesh._pause import PauseWatch
 from sedgering.mesh._peers import PeerTable
 from sedgering.mesh._settings import MeshSettings
 from sedgering.mesh._source import MeshSource
@@ -51,6 +52,7 @@
     'MeshIdentity',
     'MeshSettings',
     'MeshSource',
+    'PauseWatch',
     'PeerTable',
     'RefusalReason',
     'RetryWindow',
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -143,6 +143,20 @@
         if self.state.side.target.leave(target):
             self._show_target()
 
+    def render_metrics(self) -> bytes:
+        """Return counters and present values as text."""
+        gate = self.state.side.gate
+        return self.state.decisions.counts.render(
+            {
+                'version_in_force': self.state.config.version,
+                'members': len(self.state.fleet.members),
+                'gate_running': gate.running,
+                'gate_waiting': gate.waiting,
+                'gate_limit': gate.limit,
+                'is_ready': int(self.is_ready),
+            }
+        )
+
     def _show_target(self) -> None:
         self.state.side.refresh_gate()
         self.source.publish(self._make_row())
--- a/sedgering/mesh/_decisions.py
+++ b/sedgering/mesh/_decisions.py
@@ -4,6 +4,7 @@
 
 from sedgering import base
 from sedgering.mesh import _messages
+from sedgering import observability
 
 __all__ = ['DecisionLog']
 
@@ -27,7 +28,7 @@
         self.success_every = success_every
         self.lines_per_s = lines_per_s
         self.now_s = now_s
-        self.counts: dict[tuple[str, str], int] = {}
+        self.counts = observability.RequestCounts()
         self.dropped = 0
         self._successes = 0
         self._balance = float(lines_per_s)
@@ -43,7 +44,8 @@
         version: base.Version,
     ) -> None:
         """Note an answer of a target that was passed on."""
-        self._count('answered', str(status))
+        self.counts.count('answered', str(status))
+        self.counts.observe(elapsed_ms / 1000)
         self._successes += 1
         if status < 400 and self._successes % self.success_every:
             return
@@ -65,7 +67,7 @@
         answer: _messages.CallAnswer,
     ) -> None:
         """Note an attempt that brought no answer of a target."""
-        self._count('attempt', answer.reason.value)
+        self.counts.count('attempt', answer.reason.value)
         load = answer.load
         self._write(
             'attempt failed',
@@ -93,7 +95,7 @@
         version: base.Version,
     ) -> None:
         """Note an answer of the daemon's own."""
-        self._count('refused', str(code))
+        self.counts.count('refused', str(code))
         self._write(
             'request refused',
             request_id=request_id,
@@ -105,13 +107,10 @@
             version=version,
         )
 
-    def _count(self, kind: str, label: str) -> None:
-        key = (kind, label)
-        self.counts[key] = self.counts.get(key, 0) + 1
-
     def _write(self, message: str, **fields) -> None:
         if not self._may_write():
             self.dropped += 1
+            self.counts.count('log', 'dropped')
             return
         if self.dropped:
             fields['dropped_lines'] = self.dropped
--- a/sedgering/observability/__init__.py
+++ b/sedgering/observability/__init__.py
@@ -2,10 +2,17 @@
 
 from typing import Any
 
+from sedgering.observability._counts import RequestCounts
 from sedgering.observability._logs import configure_logging
 from sedgering.observability._logs import JsonFormatter
 
-__all__ = ['JsonFormatter', 'Metrics', 'configure_logging', 'make_metrics']
+__all__ = [
+    'JsonFormatter',
+    'Metrics',
+    'RequestCounts',
+    'configure_logging',
+    'make_metrics',
+]
 
 _LAZY = frozenset(('Metrics', 'make_metrics'))
 
--- a/sedgering/platform/__init__.py
+++ b/sedgering/platform/__init__.py
@@ -6,6 +6,7 @@
 from sedgering.platform._document import decode_document
 from sedgering.platform._document import DocumentError
 from sedgering.platform._document import MESH
+from sedgering.platform._metrics import MetricsService
 from sedgering.platform._program import run_daemon
 from sedgering.platform._readiness import ReadinessService
 from sedgering.platform._reload import SettingsFollower
@@ -30,6 +31,7 @@
     'HEADERS',
     'HostSettings',
     'MESH',
+    'MetricsService',
     'Page',
     'PlatformSource',
     'Put',
--- a/sedgering/platform/_program.py
+++ b/sedgering/platform/_program.py
@@ -6,6 +6,7 @@
 
 from sedgering import mesh
 from sedgering.platform import _document
+from sedgering.platform import _metrics
 from sedgering.platform import _readiness
 from sedgering.platform import _reload
 from sedgering.platform import _reports
@@ -55,6 +56,9 @@
     reports = _reports.ReportsService(daemon)
     await transport.serve(readiness, own.address, own.readiness_port)
     await transport.serve(reports, own.address, own.reports_port)
+    await transport.serve(
+        _metrics.MetricsService(daemon), own.address, _metrics.METRICS_PORT
+    )
     await daemon.start()
     # Modules and tables made so far are left out of collections.
     gc.collect()
