--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -91,3 +91,19 @@
     Given a process that stood still for 4 s
     Then a request read now counts as 4 s old for a moment
     And a beat that is 0.2 s late counts as nothing
+
+  Scenario: The story of a request is found in the logs of several hosts
+    Given logs of two hosts in which "id-1" was refused after two attempts
+    When "id-1" is explained
+    Then its lines come in the order of time, with the text of SDG-5008
+    And nothing of other requests is shown
+
+  Scenario: A request without a line says why there may be none
+    Given logs of two hosts in which "id-1" was refused after two attempts
+    When "id-9" is explained
+    Then it is said that plain successes are sampled
+
+  Scenario: What a host believed is told apart from requests
+    Given logs of two hosts in which "id-1" was refused after two attempts
+    When the host "hall-1" is explained
+    Then only its start and what others believed of it are shown
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -8,6 +8,7 @@
 from behave import when
 
 from sedgering import base
+from sedgering.cli import _explain
 from sedgering import exceptions
 from sedgering import mesh
 from sedgering.mesh import _pause
@@ -266,3 +267,53 @@
         assert watch.find_lag_s() == 0
 
     asyncio.run(check())
+
+
+LOG_LINES = """
+  1.5 hall-2 {"time":"T3","message":"request refused","host":"hall-2","code":5008,"request_id":"id-1"}
+  1.4 hall-2 {"time":"T2","message":"attempt failed","host":"hall-2","peer":"hall-1","request_id":"id-1"}
+  1.3 hall-2 {"time":"T1","message":"attempt failed","host":"hall-2","peer":"hall-3","request_id":"id-1"}
+  1.2 hall-2 {"time":"T1","message":"request answered","host":"hall-2","peer":"hall-1","request_id":"id-2"}
+not a log line {"time":
+  0.1 hall-1 {"time":"T0","message":"started","host":"hall-1"}
+  0.2 hall-2 {"time":"T1","message":"peer suspect","host":"hall-2","peer":"hall-1","detail":"reset"}
+"""  # noqa: E501
+
+
+@given('logs of two hosts in which "id-1" was refused after two attempts')
+def step_logs(context):
+    context.records = list(_explain.read_records(LOG_LINES.splitlines()))
+
+
+@when('"{request_id}" is explained')
+def step_explain(context, request_id):
+    context.told = list(_explain.explain_request(context.records, request_id))
+
+
+@when('the host "{host}" is explained')
+def step_explain_host(context, host):
+    context.told = list(_explain.explain_host(context.records, host))
+
+
+@then('its lines come in the order of time, with the text of SDG-5008')
+def step_told(context):
+    assert [line[:2] for line in context.told[:3]] == ['T1', 'T2', 'T3']
+    assert 'SDG-5008: over its limit' in context.told[-1]
+
+
+@then('nothing of other requests is shown')
+def step_told_alone(context):
+    assert not [line for line in context.told if 'id-2' in line]
+
+
+@then('it is said that plain successes are sampled')
+def step_told_nothing(context):
+    (line,) = context.told
+    assert 'plain success' in line
+
+
+@then('only its start and what others believed of it are shown')
+def step_told_host(context):
+    first, second = context.told
+    assert 'started' in first
+    assert 'peer suspect' in second and 'detail=reset' in second
--- a/sedgering/cli/operator.py
+++ b/sedgering/cli/operator.py
@@ -1,7 +1,9 @@
 """sedgering: what operators do to bundles."""
 
 from collections.abc import Iterator
+import contextlib
 import datetime
+import itertools
 import pathlib
 import random
 import sys
@@ -15,6 +17,7 @@
 from sedgering import bundle as bundles
 from sedgering.cli import _common
 from sedgering.cli import _diff
+from sedgering.cli import _explain
 from sedgering.cli import _notice
 from sedgering import clock
 from sedgering import exceptions
@@ -96,6 +99,32 @@
         print(f'equal to version {compared}')
 
 
+@app.command()
+def explain(
+    subject: Annotated[str, typer.Argument(help='Request id, or host.')],
+    logs: Annotated[
+        list[pathlib.Path] | None,
+        typer.Option('--log', help='Log file; standard input if none.'),
+    ] = None,
+    host: Annotated[
+        bool, typer.Option('--host', help='The subject is a host.')
+    ] = False,
+) -> None:
+    """Show from logs what happened to a request, or on a host.
+
+    Example: sedgering explain 9c41d07be2a35f68 --log hall-1.log
+    """
+    tell = _explain.explain_host if host else _explain.explain_request
+    with contextlib.ExitStack() as stack:
+        files = [
+            stack.enter_context(path.open(encoding='utf-8'))
+            for path in logs or ()
+        ] or [sys.stdin]
+        records = _explain.read_records(itertools.chain(*files))
+        for line in tell(records, subject):
+            print(line)
+
+
 @app.command('sign-off')
 def sign_off(
     config: Config,
