--- a/sedgering/platform/_source.py
+++ b/sedgering/platform/_source.py
@@ -30,8 +30,8 @@
 #: its return at the latest (3 s until it counts as stable, 2 s to apply).
 WATCH_WAIT_MS = 3000
 #: Pause after changes: several that come in quick succession cost one
-#: call.  A fifth of the shortest time in which a version must be in force.
-GATHER_S = 0.4
+#: call.  A third of the shortest time in which a version must be in force.
+GATHER_S = 0.7
 #: Between two reads that peers with a newer version cause.
 ASK_INTERVAL_S = 0.5
 #: Pauses after failures; spread so that many daemons do not return at once.
