Waiting calls are looked at again after a quarter of their goal

Change: at 22 % of its goal a returning call that still waits is refused, and a first call if it will not end within its goal any more.

--- a/features/gate.feature
+++ b/features/gate.feature
@@ -27,13 +27,28 @@
     And a place becomes free
     Then the first call runs and the returning call waits
 
-  Scenario: A caller that comes back is not held beyond its goal
+  Scenario: A caller that comes back is not held long
     Given a gate with 1 places where work takes 10 ms
     And 1 calls run and 0 first calls wait
-    When a returning call arrives with a goal of 100 ms
-    And 150 ms go by
+    When a returning call arrives with a goal of 400 ms
+    And 120 ms go by
     Then it is refused as shed with a time to return
 
+  Scenario: A first call is refused early once others have gone before it
+    Given a gate with 1 places where work takes 100 ms
+    And 1 calls run and 0 first calls wait
+    When a first call arrives with a goal of 400 ms
+    And 3 calls of priority 0 arrive
+    And 120 ms go by
+    Then the first call is refused as shed with a time to return
+
+  Scenario: A first call that will end in time is kept
+    Given a gate with 1 places where work takes 10 ms
+    And 1 calls run and 0 first calls wait
+    When a first call arrives with a goal of 400 ms
+    And 120 ms go by
+    Then 1 calls run and 1 waits
+
   Scenario: A lower priority number goes first
     Given a gate with 1 places where work takes 50 ms
     And 1 calls run and 2 first calls wait
--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -162,6 +162,17 @@
     assert not returning.done()
 
 
+@when('{count:d} calls of priority 0 arrive')
+def step_urgent_many(context, count):
+    for _ in range(count):
+        context.gate.arrive(mesh.CallUrgency.FIRST, 100_000, priority=0)
+
+
+@then('the first call is refused as shed with a time to return')
+def step_first_refused(context):
+    step_refused(context)
+
+
 @when('{pause_ms:d} ms go by')
 def step_go_by(context, pause_ms):
     context.gate.loop.run_until_complete(asyncio.sleep(pause_ms / 1000))
--- a/sedgering/mesh/_gate.py
+++ b/sedgering/mesh/_gate.py
@@ -26,6 +26,10 @@
 #: times are spread, and a wait that just fits the mean is late half the
 #: time.
 WORK_MARGIN = 1.3
+#: Share of its goal for which a call is held before it is looked at again:
+#: a caller that is refused within a quarter of its goal may come back and
+#: still earn most, and is not charged as held.
+HOLD_SHARE = 0.22
 #: Calls that end well after which a lowered limit grows by one.
 RECOVER_AFTER = 5
 #: The limit is not lowered below this share of the slots: a target that
@@ -250,34 +254,65 @@
         served within its goal; one that waits beyond its goal holds a
         place that another one could have used in time.
         """
+        wait_ms = self._estimate_wait_ms(ticket)
+        limit_s = ticket.goal_s
+        if ticket.urgency is _messages.CallUrgency.TARGET:
+            limit_s = ticket.deadline_s
+        if self._estimate_end_s(ticket, wait_ms) > limit_s:
+            raise GateRefused(_messages.RefusalReason.SHED, int(wait_ms))
+
+    def _estimate_wait_ms(self, ticket: Ticket) -> float:
+        """Estimate the wait behind all that goes before a call."""
         rank = ticket.rank
         ahead_ms = self.mean_work_ms + sum(
             self.work_ms(entry[-1].ticket.route)
             for entry in self._queue
-            if entry[0] <= rank
+            if entry[0] <= rank and entry[-1].ticket is not ticket
         )
-        wait_ms = ahead_ms / self.limit
+        return ahead_ms / self.limit
+
+    def _estimate_end_s(self, ticket: Ticket, wait_ms: float) -> float:
         work_ms = WORK_MARGIN * self.work_ms(ticket.route)
-        end_s = self.now_s() + (wait_ms + work_ms) / 1000
-        limit_s = ticket.goal_s
-        if ticket.urgency is _messages.CallUrgency.TARGET:
-            limit_s = ticket.deadline_s
-        if end_s > limit_s:
-            raise GateRefused(_messages.RefusalReason.SHED, int(wait_ms))
+        return self.now_s() + (wait_ms + work_ms) / 1000
 
     def _enqueue(self, ticket: Ticket) -> _Waiter:
         loop = asyncio.get_running_loop()
         waiter = _Waiter(ticket, loop.create_future())
         self._sequence += 1
         heapq.heappush(self._queue, (ticket.rank, self._sequence, waiter))
+        if ticket.urgency is _messages.CallUrgency.TARGET:
+            self._await_deadline(waiter)
+        else:
+            now_s = loop.time()
+            hold_s = HOLD_SHARE * (ticket.goal_s - now_s)
+            waiter.timer = loop.call_at(
+                now_s + hold_s, self._check_again, waiter
+            )
+        return waiter
+
+    def _check_again(self, waiter: _Waiter) -> None:
+        """Refuse what still waits and will not end within its goal.
+
+        Calls that go before it have arrived meanwhile.
+        """
+        if waiter.future.done():
+            return
+        ticket = waiter.ticket
+        wait_ms = self._estimate_wait_ms(ticket)
+        is_late = self._estimate_end_s(ticket, wait_ms) > ticket.goal_s
+        if is_late or ticket.urgency is _messages.CallUrgency.RETURN:
+            self._expire(waiter)
+        else:
+            self._await_deadline(waiter)
+
+    def _await_deadline(self, waiter: _Waiter) -> None:
+        """Refuse a waiter when it can no longer end before its deadline."""
+        ticket = waiter.ticket
         margin = self.mesh_settings.shed_margin_percent / 100
         work_s = self.work_ms(ticket.route) / 1000
         latest_s = ticket.deadline_s - margin * work_s
-        if ticket.urgency is _messages.CallUrgency.RETURN:
-            # First calls have gone before it all the while.
-            latest_s = min(latest_s, ticket.goal_s)
+        loop = asyncio.get_running_loop()
         waiter.timer = loop.call_at(latest_s, self._expire, waiter)
-        return waiter
 
     def _expire(self, waiter: _Waiter) -> None:
         if not waiter.future.done():
