One client for the platform's store; the invented HTTP wire goes

Two clients, two stand-ins, and the watchers and the row keeper, which decide, stood in the adapter.

Change: StoreClient speaks the published protocol for all programs. PlatformTable and PlatformObjects put it behind the product's abstract stores; GuardedStore keeps queue and circuit. Watchers and row keeper are product now (mesh/_watch.py, mesh/_keeper.py). One stand-in: StoreService over PlatformEngine. Member rows are decoded when they change, not all at each change.

--- a/benchmarks/bench_convergence.py
+++ b/benchmarks/bench_convergence.py
@@ -13,6 +13,7 @@
 
 from sedgering.cli import _notice
 from sedgering import clock
+from sedgering import platform
 from sedgering import release
 from sedgering import settings
 from sedgering import storage
@@ -102,9 +103,9 @@
         return record.version, started_ms
 
 
-def make_store(fleet: testing.Fleet) -> storage.HttpPlatform:
+def make_store(fleet: testing.Fleet) -> storage.GuardedStore:
     """Make a client of the platform stand-in."""
-    return storage.make_http_platform(
+    return platform.make_records_store(
         settings.PlatformSettings(
             address='127.0.0.1', port=fleet.platform_port
         ),
--- a/benchmarks/bench_faults.py
+++ b/benchmarks/bench_faults.py
@@ -103,7 +103,7 @@
 
     def stop_table(self) -> None:
         """Let the platform be away for three seconds."""
-        self.fleet.set_faults(down=True)
+        self.fleet.set_faults(mode='busy')
         time.sleep(3)
         self.fleet.set_faults()
 
--- a/benchmarks/bench_memory.py
+++ b/benchmarks/bench_memory.py
@@ -19,6 +19,7 @@
 from sedgering import bundle as bundles
 from sedgering import messages
 from sedgering import peer
+from sedgering import platform
 from sedgering import proxy
 from sedgering import release
 from sedgering import settings
@@ -96,7 +97,13 @@
 def measure(hosts: int, services: int, seconds: float) -> dict:
     """Fill the tables of a daemon and watch it under the page's churn."""
     ports = testing.free_ports(4)
-    daemon = proxy.make_daemon(make_settings(ports))
+    proxy_settings = make_settings(ports)
+    daemon = proxy.make_daemon(
+        proxy_settings,
+        lambda: platform.make_records_store(
+            proxy_settings.platform, random.Random(0)
+        ),
+    )
     daemon.start()
     run_in_control(daemon, lambda: fill(daemon, hosts, services))
     time.sleep(3)
--- a/benchmarks/bench_overload.py
+++ b/benchmarks/bench_overload.py
@@ -14,9 +14,9 @@
 
 from sedgering import bundle as bundles
 from sedgering.cli import _notice
+from sedgering import platform
 from sedgering import release
 from sedgering import settings
-from sedgering import storage
 from sedgering import testing
 
 MESH = 'bench'
@@ -108,7 +108,7 @@
             for party in PARTIES
         ),
     )
-    store = storage.make_http_platform(
+    store = platform.make_records_store(
         settings.PlatformSettings(
             address='127.0.0.1', port=fleet.platform_port
         ),
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -205,7 +205,7 @@
 def step_undecodable(context):
     try:
         platform.decode_document(context.document.encode())
-    except platform.DocumentError:
+    except exceptions.BundleError:
         return
     raise AssertionError('accepted')
 
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -239,7 +239,7 @@
 
 @when('the platform goes down')
 def step_down(context):
-    context.fleet.engine.faults = testing.Faults(down=True)
+    context.fleet.engine.faults = testing.Faults(mode=testing.StoreMode.BUSY)
 
 
 @when('a proxy that kept contact rows restarts')
@@ -292,7 +292,7 @@
 
 @given('the platform is down and the others are paused')
 def step_others_paused(context):
-    context.fleet.engine.faults = testing.Faults(down=True)
+    context.fleet.engine.faults = testing.Faults(mode=testing.StoreMode.BUSY)
     for node in context.others:
         node.is_paused = True
 
@@ -417,7 +417,7 @@
     nodes = fleet.nodes
     node = nodes[number % len(nodes)]
     exchange = fleet.exchange
-    if fault == 'roll' and not fleet.engine.faults.down:
+    if fault == 'roll' and fleet.engine.faults.mode is testing.StoreMode.SOUND:
         fleet.roll(number + 10)
     elif fault == 'kill':
         held = node.version
@@ -432,7 +432,11 @@
         for item in nodes:
             item.is_paused = False
     elif fault in ('down', 'up'):
-        fleet.engine.faults = testing.Faults(down=fault == 'down')
+        fleet.engine.faults = testing.Faults(
+            mode=testing.StoreMode.BUSY
+            if fault == 'down'
+            else testing.StoreMode.SOUND
+        )
     elif fault == 'part':
         exchange.cut = {frozenset(DATA_CENTRES[:2])}
     elif fault == 'join':
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -122,7 +122,7 @@
 @given('the store is {mode}')
 @when('the store is {mode} again')
 def step_store_mode(context, mode):
-    context.mesh.fleet.store.mode = testing.StoreMode(mode)
+    context.mesh.fleet.engine.faults.mode = testing.StoreMode(mode)
 
 
 @given('routes "{short}" and "{long}" where the second fails at once')
@@ -330,7 +330,9 @@
     mesh.fleet.wait_for(
         lambda: (
             b'draining'
-            in mesh.fleet.store.read('sedgering_members', mesh.first.name)
+            in mesh.fleet.engine.read((mesh.first.name,), 'sedgering_members')[
+                0
+            ].value
         )
     )
 
@@ -406,7 +408,7 @@
 
 @when('the store drops its history')
 def step_compact(context):
-    context.mesh.fleet.store.compact()
+    context.mesh.fleet.engine.compact()
 
 
 @when('the first host is told to leave while a request is under way')
@@ -588,7 +590,7 @@
 def step_ready_later(context):
     mesh = context.mesh
     assert not mesh.third.daemon.is_ready
-    mesh.fleet.store.mode = testing.StoreMode.SOUND
+    mesh.fleet.engine.faults.mode = testing.StoreMode.SOUND
     mesh.fleet.wait_ready()
 
 
@@ -631,4 +633,4 @@
 
 @given('the store answers after {slow_s:g} s')
 def step_slow_store(context, slow_s):
-    context.mesh.fleet.store.slow_s = slow_s
+    context.mesh.fleet.engine.faults.slow_ms = int(slow_s * 1000)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,13 +1,13 @@
 """Steps on the platform client, against the stand-in over HTTP."""
 
 import random
-import threading
 
 from behave import given
 from behave import then
 from behave import when
 
 from sedgering import exceptions
+from sedgering import platform
 from sedgering import settings
 from sedgering import storage
 from sedgering import testing
@@ -20,11 +20,8 @@
         self.budget_s = 0
         self.engine = testing.PlatformEngine(now_s=self.clock_s)
         (port,) = testing.free_ports(1)
-        self.server = testing.make_platform_server(
-            '127.0.0.1', port, self.engine
-        )
-        self.server.prepare()
-        threading.Thread(target=self.server.serve, daemon=True).start()
+        self.server = testing.StoreServer('127.0.0.1', port, self.engine)
+        self.server.start()
         self.now_ms = 0
         self.settings = settings.PlatformSettings(
             address='127.0.0.1',
@@ -34,7 +31,12 @@
             queue_wait_ms=20,
             circuit_failures=3,
         )
-        self.client = storage.HttpPlatform(
+        calls = platform.StoreClient(
+            platform.StoreSettings('127.0.0.1', port, 300)
+        )
+        self.client = storage.GuardedStore(
+            platform.PlatformTable(calls, platform.RECORDS_TABLE),
+            platform.PlatformObjects(calls),
             self.settings,
             storage.Circuit(3, 500, 8000, random.Random(1)),
             lambda: self.now_ms,
@@ -52,7 +54,7 @@
     def get_in_state(self, state):
         faults = self.engine.faults
         if state == 'down':
-            faults.down = True
+            faults.mode = testing.StoreMode.BUSY
         elif state == 'gone':
             self.server.stop()
         elif state == 'losing the answer':
@@ -121,7 +123,7 @@
 
 @when('{count:d} calls fail in a row')
 def step_failures(context, count):
-    context.platform.engine.faults.down = True
+    context.platform.engine.faults.mode = testing.StoreMode.BUSY
     for _ in range(count):
         assert code_of(lambda: context.platform.client.read(['k'])) == 3001
 
@@ -129,7 +131,7 @@
 @then('the next call is not sent and has code {code:d}')
 def step_not_sent(context, code):
     subject = context.platform
-    subject.engine.faults.down = False
+    subject.engine.faults.mode = testing.StoreMode.SOUND
     before = subject.engine.stats.writes
     outcome = subject.write()
     assert int(outcome.code) == code
--- a/features/steps/release_steps.py
+++ b/features/steps/release_steps.py
@@ -21,6 +21,12 @@
     """The operator's process ends here."""
 
 
+def make_faults(is_down, lose_answers, delay_writes):
+    """Make faults of the platform."""
+    mode = testing.StoreMode.BUSY if is_down else testing.StoreMode.SOUND
+    return testing.Faults(mode, 0, 0, lose_answers, delay_writes)
+
+
 class HookedPlatform(testing.InMemoryPlatform):
     """Runs a hook before a certain call of one client.
 
@@ -194,7 +200,7 @@
     subject.engine.faults.lose_answers = 1
 
     def go_down():
-        subject.engine.faults.down = True
+        subject.engine.faults.mode = testing.StoreMode.BUSY
 
     # Call 4 is the first look at what became of the transaction.
     subject.store('bela').hooks[4] = go_down
@@ -230,9 +236,7 @@
             store = subject.store('bela')
 
             def go_down(engine=subject.engine, lose=lose):
-                engine.faults = testing.Faults(
-                    down=not lose, lose_answers=lose, delay_writes=lose
-                )
+                engine.faults = make_faults(not lose, lose, lose)
 
             store.hooks[call] = go_down
             record = subject.roll('bela', 1)
@@ -326,9 +330,7 @@
         down=st.booleans(), lose=st.integers(0, 2), delay=st.integers(0, 2)
     )
     def break_platform(self, down, lose, delay):
-        self.subject.engine.faults = testing.Faults(
-            down=down, lose_answers=lose, delay_writes=delay
-        )
+        self.subject.engine.faults = make_faults(down, lose, delay)
 
     @stateful.rule()
     def mend_platform(self):
--- a/features/steps/repeat_steps.py
+++ b/features/steps/repeat_steps.py
@@ -51,7 +51,7 @@
 
 @given('the table is down')
 def step_down(context):
-    context.repeats.engine.faults.down = True
+    context.repeats.engine.faults.mode = testing.StoreMode.BUSY
 
 
 @given('the next answer of the table is {fate}')
@@ -173,7 +173,9 @@
 
     def break_table(self, fault):
         self.engine.faults = testing.Faults(
-            down=fault == 'down',
+            mode=testing.StoreMode.BUSY
+            if fault == 'down'
+            else testing.StoreMode.SOUND,
             lose_answers=int(fault == 'lose'),
             delay_writes=int(fault == 'delay'),
         )
--- a/sedgering/cli/operator.py
+++ b/sedgering/cli/operator.py
@@ -21,6 +21,7 @@
 from sedgering.cli import _notice
 from sedgering import clock
 from sedgering import exceptions
+from sedgering import platform
 from sedgering import release
 from sedgering import settings
 from sedgering import storage
@@ -199,7 +200,7 @@
     Example: sedgering watch --config operator.yaml
     """
     own = settings.load_settings(config, settings.OperatorSettings)
-    store = storage.make_http_platform(own.platform, random.Random())
+    store = platform.make_records_store(own.platform, random.Random())
     deadline_s = time.monotonic() + timeout_s
     shown = ''
     while True:
@@ -297,7 +298,7 @@
     config: pathlib.Path,
 ) -> tuple[settings.OperatorSettings, release.ReleaseClient]:
     own = settings.load_settings(config, settings.OperatorSettings)
-    store = storage.make_http_platform(own.platform, random.Random())
+    store = platform.make_records_store(own.platform, random.Random())
     client = release.ReleaseClient(
         store,
         store,
--- a/sedgering/cli/proxy.py
+++ b/sedgering/cli/proxy.py
@@ -2,6 +2,7 @@
 
 import gc
 import pathlib
+import random
 import signal
 import sys
 import threading
@@ -11,6 +12,7 @@
 
 from sedgering.cli import _common
 from sedgering import observability
+from sedgering import platform
 from sedgering import proxy
 from sedgering import settings
 
@@ -37,7 +39,12 @@
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_arguments: stopping.set())
-    daemon = proxy.make_daemon(proxy_settings)
+    daemon = proxy.make_daemon(
+        proxy_settings,
+        lambda: platform.make_records_store(
+            proxy_settings.platform, random.Random()
+        ),
+    )
     _tune_interpreter()
     daemon.start()
     stopping.wait()
--- a/sedgering/cli/standin.py
+++ b/sedgering/cli/standin.py
@@ -29,12 +29,9 @@
     port: Annotated[int, typer.Option(help='Port to listen on.')],
     address: Annotated[str, typer.Option(help='IP number.')] = '127.0.0.1',
 ) -> None:
-    """Run the table service and the object store in memory."""
-    server = testing.make_platform_server(
-        address, port, testing.PlatformEngine()
-    )
-    server.prepare()
-    threading.Thread(target=server.serve, daemon=True).start()
+    """Run the metadata store in memory."""
+    server = testing.StoreServer(address, port, testing.PlatformEngine())
+    server.start()
     _wait_for_signal()
     server.stop()
 
--- a/sedgering/mesh/__init__.py
+++ b/sedgering/mesh/__init__.py
@@ -33,6 +33,7 @@
 from sedgering.mesh._settings import MeshSettings
 from sedgering.mesh._source import MeshSource
 from sedgering.mesh._target import LocalTarget
+from sedgering.mesh._watch import ConfigRow
 
 __all__ = [
     'AcceptedConfig',
@@ -41,6 +42,7 @@
     'CallOutcome',
     'CallUrgency',
     'ConfigHolder',
+    'ConfigRow',
     'FleetTable',
     'Gate',
     'GateRefused',
--- /dev/null
+++ b/sedgering/mesh/_keeper.py
@@ -0,0 +1,125 @@
+"""Keeps this host's row in the store as the daemon wants it."""
+
+from collections.abc import Callable
+import logging
+import threading
+
+import msgspec
+
+from sedgering import base
+from sedgering import exceptions
+from sedgering.mesh import _messages
+from sedgering.mesh import _watch
+from sedgering import storage
+
+__all__ = ['RowKeeper']
+
+LOG = logging.getLogger(__name__)
+
+OPERATION = base.OperationId('member row')
+
+_ENCODER = msgspec.json.Encoder()
+
+
+class RowKeeper:
+    """Writes this host's row until the store has it.
+
+    Each write is conditional on the revision seen last, so that an older
+    write which the store performs late does not undo a newer one.
+
+    Parameters
+    ----------
+    table : WatchedTable
+        One row for each host.
+    host : HostId
+        Whose row is kept.
+    """
+
+    def __init__(self, table: storage.WatchedTable, host: base.HostId):
+        self.table = table
+        self.host = host
+        self.is_stopping = False
+        self._wanted: bytes | None = None
+        self._is_new = False
+        self._is_wanted = threading.Event()
+        self._read: Callable[[], None] | None = None
+        self._lock = threading.Lock()
+        self._revision: int | None = None
+        self._pauses = _watch.Pauses()
+
+    def start(self) -> None:
+        """Run in the background."""
+        threading.Thread(target=self._run, name='row', daemon=True).start()
+
+    def want(self, row: _messages.MemberRow | None) -> None:
+        """Make this the row; the newest wish replaces older ones."""
+        with self._lock:
+            self._wanted = None if row is None else _ENCODER.encode(row)
+            self._is_new = True
+            self._is_wanted.set()
+
+    def ask(self, read: Callable[[], None]) -> None:
+        """Read something once in this thread."""
+        with self._lock:
+            self._read = read
+            self._is_wanted.set()
+
+    def _run(self) -> None:
+        while not self.is_stopping:
+            self._is_wanted.wait()
+            with self._lock:
+                self._is_wanted.clear()
+                wanted = self._wanted
+                is_new, self._is_new = self._is_new, False
+                read, self._read = self._read, None
+            try:
+                if read is not None:
+                    read()
+                if is_new:
+                    self._write(wanted)
+                self._pauses.reset()
+            except exceptions.PlatformError as error:
+                self._note_failure(error, is_new)
+
+    def _note_failure(
+        self, error: exceptions.PlatformError, is_new: bool
+    ) -> None:
+        """Try again after a pause, unless only a read has failed."""
+        LOG.info(
+            'row not written',
+            extra={'code': int(error.code), 'detail': error.detail},
+        )
+        if error.code is not exceptions.Code.PLATFORM_DOWN:
+            # It may have been written, or be written later.
+            self._revision = None
+        with self._lock:
+            self._is_new = self._is_new or is_new
+            if self._is_new:
+                self._is_wanted.set()
+        self._pauses.wait()
+
+    def _write(self, wanted: bytes | None) -> None:
+        if self._revision is None:
+            (row,) = self.table.read([self.host])
+            self._revision = row.revision
+            if row.revision and wanted == row.value:
+                return
+        if wanted is None and not self._revision:
+            return
+        outcome = self.table.transact(self._make_transaction(wanted))
+        if outcome.kind is not storage.OutcomeKind.DONE:
+            raise outcome.make_error()
+        self._revision = 0 if wanted is None else outcome.revision
+        LOG.info(
+            'row written' if wanted is not None else 'row removed',
+            extra={'version': outcome.revision},
+        )
+
+    def _make_transaction(self, wanted: bytes | None) -> storage.Transaction:
+        conditions = (storage.Condition(self.host, self._revision),)
+        if wanted is None:
+            return storage.Transaction(
+                OPERATION, conditions, deletes=(self.host,)
+            )
+        puts = (storage.Put(self.host, wanted),)
+        return storage.Transaction(OPERATION, conditions, puts)
--- a/sedgering/platform/_document.py
+++ b/sedgering/platform/_document.py
@@ -6,11 +6,12 @@
 
 from sedgering import base
 from sedgering import bundle as bundles
+from sedgering import exceptions
 from sedgering import mesh
 from sedgering.platform import _wire
 from sedgering import transport
 
-__all__ = ['MESH', 'DocumentError', 'decode_document']
+__all__ = ['MESH', 'decode_document']
 
 #: Name of the mesh in bundles that come from the operator's document.
 MESH = 'platform'
@@ -20,10 +21,6 @@
 REPEATABLE_KIND = 'safe'
 
 
-class DocumentError(Exception):
-    """A document that cannot be decoded; the version in force stays."""
-
-
 class _Metadata(msgspec.Struct):
     name: str = ''
 
@@ -77,14 +74,16 @@
 
     Raises
     ------
-    DocumentError
+    BundleError
         When it is malformed; rules of bundles are checked later.
     """
     try:
         document = msgspec.json.decode(data, type=_Document)
         return _convert(document)
     except (msgspec.MsgspecError, ValueError) as error:
-        raise DocumentError(str(error)) from error
+        raise exceptions.BundleError(
+            exceptions.Code.BUNDLE_UNREADABLE, str(error)
+        ) from error
 
 
 def _convert(document: _Document) -> mesh.AcceptedConfig:
--- a/sedgering/platform/_program.py
+++ b/sedgering/platform/_program.py
@@ -6,12 +6,13 @@
 
 from sedgering import mesh
 from sedgering.platform import _document
+from sedgering.platform import _factory
 from sedgering.platform import _metrics
 from sedgering.platform import _readiness
 from sedgering.platform import _reload
 from sedgering.platform import _reports
 from sedgering.platform import _settings
-from sedgering.platform import _source
+from sedgering.platform import _store
 from sedgering.platform import _wire
 from sedgering import transport
 
@@ -28,8 +29,9 @@
         host_settings.retry_extra * share,
         host_settings.retry_window_s,
     )
-    source = _source.PlatformSource(
-        host_settings.store, host_settings.identity.host, loop
+    client = _store.StoreClient(host_settings.store)
+    source = _factory.make_mesh_source(
+        client, host_settings.identity.host, loop
     )
     daemon = mesh.make_mesh_daemon(
         host_settings.identity,
@@ -47,7 +49,8 @@
     def apply(found: _settings.HostSettings) -> None:
         budget.ratio = found.retry_ratio * share
         budget.extra = found.retry_extra * share
-        source.use_store(found.store)
+        if found.store != client.store_settings:
+            client.move(found.store)
 
     follower = _reload.SettingsFollower(host_settings, apply)
     loop.add_signal_handler(signal.SIGHUP, follower.reload)
--- a/sedgering/platform/_settings.py
+++ b/sedgering/platform/_settings.py
@@ -26,10 +26,14 @@
     ----------
     address, port
         Where it listens.
+    timeout_ms : int
+        Longest wait for an answer.  The store answers in 4 ms; when it is
+        slow it takes up to 90 times as long.
     """
 
     address: str
     port: int
+    timeout_ms: int = 2000
 
 
 class HostSettings(msgspec.Struct, frozen=True):
--- a/sedgering/proxy/_daemon.py
+++ b/sedgering/proxy/_daemon.py
@@ -1,5 +1,6 @@
 """Puts the parts of one sedgering-proxy together, and takes them apart."""
 
+from collections.abc import Callable
 import logging
 import random
 import threading
@@ -147,13 +148,18 @@
         self.loop.post(lambda: self.tables.self_row.set_state(state))
 
 
-def make_daemon(proxy_settings: settings.ProxySettings) -> Daemon:
+def make_daemon(
+    proxy_settings: settings.ProxySettings,
+    make_store: Callable[[], storage.GuardedStore],
+) -> Daemon:
     """Make a proxy from its settings.
 
     Parameters
     ----------
     proxy_settings : ProxySettings
         Validated.
+    make_store : callable
+        Makes a store with a circuit and a queue of its own.
 
     Returns
     -------
@@ -164,14 +170,10 @@
     incarnation = base.Incarnation(clock.wall_ms())
     tables = control.make_control_tables(proxy_settings, incarnation, rng)
     metrics = observability.make_metrics()
-    store = storage.make_http_platform(
-        proxy_settings.platform, random.Random()
-    )
+    store = make_store()
     # Claims have a circuit and a queue of their own, so that neither
     # bookings nor control wait behind the other.
-    claims_store = storage.make_http_platform(
-        proxy_settings.platform, random.Random()
-    )
+    claims_store = make_store()
     guard = _guard.RepeatGuard(
         claims_store,
         proxy_settings.traffic.guard_writes_per_s,
--- a/sedgering/storage/__init__.py
+++ b/sedgering/storage/__init__.py
@@ -6,34 +6,28 @@
 from sedgering.storage._base import OutcomeKind
 from sedgering.storage._base import Put
 from sedgering.storage._base import Row
+from sedgering.storage._base import RowsPage
 from sedgering.storage._base import TableStore
 from sedgering.storage._base import Transaction
+from sedgering.storage._base import WatchedTable
 from sedgering.storage._circuit import Circuit
 from sedgering.storage._circuit import CircuitState
-from sedgering.storage._http import HttpPlatform
-from sedgering.storage._http import make_http_platform
-from sedgering.storage._wire import ErrorBody
-from sedgering.storage._wire import NOT_RUN_HEADER
-from sedgering.storage._wire import ReadRequest
-from sedgering.storage._wire import RowsBody
-from sedgering.storage._wire import ScanRequest
+from sedgering.storage._guarded import GuardedStore
+from sedgering.storage._guarded import make_guarded_store
 
 __all__ = [
     'Circuit',
     'CircuitState',
     'Condition',
-    'ErrorBody',
-    'HttpPlatform',
-    'NOT_RUN_HEADER',
+    'GuardedStore',
     'ObjectStore',
     'Outcome',
     'OutcomeKind',
     'Put',
-    'ReadRequest',
     'Row',
-    'RowsBody',
-    'ScanRequest',
+    'RowsPage',
     'TableStore',
     'Transaction',
-    'make_http_platform',
+    'WatchedTable',
+    'make_guarded_store',
 ]
--- a/sedgering/storage/_base.py
+++ b/sedgering/storage/_base.py
@@ -16,8 +16,10 @@
     'OutcomeKind',
     'Put',
     'Row',
+    'RowsPage',
     'TableStore',
     'Transaction',
+    'WatchedTable',
 ]
 
 #: Revision of a row that is not there.
@@ -35,11 +37,29 @@
         Grows with each write to the row; 0 when the row is absent.
     value : bytes
         Empty when the row is absent.
+    is_removed : bool
+        Whether a watch tells of its removal.
     """
 
     key: str
     revision: int = ABSENT
     value: bytes = b''
+    is_removed: bool = False
+
+
+class RowsPage(msgspec.Struct, frozen=True):
+    """Rows of one table as of one moment.
+
+    Parameters
+    ----------
+    rows : tuple of Row
+        In the order of keys, or of changes in a watch.
+    revision : int
+        Counter of the store at that moment; a watch goes on from it.
+    """
+
+    rows: tuple[Row, ...]
+    revision: int
 
 
 class Condition(msgspec.Struct, frozen=True):
@@ -96,11 +116,14 @@
         Why it is not done or not known.
     detail : str
         The particulars.
+    revision : int
+        Revision of the rows written, when it is done and the store told.
     """
 
     kind: OutcomeKind
     code: exceptions.Code | None = None
     detail: str = ''
+    revision: int = ABSENT
 
     @property
     def is_conflict(self) -> bool:
@@ -162,6 +185,36 @@
         """Try a transaction once.  Never raises for the platform's faults."""
 
 
+class WatchedTable(TableStore):
+    """A table whose changes can be waited for."""
+
+    @abc.abstractmethod
+    def list_rows(self, start: str = '', end: str = '') -> RowsPage:
+        """Read a range of rows, and the counter from which to watch.
+
+        Parameters
+        ----------
+        start, end : str
+            First key, and the first one left out; empty for no bound.
+
+        Raises
+        ------
+        PlatformError
+            When the platform gives no answer in time.
+        """
+
+    @abc.abstractmethod
+    def watch(self, after: int, wait_ms: int) -> RowsPage:
+        """Wait for changes after a counter; no rows when there were none.
+
+        Raises
+        ------
+        PlatformError
+            When there is no answer, or with `PLATFORM_HISTORY` when the
+            changes are no longer known.
+        """
+
+
 class ObjectStore(abc.ABC):
     """The object store; objects are named by their digest."""
 
--- a/sedgering/testing/__init__.py
+++ b/sedgering/testing/__init__.py
@@ -12,6 +12,7 @@
 from sedgering.testing._engine import Faults
 from sedgering.testing._engine import InMemoryPlatform
 from sedgering.testing._engine import PlatformEngine
+from sedgering.testing._engine import StoreMode
 from sedgering.testing._exchange import Exchange
 from sedgering.testing._exchange import Node
 from sedgering.testing._fleet import Fleet
@@ -26,11 +27,10 @@
 from sedgering.testing._naive import make_sample_bundle
 from sedgering.testing._naive import NaivePoller
 from sedgering.testing._passthrough import make_passthrough
-from sedgering.testing._platform_server import make_platform_server
 from sedgering.testing._replay import OutcomeDiffers
 from sedgering.testing._replay import replay_trace
-from sedgering.testing._table_standin import StoreMode
-from sedgering.testing._table_standin import TableStandin
+from sedgering.testing._store_server import StoreServer
+from sedgering.testing._store_server import StoreService
 from sedgering.testing._targets import make_target
 from sedgering.testing._targets import StandinTarget
 from sedgering.testing._targets import TargetSettings
@@ -52,7 +52,8 @@
     'ProxyProcess',
     'StandinTarget',
     'StoreMode',
-    'TableStandin',
+    'StoreServer',
+    'StoreService',
     'TargetHabit',
     'TargetSettings',
     'Verdict',
@@ -62,7 +63,6 @@
     'make_document',
     'make_fleet',
     'make_passthrough',
-    'make_platform_server',
     'make_sample_bundle',
     'make_target',
     'replay_trace',
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -9,9 +9,10 @@
 from sedgering import base
 from sedgering import mesh
 from sedgering import platform
+from sedgering.testing import _engine
 from sedgering.testing import _fleet
 from sedgering.testing import _mesh_target
-from sedgering.testing import _table_standin
+from sedgering.testing import _store_server
 from sedgering import transport
 
 __all__ = ['MeshFleet', 'MeshHost', 'make_document']
@@ -103,7 +104,8 @@
         self.thread.start()
         self.store_port = _fleet.free_ports(1)[0]
         self.hosts: dict[str, MeshHost] = {}
-        self.store: _table_standin.TableStandin = self.run(self._start_store())
+        self.engine = _engine.PlatformEngine()
+        self.run(self._start_store())
 
     def run(self, work: Coroutine) -> Any:
         """Run a coroutine in the loop and return its result."""
@@ -146,7 +148,7 @@
 
     def configure(self, document: bytes) -> None:
         """Write the operator's document."""
-        self.run(self.store.write('op', 'config', document))
+        self.engine.write('op', 'config', document)
 
     def call(
         self, port: int, path: str, body: bytes | None = None, **headers: str
@@ -204,10 +206,9 @@
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join()
 
-    async def _start_store(self) -> _table_standin.TableStandin:
-        store = _table_standin.TableStandin()
-        await transport.serve(store, ADDRESS, self.store_port)
-        return store
+    async def _start_store(self) -> None:
+        service = _store_server.StoreService(self.engine)
+        await transport.serve(service, ADDRESS, self.store_port)
 
     async def _start_host(self, host: MeshHost) -> None:
         host.target_server = await self.loop.create_server(
@@ -228,11 +229,10 @@
             base.DataCentre('hall'),
             base.TargetSetName(host.target_set),
         )
-        source = platform.PlatformSource(
-            platform.StoreSettings(ADDRESS, self.store_port),
-            identity.host,
-            self.loop,
+        client = platform.StoreClient(
+            platform.StoreSettings(ADDRESS, self.store_port)
         )
+        source = platform.make_mesh_source(client, identity.host, self.loop)
         host.daemon = mesh.make_mesh_daemon(
             identity,
             host.addresses,
--- a/sedgering/testing/_naive.py
+++ b/sedgering/testing/_naive.py
@@ -20,7 +20,7 @@
 
     Parameters
     ----------
-    store : HttpPlatform
+    store : GuardedStore
         The source.
     interval_s : float
         Time between two polls.
@@ -29,7 +29,7 @@
     """
 
     def __init__(self, store, interval_s: float, offset_s: float):
-        self.store: storage.HttpPlatform = store
+        self.store: storage.GuardedStore = store
         self.interval_s = interval_s
         self.offset_s = offset_s
         self.received_bytes = 0
--- a/sedgering/testing/_replay.py
+++ b/sedgering/testing/_replay.py
@@ -88,7 +88,11 @@
     @apply.register
     def _(self, step: _trace.Platform) -> None:
         self.engine.faults = _engine.Faults(
-            down=step.down,
+            mode=(
+                _engine.StoreMode.BUSY
+                if step.down
+                else _engine.StoreMode.SOUND
+            ),
             lose_answers=step.lose_answers,
             delay_writes=step.delay_writes,
         )
