--- a/sedgering/mesh/_relay.py
+++ b/sedgering/mesh/_relay.py
@@ -45,6 +45,7 @@
 
 PATH = '/relay'
 MARK = 'sedgering-relay'
+STATUS_OK = 200
 
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -119,10 +120,9 @@
 
 def encode_poll(poll: RelayPoll) -> bytes:
     """Encode a poll as a request to another daemon."""
+    headers = [('Host', 'relay'), (MARK, '1')]
     return transport.encode_request(
-        transport.Request(
-            'POST', PATH, [(MARK, '1')], _ENCODER.encode(poll), True
-        )
+        transport.Request('POST', PATH, headers, _ENCODER.encode(poll), True)
     )
 
 
@@ -140,6 +140,8 @@
         When it is none.
     """
     try:
+        if response.status != STATUS_OK:
+            raise msgspec.DecodeError(f'status {response.status}')
         return _NEWS_DECODER.decode(response.body)
     except msgspec.DecodeError as error:
         raise exceptions.PeerError(
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -96,9 +96,16 @@
 
 
 class MeshFleet:
-    """A store and hosts, started and stopped by a test."""
+    """A store and hosts, started and stopped by a test.
 
-    def __init__(self):
+    Parameters
+    ----------
+    mesh_settings : MeshSettings
+        Of all daemons.
+    """
+
+    def __init__(self, mesh_settings: mesh.MeshSettings | None = None):
+        self.mesh_settings = mesh_settings or mesh.MeshSettings()
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever)
         self.thread.start()
@@ -237,7 +244,7 @@
             identity,
             host.addresses,
             platform.HEADERS,
-            mesh.MeshSettings(),
+            self.mesh_settings,
             mesh.RetryWindow(0.2, 62, 10),
             source,
             platform.MESH,
