--- a/features/gate.feature
+++ b/features/gate.feature
@@ -106,6 +106,24 @@
     Given targets "near" in hall and "far" elsewhere with 2 slots each
     Then "near" is chosen for 60000 bytes with 6 calls under way at near
 
+  Scenario: A target that runs short calls does not seem quick for long ones
+    Given targets "near" in hall and "far" elsewhere with 2 slots each
+    When "near" tells 30 ms of another route and 300 ms of this one
+    And "far" tells 100 ms of this route
+    Then "far" is chosen with 0 calls under way there
+
+  Scenario: A target that was slow is tried again in time
+    Given targets "near" in hall and "far" elsewhere with 2 slots each
+    When "near" tells 30 ms of another route and 300 ms of this one
+    And "far" tells 100 ms of this route
+    Then "near" is never chosen at 0 s, and now and then at 12 s
+
+  Scenario: A target that has just started is not preferred
+    Given targets "near" in hall and "far" elsewhere with 2 slots each
+    When "near" has started cold for 3 s
+    Then at 1 s "far" is chosen
+    And at 4 s "near" is chosen
+
   Scenario: A peer that failed is left out while another one is there
     Given targets "near" in hall and "far" elsewhere with 2 slots each
     When "near" fails
--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -19,6 +19,8 @@
 SET = base.TargetSetName('calendar')
 DEADLINE_S = 2.0
 EXAMPLES = 200
+#: Of random choices that are tried.
+SEEDS = 20
 
 
 class GateSubject:
@@ -202,7 +204,7 @@
 
 @then("the gate's reported work time is above {least_ms:d} ms")
 def step_reported(context, least_ms):
-    report = context.gate.gate.make_report()
+    report = context.gate.gate.make_report(ROUTE)
     assert report.work_ms > least_ms, report
 
 
@@ -305,20 +307,57 @@
     )
 
 
-def choose(context, body_bytes=0, tried=(), now_s=0.0):
+def choose(context, body_bytes=0, tried=(), now_s=0.0, seed=1):
     """Choose from hall."""
     peer = mesh.choose_member(
         context.fleet.by_set[SET],
         tried,
         context.peers,
         base.DataCentre('hall'),
+        ROUTE,
         body_bytes,
-        random.Random(1),
+        random.Random(seed),
         now_s,
     )
     return peer and peer.row.host
 
 
+def tell(context, host, route, work_ms, mean_ms):
+    """Let a target tell its work times with an answer at 0 s."""
+    peer = context.peers.find(context.rows[host])
+    load = mesh.LoadReport(0, 0, 2, mean_ms, work_ms)
+    context.peers.take_report(peer, load, route, 0.0)
+
+
+@when('"{host}" tells 30 ms of another route and {work_ms:d} ms of this one')
+def step_tells_two(context, host, work_ms):
+    tell(context, host, base.RouteName('lookup'), 30, 30)
+    tell(context, host, ROUTE, work_ms, 30)
+
+
+@when('"{host}" tells {work_ms:d} ms of this route')
+def step_tells(context, host, work_ms):
+    tell(context, host, ROUTE, work_ms, work_ms)
+
+
+@when('"{host}" has started cold for {cold_s:d} s')
+def step_cold(context, host, cold_s):
+    context.peers.find(context.rows[host]).note_cold(cold_s)
+
+
+@then('"near" is never chosen at 0 s, and now and then at {now_s:g} s')
+def step_tried_again(context, now_s):
+    for seed in range(SEEDS):
+        assert choose(context, seed=seed) == 'far'
+    chosen = {choose(context, now_s=now_s, seed=s) for s in range(SEEDS)}
+    assert 'near' in chosen
+
+
+@then('at {now_s:g} s "{host}" is chosen')
+def step_chosen_at(context, now_s, host):
+    assert choose(context, now_s=now_s) == host
+
+
 @when('"{host}" fails')
 def step_peer_fails(context, host):
     context.peers.find(context.rows[host]).fail(0.0, 'test')
@@ -454,7 +493,7 @@
     reason=st.sampled_from(list(mesh.RefusalReason)),
     retry_after_ms=st.integers(0, 9999),
     load=st.none()
-    | st.builds(mesh.LoadReport, *[st.integers(0, 999) for _ in range(4)]),
+    | st.builds(mesh.LoadReport, *[st.integers(0, 999) for _ in range(5)]),
     reached_target=st.booleans(),
     detail=NAMES,
 )
--- a/sedgering/mesh/_choice.py
+++ b/sedgering/mesh/_choice.py
@@ -8,7 +8,6 @@
 from sedgering import bundle as bundles
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
-from sedgering.mesh import _settings
 
 __all__ = ['WeightedTurns', 'choose_member']
 
@@ -58,16 +57,20 @@
 def estimate_ms(
     peer: _peers.Peer,
     data_centre: base.DataCentre,
+    route: base.RouteName,
     body_bytes: int,
-    mesh_settings: _settings.MeshSettings,
+    peers: _peers.PeerTable,
     now_s: float,
 ) -> float:
     """Estimate the time until a target has finished one more request."""
+    mesh_settings = peers.mesh_settings
     present = peer.estimate_present(now_s)
     turns = max(0.0, present + 1 - peer.limit) / peer.limit
     # A busy target is preferred less before it is full.
     spread = 0.1 * present / peer.limit
-    cost_ms = peer.work_ms * (1 + turns + spread)
+    typical_ms = peers.typical_work_ms(route)
+    cost_ms = peer.estimate_work_ms(route, typical_ms, now_s)
+    cost_ms += peer.work_ms * (turns + spread)
     if peer.row.data_centre != data_centre:
         cost_ms += mesh_settings.remote_penalty_ms
         cost_ms += mesh_settings.remote_penalty_us_per_byte * body_bytes / 1000
@@ -79,6 +82,7 @@
     tried: Collection[base.HostId],
     peers: _peers.PeerTable,
     data_centre: base.DataCentre,
+    route: base.RouteName,
     body_bytes: int,
     rng: random.Random,
     now_s: float,
@@ -95,6 +99,8 @@
         What is known of them.
     data_centre : DataCentre
         Of this daemon.
+    route : str
+        That the request matched; work times are kept by route.
     body_bytes : int
         Size of the request body.
     rng : random.Random
@@ -117,7 +123,7 @@
         if now_s < peer.closed_until_s:
             continue
         cost_ms = estimate_ms(
-            peer, data_centre, body_bytes, peers.mesh_settings, now_s
+            peer, data_centre, route, body_bytes, peers, now_s
         )
         cost_ms *= 1 + NOISE_SHARE * rng.random()
         key = (
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -143,8 +143,12 @@
         self, members: dict[base.HostId, _messages.MemberRow]
     ) -> None:
         """Take over the list of members."""
-        self.state.fleet.replace(members)
+        new = self.state.fleet.replace(members)
         self.state.peers.retain(frozenset(members))
+        now_s = self.state.side.gate.now_s()
+        for row in new:
+            cold_until_s = now_s + row.cold_ms / 1000
+            self.state.peers.find(row).note_cold(cold_until_s)
         self.state.budget.daemons = max(1, len(members))
 
     def take_report(self, report: _messages.TargetReport) -> None:
--- a/sedgering/mesh/_fleet.py
+++ b/sedgering/mesh/_fleet.py
@@ -20,18 +20,30 @@
         ] = {}
         self.is_known = False
 
-    def replace(self, members: dict[base.HostId, _messages.MemberRow]) -> None:
-        """Take over the list as the store has it."""
+    def replace(
+        self, members: dict[base.HostId, _messages.MemberRow]
+    ) -> list[_messages.MemberRow]:
+        """Take over the list as the store has it.
+
+        Returns
+        -------
+        list of MemberRow
+            Those whose target has started since.
+        """
+        started = []
         for host, row in members.items():
             old = self.members.get(host)
             if old != row:
                 _log_change('member changed' if old else 'member new', row)
+            if old is None or old.target != row.target:
+                started.append(row)
         for host, row in self.members.items():
             if host not in members:
                 _log_change('member removed', row)
         self.members = members
         self.is_known = True
         self._index()
+        return started
 
     def _index(self) -> None:
         by_set: dict[base.TargetSetName, list[_messages.MemberRow]] = {}
--- a/sedgering/mesh/_gate.py
+++ b/sedgering/mesh/_gate.py
@@ -154,14 +154,21 @@
         for _rank, _sequence, waiter in queue:
             self._refuse(waiter, reason)
 
-    def make_report(self) -> _messages.LoadReport:
-        """Make what other daemons are told with each answer."""
+    def make_report(self, route: base.RouteName) -> _messages.LoadReport:
+        """Make what other daemons are told with each answer.
+
+        Parameters
+        ----------
+        route : str
+            Of the call that is answered.
+        """
         cost = 1 + FAILURE_COST * self._failure_share
         return _messages.LoadReport(
             self.running,
             self.waiting,
             self.limit,
             int(self.mean_work_ms * cost),
+            int(self._work_ms.get(route, 0) * cost),
         )
 
     def work_ms(self, route: base.RouteName) -> float:
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -4,6 +4,8 @@
 from what callers and targets send.
 """
 
+import msgspec
+
 from sedgering import base
 from sedgering.mesh import _messages
 from sedgering import transport
@@ -111,7 +113,7 @@
     headers.append((OUTCOME, SEPARATOR.join(outcome)))
     if answer.load is not None:
         load = answer.load
-        numbers = (load.running, load.waiting, load.limit, load.work_ms)
+        numbers = msgspec.structs.astuple(load)
         headers.append((LOAD, SEPARATOR.join(map(str, numbers))))
     return transport.Response(
         response.status, headers, response.body, response.reason
@@ -149,5 +151,9 @@
     value = transport.find_header(headers, LOAD)
     if value is None:
         return None
-    running, waiting, limit, work_ms = map(int, value.split(SEPARATOR))
-    return _messages.LoadReport(running, waiting, limit, work_ms)
+    running, waiting, limit, work_ms, route_work_ms = map(
+        int, value.split(SEPARATOR)
+    )
+    return _messages.LoadReport(
+        running, waiting, limit, work_ms, route_work_ms
+    )
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -81,9 +81,9 @@
     async def run(self, call: _messages.TargetCall) -> _messages.CallAnswer:
         """Run a call at the local target, or refuse it."""
         if self.target.target is None:
-            return self._refuse(_messages.RefusalReason.TARGET_UNKNOWN)
+            return self._refuse(call, _messages.RefusalReason.TARGET_UNKNOWN)
         if self.target.target != call.target:
-            return self._refuse(_messages.RefusalReason.WRONG_TARGET)
+            return self._refuse(call, _messages.RefusalReason.WRONG_TARGET)
         now_s = self.gate.now_s()
         ticket = _gate.Ticket(
             call.route,
@@ -95,7 +95,7 @@
         try:
             await self.gate.enter(ticket)
         except _gate.GateRefused as error:
-            return self._refuse(error.reason, error.retry_after_ms)
+            return self._refuse(call, error.reason, error.retry_after_ms)
         answer = None
         started_s = self.gate.now_s()
         try:
@@ -103,17 +103,20 @@
         finally:
             elapsed_ms = (self.gate.now_s() - started_s) * 1000
             self.gate.leave(ticket, _judge(answer), elapsed_ms)
-        answer.load = self.gate.make_report()
+        answer.load = self.gate.make_report(call.route)
         return answer
 
     def _refuse(
-        self, reason: _messages.RefusalReason, retry_after_ms: int = 0
+        self,
+        call: _messages.TargetCall,
+        reason: _messages.RefusalReason,
+        retry_after_ms: int = 0,
     ) -> _messages.CallAnswer:
         return _messages.CallAnswer(
             _messages.CallOutcome.NOT_RUN,
             reason=reason,
             retry_after_ms=retry_after_ms,
-            load=self.gate.make_report(),
+            load=self.gate.make_report(call.route),
         )
 
     async def _send(
@@ -130,7 +133,7 @@
         remaining_ms = int((ticket.deadline_s - self.gate.now_s()) * 1000)
         if remaining_ms <= ANSWER_WAY_MS:
             self.pool.put(connection)
-            return self._refuse(_messages.RefusalReason.DEADLINE)
+            return self._refuse(call, _messages.RefusalReason.DEADLINE)
         data = self._encode(call, remaining_ms)
         try:
             response = await connection.exchange(
@@ -278,6 +281,6 @@
             answer = _messages.CallAnswer(
                 _messages.CallOutcome.UNKNOWN,
                 reason=_messages.RefusalReason.DEADLINE,
-                load=self.side.gate.make_report(),
+                load=self.side.gate.make_report(call.route),
             )
         return _hop.encode_answer(answer)
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -221,12 +221,16 @@
     work_ms : int
         Recent mean time at the target, raised by the share of calls that
         it fails.
+    route_work_ms : int
+        The same for the route of the call that is answered; 0 when the
+        route has not been seen there.
     """
 
     running: int
     waiting: int
     limit: int
     work_ms: int
+    route_work_ms: int = 0
 
 
 class TargetCall(msgspec.Struct):
--- a/sedgering/mesh/_outbound.py
+++ b/sedgering/mesh/_outbound.py
@@ -209,6 +209,7 @@
             self.asked,
             self.state.peers,
             self.state.identity.data_centre,
+            self.route.name,
             len(self.request.body),
             self.state.rng,
             self._now_s,
@@ -224,7 +225,7 @@
         try:
             if peer.row.host == self.state.identity.host:
                 answer = await self.state.side.run(call)
-                peer.heard_s = self._now_s
+                self._take_report(peer, answer)
             elif self.route.repeatable:
                 answer = await peer.run_unless_silent(self._ask(peer, call))
             else:
@@ -272,9 +273,16 @@
                 detail=str(error),
             )
         peer.pool.put(connection)
-        peer.take_report(answer.load, self._now_s)
+        self._take_report(peer, answer)
         return answer
 
+    def _take_report(
+        self, peer: _peers.Peer, answer: _messages.CallAnswer
+    ) -> None:
+        self.state.peers.take_report(
+            peer, answer.load, self.route.name, self._now_s
+        )
+
     def _make_call(self, row: _messages.MemberRow) -> _messages.TargetCall:
         now_s = self._now_s
         return _messages.TargetCall(
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -26,6 +26,13 @@
 UNKNOWN_TARGET_MS = 200
 #: Work time assumed of a target that has told nothing yet.
 UNKNOWN_WORK_MS = 100
+#: Age at which the work time that a target told counts half: slow and grey
+#: targets stay so for some seconds.
+WORK_HALF_LIFE_MS = 3000
+#: How much longer work takes at a target that has just started.
+COLD_COST = 2.0
+#: Weight of the newest report in the work time of a route over all targets.
+TYPICAL_WEIGHT = 0.05
 
 
 class Peer:
@@ -50,6 +57,9 @@
         self.busy_since_s = 0.0
         self._abandonable: set[asyncio.Future] = set()
         self.report: _messages.LoadReport | None = None
+        #: Work time of each route, and when it was told.
+        self._route_work: dict[base.RouteName, tuple[int, float]] = {}
+        self._cold_until_s = 0.0
         self.report_in_flight = 0
         self.reported_s = 0.0
         self.failures = 0
@@ -75,6 +85,36 @@
         """Recent mean time at the target."""
         return self.report.work_ms if self.report else UNKNOWN_WORK_MS
 
+    def estimate_work_ms(
+        self, route: base.RouteName, typical_ms: float, now_s: float
+    ) -> float:
+        """Estimate the work time of a route at the target.
+
+        What was told is believed less the older it is: a target that was
+        slow gets calls again in time, and shows whether it still is.
+
+        Parameters
+        ----------
+        route : str
+            Of the call.
+        typical_ms : float
+            Work time of the route over all targets.
+        now_s : float
+            Time of the event loop.
+        """
+        told = self._route_work.get(route)
+        work_ms = typical_ms
+        if told is not None:
+            told_ms, told_s = told
+            age_ms = (now_s - told_s) * 1000
+            weight = 0.5 ** (age_ms / WORK_HALF_LIFE_MS)
+            work_ms += (told_ms - typical_ms) * weight
+        return work_ms * (COLD_COST if now_s < self._cold_until_s else 1)
+
+    def note_cold(self, until_s: float) -> None:
+        """Note that the target has just started and is slow until then."""
+        self._cold_until_s = until_s
+
     def estimate_present(self, now_s: float) -> float:
         """Estimate the calls that are at or before the target now."""
         if self.report is None:
@@ -128,9 +168,12 @@
             task.cancel()
 
     def take_report(
-        self, report: _messages.LoadReport | None, now_s: float
+        self,
+        report: _messages.LoadReport | None,
+        route: base.RouteName,
+        now_s: float,
     ) -> None:
-        """Take in what its gate told with an answer."""
+        """Take in what its gate told with the answer to a call."""
         self.failures = 0
         self.suspect_until_s = 0.0
         self.heard_s = now_s
@@ -139,6 +182,8 @@
         self.report = report
         self.report_in_flight = self.in_flight
         self.reported_s = now_s
+        if report.route_work_ms:
+            self._route_work[route] = (report.route_work_ms, now_s)
 
     def close(self, now_s: float, reason: _messages.RefusalReason) -> None:
         """Send nothing to its target for a while.
@@ -194,6 +239,26 @@
     def __init__(self, mesh_settings: _settings.MeshSettings):
         self.mesh_settings = mesh_settings
         self._peers: dict[base.HostId, Peer] = {}
+        self._typical_ms: dict[base.RouteName, float] = {}
+
+    def typical_work_ms(self, route: base.RouteName) -> float:
+        """Return the work time of a route over all targets."""
+        return self._typical_ms.get(route, UNKNOWN_WORK_MS)
+
+    def take_report(
+        self,
+        peer: Peer,
+        report: _messages.LoadReport | None,
+        route: base.RouteName,
+        now_s: float,
+    ) -> None:
+        """Take in what the gate of a peer told with the answer to a call."""
+        peer.take_report(report, route, now_s)
+        if report is None or not report.route_work_ms:
+            return
+        work_ms = report.route_work_ms
+        old_ms = self._typical_ms.get(route, work_ms)
+        self._typical_ms[route] = old_ms + TYPICAL_WEIGHT * (work_ms - old_ms)
 
     def find(self, row: _messages.MemberRow) -> Peer:
         """Return the peer of a row; a new target starts unknown."""
