Scenarios of relays; news must reach the version that they name

Cause: the scenario 'the last difference is left out' was accepted: the result of each difference was compared with its own digest, not with that of the version which the news name.

--- /dev/null
+++ b/features/relays.feature
@@ -0,0 +1,69 @@
+Feature: Relays watch the store for the others
+  In a large fleet few daemons watch the store; the others poll them.
+
+  Scenario: Member rows are the store's, whoever tells them
+    Then logs that learn from the store and each other in any order are right
+
+  Scenario: A version is the same, whole or by differences
+    Then any version held leads to the newest one
+
+  Scenario Outline: News that are damaged are refused whole
+    Given news of a version by differences
+    When <damage>
+    Then they are refused with code <code>
+
+    Examples:
+      | damage                             | code |
+      | a difference is cut short          | 1101 |
+      | the last difference is left out           | 1106 |
+      | they start from another version    | 1107 |
+      | the whole bundle has another digest | 1106 |
+
+  Scenario Outline: Relays are chosen by their links, alike everywhere
+    Given <hosts> hosts of one data centre, <wide> of them with wide links
+    Then <relays> relays are chosen, among them all <wide> wide ones
+
+    Examples:
+      | hosts | wide | relays |
+      | 1     | 0    | 1      |
+      | 25    | 2    | 2      |
+      | 100   | 3    | 4      |
+
+  Scenario: Few hosts watch the store, and all have its news
+    Given a mesh of 5 hosts in which relays serve
+    Then 2 hosts watch the store
+    When version 2 is written
+    Then all hosts have version 2, and it was read whole by 2 hosts
+
+  Scenario: A new member is known everywhere
+    Given a mesh of 5 hosts in which relays serve
+    When another host starts
+    Then all hosts know 6 members
+
+  Scenario: Both relays die, and no version is missed
+    Given a mesh of 5 hosts in which relays serve
+    When both relays are killed
+    And version 2 is written
+    Then all hosts that live have version 2
+
+  Scenario: Relays that stand still are given up
+    Given a mesh of 5 hosts in which relays serve
+    When both relays stand still
+    And version 2 is written
+    Then all hosts that live have version 2
+
+  Scenario: Relays that do not hear the store are given up
+    Given a mesh of 5 hosts in which relays serve
+    When both relays lose the store
+    And version 2 is written
+    Then all hosts that live have version 2
+
+  Scenario: A difference that does not fit is replaced by a whole version
+    Given a mesh of 5 hosts in which relays serve
+    When the differences that the relays keep are damaged
+    And version 2 is written
+    Then all hosts have version 2
+
+  Scenario: A small mesh has no relays
+    Given a mesh of 2 hosts in which relays serve
+    Then 2 hosts watch the store
--- /dev/null
+++ b/features/steps/relay_steps.py
@@ -0,0 +1,356 @@
+"""Steps over relays, and over the logs of members and versions."""
+
+import asyncio
+import threading
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
+
+from sedgering import base
+from sedgering import exceptions
+from sedgering import mesh
+from sedgering.mesh import _members
+from sedgering.mesh import _relay
+from sedgering.mesh import _versions
+from sedgering import platform
+from sedgering import testing
+
+EXAMPLES = 300
+HOSTS = ('a', 'b', 'c', 'd')
+LOGS = 3
+RELAY_FROM_HOSTS = 3
+
+
+def make_row(host, number=0, link_mbps=10) -> mesh.MemberRow:
+    """Make a row; `number` tells versions of it apart."""
+    return mesh.MemberRow(
+        host=base.HostId(host),
+        data_centre=base.DataCentre('hall'),
+        address='10.0.0.1',
+        port=1,
+        target_set=base.TargetSetName('calendar'),
+        target=base.TargetName(f'i-{number}'),
+        slots=2,
+        state=mesh.TargetState.READY,
+        link_mbps=link_mbps,
+    )
+
+
+class StoreHistory:
+    """Rows of a store with all of their changes."""
+
+    def __init__(self):
+        self.entries: list[_members.MemberEntry] = []
+
+    @property
+    def revision(self) -> int:
+        """Counter of the store; it starts at 1."""
+        return len(self.entries) + 1
+
+    def change(self, host: str, is_removed: bool) -> None:
+        """Write or remove a row."""
+        revision = self.revision + 1
+        row = None if is_removed else make_row(host, revision)
+        self.entries.append(_members.MemberEntry(host, revision, row))
+
+    def rows_at(self, revision: int) -> dict:
+        """Return the rows as of a revision."""
+        rows = {}
+        for entry in self.entries:
+            if entry.revision <= revision:
+                rows[entry.host] = entry.row
+        return {host: row for host, row in rows.items() if row is not None}
+
+    def read(self, lag: int) -> _members.MemberNews:
+        """Read all rows, as of some changes ago."""
+        revision = max(1, self.revision - lag)
+        entries = tuple(
+            entry
+            for entry in self.entries
+            if entry.revision <= revision
+            and self.rows_at(revision).get(entry.host) == entry.row
+            and entry.row is not None
+        )
+        return _members.MemberNews(entries, revision, True)
+
+    def watch(self, after: int, lag: int) -> _members.MemberNews:
+        """Tell the changes since a revision, up to some changes ago."""
+        revision = max(after, self.revision - lag)
+        last = {
+            entry.host: entry
+            for entry in self.entries
+            if after < entry.revision <= revision
+        }
+        return _members.MemberNews(tuple(last.values()), revision, False)
+
+
+@then('logs that learn from the store and each other in any order are right')
+def step_logs(context):
+    log = st.integers(0, LOGS - 1)
+    lag = st.integers(0, 3)
+    moves = st.one_of(
+        st.tuples(st.just('write'), st.sampled_from(HOSTS), st.booleans()),
+        st.tuples(st.just('read'), log, lag),
+        st.tuples(st.just('watch'), log, lag),
+        st.tuples(st.just('learn'), log, log),
+        st.tuples(st.just('restart'), log, lag),
+    )
+
+    @hypothesis.settings(
+        max_examples=EXAMPLES, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(st.lists(moves, max_size=40))
+    def check(sequence):
+        store = StoreHistory()
+        logs = [_members.MemberLog() for _ in range(LOGS)]
+        for kind, first, second in sequence:
+            if kind == 'write':
+                store.change(first, second)
+            elif kind == 'read':
+                logs[first].merge(store.read(second))
+            elif kind == 'watch' and logs[first].revision:
+                news = store.watch(logs[first].revision, second)
+                logs[first].merge(news)
+            elif kind == 'learn':
+                known = logs[first].revision
+                logs[first].merge(logs[second].find_news(known))
+            elif kind == 'restart':
+                logs[first] = _members.MemberLog()
+            for item in logs:
+                rows = store.rows_at(item.revision) if item.revision else {}
+                assert item.list_members() == rows, sequence
+
+    check()
+
+
+def make_config(version: int) -> mesh.AcceptedConfig:
+    """Make a version whose routes depend on its number."""
+    routes = [{'timeout': f'{1000 + version * number}ms'} for number in (1, 2)]
+    routes += [{'priority': number} for number in range(version % 3)]
+    document = testing.make_document(version, routes)
+    return platform.decode_document(document)
+
+
+@then('any version held leads to the newest one')
+def step_versions(context):
+    configs = [make_config(version) for version in (2, 3, 7, 8, 12)]
+    for first_asked in range(len(configs)):
+        log = _versions.VersionLog()
+        for number, config in enumerate(configs):
+            assert log.take(config, keeps_step=number > first_asked)
+            assert not log.take(config, keeps_step=True)
+        assert log.find_news(base.Version(12)) is None
+        for held in [None, *configs[:-1]]:
+            version = held.version if held else base.NO_VERSION
+            news = log.find_news(version)
+            assert _versions.decode_news(news, held) == configs[-1]
+        is_whole = log.find_news(base.Version(8)).base_version == 0
+        assert is_whole is (first_asked == len(configs) - 1)
+
+
+@given('news of a version by differences')
+def step_news(context):
+    log = _versions.VersionLog()
+    for version in (1, 2, 3):
+        log.take(make_config(version), True)
+    context.held = make_config(1)
+    context.news = log.find_news(context.held.version)
+    context.whole = log.find_news(base.NO_VERSION)
+
+
+@when('a difference is cut short')
+def step_cut(context):
+    first, second = context.news.steps
+    context.news = msgspec.structs.replace(
+        context.news, steps=(first[:-4], second)
+    )
+
+
+@when('the last difference is left out')
+def step_left_out(context):
+    context.news = msgspec.structs.replace(
+        context.news, steps=context.news.steps[:-1]
+    )
+
+
+@when('they start from another version')
+def step_other_base(context):
+    context.held = make_config(2)
+
+
+@when('the whole bundle has another digest')
+def step_other_digest(context):
+    context.news = msgspec.structs.replace(context.whole, digest=b'x' * 32)
+
+
+@then('they are refused with code {code:d}')
+def step_refused(context, code):
+    try:
+        _versions.decode_news(context.news, context.held)
+    except exceptions.BundleError as error:
+        assert int(error.code) == code, error
+        return
+    raise AssertionError('accepted')
+
+
+@given('{hosts:d} hosts of one data centre, {wide:d} of them with wide links')
+def step_hosts(context, hosts, wide):
+    context.rows = [
+        make_row(f'h{number}', link_mbps=200 if number < wide else 10)
+        for number in range(hosts)
+    ]
+
+
+@then('{relays:d} relays are chosen, among them all {wide:d} wide ones')
+def step_chosen(context, relays, wide):
+    chosen = _relay.choose_relays(context.rows)
+    assert len(chosen) == relays
+    assert sum(row.link_mbps == 200 for row in chosen) == wide
+    assert chosen == _relay.choose_relays(context.rows[::-1])
+
+
+class RelaySubject:
+    """A mesh in which relays serve from a few hosts on."""
+
+    def __init__(self, hosts: int):
+        self.fleet = testing.MeshFleet(
+            mesh.MeshSettings(relay_from_hosts=RELAY_FROM_HOSTS)
+        )
+        for number in range(hosts):
+            self.fleet.add_host(f'h{number}')
+        self.fleet.configure(testing.make_document(1, [{}]))
+        self.fleet.wait_ready()
+        self.living = list(self.fleet.hosts.values())
+
+    def find_relays(self) -> list[testing.MeshHost]:
+        """Return the hosts that watch the store."""
+        return [
+            host
+            for host in self.living
+            if host.daemon.follower.is_watching_store
+        ]
+
+    def wait_relays(self, count: int) -> list[testing.MeshHost]:
+        """Wait until so many hosts watch the store; return them."""
+        self.fleet.wait_for(lambda: len(self.find_relays()) == count)
+        return self.find_relays()
+
+
+@given('a mesh of {hosts:d} hosts in which relays serve')
+def step_mesh(context, hosts):
+    context.relays = RelaySubject(hosts)
+    context.cleanups.append(context.relays.fleet.stop)
+    if hosts >= RELAY_FROM_HOSTS:
+        context.relays.wait_relays(2)
+
+
+@then('{count:d} hosts watch the store')
+def step_watching(context, count):
+    context.relays.wait_relays(count)
+
+
+@when('version {version:d} is written')
+def step_write(context, version):
+    document = testing.make_document(version, [{}] * version)
+    context.relays.fleet.configure(document)
+
+
+@then('all hosts have version {version:d}, and it was read whole by 2 hosts')
+def step_read_by_two(context, version):
+    step_version(context, version)
+    watching = context.relays.wait_relays(2)
+    document = context.relays.fleet.engine.read(('config',), 'op')[0]
+    revisions = [
+        host.daemon.source.versions.revision >= document.revision
+        for host in watching
+    ]
+    assert revisions == [True, True]
+
+
+@then('all hosts have version {version:d}')
+def step_version(context, version):
+    subject = context.relays
+    subject.fleet.wait_for(
+        lambda: all(
+            host.daemon.state.config.version == version
+            for host in subject.living
+        )
+    )
+
+
+@then('all hosts that live have version {version:d}')
+def step_living(context, version):
+    step_version(context, version)
+
+
+@when('another host starts')
+def step_join(context):
+    context.relays.living.append(context.relays.fleet.add_host('h9'))
+
+
+@then('all hosts know {count:d} members')
+def step_know(context, count):
+    context.relays.fleet.wait_ready(count)
+
+
+@when('both relays are killed')
+def step_kill(context):
+    subject = context.relays
+    for host in subject.wait_relays(2):
+        subject.fleet.kill(host)
+        subject.living.remove(host)
+
+
+@when('both relays stand still')
+def step_freeze(context):
+    subject = context.relays
+    for host in subject.wait_relays(2):
+        desk = host.daemon.inbound.desk
+        desk.answer = _stand_still
+        host.daemon.follower.source.set_watching(False)
+        subject.living.remove(host)
+
+
+async def _stand_still(_request):
+    await asyncio.sleep(3600)
+
+
+@when('both relays lose the store')
+def step_lose_store(context):
+    subject = context.relays
+    for host in subject.wait_relays(2):
+        source = host.daemon.source
+        for watcher in (source._config_watcher, source._member_watcher):
+            watcher.table = LostTable()
+        subject.living.remove(host)
+
+
+class LostTable:
+    """A table whose store is away."""
+
+    def list_rows(self, start='', end=''):
+        raise exceptions.PlatformError(exceptions.Code.PLATFORM_DOWN)
+
+    def watch(self, after, wait_ms):
+        threading.Event().wait(0.05)
+        raise exceptions.PlatformError(exceptions.Code.PLATFORM_DOWN)
+
+
+@when('the differences that the relays keep are damaged')
+def step_damage(context):
+    subject = context.relays
+    for host in subject.wait_relays(2):
+        log = host.daemon.source.versions
+        find_news = log.find_news
+
+        def find_damaged(version, find_news=find_news):
+            news = find_news(version)
+            if news is None or not news.base_version:
+                return news
+            return msgspec.structs.replace(news, steps=(b'damaged',))
+
+        log.find_news = find_damaged
--- a/sedgering/mesh/_follow.py
+++ b/sedgering/mesh/_follow.py
@@ -55,6 +55,11 @@
         Connections to them.
     source : MeshSource
         Takes the news in.
+
+    Attributes
+    ----------
+    is_watching_store : bool
+        Whether this daemon watches the store itself.
     """
 
     def __init__(
@@ -71,7 +76,7 @@
         self._links = [_Link() for _ in range(RELAYS_FOLLOWED)]
         self._rests: dict[base.HostId, float] = {}
         self._rest_until_s: dict[base.HostId, float] = {}
-        self._is_watching = True
+        self.is_watching_store = True
         self._needs_whole = False
         self._near: tuple[dict, list[_messages.MemberRow]] = ({}, [])
 
@@ -102,8 +107,8 @@
         is_watching = (
             self.source.is_polled or not is_followed or not self.needs_relays
         )
-        if is_watching is not self._is_watching:
-            self._is_watching = is_watching
+        if is_watching is not self.is_watching_store:
+            self.is_watching_store = is_watching
             LOG.info(
                 'watching the store' if is_watching else 'following relays',
                 extra={
--- a/sedgering/mesh/_versions.py
+++ b/sedgering/mesh/_versions.py
@@ -169,11 +169,22 @@
             exceptions.Code.BUNDLE_BASE, f'version {news.base_version}'
         )
     else:
-        bundle = held.bundle
-        for step in news.steps:
-            delta = bundles.decode_delta(step)
-            digest = base.Digest(delta.base_digest)
-            bundle = bundles.apply_delta(bundle, digest, delta)
+        bundle = _apply_steps(news, held.bundle)
     return _config.AcceptedConfig(
         news.version, bundle, news.limits, news.health_paths
     )
+
+
+def _apply_steps(news: VersionNews, bundle: bundles.Bundle) -> bundles.Bundle:
+    """Apply differences; each result has the digest that it states."""
+    reached = b''
+    for step in news.steps:
+        delta = bundles.decode_delta(step)
+        base_digest = base.Digest(delta.base_digest)
+        bundle = bundles.apply_delta(bundle, base_digest, delta)
+        reached = delta.digest
+    if reached != news.digest:
+        raise exceptions.BundleError(
+            exceptions.Code.BUNDLE_DIGEST, f'version {news.version}'
+        )
+    return bundle
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -128,6 +128,10 @@
         self.report(host)
         return host
 
+    def kill(self, host: MeshHost) -> None:
+        """End a daemon without leaving."""
+        self.run(self._kill(host))
+
     def restart(self, host: MeshHost) -> None:
         """Kill a daemon, and start it again beside the same target."""
         self.run(self._kill(host))
