Silent daemons are told from silent targets; no break-off without a way on

Cause: a peer that answered no call for 800 ms was given up, whatever its daemon did. Change: a daemon that is silent is asked whether it lives, and given up only if it does not answer. A target that answers nothing for four of its work times (800 ms at least) is left by calls that may be repeated, if they have attempts, budget and another target left. Scenarios: 'A long request is not broken off where it cannot go elsewhere' failed before (502), passes now; a hung target beside a frozen daemon.

--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -102,6 +102,18 @@
     When 12 requests go to the first host, which has no target of its own
     Then all that went to the silent host end at the third one in time
 
+  Scenario: A request that may be repeated leaves a target that hangs
+    Given the target of the second host hangs
+    When 12 requests go to the first host, which has no target of its own
+    Then all that went to the silent host end at the third one in time
+
+  Scenario: A long request is not broken off where it cannot go elsewhere
+    Given the targets work 1.3 s
+    And only the second host has a target
+    When a caller asks "/slow/" with id "id-9"
+    Then the answer is 200
+    And it arrived 1 times at targets
+
   Scenario: The timeout of the route bounds the answer
     Given the targets work 5 s
     And a route "/brief/" with a timeout of 200 ms
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -271,9 +271,24 @@
     mesh.fleet.wait_ready()
     mesh.fleet.report(mesh.first, 'draining')
     # It takes calls and answers none.
+    mesh.second.daemon.inbound.answer = lambda _call: asyncio.sleep(3600)
+
+
+@given('the target of the second host hangs')
+def step_target_hangs(context):
+    step_stand_still(context)
+    mesh = context.mesh
+    del mesh.second.daemon.inbound.answer
     mesh.second.daemon.state.side.run = lambda _call: asyncio.sleep(3600)
 
 
+@given('only the second host has a target')
+def step_only_second(context):
+    mesh = context.mesh
+    mesh.configure({'timeout': '2500ms', 'prefix': '/slow/', 'name': 'slow'})
+    mesh.fleet.report(mesh.first, 'draining')
+
+
 @when(
     '{count:d} requests go to the first host, which has no target of its own'
 )
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -127,12 +127,19 @@
         self.take_report(report)
 
     async def _watch_peers(self) -> None:
-        """Give up peers that answer nothing, again and again."""
+        """Ask silent peers whether they live, and give them up."""
         loop = asyncio.get_running_loop()
+        peers = self.state.peers
+        asking: set[asyncio.Task] = set()
         while True:
             await asyncio.sleep(PEER_CHECK_S)
-            if not self.pause.find_lag_s():
-                self.state.peers.abandon_silent(loop.time())
+            if self.pause.find_lag_s():
+                continue
+            for peer in peers.list_unheard(loop.time()):
+                task = loop.create_task(peer.ask_for_life())
+                asking.add(task)
+                task.add_done_callback(asking.discard)
+            peers.abandon_silent(loop.time())
 
     def take_config(self, config: _config.AcceptedConfig) -> None:
         """Put a version in force, if it is newer."""
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -16,6 +16,8 @@
     'decode_call',
     'encode_answer',
     'encode_call',
+    'encode_ping',
+    'is_ping',
     'strip_own',
 ]
 
@@ -23,6 +25,7 @@
 CALL = 'sedgering-call'
 OUTCOME = 'sedgering-outcome'
 LOAD = 'sedgering-load'
+PING = 'sedgering-ping'
 SEPARATOR = '|'
 
 
@@ -99,6 +102,17 @@
     )
 
 
+def encode_ping() -> bytes:
+    """Encode a request that only asks whether a daemon lives."""
+    headers = [('Host', 'peer'), (PING, '1')]
+    return transport.encode_request(transport.Request('GET', '/', headers))
+
+
+def is_ping(request: transport.Request) -> bool:
+    """Say whether a daemon only asks whether this one lives."""
+    return transport.find_header(request.headers, PING) is not None
+
+
 def encode_answer(answer: _messages.CallAnswer) -> transport.Response:
     """Make the response that tells a daemon how a call ended."""
     response = answer.response or transport.Response(503, [])
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -265,6 +265,8 @@
         """Run a call and tell how it ended, or answer a poll."""
         if _relay.is_poll(request):
             return await self.desk.answer(request)
+        if _hop.is_ping(request):
+            return transport.Response(200, [])
         try:
             call = _hop.decode_call(request)
         except _hop.HopError as error:
--- a/sedgering/mesh/_outbound.py
+++ b/sedgering/mesh/_outbound.py
@@ -227,7 +227,9 @@
                 answer = await self.state.side.run(call)
                 self._take_report(peer, answer)
             elif self.route.repeatable:
-                answer = await peer.run_unless_silent(self._ask(peer, call))
+                answer = await peer.run_unless_silent(
+                    self._ask(peer, call), self._may_leave
+                )
             else:
                 answer = await self._ask(peer, call)
         finally:
@@ -339,6 +341,14 @@
     def _may_send_again(self) -> bool:
         return self.arrivals < self.policy.attempts
 
+    def _may_leave(self) -> bool:
+        """Whether a call under way could go to another target instead."""
+        return (
+            self.arrivals + 1 < self.policy.attempts
+            and self._choose() is not None
+            and self.state.budget.has_left(self.target_set, self._now_s)
+        )
+
     def _spend(self) -> bool:
         return self.state.budget.take(self.target_set, self._now_s)
 
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -1,11 +1,14 @@
 """What this daemon knows of other daemons: load, failures, connections."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
+import enum
 import logging
 from typing import Any, TypeVar
 
 from sedgering import base
+from sedgering.mesh import _hop
 from sedgering.mesh import _messages
 from sedgering.mesh import _settings
 from sedgering import transport
@@ -24,6 +27,15 @@
 CLOSED_MS = 2000
 #: The same when its daemon has just started and does not know it yet.
 UNKNOWN_TARGET_MS = 200
+#: Share of the allowed silence after which a daemon is asked whether it
+#: lives: a round trip takes 3 ms, and a busy link adds some 200 ms.
+ASK_SHARE = 0.4
+#: Longest wait for its answer; the daemon is given up before.
+ASK_TIMEOUT_S = 1.0
+#: A target that answers nothing for so many of its work times is taken as
+#: hung: work is spread, and one call in a hundred takes three to five times
+#: as long as usual.
+LATE_WORKS = 4
 #: Work time assumed of a target that has told nothing yet.
 UNKNOWN_WORK_MS = 100
 #: Age at which the work time that a target told counts half: slow and grey
@@ -35,6 +47,13 @@
 TYPICAL_WEIGHT = 0.05
 
 
+class _Silence(enum.Enum):
+    """Who is silent."""
+
+    DAEMON = 'daemon'
+    TARGET = 'target'
+
+
 class Peer:
     """Load, failures and connections of one peer.
 
@@ -53,8 +72,11 @@
     ):
         self.row = row
         self.in_flight = 0
+        #: When its daemon answered anything, and when its target did.
         self.heard_s = 0.0
+        self.answered_s = 0.0
         self.busy_since_s = 0.0
+        self.is_asked_for_life = False
         self._abandonable: set[asyncio.Future] = set()
         self.report: _messages.LoadReport | None = None
         #: Work time of each route, and when it was told.
@@ -137,23 +159,56 @@
         self.in_flight -= 1
 
     def find_silence_ms(self, now_s: float) -> float:
-        """Return for how long calls are under way without any answer."""
+        """Return for how long its daemon has answered nothing at all."""
+        return self._find_silence_ms(self.heard_s, now_s)
+
+    def find_target_silence_ms(self, now_s: float) -> float:
+        """Return for how long its target has answered no call."""
+        return self._find_silence_ms(self.answered_s, now_s)
+
+    def _find_silence_ms(self, heard_s: float, now_s: float) -> float:
         if not self.in_flight:
             return 0.0
-        return (now_s - max(self.heard_s, self.busy_since_s)) * 1000
+        return (now_s - max(heard_s, self.busy_since_s)) * 1000
+
+    @property
+    def longest_work_ms(self) -> int:
+        """Work time of the route that takes longest at the target."""
+        return max(
+            (work_ms for work_ms, _told_s in self._route_work.values()),
+            default=UNKNOWN_WORK_MS,
+        )
 
     def abandon(self, now_s: float) -> None:
-        """Give a silent peer up: calls that may be repeated go elsewhere."""
+        """Give up a daemon that is silent."""
         self.fail(now_s, f'silent, {self.in_flight} calls under way')
+        self._end_waits(_Silence.DAEMON)
+
+    def abandon_target(self) -> None:
+        """Let calls leave a target that is silent, if they may."""
+        self._end_waits(_Silence.TARGET)
+
+    def _end_waits(self, silence: _Silence) -> None:
         futures, self._abandonable = self._abandonable, set()
         for future in futures:
             if not future.done():
-                future.set_result(None)
+                future.set_result(silence)
 
     async def run_unless_silent(
-        self, work: Coroutine[Any, Any, ResultT]
+        self,
+        work: Coroutine[Any, Any, ResultT],
+        may_leave: Callable[[], bool],
     ) -> ResultT | None:
-        """Run a call; None when the peer is given up meanwhile."""
+        """Run a call; None when it is given up meanwhile.
+
+        Parameters
+        ----------
+        work : coroutine
+            The call.
+        may_leave : callable
+            Says whether the call can go to another target; else it waits
+            for a silent target, but not for a silent daemon.
+        """
         loop = asyncio.get_running_loop()
         future = loop.create_future()
         task = loop.create_task(work)
@@ -162,11 +217,39 @@
             await asyncio.wait(
                 (task, future), return_when=asyncio.FIRST_COMPLETED
             )
-            return task.result() if task.done() else None
+            if task.done():
+                return task.result()
+            if future.result() is _Silence.TARGET and not may_leave():
+                return await task
+            return None
         finally:
             self._abandonable.discard(future)
             task.cancel()
 
+    async def ask_for_life(self) -> None:
+        """Ask its daemon for any answer at all."""
+        self.is_asked_for_life = True
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT_S):
+                connection = await self.pool.take()
+                await connection.exchange(
+                    _hop.encode_ping(), lambda _response: True
+                )
+        except (
+            transport.ConnectFailed,
+            transport.ExchangeFailed,
+            TimeoutError,
+        ) as error:
+            LOG.info(
+                'peer unheard',
+                extra={'peer': self.row.host, 'detail': repr(error)},
+            )
+            return
+        finally:
+            self.is_asked_for_life = False
+        self.pool.put(connection)
+        self.heard_s = asyncio.get_running_loop().time()
+
     def take_report(
         self,
         report: _messages.LoadReport | None,
@@ -177,6 +260,7 @@
         self.failures = 0
         self.suspect_until_s = 0.0
         self.heard_s = now_s
+        self.answered_s = now_s
         if report is None:
             return
         self.report = report
@@ -274,11 +358,24 @@
         return peer
 
     def abandon_silent(self, now_s: float) -> None:
-        """Give up peers that have answered nothing for too long."""
+        """Give up daemons and targets that are silent for too long."""
         limit_ms = self.mesh_settings.silence_ms
         for peer in self._peers.values():
+            target_limit_ms = max(limit_ms, LATE_WORKS * peer.longest_work_ms)
             if peer.find_silence_ms(now_s) > limit_ms:
                 peer.abandon(now_s)
+            elif peer.find_target_silence_ms(now_s) > target_limit_ms:
+                peer.abandon_target()
+
+    def list_unheard(self, now_s: float) -> list[Peer]:
+        """Return peers whose daemons should be asked whether they live."""
+        wait_ms = self.mesh_settings.silence_ms * ASK_SHARE
+        return [
+            peer
+            for peer in self._peers.values()
+            if not peer.is_asked_for_life
+            and peer.find_silence_ms(now_s) > wait_ms
+        ]
 
     def retain(self, hosts: frozenset[base.HostId]) -> None:
         """Forget peers that are no longer members."""
