soak: real daemons as processes, links that break, a seeded plan of faults

Promises are checked from what callers and targets saw. advertised_port lets a daemon be reached through such a link.

--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -195,7 +195,10 @@
             host=self.identity.host,
             data_centre=self.identity.data_centre,
             address=self.addresses.address,
-            port=self.addresses.peers_port,
+            port=(
+                self.state.mesh_settings.advertised_port
+                or self.addresses.peers_port
+            ),
             target_set=report.target_set,
             target=report.target,
             slots=report.slots,
--- a/sedgering/mesh/_settings.py
+++ b/sedgering/mesh/_settings.py
@@ -54,6 +54,9 @@
         Hosts from which on a few of them watch the store for the others.
         At 13 hosts the watches of all cost 0.02 of a quiet day's worth;
         at 74 they cost 0.24, and versions fill links of 10 Mbit/s.
+    advertised_port : int
+        Port at which other daemons reach this one, where that is not the
+        port on which it listens; 0 for the same.
     success_log_every : int
         One in so many plain successes is logged.
     log_lines_per_s : int
@@ -78,5 +81,6 @@
     leave_serving_ms: settings.IntervalMs = 2500
     leave_margin_ms: settings.IntervalMs = 400
     relay_from_hosts: settings.Count = 32
+    advertised_port: settings.PortOrNone = 0
     success_log_every: settings.Count = 100
     log_lines_per_s: settings.Count = 50
--- a/sedgering/settings.py
+++ b/sedgering/settings.py
@@ -27,6 +27,7 @@
 SettingsT = TypeVar('SettingsT')
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+PortOrNone = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Name = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9._-]{0,62}$')]
 IntervalMs = Annotated[int, msgspec.Meta(ge=10, le=86_400_000)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=10_000)]
--- a/sedgering/testing/__init__.py
+++ b/sedgering/testing/__init__.py
@@ -23,7 +23,9 @@
 from sedgering.testing._mesh_fleet import make_document
 from sedgering.testing._mesh_fleet import MeshFleet
 from sedgering.testing._mesh_fleet import MeshHost
+from sedgering.testing._mesh_target import TargetBooks
 from sedgering.testing._mesh_target import TargetHabit
+from sedgering.testing._mesh_target import TargetStandin
 from sedgering.testing._naive import make_sample_bundle
 from sedgering.testing._naive import NaivePoller
 from sedgering.testing._passthrough import make_passthrough
@@ -54,8 +56,10 @@
     'StoreMode',
     'StoreServer',
     'StoreService',
+    'TargetBooks',
     'TargetHabit',
     'TargetSettings',
+    'TargetStandin',
     'Verdict',
     'free_ports',
     'is_listening',
--- a/sedgering/testing/_mesh_target.py
+++ b/sedgering/testing/_mesh_target.py
@@ -5,7 +5,7 @@
 
 from sedgering import transport
 
-__all__ = ['TargetHabit', 'TargetStandin']
+__all__ = ['TargetBooks', 'TargetHabit', 'TargetStandin']
 
 #: Proof that an answer is the target's own.
 PROOF = '3e1b.07.5a2.600.0.c9f2a4d1'
@@ -90,7 +90,7 @@
                 '503 Service Unavailable', [('X-Not-Executed', '1')], b''
             )
             return
-        books.runs.append((request_id, line, dict(headers), body))
+        books.note_run(request_id, line, dict(headers), body)
         books.running += 1
         books.most_running = max(books.most_running, books.running)
         try:
@@ -154,3 +154,9 @@
         self.cancelled = 0
         self.connections = 0
         self.is_leaving = False
+
+    def note_run(
+        self, request_id: str, line: str, headers: dict, body: bytes
+    ) -> None:
+        """Note that a request began to run."""
+        self.runs.append((request_id, line, headers, body))
--- /dev/null
+++ b/soak/_daemons.py
@@ -0,0 +1,175 @@
+"""The daemons and the store as processes of their own."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import sys
+
+import yaml
+
+from soak import _links
+
+__all__ = ['Daemon', 'StoreProcess', 'make_address']
+
+CALLERS_PORT = 7101
+READINESS_PORT = 7102
+REPORTS_PORT = 7103
+PEERS_PORT = 7600
+ADVERTISED_PORT = 7700
+TARGET_PORT = 7900
+STORE_PORT = 7800
+STORE_LINK_PORT = 7801
+GRACE_S = 6.0
+#: As the users' sites have them.
+BOUNDS = (
+    'apply=2000ms',
+    'grace=6s',
+    'budget_ratio=0.2',
+    'budget_extra=62',
+    'budget_window=10s',
+)
+DRAIN_S = 2.0
+
+
+def make_address(number: int) -> str:
+    """Make an address of this process's own on loopback."""
+    pid = os.getpid()
+    return f'127.{64 + pid % 128}.{pid // 128 % 250}.{number + 1}'
+
+
+class _Process:
+    """A program that is started, signalled and started again."""
+
+    def __init__(self, folder: pathlib.Path, name: str):
+        self.folder = folder
+        self.name = name
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def _start(self, arguments: list[str], **environment: str) -> None:
+        with (self.folder / f'{self.name}.log').open('ab') as output:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                *arguments,
+                stdout=output,
+                stderr=output,
+                env={**os.environ, **environment},
+            )
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process lives."""
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process that was started, if it lives."""
+        if self.is_running:
+            self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        if self.is_running:
+            self.process.kill()
+            await self.process.wait()
+
+
+class StoreProcess(_Process):
+    """The stand-in of the platform's store."""
+
+    def __init__(self, folder: pathlib.Path, address: str):
+        super().__init__(folder, 'store')
+        self.address = address
+
+    async def start(self) -> None:
+        """Start it, and wait until it listens."""
+        await self._start(
+            [
+                *('sedgering.cli.standin', 'platform'),
+                *('--port', str(STORE_PORT), '--address', self.address),
+            ]
+        )
+
+
+class Daemon(_Process):
+    """One daemon with the links around it.
+
+    Parameters
+    ----------
+    folder : Path
+        Settings and logs.
+    number : int
+        Of the host; it has an address of its own.
+    target_set, data_centre : str
+        As in the settings of the platform.
+    store_address : str
+        Of the store.
+    mesh_settings : dict
+        Settings of the request path.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        number: int,
+        target_set: str,
+        data_centre: str,
+        store_address: str,
+        mesh_settings: dict,
+    ):
+        super().__init__(folder, f'host-{number}')
+        self.address = make_address(number)
+        self.target_set = target_set
+        self.data_centre = data_centre
+        #: Grows with each start.
+        self.lifetime = 0
+        #: When it was last started, stopped, paused or resumed.
+        self.disturbed_s = 0.0
+        self.peer_link = _links.Link(
+            self.address, ADVERTISED_PORT, self.address, PEERS_PORT
+        )
+        self.store_link = _links.Link(
+            self.address, STORE_LINK_PORT, store_address, STORE_PORT
+        )
+        self._settings_path = folder / f'{self.name}.json'
+        self._config_path = folder / f'{self.name}.yaml'
+        self._config_path.write_text(
+            yaml.safe_dump(
+                {**mesh_settings, 'advertised_port': ADVERTISED_PORT}
+            )
+        )
+
+    async def start_links(self) -> None:
+        """Start the links, which outlive the daemon."""
+        await self.peer_link.start()
+        await self.store_link.start()
+
+    async def start(self) -> None:
+        """Start the daemon."""
+        self.lifetime += 1
+        self._write_settings()
+        await self._start(
+            ['sedgering.cli.mesh', '--config', str(self._config_path)],
+            SEDGERING_NODE_FILE=str(self._settings_path),
+        )
+
+    def _write_settings(self) -> None:
+        own = self.address
+        fields = {
+            'node': self.name,
+            'ip': own,
+            'zone': self.data_centre,
+            'service': self.target_set,
+            'app': f'{own}:{TARGET_PORT}',
+            'listen': {
+                'outbound': f'{own}:{CALLERS_PORT}',
+                'ready': f'{own}:{READINESS_PORT}',
+                'control': f'{own}:{REPORTS_PORT}',
+            },
+            'internal_ports': [PEERS_PORT, PEERS_PORT + 15],
+            'bounds': BOUNDS,
+            'platform': {'address': f'{own}:{STORE_LINK_PORT}'},
+            'limits': {'link_mbps': 1000.0},
+        }
+        self._settings_path.write_text(json.dumps(fields))
--- /dev/null
+++ b/soak/_faults.py
@@ -0,0 +1,127 @@
+"""Plans of faults: what happens when, as a seed determines."""
+
+import enum
+import random
+
+import msgspec
+
+from sedgering import testing
+from soak import _links
+
+__all__ = ['Fault', 'FaultKind', 'make_plan']
+
+#: Mean time between two faults, and the shortest and longest of one.
+MEAN_GAP_S = 0.7
+LEAST_S = 0.3
+MOST_S = 3.0
+#: Share of faults that are followed by others at the same moment.
+SERIES_SHARE = 0.25
+SERIES_LENGTH = 3
+
+
+class FaultKind(enum.Enum):
+    """What is done."""
+
+    KILL = 'kill'
+    TERMINATE = 'terminate'
+    PAUSE = 'pause'
+    PEER_LINK = 'peer link'
+    STORE_LINK = 'store link'
+    STORE = 'store'
+    VERSION = 'version'
+    TARGET_LEAVES = 'target leaves'
+    TARGET_HABIT = 'target habit'
+
+
+#: Planned work: none of it may cost a request.
+PLANNED = frozenset(
+    (FaultKind.TERMINATE, FaultKind.VERSION, FaultKind.TARGET_LEAVES)
+)
+_LINK_MODES = tuple(
+    mode for mode in _links.LinkMode if mode is not _links.LinkMode.OPEN
+)
+_STORE_MODES = tuple(
+    mode for mode in testing.StoreMode if mode is not testing.StoreMode.SOUND
+)
+_HABITS = tuple(
+    habit
+    for habit in testing.TargetHabit
+    if habit is not testing.TargetHabit.SOUND
+)
+_DETAILS = {
+    FaultKind.PEER_LINK: _LINK_MODES,
+    FaultKind.STORE_LINK: _LINK_MODES,
+    FaultKind.STORE: _STORE_MODES,
+    FaultKind.TARGET_HABIT: _HABITS,
+}
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One fault.
+
+    Parameters
+    ----------
+    at_s : float
+        Seconds from the start of the plan.
+    kind : FaultKind
+        What is done.
+    host : int
+        Number of the host.
+    for_s : float
+        For how long, where that fits; until the start again of what ends.
+    detail : str
+        Mode of a link or of the store, or habit of a target.
+    """
+
+    at_s: float
+    kind: FaultKind
+    host: int
+    for_s: float
+    detail: str = ''
+
+    @property
+    def is_planned(self) -> bool:
+        """Whether operators do so on purpose."""
+        return self.kind in PLANNED
+
+
+def make_plan(seed: int, hosts: int, seconds: float) -> tuple[Fault, ...]:
+    """Make the plan of a seed.
+
+    Parameters
+    ----------
+    seed : int
+        The same seed makes the same plan.
+    hosts : int
+        Hosts of the mesh.
+    seconds : float
+        Faults begin within this time.
+    """
+    rng = random.Random(seed)
+    kinds = list(FaultKind)
+    if rng.random() < 0.2:
+        # Some plans are planned work only, and may cost nothing.
+        kinds = sorted(PLANNED, key=lambda kind: kind.value)
+    plan = []
+    at_s = 0.0
+    while True:
+        at_s += rng.expovariate(1 / MEAN_GAP_S)
+        if at_s >= seconds:
+            return tuple(plan)
+        is_series = rng.random() < SERIES_SHARE
+        for _ in range(SERIES_LENGTH if is_series else 1):
+            plan.append(_make_fault(rng, kinds, at_s, hosts))
+
+
+def _make_fault(
+    rng: random.Random, kinds: list[FaultKind], at_s: float, hosts: int
+) -> Fault:
+    kind = rng.choice(kinds)
+    details = _DETAILS.get(kind)
+    return Fault(
+        at_s,
+        kind,
+        rng.randrange(hosts),
+        rng.uniform(LEAST_S, MOST_S),
+        rng.choice(details).value if details else '',
+    )
--- /dev/null
+++ b/soak/_targets.py
@@ -0,0 +1,168 @@
+"""Targets beside the daemons: they report themselves, serve and leave."""
+
+import asyncio
+import json
+import time
+
+from sedgering import testing
+from sedgering import transport
+from soak import _daemons
+
+__all__ = ['Ledger', 'Target']
+
+SLOTS = 4
+WORK_S = 0.03
+BEAT_S = 0.5
+BEAT_TIMEOUT_S = 1.0
+#: For how long a leaving target goes on serving after its acknowledgement.
+SERVE_ON_S = _daemons.DRAIN_S + 0.6
+#: Between the end of one target and the start of the next at its address.
+REUSE_AFTER_S = 0.5
+
+
+class Ledger:
+    """What all targets ran.
+
+    Attributes
+    ----------
+    runs : dict
+        By the id of the request, the times at which it began to run.
+    late_runs : list of str
+        Requests that reached a target too long after its acknowledgement.
+    """
+
+    def __init__(self):
+        self.runs: dict[str, list[float]] = {}
+        self.late_runs: list[str] = []
+
+
+class _Books(testing.TargetBooks):
+    """Books of one lifetime of a target."""
+
+    def __init__(self, target: str, ledger: Ledger):
+        super().__init__(target)
+        self.work_s = WORK_S
+        self.ledger = ledger
+        self.left_s: float | None = None
+
+    def note_run(self, request_id, line, headers, body) -> None:
+        """Note when a request began to run."""
+        super().note_run(request_id, line, headers, body)
+        now_s = time.monotonic()
+        self.ledger.runs.setdefault(request_id, []).append(now_s)
+        if self.left_s is not None:
+            late_s = now_s - self.left_s
+            if late_s > _daemons.DRAIN_S:
+                self.ledger.late_runs.append(
+                    f'{request_id} at {self.target}, {late_s:.2f} s late'
+                )
+
+
+class Target:
+    """The target of one host, through all of its lifetimes.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        Beside it.
+    ledger : Ledger
+        Of all targets.
+    """
+
+    def __init__(self, daemon: _daemons.Daemon, ledger: Ledger):
+        self.daemon = daemon
+        self.ledger = ledger
+        self.most_running = 0
+        self.lifetime = 0
+        self.is_leaving = False
+        self.books: _Books | None = None
+        self._sequence = 0
+        self._server: asyncio.Server | None = None
+        self._connections: list[testing.TargetStandin] = []
+        self._beats: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Start a new lifetime."""
+        self.lifetime += 1
+        self._sequence = 0
+        self.is_leaving = False
+        self.books = _Books(
+            f'i-{self.daemon.name}-{self.lifetime}', self.ledger
+        )
+        self._server = await asyncio.get_running_loop().create_server(
+            self._make_connection,
+            self.daemon.address,
+            _daemons.TARGET_PORT,
+        )
+        self._beats = asyncio.ensure_future(self._beat())
+
+    async def replace(self) -> None:
+        """Leave with an acknowledgement, and start anew."""
+        if self.is_leaving:
+            return
+        self.is_leaving = True
+        self.books.is_leaving = True
+        if await self._send('heartbeat', 'draining'):
+            self.books.left_s = time.monotonic()
+        await asyncio.sleep(SERVE_ON_S)
+        await self._send('deregister', 'draining')
+        self.stop()
+        await asyncio.sleep(REUSE_AFTER_S)
+        await self.start()
+
+    def stop(self) -> None:
+        """End this lifetime with its connections."""
+        self.most_running = max(self.most_running, self.books.most_running)
+        self._beats.cancel()
+        self._server.close()
+        for connection in self._connections:
+            connection.transport.abort()
+        self._connections.clear()
+
+    def _make_connection(self) -> testing.TargetStandin:
+        connection = testing.TargetStandin(self.books)
+        self._connections.append(connection)
+        return connection
+
+    async def _beat(self) -> None:
+        while True:
+            state = 'draining' if self.is_leaving else 'ready'
+            await self._send('heartbeat', state)
+            await asyncio.sleep(BEAT_S)
+
+    async def _send(self, verb: str, state: str) -> bool:
+        """Report to the daemon; say whether it acknowledged."""
+        self._sequence += 1
+        body = {
+            'service': self.daemon.target_set,
+            'slots': SLOTS,
+            'state': state,
+            'cold_remaining': '0ms',
+            'sequence': self._sequence,
+        }
+        request = transport.Request(
+            'POST',
+            f'/v1/instances/{self.books.target}/{verb}',
+            [('Host', self.daemon.address)],
+            json.dumps(body).encode(),
+            True,
+        )
+        try:
+            async with asyncio.timeout(BEAT_TIMEOUT_S):
+                connection = await transport.connect(
+                    self.daemon.address, _daemons.REPORTS_PORT, BEAT_TIMEOUT_S
+                )
+                try:
+                    response = await connection.exchange(
+                        transport.encode_request(request), lambda _answer: True
+                    )
+                finally:
+                    connection.close()
+        except (
+            transport.ConnectFailed,
+            transport.ExchangeFailed,
+            TimeoutError,
+        ):
+            # A dead or paused daemon; the next heartbeat tries again.
+            return False
+        return response.status == 200
--- /dev/null
+++ b/soak/_world.py
@@ -0,0 +1,308 @@
+"""Everything that runs in one soak, and the faults that it is given."""
+
+import asyncio
+import json
+import pathlib
+import random
+import signal
+import time
+
+import msgspec
+
+from sedgering import testing
+from sedgering import transport
+from soak import _callers
+from soak import _daemons
+from soak import _faults
+from soak import _links
+from soak import _probes
+from soak import _targets
+
+__all__ = ['Disturbance', 'World', 'WorldSettings']
+
+DATA_CENTRES = ('north', 'south')
+START_S = 30.0
+LOOK_S = 0.1
+#: Time after the last fault in which the mesh must recover: a daemon that
+#: died starts in a second, suspects rest for 4 s at most.
+SETTLE_S = 7.0
+CLOSING_S = 2.0
+RESTART_S = 0.2
+
+
+class WorldSettings(msgspec.Struct, frozen=True):
+    """How large a soak is.
+
+    Parameters
+    ----------
+    seed : int
+        Of the plan and of all choices.
+    hosts : int
+        Daemons, each with a target.
+    seconds : float
+        Faults begin within this time.
+    callers : int
+        Of each host.
+    relay_from_hosts : int
+        Hosts from which on relays serve.
+    """
+
+    seed: int
+    hosts: int = 5
+    seconds: float = 12.0
+    callers: int = 2
+    relay_from_hosts: int = 4
+
+
+class Disturbance(msgspec.Struct):
+    """A fault while it lasts.
+
+    Parameters
+    ----------
+    fault : Fault
+        What is done.
+    start_s, end_s : float
+        Times of the monotonic clock.
+    """
+
+    fault: _faults.Fault
+    start_s: float
+    end_s: float = float('inf')
+
+
+class World:
+    """Daemons, targets, callers and the store of one soak.
+
+    Parameters
+    ----------
+    folder : Path
+        Settings and logs.
+    world_settings : WorldSettings
+        Its size.
+    """
+
+    def __init__(self, folder: pathlib.Path, world_settings: WorldSettings):
+        self.settings = world_settings
+        self.ledger = _targets.Ledger()
+        self.disturbances: list[Disturbance] = []
+        self.version = 1
+        self.closing_s = 0.0
+        self.store = _daemons.StoreProcess(
+            folder, _daemons.make_address(world_settings.hosts + 1)
+        )
+        self.daemons = [
+            _daemons.Daemon(
+                folder,
+                number,
+                'calendar',
+                DATA_CENTRES[number % len(DATA_CENTRES)],
+                self.store.address,
+                {'relay_from_hosts': world_settings.relay_from_hosts},
+            )
+            for number in range(world_settings.hosts)
+        ]
+        self.targets = [
+            _targets.Target(daemon, self.ledger) for daemon in self.daemons
+        ]
+        self.probes = [_probes.Probe(daemon) for daemon in self.daemons]
+        rng = random.Random(world_settings.seed)
+        self.callers = [
+            _callers.Caller(
+                f'{daemon.name}-{number}', daemon, rng.randrange(1 << 30)
+            )
+            for daemon in self.daemons
+            for number in range(world_settings.callers)
+        ]
+        self._busy: set[tuple] = set()
+
+    async def run(self) -> None:
+        """Run the plan of the seed, and let the mesh recover."""
+        await self._start()
+        plan = _faults.make_plan(
+            self.settings.seed, self.settings.hosts, self.settings.seconds
+        )
+        started_s = time.monotonic()
+        tasks = []
+        for fault in plan:
+            pause_s = started_s + fault.at_s - time.monotonic()
+            await asyncio.sleep(max(0.0, pause_s))
+            tasks.append(asyncio.ensure_future(self._carry_out(fault)))
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(SETTLE_S)
+        self.closing_s = time.monotonic()
+        await asyncio.sleep(CLOSING_S)
+        for caller in self.callers:
+            caller.is_stopping = True
+        for caller in self.callers:
+            await asyncio.to_thread(caller.join)
+        await asyncio.gather(
+            *(probe.look(self.version) for probe in self.probes)
+        )
+
+    async def stop(self) -> None:
+        """End everything that was started."""
+        for caller in self.callers:
+            caller.is_stopping = True
+        for probe in self.probes:
+            probe.stop()
+        for target in self.targets:
+            if target.books is not None:
+                target.stop()
+        for daemon in self.daemons:
+            daemon.peer_link.close()
+            daemon.store_link.close()
+        await asyncio.gather(
+            *(daemon.kill() for daemon in self.daemons), self.store.kill()
+        )
+
+    async def _start(self) -> None:
+        await self.store.start()
+        await _wait_for(self._write_version, 'the store to listen')
+        for daemon in self.daemons:
+            await daemon.start_links()
+            await daemon.start()
+        for target in self.targets:
+            await target.start()
+        await _wait_for(self._are_all_ready, 'all daemons to be ready')
+        for worker in (*self.callers, *self.probes):
+            worker.start()
+
+    async def _are_all_ready(self) -> bool:
+        answers = await asyncio.gather(
+            *(probe.is_ready() for probe in self.probes)
+        )
+        return all(answers)
+
+    async def _carry_out(self, fault: _faults.Fault) -> None:
+        """Carry out a fault, unless one like it lasts there."""
+        key = (fault.kind, fault.host)
+        if fault.kind in _PROCESS_KINDS:
+            key = ('process', fault.host)
+        elif fault.kind is _faults.FaultKind.STORE:
+            key = ('store',)
+        if key in self._busy:
+            return
+        self._busy.add(key)
+        disturbance = Disturbance(fault, time.monotonic())
+        self.disturbances.append(disturbance)
+        try:
+            await _ACTIONS[fault.kind](self, fault)
+        finally:
+            disturbance.end_s = time.monotonic()
+            self._busy.discard(key)
+
+    async def _kill(self, fault: _faults.Fault) -> None:
+        daemon = self.daemons[fault.host]
+        await daemon.kill()
+        await asyncio.sleep(RESTART_S)
+        await self._start_again(fault.host)
+
+    async def _terminate(self, fault: _faults.Fault) -> None:
+        daemon = self.daemons[fault.host]
+        daemon.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(_daemons.GRACE_S):
+                await daemon.process.wait()
+        except TimeoutError:
+            await daemon.kill()
+        await self._start_again(fault.host)
+
+    async def _start_again(self, host: int) -> None:
+        await self.daemons[host].start()
+        await _wait_for(self.probes[host].answers, 'a daemon to start')
+
+    async def _pause(self, fault: _faults.Fault) -> None:
+        daemon = self.daemons[fault.host]
+        daemon.signal(signal.SIGSTOP)
+        await asyncio.sleep(fault.for_s)
+        daemon.signal(signal.SIGCONT)
+
+    async def _break_peer_link(self, fault: _faults.Fault) -> None:
+        await _break_link(self.daemons[fault.host].peer_link, fault)
+
+    async def _break_store_link(self, fault: _faults.Fault) -> None:
+        await _break_link(self.daemons[fault.host].store_link, fault)
+
+    async def _break_store(self, fault: _faults.Fault) -> None:
+        await self._control_store({'mode': fault.detail})
+        await asyncio.sleep(fault.for_s)
+        await self._control_store({})
+
+    async def _change_version(self, _fault: _faults.Fault) -> None:
+        self.version += 1
+        await _wait_for(self._write_version, 'a version to be written')
+
+    async def _replace_target(self, fault: _faults.Fault) -> None:
+        await self.targets[fault.host].replace()
+
+    async def _change_habit(self, fault: _faults.Fault) -> None:
+        target = self.targets[fault.host]
+        target.books.habit = testing.TargetHabit(fault.detail)
+        await asyncio.sleep(fault.for_s)
+        target.books.habit = testing.TargetHabit.SOUND
+
+    async def _write_version(self) -> bool:
+        """Write the newest version; say whether the store answered."""
+        document = _make_document(self.version)
+        body = _probes.encode_write('op', 'config', document)
+        answer = await self._call_store('/v1/rows-tx', body)
+        return answer is not None and answer.status == 200
+
+    async def _control_store(self, faults: dict) -> None:
+        await self._call_store('/standin/faults', json.dumps(faults).encode())
+
+    async def _call_store(
+        self, path: str, body: bytes
+    ) -> transport.Response | None:
+        return await _probes.ask(
+            self.store.address, _daemons.STORE_PORT, path, body
+        )
+
+
+def _make_document(version: int) -> bytes:
+    """Make a version: two routes, and one for each version so far."""
+    common = {'host': _callers.HOST_HEADER, 'timeout': '1200ms'}
+    once = {**common, 'prefix': _callers.ONCE_PATH, 'kind': 'non_idempotent'}
+    routes = [{**common, 'prefix': _callers.REPEATABLE_PATH}, once]
+    routes += [
+        {**common, 'prefix': _probes.make_path(number)}
+        for number in range(1, version + 1)
+    ]
+    return testing.make_document(version, routes)
+
+
+async def _break_link(link: _links.Link, fault: _faults.Fault) -> None:
+    link.set_mode(_links.LinkMode(fault.detail))
+    await asyncio.sleep(fault.for_s)
+    link.set_mode(_links.LinkMode.OPEN)
+
+
+async def _wait_for(condition, what: str) -> None:
+    """Wait until a condition holds.
+
+    Raises
+    ------
+    TimeoutError
+        Names what did not come about.
+    """
+    end_s = time.monotonic() + START_S
+    while not await condition():
+        if time.monotonic() > end_s:
+            raise TimeoutError(what)
+        await asyncio.sleep(LOOK_S)
+
+
+_Kind = _faults.FaultKind
+#: Faults of which a daemon bears one at a time.
+_PROCESS_KINDS = frozenset((_Kind.KILL, _Kind.TERMINATE, _Kind.PAUSE))
+_ACTIONS = {
+    _Kind.KILL: World._kill,
+    _Kind.TERMINATE: World._terminate,
+    _Kind.PAUSE: World._pause,
+    _Kind.PEER_LINK: World._break_peer_link,
+    _Kind.STORE_LINK: World._break_store_link,
+    _Kind.STORE: World._break_store,
+    _Kind.VERSION: World._change_version,
+    _Kind.TARGET_LEAVES: World._replace_target,
+    _Kind.TARGET_HABIT: World._change_habit,
+}
