Links of targets count in the choice; a call waits where it cannot go elsewhere (trial)

Change: each daemon reports the share of its link that incoming bytes take; transfer time and queue count in the choice. The keeper learns its row from the member log (one read less at each start); watches of polled daemons wait 2 s.

--- a/features/gate.feature
+++ b/features/gate.feature
@@ -112,6 +112,29 @@
     And "far" tells 100 ms of this route
     Then "far" is chosen with 0 calls under way there
 
+  Scenario Outline: A large body leaves a near target whose link is full
+    Given targets "near" in hall and "far" elsewhere with 2 slots each
+    When "near" tells that <percent> % of its link of <mbps> Mbit/s is used
+    Then "<host>" is chosen for 60000 bytes with 0 calls under way at near
+
+    Examples:
+      | percent | mbps | host |
+      | 10      | 10   | near |
+      | 60      | 10   | near |
+      | 90      | 10   | far  |
+      | 1       | 1000 | near |
+
+  Scenario Outline: Use of a link
+    Given a link of <mbps> Mbit/s on which <bytes> bytes came in <seconds> s
+    Then <percent> % of it are used
+
+    Examples:
+      | mbps | bytes  | seconds | percent |
+      | 10   | 625000 | 1       | 50      |
+      | 10   | 900000 | 0.5     | 100     |
+      | 10   | 625000 | 0.1     | 0       |
+      | 0    | 625000 | 1       | 0       |
+
   Scenario: A target that was slow is tried again in time
     Given targets "near" in hall and "far" elsewhere with 2 slots each
     When "near" tells 30 ms of another route and 300 ms of this one
--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -8,11 +8,13 @@
 from behave import when
 import hypothesis
 from hypothesis import strategies as st
+import msgspec
 
 from sedgering import base
 from sedgering import mesh
 from sedgering.mesh import _gate
 from sedgering.mesh import _hop
+from sedgering.mesh import _link
 from sedgering import transport
 
 ROUTE = base.RouteName('calendar')
@@ -335,6 +337,31 @@
     tell(context, host, ROUTE, work_ms, 30)
 
 
+@when('"near" tells that {percent:d} % of its link of {mbps:d} Mbit/s is used')
+def step_tells_link(context, percent, mbps):
+    for host, row in context.rows.items():
+        context.rows[host] = msgspec.structs.replace(row, link_mbps=mbps)
+    context.fleet.replace(context.rows)
+    context.peers = mesh.PeerTable(mesh.MeshSettings())
+    near = context.peers.find(context.rows['near'])
+    load = mesh.LoadReport(0, 0, 2, 100, 100, percent)
+    context.peers.take_report(near, load, ROUTE, 0.0)
+
+
+@given(
+    'a link of {mbps:d} Mbit/s on which {count:d} bytes came in {seconds:g} s'
+)
+def step_link(context, mbps, count, seconds):
+    moments = iter((0.0, seconds))
+    meter = _link.LinkMeter(mbps, lambda: count, lambda: next(moments))
+    context.percent = meter.find_percent()
+
+
+@then('{percent:d} % of it are used')
+def step_link_used(context, percent):
+    assert context.percent == percent, context.percent
+
+
 @when('"{host}" tells {work_ms:d} ms of this route')
 def step_tells(context, host, work_ms):
     tell(context, host, ROUTE, work_ms, work_ms)
@@ -493,7 +520,7 @@
     reason=st.sampled_from(list(mesh.RefusalReason)),
     retry_after_ms=st.integers(0, 9999),
     load=st.none()
-    | st.builds(mesh.LoadReport, *[st.integers(0, 999) for _ in range(5)]),
+    | st.builds(mesh.LoadReport, *[st.integers(0, 999) for _ in range(6)]),
     reached_target=st.booleans(),
     detail=NAMES,
 )
--- a/sedgering/mesh/_choice.py
+++ b/sedgering/mesh/_choice.py
@@ -14,6 +14,12 @@
 #: Relative noise on estimates, so that many daemons with the same reports
 #: do not all choose the same target.
 NOISE_SHARE = 0.15
+#: Wait on a link of which half is used.  An upload of 60 kB takes 48 ms on
+#: 10 Mbit/s; it counts twice, since others wait behind it.
+LINK_QUEUE_MS = 100
+#: A link counts as used by this share at most: the wait would be endless.
+MOST_USED = 0.95
+BITS = 8
 
 
 class WeightedTurns:
@@ -71,12 +77,24 @@
     typical_ms = peers.typical_work_ms(route)
     cost_ms = peer.estimate_work_ms(route, typical_ms, now_s)
     cost_ms += peer.work_ms * (turns + spread)
+    cost_ms += estimate_link_ms(peer, body_bytes, now_s)
     if peer.row.data_centre != data_centre:
         cost_ms += mesh_settings.remote_penalty_ms
         cost_ms += mesh_settings.remote_penalty_us_per_byte * body_bytes / 1000
     return cost_ms
 
 
+def estimate_link_ms(
+    peer: _peers.Peer, body_bytes: int, now_s: float
+) -> float:
+    """Estimate the time that a request spends on the link of a target."""
+    if not peer.row.link_mbps:
+        return 0.0
+    used = min(MOST_USED, peer.estimate_link_share(now_s))
+    transfer_ms = body_bytes * BITS / (peer.row.link_mbps * 1000)
+    return transfer_ms + LINK_QUEUE_MS * used / (1 - used)
+
+
 def choose_member(
     members: Sequence[_messages.MemberRow],
     tried: Collection[base.HostId],
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -12,6 +12,7 @@
 from sedgering.mesh import _follow
 from sedgering.mesh import _gate
 from sedgering.mesh import _inbound
+from sedgering.mesh import _link
 from sedgering.mesh import _messages
 from sedgering.mesh import _outbound
 from sedgering.mesh import _pause
@@ -71,6 +72,11 @@
         self.follower = _follow.RelayFollower(
             identity, state.fleet, state.peers, source
         )
+        state.side.link = _link.LinkMeter(
+            identity.link_mbps,
+            lambda: self.inbound.received_bytes + self.outbound.received_bytes,
+            state.side.gate.now_s,
+        )
         self.is_leaving = False
         self._servers: list[asyncio.AbstractServer] = []
         self._tasks: list[asyncio.Task] = []
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -165,9 +165,9 @@
     value = transport.find_header(headers, LOAD)
     if value is None:
         return None
-    running, waiting, limit, work_ms, route_work_ms = map(
+    running, waiting, limit, work_ms, route_work_ms, link_percent = map(
         int, value.split(SEPARATOR)
     )
     return _messages.LoadReport(
-        running, waiting, limit, work_ms, route_work_ms
+        running, waiting, limit, work_ms, route_work_ms, link_percent
     )
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -7,6 +7,7 @@
 from sedgering import base
 from sedgering.mesh import _gate
 from sedgering.mesh import _hop
+from sedgering.mesh import _link
 from sedgering.mesh import _messages
 from sedgering.mesh import _pause
 from sedgering.mesh import _relay
@@ -65,6 +66,8 @@
             gate.slots + SPARE_CONNECTIONS,
             mesh_settings.target_idle_ms / 1000,
         )
+        #: Set by the daemon, which knows its listeners.
+        self.link: _link.LinkMeter | None = None
         self._replaced = frozenset(
             getattr(names, field).lower() for field in _REPLACED
         )
@@ -78,6 +81,13 @@
         else:
             self.gate.close(_messages.RefusalReason.LEAVING)
 
+    def make_report(self, route: base.RouteName) -> _messages.LoadReport:
+        """Make what other daemons are told with the answer to a call."""
+        report = self.gate.make_report(route)
+        if self.link is not None:
+            report.link_percent = self.link.find_percent()
+        return report
+
     async def run(self, call: _messages.TargetCall) -> _messages.CallAnswer:
         """Run a call at the local target, or refuse it."""
         if self.target.target is None:
@@ -103,7 +113,7 @@
         finally:
             elapsed_ms = (self.gate.now_s() - started_s) * 1000
             self.gate.leave(ticket, _judge(answer), elapsed_ms)
-        answer.load = self.gate.make_report(call.route)
+        answer.load = self.make_report(call.route)
         return answer
 
     def _refuse(
@@ -116,7 +126,7 @@
             _messages.CallOutcome.NOT_RUN,
             reason=reason,
             retry_after_ms=retry_after_ms,
-            load=self.gate.make_report(call.route),
+            load=self.make_report(call.route),
         )
 
     async def _send(
@@ -283,6 +293,6 @@
             answer = _messages.CallAnswer(
                 _messages.CallOutcome.UNKNOWN,
                 reason=_messages.RefusalReason.DEADLINE,
-                load=self.side.gate.make_report(call.route),
+                load=self.side.make_report(call.route),
             )
         return _hop.encode_answer(answer)
--- a/sedgering/mesh/_keeper.py
+++ b/sedgering/mesh/_keeper.py
@@ -8,6 +8,7 @@
 
 from sedgering import base
 from sedgering import exceptions
+from sedgering.mesh import _members
 from sedgering.mesh import _messages
 from sedgering.mesh import _watch
 from sedgering import storage
@@ -44,7 +45,9 @@
         self._is_wanted = threading.Event()
         self._read: Callable[[], None] | None = None
         self._lock = threading.Lock()
+        #: Of the row in the store, with its value; None when not known.
         self._revision: int | None = None
+        self._written: bytes | None = None
         self._pauses = _watch.Pauses()
 
     def start(self) -> None:
@@ -54,10 +57,17 @@
     def want(self, row: _messages.MemberRow | None) -> None:
         """Make this the row; the newest wish replaces older ones."""
         with self._lock:
-            self._wanted = None if row is None else _ENCODER.encode(row)
+            self._wanted = _encode(row)
             self._is_new = True
             self._is_wanted.set()
 
+    def note_known(self, entry: _members.MemberEntry) -> None:
+        """Learn the present row from elsewhere, in place of reading it."""
+        with self._lock:
+            if self._revision is None:
+                self._revision = entry.revision
+                self._written = _encode(entry.row)
+
     def ask(self, read: Callable[[], None]) -> None:
         """Read something once in this thread."""
         with self._lock:
@@ -102,14 +112,14 @@
         if self._revision is None:
             (row,) = self.table.read([self.host])
             self._revision = row.revision
-            if row.revision and wanted == row.value:
-                return
-        if wanted is None and not self._revision:
+            self._written = row.value if row.revision else None
+        if wanted == self._written:
             return
         outcome = self.table.transact(self._make_transaction(wanted))
         if outcome.kind is not storage.OutcomeKind.DONE:
             raise outcome.make_error()
         self._revision = 0 if wanted is None else outcome.revision
+        self._written = wanted
         LOG.info(
             'row written' if wanted is not None else 'row removed',
             extra={'version': outcome.revision},
@@ -123,3 +133,7 @@
             )
         puts = (storage.Put(self.host, wanted),)
         return storage.Transaction(OPERATION, conditions, puts)
+
+
+def _encode(row: _messages.MemberRow | None) -> bytes | None:
+    return None if row is None else _ENCODER.encode(row)
--- /dev/null
+++ b/sedgering/mesh/_link.py
@@ -0,0 +1,49 @@
+"""How much of the link of this host is used."""
+
+from collections.abc import Callable
+
+__all__ = ['LinkMeter']
+
+#: Time over which bytes are counted: long enough for some uploads of 60 kB,
+#: short enough to follow a burst.
+WINDOW_S = 0.5
+BITS = 8
+
+
+class LinkMeter:
+    """Tells the share of the link that incoming bytes take.
+
+    Parameters
+    ----------
+    link_mbps : int
+        Width of the link; 0 when it is not known.
+    count_bytes : callable
+        Returns the bytes received so far.
+    now_s : callable
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        link_mbps: int,
+        count_bytes: Callable[[], int],
+        now_s: Callable[[], float],
+    ):
+        self.link_mbps = link_mbps
+        self.count_bytes = count_bytes
+        self.now_s = now_s
+        self._start_s = now_s()
+        self._start_bytes = 0
+        self._percent = 0
+
+    def find_percent(self) -> int:
+        """Return the share of the last window, in percent."""
+        elapsed_s = self.now_s() - self._start_s
+        if not self.link_mbps or elapsed_s < WINDOW_S:
+            return self._percent
+        received = self.count_bytes()
+        mbps = (received - self._start_bytes) * BITS / elapsed_s / 1e6
+        self._percent = min(100, int(100 * mbps / self.link_mbps))
+        self._start_s += elapsed_s
+        self._start_bytes = received
+        return self._percent
--- a/sedgering/mesh/_members.py
+++ b/sedgering/mesh/_members.py
@@ -91,6 +91,13 @@
         )
         return MemberNews(tuple(entries), self.revision, is_complete)
 
+    def find_entry(self, host: base.HostId) -> MemberEntry:
+        """Return the entry of a host; at revision 0 when it has no row."""
+        entry = self._entries.get(host)
+        if entry is None or entry.row is None:
+            return MemberEntry(host, 0, None)
+        return entry
+
     def list_members(self) -> dict[base.HostId, _messages.MemberRow]:
         """Return the rows that are there, those written last at the end."""
         entries = sorted(
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -211,7 +211,7 @@
     link_mbps: int = 0
 
 
-class LoadReport(msgspec.Struct, frozen=True):
+class LoadReport(msgspec.Struct):
     """What a gate tells of itself with each answer.
 
     Parameters
@@ -224,6 +224,8 @@
     route_work_ms : int
         The same for the route of the call that is answered; 0 when the
         route has not been seen there.
+    link_percent : int
+        Share of the link of the host that incoming bytes take.
     """
 
     running: int
@@ -231,6 +233,7 @@
     limit: int
     work_ms: int
     route_work_ms: int = 0
+    link_percent: int = 0
 
 
 class TargetCall(msgspec.Struct):
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
-import enum
 import logging
 from typing import Any, TypeVar
 
@@ -41,19 +40,15 @@
 #: Age at which the work time that a target told counts half: slow and grey
 #: targets stay so for some seconds.
 WORK_HALF_LIFE_MS = 3000
+#: The same for the share of its link that is used: a burst lasts a few
+#: seconds.
+LINK_HALF_LIFE_MS = 2000
 #: How much longer work takes at a target that has just started.
 COLD_COST = 2.0
 #: Weight of the newest report in the work time of a route over all targets.
 TYPICAL_WEIGHT = 0.05
 
 
-class _Silence(enum.Enum):
-    """Who is silent."""
-
-    DAEMON = 'daemon'
-    TARGET = 'target'
-
-
 class Peer:
     """Load, failures and connections of one peer.
 
@@ -137,6 +132,14 @@
         """Note that the target has just started and is slow until then."""
         self._cold_until_s = until_s
 
+    def estimate_link_share(self, now_s: float) -> float:
+        """Estimate how much of the link of its host is used, 0 to 1."""
+        if self.report is None:
+            return 0.0
+        age_ms = (now_s - self.reported_s) * 1000
+        weight = 0.5 ** (age_ms / LINK_HALF_LIFE_MS)
+        return self.report.link_percent / 100 * weight
+
     def estimate_present(self, now_s: float) -> float:
         """Estimate the calls that are at or before the target now."""
         if self.report is None:
@@ -182,17 +185,14 @@
     def abandon(self, now_s: float) -> None:
         """Give up a daemon that is silent."""
         self.fail(now_s, f'silent, {self.in_flight} calls under way')
-        self._end_waits(_Silence.DAEMON)
-
-    def abandon_target(self) -> None:
-        """Let calls leave a target that is silent, if they may."""
-        self._end_waits(_Silence.TARGET)
+        self.end_waits()
 
-    def _end_waits(self, silence: _Silence) -> None:
+    def end_waits(self) -> None:
+        """Let calls that may be repeated go elsewhere, if they can."""
         futures, self._abandonable = self._abandonable, set()
         for future in futures:
             if not future.done():
-                future.set_result(silence)
+                future.set_result(None)
 
     async def run_unless_silent(
         self,
@@ -206,8 +206,7 @@
         work : coroutine
             The call.
         may_leave : callable
-            Says whether the call can go to another target; else it waits
-            for a silent target, but not for a silent daemon.
+            Says whether the call can go to another target.
         """
         loop = asyncio.get_running_loop()
         future = loop.create_future()
@@ -219,9 +218,9 @@
             )
             if task.done():
                 return task.result()
-            if future.result() is _Silence.TARGET and not may_leave():
-                return await task
-            return None
+            # Where it cannot go elsewhere it goes on waiting: an answer
+            # may come yet, and the end of the connection ends it.
+            return None if may_leave() else await task
         finally:
             self._abandonable.discard(future)
             task.cancel()
@@ -365,7 +364,7 @@
             if peer.find_silence_ms(now_s) > limit_ms:
                 peer.abandon(now_s)
             elif peer.find_target_silence_ms(now_s) > target_limit_ms:
-                peer.abandon_target()
+                peer.end_waits()
 
     def list_unheard(self, now_s: float) -> list[Peer]:
         """Return peers whose daemons should be asked whether they live."""
--- a/sedgering/mesh/_source.py
+++ b/sedgering/mesh/_source.py
@@ -27,7 +27,7 @@
 POLLED_S = 5.0
 #: Longest wait of a watch in a daemon that others poll: they must learn
 #: soon that it does not hear the store.
-POLLED_WAIT_MS = 1000
+POLLED_WAIT_MS = 2000
 
 
 class MeshSource:
@@ -52,6 +52,7 @@
         host: base.HostId,
         loop: asyncio.AbstractEventLoop,
     ):
+        self.host = host
         self.loop = loop
         self.versions = _versions.VersionLog()
         self.members = _members.MemberLog()
@@ -104,6 +105,8 @@
         row : MemberRow or None
             None removes the row.
         """
+        if self.members.revision:
+            self._keeper.note_known(self.members.find_entry(self.host))
         self._keeper.want(row)
 
     def take_version(
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -65,6 +65,8 @@
 
     def __init__(self):
         self.connections: set[ServerConnection] = set()
+        #: Bytes of all connections since the start.
+        self.received_bytes = 0
 
     @abc.abstractmethod
     async def answer(
@@ -162,6 +164,7 @@
 
     def data_received(self, data):
         """Feed the parser; whole requests start as they end."""
+        self.service.received_bytes += len(data)
         if self._is_refused:
             return
         self.last_activity_s = self.loop.time()
