A silent attempt goes on beside the next one (trial)

Change: attempts run beside each other; the first answer wins, the others are cancelled. _outbound.py is split into _exchange.py (one request) and _state.py.

--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -107,6 +107,13 @@
     When 12 requests go to the first host, which has no target of its own
     Then all that went to the silent host end at the third one in time
 
+  Scenario: A slow answer is still taken when the next target refuses
+    Given the targets work 1.3 s
+    And the second host is the only one that does not refuse
+    When a caller asks "/slow/" with id "id-10"
+    Then the answer is 200
+    And it arrived 1 times at targets
+
   Scenario: A long request is not broken off where it cannot go elsewhere
     Given the targets work 1.3 s
     And only the second host has a target
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -8,6 +8,7 @@
 from behave import then
 from behave import when
 
+from sedgering.mesh import _messages
 from sedgering import testing
 
 ROUTE_FIELDS = [
@@ -282,6 +283,24 @@
     mesh.second.daemon.state.side.run = lambda _call: asyncio.sleep(3600)
 
 
+@given('the second host is the only one that does not refuse')
+def step_others_refuse(context):
+    step_only_second(context)
+    mesh = context.mesh
+    mesh.third = mesh.fleet.add_host('hall-3')
+    mesh.fleet.wait_ready()
+    side = mesh.third.daemon.state.side
+
+    async def refuse(call):
+        return side._refuse(call, _messages.RefusalReason.SHED, 100)
+
+    side.run = refuse
+    # The second host is asked first.
+    peers = mesh.first.daemon.state.peers
+    row = mesh.first.daemon.state.fleet.members['hall-3']
+    peers.find(row).shed_until_s = float('inf')
+
+
 @given('only the second host has a target')
 def step_only_second(context):
     mesh = context.mesh
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -21,6 +21,7 @@
 from sedgering.mesh import _relay
 from sedgering.mesh import _settings
 from sedgering.mesh import _source
+from sedgering.mesh import _state
 from sedgering.mesh import _target
 from sedgering import transport
 
@@ -54,7 +55,7 @@
         self,
         identity: _messages.MeshIdentity,
         addresses: _messages.Addresses,
-        state: _outbound.RequestState,
+        state: _state.RequestState,
         source: _source.MeshSource,
     ):
         self.identity = identity
@@ -296,7 +297,7 @@
     decisions = _decisions.DecisionLog(
         mesh_settings.success_log_every, mesh_settings.log_lines_per_s, now_s
     )
-    state = _outbound.RequestState(
+    state = _state.RequestState(
         identity,
         names,
         mesh_settings,
--- /dev/null
+++ b/sedgering/mesh/_exchange.py
@@ -0,0 +1,426 @@
+"""One request of a caller: route, target, attempts, and what is told."""
+
+import asyncio
+import json
+
+from sedgering import base
+from sedgering import bundle as bundles
+from sedgering import exceptions
+from sedgering.mesh import _choice
+from sedgering.mesh import _hop
+from sedgering.mesh import _messages
+from sedgering.mesh import _peers
+from sedgering.mesh import _state
+from sedgering import transport
+
+__all__ = ['Exchange']
+
+#: Deadline of a request that states none is that of its route.
+MAX_DEADLINE_MS = 3_600_000
+#: A request with less of its time left than this share seems to have been
+#: asked before; callers state the time that is left.
+RETURN_SHARE = 0.97
+#: Bounds of the time after which a refused caller returns, as shares of the
+#: time that it has left.  Callers honour a third; the spread keeps those
+#: that were refused together from returning together.
+RETRY_AFTER_SHARES = (0.12, 0.32)
+#: Gates that may refuse a request before it is given up.
+SHEDS_LIMIT = 2
+SERVER_ERROR = 500
+
+_Outcome = _messages.CallOutcome
+_Reason = _messages.RefusalReason
+
+
+#: Refusals after which a target gets nothing for a while.
+_CLOSING_REASONS = frozenset(
+    (_Reason.WRONG_TARGET, _Reason.TARGET_UNKNOWN, _Reason.LEAVING)
+)
+_STATUS = {
+    exceptions.Code.REQUEST_NO_ROUTE: 404,
+    exceptions.Code.REQUEST_MALFORMED: 400,
+    exceptions.Code.REQUEST_UNKNOWN: 502,
+    exceptions.Code.REQUEST_LATE: 504,
+}
+
+
+class _Attempt:
+    """A call under way.
+
+    Parameters
+    ----------
+    peer : Peer
+        Asked.
+    task : Task
+        Ends with the answer.
+    loop : AbstractEventLoop
+        In which it runs.
+    """
+
+    def __init__(
+        self,
+        peer: _peers.Peer,
+        task: asyncio.Task,
+        loop: asyncio.AbstractEventLoop,
+    ):
+        self.peer = peer
+        self.task = task
+        #: Done when the target or its daemon is silent for too long.
+        self.silence: asyncio.Future = loop.create_future()
+
+    def watch_silence(self) -> None:
+        """Be told when the target or its daemon is silent."""
+        self.silence = self.peer.watch_silence()
+
+    def forget_silence(self) -> None:
+        """Be told no more."""
+        self.peer.forget_silence(self.silence)
+
+
+class Exchange:
+    """One request of a caller of this host."""
+
+    def __init__(self, request: transport.Request, state: _state.RequestState):
+        self.request = request
+        self.state = state
+        self.loop = asyncio.get_running_loop()
+        names = state.names
+        self.request_id = base.RequestId(
+            transport.find_header(request.headers, names.request_id.lower())
+            or ''
+        )
+        self.route: bundles.Route | None = None
+        self.policy: bundles.Policy | None = None
+        self.target_set = base.TargetSetName('')
+        self.version = base.NO_VERSION
+        self.deadline_s = 0.0
+        self.goal_s = 0.0
+        self.urgency = _messages.CallUrgency.FIRST
+        self.caller_left_ms = 0
+        self.sheds = 0
+        self.arrivals = 0
+        self.asked: list[base.HostId] = []
+        self.may_have_run = False
+        self.attempts: list[_Attempt] = []
+        self.last: _messages.CallAnswer | None = None
+        self.answered: _messages.CallAnswer | None = None
+
+    async def run(self) -> transport.Response:
+        """Answer the request."""
+        snapshot = self.state.config.snapshot
+        if snapshot is None:
+            return self._refuse(exceptions.Code.REQUEST_NOT_READY)
+        self.version = snapshot.version
+        host = transport.find_header(self.request.headers, 'host') or ''
+        self.route = bundles.find_route(
+            snapshot,
+            bundles.RequestHead(
+                self.request.method,
+                host.partition(':')[0].lower(),
+                self.request.url.partition('?')[0],
+                {},
+            ),
+        )
+        if self.route is None:
+            return self._refuse(exceptions.Code.REQUEST_NO_ROUTE)
+        self.policy = snapshot.policies[self.route.policy]
+        self.target_set = self.state.turns.choose(self.route)
+        try:
+            self._set_times()
+        except ValueError:
+            return self._refuse(exceptions.Code.REQUEST_MALFORMED)
+        try:
+            async with asyncio.timeout_at(self.deadline_s):
+                return await self._attempt_all()
+        except TimeoutError:
+            if self.attempts:
+                return self._refuse(exceptions.Code.REQUEST_LATE)
+            return self._refuse_after(self.last)
+
+    def _set_times(self) -> None:
+        """Set deadline and goal from the head of the request."""
+        name = self.state.names.deadline_ms.lower()
+        text = transport.find_header(self.request.headers, name)
+        timeout_ms = self.policy.timeout_ms
+        stated_ms = timeout_ms
+        if text is not None:
+            stated_ms = int(text)
+            if not 0 <= stated_ms <= MAX_DEADLINE_MS:
+                raise ValueError(text)
+        started_s = self.request.received_s
+        self.deadline_s = started_s + min(timeout_ms, stated_ms) / 1000
+        longest = self.state.longest_ms
+        longest_ms = max(longest.get(self.route.name, 0), stated_ms)
+        longest[self.route.name] = longest_ms
+        self.caller_left_ms = stated_ms
+        if longest_ms <= timeout_ms:
+            # Callers of this route never have time to come back: it is
+            # called by targets that work on requests of their own.
+            self.urgency = _messages.CallUrgency.TARGET
+        elif stated_ms < longest_ms * RETURN_SHARE:
+            self.urgency = _messages.CallUrgency.RETURN
+        # A caller that was refused at once earns most of the worth within
+        # the goal as counted from the new attempt.
+        goal_ms = self.policy.latency_goal_ms or timeout_ms
+        self.goal_s = started_s + goal_ms / 1000
+
+    @property
+    def _now_s(self) -> float:
+        return self.loop.time()
+
+    async def _attempt_all(self) -> transport.Response:
+        """Ask targets until one answers."""
+        try:
+            return await self._drive()
+        finally:
+            for attempt in self.attempts:
+                attempt.task.cancel()
+
+    async def _drive(self) -> transport.Response:
+        """Start attempts as they are needed, and take their answers in."""
+        wants_attempt = True
+        while True:
+            peer = self._choose() if wants_attempt else None
+            if peer is not None:
+                self._start(peer)
+            if not self.attempts:
+                return self._refuse_after(self.last)
+            answer = await self._wait()
+            if answer is None:
+                wants_attempt = self._may_add()
+                continue
+            self.last = answer
+            if self._is_final(answer):
+                return self._pass_on(answer)
+            wants_attempt = self._may_go_on(answer)
+
+    def _start(self, peer: _peers.Peer) -> None:
+        """Start an attempt at a target."""
+        if not self.asked:
+            self.state.budget.note_request(self.target_set, self._now_s)
+        self.asked.append(peer.row.host)
+        attempt = _Attempt(
+            peer, self.loop.create_task(self._attempt(peer)), self.loop
+        )
+        if self.route.repeatable:
+            attempt.watch_silence()
+        self.attempts.append(attempt)
+
+    async def _wait(self) -> _messages.CallAnswer | None:
+        """Wait for an answer; None when a target or daemon is silent."""
+        tasks = [attempt.task for attempt in self.attempts]
+        silences = [attempt.silence for attempt in self.attempts]
+        await asyncio.wait(
+            [*tasks, *silences], return_when=asyncio.FIRST_COMPLETED
+        )
+        for attempt in self.attempts:
+            if attempt.task.done():
+                self.attempts.remove(attempt)
+                attempt.forget_silence()
+                answer = attempt.task.result()
+                self._learn(attempt.peer, answer)
+                return answer
+        for attempt in self.attempts:
+            if attempt.silence.done():
+                attempt.watch_silence()
+        return None
+
+    def _choose(self) -> _peers.Peer | None:
+        if len(self.asked) >= self.state.mesh_settings.hops_limit:
+            return None
+        return _choice.choose_member(
+            self.state.fleet.by_set.get(self.target_set, ()),
+            self.asked,
+            self.state.peers,
+            self.state.identity.data_centre,
+            self.route.name,
+            len(self.request.body),
+            self.state.rng,
+            self._now_s,
+        )
+
+    async def _attempt(self, peer: _peers.Peer) -> _messages.CallAnswer:
+        call = self._make_call(peer.row)
+        peer.start_call(self._now_s)
+        try:
+            if peer.row.host != self.state.identity.host:
+                return await self._ask(peer, call)
+            answer = await self.state.side.run(call)
+            self._take_report(peer, answer)
+            return answer
+        finally:
+            peer.end_call()
+
+    async def _ask(
+        self, peer: _peers.Peer, call: _messages.TargetCall
+    ) -> _messages.CallAnswer:
+        """Send a call to another daemon."""
+        try:
+            connection = await peer.pool.take()
+        except transport.ConnectFailed as error:
+            peer.fail(self._now_s, str(error))
+            return _messages.CallAnswer(
+                _Outcome.NOT_RUN,
+                reason=_Reason.UNREACHABLE,
+                detail=str(error),
+            )
+        try:
+            response = await connection.exchange(
+                _hop.encode_call(call),
+                lambda _response: True,
+                self.request.method == 'HEAD',
+            )
+            answer = _hop.decode_answer(response)
+        except (transport.ExchangeFailed, _hop.HopError) as error:
+            connection.close()
+            peer.fail(self._now_s, str(error))
+            return _messages.CallAnswer(
+                _Outcome.UNKNOWN,
+                reason=_Reason.CONNECTION_LOST,
+                reached_target=True,
+                detail=str(error),
+            )
+        peer.pool.put(connection)
+        self._take_report(peer, answer)
+        return answer
+
+    def _take_report(
+        self, peer: _peers.Peer, answer: _messages.CallAnswer
+    ) -> None:
+        self.state.peers.take_report(
+            peer, answer.load, self.route.name, self._now_s
+        )
+
+    def _make_call(self, row: _messages.MemberRow) -> _messages.TargetCall:
+        now_s = self._now_s
+        return _messages.TargetCall(
+            request=self.request,
+            request_id=self.request_id,
+            target_set=self.target_set,
+            target=row.target,
+            route=self.route.name,
+            origin=self.state.identity.target_set,
+            priority=self.policy.priority,
+            is_repeatable=self.route.repeatable,
+            urgency=self.urgency,
+            remaining_ms=max(0, int((self.deadline_s - now_s) * 1000)),
+            goal_ms=max(0, int((self.goal_s - now_s) * 1000)),
+            version=self.version,
+        )
+
+    def _learn(self, peer: _peers.Peer, answer: _messages.CallAnswer) -> None:
+        """Remember what an answer tells of its target."""
+        if answer.reached_target:
+            self.arrivals += 1
+        if answer.outcome is not _Outcome.NOT_RUN:
+            self.may_have_run = True
+        if answer.outcome is _Outcome.ANSWERED:
+            self.answered = answer
+        if answer.reason in _CLOSING_REASONS:
+            peer.close(self._now_s, answer.reason)
+        elif answer.reason is _Reason.SHED:
+            self.sheds += 1
+            peer.shed_until_s = self._now_s + answer.retry_after_ms / 2000
+        if answer.outcome is not _Outcome.ANSWERED:
+            self.state.decisions.log_attempt(
+                self.request_id, self.target_set, peer.row, answer
+            )
+
+    def _is_final(self, answer: _messages.CallAnswer) -> bool:
+        """Whether the answer goes to the caller as it is."""
+        if answer.outcome is not _Outcome.ANSWERED:
+            return False
+        if answer.response.status < SERVER_ERROR or not self.route.repeatable:
+            return True
+        if self.attempts:
+            return False
+        # A failure of the target's own may pass at another one.
+        return not self._may_send_again() or self._choose() is None
+
+    def _may_go_on(self, answer: _messages.CallAnswer) -> bool:
+        if answer.outcome is _Outcome.NOT_RUN and not answer.reached_target:
+            # Nothing arrived at a target: neither attempts nor the
+            # retry budget are touched.
+            return self.sheds < SHEDS_LIMIT
+        if answer.outcome is _Outcome.NOT_RUN or self.route.repeatable:
+            return self._may_send_again() and self._spend()
+        return False
+
+    def _may_send_again(self) -> bool:
+        under_way = len(self.attempts)
+        return self.arrivals + under_way < self.policy.attempts
+
+    def _may_add(self) -> bool:
+        """Whether another attempt may start beside those under way.
+
+        The ones that are silent go on: their answers may come yet.
+        """
+        return (
+            self._may_send_again()
+            and self._choose() is not None
+            and self._spend()
+        )
+
+    def _spend(self) -> bool:
+        return self.state.budget.take(self.target_set, self._now_s)
+
+    # What the caller is told.
+
+    def _pass_on(self, answer: _messages.CallAnswer) -> transport.Response:
+        response = answer.response
+        self.state.decisions.log_success(
+            self.request_id,
+            self.target_set,
+            self.asked[-1],
+            response.status,
+            self._elapsed_ms(),
+            self.version,
+        )
+        headers = transport.strip_hop_headers(response.headers)
+        return transport.Response(
+            response.status, headers, response.body, response.reason
+        )
+
+    def _refuse_after(
+        self, answer: _messages.CallAnswer | None
+    ) -> transport.Response:
+        """Tell what is known after the last attempt."""
+        if self.answered is not None:
+            return self._pass_on(self.answered)
+        if self.may_have_run:
+            return self._refuse(exceptions.Code.REQUEST_UNKNOWN)
+        if answer is None:
+            return self._refuse(exceptions.Code.REQUEST_NO_TARGET)
+        if answer.reason is _Reason.SHED:
+            return self._refuse(exceptions.Code.REQUEST_SHED)
+        return self._refuse(exceptions.Code.REQUEST_NOT_RUN)
+
+    def _refuse(self, code: exceptions.Code) -> transport.Response:
+        status = _STATUS.get(code, 503)
+        headers = [('Content-Type', 'application/json')]
+        if self.request_id:
+            headers.append((self.state.names.request_id, self.request_id))
+        if status == 503:
+            headers.append(('Retry-After', f'{self._find_pause_s():.3f}'))
+        self.state.decisions.log_refusal(
+            self.request_id,
+            int(code),
+            self.target_set,
+            tuple(self.asked),
+            self.last,
+            self._elapsed_ms(),
+            self.version,
+        )
+        body = json.dumps({'code': int(code), 'error': code.text}).encode()
+        return transport.Response(status, headers, body)
+
+    def _find_pause_s(self) -> float:
+        """Return when a refused caller should come back."""
+        limits = self.state.mesh_settings
+        left_ms = self.caller_left_ms - self._elapsed_ms()
+        share = self.state.rng.uniform(*RETRY_AFTER_SHARES)
+        pause_ms = max(limits.least_retry_after_ms, share * left_ms)
+        return min(pause_ms, limits.longest_retry_after_ms) / 1000
+
+    def _elapsed_ms(self) -> int:
+        return int((self._now_s - self.request.received_s) * 1000)
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -1,10 +1,7 @@
 """What this daemon knows of other daemons: load, failures, connections."""
 
 import asyncio
-from collections.abc import Callable
-from collections.abc import Coroutine
 import logging
-from typing import Any, TypeVar
 
 from sedgering import base
 from sedgering.mesh import _hop
@@ -16,8 +13,6 @@
 
 LOG = logging.getLogger(__name__)
 
-ResultT = TypeVar('ResultT')
-
 #: Idle connections kept to one peer; more than run there at a time are
 #: never needed.
 IDLE_CONNECTIONS = 32
@@ -72,7 +67,7 @@
         self.answered_s = 0.0
         self.busy_since_s = 0.0
         self.is_asked_for_life = False
-        self._abandonable: set[asyncio.Future] = set()
+        self._silences: set[asyncio.Future] = set()
         self.report: _messages.LoadReport | None = None
         #: Work time of each route, and when it was told.
         self._route_work: dict[base.RouteName, tuple[int, float]] = {}
@@ -188,42 +183,21 @@
         self.end_waits()
 
     def end_waits(self) -> None:
-        """Let calls that may be repeated go elsewhere, if they can."""
-        futures, self._abandonable = self._abandonable, set()
+        """Tell the calls under way that they wait for a silent target."""
+        futures, self._silences = self._silences, set()
         for future in futures:
             if not future.done():
                 future.set_result(None)
 
-    async def run_unless_silent(
-        self,
-        work: Coroutine[Any, Any, ResultT],
-        may_leave: Callable[[], bool],
-    ) -> ResultT | None:
-        """Run a call; None when it is given up meanwhile.
+    def watch_silence(self) -> asyncio.Future:
+        """Return what is done when the target or its daemon is silent."""
+        future = asyncio.get_running_loop().create_future()
+        self._silences.add(future)
+        return future
 
-        Parameters
-        ----------
-        work : coroutine
-            The call.
-        may_leave : callable
-            Says whether the call can go to another target.
-        """
-        loop = asyncio.get_running_loop()
-        future = loop.create_future()
-        task = loop.create_task(work)
-        self._abandonable.add(future)
-        try:
-            await asyncio.wait(
-                (task, future), return_when=asyncio.FIRST_COMPLETED
-            )
-            if task.done():
-                return task.result()
-            # Where it cannot go elsewhere it goes on waiting: an answer
-            # may come yet, and the end of the connection ends it.
-            return None if may_leave() else await task
-        finally:
-            self._abandonable.discard(future)
-            task.cancel()
+    def forget_silence(self, future: asyncio.Future) -> None:
+        """Give up what :meth:`watch_silence` returned."""
+        self._silences.discard(future)
 
     async def ask_for_life(self) -> None:
         """Ask its daemon for any answer at all."""
--- /dev/null
+++ b/sedgering/mesh/_state.py
@@ -0,0 +1,71 @@
+"""What all requests of a daemon share."""
+
+import random
+
+from sedgering import base
+from sedgering.mesh import _budget
+from sedgering.mesh import _choice
+from sedgering.mesh import _config
+from sedgering.mesh import _decisions
+from sedgering.mesh import _fleet
+from sedgering.mesh import _inbound
+from sedgering.mesh import _messages
+from sedgering.mesh import _peers
+from sedgering.mesh import _settings
+
+__all__ = ['RequestState']
+
+
+class RequestState:
+    """What all requests of a daemon share.
+
+    Parameters
+    ----------
+    identity : MeshIdentity
+        Who this daemon is.
+    names : HeaderNames
+        Fields shared with callers.
+    mesh_settings : MeshSettings
+        Limits.
+    config : ConfigHolder
+        The version in force.
+    fleet : FleetTable
+        Hosts and targets.
+    peers : PeerTable
+        What is known of them.
+    side : TargetSide
+        The local target.
+    budget : RetryWindow
+        Retries.
+    decisions : DecisionLog
+        Logs and metrics.
+    rng : random.Random
+        Source of choices.
+    """
+
+    def __init__(
+        self,
+        identity: _messages.MeshIdentity,
+        names: _messages.HeaderNames,
+        mesh_settings: _settings.MeshSettings,
+        config: _config.ConfigHolder,
+        fleet: _fleet.FleetTable,
+        peers: _peers.PeerTable,
+        side: _inbound.TargetSide,
+        budget: _budget.RetryWindow,
+        decisions: _decisions.DecisionLog,
+        rng: random.Random,
+    ):
+        self.identity = identity
+        self.names = names
+        self.mesh_settings = mesh_settings
+        self.config = config
+        self.fleet = fleet
+        self.peers = peers
+        self.side = side
+        self.budget = budget
+        self.decisions = decisions
+        self.rng = rng
+        self.turns = _choice.WeightedTurns()
+        #: Longest deadline that callers of a route have stated.
+        self.longest_ms: dict[base.RouteName, int] = {}
