Large bodies ask for room on narrow links before they are sent (trial)

A report of the link's use comes too late: a sender asks a given archive about once in five seconds. Change: before a body that takes 10 ms or more on the link of the target's host the sender asks for room there; bodies of 150 ms may be on their way.

--- /dev/null
+++ b/features/steps/room_steps.py
@@ -0,0 +1,144 @@
+"""Steps over room on narrow links."""
+
+import json
+
+from behave import given
+from behave import then
+from behave import when
+
+from sedgering import base
+from sedgering import mesh
+from sedgering.mesh import _room
+from sedgering import testing
+
+
+class RoomSubject:
+    """Room of one link, with a clock of its own."""
+
+    def __init__(self, mbps: int):
+        self.now_s = 0.0
+        self.room = _room.LinkRoom(mbps, lambda: self.now_s)
+
+    def ask(self, size: int, times: int) -> int:
+        """Ask several times; return how often there was room."""
+        return sum(self.room.ask(size) for _ in range(times))
+
+
+@given('a host with a link of {mbps:d} Mbit/s')
+def step_host(context, mbps):
+    context.row = mesh.MemberRow(
+        host=base.HostId('hall-1'),
+        data_centre=base.DataCentre('hall'),
+        address='10.0.0.1',
+        port=1,
+        target_set=base.TargetSetName('archive'),
+        target=base.TargetName('i-1'),
+        slots=2,
+        state=mesh.TargetState.READY,
+        link_mbps=mbps,
+    )
+
+
+@then('a body of {size:d} bytes is sent there {how}')
+def step_sent(context, size, how):
+    assert _room.needs_room(context.row, size) is (how == 'after asking')
+
+
+@given('room on a link of {mbps:d} Mbit/s')
+def step_room(context, mbps):
+    context.room = RoomSubject(mbps)
+
+
+@then('bodies of {size:d} bytes get {count:d} promises of {times:d}')
+def step_promises(context, size, count, times):
+    assert context.room.ask(size, times) == count
+    context.size = size
+
+
+@then('one more after one of them has arrived')
+def step_one_more(context):
+    context.room.room.note_arrival(context.size)
+    assert context.room.ask(context.size, 2) == 1
+
+
+@then('{count:d} more once the promises have run out')
+def step_run_out(context, count):
+    context.room.now_s += _room.HOLD_S
+    assert context.room.ask(context.size, 5) == count
+
+
+class UploadSubject:
+    """A mesh of hosts with narrow links; a first host has no target."""
+
+    def __init__(self, hosts: int, mbps: int):
+        self.fleet = testing.MeshFleet(link_mbps=mbps)
+        self.first = self.fleet.add_host('h0', 'calendar')
+        self.others = [
+            self.fleet.add_host(f'h{number}', 'archive')
+            for number in range(1, hosts)
+        ]
+        route = {
+            'prefix': '/upload/',
+            'kind': 'upload',
+            'service': 'archive',
+        }
+        self.fleet.configure(testing.make_document(1, [route, {}]))
+        self.fleet.wait_ready()
+
+    def fill(self, hosts) -> None:
+        """Promise all the room on the links of hosts."""
+        for host in hosts:
+            room = host.daemon.state.side.room
+            self.fleet.run(_promise(room))
+
+    def upload(self, number: int, size: int):
+        """Upload one body from the first host."""
+        return self.fleet.call(
+            self.first.addresses.callers_port,
+            '/upload/',
+            b'x' * size,
+            X_Request_Id=f'up-{number}',
+        )
+
+
+async def _promise(room: _room.LinkRoom) -> None:
+    room.now_s = lambda: 0.0
+    assert room.ask(room.limit_bytes)
+
+
+@given('a mesh of {hosts:d} hosts with links of {mbps:d} Mbit/s')
+def step_uploads(context, hosts, mbps):
+    context.uploads = UploadSubject(hosts, mbps)
+    context.cleanups.append(context.uploads.fleet.stop)
+
+
+@when('the links of all hosts but one are full')
+def step_fill_most(context):
+    context.uploads.fill(context.uploads.others[1:])
+
+
+@when('the links of all hosts are full')
+def step_fill_all(context):
+    context.uploads.fill(context.uploads.others)
+
+
+@then('{count:d} uploads of {size:d} bytes all run there, once each')
+def step_run_there(context, count, size):
+    subject = context.uploads
+    for number in range(count):
+        assert subject.upload(number, size).status == 200
+    ids = [run[0] for run in subject.others[0].books.runs]
+    assert ids == [f'up-{number}' for number in range(count)]
+    assert not any(host.books.runs for host in subject.others[1:])
+
+
+@then(
+    'an upload of {size:d} bytes gets {status:d} and code {code:d}, '
+    'and has not run'
+)
+def step_no_room(context, size, status, code):
+    subject = context.uploads
+    answer = subject.upload(0, size)
+    assert answer.status == status, answer
+    assert json.loads(answer.body)['code'] == code
+    assert not any(host.books.runs for host in subject.others)
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -19,6 +19,7 @@
 from sedgering.mesh import _peers
 from sedgering.mesh import _probe
 from sedgering.mesh import _relay
+from sedgering.mesh import _room
 from sedgering.mesh import _settings
 from sedgering.mesh import _source
 from sedgering.mesh import _state
@@ -78,6 +79,9 @@
             lambda: self.inbound.received_bytes + self.outbound.received_bytes,
             state.side.gate.now_s,
         )
+        state.side.room = _room.LinkRoom(
+            identity.link_mbps, state.side.gate.now_s
+        )
         self.is_leaving = False
         self._servers: list[asyncio.AbstractServer] = []
         self._tasks: list[asyncio.Task] = []
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -10,6 +10,7 @@
 from sedgering.mesh import _hop
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
+from sedgering.mesh import _room
 from sedgering.mesh import _state
 from sedgering import transport
 
@@ -264,26 +265,50 @@
                 reason=_Reason.UNREACHABLE,
                 detail=str(error),
             )
+        is_sent = False
         try:
-            response = await connection.exchange(
-                _hop.encode_call(call),
-                lambda _response: True,
-                self.request.method == 'HEAD',
-            )
-            answer = _hop.decode_answer(response)
+            answer = await self._ask_for_room(peer, connection)
+            if answer is None:
+                is_sent = True
+                answer = await self._send(connection, call)
         except (transport.ExchangeFailed, _hop.HopError) as error:
             connection.close()
             peer.fail(self._now_s, str(error))
             return _messages.CallAnswer(
-                _Outcome.UNKNOWN,
+                _Outcome.UNKNOWN if is_sent else _Outcome.NOT_RUN,
                 reason=_Reason.CONNECTION_LOST,
-                reached_target=True,
+                reached_target=is_sent,
                 detail=str(error),
             )
         peer.pool.put(connection)
         self._take_report(peer, answer)
         return answer
 
+    async def _ask_for_room(
+        self, peer: _peers.Peer, connection: transport.ClientConnection
+    ) -> _messages.CallAnswer | None:
+        """Ask whether a large body may be sent; None when it may."""
+        body_bytes = len(self.request.body)
+        if not _room.needs_room(peer.row, body_bytes):
+            return None
+        response = await connection.exchange(
+            _room.encode_room_request(body_bytes), lambda _response: True
+        )
+        answer = _hop.decode_answer(response)
+        return None if answer.reason is _Reason.NONE else answer
+
+    async def _send(
+        self,
+        connection: transport.ClientConnection,
+        call: _messages.TargetCall,
+    ) -> _messages.CallAnswer:
+        response = await connection.exchange(
+            _hop.encode_call(call),
+            lambda _response: True,
+            self.request.method == 'HEAD',
+        )
+        return _hop.decode_answer(response)
+
     def _take_report(
         self, peer: _peers.Peer, answer: _messages.CallAnswer
     ) -> None:
@@ -391,7 +416,7 @@
             return self._refuse(exceptions.Code.REQUEST_UNKNOWN)
         if answer is None:
             return self._refuse(exceptions.Code.REQUEST_NO_TARGET)
-        if answer.reason is _Reason.SHED:
+        if answer.reason in (_Reason.SHED, _Reason.LINK_FULL):
             return self._refuse(exceptions.Code.REQUEST_SHED)
         return self._refuse(exceptions.Code.REQUEST_NOT_RUN)
 
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -11,6 +11,7 @@
 from sedgering.mesh import _messages
 from sedgering.mesh import _pause
 from sedgering.mesh import _relay
+from sedgering.mesh import _room
 from sedgering.mesh import _settings
 from sedgering.mesh import _target
 from sedgering import transport
@@ -26,6 +27,8 @@
 #: Idle connections to the target beyond its slots.
 SPARE_CONNECTIONS = 4
 MISDIRECTED = 421
+#: For reports that belong to no call.
+NO_ROUTE = base.RouteName('')
 SERVER_ERROR = 500
 #: Fields of the caller that the daemon sets itself.
 _REPLACED = ('deadline_ms', 'expected_target', 'origin')
@@ -68,6 +71,7 @@
         )
         #: Set by the daemon, which knows its listeners.
         self.link: _link.LinkMeter | None = None
+        self.room: _room.LinkRoom | None = None
         self._replaced = frozenset(
             getattr(names, field).lower() for field in _REPLACED
         )
@@ -85,9 +89,23 @@
         """Make what other daemons are told with the answer to a call."""
         report = self.gate.make_report(route)
         if self.link is not None:
-            report.link_percent = self.link.find_percent()
+            report.link_percent = max(
+                self.link.find_percent(), self.room.used_percent
+            )
         return report
 
+    def answer_room_request(self, body_bytes: int) -> _messages.CallAnswer:
+        """Tell whether a large body may be sent here."""
+        if self.room.ask(body_bytes):
+            return _messages.CallAnswer(
+                _messages.CallOutcome.NOT_RUN, load=self.make_report(NO_ROUTE)
+            )
+        return _messages.CallAnswer(
+            _messages.CallOutcome.NOT_RUN,
+            reason=_messages.RefusalReason.LINK_FULL,
+            load=self.make_report(NO_ROUTE),
+        )
+
     async def run(self, call: _messages.TargetCall) -> _messages.CallAnswer:
         """Run a call at the local target, or refuse it."""
         if self.target.target is None:
@@ -277,12 +295,19 @@
             return await self.desk.answer(request)
         if _hop.is_ping(request):
             return transport.Response(200, [])
+        body_bytes = _room.find_room_bytes(request)
+        if body_bytes is not None:
+            return _hop.encode_answer(
+                self.side.answer_room_request(body_bytes)
+            )
         try:
             call = _hop.decode_call(request)
         except _hop.HopError as error:
             LOG.warning('call refused', extra={'detail': str(error)})
             return transport.make_json_response(400, {'error': str(error)})
         self.note_version(call.version)
+        if self.side.room is not None:
+            self.side.room.note_arrival(len(request.body))
         lag_ms = int(1000 * await self.pause.settle())
         call.remaining_ms = max(0, call.remaining_ms - lag_ms)
         call.goal_ms = max(0, call.goal_ms - lag_ms)
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -58,6 +58,8 @@
     LEAVING = 'leaving'
     #: It could not have finished in time.
     SHED = 'shed'
+    #: Too many bodies are on their way to the host.
+    LINK_FULL = 'link full'
     #: The target itself refused before work.
     TARGET_REFUSED = 'target refused'
     #: The connection ended without a whole answer.
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -102,9 +102,16 @@
     ----------
     mesh_settings : MeshSettings
         Of all daemons.
+    link_mbps : int
+        Width of the links of all hosts; 0 when it is not known.
     """
 
-    def __init__(self, mesh_settings: mesh.MeshSettings | None = None):
+    def __init__(
+        self,
+        mesh_settings: mesh.MeshSettings | None = None,
+        link_mbps: int = 0,
+    ):
+        self.link_mbps = link_mbps
         self.mesh_settings = mesh_settings or mesh.MeshSettings()
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever)
@@ -239,6 +246,7 @@
             base.HostId(host.name),
             base.DataCentre('hall'),
             base.TargetSetName(host.target_set),
+            self.link_mbps,
         )
         client = platform.StoreClient(
             platform.StoreSettings(ADDRESS, self.store_port)
