Of two lifetimes at one address the one that answers counts

Seen failing: 'A late heartbeat of a crashed lifetime does not close the living one'. Change: another lifetime that reports itself while one is open, with a sequence beyond the first, is a rival until the target is asked who it is. The hypothesis scenario found that a rival which had left was accepted; mended.

--- a/features/gate.feature
+++ b/features/gate.feature
@@ -182,5 +182,8 @@
       | draining 2 | ready 3    | closed |
       | ready 2    | ready 3    | open   |
 
+  Scenario: A target that left stays closed, whatever arrives late
+    Then no sequence of reports opens a lifetime that left or was replaced
+
   Scenario: Calls and answers between daemons come out as they went in
     Then any call and any answer is the same after encoding and decoding
--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -158,6 +158,19 @@
     When the target of the first host says "draining"
     Then it is acknowledged, and 20 requests all run at the second host
 
+  Scenario: A late heartbeat of a crashed lifetime does not close the living one
+    When the daemon of the first host is killed and started again
+    And the target of the first host says "ready"
+    And a late heartbeat of a lifetime that crashed arrives there
+    And the target of the first host says "ready"
+    Then requests of the second host reach the first host within 3 s
+
+  Scenario: A living target is known after a late heartbeat came first
+    When the daemon of the first host is killed and started again
+    And a late heartbeat of a lifetime that crashed arrives there
+    And the target of the first host says "ready"
+    Then requests of the second host reach the first host within 3 s
+
   Scenario: A daemon restarted beside the same target gets work again
     When the daemon of the first host is killed and started again
     And both hosts are asked before its target reports again
--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -548,3 +548,51 @@
         assert _hop.decode_answer(_hop.encode_answer(answer)) == answer
 
     check()
+
+
+@then('no sequence of reports opens a lifetime that left or was replaced')
+def step_any_reports(context):
+    lifetime = st.integers(0, 3)
+    moves = st.one_of(
+        st.tuples(st.just('ready'), lifetime, st.integers(0, 9)),
+        st.tuples(st.just('draining'), lifetime, st.integers(0, 9)),
+        st.tuples(st.just('leave'), lifetime, st.just(0)),
+        st.tuples(st.just('misdirected'), lifetime, st.just(0)),
+        st.tuples(st.just('probed'), lifetime, st.just(0)),
+    )
+
+    @hypothesis.settings(
+        max_examples=EXAMPLES, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(st.lists(moves, max_size=30))
+    def check(sequence):
+        target = mesh.LocalTarget()
+        closed = set()
+        for kind, number, counter in sequence:
+            name = base.TargetName(f'i-{number}')
+            before = target.target
+            if kind == 'leave':
+                target.leave(name)
+                closed.add(name)
+            elif kind == 'misdirected':
+                closed.add(target.target)
+                target.forget()
+            elif kind == 'probed':
+                is_settled = target.settle_rival(name, 0.0)
+                if is_settled and not target.is_open:
+                    closed.add(name)
+                if before not in (None, target.target):
+                    closed.add(before)
+            else:
+                report = mesh.TargetReport(
+                    name, SET, 2, mesh.TargetState(kind), 0, counter
+                )
+                target.take_report(report, 0.0)
+                is_taken = target.report is report
+                if is_taken and kind == 'draining':
+                    closed.add(name)
+                if before not in (None, target.target):
+                    closed.add(before)
+            assert not (target.is_open and target.target in closed), sequence
+
+    check()
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -668,3 +668,21 @@
 @given('the store answers after {slow_s:g} s')
 def step_slow_store(context, slow_s):
     context.mesh.fleet.engine.faults.slow_ms = int(slow_s * 1000)
+
+
+@when('a late heartbeat of a lifetime that crashed arrives there')
+def step_late_heartbeat(context):
+    mesh = context.mesh
+    body = {
+        'service': 'calendar',
+        'slots': 2,
+        'state': 'ready',
+        'cold_remaining': '0ms',
+        'sequence': 40,
+    }
+    answer = mesh.fleet.call(
+        mesh.first.addresses.reports_port,
+        '/v1/instances/i-crashed/heartbeat',
+        json.dumps(body).encode(),
+    )
+    assert answer.status == 200
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -123,11 +123,12 @@
         path = self.state.config.health_paths.get(self.identity.target_set)
         if side.target.report is not None or not path:
             return
-        report = await _probe.probe_target(
-            side.pool, path, self.state.names, self.identity.target_set
-        )
+        report = await self._probe_target(path)
         if report is None or side.target.report is not None:
             return
+        if report.state is not _messages.TargetState.READY:
+            LOG.info('probe refused', extra={'target': report.target})
+            return
         row = self.state.fleet.members.get(self.identity.host)
         is_known = row is not None and row.target == report.target
         if is_known and row.state is not _messages.TargetState.READY:
@@ -137,6 +138,23 @@
             return
         self.take_report(report)
 
+    async def _probe_target(self, path: str) -> _messages.TargetReport | None:
+        return await _probe.probe_target(
+            self.state.side.pool,
+            path,
+            self.state.names,
+            self.identity.target_set,
+        )
+
+    async def _settle_rival(self) -> None:
+        """Ask who answers at the address that two lifetimes claim."""
+        path = self.state.config.health_paths.get(self.identity.target_set)
+        answer = await self._probe_target(path) if path else None
+        side = self.state.side
+        present = answer.target if answer else None
+        if side.target.settle_rival(present, side.gate.now_s()):
+            self._show_target()
+
     async def _watch_peers(self) -> None:
         """Ask silent peers whether they live, and give them up."""
         loop = asyncio.get_running_loop()
@@ -172,8 +190,14 @@
     def take_report(self, report: _messages.TargetReport) -> None:
         """Take in what the local target says of itself."""
         now_s = self.state.side.gate.now_s()
-        if self.state.side.target.take_report(report, now_s):
+        target = self.state.side.target
+        was_settling = target.rival is not None
+        if target.take_report(report, now_s):
             self._show_target()
+        if target.rival is not None and not was_settling:
+            task = asyncio.get_running_loop().create_task(self._settle_rival())
+            self._tasks.append(task)
+            task.add_done_callback(self._tasks.remove)
 
     def take_leave(self, target: base.TargetName) -> None:
         """Note that the local target is leaving for good."""
--- a/sedgering/mesh/_probe.py
+++ b/sedgering/mesh/_probe.py
@@ -25,7 +25,8 @@
     """Ask the health check of the local target.
 
     A daemon that was restarted beside a running target need not wait for
-    the next heartbeat.  A target that is leaving does not answer 200.
+    the next heartbeat.  A target that is leaving, or thinks itself ill,
+    does not answer 200; it is told as draining.
 
     Parameters
     ----------
@@ -41,7 +42,7 @@
     Returns
     -------
     TargetReport or None
-        None when it gives no good answer.
+        None when it does not tell who it is.
     """
     request = transport.Request('GET', path, [('Host', pool.address)])
     try:
@@ -61,14 +62,18 @@
     target = transport.find_header(response.headers, names.target.lower())
     load = transport.find_header(response.headers, names.load.lower()) or ''
     slots = load.rpartition(',')[2].strip()
-    if response.status != STATUS_OK or target is None or not slots.isdigit():
+    is_ready = response.status == STATUS_OK
+    if target is None or (is_ready and not slots.isdigit()):
         LOG.info('probe refused', extra={'status': response.status})
         return None
+    state = _messages.TargetState.DRAINING
+    if is_ready:
+        state = _messages.TargetState.READY
     return _messages.TargetReport(
         target=base.TargetName(target),
         target_set=target_set,
-        slots=int(slots),
-        state=_messages.TargetState.READY,
+        slots=int(slots) if slots.isdigit() else 1,
+        state=state,
         cold_ms=0,
         sequence=-1,
     )
--- a/sedgering/mesh/_target.py
+++ b/sedgering/mesh/_target.py
@@ -10,6 +10,9 @@
 
 LOG = logging.getLogger(__name__)
 
+#: Sequence of the first report of a lifetime.  A later one may come from a
+#: lifetime that has crashed: reports can be delayed by seconds.
+FIRST_SEQUENCE = 1
 #: Lifetimes remembered as ended, so that a late report revives none.
 REMEMBERED = 16
 
@@ -23,6 +26,8 @@
 
     def __init__(self):
         self.report: _messages.TargetReport | None = None
+        #: Report of another lifetime while one is open.
+        self.rival: _messages.TargetReport | None = None
         self.cold_until_s = 0.0
         self._ended: collections.deque[base.TargetName] = collections.deque(
             maxlen=REMEMBERED
@@ -59,8 +64,46 @@
                 return False
             if old.state is not _messages.TargetState.READY:
                 return False
+        elif self.is_open and report.sequence > FIRST_SEQUENCE:
+            self.rival = report
+            return False
         elif old is not None:
             self._ended.append(old.target)
+        return self._accept(report, now_s)
+
+    def settle_rival(
+        self, present: base.TargetName | None, now_s: float
+    ) -> bool:
+        """Decide between two lifetimes that report themselves.
+
+        Parameters
+        ----------
+        present : str or None
+            Which one answers at the address; None when neither does.
+        now_s : float
+            Time of the event loop.
+
+        Returns
+        -------
+        bool
+            Whether anything changed that other daemons must know.
+        """
+        rival, self.rival = self.rival, None
+        if rival is None or self.report is None or present is None:
+            return False
+        if rival.target in self._ended:
+            # It has left since it reported.
+            return False
+        if present == rival.target:
+            self._ended.append(self.report.target)
+            return self._accept(rival, now_s)
+        if present == self.report.target:
+            _log('late report', rival)
+            self._ended.append(rival.target)
+        return False
+
+    def _accept(self, report: _messages.TargetReport, now_s: float) -> bool:
+        old = self.report
         self.report = report
         self.cold_until_s = now_s + report.cold_ms / 1000
         is_changed = (
