--- a/sedgering/cli/operator.py
+++ b/sedgering/cli/operator.py
@@ -15,6 +15,7 @@
 
 from sedgering import base
 from sedgering import bundle as bundles
+from sedgering.cli import _burn
 from sedgering.cli import _common
 from sedgering.cli import _diff
 from sedgering.cli import _explain
@@ -126,6 +127,39 @@
             print(line)
 
 
+@app.command()
+def burn(
+    before: Annotated[
+        pathlib.Path, typer.Argument(help='Folder of HOST.txt scrapes.')
+    ],
+    after: Annotated[
+        pathlib.Path, typer.Argument(help='The same, some time later.')
+    ],
+    goal_ms: Annotated[
+        int, typer.Option(help='Latency goal, a bound of the histogram.')
+    ] = 400,
+    objective: Annotated[
+        float, typer.Option(help='Share of requests that are to be good.')
+    ] = 0.99,
+    as_json: JsonOption = False,
+) -> None:
+    """Report how much of the error budget was used between two scrapes.
+
+    Example: sedgering burn scrapes/1200 scrapes/1210 --goal-ms 400
+    """
+    report = _burn.make_burn_report(
+        _burn.read_scrapes(before),
+        _burn.read_scrapes(after),
+        goal_ms,
+        objective,
+    )
+    if as_json:
+        print(msgspec.json.encode(report).decode())
+        return
+    for line in _burn.show_report(report):
+        print(line)
+
+
 @app.command('sign-off')
 def sign_off(
     config: Config,
