--- a/features/settings.feature
+++ b/features/settings.feature
@@ -26,5 +26,9 @@
   Scenario: The table of codes in the docs is the table in the code
     Then docs/errors.md lists every code with its text
 
+  Scenario: The settings in the docs are the settings in the code
+    Then docs/settings.md is what the settings classes say
+    And every setting has a meaning
+
   Scenario: Imports point one way
     Then every package imports only what docs/architecture.md lists below it
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -3,6 +3,7 @@
 import ast
 import pathlib
 import re
+import runpy
 import subprocess
 import sys
 import tempfile
@@ -10,6 +11,7 @@
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 import yaml
 
 from sedgering import exceptions
@@ -106,6 +108,23 @@
         assert any(line.startswith(start) for line in listed), start
 
 
+@then('docs/settings.md is what the settings classes say')
+def step_settings_page(context):
+    path = ROOT / 'scripts' / 'make_settings_page.py'
+    context.page_maker = runpy.run_path(str(path))
+    page = (ROOT / 'docs' / 'settings.md').read_text()
+    assert page == context.page_maker['make_page']()
+
+
+@then('every setting has a meaning')
+def step_meanings(context):
+    for settings_class, _place in context.page_maker['CLASSES']:
+        meanings = context.page_maker['_read_meanings'](settings_class)
+        for field in msgspec.structs.fields(settings_class):
+            is_nested = isinstance(field.default, msgspec.Struct)
+            assert is_nested or meanings.get(field.name), field.name
+
+
 @then('every package imports only what docs/architecture.md lists below it')
 def step_imports(context):
     page = (ROOT / 'docs' / 'architecture.md').read_text()
--- a/sedgering/mesh/_settings.py
+++ b/sedgering/mesh/_settings.py
@@ -26,9 +26,10 @@
         For how long a peer that failed gets nothing, at first and at
         most; doubles with each failure.
     silence_ms : int
-        A peer with calls under way that answers none of them for so long
-        is given up.  Work takes 30 to 200 ms, a slow target five times
-        that; the goals are 400 and 500 ms.
+        A daemon with calls under way that answers nothing for so long,
+        not even whether it lives, is given up; a target is taken as
+        silent after so long at the least.  Work takes 30 to 200 ms, a
+        slow target five times that; the goals are 400 and 500 ms.
     report_half_life_ms : int
         Age at which a load report of a peer counts half.
     remote_penalty_ms : int
