CallSender, and a link meter that knows what it counts

TargetSide gets its meter and its room when it is made. The log names the host that answered, not the one asked last.

--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -15,6 +15,7 @@
 from sedgering.mesh import _gate
 from sedgering.mesh import _hop
 from sedgering.mesh import _link
+from sedgering import platform
 from sedgering import transport
 
 ROUTE = base.RouteName('calendar')
@@ -353,7 +354,10 @@
 )
 def step_link(context, mbps, count, seconds):
     moments = iter((0.0, seconds))
-    meter = _link.LinkMeter(mbps, lambda: count, lambda: next(moments))
+    meter = _link.LinkMeter(mbps, lambda: next(moments))
+    service = platform.ReadinessService(lambda: True)
+    service.received_bytes = count
+    meter.watch(service)
     context.percent = meter.find_percent()
 
 
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -74,14 +74,7 @@
         self.follower = _follow.RelayFollower(
             identity, state.fleet, state.peers, source
         )
-        state.side.link = _link.LinkMeter(
-            identity.link_mbps,
-            lambda: self.inbound.received_bytes + self.outbound.received_bytes,
-            state.side.gate.now_s,
-        )
-        state.side.room = _room.LinkRoom(
-            identity.link_mbps, state.side.gate.now_s
-        )
+        state.side.link.watch(self.inbound, self.outbound)
         self.is_leaving = False
         self._servers: list[asyncio.AbstractServer] = []
         self._tasks: list[asyncio.Task] = []
@@ -320,7 +313,13 @@
     rng = random.Random()
     gate = _gate.Gate(mesh_settings, now_s)
     side = _inbound.TargetSide(
-        names, addresses, mesh_settings, _target.LocalTarget(), gate
+        names,
+        addresses,
+        mesh_settings,
+        _target.LocalTarget(),
+        gate,
+        _link.LinkMeter(identity.link_mbps, now_s),
+        _room.LinkRoom(identity.link_mbps, now_s),
     )
     decisions = _decisions.DecisionLog(
         mesh_settings.success_log_every, mesh_settings.log_lines_per_s, now_s
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -7,10 +7,8 @@
 from sedgering import bundle as bundles
 from sedgering import exceptions
 from sedgering.mesh import _choice
-from sedgering.mesh import _hop
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
-from sedgering.mesh import _room
 from sedgering.mesh import _state
 from sedgering import transport
 
@@ -105,6 +103,7 @@
         self.attempts: list[_Attempt] = []
         self.last: _messages.CallAnswer | None = None
         self.answered: _messages.CallAnswer | None = None
+        self.answered_by = base.HostId('')
 
     async def run(self) -> transport.Response:
         """Answer the request."""
@@ -201,7 +200,11 @@
             self.state.budget.note_request(self.target_set, self._now_s)
         self.asked.append(peer.row.host)
         attempt = _Attempt(
-            peer, self.loop.create_task(self._attempt(peer)), self.loop
+            peer,
+            self.loop.create_task(
+                self.state.sender.send(peer, self._make_call(peer.row))
+            ),
+            self.loop,
         )
         if self.route.repeatable:
             attempt.watch_silence()
@@ -240,82 +243,6 @@
             self._now_s,
         )
 
-    async def _attempt(self, peer: _peers.Peer) -> _messages.CallAnswer:
-        call = self._make_call(peer.row)
-        peer.start_call(self._now_s)
-        try:
-            if peer.row.host != self.state.identity.host:
-                return await self._ask(peer, call)
-            answer = await self.state.side.run(call)
-            self._take_report(peer, answer)
-            return answer
-        finally:
-            peer.end_call()
-
-    async def _ask(
-        self, peer: _peers.Peer, call: _messages.TargetCall
-    ) -> _messages.CallAnswer:
-        """Send a call to another daemon."""
-        try:
-            connection = await peer.pool.take()
-        except transport.ConnectFailed as error:
-            peer.fail(self._now_s, str(error))
-            return _messages.CallAnswer(
-                _Outcome.NOT_RUN,
-                reason=_Reason.UNREACHABLE,
-                detail=str(error),
-            )
-        is_sent = False
-        try:
-            answer = await self._ask_for_room(peer, connection)
-            if answer is None:
-                is_sent = True
-                answer = await self._send(connection, call)
-        except (transport.ExchangeFailed, _hop.HopError) as error:
-            connection.close()
-            peer.fail(self._now_s, str(error))
-            return _messages.CallAnswer(
-                _Outcome.UNKNOWN if is_sent else _Outcome.NOT_RUN,
-                reason=_Reason.CONNECTION_LOST,
-                reached_target=is_sent,
-                detail=str(error),
-            )
-        peer.pool.put(connection)
-        self._take_report(peer, answer)
-        return answer
-
-    async def _ask_for_room(
-        self, peer: _peers.Peer, connection: transport.ClientConnection
-    ) -> _messages.CallAnswer | None:
-        """Ask whether a large body may be sent; None when it may."""
-        body_bytes = len(self.request.body)
-        if not _room.needs_room(peer.row, body_bytes):
-            return None
-        response = await connection.exchange(
-            _room.encode_room_request(body_bytes), lambda _response: True
-        )
-        answer = _hop.decode_answer(response)
-        return None if answer.reason is _Reason.NONE else answer
-
-    async def _send(
-        self,
-        connection: transport.ClientConnection,
-        call: _messages.TargetCall,
-    ) -> _messages.CallAnswer:
-        response = await connection.exchange(
-            _hop.encode_call(call),
-            lambda _response: True,
-            self.request.method == 'HEAD',
-        )
-        return _hop.decode_answer(response)
-
-    def _take_report(
-        self, peer: _peers.Peer, answer: _messages.CallAnswer
-    ) -> None:
-        self.state.peers.take_report(
-            peer, answer.load, self.route.name, self._now_s
-        )
-
     def _make_call(self, row: _messages.MemberRow) -> _messages.TargetCall:
         now_s = self._now_s
         return _messages.TargetCall(
@@ -341,6 +268,7 @@
             self.may_have_run = True
         if answer.outcome is _Outcome.ANSWERED:
             self.answered = answer
+            self.answered_by = peer.row.host
         if answer.reason in _CLOSING_REASONS:
             peer.close(self._now_s, answer.reason)
         elif answer.reason is _Reason.SHED:
@@ -396,7 +324,7 @@
         self.state.decisions.log_success(
             self.request_id,
             self.target_set,
-            self.asked[-1],
+            self.answered_by,
             response.status,
             self._elapsed_ms(),
             self.version,
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -49,6 +49,10 @@
         What the target reported.
     gate : Gate
         Admits calls.
+    link : LinkMeter
+        Tells how much of the link of this host is used.
+    room : LinkRoom
+        Large bodies that may be on their way to it.
     """
 
     def __init__(
@@ -58,6 +62,8 @@
         mesh_settings: _settings.MeshSettings,
         target: _target.LocalTarget,
         gate: _gate.Gate,
+        link: _link.LinkMeter,
+        room: _room.LinkRoom,
     ):
         self.names = names
         self.target = target
@@ -69,9 +75,8 @@
             gate.slots + SPARE_CONNECTIONS,
             mesh_settings.target_idle_ms / 1000,
         )
-        #: Set by the daemon, which knows its listeners.
-        self.link: _link.LinkMeter | None = None
-        self.room: _room.LinkRoom | None = None
+        self.link = link
+        self.room = room
         self._replaced = frozenset(
             getattr(names, field).lower() for field in _REPLACED
         )
@@ -88,10 +93,9 @@
     def make_report(self, route: base.RouteName) -> _messages.LoadReport:
         """Make what other daemons are told with the answer to a call."""
         report = self.gate.make_report(route)
-        if self.link is not None:
-            report.link_percent = max(
-                self.link.find_percent(), self.room.used_percent
-            )
+        report.link_percent = max(
+            self.link.find_percent(), self.room.used_percent
+        )
         return report
 
     def answer_room_request(self, body_bytes: int) -> _messages.CallAnswer:
@@ -306,8 +310,7 @@
             LOG.warning('call refused', extra={'detail': str(error)})
             return transport.make_json_response(400, {'error': str(error)})
         self.note_version(call.version)
-        if self.side.room is not None:
-            self.side.room.note_arrival(len(request.body))
+        self.side.room.note_arrival(len(request.body))
         lag_ms = int(1000 * await self.pause.settle())
         call.remaining_ms = max(0, call.remaining_ms - lag_ms)
         call.goal_ms = max(0, call.goal_ms - lag_ms)
--- a/sedgering/mesh/_link.py
+++ b/sedgering/mesh/_link.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from sedgering import transport
+
 __all__ = ['LinkMeter']
 
 #: Time over which bytes are counted: long enough for some uploads of 60 kB,
@@ -17,8 +19,6 @@
     ----------
     link_mbps : int
         Width of the link; 0 when it is not known.
-    count_bytes : callable
-        Returns the bytes received so far.
     now_s : callable
         Monotonic time.
     """
@@ -26,22 +26,25 @@
     def __init__(
         self,
         link_mbps: int,
-        count_bytes: Callable[[], int],
         now_s: Callable[[], float],
     ):
         self.link_mbps = link_mbps
-        self.count_bytes = count_bytes
         self.now_s = now_s
+        self._services: list[transport.Service] = []
         self._start_s = now_s()
         self._start_bytes = 0
         self._percent = 0
 
+    def watch(self, *services: transport.Service) -> None:
+        """Count the bytes that these services receive."""
+        self._services.extend(services)
+
     def find_percent(self) -> int:
         """Return the share of the last window, in percent."""
         elapsed_s = self.now_s() - self._start_s
         if not self.link_mbps or elapsed_s < WINDOW_S:
             return self._percent
-        received = self.count_bytes()
+        received = sum(item.received_bytes for item in self._services)
         mbps = (received - self._start_bytes) * BITS / elapsed_s / 1e6
         self._percent = min(100, int(100 * mbps / self.link_mbps))
         self._start_s += elapsed_s
--- a/sedgering/mesh/_state.py
+++ b/sedgering/mesh/_state.py
@@ -11,6 +11,7 @@
 from sedgering.mesh import _inbound
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
+from sedgering.mesh import _sender
 from sedgering.mesh import _settings
 
 __all__ = ['RequestState']
@@ -66,6 +67,7 @@
         self.budget = budget
         self.decisions = decisions
         self.rng = rng
+        self.sender = _sender.CallSender(identity, side, peers)
         self.turns = _choice.WeightedTurns()
         #: Longest deadline that callers of a route have stated.
         self.longest_ms: dict[base.RouteName, int] = {}
