A leaving daemon refuses peers before its end; one return of the store for all

Cause: the store was away, so the row of the leaving daemon was not removed, and peers went on sending over connections that were never idle. It took their calls until 0.4 s before its grace ran out, and cut them. Idle connections of peers are no longer closed under a call that crosses the close; the daemon ends when nothing was under way for 0.3 s.

Now the first thread that is answered ends the pauses of the others.

--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -235,6 +235,17 @@
     Then it is not ready at once, and the request is answered 200
     And requests of the second host all run there
 
+  Scenario: A leaving daemon cuts nothing that peers still send to it
+    Given the store is silent
+    And the targets work 0.4 s
+    When the first host leaves within 4 s while 4 callers of the second post
+    Then every post was answered 200 or 503, and ran once at the most
+
+  Scenario: The first answer of a store that returns ends all pauses
+    Given a daemon's three threads that wait for a store
+    When one of them is answered
+    Then all three go on at once
+
   Scenario: Weights of a split are met over a short run
     Given a route "/split/" with weights 90 and 10 to calendar and ledger
     When 50 requests are sent to "/split/"
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -3,12 +3,15 @@
 import asyncio
 import json
 import re
+import threading
+import time
 
 from behave import given
 from behave import then
 from behave import when
 
 from sedgering.mesh import _messages
+from sedgering.mesh import _watch
 from sedgering import testing
 
 ROUTE_FIELDS = [
@@ -686,3 +689,77 @@
         json.dumps(body).encode(),
     )
     assert answer.status == 200
+
+
+@when(
+    'the first host leaves within {grace_s:d} s while {count:d} callers of '
+    'the second post'
+)
+def step_leave_busy(context, grace_s, count):
+    mesh = context.mesh
+    port = mesh.second.addresses.callers_port
+    context.posts = []
+
+    async def post_again(caller, until_s):
+        number = 0
+        while mesh.fleet.loop.time() < until_s:
+            number += 1
+            request_id = f'post-{caller}-{number}'
+            answer = await mesh.fleet.start_call(
+                port, '/once/', b'x', X_Request_Id=request_id
+            )
+            context.posts.append((request_id, answer.status))
+
+    async def leave():
+        await mesh.first.daemon.leave(grace_s * 1000)
+        # As at the end of the process.
+        await mesh.first.daemon.close()
+
+    async def run_all():
+        until_s = mesh.fleet.loop.time() + grace_s
+        await asyncio.gather(
+            leave(), *(post_again(caller, until_s) for caller in range(count))
+        )
+
+    mesh.fleet.run(run_all())
+
+
+@then('every post was answered 200 or 503, and ran once at the most')
+def step_posts(context):
+    mesh = context.mesh
+    ran = [
+        run[0] for host in (mesh.first, mesh.second) for run in host.books.runs
+    ]
+    assert len(ran) == len(set(ran))
+    statuses = {status for _request_id, status in context.posts}
+    assert statuses <= {200, 503}, statuses
+    assert any(run[0] for run in mesh.first.books.runs)
+
+
+@given("a daemon's three threads that wait for a store")
+def step_three_threads(context):
+    store_return = _watch.StoreReturn()
+    context.pauses = [_watch.Pauses(store_return) for _ in range(4)]
+    for pauses in context.pauses:
+        pauses._pause_s = 3600.0
+    context.waiting = [
+        threading.Thread(target=pauses.wait, daemon=True)
+        for pauses in context.pauses[:3]
+    ]
+    for thread in context.waiting:
+        thread.start()
+    condition = store_return._condition
+    while len(condition._waiters) < 3:
+        time.sleep(0.01)
+
+
+@when('one of them is answered')
+def step_answered(context):
+    context.pauses[3].reset()
+
+
+@then('all three go on at once')
+def step_go_on(context):
+    for thread in context.waiting:
+        thread.join(10)
+        assert not thread.is_alive()
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -37,6 +37,9 @@
 PEER_CHECK_S = 0.1
 #: Between two looks at whether a leaving daemon is idle.
 LEAVE_CHECK_S = 0.05
+#: A leaving daemon ends when nothing was under way for so long: peers that
+#: would send more have been refused meanwhile, and leave it out for 2 s.
+LEAVE_QUIET_S = 0.3
 
 
 class MeshDaemon:
@@ -254,10 +257,16 @@
         self.source.publish(None)
         LOG.info('leaving')
         await asyncio.sleep(limits.leave_serving_ms / 1000)
+        # Peers that have not heard of it send calls until they are refused;
+        # what is accepted now could be cut at the end.
+        self.state.side.leave()
         for server in self._servers:
             server.close()
         end_s = started_s + (grace_ms - limits.leave_margin_ms) / 1000
-        while loop.time() < end_s and self._close_idle():
+        quiet_s = loop.time() + LEAVE_QUIET_S
+        while loop.time() < min(end_s, quiet_s):
+            if self._is_busy():
+                quiet_s = loop.time() + LEAVE_QUIET_S
             await asyncio.sleep(LEAVE_CHECK_S)
         self._stop_tasks()
         left = len(self.outbound.connections)
@@ -277,14 +286,23 @@
         for task in self._tasks:
             task.cancel()
 
-    def _close_idle(self) -> bool:
-        """Close idle connections; say whether any are busy."""
-        is_busy = False
-        for service in (self.outbound, self.inbound):
-            for connection in list(service.connections):
-                if not connection.close_idle():
-                    is_busy = True
-        return is_busy
+    def _is_busy(self) -> bool:
+        """Say whether anything is under way; close idle callers.
+
+        Idle connections of peers stay: a call that crosses their end would
+        be lost, while one that arrives is refused and not run.
+        """
+        callers = [
+            connection
+            for connection in list(self.outbound.connections)
+            if not connection.close_idle()
+        ]
+        calls = [
+            connection
+            for connection in self.inbound.connections
+            if not connection.is_idle
+        ]
+        return bool(callers or calls)
 
 
 def make_mesh_daemon(
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -77,13 +77,19 @@
         )
         self.link = link
         self.room = room
+        self.is_leaving = False
         self._replaced = frozenset(
             getattr(names, field).lower() for field in _REPLACED
         )
 
+    def leave(self) -> None:
+        """Take no new calls: this daemon ends, whatever its target does."""
+        self.is_leaving = True
+        self.refresh_gate()
+
     def refresh_gate(self) -> None:
         """Open or close the gate as the target last reported."""
-        if self.target.is_open:
+        if self.target.is_open and not self.is_leaving:
             slots = max(1, self.target.report.slots)
             self.pool.idle_limit = slots + SPARE_CONNECTIONS
             self.gate.open(slots)
--- a/sedgering/mesh/_keeper.py
+++ b/sedgering/mesh/_keeper.py
@@ -34,9 +34,16 @@
         One row for each host.
     host : HostId
         Whose row is kept.
+    store_return : StoreReturn
+        Of the daemon.
     """
 
-    def __init__(self, table: storage.WatchedTable, host: base.HostId):
+    def __init__(
+        self,
+        table: storage.WatchedTable,
+        host: base.HostId,
+        store_return: _watch.StoreReturn,
+    ):
         self.table = table
         self.host = host
         self.is_stopping = False
@@ -48,7 +55,7 @@
         #: Of the row in the store, with its value; None when not known.
         self._revision: int | None = None
         self._written: bytes | None = None
-        self._pauses = _watch.Pauses()
+        self._pauses = _watch.Pauses(store_return)
 
     def start(self) -> None:
         """Run in the background."""
--- a/sedgering/mesh/_source.py
+++ b/sedgering/mesh/_source.py
@@ -56,12 +56,13 @@
         self.loop = loop
         self.versions = _versions.VersionLog()
         self.members = _members.MemberLog()
-        self._keeper = _keeper.RowKeeper(members, host)
+        store_return = _watch.StoreReturn()
+        self._keeper = _keeper.RowKeeper(members, host, store_return)
         self._config_watcher = _watch.ConfigWatcher(
-            config_row, self._post(self.take_version)
+            config_row, self._post(self.take_version), store_return
         )
         self._member_watcher = _watch.MemberWatcher(
-            members, self._post(self.take_members)
+            members, self._post(self.take_members), store_return
         )
         self._on_config: OnConfig | None = None
         self._on_members: OnMembers | None = None
--- a/sedgering/mesh/_watch.py
+++ b/sedgering/mesh/_watch.py
@@ -21,6 +21,7 @@
     'ConfigWatcher',
     'MemberWatcher',
     'Pauses',
+    'StoreReturn',
     'TableWatcher',
 ]
 
@@ -66,20 +67,48 @@
         return self.table.list_rows(self.key, self.key + '\0')
 
 
-class Pauses:
-    """Growing pauses between calls of a store that fails."""
+class StoreReturn:
+    """Tells all threads of a daemon that the store answers again."""
 
     def __init__(self):
+        self._condition = threading.Condition()
+
+    def tell(self) -> None:
+        """End all pauses."""
+        with self._condition:
+            self._condition.notify_all()
+
+    def wait(self, longest_s: float) -> None:
+        """Wait until somebody tells, or until time is up."""
+        with self._condition:
+            self._condition.wait(longest_s)
+
+
+class Pauses:
+    """Growing pauses between calls of a store that fails.
+
+    Parameters
+    ----------
+    store_return : StoreReturn
+        Shared by the threads that ask the same store: the first one that
+        is answered ends the pauses of the others.
+    """
+
+    def __init__(self, store_return: StoreReturn):
+        self.store_return = store_return
         self._pause_s = FIRST_PAUSE_S
         self._rng = random.Random()
 
     def reset(self) -> None:
         """Start with short pauses again."""
+        if self._pause_s > FIRST_PAUSE_S:
+            self.store_return.tell()
         self._pause_s = FIRST_PAUSE_S
 
     def wait(self) -> None:
         """Wait, longer each time, with jitter."""
-        time.sleep(self._pause_s * self._rng.uniform(0.5, 1.0))
+        longest_s = self._pause_s * self._rng.uniform(0.5, 1.0)
+        self.store_return.wait(longest_s)
         self._pause_s = min(LONGEST_PAUSE_S, 2 * self._pause_s)
 
 
@@ -92,9 +121,16 @@
         Of the thread.
     table : WatchedTable
         Followed.
+    store_return : StoreReturn
+        Of the daemon.
     """
 
-    def __init__(self, name: str, table: storage.WatchedTable):
+    def __init__(
+        self,
+        name: str,
+        table: storage.WatchedTable,
+        store_return: StoreReturn,
+    ):
         self.name = name
         self.table = table
         self.is_stopping = False
@@ -106,7 +142,7 @@
         self.is_fresh = False
         self._revision: int | None = None
         self._is_lost = False
-        self._pauses = Pauses()
+        self._pauses = Pauses(store_return)
         self._is_enabled = threading.Event()
         self._is_enabled.set()
 
@@ -197,14 +233,17 @@
     post : callable
         Told each version that could be decoded, or None, and the counter
         of the store up to which there is no newer one.
+    store_return : StoreReturn
+        Of the daemon.
     """
 
     def __init__(
         self,
         row: ConfigRow,
         post: Callable[[_config.AcceptedConfig | None, int], None],
+        store_return: StoreReturn,
     ):
-        super().__init__('watch-config', row.table)
+        super().__init__('watch-config', row.table, store_return)
         self.row = row
         self.post = post
 
@@ -244,14 +283,17 @@
         One row for each host.
     post : callable
         Told the rows that changed.
+    store_return : StoreReturn
+        Of the daemon.
     """
 
     def __init__(
         self,
         table: storage.WatchedTable,
         post: Callable[[_members.MemberNews], None],
+        store_return: StoreReturn,
     ):
-        super().__init__('watch-members', table)
+        super().__init__('watch-members', table, store_return)
         self.post = post
 
     def read_all(self) -> int:
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -326,9 +326,14 @@
             self._is_refused = True
             self.transport.close()
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is under way."""
+        return not self.pending and self._request is None
+
     def close_idle(self) -> bool:
         """Close the connection if nothing is under way on it."""
-        if self.pending or self._request is not None:
+        if not self.is_idle:
             return False
         self._is_ended = True
         self.transport.close()
