--- a/features/soak.feature
+++ b/features/soak.feature
@@ -35,6 +35,9 @@
       | held by a sound daemon           | another daemon was paused      | beyond its deadline  |
       | lost beside planned work         | another daemon was killed      | nothing is broken    |
       | lost beside planned work         | its daemon was terminated      | ended without answer |
+      | lost beside planned work         | the store was away             | ended without answer |
+      | cut beside planned work          | the store was away             | was told 502         |
+      | cut beside planned work          | another daemon was killed      | nothing is broken    |
 
   Scenario: A short soak of real processes keeps all promises
     When seed 1 runs on 3 hosts for 4 s
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -94,6 +94,11 @@
     subject.ran('lost', SENT_S)
 
 
+def cut(subject):
+    subject.add(subject.world.callers[0], 'cut', status=502)
+    subject.ran('cut', SENT_S)
+
+
 def run_late(subject):
     books = subject.world.targets[0].books
     books.left_s = -1e9
@@ -125,6 +130,7 @@
     'a request with a route was told 404': deny,
     'a request was held by a sound daemon': hold,
     'a request was lost beside planned work': lose,
+    'a request was cut beside planned work': cut,
     'a target that had left ran a request': run_late,
     'a target worked on more than its slots': overload,
     'a daemon went back to an older version': go_back,
@@ -132,6 +138,7 @@
     'a daemon lacks the newest version': lag,
 }
 FAULTS = {
+    'the store was away': (_faults.FaultKind.STORE, 1),
     'its daemon was paused': (_faults.FaultKind.PAUSE, 0),
     'another daemon was paused': (_faults.FaultKind.PAUSE, 1),
     'another daemon was killed': (_faults.FaultKind.KILL, 1),
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from soak import _callers
+from soak import _faults
 from soak import _targets
 from soak import _world
 
@@ -13,6 +14,12 @@
 #: Statuses that no proper request on a route that is there may get.
 DENIED_STATUSES = frozenset((400, 401, 403, 404, 413, 431))
 STATUS_OK = 200
+#: Told when a request may have run, and no whole answer came.
+STATUS_UNKNOWN = 502
+#: Faults of the store alone cost no request.
+STORE_KINDS = frozenset(
+    (_faults.FaultKind.STORE, _faults.FaultKind.STORE_LINK)
+)
 #: Time beyond a deadline after which a request counts as held: a loaded
 #: machine makes everything late.
 HELD_S = 2.5
@@ -56,8 +63,11 @@
     held_s = record.done_s - record.sent_s - _callers.DEADLINE_MS / 1000
     if held_s > HELD_S and not _is_disturbed(world, record, False):
         yield f'{request_id} was held {held_s:.1f} s beyond its deadline'
-    if not status and has_run and not _is_disturbed(world, record, True):
-        yield f'{request_id} ran, and its connection ended without answer'
+    if status not in (0, STATUS_UNKNOWN) or not has_run:
+        return
+    if not _is_disturbed(world, record, True):
+        end = 'was told 502' if status else 'its connection ended'
+        yield f'{request_id} ran, and {end} without answer'
 
 
 def _is_disturbed(
@@ -70,6 +80,7 @@
     """
     return any(
         not item.fault.is_planned
+        and not (anywhere and item.fault.kind in STORE_KINDS)
         and item.start_s < record.done_s
         and record.sent_s < item.end_s + TOUCH_S
         and (anywhere or world.daemons[item.fault.host].name == record.host)
