One place for what tests and soak send to daemons in the platform's names

Heartbeat bodies stood in the mesh fleet, in a step and in the soak, and the soak knew names of the platform. Now testing/_platform_calls.py has them, and the soak takes header names from the adapter.

--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -676,17 +676,11 @@
 @when('a late heartbeat of a lifetime that crashed arrives there')
 def step_late_heartbeat(context):
     mesh = context.mesh
-    body = {
-        'service': 'calendar',
-        'slots': 2,
-        'state': 'ready',
-        'cold_remaining': '0ms',
-        'sequence': 40,
-    }
+    request = testing.make_report(
+        'i-crashed', 'heartbeat', 'calendar', 'ready', 40
+    )
     answer = mesh.fleet.call(
-        mesh.first.addresses.reports_port,
-        '/v1/instances/i-crashed/heartbeat',
-        json.dumps(body).encode(),
+        mesh.first.addresses.reports_port, request.url, request.body
     )
     assert answer.status == 200
 
--- a/sedgering/platform/__init__.py
+++ b/sedgering/platform/__init__.py
@@ -23,6 +23,7 @@
 from sedgering.platform._wire import HEADERS
 from sedgering.platform._wire import parse_duration_ms
 from sedgering.platform._wire import parse_version
+from sedgering.platform._wire import SETTINGS_VARIABLE
 
 __all__ = [
     'HEADERS',
@@ -32,6 +33,7 @@
     'PlatformObjects',
     'PlatformTable',
     'RECORDS_TABLE',
+    'SETTINGS_VARIABLE',
     'ReadinessService',
     'ReportsService',
     'SettingsFollower',
--- a/sedgering/testing/__init__.py
+++ b/sedgering/testing/__init__.py
@@ -29,6 +29,9 @@
 from sedgering.testing._naive import make_sample_bundle
 from sedgering.testing._naive import NaivePoller
 from sedgering.testing._passthrough import make_passthrough
+from sedgering.testing._platform_calls import encode_write
+from sedgering.testing._platform_calls import make_daemon_settings
+from sedgering.testing._platform_calls import make_report
 from sedgering.testing._replay import OutcomeDiffers
 from sedgering.testing._replay import replay_trace
 from sedgering.testing._store_server import StoreServer
@@ -61,12 +64,15 @@
     'TargetSettings',
     'TargetStandin',
     'Verdict',
+    'encode_write',
     'free_ports',
     'is_listening',
     'judge_calls',
+    'make_daemon_settings',
     'make_document',
     'make_fleet',
     'make_passthrough',
+    'make_report',
     'make_sample_bundle',
     'make_target',
     'replay_trace',
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -12,6 +12,7 @@
 from sedgering.testing import _engine
 from sedgering.testing import _fleet
 from sedgering.testing import _mesh_target
+from sedgering.testing import _platform_calls
 from sedgering.testing import _store_server
 from sedgering import transport
 
@@ -147,22 +148,11 @@
     def report(self, host: MeshHost, state: str = 'ready') -> int:
         """Let a target report itself; return the status it was given."""
         host.sequence += 1
-        body = {
-            'service': host.target_set,
-            'slots': 2,
-            'state': state,
-            'cold_remaining': '0ms',
-            'sequence': host.sequence,
-        }
-        path = f'/v1/instances/{host.books.target}/heartbeat'
-        return self.call(
-            host.addresses.reports_port, path, json.dumps(body).encode()
-        ).status
+        return self._tell(host, 'heartbeat', state)
 
     def deregister(self, host: MeshHost) -> int:
         """Let a target say that it leaves for good."""
-        path = f'/v1/instances/{host.books.target}/deregister'
-        return self.call(host.addresses.reports_port, path, b'{}').status
+        return self._tell(host, 'deregister', 'draining')
 
     def configure(self, document: bytes) -> None:
         """Write the operator's document."""
@@ -197,6 +187,13 @@
         finally:
             connection.close()
 
+    def _tell(self, host: MeshHost, verb: str, state: str) -> int:
+        request = _platform_calls.make_report(
+            host.books.target, verb, host.target_set, state, host.sequence
+        )
+        port = host.addresses.reports_port
+        return self.call(port, request.url, request.body).status
+
     def wait_for(self, condition) -> None:
         """Wait until a condition holds; fail after some seconds."""
 
--- /dev/null
+++ b/sedgering/testing/_platform_calls.py
@@ -0,0 +1,103 @@
+"""What the platform and targets send to daemons, in the platform's names."""
+
+import base64
+import json
+
+from sedgering import transport
+
+__all__ = ['encode_write', 'make_daemon_settings', 'make_report']
+
+#: As the users' sites have them.
+BOUNDS = (
+    'apply=2000ms',
+    'grace=6s',
+    'budget_ratio=0.2',
+    'budget_extra=62',
+    'budget_window=10s',
+)
+
+
+def make_report(
+    target: str,
+    verb: str,
+    target_set: str,
+    state: str,
+    sequence: int,
+    slots: int = 2,
+) -> transport.Request:
+    """Make what a target tells the daemon beside it.
+
+    Parameters
+    ----------
+    target : str
+        Id of the lifetime of the target.
+    verb : str
+        `heartbeat` or `deregister`.
+    target_set, state, sequence, slots
+        What is told.
+    """
+    body = {
+        'service': target_set,
+        'slots': slots,
+        'state': state,
+        'cold_remaining': '0ms',
+        'sequence': sequence,
+    }
+    return transport.Request(
+        'POST',
+        f'/v1/instances/{target}/{verb}',
+        [('Host', 'daemon')],
+        json.dumps(body).encode(),
+        True,
+    )
+
+
+def encode_write(table: str, key: str, value: bytes) -> tuple[str, bytes]:
+    """Return path and body of the call that writes one row of the store."""
+    row = {
+        'table': table,
+        'part': '',
+        'key': key,
+        'value': base64.b64encode(value).decode(),
+    }
+    body = {'precondition': [], 'puts': [row], 'remove': []}
+    return '/v1/rows-tx', json.dumps(body).encode()
+
+
+def make_daemon_settings(
+    host: str,
+    data_centre: str,
+    target_set: str,
+    address: str,
+    ports: dict[str, int],
+    link_mbps: float,
+) -> bytes:
+    """Make the settings file of one daemon.
+
+    Parameters
+    ----------
+    host, data_centre, target_set, address
+        Of the daemon.
+    ports : dict
+        `callers`, `readiness`, `reports`, `peers`, `target` and `store`,
+        all at the address of the host.
+    link_mbps : float
+        Width of its link.
+    """
+    fields = {
+        'node': host,
+        'ip': address,
+        'zone': data_centre,
+        'service': target_set,
+        'app': f'{address}:{ports["target"]}',
+        'listen': {
+            'outbound': f'{address}:{ports["callers"]}',
+            'ready': f'{address}:{ports["readiness"]}',
+            'control': f'{address}:{ports["reports"]}',
+        },
+        'internal_ports': [ports['peers'], ports['peers'] + 15],
+        'bounds': BOUNDS,
+        'platform': {'address': f'{address}:{ports["store"]}'},
+        'limits': {'link_mbps': link_mbps},
+    }
+    return json.dumps(fields).encode()
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -7,10 +7,12 @@
 
 import msgspec
 
+from sedgering import platform
 from soak import _daemons
 
 __all__ = ['CallRecord', 'Caller', 'ONCE_PATH', 'REPEATABLE_PATH']
 
+NAMES = platform.HEADERS
 REPEATABLE_PATH = '/read/'
 ONCE_PATH = '/once/'
 HOST_HEADER = 'soak.example'
@@ -118,16 +120,16 @@
             body=b'notes' if record.is_once else None,
             headers={
                 'Host': HOST_HEADER,
-                'X-Request-Id': record.request_id,
-                'X-Request-Deadline': str(DEADLINE_MS),
+                NAMES.request_id: record.request_id,
+                NAMES.deadline_ms: str(DEADLINE_MS),
             },
         )
         response = self._connection.getresponse()
         body = response.read()
         record.status = response.status
         record.is_own = (
-            response.getheader('X-Response-Signature') is not None
-            and response.getheader('X-Request-Id') == record.request_id
+            response.getheader(NAMES.proof) is not None
+            and response.getheader(NAMES.request_id) == record.request_id
             and body == f'answer to {record.request_id}'.encode()
         )
         if response.will_close:
--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -1,7 +1,6 @@
 """The daemons and the store as processes of their own."""
 
 import asyncio
-import json
 import os
 import pathlib
 import signal
@@ -9,6 +8,8 @@
 
 import yaml
 
+from sedgering import platform
+from sedgering import testing
 from soak import _links
 
 __all__ = ['Daemon', 'StoreProcess', 'make_address']
@@ -22,14 +23,15 @@
 STORE_PORT = 7800
 STORE_LINK_PORT = 7801
 GRACE_S = 6.0
-#: As the users' sites have them.
-BOUNDS = (
-    'apply=2000ms',
-    'grace=6s',
-    'budget_ratio=0.2',
-    'budget_extra=62',
-    'budget_window=10s',
-)
+PORTS = {
+    'callers': CALLERS_PORT,
+    'readiness': READINESS_PORT,
+    'reports': REPORTS_PORT,
+    'peers': PEERS_PORT,
+    'target': TARGET_PORT,
+    'store': STORE_LINK_PORT,
+}
+LINK_MBPS = 1000.0
 DRAIN_S = 2.0
 
 
@@ -151,25 +153,17 @@
         self._write_settings()
         await self._start(
             ['sedgering.cli.mesh', '--config', str(self._config_path)],
-            SEDGERING_NODE_FILE=str(self._settings_path),
+            **{platform.SETTINGS_VARIABLE: str(self._settings_path)},
         )
 
     def _write_settings(self) -> None:
-        own = self.address
-        fields = {
-            'node': self.name,
-            'ip': own,
-            'zone': self.data_centre,
-            'service': self.target_set,
-            'app': f'{own}:{TARGET_PORT}',
-            'listen': {
-                'outbound': f'{own}:{CALLERS_PORT}',
-                'ready': f'{own}:{READINESS_PORT}',
-                'control': f'{own}:{REPORTS_PORT}',
-            },
-            'internal_ports': [PEERS_PORT, PEERS_PORT + 15],
-            'bounds': BOUNDS,
-            'platform': {'address': f'{own}:{STORE_LINK_PORT}'},
-            'limits': {'link_mbps': 1000.0},
-        }
-        self._settings_path.write_text(json.dumps(fields))
+        self._settings_path.write_bytes(
+            testing.make_daemon_settings(
+                self.name,
+                self.data_centre,
+                self.target_set,
+                self.address,
+                PORTS,
+                LINK_MBPS,
+            )
+        )
--- a/soak/_probes.py
+++ b/soak/_probes.py
@@ -1,14 +1,12 @@
 """Asks a daemon which version it has in force, and whether it is ready."""
 
 import asyncio
-import base64
-import json
 
 from sedgering import transport
 from soak import _callers
 from soak import _daemons
 
-__all__ = ['Probe', 'ask', 'encode_write', 'make_path']
+__all__ = ['Probe', 'ask', 'make_path']
 
 INTERVAL_S = 0.3
 TIMEOUT_S = 2.0
@@ -21,18 +19,6 @@
     return f'/v{version}/'
 
 
-def encode_write(table: str, key: str, value: bytes) -> bytes:
-    """Encode a call that writes one row."""
-    row = {
-        'table': table,
-        'part': '',
-        'key': key,
-        'value': base64.b64encode(value).decode(),
-    }
-    body = {'precondition': [], 'puts': [row], 'remove': []}
-    return json.dumps(body).encode()
-
-
 async def ask(
     address: str,
     port: int,
@@ -115,11 +101,12 @@
             self._lifetime = lifetime
             self.version = 0
         self._number += 1
+        request_id = f'{self.daemon.name}-p{self._number}'
         answer = await ask(
             self.daemon.address,
             _daemons.CALLERS_PORT,
             make_path(version),
-            headers=(('X-Request-Id', f'{self.daemon.name}-p{self._number}'),),
+            headers=((_callers.NAMES.request_id, request_id),),
         )
         if answer is None or lifetime != self.daemon.lifetime:
             return False
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -1,7 +1,6 @@
 """Targets beside the daemons: they report themselves, serve and leave."""
 
 import asyncio
-import json
 import time
 
 from sedgering import testing
@@ -133,19 +132,13 @@
     async def _send(self, verb: str, state: str) -> bool:
         """Report to the daemon; say whether it acknowledged."""
         self._sequence += 1
-        body = {
-            'service': self.daemon.target_set,
-            'slots': SLOTS,
-            'state': state,
-            'cold_remaining': '0ms',
-            'sequence': self._sequence,
-        }
-        request = transport.Request(
-            'POST',
-            f'/v1/instances/{self.books.target}/{verb}',
-            [('Host', self.daemon.address)],
-            json.dumps(body).encode(),
-            True,
+        request = testing.make_report(
+            self.books.target,
+            verb,
+            self.daemon.target_set,
+            state,
+            self._sequence,
+            SLOTS,
         )
         try:
             async with asyncio.timeout(BEAT_TIMEOUT_S):
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -244,8 +244,8 @@
     async def _write_version(self) -> bool:
         """Write the newest version; say whether the store answered."""
         document = _make_document(self.version)
-        body = _probes.encode_write('op', 'config', document)
-        answer = await self._call_store('/v1/rows-tx', body)
+        path, body = testing.encode_write('op', 'config', document)
+        answer = await self._call_store(path, body)
         return answer is not None and answer.status == 200
 
     async def _control_store(self, faults: dict) -> None:
