--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -16,10 +16,6 @@
 STATUS_OK = 200
 #: Told when a request may have run, and no whole answer came.
 STATUS_UNKNOWN = 502
-#: Faults of the store alone cost no request.
-STORE_KINDS = frozenset(
-    (_faults.FaultKind.STORE, _faults.FaultKind.STORE_LINK)
-)
 #: Time beyond a deadline after which a request counts as held: a loaded
 #: machine makes everything late.
 HELD_S = 2.5
@@ -80,7 +76,7 @@
     """
     return any(
         not item.fault.is_planned
-        and not (anywhere and item.fault.kind in STORE_KINDS)
+        and not (anywhere and item.fault.kind in _faults.STORE_KINDS)
         and item.start_s < record.done_s
         and record.sent_s < item.end_s + TOUCH_S
         and (anywhere or world.daemons[item.fault.host].name == record.host)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -37,6 +37,12 @@
 PLANNED = frozenset(
     (FaultKind.TERMINATE, FaultKind.VERSION, FaultKind.TARGET_LEAVES)
 )
+#: Faults of the store alone cost no request.
+STORE_KINDS = frozenset((FaultKind.STORE, FaultKind.STORE_LINK))
+#: How much longer they last: longer than a daemon takes to leave.
+STORE_FACTOR = 3
+#: Share of plans that are planned work only, and of those with the store.
+PLANNED_SHARE = 0.2
 _LINK_MODES = tuple(
     mode for mode in _links.LinkMode if mode is not _links.LinkMode.OPEN
 )
@@ -98,10 +104,7 @@
         Faults begin within this time.
     """
     rng = random.Random(seed)
-    kinds = list(FaultKind)
-    if rng.random() < 0.2:
-        # Some plans are planned work only, and may cost nothing.
-        kinds = sorted(PLANNED, key=lambda kind: kind.value)
+    kinds = _choose_kinds(rng)
     plan = []
     at_s = 0.0
     while True:
@@ -113,15 +116,33 @@
             plan.append(_make_fault(rng, kinds, at_s, hosts))
 
 
+def _choose_kinds(rng: random.Random) -> list[FaultKind]:
+    """Choose what a plan is made of.
+
+    Some plans are planned work only, alone or with the store away, and may
+    cost no request.
+    """
+    draw = rng.random()
+    kinds = set(FaultKind)
+    if draw < PLANNED_SHARE:
+        kinds = set(PLANNED)
+    elif draw < 2 * PLANNED_SHARE:
+        kinds = PLANNED | STORE_KINDS
+    return sorted(kinds, key=lambda kind: kind.value)
+
+
 def _make_fault(
     rng: random.Random, kinds: list[FaultKind], at_s: float, hosts: int
 ) -> Fault:
     kind = rng.choice(kinds)
     details = _DETAILS.get(kind)
+    for_s = rng.uniform(LEAST_S, MOST_S)
+    if kind in STORE_KINDS:
+        for_s *= STORE_FACTOR
     return Fault(
         at_s,
         kind,
         rng.randrange(hosts),
-        rng.uniform(LEAST_S, MOST_S),
+        for_s,
         rng.choice(details).value if details else '',
     )
