--- a/sedgering/mesh/_budget.py
+++ b/sedgering/mesh/_budget.py
@@ -59,17 +59,12 @@
         part[1] += 1
         counts.requests += 1
 
-    def has_left(self, target_set: base.TargetSetName, now_s: float) -> bool:
-        """Say whether there is a retry to spend."""
-        counts, _part = self._find(target_set, now_s)
-        allowed = self.ratio * counts.requests + self.extra / self.daemons
-        return counts.retries + 1 <= allowed
-
     def take(self, target_set: base.TargetSetName, now_s: float) -> bool:
         """Spend one retry; say whether there was one."""
-        if not self.has_left(target_set, now_s):
-            return False
         counts, part = self._find(target_set, now_s)
+        allowed = self.ratio * counts.requests + self.extra / self.daemons
+        if counts.retries + 1 > allowed:
+            return False
         part[2] += 1
         counts.retries += 1
         return True
--- a/sedgering/mesh/_follow.py
+++ b/sedgering/mesh/_follow.py
@@ -32,7 +32,15 @@
 
 
 class _Link:
-    """One of the relays that are polled."""
+    """One of the relays that are polled.
+
+    Attributes
+    ----------
+    host : str or None
+        The relay; None when there is none.
+    is_sound : bool
+        Whether its last answer came in time and it hears the store.
+    """
 
     def __init__(self):
         self.host: base.HostId | None = None
@@ -74,10 +82,13 @@
         self.peers = peers
         self.source = source
         self._links = [_Link() for _ in range(RELAYS_FOLLOWED)]
+        #: Relays that failed: how long the next rest is, and until when
+        #: the present one lasts.
         self._rests: dict[base.HostId, float] = {}
         self._rest_until_s: dict[base.HostId, float] = {}
         self.is_watching_store = True
         self._needs_whole = False
+        #: Members of the own data centre, with the table that they are of.
         self._near: tuple[dict, list[_messages.MemberRow]] = ({}, [])
 
     async def run(self) -> None:
@@ -206,7 +217,7 @@
         return True
 
     def _choose(self, link: _Link) -> _messages.MemberRow | None:
-        """Choose a relay that rests not, and that the others do not use."""
+        """Choose a relay that is neither left out nor polled already."""
         now_s = self.source.loop.time()
         used = {other.host for other in self._links if other is not link}
         for row in self._rank():
--- a/sedgering/mesh/_relay.py
+++ b/sedgering/mesh/_relay.py
@@ -28,6 +28,7 @@
     'choose_relays',
     'decode_relay_news',
     'encode_poll',
+    'hash_text',
     'is_poll',
 ]
 
