A restarted daemon's scenarios leave no choice to speed

Cause: since work times count by route, a target that told 40 ms is passed over for one that told 3 ms; the scenario took it for granted that both are chosen alike. The daemon is right; the step now has the second host's own target leave, so that only the first can serve, and needs no wall time.

--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -163,23 +163,23 @@
     And the target of the first host says "ready"
     And a late heartbeat of a lifetime that crashed arrives there
     And the target of the first host says "ready"
-    Then requests of the second host reach the first host within 3 s
+    Then the first host serves the second, whose own target leaves
 
   Scenario: A living target is known after a late heartbeat came first
     When the daemon of the first host is killed and started again
     And a late heartbeat of a lifetime that crashed arrives there
     And the target of the first host says "ready"
-    Then requests of the second host reach the first host within 3 s
+    Then the first host serves the second, whose own target leaves
 
   Scenario: A daemon restarted beside the same target gets work again
     When the daemon of the first host is killed and started again
     And both hosts are asked before its target reports again
     And the target of the first host says "ready"
-    Then requests of the second host reach the first host within 3 s
+    Then the first host serves the second, whose own target leaves
 
   Scenario: A restarted daemon asks its target who it is
     When the daemon of the first host is killed and started again
-    Then requests of the second host reach the first host within 3 s
+    Then the first host serves the second, whose own target leaves
 
   Scenario: A restarted daemon keeps the acknowledgement of its draining target
     Given the target of the first host said "draining"
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -392,18 +392,25 @@
             )
 
 
-@then('requests of the second host reach the first host within 3 s')
-def step_reach_first(context):
+@then('the first host serves the second, whose own target leaves')
+def step_serve_second(context):
     mesh = context.mesh
-    before = len(mesh.first.books.runs)
+    # Which of two open targets is chosen depends on how long their work
+    # took; with one left there is no choice.
+    assert mesh.fleet.report(mesh.second, 'draining') == 200
+    mesh.first.books.runs.clear()
 
     async def ask_until():
         port = mesh.second.addresses.callers_port
-        async with asyncio.timeout(3):
-            while len(mesh.first.books.runs) == before:
-                await mesh.fleet.start_call(port, '/r0/', X_Request_Id='x')
+        status = None
+        while status != 200:
+            answer = await mesh.fleet.start_call(
+                port, '/r0/', X_Request_Id='x'
+            )
+            status = answer.status
 
     mesh.fleet.run(ask_until())
+    assert mesh.first.books.runs
 
 
 @when('the target of the first host deregisters')
