--- a/features/settings.feature
+++ b/features/settings.feature
@@ -30,5 +30,8 @@
     Then docs/settings.md is what the settings classes say
     And every setting has a meaning
 
+  Scenario: Names of the users' platform stand in the adapter only
+    Then no module but the adapter and the stand-ins names the platform's
+
   Scenario: Imports point one way
     Then every package imports only what docs/architecture.md lists below it
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -15,6 +15,7 @@
 import yaml
 
 from sedgering import exceptions
+from sedgering import platform
 from sedgering import settings
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
@@ -124,6 +125,28 @@
             assert meanings.get(field.name), field.name
 
 
+@then("no module but the adapter and the stand-ins names the platform's")
+def step_platform_names(context):
+    names = [
+        *msgspec.structs.astuple(platform.HEADERS),
+        *('rows-tx', 'rows-get', 'rows-feed', 'blob-put', 'blob-get'),
+        *('schema_version', 'cold_remaining', 'beat_address', 'sidecar'),
+        *('target_latency', 'max_connections', 'health_path":'),
+    ]
+    # Request ids have this name everywhere.
+    names.remove(platform.HEADERS.request_id)
+    checked = 0
+    for folder in ('sedgering', 'soak'):
+        for path in (ROOT / folder).rglob('*.py'):
+            if path.relative_to(ROOT).parts[1] in ('platform', 'testing'):
+                continue
+            checked += 1
+            text = path.read_text()
+            found = [name for name in names if name in text]
+            assert not found, (path, found)
+    assert checked > 100, checked
+
+
 @then('every package imports only what docs/architecture.md lists below it')
 def step_imports(context):
     page = (ROOT / 'docs' / 'architecture.md').read_text()
