A whole version is asked for no longer once it has come another way

A follower that had refused a difference asked for a whole version until it had decoded one. When the version came from its own watch of the store meanwhile, it went on asking: each poll was answered at once with a whole version, as often as a round trip allows.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -64,6 +64,11 @@
     And version 2 is written
     Then all hosts have version 2
 
+  Scenario: A whole version is asked for no longer once there is one
+    Given a mesh of 5 hosts in which relays serve
+    When a daemon has refused a difference, and got its version elsewhere
+    Then it holds its next polls, and asks for no whole version again
+
   Scenario: A small mesh has no relays
     Given a mesh of 2 hosts in which relays serve
     Then 2 hosts watch the store
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -354,3 +354,35 @@
             return msgspec.structs.replace(news, steps=(b'damaged',))
 
         log.find_news = find_damaged
+
+
+@when('a daemon has refused a difference, and got its version elsewhere')
+def step_refused_elsewhere(context):
+    subject = context.relays
+    relays = subject.wait_relays(2)
+    context.follower = next(
+        host for host in subject.living if host not in relays
+    )
+    context.asked = []
+    for host in relays:
+        log = host.daemon.source.versions
+
+        def find_news(version, find=log.find_news):
+            context.asked.append(version)
+            return find(version)
+
+        log.find_news = find_news
+    # The version that was asked for whole is held already.
+    context.follower.daemon.follower._needs_whole = True
+
+
+@then('it holds its next polls, and asks for no whole version again')
+def step_polls_held(context):
+    subject = context.relays
+    subject.fleet.wait_for(lambda: base.NO_VERSION in context.asked)
+    subject.fleet.wait_for(
+        lambda: not context.follower.daemon.follower._needs_whole
+    )
+    # Two polls that are under way may still ask for it.
+    subject.fleet.wait_for(lambda: len(context.asked) > 20)
+    assert context.asked.count(base.NO_VERSION) <= 4, context.asked
--- a/sedgering/mesh/_follow.py
+++ b/sedgering/mesh/_follow.py
@@ -197,7 +197,8 @@
     def _take_version(self, news: _relay.RelayNews) -> bool:
         held = self.source.versions.newest
         if held is not None and held.version >= news.version.version:
-            # It came from the other relay meanwhile.
+            # It came from the other relay or from the store meanwhile.
+            self._needs_whole = False
             return True
         try:
             config = _versions.decode_news(news.version, held)
