Less that stands twice: last reading of the change

- A request with other headers is made by msgspec's replace in _hop and _inbound, which spelled all fields out.
- Three makers of member rows in steps are testing.make_member_row.

--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -16,6 +16,7 @@
 from sedgering.mesh import _hop
 from sedgering.mesh import _link
 from sedgering import platform
+from sedgering import testing
 from sedgering import transport
 
 ROUTE = base.RouteName('calendar')
@@ -298,15 +299,8 @@
 
 def make_row(host, data_centre, port, target='i-1') -> mesh.MemberRow:
     """Make a row of a calendar target."""
-    return mesh.MemberRow(
-        host=base.HostId(host),
-        data_centre=base.DataCentre(data_centre),
-        address='10.0.0.1',
-        port=port,
-        target_set=SET,
-        target=base.TargetName(target),
-        slots=2,
-        state=mesh.TargetState.READY,
+    return testing.make_member_row(
+        host, data_centre=data_centre, port=port, target=target
     )
 
 
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -27,16 +27,8 @@
 
 def make_row(host, number=0, link_mbps=10) -> mesh.MemberRow:
     """Make a row; `number` tells versions of it apart."""
-    return mesh.MemberRow(
-        host=base.HostId(host),
-        data_centre=base.DataCentre('hall'),
-        address='10.0.0.1',
-        port=1,
-        target_set=base.TargetSetName('calendar'),
-        target=base.TargetName(f'i-{number}'),
-        slots=2,
-        state=mesh.TargetState.READY,
-        link_mbps=link_mbps,
+    return testing.make_member_row(
+        host, target=f'i-{number}', link_mbps=link_mbps
     )
 
 
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -6,8 +6,6 @@
 from behave import then
 from behave import when
 
-from sedgering import base
-from sedgering import mesh
 from sedgering.mesh import _room
 from sedgering import testing
 
@@ -26,17 +24,7 @@
 
 @given('a host with a link of {mbps:d} Mbit/s')
 def step_host(context, mbps):
-    context.row = mesh.MemberRow(
-        host=base.HostId('hall-1'),
-        data_centre=base.DataCentre('hall'),
-        address='10.0.0.1',
-        port=1,
-        target_set=base.TargetSetName('archive'),
-        target=base.TargetName('i-1'),
-        slots=2,
-        state=mesh.TargetState.READY,
-        link_mbps=mbps,
-    )
+    context.row = testing.make_member_row('hall-1', link_mbps=mbps)
 
 
 @then('a body of {size:d} bytes is sent there {how}')
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -135,7 +135,7 @@
         except TimeoutError:
             if self.attempts:
                 return self._refuse(exceptions.Code.REQUEST_LATE)
-            return self._refuse_after(self.last)
+            return self._refuse_after()
 
     def _set_times(self) -> None:
         """Set deadline and goal from the head of the request."""
@@ -184,7 +184,7 @@
             if peer is not None:
                 self._start(peer)
             if not self.attempts:
-                return self._refuse_after(self.last)
+                return self._refuse_after()
             answer = await self._wait()
             if answer is None:
                 wants_attempt = self._may_add()
@@ -334,17 +334,15 @@
             response.status, headers, response.body, response.reason
         )
 
-    def _refuse_after(
-        self, answer: _messages.CallAnswer | None
-    ) -> transport.Response:
+    def _refuse_after(self) -> transport.Response:
         """Tell what is known after the last attempt."""
         if self.answered is not None:
             return self._pass_on(self.answered)
         if self.may_have_run:
             return self._refuse(exceptions.Code.REQUEST_UNKNOWN)
-        if answer is None:
+        if self.last is None:
             return self._refuse(exceptions.Code.REQUEST_NO_TARGET)
-        if answer.reason in (_Reason.SHED, _Reason.LINK_FULL):
+        if self.last.reason in (_Reason.SHED, _Reason.LINK_FULL):
             return self._refuse(exceptions.Code.REQUEST_SHED)
         return self._refuse(exceptions.Code.REQUEST_NOT_RUN)
 
--- a/sedgering/mesh/_follow.py
+++ b/sedgering/mesh/_follow.py
@@ -3,6 +3,8 @@
 import asyncio
 import logging
 
+import msgspec
+
 from sedgering import base
 from sedgering import exceptions
 from sedgering.mesh import _fleet
@@ -47,6 +49,22 @@
         self.is_sound = False
 
 
+class _Near(msgspec.Struct):
+    """Members of the own data centre.
+
+    Parameters
+    ----------
+    members : dict
+        Member table that they are of.
+    rows, relays : list of MemberRow
+        All of them, and those among them that are relays.
+    """
+
+    members: dict[base.HostId, _messages.MemberRow]
+    rows: list[_messages.MemberRow]
+    relays: list[_messages.MemberRow]
+
+
 class RelayFollower:
     """Polls relays of its data centre, and decides who asks the store.
 
@@ -88,8 +106,7 @@
         self._rest_until_s: dict[base.HostId, float] = {}
         self.is_watching_store = True
         self._needs_whole = False
-        #: Members of the own data centre, with the table that they are of.
-        self._near: tuple[dict, list[_messages.MemberRow]] = ({}, [])
+        self._near = _Near({}, [], [])
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -104,7 +121,7 @@
         members = self.fleet.members
         if len(members) < self.peers.mesh_settings.relay_from_hosts:
             return False
-        relays = _relay.choose_relays(self._list_near())
+        relays = self._find_near().relays
         return all(row.host != self.identity.host for row in relays)
 
     async def _look_again(self) -> None:
@@ -229,22 +246,23 @@
 
     def _rank(self) -> list[_messages.MemberRow]:
         """Order hosts: relays first, in an order of this daemon's own."""
-        near = self._list_near()
-        relays = _relay.choose_relays(near)
+        near = self._find_near()
         own = self.identity.host
-        relays.sort(key=lambda row: _relay.hash_text(own + row.host))
+        relays = sorted(
+            near.relays, key=lambda row: _relay.hash_text(own + row.host)
+        )
         chosen = {row.host for row in relays}
-        others = [row for row in near if row.host not in chosen]
+        others = [row for row in near.rows if row.host not in chosen]
         return [row for row in relays + others if row.host != own]
 
-    def _list_near(self) -> list[_messages.MemberRow]:
-        members, near = self._near
-        if members is not self.fleet.members:
+    def _find_near(self) -> _Near:
+        """Return the own data centre, worked out anew when members change."""
+        members = self.fleet.members
+        if self._near.members is not members:
             own = self.identity.data_centre
-            members = self.fleet.members
-            near = [row for row in members.values() if row.data_centre == own]
-            self._near = (members, near)
-        return near
+            rows = [row for row in members.values() if row.data_centre == own]
+            self._near = _Near(members, rows, _relay.choose_relays(rows))
+        return self._near
 
     def _give_up(
         self, link: _Link, row: _messages.MemberRow, detail: str
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -57,13 +57,7 @@
     headers = transport.strip_hop_headers(strip_own(request.headers))
     headers.append((CALL, SEPARATOR.join(fields)))
     return transport.encode_request(
-        transport.Request(
-            request.method,
-            request.url,
-            headers,
-            request.body,
-            request.has_body,
-        )
+        msgspec.structs.replace(request, headers=headers)
     )
 
 
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 import logging
 
+import msgspec
+
 from sedgering import base
 from sedgering.mesh import _gate
 from sedgering.mesh import _hop
@@ -191,19 +193,14 @@
 
     def _encode(self, call: _messages.TargetCall, remaining_ms: int) -> bytes:
         names = self.names
-        request = call.request
-        headers = transport.strip_hop_headers(request.headers, self._replaced)
+        headers = transport.strip_hop_headers(
+            call.request.headers, self._replaced
+        )
         headers.append((names.deadline_ms, str(remaining_ms)))
         headers.append((names.expected_target, call.target))
         headers.append((names.origin, call.origin))
         return transport.encode_request(
-            transport.Request(
-                request.method,
-                request.url,
-                headers,
-                request.body,
-                request.has_body,
-            )
+            msgspec.structs.replace(call.request, headers=headers)
         )
 
     def _is_own(
--- a/sedgering/mesh/_versions.py
+++ b/sedgering/mesh/_versions.py
@@ -48,7 +48,6 @@
 
 class _Step(msgspec.Struct, frozen=True):
     base_version: base.Version
-    version: base.Version
     delta: bytes
 
 
@@ -102,9 +101,7 @@
             config.bundle,
             self._find_own_digest(),
         )
-        self._steps.append(
-            _Step(old.version, config.version, bundles.encode_delta(delta))
-        )
+        self._steps.append(_Step(old.version, bundles.encode_delta(delta)))
         return True
 
     def find_news(self, version: base.Version) -> VersionNews | None:
--- a/sedgering/testing/__init__.py
+++ b/sedgering/testing/__init__.py
@@ -21,6 +21,7 @@
 from sedgering.testing._fleet import make_fleet
 from sedgering.testing._fleet import ProxyProcess
 from sedgering.testing._mesh_fleet import make_document
+from sedgering.testing._mesh_fleet import make_member_row
 from sedgering.testing._mesh_fleet import MeshFleet
 from sedgering.testing._mesh_fleet import MeshHost
 from sedgering.testing._mesh_target import TargetBooks
@@ -71,6 +72,7 @@
     'make_daemon_settings',
     'make_document',
     'make_fleet',
+    'make_member_row',
     'make_passthrough',
     'make_report',
     'make_sample_bundle',
--- a/sedgering/testing/_http.py
+++ b/sedgering/testing/_http.py
@@ -8,7 +8,6 @@
 __all__ = [
     'digest_body',
     'ignore_errors',
-    'read_body',
     'send',
     'send_json',
 ]
@@ -16,11 +15,6 @@
 CHUNK_BYTES = 64 * 1024
 
 
-def read_body(request) -> bytes:
-    """Read a whole request body."""
-    return request.rfile.read()
-
-
 def digest_body(request) -> str:
     """Read a request body in pieces and return its SHA-256."""
     digest = hashlib.sha256()
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -16,7 +16,7 @@
 from sedgering.testing import _store_server
 from sedgering import transport
 
-__all__ = ['MeshFleet', 'MeshHost', 'make_document']
+__all__ = ['MeshFleet', 'MeshHost', 'make_document', 'make_member_row']
 
 ADDRESS = '127.0.0.1'
 #: Longest time that a test waits for anything.
@@ -74,6 +74,31 @@
     return {'resource_type': kind, 'metadata': {'name': name}, 'spec': spec}
 
 
+def make_member_row(host: str, **fields: Any) -> mesh.MemberRow:
+    """Make the row of a ready calendar target.
+
+    Parameters
+    ----------
+    host : str
+        Of the row.
+    **fields
+        Those that differ.
+    """
+    return mesh.MemberRow(
+        **{
+            'host': host,
+            'data_centre': 'hall',
+            'address': '10.0.0.1',
+            'port': 1,
+            'target_set': 'calendar',
+            'target': 'i-1',
+            'slots': 2,
+            'state': mesh.TargetState.READY,
+            **fields,
+        }
+    )
+
+
 class MeshHost:
     """One host: its daemon, its target, and the target's books.
 
