--- a/features/model.feature
+++ b/features/model.feature
@@ -28,3 +28,13 @@
     Given a load pattern with a rate of 0
     When it is loaded
     Then it is refused with code 1005 and names "rate_per_s"
+
+  Scenario: An experiment shows each kind of callers over all seeds
+    Given the load "burst" for 1 s
+    When 2 seeds of it are compared
+    Then there is a row for "read" with its shares, which add up to 1
+
+  Scenario: An experiment with a load that is malformed plays nothing
+    Given a load pattern with a rate of 0
+    When 2 seeds of it are compared
+    Then it is refused with code 1005 and names "rate_per_s"
--- a/features/steps/model_steps.py
+++ b/features/steps/model_steps.py
@@ -7,7 +7,9 @@
 from behave import then
 from behave import when
 import msgspec
+import yaml
 
+from sedgering.cli import _experiment
 from sedgering import exceptions
 from sedgering import model
 
@@ -67,6 +69,31 @@
     context.path.write_text(text.replace('rate_per_s: 560', 'rate_per_s: 0'))
 
 
+@when('2 seeds of it are compared')
+def step_compare(context):
+    path = getattr(context, 'path', None)
+    if path is None:
+        folder = tempfile.TemporaryDirectory()
+        context.cleanups.append(folder.cleanup)
+        path = pathlib.Path(folder.name) / 'load.yaml'
+        path.write_text(yaml.safe_dump(msgspec.to_builtins(context.load)))
+    context.error = None
+    try:
+        context.rows = list(_experiment.run_experiment([path], 2))
+    except exceptions.SettingsError as error:
+        context.error = error
+
+
+@then('there is a row for "{kind}" with its shares, which add up to 1')
+def step_row(context, kind):
+    (row,) = context.rows
+    assert row.callers == kind, row
+    total = row.in_goal_share + row.late_share + row.refused_share
+    assert abs(total - 1) < 0.01, row
+    lines = list(_experiment.show_experiment(context.rows))
+    assert len(lines) == 2 and kind in lines[1], lines
+
+
 @when('it is loaded')
 def step_loaded(context):
     try:
--- a/sedgering/cli/operator.py
+++ b/sedgering/cli/operator.py
@@ -18,6 +18,7 @@
 from sedgering.cli import _burn
 from sedgering.cli import _common
 from sedgering.cli import _diff
+from sedgering.cli import _experiment
 from sedgering.cli import _explain
 from sedgering.cli import _notice
 from sedgering import clock
@@ -328,6 +329,28 @@
     )
 
 
+@app.command()
+def experiment(
+    loads: Annotated[
+        list[pathlib.Path], typer.Argument(help='YAML load patterns.')
+    ],
+    seeds: Annotated[
+        int, typer.Option(help='Plays of each load.', min=1, max=1000)
+    ] = 3,
+    as_json: JsonOption = False,
+) -> None:
+    """Play load patterns against the daemon's decisions; asks no platform.
+
+    Example: sedgering experiment examples/loads/burst.yaml --seeds 5
+    """
+    rows = _experiment.run_experiment(loads, seeds)
+    lines = _experiment.show_experiment(rows)
+    if as_json:
+        lines = (msgspec.json.encode(row).decode() for row in rows)
+    for line in lines:
+        print(line, flush=True)
+
+
 def _make_client(
     config: pathlib.Path,
 ) -> tuple[settings.OperatorSettings, release.ReleaseClient]:
--- a/sedgering/testing/_callers.py
+++ b/sedgering/testing/_callers.py
@@ -67,8 +67,11 @@
         Answers that were not whole or belonged to another call.
     told_wrongly : int
         Calls told "not run" that stand in a ledger.
-    told_not_run, told_unknown, broken : int
+    told_not_run, told_unknown : int
         Calls whose last word was one of these.
+    broken : int
+        Calls of which a try ended with its connection, answered later or
+        not: a daemon that is killed does that to what it has under way.
     """
 
     sent: int
