--- a/sedgering/mesh/_choice.py
+++ b/sedgering/mesh/_choice.py
@@ -21,7 +21,7 @@
 MOST_USED = 0.95
 BITS = 8
 #: Targets that are compared for one call.  A comparison takes 3 us: with all
-#: 24 of a set 66 us, with these 38, and as much of 300 (bench_choice.py).
+#: 24 of a set 66 us, with these 38, and 71 of 300 (bench_choice.py).
 #: Two choices at random are nearly as good as all; this is six times as many.
 MOST_COMPARED = 12
 #: Of these, at most so many of the own data centre.
