--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -38,6 +38,12 @@
       | failing              | 500    | 2        |
       | shed                 | 503    | 0        |
 
+  Scenario: A failure is passed on where the operator allows no retries
+    Given a daemon whose settings allow no retries
+    And its target fails
+    When a caller asks "/r0/" with id "id-5"
+    Then the answer is 500
+
   Scenario Outline: A request that may run once is never sent again
     Given the targets are <habit>
     When a caller posts "x" to "/once/" with id "id-4"
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -9,6 +9,7 @@
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
 from sedgering.mesh import _messages
 from sedgering.mesh import _watch
@@ -100,6 +101,22 @@
             writer.close()
 
 
+@given('a daemon whose settings allow no retries')
+def step_no_retries(context):
+    subject = context.mesh
+    for host in subject.fleet.hosts.values():
+        state = host.daemon.state
+        state.mesh_settings = msgspec.structs.replace(
+            state.mesh_settings, retry_share_percent=0
+        )
+
+
+@given('its target fails')
+def step_fails(context):
+    for books in context.mesh.list_books():
+        books.habit = testing.TargetHabit.FAILING
+
+
 @given('a mesh with two calendar hosts')
 def step_mesh(context):
     mesh = MeshSubject()
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -367,7 +367,9 @@
         limits = self.state.mesh_settings
         share = 1.0
         if has_run:
-            share = limits.rerun_share_percent / limits.retry_share_percent
+            # With no retries at all, both shares are of nothing.
+            whole_percent = max(1, limits.retry_share_percent)
+            share = min(1.0, limits.rerun_share_percent / whole_percent)
         return self.state.budget.take(self.target_set, self._now_s, share)
 
     # What the caller is told.
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -342,9 +342,7 @@
         peer.take_report(report, route, now_s)
         if report is None or not report.route_work_ms:
             return
-        work_ms = report.route_work_ms
-        old_ms = self._typical_ms.get(route, work_ms)
-        self._typical_ms[route] = old_ms + TYPICAL_WEIGHT * (work_ms - old_ms)
+        _note_typical(self._typical_ms, route, report.route_work_ms)
 
     def typical_answer_bytes(self, route: base.RouteName) -> float:
         """Return the size of answers of a route; 0 while unknown."""
@@ -352,8 +350,7 @@
 
     def note_answer(self, route: base.RouteName, size_bytes: int) -> None:
         """Take in the size of one answer."""
-        old = self._answer_bytes.get(route, size_bytes)
-        self._answer_bytes[route] = old + TYPICAL_WEIGHT * (size_bytes - old)
+        _note_typical(self._answer_bytes, route, size_bytes)
 
     def retain_routes(self, routes: Collection[base.RouteName]) -> None:
         """Forget what was learned of routes that are no longer in force."""
@@ -398,3 +395,11 @@
         """Forget peers that are no longer members."""
         for host in [host for host in self._peers if host not in hosts]:
             self._peers.pop(host).pool.close()
+
+
+def _note_typical(
+    table: dict[base.RouteName, float], route: base.RouteName, value: float
+) -> None:
+    """Move the mean of a route towards a new value."""
+    old = table.get(route, value)
+    table[route] = old + TYPICAL_WEIGHT * (value - old)
--- a/sedgering/mesh/_settings.py
+++ b/sedgering/mesh/_settings.py
@@ -56,8 +56,8 @@
         Time before the end of the grace time at which it ends anyway.
     relay_from_hosts : int
         Hosts from which on a few of them watch the store for the others.
-        At 13 hosts the watches of all cost 0.02 of a quiet day's worth;
-        at 74 they cost 0.24, and versions fill links of 10 Mbit/s.
+        With 13 hosts all may watch.  With 74 that do, versions fill links
+        of 10 Mbit/s and 46 % of calm traffic is served; with relays 94 %.
     advertised_port : int
         Port at which other daemons reach this one, where that is not the
         port on which it listens; 0 for the same.
--- a/sedgering/model/_hosts.py
+++ b/sedgering/model/_hosts.py
@@ -102,6 +102,8 @@
         Of the daemon.
     budget : RetryWindow
         Its share of retries.
+    work_book : dict of str to Work
+        Shared by all hosts.
     seed : int
         Of its choices.
     """
@@ -112,12 +114,12 @@
         target: _targets.ModelTarget,
         mesh_settings: mesh.MeshSettings,
         budget: mesh.RetryWindow,
+        work_book: WorkBook,
         seed: int,
     ):
         now_s = asyncio.get_running_loop().time
         self.row = row
         self.target = target
-        self.work_book: WorkBook = {}
         identity = mesh.MeshIdentity(row.host, row.data_centre, row.target_set)
         self.side = ModelSide(
             mesh_settings,
@@ -125,7 +127,7 @@
             _room.LinkRoom(0, now_s),
             _gate.Gate(mesh_settings, now_s),
             target,
-            self.work_book,
+            work_book,
         )
         self.state = _state.RequestState(
             identity,
--- a/sedgering/model/_play.py
+++ b/sedgering/model/_play.py
@@ -63,6 +63,7 @@
         self.results = {
             kind.name: _results.KindResult() for kind in load.callers
         }
+        self.work_book: _hosts.WorkBook = {}
         self.tasks: set[asyncio.Task] = set()
         self.factor = 1.0
 
@@ -112,7 +113,9 @@
         budget = mesh.RetryWindow(
             RETRY_RATIO * share, RETRY_EXTRA * share, RETRY_WINDOW_S
         )
-        host = _hosts.ModelHost(row, target, self.mesh_settings, budget, seed)
+        host = _hosts.ModelHost(
+            row, target, self.mesh_settings, budget, self.work_book, seed
+        )
         self.hosts[name] = host
 
         async def call(nested, work_ms, deadline_s):
@@ -241,13 +244,11 @@
 
     async def _ask(self, host, name, work, left_ms) -> transport.Response:
         request_id = f'{next(self.ids)}'
-        for other in self.hosts.values():
-            other.work_book[request_id] = work
+        self.work_book[request_id] = work
         try:
             return await host.ask(f'/{name}/', request_id, left_ms)
         finally:
-            for other in self.hosts.values():
-                del other.work_book[request_id]
+            del self.work_book[request_id]
 
     async def _call_nested(self, host, nested, work_ms, deadline_s) -> bool:
         loop = asyncio.get_running_loop()
--- a/sedgering/platform/_document.py
+++ b/sedgering/platform/_document.py
@@ -48,7 +48,7 @@
     kind: str
     #: Longest time for which the operator lets a caller wait.
     timeout: str
-    #: Time within which an answer earns most.
+    #: Latency goal: time within which callers want the answer.
     target_latency: str = '0ms'
     priority: int = 0
     #: Most targets that one attempt of a caller may reach.
