--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -249,7 +249,7 @@
     Then every post was answered 200 or 503, and ran once at the most
 
   Scenario: The first answer of a store that returns ends all pauses
-    Given a daemon's three threads that wait for a store
+    Given a daemon's three tasks that wait for a store
     When one of them is answered
     Then all three go on at once
 
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -3,8 +3,6 @@
 import asyncio
 import json
 import re
-import threading
-import time
 
 from behave import given
 from behave import then
@@ -754,21 +752,24 @@
     assert any(run[0] for run in mesh.first.books.runs)
 
 
-@given("a daemon's three threads that wait for a store")
-def step_three_threads(context):
+@given("a daemon's three tasks that wait for a store")
+def step_three_tasks(context):
+    context.loop = asyncio.new_event_loop()
+    context.cleanups.append(context.loop.close)
+    context.loop.run_until_complete(_start_pauses(context))
+
+
+async def _start_pauses(context):
     store_return = _watch.StoreReturn()
     context.pauses = [_watch.Pauses(store_return) for _ in range(4)]
     for pauses in context.pauses:
         pauses._pause_s = 3600.0
+    loop = asyncio.get_running_loop()
     context.waiting = [
-        threading.Thread(target=pauses.wait, daemon=True)
-        for pauses in context.pauses[:3]
+        loop.create_task(pauses.wait()) for pauses in context.pauses[:3]
     ]
-    for thread in context.waiting:
-        thread.start()
-    condition = store_return._condition
-    while len(condition._waiters) < 3:
-        time.sleep(0.01)
+    # Each begins to wait.
+    await asyncio.sleep(0)
 
 
 @when('one of them is answered')
@@ -778,6 +779,6 @@
 
 @then('all three go on at once')
 def step_go_on(context):
-    for thread in context.waiting:
-        thread.join(10)
-        assert not thread.is_alive()
+    waiting = asyncio.wait(context.waiting, timeout=10)
+    _done, pending = context.loop.run_until_complete(waiting)
+    assert not pending
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -32,10 +32,12 @@
             circuit_failures=3,
         )
         calls = platform.StoreClient(
-            platform.StoreSettings('127.0.0.1', port, 300)
+            platform.BlockingCarrier(
+                platform.StoreSettings('127.0.0.1', port, 300)
+            )
         )
         self.client = storage.GuardedStore(
-            platform.PlatformTable(calls, platform.RECORDS_TABLE),
+            platform.RecordsTable(calls, platform.RECORDS_TABLE),
             platform.PlatformObjects(calls),
             self.settings,
             storage.Circuit(3, 500, 8000, random.Random(1)),
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -324,10 +324,10 @@
 class LostTable:
     """A table whose store is away."""
 
-    def list_rows(self, start='', end=''):
+    async def list_rows(self, start='', end=''):
         raise exceptions.PlatformError(exceptions.Code.PLATFORM_DOWN)
 
-    def watch(self, after, wait_ms):
+    async def watch(self, after, wait_ms):
         threading.Event().wait(0.05)
         raise exceptions.PlatformError(exceptions.Code.PLATFORM_DOWN)
 
--- /dev/null
+++ b/features/steps/start_steps.py
@@ -0,0 +1,322 @@
+"""Steps over the first moments of a daemon."""
+
+import asyncio
+import pathlib
+import subprocess
+import sys
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from sedgering.mesh import _fleet
+from sedgering import ports
+from sedgering import testing
+from sedgering import transport
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+ADDRESS = '127.0.0.1'
+PIECES = 6
+PIECE_S = 0.1
+
+
+@then("the daemon's program loads neither {names}")
+def step_loads(context, names):
+    unwanted = {name.strip('" ') for name in names.split(',')[:-1]}
+    unwanted |= {
+        item.strip('" ') for item in names.split(',')[-1].split('nor')
+    }
+    script = (
+        'import sys\n'
+        "sys.modules['ssl'] = None\n"
+        'from sedgering.cli import _host\n'
+        'print(*[name for name, module in sys.modules.items() if module])\n'
+    )
+    loaded = subprocess.run(
+        [sys.executable, '-c', script],
+        cwd=ROOT,
+        check=True,
+        capture_output=True,
+        text=True,
+    ).stdout.split()
+    assert 'sedgering.mesh' in loaded
+    assert not unwanted & set(loaded), unwanted & set(loaded)
+
+
+class EchoService(transport.Service):
+    """Answers with the path."""
+
+    def find_limits(self):
+        return transport.CallerLimits()
+
+    async def answer(self, request):
+        return transport.Response(200, [], request.url.encode())
+
+
+@given('ports that listen before their service is there')
+def step_open_ports(context):
+    context.port = testing.free_ports(1)[0]
+    context.opened = ports.OpenPorts([f'{ADDRESS}:{context.port}'])
+    context.cleanups.append(context.opened.close)
+
+
+@when('a caller sends a request, and the service starts later')
+def step_late_service(context):
+    async def run():
+        connection = await transport.connect(ADDRESS, context.port, 5)
+        request = transport.Request('GET', '/x', [('Host', 'h')])
+        exchange = asyncio.ensure_future(
+            connection.exchange(
+                transport.encode_request(request), lambda _response: True
+            )
+        )
+        await asyncio.sleep(0)
+        sock = context.opened.take(ADDRESS, context.port)
+        server = await transport.serve(
+            EchoService(), ADDRESS, context.port, sock
+        )
+        context.answer = await asyncio.wait_for(exchange, 5)
+        connection.close()
+        server.close()
+
+    asyncio.run(run())
+
+
+@then('the caller gets its answer')
+def step_gets_answer(context):
+    assert context.answer.body == b'/x', context.answer
+
+
+@then("the daemon's program ends with status 2 on the same port")
+def step_port_in_use(context):
+    ended = subprocess.run(
+        [
+            *(sys.executable, '-m', 'sedgering.cli.daemon'),
+            f'{ADDRESS}:{context.port}',
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+    )
+    assert ended.returncode == 2, ended
+    assert 'in use' in ended.stderr, ended.stderr
+
+
+@given('a host whose daemon starts before the operator has written')
+def step_no_version(context):
+    context.fleet = testing.MeshFleet()
+    context.cleanups.append(context.fleet.stop)
+    context.host = context.fleet.add_host('h0')
+
+
+@given('a host whose daemon started {age:d} s ago and has no version')
+def step_old_start(context, age):
+    step_no_version(context)
+    context.host.daemon.state.start._started_s -= age
+
+
+async def _ask(context):
+    started_s = time.monotonic()
+    port = context.host.addresses.callers_port
+    context.answer = await context.fleet.start_call(
+        port, '/r0/', X_Request_Id='a', X_Request_Deadline='3000'
+    )
+    context.elapsed_s = time.monotonic() - started_s
+
+
+@when('a caller asks, and the first version comes {pause:f} s later')
+def step_ask_before(context, pause):
+    async def run():
+        asking = asyncio.ensure_future(_ask(context))
+        await asyncio.sleep(pause)
+        context.fleet.configure(testing.make_document(1, [{}]))
+        await asking
+
+    context.fleet.run(run())
+
+
+@when('a caller asks')
+def step_ask(context):
+    context.fleet.run(_ask(context))
+
+
+@then('the answer is 200 after {pause:f} s')
+def step_answer(context, pause):
+    assert context.answer.status == 200, context.answer
+    assert context.elapsed_s >= pause
+
+
+def _check_refused(context):
+    answer = context.answer
+    assert answer.status == 503, answer
+    pause = transport.find_header(answer.headers, 'retry-after')
+    assert 0 < float(pause) < 1, pause
+    assert not context.host.books.runs
+
+
+@then('it is refused at once as not run, with a time to come back')
+def step_refused_at_once(context):
+    _check_refused(context)
+    held = [item for item in [context.elapsed_s] if item > 0.3]
+    assert not held, held
+
+
+@then('it is refused within {limit:f} s as not run, with a time to come back')
+def step_refused_soon(context, limit):
+    _check_refused(context)
+    # Held, and not until the usual end of a start.
+    assert context.elapsed_s > limit / 2, context.elapsed_s
+
+
+@given('two hosts, the first of which hears nothing new of the store')
+def step_deaf(context):
+    context.fleet = testing.MeshFleet()
+    context.cleanups.append(context.fleet.stop)
+    context.first = context.fleet.add_host('h0', 'ledger')
+    context.second = context.fleet.add_host('h1')
+    context.fleet.configure(testing.make_document(1, [{}]))
+    context.fleet.wait_ready()
+    context.first.daemon.source.take_members = lambda _news: None
+    watcher = context.first.daemon.source._member_watcher
+    watcher.post = lambda _news: None
+
+
+@when('the target of the second host is replaced by another lifetime')
+def step_replaced(context):
+    host = context.second
+    context.fleet.deregister(host)
+    host.books.target = 'i-next'
+    host.sequence = 0
+    context.fleet.report(host)
+
+
+def _ask_first(context, count):
+    port = context.first.addresses.callers_port
+
+    async def run():
+        return await asyncio.gather(
+            *(
+                context.fleet.start_call(
+                    port,
+                    '/r0/',
+                    X_Request_Id=f'a{number}',
+                    X_Request_Deadline='3000',
+                )
+                for number in range(count)
+            )
+        )
+
+    return context.fleet.run(run())
+
+
+@then('a call of the first host runs there, once')
+def step_runs_there(context):
+    (answer,) = _ask_first(context, 1)
+    assert answer.status == 200, answer
+    assert len(context.second.books.runs) == 1
+
+
+@then('{count:d} calls of the first host at once all run there, once each')
+def step_all_run(context, count):
+    answers = _ask_first(context, count)
+    statuses = [(answer.status, answer.body) for answer in answers]
+    assert [item[0] for item in statuses] == [200] * count, statuses
+    ran = [run[0] for run in context.second.books.runs]
+    assert sorted(ran) == sorted(f'a{number}' for number in range(count))
+
+
+@then('the first host knows the new target')
+def step_knows(context):
+    rows = context.first.daemon.state.fleet.by_set['calendar']
+    assert [row.target for row in rows] == ['i-next'], rows
+
+
+@given('a table of members with a row that a host has told')
+def step_told(context):
+    context.member_table = _fleet.FleetTable()
+    context.stored = testing.make_member_row('h0', target='i-1')
+    context.told = testing.make_member_row('h0', target='i-2')
+    context.member_table.replace({'h0': context.stored})
+    assert context.member_table.take_told(context.told)
+    assert not context.member_table.take_told(context.told)
+
+
+@then('the told row holds while the stored one stays')
+def step_told_holds(context):
+    other = testing.make_member_row('h1')
+    context.member_table.replace({'h0': context.stored, 'h1': other})
+    assert context.member_table.members == {'h0': context.told, 'h1': other}
+    rows = context.member_table.by_set['calendar']
+    assert context.told in rows or other in rows
+
+
+@then('the next stored row replaces it')
+def step_stored_replaces(context):
+    newer = testing.make_member_row('h0', target='i-3')
+    context.member_table.replace({'h0': newer})
+    assert context.member_table.members == {'h0': newer}
+    context.member_table.replace({'h0': context.stored})
+    assert context.member_table.members == {'h0': context.stored}
+
+
+@then('a host without a row is not believed')
+def step_not_believed(context):
+    context.member_table.replace({})
+    assert not context.member_table.take_told(context.told)
+    assert not context.member_table.members
+
+
+@then('the daemon that joined has not read the document in the store')
+def step_documents(context):
+    joined = context.relays.living[-1].daemon
+    assert not joined.follower.is_watching_store
+    assert joined.source._config_watcher.reads == 0
+
+
+@when('a daemon starts whose row names relays that are gone')
+def step_start_without_relays(context):
+    subject = context.relays
+    subject.living.append(subject.fleet.add_host('h9'))
+
+
+@given('a peer that sends its answer {manner}')
+def step_slow_peer(context, manner):
+    context.is_silent = 'silence' in manner
+
+
+@then('the exchange with {silence:f} s of silence allowed {result}')
+def step_silence(context, silence, result):
+    async def answer(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        length = f'Content-Length: {PIECES}\r\n\r\n'.encode()
+        if context.is_silent:
+            await asyncio.sleep(PIECES * PIECE_S)
+        writer.write(b'HTTP/1.1 200 OK\r\n' + length)
+        for _number in range(PIECES):
+            await asyncio.sleep(PIECE_S)
+            writer.write(b'x')
+        writer.close()
+
+    async def run():
+        port = testing.free_ports(1)[0]
+        server = await asyncio.start_server(answer, ADDRESS, port)
+        connection = await transport.connect(ADDRESS, port, 5)
+        request = transport.Request('GET', '/', [('Host', 'h')])
+        exchange = asyncio.ensure_future(
+            connection.exchange(
+                transport.encode_request(request), lambda _response: True
+            )
+        )
+        try:
+            await connection.wait_unless_silent(exchange, silence)
+            return (await exchange).body
+        except transport.ExchangeFailed:
+            return b''
+        finally:
+            exchange.cancel()
+            connection.close()
+            server.close()
+
+    body = asyncio.run(run())
+    assert body == (b'x' * PIECES if result == 'ends' else b''), body
--- a/sedgering/bundle/_source.py
+++ b/sedgering/bundle/_source.py
@@ -3,7 +3,6 @@
 import pathlib
 
 import msgspec
-import yaml
 
 from sedgering.bundle import _model
 from sedgering.bundle import _validation
@@ -30,6 +29,9 @@
     BundleError
         With the path of the offending key.
     """
+    # Imported here: daemons read no bundle files.
+    import yaml
+
     try:
         document = yaml.safe_load(path.read_text(encoding='utf-8'))
         bundle = msgspec.convert(document, _model.Bundle)
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -24,6 +24,7 @@
 from sedgering.mesh import _source
 from sedgering.mesh import _state
 from sedgering.mesh import _target
+from sedgering import ports
 from sedgering import transport
 
 __all__ = ['MeshDaemon', 'make_mesh_daemon']
@@ -91,14 +92,24 @@
             and self.state.fleet.is_known
         )
 
-    async def start(self) -> None:
-        """Listen for callers and peers, and start to watch."""
+    async def start(self, opened: ports.OpenPorts | None = None) -> None:
+        """Listen for callers and peers, and start to watch.
+
+        Parameters
+        ----------
+        opened : OpenPorts or None
+            Ports that listen already.
+        """
         own = self.addresses
+        opened = opened or ports.OpenPorts()
         self._servers = [
             await transport.serve(
-                self.outbound, own.address, own.callers_port
-            ),
-            await transport.serve(self.inbound, own.address, own.peers_port),
+                service, own.address, port, opened.take(own.address, port)
+            )
+            for service, port in (
+                (self.outbound, own.callers_port),
+                (self.inbound, own.peers_port),
+            )
         ]
         loop = asyncio.get_running_loop()
         self._tasks = [
@@ -178,6 +189,12 @@
             self.state.callers.retain(names)
             self.state.peers.retain_routes(names)
             self.state.side.gate.work.retain(names)
+        self._note_ready()
+
+    def _note_ready(self) -> None:
+        """Let requests go on that came before the daemon was ready."""
+        if self.is_ready:
+            self.state.start.end()
 
     def take_members(
         self, members: dict[base.HostId, _messages.MemberRow]
@@ -185,11 +202,11 @@
         """Take over the list of members."""
         new = self.state.fleet.replace(members)
         self.state.peers.retain(frozenset(members))
-        now_s = self.state.side.gate.now_s()
         for row in new:
-            cold_until_s = now_s + row.cold_ms / 1000
-            self.state.peers.find(row).note_cold(cold_until_s)
+            self.state.note_started(row)
         self.state.budget.daemons = max(1, len(members))
+        self.follower.note_members()
+        self._note_ready()
 
     def take_report(self, report: _messages.TargetReport) -> None:
         """Take in what the local target says of itself."""
@@ -223,8 +240,12 @@
         )
 
     def _show_target(self) -> None:
-        self.state.side.refresh_gate()
-        self.source.publish(self._make_row())
+        side = self.state.side
+        side.refresh_gate()
+        side.row = self._make_row()
+        if side.row is not None:
+            self.state.take_told(side.row)
+        self.source.publish(side.row)
 
     def _make_row(self) -> _messages.MemberRow | None:
         report = self.state.side.target.report
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -24,6 +24,9 @@
 #: Share of the typical work time that must be left until the goal for a
 #: request to count as one that may still meet it.
 HOPE_SHARE = 0.7
+#: Hosts that may be asked again with the target that they name, beyond the
+#: usual limit of hosts: such a refusal takes a round trip of 3 ms.
+CORRECTIONS_LIMIT = 8
 #: Gates that may refuse a request before it is given up.
 SHEDS_LIMIT = 2
 SERVER_ERROR = 500
@@ -105,6 +108,7 @@
         self.urgency = _messages.CallUrgency.FIRST
         self.caller_left_ms = 0
         self.sheds = 0
+        self.corrections = 0
         self.arrivals = 0
         self.asked: list[base.HostId] = []
         #: Of these, the ones that are not asked again.
@@ -119,6 +123,7 @@
 
     async def run(self) -> transport.Response:
         """Answer the request."""
+        await self.state.start.wait()
         snapshot = self.state.config.snapshot
         if snapshot is None:
             return self._refuse(exceptions.Code.REQUEST_NOT_READY)
@@ -249,7 +254,8 @@
             self._news.set_result(None)
 
     def _choose(self) -> _peers.Peer | None:
-        if len(self.asked) >= self.state.mesh_settings.hops_limit:
+        hops = len(self.asked) - self.corrections
+        if hops >= self.state.mesh_settings.hops_limit:
             return None
         members = self.state.fleet.by_set.get(self.target_set, ())
         candidates = _choice.draw_candidates(
@@ -312,7 +318,10 @@
             )
             self.answered = answer
             self.answered_by = peer.row.host
-        if answer.reason in _CLOSING_REASONS:
+        if answer.member is not None and self._may_ask_again(peer, answer):
+            self.corrections += 1
+            self.tried.discard(peer.row.host)
+        elif answer.reason in _CLOSING_REASONS:
             peer.close(self._now_s, answer.reason)
         elif answer.reason is _Reason.SHED:
             self.sheds += 1
@@ -326,6 +335,15 @@
                 answer,
             )
 
+    def _may_ask_again(
+        self, peer: _peers.Peer, answer: _messages.CallAnswer
+    ) -> bool:
+        """Believe a host about its target; say whether to ask it again."""
+        told = answer.member
+        self.state.take_told(told)
+        is_other = told.target != peer.row.target
+        return is_other and self.corrections < CORRECTIONS_LIMIT
+
     def _is_final(self, answer: _messages.CallAnswer) -> bool:
         """Whether the answer goes to the caller as it is."""
         if answer.outcome is not _Outcome.ANSWERED:
--- a/sedgering/mesh/_fleet.py
+++ b/sedgering/mesh/_fleet.py
@@ -11,9 +11,19 @@
 
 
 class FleetTable:
-    """Member rows by host, and the open ones by target set."""
+    """Member rows by host, and the open ones by target set.
+
+    Rows come from the store.  After a loss of power all of them name targets
+    that are gone, and the new ones come some 0.4 s after they were written;
+    so what a daemon tells of its own target is believed until the store has
+    another row of its host.
+    """
 
     def __init__(self):
+        #: As the store has them.
+        self._stored: dict[base.HostId, _messages.MemberRow] = {}
+        #: What daemons told since, in place of the stored rows.
+        self._told: dict[base.HostId, _messages.MemberRow] = {}
         self.members: dict[base.HostId, _messages.MemberRow] = {}
         self.by_set: dict[
             base.TargetSetName, tuple[_messages.MemberRow, ...]
@@ -30,6 +40,35 @@
         list of MemberRow
             Those whose target has started since.
         """
+        self._told = {
+            host: row
+            for host, row in self._told.items()
+            if members.get(host) == self._stored[host]
+        }
+        self._stored = members
+        return self._take({**members, **self._told})
+
+    def take_told(self, row: _messages.MemberRow) -> bool:
+        """Believe what a daemon tells of the target beside it.
+
+        Returns
+        -------
+        bool
+            Whether it was news.  A host without a row is leaving, or has
+            just come, and nobody is told of it.
+        """
+        if self._stored.get(row.host) is None:
+            return False
+        if self.members[row.host] == row:
+            return False
+        self._told[row.host] = row
+        self._take({**self.members, row.host: row})
+        return True
+
+    def _take(
+        self, members: dict[base.HostId, _messages.MemberRow]
+    ) -> list[_messages.MemberRow]:
+        """Put a list in force; return the rows with a new target."""
         started = []
         for host, row in members.items():
             old = self.members.get(host)
--- a/sedgering/mesh/_follow.py
+++ b/sedgering/mesh/_follow.py
@@ -29,6 +29,11 @@
 LONGEST_REST_S = 8.0
 #: Between two looks at whether this daemon needs relays.
 LOOK_S = 0.25
+#: Time for which a daemon that starts leaves the store to relays that do not
+#: answer yet: as long as they take to start themselves, after a loss of power.
+START_S = 0.8
+#: Between two tries of a relay meanwhile.
+START_REST_S = 0.1
 #: Pause when news could not be used, before a whole version is asked for.
 REFUSED_PAUSE_S = 0.3
 
@@ -105,11 +110,15 @@
         self._rests: dict[base.HostId, float] = {}
         self._rest_until_s: dict[base.HostId, float] = {}
         self.is_watching_store = True
+        #: Until then relays are awaited; None before the members are known.
+        self._start_until_s: float | None = None
+        self._are_members_known = asyncio.Event()
         self._needs_whole = False
         self._near = _Near({}, [], [])
 
     async def run(self) -> None:
         """Follow until cancelled."""
+        await self._are_members_known.wait()
         async with asyncio.TaskGroup() as group:
             for link in self._links:
                 group.create_task(self._follow(link))
@@ -124,6 +133,19 @@
         relays = self._find_near().relays
         return all(row.host != self.identity.host for row in relays)
 
+    def note_members(self) -> None:
+        """Take in that the members are known, or have changed."""
+        if self._start_until_s is None:
+            self._start_until_s = self.source.loop.time() + START_S
+            self._decide()
+            self._are_members_known.set()
+
+    @property
+    def _is_starting(self) -> bool:
+        """Whether relays that do not answer may do so in a moment."""
+        until_s = self._start_until_s
+        return until_s is not None and self.source.loop.time() < until_s
+
     async def _look_again(self) -> None:
         while True:
             await asyncio.sleep(LOOK_S)
@@ -131,7 +153,9 @@
 
     def _decide(self) -> None:
         """Watch the store, or leave it to the relays."""
-        is_followed = any(link.is_sound for link in self._links)
+        is_followed = self._is_starting or any(
+            link.is_sound for link in self._links
+        )
         is_watching = (
             self.source.is_polled or not is_followed or not self.needs_relays
         )
@@ -165,7 +189,7 @@
         link.host = row.host if row else None
         if row is None:
             self._set_sound(link, False)
-            await asyncio.sleep(LOOK_S)
+            await asyncio.sleep(START_REST_S if self._is_starting else LOOK_S)
             return
         try:
             news = await self._poll(row)
@@ -238,22 +262,32 @@
         """Choose a relay that is neither left out nor polled already."""
         now_s = self.source.loop.time()
         used = {other.host for other in self._links if other is not link}
-        for row in self._rank():
+        # Whoever is polled watches the store: while all hosts start, that
+        # should be the relays alone.
+        ranked = self._rank_relays() if self._is_starting else self._rank()
+        for row in ranked:
             rest_until_s = self._rest_until_s.get(row.host, 0.0)
             if row.host not in used and now_s >= rest_until_s:
                 return row
         return None
 
     def _rank(self) -> list[_messages.MemberRow]:
-        """Order hosts: relays first, in an order of this daemon's own."""
+        """Order hosts: relays first, then the others."""
         near = self._find_near()
         own = self.identity.host
-        relays = sorted(
-            near.relays, key=lambda row: _relay.hash_text(own + row.host)
-        )
-        chosen = {row.host for row in relays}
-        others = [row for row in near.rows if row.host not in chosen]
-        return [row for row in relays + others if row.host != own]
+        chosen = {row.host for row in near.relays}
+        others = [
+            row
+            for row in near.rows
+            if row.host not in chosen and row.host != own
+        ]
+        return self._rank_relays() + others
+
+    def _rank_relays(self) -> list[_messages.MemberRow]:
+        """Order the relays in an order of this daemon's own."""
+        own = self.identity.host
+        relays = [row for row in self._find_near().relays if row.host != own]
+        return sorted(relays, key=lambda row: _relay.hash_text(own + row.host))
 
     def _find_near(self) -> _Near:
         """Return the own data centre, worked out anew when members change."""
@@ -268,8 +302,10 @@
         self, link: _Link, row: _messages.MemberRow, detail: str
     ) -> None:
         """Leave a relay out for a while."""
-        rest_s = self._rests.get(row.host, FIRST_REST_S)
-        self._rests[row.host] = min(LONGEST_REST_S, 2 * rest_s)
+        rest_s = START_REST_S
+        if not self._is_starting:
+            rest_s = self._rests.get(row.host, FIRST_REST_S)
+            self._rests[row.host] = min(LONGEST_REST_S, 2 * rest_s)
         self._rest_until_s[row.host] = self.source.loop.time() + rest_s
         LOG.info(
             'relay given up',
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -28,6 +28,8 @@
 #: Apart from the load, which daemons of the version before read by its
 #: exact number of fields.
 NESTED = 'sedgering-nested'
+#: The row that holds, with a refusal of a call to another target.
+MEMBER = 'sedgering-member'
 PING = 'sedgering-ping'
 SEPARATOR = '|'
 #: Numbers of the load field.
@@ -130,6 +132,9 @@
         headers.append((LOAD, SEPARATOR.join(map(str, numbers))))
         if load.waiting_nested:
             headers.append((NESTED, str(load.waiting_nested)))
+    if answer.member is not None:
+        encoded = msgspec.json.encode(answer.member)
+        headers.append((MEMBER, encoded.decode('latin-1')))
     return transport.Response(
         response.status, headers, response.body, response.reason
     )
@@ -151,10 +156,11 @@
         retry_after_ms, reached = int(fields[2]), bool(int(fields[3]))
         detail = fields[4]
         load = _decode_load(response.headers)
-    except (ValueError, IndexError) as error:
+        member = _decode_member(response.headers)
+    except (ValueError, IndexError, msgspec.MsgspecError) as error:
         raise HopError(f'answer: {value!r}') from error
     answer = _messages.CallAnswer(
-        outcome, None, reason, retry_after_ms, load, reached, detail
+        outcome, None, reason, retry_after_ms, load, reached, member, detail
     )
     if outcome is _messages.CallOutcome.ANSWERED:
         response.headers = strip_own(response.headers)
@@ -162,6 +168,17 @@
     return answer
 
 
+def _decode_member(
+    headers: transport.Headers,
+) -> _messages.MemberRow | None:
+    value = transport.find_header(headers, MEMBER)
+    if value is None:
+        return None
+    return msgspec.json.decode(
+        value.encode('latin-1'), type=_messages.MemberRow
+    )
+
+
 def _decode_load(headers: transport.Headers) -> _messages.LoadReport | None:
     value = transport.find_header(headers, LOAD)
     if value is None:
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -83,6 +83,8 @@
         self.link = link
         self.room = room
         self.is_leaving = False
+        #: What other daemons should know of this one.
+        self.row: _messages.MemberRow | None = None
         #: Calls at the target, by the identity of their tickets.
         self._under_way: dict[int, _gate.Ticket] = {}
         self._replaced = frozenset(
@@ -174,8 +176,16 @@
             reason=reason,
             retry_after_ms=retry_after_ms,
             load=self.make_report(call.route),
+            member=self._find_member(reason),
         )
 
+    def _find_member(
+        self, reason: _messages.RefusalReason
+    ) -> _messages.MemberRow | None:
+        """Return the row that a sender should hold, if its own is old."""
+        is_old = reason is _messages.RefusalReason.WRONG_TARGET
+        return self.row if is_old and self.gate.is_open else None
+
     async def _send(
         self, call: _messages.TargetCall, ticket: _gate.Ticket
     ) -> _messages.CallAnswer:
--- a/sedgering/mesh/_keeper.py
+++ b/sedgering/mesh/_keeper.py
@@ -1,8 +1,9 @@
 """Keeps this host's row in the store as the daemon wants it."""
 
+import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
-import threading
 
 import msgspec
 
@@ -46,59 +47,56 @@
     ):
         self.table = table
         self.host = host
-        self.is_stopping = False
         self._wanted: bytes | None = None
         self._is_new = False
-        self._is_wanted = threading.Event()
-        self._read: Callable[[], None] | None = None
-        self._lock = threading.Lock()
+        self._is_wanted = asyncio.Event()
+        self._read: Callable[[], Awaitable] | None = None
         #: Of the row in the store, with its value; None when not known.
         self._revision: int | None = None
         self._written: bytes | None = None
         self._pauses = _watch.Pauses(store_return)
 
-    def start(self) -> None:
-        """Run in the background."""
-        threading.Thread(target=self._run, name='row', daemon=True).start()
-
     def want(self, row: _messages.MemberRow | None) -> None:
         """Make this the row; the newest wish replaces older ones."""
-        with self._lock:
-            self._wanted = _encode(row)
-            self._is_new = True
-            self._is_wanted.set()
+        self._wanted = _encode(row)
+        self._is_new = True
+        self._is_wanted.set()
 
     def note_known(self, entry: _members.MemberEntry) -> None:
         """Learn the present row from elsewhere, in place of reading it."""
-        with self._lock:
-            if self._revision is None:
-                self._revision = entry.revision
-                self._written = _encode(entry.row)
-
-    def ask(self, read: Callable[[], None]) -> None:
-        """Read something once in this thread."""
-        with self._lock:
-            self._read = read
-            self._is_wanted.set()
-
-    def _run(self) -> None:
-        while not self.is_stopping:
-            self._is_wanted.wait()
-            with self._lock:
-                self._is_wanted.clear()
-                wanted = self._wanted
-                is_new, self._is_new = self._is_new, False
-                read, self._read = self._read, None
+        if self._revision is None:
+            self._revision = entry.revision
+            self._written = _encode(entry.row)
+
+    def ask(self, read: Callable[[], Awaitable]) -> None:
+        """Read something once in this task."""
+        self._read = read
+        self._is_wanted.set()
+
+    async def run(self) -> None:
+        """Write what is wanted, until cancelled."""
+        while True:
+            await self._is_wanted.wait()
+            self._is_wanted.clear()
+            wanted = self._wanted
+            is_new, self._is_new = self._is_new, False
+            read, self._read = self._read, None
             try:
                 if read is not None:
-                    read()
+                    await read()
                 if is_new:
-                    self._write(wanted)
+                    await self._write(wanted)
                 self._pauses.reset()
             except exceptions.PlatformError as error:
-                self._note_failure(error, is_new)
-
-    def _note_failure(
+                await self._note_failure(error, is_new)
+            except Exception:
+                # A defect must not end the task: the row would stay as it
+                # is for good.
+                LOG.exception('row not written')
+                self._want_again(is_new)
+                await self._pauses.wait()
+
+    async def _note_failure(
         self, error: exceptions.PlatformError, is_new: bool
     ) -> None:
         """Try again after a pause, unless only a read has failed."""
@@ -109,20 +107,23 @@
         if error.code is not exceptions.Code.PLATFORM_DOWN:
             # It may have been written, or be written later.
             self._revision = None
-        with self._lock:
-            self._is_new = self._is_new or is_new
-            if self._is_new:
-                self._is_wanted.set()
-        self._pauses.wait()
+        self._want_again(is_new)
+        await self._pauses.wait()
+
+    def _want_again(self, is_new: bool) -> None:
+        """Write the row once more, unless a newer one is wanted already."""
+        self._is_new = self._is_new or is_new
+        if self._is_new:
+            self._is_wanted.set()
 
-    def _write(self, wanted: bytes | None) -> None:
+    async def _write(self, wanted: bytes | None) -> None:
         if self._revision is None:
-            (row,) = self.table.read([self.host])
+            (row,) = await self.table.read([self.host])
             self._revision = row.revision
             self._written = row.value if row.revision else None
         if wanted == self._written:
             return
-        outcome = self.table.transact(self._make_transaction(wanted))
+        outcome = await self.table.transact(self._make_transaction(wanted))
         if outcome.kind is not storage.OutcomeKind.DONE:
             raise outcome.make_error()
         self._revision = 0 if wanted is None else outcome.revision
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -299,6 +299,8 @@
         Of the gate that answered.
     reached_target : bool
         Whether the request arrived at the target.
+    member : MemberRow or None
+        The row that holds now, with a refusal as the wrong target.
     detail : str
         For logs.
     """
@@ -309,4 +311,5 @@
     retry_after_ms: int = 0
     load: LoadReport | None = None
     reached_target: bool = False
+    member: MemberRow | None = None
     detail: str = ''
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -55,12 +55,15 @@
         The host and its target.
     mesh_settings : MeshSettings
         Limits.
+    pool : ConnectionPool
+        Connections to its daemon.
     """
 
     def __init__(
         self,
         row: _messages.MemberRow,
         mesh_settings: _settings.MeshSettings,
+        pool: transport.ConnectionPool,
     ):
         self.row = row
         self.in_flight = 0
@@ -83,13 +86,7 @@
         self.suspect_until_s = 0.0
         self.shed_until_s = 0.0
         self.closed_until_s = 0.0
-        self.pool = transport.ConnectionPool(
-            row.address,
-            row.port,
-            mesh_settings.connect_timeout_ms / 1000,
-            IDLE_CONNECTIONS,
-            mesh_settings.peer_idle_ms / 1000,
-        )
+        self.pool = pool
         self._settings = mesh_settings
 
     @property
@@ -361,16 +358,30 @@
     def find(self, row: _messages.MemberRow) -> Peer:
         """Return the peer of a row; a new target starts unknown."""
         peer = self._peers.get(row.host)
+        pool = None
         if peer is not None:
             old = peer.row
             if (old.address, old.port) != (row.address, row.port):
                 peer.pool.close()
             elif old.target == row.target:
                 return peer
-        peer = Peer(row, self.mesh_settings)
+            else:
+                # The same daemon, or one that took its place: connections
+                # that are still open lead to it.
+                pool = peer.pool
+        peer = Peer(row, self.mesh_settings, pool or self._make_pool(row))
         self._peers[row.host] = peer
         return peer
 
+    def _make_pool(self, row: _messages.MemberRow) -> transport.ConnectionPool:
+        return transport.ConnectionPool(
+            row.address,
+            row.port,
+            self.mesh_settings.connect_timeout_ms / 1000,
+            IDLE_CONNECTIONS,
+            self.mesh_settings.peer_idle_ms / 1000,
+        )
+
     def abandon_silent(self, now_s: float) -> None:
         """Give up daemons and targets that are silent for too long."""
         limit_ms = self.mesh_settings.silence_ms
--- a/sedgering/mesh/_source.py
+++ b/sedgering/mesh/_source.py
@@ -59,16 +59,21 @@
         store_return = _watch.StoreReturn()
         self._keeper = _keeper.RowKeeper(members, host, store_return)
         self._config_watcher = _watch.ConfigWatcher(
-            config_row, self._post(self.take_version), store_return
+            config_row, self.take_version, store_return
         )
         self._member_watcher = _watch.MemberWatcher(
-            members, self._post(self.take_members), store_return
+            members, self.take_members, store_return
         )
         self._on_config: OnConfig | None = None
         self._on_members: OnMembers | None = None
         self._polled_s = -POLLED_S
         self._is_check_due = False
         self._changed = asyncio.Event()
+        self._tasks: list[asyncio.Task] = []
+        # Who reads the version is decided when the members are known: the
+        # document takes 0.7 s on a link of 5 Mbit/s, the same from a relay
+        # 0.03 s.
+        self._config_watcher.set_enabled(False)
 
     @property
     def is_polled(self) -> bool:
@@ -84,9 +89,12 @@
         """Start to watch; the callbacks run in the event loop."""
         self._on_config = on_config
         self._on_members = on_members
-        self._config_watcher.start()
-        self._member_watcher.start()
-        self._keeper.start()
+        for worker in (
+            self._config_watcher,
+            self._member_watcher,
+            self._keeper,
+        ):
+            self._tasks.append(self.loop.create_task(worker.run()))
 
     def set_watching(self, is_watching: bool) -> None:
         """Watch the store, or leave that to others."""
@@ -160,13 +168,9 @@
             self.loop.call_later(BEHIND_S, self._check_behind, version)
 
     def stop(self) -> None:
-        """Stop the threads after their calls."""
-        for worker in (
-            self._keeper,
-            self._config_watcher,
-            self._member_watcher,
-        ):
-            worker.is_stopping = True
+        """Stop to ask the store."""
+        for task in self._tasks:
+            task.cancel()
 
     def _check_behind(self, version: base.Version) -> None:
         self._is_check_due = False
@@ -176,9 +180,3 @@
     def _note_change(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
-
-    def _post(self, callback: Callable) -> Callable:
-        """Make a callback that runs in the loop, from any thread."""
-        return lambda *values: self.loop.call_soon_threadsafe(
-            callback, *values
-        )
--- a/sedgering/mesh/_state.py
+++ b/sedgering/mesh/_state.py
@@ -13,6 +13,7 @@
 from sedgering.mesh import _peers
 from sedgering.mesh import _sender
 from sedgering.mesh import _settings
+from sedgering.mesh import _start
 
 __all__ = ['RequestState']
 
@@ -70,3 +71,22 @@
         self.sender = _sender.CallSender(identity, side, peers)
         self.turns = _choice.WeightedTurns()
         self.callers = _callers.CallerTable()
+        self.start = _start.StartWait()
+
+    def take_told(self, row: _messages.MemberRow) -> bool:
+        """Believe what a daemon tells of the target beside it.
+
+        Returns
+        -------
+        bool
+            Whether it was news.
+        """
+        if not self.fleet.take_told(row):
+            return False
+        self.note_started(row)
+        return True
+
+    def note_started(self, row: _messages.MemberRow) -> None:
+        """Note that the target of a row has started."""
+        now_s = self.side.gate.now_s()
+        self.peers.find(row).note_cold(now_s + row.cold_ms / 1000)
--- a/sedgering/mesh/_watch.py
+++ b/sedgering/mesh/_watch.py
@@ -1,11 +1,10 @@
 """Follows tables of the store: versions of the operator, and members."""
 
 import abc
+import asyncio
 from collections.abc import Callable
 import logging
 import random
-import threading
-import time
 
 import msgspec
 
@@ -62,26 +61,29 @@
     key: str
     decode: Callable[[bytes], _config.AcceptedConfig]
 
-    def read(self) -> storage.RowsPage:
+    async def read(self) -> storage.RowsPage:
         """Read the row."""
-        return self.table.list_rows(self.key, self.key + '\0')
+        return await self.table.list_rows(self.key, self.key + '\0')
 
 
 class StoreReturn:
-    """Tells all threads of a daemon that the store answers again."""
+    """Tells all tasks of a daemon that the store answers again."""
 
     def __init__(self):
-        self._condition = threading.Condition()
+        self._returned = asyncio.Event()
 
     def tell(self) -> None:
         """End all pauses."""
-        with self._condition:
-            self._condition.notify_all()
+        self._returned.set()
+        self._returned = asyncio.Event()
 
-    def wait(self, longest_s: float) -> None:
+    async def wait(self, longest_s: float) -> None:
         """Wait until somebody tells, or until time is up."""
-        with self._condition:
-            self._condition.wait(longest_s)
+        try:
+            async with asyncio.timeout(longest_s):
+                await self._returned.wait()
+        except TimeoutError:
+            return
 
 
 class Pauses:
@@ -90,7 +92,7 @@
     Parameters
     ----------
     store_return : StoreReturn
-        Shared by the threads that ask the same store: the first one that
+        Shared by the tasks that ask the same store: the first one that
         is answered ends the pauses of the others.
     """
 
@@ -105,20 +107,20 @@
             self.store_return.tell()
         self._pause_s = FIRST_PAUSE_S
 
-    def wait(self) -> None:
+    async def wait(self) -> None:
         """Wait, longer each time, with jitter."""
         longest_s = self._pause_s * self._rng.uniform(0.5, 1.0)
-        self.store_return.wait(longest_s)
+        await self.store_return.wait(longest_s)
         self._pause_s = min(LONGEST_PAUSE_S, 2 * self._pause_s)
 
 
 class TableWatcher(abc.ABC):
-    """Follows one table in a thread: reads it whole, then its changes.
+    """Follows one table: reads it whole, then its changes.
 
     Parameters
     ----------
     name : str
-        Of the thread.
+        In logs.
     table : WatchedTable
         Followed.
     store_return : StoreReturn
@@ -133,7 +135,6 @@
     ):
         self.name = name
         self.table = table
-        self.is_stopping = False
         #: Longest wait of one watch.
         self.wait_ms = WATCH_WAIT_MS
         #: Pause after changes.
@@ -143,13 +144,9 @@
         self._revision: int | None = None
         self._is_lost = False
         self._pauses = Pauses(store_return)
-        self._is_enabled = threading.Event()
+        self._is_enabled = asyncio.Event()
         self._is_enabled.set()
 
-    def start(self) -> None:
-        """Run in the background."""
-        threading.Thread(target=self._run, name=self.name, daemon=True).start()
-
     def set_enabled(self, is_enabled: bool) -> None:
         """Go on, or stop to ask the store after the call under way."""
         if is_enabled:
@@ -158,45 +155,47 @@
             self._is_enabled.clear()
 
     def skip_to(self, revision: int) -> None:
-        """Note that changes up to a revision are known from elsewhere."""
-        if self._revision is not None:
-            self._revision = max(self._revision, revision)
+        """Note that all up to a revision is known from elsewhere."""
+        if revision:
+            self._revision = max(self._revision or 0, revision)
 
     @abc.abstractmethod
-    def read_all(self) -> int:
+    async def read_all(self) -> int:
         """Read the table; return the counter of the store."""
 
     @abc.abstractmethod
     def take_changes(self, page: storage.RowsPage) -> None:
         """Take in changed rows, or that there are none."""
 
-    def _run(self) -> None:
-        while not self.is_stopping:
-            self._is_enabled.wait()
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            await self._is_enabled.wait()
             try:
-                self._follow()
+                await self._follow()
             except exceptions.PlatformError as error:
-                self._note_failure(error)
+                self.is_fresh = False
+                await self._note_failure(error)
             except Exception:
-                # A defect must not end the thread: nothing would be
+                # A defect must not end the task: nothing would be
                 # learned any more.
                 LOG.exception('watch failed')
                 self._revision = None
-                time.sleep(LONGEST_PAUSE_S)
+                await asyncio.sleep(LONGEST_PAUSE_S)
             self.is_fresh = False
 
-    def _follow(self) -> None:
+    async def _follow(self) -> None:
         if self._revision is None:
-            self._revision = self.read_all()
+            self._revision = await self.read_all()
             self._note_success()
-        while self._is_enabled.is_set() and not self.is_stopping:
+        while self._is_enabled.is_set():
             wait_ms = self.wait_ms if self.is_fresh else CONFIRM_WAIT_MS
-            page = self.table.watch(self._revision, wait_ms)
+            page = await self.table.watch(self._revision, wait_ms)
             self._note_success()
             self.skip_to(page.revision)
             self.take_changes(page)
             if page.rows:
-                time.sleep(self.gather_s)
+                await asyncio.sleep(self.gather_s)
 
     def _note_success(self) -> None:
         self._pauses.reset()
@@ -205,8 +204,7 @@
             self._is_lost = False
             LOG.info('store regained', extra={'detail': self.name})
 
-    def _note_failure(self, error: exceptions.PlatformError) -> None:
-        self.is_fresh = False
+    async def _note_failure(self, error: exceptions.PlatformError) -> None:
         if error.code is exceptions.Code.PLATFORM_HISTORY:
             LOG.info('history dropped', extra={'detail': self.name})
             self._revision = None
@@ -220,7 +218,7 @@
                     'detail': f'{self.name}: {error.detail}',
                 },
             )
-        self._pauses.wait()
+        await self._pauses.wait()
 
 
 class ConfigWatcher(TableWatcher):
@@ -246,10 +244,13 @@
         super().__init__('watch-config', row.table, store_return)
         self.row = row
         self.post = post
+        #: Times that the whole row was read.
+        self.reads = 0
 
-    def read_all(self) -> int:
+    async def read_all(self) -> int:
         """Read the operator's row."""
-        page = self.row.read()
+        self.reads += 1
+        page = await self.row.read()
         self.take_changes(page)
         return page.revision
 
@@ -296,9 +297,9 @@
         super().__init__('watch-members', table, store_return)
         self.post = post
 
-    def read_all(self) -> int:
+    async def read_all(self) -> int:
         """Read all rows."""
-        page = self.table.list_rows()
+        page = await self.table.list_rows()
         self._show(page, True)
         return page.revision
 
--- a/sedgering/platform/__init__.py
+++ b/sedgering/platform/__init__.py
@@ -3,10 +3,13 @@
 Nothing outside this package knows a name of the platform.
 """
 
+import importlib
+from typing import Any
+
 from sedgering.platform._document import decode_document
 from sedgering.platform._document import MESH
 from sedgering.platform._factory import make_mesh_source
-from sedgering.platform._factory import make_records_store
+from sedgering.platform._loop_carrier import LoopCarrier
 from sedgering.platform._metrics import MetricsService
 from sedgering.platform._program import run_daemon
 from sedgering.platform._readiness import ReadinessService
@@ -17,25 +20,26 @@
 from sedgering.platform._settings import read_settings
 from sedgering.platform._settings import StoreSettings
 from sedgering.platform._store import StoreClient
-from sedgering.platform._tables import PlatformObjects
 from sedgering.platform._tables import PlatformTable
-from sedgering.platform._tables import RECORDS_TABLE
 from sedgering.platform._wire import HEADERS
 from sedgering.platform._wire import parse_duration_ms
 from sedgering.platform._wire import parse_version
 from sedgering.platform._wire import SETTINGS_VARIABLE
 
 __all__ = [
+    'BlockingCarrier',
     'HEADERS',
     'HostSettings',
+    'LoopCarrier',
     'MESH',
     'MetricsService',
     'PlatformObjects',
     'PlatformTable',
     'RECORDS_TABLE',
-    'SETTINGS_VARIABLE',
     'ReadinessService',
+    'RecordsTable',
     'ReportsService',
+    'SETTINGS_VARIABLE',
     'SettingsFollower',
     'StoreClient',
     'StoreSettings',
@@ -48,3 +52,21 @@
     'read_settings',
     'run_daemon',
 ]
+
+#: What tools use, and daemons do not; it needs urllib3, which takes 8 MB.
+_LAZY_MODULES = {
+    'BlockingCarrier': '_blocking_carrier',
+    'PlatformObjects': '_records',
+    'RECORDS_TABLE': '_records',
+    'RecordsTable': '_records',
+    'make_records_store': '_records',
+}
+
+
+def __getattr__(name: str) -> Any:
+    """Import on first use what only tools need."""
+    module_name = _LAZY_MODULES.get(name)
+    if module_name is None:
+        raise AttributeError(name)
+    module = importlib.import_module(f'{__name__}.{module_name}')
+    return getattr(module, name)
--- a/sedgering/platform/_factory.py
+++ b/sedgering/platform/_factory.py
@@ -1,18 +1,14 @@
-"""Makes the stores and sources of the product from settings."""
+"""Makes the source of versions and members of one daemon."""
 
 import asyncio
-import random
 
 from sedgering import base
 from sedgering import mesh
 from sedgering.platform import _document
-from sedgering.platform import _settings
 from sedgering.platform import _store
 from sedgering.platform import _tables
-from sedgering import settings
-from sedgering import storage
 
-__all__ = ['make_mesh_source', 'make_records_store']
+__all__ = ['make_mesh_source']
 
 #: The row that the operator writes.
 CONFIG_TABLE = 'op'
@@ -21,33 +17,6 @@
 MEMBERS_TABLE = 'sedgering_members'
 
 
-def make_records_store(
-    platform_settings: settings.PlatformSettings, rng: random.Random
-) -> storage.GuardedStore:
-    """Make the store of sign-offs, rolls, claims and content.
-
-    Parameters
-    ----------
-    platform_settings : PlatformSettings
-        Validated settings.
-    rng : random.Random
-        Jitter of the circuit.
-    """
-    client = _store.StoreClient(
-        _settings.StoreSettings(
-            str(platform_settings.address),
-            platform_settings.port,
-            platform_settings.timeout_ms,
-        )
-    )
-    return storage.make_guarded_store(
-        _tables.PlatformTable(client, _tables.RECORDS_TABLE),
-        _tables.PlatformObjects(client),
-        platform_settings,
-        rng,
-    )
-
-
 def make_mesh_source(
     client: _store.StoreClient,
     host: base.HostId,
@@ -58,7 +27,7 @@
     Parameters
     ----------
     client : StoreClient
-        Shared by its threads.
+        With a carrier of the event loop.
     host : HostId
         Of the daemon.
     loop : AbstractEventLoop
--- a/sedgering/platform/_program.py
+++ b/sedgering/platform/_program.py
@@ -7,6 +7,7 @@
 from sedgering import mesh
 from sedgering.platform import _document
 from sedgering.platform import _factory
+from sedgering.platform import _loop_carrier
 from sedgering.platform import _metrics
 from sedgering.platform import _readiness
 from sedgering.platform import _reload
@@ -14,13 +15,16 @@
 from sedgering.platform import _settings
 from sedgering.platform import _store
 from sedgering.platform import _wire
+from sedgering import ports
 from sedgering import transport
 
 __all__ = ['run_daemon']
 
 
 async def _serve(
-    host_settings: _settings.HostSettings, mesh_settings: mesh.MeshSettings
+    host_settings: _settings.HostSettings,
+    mesh_settings: mesh.MeshSettings,
+    opened: ports.OpenPorts,
 ) -> None:
     loop = asyncio.get_running_loop()
     share = mesh_settings.retry_share_percent / 100
@@ -29,9 +33,9 @@
         host_settings.retry_extra * share,
         host_settings.retry_window_s,
     )
-    client = _store.StoreClient(host_settings.store)
+    carrier = _loop_carrier.LoopCarrier(host_settings.store)
     source = _factory.make_mesh_source(
-        client, host_settings.identity.host, loop
+        _store.StoreClient(carrier), host_settings.identity.host, loop
     )
     daemon = mesh.make_mesh_daemon(
         host_settings.identity,
@@ -49,20 +53,23 @@
     def apply(found: _settings.HostSettings) -> None:
         budget.ratio = found.retry_ratio * share
         budget.extra = found.retry_extra * share
-        if found.store != client.store_settings:
-            client.move(found.store)
+        if found.store != carrier.store_settings:
+            carrier.move(found.store)
 
     follower = _reload.SettingsFollower(host_settings, apply)
     loop.add_signal_handler(signal.SIGHUP, follower.reload)
     own = host_settings.addresses
     readiness = _readiness.ReadinessService(lambda: daemon.is_ready)
     reports = _reports.ReportsService(daemon)
-    await transport.serve(readiness, own.address, own.readiness_port)
-    await transport.serve(reports, own.address, own.reports_port)
-    await transport.serve(
-        _metrics.MetricsService(daemon), own.address, _metrics.METRICS_PORT
-    )
-    await daemon.start()
+    for service, port in (
+        (readiness, own.readiness_port),
+        (reports, own.reports_port),
+        (_metrics.MetricsService(daemon), _metrics.METRICS_PORT),
+    ):
+        sock = opened.take(own.address, port)
+        await transport.serve(service, own.address, port, sock)
+    await daemon.start(opened)
+    opened.close()
     # Modules and tables made so far are left out of collections.
     gc.collect()
     gc.freeze()
@@ -73,7 +80,9 @@
 
 
 def run_daemon(
-    host_settings: _settings.HostSettings, mesh_settings: mesh.MeshSettings
+    host_settings: _settings.HostSettings,
+    mesh_settings: mesh.MeshSettings,
+    opened: ports.OpenPorts,
 ) -> None:
     """Run until SIGTERM or SIGINT, then leave gracefully.
 
@@ -83,5 +92,7 @@
         From the platform's settings file.
     mesh_settings : MeshSettings
         Our own.
+    opened : OpenPorts
+        Ports that listen already.
     """
-    asyncio.run(_serve(host_settings, mesh_settings))
+    asyncio.run(_serve(host_settings, mesh_settings, opened))
--- a/sedgering/platform/_store.py
+++ b/sedgering/platform/_store.py
@@ -3,21 +3,16 @@
 import base64
 from collections.abc import Sequence
 from typing import Any
+import urllib.parse
 
 import msgspec
-import urllib3
 
 from sedgering import exceptions
-from sedgering.platform import _settings
+from sedgering.platform import _carrier
 from sedgering import storage
 
 __all__ = ['StoreClient']
 
-CONNECT_TIMEOUT_S = 0.7
-#: Time beyond the wait of a watch after which its answer is taken as lost.
-WATCH_MARGIN_S = 1.0
-#: Idle connections kept: two watches, and one for all other calls.
-CONNECTIONS = 3
 #: Most entries of one transaction, as the store's page says.
 ENTRIES_LIMIT = 100
 #: Most rows of one answer.
@@ -40,11 +35,7 @@
     # All of the room for objects is used.
     507: exceptions.Code.PLATFORM_REFUSED,
 }
-#: Failures before anything was sent.
-_NEVER_SENT = (
-    urllib3.exceptions.NewConnectionError,
-    urllib3.exceptions.ConnectTimeoutError,
-)
+_JSON = (('Content-Type', 'application/json'),)
 
 
 class _WireRow(msgspec.Struct):
@@ -61,27 +52,22 @@
     has_more: bool = False
 
 
+_PAGE_DECODER = msgspec.json.Decoder(_WirePage)
+
+
 class StoreClient:
     """Calls to the store; every failure is a typed error.
 
-    Threads may share one client.
-
     Parameters
     ----------
-    store_settings : StoreSettings
-        Where the store listens, and how long a call may take.
+    carrier : StoreCarrier
+        Carries the calls: on an event loop in daemons, blocking in tools.
     """
 
-    def __init__(self, store_settings: _settings.StoreSettings):
-        self.store_settings = store_settings
-        self._pool = _make_pool(store_settings)
-
-    def move(self, store_settings: _settings.StoreSettings) -> None:
-        """Call the store at another address from now on."""
-        self.store_settings = store_settings
-        self._renew_connections()
+    def __init__(self, carrier: _carrier.StoreCarrier):
+        self.carrier = carrier
 
-    def list_rows(
+    async def list_rows(
         self, table: str, start: str = '', end: str = '', limit: int = 0
     ) -> storage.RowsPage:
         """Read the rows of a range of keys.
@@ -109,14 +95,14 @@
                 fields['to'] = end
             if limit:
                 fields['limit'] = str(min(PAGE_ROWS, limit - len(rows)))
-            page = _decode_page(self._read('/v1/rows-get', fields))
+            page = _decode_page(await self._read('/v1/rows-get', fields))
             rows.extend(_make_rows(page))
             is_full = limit and len(rows) >= limit
             if is_full or not page.has_more or not page.rows:
                 return storage.RowsPage(tuple(rows), page.schema_version)
             start = page.rows[-1].key + '\0'
 
-    def read_rows(
+    async def read_rows(
         self, table: str, keys: Sequence[str]
     ) -> tuple[storage.Row, ...]:
         """Read rows by key as of one moment.
@@ -131,18 +117,20 @@
             When there is no answer.
         """
         if len(keys) == 1:
-            page = self.list_rows(table, keys[0], keys[0] + '\0')
+            page = await self.list_rows(table, keys[0], keys[0] + '\0')
             found = {row.key: row for row in page.rows}
         else:
             conditions = [storage.Condition(key, NO_REVISION) for key in keys]
             body = _make_transaction(table, conditions)
-            response = self._send('POST', '/v1/rows-tx', body)
-            _check_status(response, STATUS_CONFLICT)
-            rows = _make_rows(_decode_page(response.data))
+            answer = await self._send('POST', '/v1/rows-tx', body, _JSON)
+            _check_status(answer, STATUS_CONFLICT)
+            rows = _make_rows(_decode_page(answer.body))
             found = {row.key: row for row in rows if row.revision}
         return tuple(found.get(key) or storage.Row(key) for key in keys)
 
-    def watch(self, table: str, after: int, wait_ms: int) -> storage.RowsPage:
+    async def watch(
+        self, table: str, after: int, wait_ms: int
+    ) -> storage.RowsPage:
         """Wait for changes of a table.
 
         Raises
@@ -156,11 +144,12 @@
             'after': str(after),
             'wait_ms': str(wait_ms),
         }
-        timeout_s = wait_ms / 1000 + WATCH_MARGIN_S
-        page = _decode_page(self._read('/v1/rows-feed', fields, timeout_s))
+        page = _decode_page(await self._read('/v1/rows-feed', fields, wait_ms))
         return storage.RowsPage(_make_rows(page), page.schema_version)
 
-    def transact(self, table: str, transaction: storage.Transaction) -> int:
+    async def transact(
+        self, table: str, transaction: storage.Transaction
+    ) -> int:
         """Write rows if all conditions hold.
 
         Returns
@@ -181,10 +170,10 @@
             transaction.puts,
             transaction.deletes,
         )
-        response = self._write('POST', '/v1/rows-tx', body)
-        return _decode_page(response.data).schema_version
+        answer = await self._write('POST', '/v1/rows-tx', body, _JSON)
+        return _decode_page(answer.body).schema_version
 
-    def put_object(self, name: str, body: bytes) -> None:
+    async def put_object(self, name: str, body: bytes) -> None:
         """Store an object unless it is there.
 
         Raises
@@ -192,10 +181,10 @@
         PlatformError
             `PLATFORM_CONFLICT` when it is there already.
         """
-        path = f'/v1/blob-put/{name}'
-        self._write('PUT', path, body, {'If-None-Match': '*'})
+        unless_there = (('If-None-Match', '*'),)
+        await self._write('PUT', f'/v1/blob-put/{name}', body, unless_there)
 
-    def get_object(self, name: str) -> bytes:
+    async def get_object(self, name: str) -> bytes:
         """Fetch an object.
 
         Raises
@@ -203,87 +192,57 @@
         PlatformError
             `PLATFORM_NO_OBJECT` when it is missing.
         """
-        return self._read(f'/v1/blob-get/{name}', {})
+        return await self._read(f'/v1/blob-get/{name}', {})
 
-    def _read(
-        self, path: str, fields: dict[str, str], timeout_s: float = 0.0
+    async def _read(
+        self, path: str, fields: dict[str, str], wait_ms: int = 0
     ) -> bytes:
+        query = urllib.parse.urlencode(fields)
+        url = f'{path}?{query}' if query else path
+        call = _carrier.StoreCall('GET', url, wait_ms=wait_ms)
         try:
-            response = self._pool.request_encode_url(
-                'GET', path, fields=fields, timeout=self._limit_time(timeout_s)
-            )
-        except urllib3.exceptions.HTTPError as error:
-            self._renew_connections()
+            answer = await self.carrier.send(call)
+        except (_carrier.CallNotSent, _carrier.CallLost) as error:
+            self.carrier.renew()
             raise _make_error(exceptions.Code.PLATFORM_DOWN, error) from error
-        _check_status(response)
-        return response.data
+        _check_status(answer)
+        return answer.body
 
-    def _write(
+    async def _write(
         self,
         method: str,
         path: str,
         body: bytes,
-        headers: dict[str, str] | None = None,
-    ) -> urllib3.BaseHTTPResponse:
-        response = self._send(method, path, body, headers)
-        status = response.status
+        headers: tuple[tuple[str, str], ...],
+    ) -> _carrier.StoreAnswer:
+        answer = await self._send(method, path, body, headers)
+        status = answer.status
         if status >= STATUS_SERVER_ERROR and status not in _CODES:
             raise exceptions.PlatformError(
                 exceptions.Code.PLATFORM_UNKNOWN, f'status {status}'
             )
-        _check_status(response)
-        return response
+        _check_status(answer)
+        return answer
 
-    def _send(
+    async def _send(
         self,
         method: str,
         path: str,
         body: bytes,
-        headers: dict[str, str] | None = None,
-    ) -> urllib3.BaseHTTPResponse:
+        headers: tuple[tuple[str, str], ...],
+    ) -> _carrier.StoreAnswer:
         """Send a call that may write."""
+        call = _carrier.StoreCall(method, path, body, headers)
         try:
-            return self._pool.urlopen(
-                method,
-                path,
-                body=body,
-                headers=headers or {'Content-Type': 'application/json'},
-                timeout=self._limit_time(),
-            )
-        except _NEVER_SENT as error:
+            return await self.carrier.send(call)
+        except _carrier.CallNotSent as error:
             raise _make_error(exceptions.Code.PLATFORM_DOWN, error) from error
-        except urllib3.exceptions.HTTPError as error:
-            self._renew_connections()
+        except _carrier.CallLost as error:
+            self.carrier.renew()
             raise _make_error(
                 exceptions.Code.PLATFORM_UNKNOWN, error
             ) from error
 
-    def _limit_time(self, read_s: float = 0.0) -> urllib3.Timeout:
-        usual_s = self.store_settings.timeout_ms / 1000
-        return urllib3.Timeout(
-            connect=min(CONNECT_TIMEOUT_S, usual_s), read=read_s or usual_s
-        )
-
-    def _renew_connections(self) -> None:
-        """Use none of the idle connections again.
-
-        When one has fallen silent the others may have, too, and each
-        would cost a whole time limit.
-        """
-        old, self._pool = self._pool, _make_pool(self.store_settings)
-        old.close()
-
-
-def _make_pool(
-    store_settings: _settings.StoreSettings,
-) -> urllib3.HTTPConnectionPool:
-    return urllib3.HTTPConnectionPool(
-        store_settings.address,
-        store_settings.port,
-        maxsize=CONNECTIONS,
-        retries=False,
-    )
-
 
 def _make_transaction(
     table: str,
@@ -320,7 +279,7 @@
 
 def _decode_page(data: bytes) -> _WirePage:
     try:
-        return msgspec.json.decode(data, type=_WirePage)
+        return _PAGE_DECODER.decode(data)
     except msgspec.MsgspecError as error:
         raise _make_error(exceptions.Code.PLATFORM_REFUSED, error) from error
 
@@ -341,12 +300,12 @@
 
 
 def _check_status(
-    response: urllib3.BaseHTTPResponse, expected: int = STATUS_OK
+    answer: _carrier.StoreAnswer, expected: int = STATUS_OK
 ) -> None:
-    if response.status == expected:
+    if answer.status == expected:
         return
-    code = _CODES.get(response.status, exceptions.Code.PLATFORM_REFUSED)
-    raise exceptions.PlatformError(code, f'status {response.status}')
+    code = _CODES.get(answer.status, exceptions.Code.PLATFORM_REFUSED)
+    raise exceptions.PlatformError(code, f'status {answer.status}')
 
 
 def _make_error(
--- a/sedgering/settings.py
+++ b/sedgering/settings.py
@@ -1,13 +1,11 @@
 """Settings of the programs: YAML, typed, validated in one place."""
 
-import difflib
 import ipaddress
 import pathlib
 import re
 from typing import Annotated, Any, TypeVar
 
 import msgspec
-import yaml
 
 from sedgering import base
 from sedgering import exceptions
@@ -291,6 +289,10 @@
     SettingsError
         One line: code, meaning, and the path of the key.
     """
+    # Imported here: a daemon with default settings reads no file, and starts
+    # 20 ms of processor time sooner.
+    import yaml
+
     try:
         document = yaml.safe_load(path.read_text(encoding='utf-8'))
     except (OSError, UnicodeError, yaml.YAMLError) as error:
@@ -330,6 +332,8 @@
     unknown = re.search('unknown field `([^`]+)`', message)
     if unknown is None:
         return ''
+    import difflib
+
     known = _list_keys(settings_type)
     written = unknown.group(1)
     longer = [key for key in known if key.startswith(written + '_')]
--- a/sedgering/storage/_base.py
+++ b/sedgering/storage/_base.py
@@ -185,11 +185,19 @@
         """Try a transaction once.  Never raises for the platform's faults."""
 
 
-class WatchedTable(TableStore):
-    """A table whose changes can be waited for."""
+class WatchedTable(abc.ABC):
+    """A table whose changes can be waited for, on an event loop."""
 
     @abc.abstractmethod
-    def list_rows(self, start: str = '', end: str = '') -> RowsPage:
+    async def read(self, keys: Sequence[str]) -> tuple[Row, ...]:
+        """Read rows as of one moment; see :meth:`TableStore.read`."""
+
+    @abc.abstractmethod
+    async def transact(self, transaction: Transaction) -> Outcome:
+        """Try a transaction once.  Never raises for the platform's faults."""
+
+    @abc.abstractmethod
+    async def list_rows(self, start: str = '', end: str = '') -> RowsPage:
         """Read a range of rows, and the counter from which to watch.
 
         Parameters
@@ -204,7 +212,7 @@
         """
 
     @abc.abstractmethod
-    def watch(self, after: int, wait_ms: int) -> RowsPage:
+    async def watch(self, after: int, wait_ms: int) -> RowsPage:
         """Wait for changes after a counter; no rows when there were none.
 
         Raises
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -271,7 +271,9 @@
             self.link_mbps,
         )
         client = platform.StoreClient(
-            platform.StoreSettings(ADDRESS, self.store_port)
+            platform.LoopCarrier(
+                platform.StoreSettings(ADDRESS, self.store_port)
+            )
         )
         source = platform.make_mesh_source(client, identity.host, self.loop)
         host.daemon = mesh.make_mesh_daemon(
--- a/sedgering/transport/_client.py
+++ b/sedgering/transport/_client.py
@@ -57,6 +57,8 @@
         self.transport: asyncio.Transport | None = None
         self.is_sound = True
         self.kept_until_s = float('inf')
+        #: When the peer sent anything last, or the connection was made.
+        self.heard_s = loop.time()
         self._parser: httptools.HttpResponseParser | None = None
         self._waiter: asyncio.Future | None = None
         self._is_own: Callable[[_messages.Response], bool] | None = None
@@ -113,6 +115,34 @@
             self.close()
         return response
 
+    async def wait_unless_silent(
+        self, exchange: asyncio.Future, silence_s: float
+    ) -> None:
+        """Wait for an exchange as long as the peer goes on sending.
+
+        A large answer over a narrow link takes its time; a peer that sends
+        nothing is given up.
+
+        Parameters
+        ----------
+        exchange : Future
+            Of :meth:`exchange`.
+        silence_s : float
+            Longest time without a byte.
+
+        Raises
+        ------
+        ExchangeFailed
+            When the peer is silent for longer.
+        """
+        started_s = self.loop.time()
+        while not exchange.done():
+            until_s = max(started_s, self.heard_s) + silence_s
+            left_s = until_s - self.loop.time()
+            if left_s <= 0:
+                raise ExchangeFailed(f'silent for {silence_s:.1f} s')
+            await asyncio.wait((exchange,), timeout=left_s)
+
     def close(self) -> None:
         """Close at once; what is under way is cancelled at the peer."""
         self.is_sound = False
@@ -132,6 +162,7 @@
 
     def data_received(self, data):
         """Feed the parser; bytes that nobody waits for spoil it."""
+        self.heard_s = self.loop.time()
         if self._parser is None or self._waiter is None:
             self.close()
             return
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -4,10 +4,12 @@
 import asyncio
 import collections
 import logging
+import socket
 
 import httptools
 import msgspec
 
+from sedgering import ports
 from sedgering.transport import _headers
 from sedgering.transport import _messages
 from sedgering.transport import _sockets
@@ -19,8 +21,6 @@
 #: Requests of one connection that are worked on at the same time; more
 #: wait unread.  A caller that sends ahead rarely goes beyond a few.
 PIPELINE_DEPTH = 16
-#: Connections that wait to be accepted.
-BACKLOG = 1024
 #: A peer that acknowledges nothing for so long is taken as gone.
 UNACKNOWLEDGED_LIMIT_MS = 4000
 #: Silence after which a peer is probed, and between probes.
@@ -416,10 +416,22 @@
 
 
 async def serve(
-    service: Service, address: str, port: int
+    service: Service,
+    address: str,
+    port: int,
+    opened: socket.socket | None = None,
 ) -> asyncio.AbstractServer:
     """Listen and answer by a service.
 
+    Parameters
+    ----------
+    service : Service
+        Answers the requests.
+    address, port
+        Where to listen.
+    opened : socket or None
+        Listens there already.
+
     Raises
     ------
     OSError
@@ -428,8 +440,6 @@
     loop = asyncio.get_running_loop()
     return await loop.create_server(
         lambda: ServerConnection(service, loop),
-        address,
-        port,
-        backlog=BACKLOG,
-        reuse_address=True,
+        sock=opened or ports.open_port(address, port),
+        backlog=ports.BACKLOG,
     )
