Answers share narrow links: paced, and admitted before the work

Eight hosts of grown Dakar have 60 Mbit/s for answers of 53; each answer of 90 kB was written at once, and whatever came behind it waited, opening packets included.

Large answers leave in pieces, one after the other; room on the link is asked before the work; the wait for it weighs in the choice. Connections that do not come about say little of a peer that was just heard; a refused one is tried again after 150 ms; after one such wait open connections go first.

--- a/sedgering/mesh/_choice.py
+++ b/sedgering/mesh/_choice.py
@@ -20,6 +20,8 @@
 #: A link counts as used by this share at most: the wait would be endless.
 MOST_USED = 0.95
 BITS = 8
+#: Answers that take less time on the link wait behind no large one.
+SHORT_ANSWER_MS = 10.0
 #: Targets that are compared for one call.  A comparison takes 3 us: with all
 #: 24 of a set 66 us, with these 38, and 71 of 300 (bench_choice.py).
 #: Two choices at random are nearly as good as all; this is six times as many.
@@ -90,6 +92,7 @@
         cost_ms += max(0.0, overtaken) * work_ms / peer.limit
     cost_ms += peer.work_ms * (turns + spread)
     cost_ms += estimate_link_ms(peer, body_bytes, now_s)
+    cost_ms += estimate_answer_ms(peer, peers, route, work_ms, now_s)
     if peer.row.data_centre != data_centre:
         way_bytes = body_bytes + peers.typical_answer_bytes(route)
         cost_ms += mesh_settings.remote_penalty_ms
@@ -108,6 +111,25 @@
     return transfer_ms + LINK_QUEUE_MS * used / (1 - used)
 
 
+def estimate_answer_ms(
+    peer: _peers.Peer,
+    peers: _peers.PeerTable,
+    route: base.RouteName,
+    work_ms: float,
+    now_s: float,
+) -> float:
+    """Estimate the time that an answer takes once its work is done."""
+    if not peer.row.link_mbps:
+        return 0.0
+    size_bytes = peers.typical_answer_bytes(route)
+    transfer_ms = size_bytes * BITS / (peer.row.link_mbps * 1000)
+    if transfer_ms < SHORT_ANSWER_MS:
+        # It goes in between the large ones.
+        return transfer_ms
+    wait_ms = peer.estimate_answer_wait_ms(now_s)
+    return transfer_ms + max(0.0, wait_ms - work_ms)
+
+
 def draw_candidates(
     members: Sequence[_messages.MemberRow],
     data_centre: base.DataCentre,
@@ -146,6 +168,7 @@
     is_nested: bool,
     rng: random.Random,
     now_s: float,
+    prefers_open: bool = False,
 ) -> _peers.Peer | None:
     """Choose the target that is expected to finish first.
 
@@ -169,6 +192,8 @@
         Noise on the estimates.
     now_s : float
         Time of the event loop.
+    prefers_open : bool
+        Whether a peer with an open connection goes before all others.
 
     Returns
     -------
@@ -190,6 +215,7 @@
         cost_ms *= 1 + NOISE_SHARE * rng.random()
         key = (
             peer.is_suspect(now_s),
+            prefers_open and not peer.pool.has_idle,
             now_s < peer.shed_until_s,
             cost_ms,
         )
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -5,6 +5,7 @@
 import random
 
 from sedgering import base
+from sedgering.mesh import _answer_room
 from sedgering.mesh import _budget
 from sedgering.mesh import _config
 from sedgering.mesh import _decisions
@@ -78,6 +79,7 @@
         self.follower = _follow.RelayFollower(
             identity, state.fleet, state.peers, source
         )
+        self.inbound.pacer = state.side.answer_room.pacer
         state.side.link.watch(self.inbound, self.outbound)
         self.is_leaving = False
         self._servers: list[asyncio.AbstractServer] = []
@@ -189,6 +191,7 @@
             self.state.callers.retain(names)
             self.state.peers.retain_routes(names)
             self.state.side.gate.work.retain(names)
+            self.state.side.answer_room.retain(frozenset(names))
         self._note_ready()
 
     def _note_ready(self) -> None:
@@ -356,7 +359,9 @@
     mesh : str
         Mesh whose bundles are accepted.
     """
-    now_s = asyncio.get_running_loop().time
+    loop = asyncio.get_running_loop()
+    now_s = loop.time
+    pacer = transport.make_pacer(identity.link_mbps, loop)
     rng = random.Random()
     gate = _gate.Gate(mesh_settings, now_s)
     side = _inbound.TargetSide(
@@ -367,6 +372,7 @@
         gate,
         _link.LinkMeter(identity.link_mbps, now_s),
         _room.LinkRoom(identity.link_mbps, now_s),
+        _answer_room.AnswerRoom(pacer, now_s),
     )
     decisions = _decisions.DecisionLog(
         mesh_settings.success_log_every, mesh_settings.log_lines_per_s, now_s
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -109,6 +109,9 @@
         self.caller_left_ms = 0
         self.sheds = 0
         self.corrections = 0
+        #: Whether a host could not be reached: a connection that is open
+        #: spares the caller another wait.
+        self.was_unreachable = False
         self.arrivals = 0
         self.asked: list[base.HostId] = []
         #: Of these, the ones that are not asked again.
@@ -281,6 +284,7 @@
             self.urgency is _messages.CallUrgency.TARGET,
             self.state.rng,
             self._now_s,
+            prefers_open=self.was_unreachable,
         )
 
     def _make_call(self, row: _messages.MemberRow) -> _messages.TargetCall:
@@ -323,6 +327,10 @@
             self.tried.discard(peer.row.host)
         elif answer.reason in _CLOSING_REASONS:
             peer.close(self._now_s, answer.reason)
+        elif answer.reason is _Reason.UNREACHABLE:
+            self.was_unreachable = True
+        elif answer.reason is _Reason.LINK_FULL:
+            peer.shed_until_s = self._now_s + answer.retry_after_ms / 2000
         elif answer.reason is _Reason.SHED:
             self.sheds += 1
             peer.shed_until_s = self._now_s + answer.retry_after_ms / 2000
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -28,6 +28,8 @@
 #: Apart from the load, which daemons of the version before read by its
 #: exact number of fields.
 NESTED = 'sedgering-nested'
+#: Apart for the same reason.
+ANSWER_WAIT = 'sedgering-answer-wait'
 #: The row that holds, with a refusal of a call to another target.
 MEMBER = 'sedgering-member'
 PING = 'sedgering-ping'
@@ -132,6 +134,8 @@
         headers.append((LOAD, SEPARATOR.join(map(str, numbers))))
         if load.waiting_nested:
             headers.append((NESTED, str(load.waiting_nested)))
+        if load.answer_wait_ms:
+            headers.append((ANSWER_WAIT, str(load.answer_wait_ms)))
     if answer.member is not None:
         encoded = msgspec.json.encode(answer.member)
         headers.append((MEMBER, encoded.decode('latin-1')))
@@ -187,6 +191,7 @@
         int, value.split(SEPARATOR)
     )
     waiting_nested = transport.find_header(headers, NESTED) or '0'
+    answer_wait_ms = transport.find_header(headers, ANSWER_WAIT) or '0'
     return _messages.LoadReport(
         running,
         waiting,
@@ -195,4 +200,5 @@
         route_work_ms,
         link_percent,
         int(waiting_nested),
+        int(answer_wait_ms),
     )
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from sedgering import base
+from sedgering.mesh import _answer_room
 from sedgering.mesh import _gate
 from sedgering.mesh import _gate_log
 from sedgering.mesh import _hop
@@ -57,6 +58,8 @@
         Tells how much of the link of this host is used.
     room : LinkRoom
         Large bodies that may be on their way to it.
+    answer_room : AnswerRoom
+        Large answers that are to leave it.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         gate: _gate.Gate,
         link: _link.LinkMeter,
         room: _room.LinkRoom,
+        answer_room: _answer_room.AnswerRoom,
     ):
         self.names = names
         self.target = target
@@ -82,6 +86,7 @@
         self.gate_log = _gate_log.GateLog()
         self.link = link
         self.room = room
+        self.answer_room = answer_room
         self.is_leaving = False
         #: What other daemons should know of this one.
         self.row: _messages.MemberRow | None = None
@@ -119,6 +124,7 @@
         report.link_percent = max(
             self.link.find_percent(), self.room.used_percent
         )
+        report.answer_wait_ms = int(self.answer_room.wait_ms)
         return report
 
     def answer_room_request(self, body_bytes: int) -> _messages.CallAnswer:
@@ -133,6 +139,28 @@
             load=self.make_report(NO_ROUTE),
         )
 
+    async def run_for_peer(
+        self, call: _messages.TargetCall
+    ) -> _messages.CallAnswer:
+        """Run a call whose answer leaves over the link of this host."""
+        room = self.answer_room
+        work_ms = self.gate.work.find_mean_ms(call.route)
+        goal_s = self.gate.now_s() + call.goal_ms / 1000
+        if not room.has_room(call.route, work_ms, goal_s):
+            self.gate_log.note_refused(call.route)
+            return self._refuse(
+                call, _messages.RefusalReason.LINK_FULL, int(room.wait_ms)
+            )
+        promised = room.promise(call.route)
+        size_bytes = None
+        try:
+            answer = await self.run(call)
+            if answer.response is not None:
+                size_bytes = len(answer.response.body)
+        finally:
+            room.end(call.route, promised, size_bytes)
+        return answer
+
     async def run(self, call: _messages.TargetCall) -> _messages.CallAnswer:
         """Run a call at the local target, or refuse it."""
         if self.target.target is None:
@@ -346,7 +374,7 @@
         call.goal_ms = max(0, call.goal_ms - lag_ms)
         try:
             async with asyncio.timeout(call.remaining_ms / 1000):
-                answer = await self.side.run(call)
+                answer = await self.side.run_for_peer(call)
         except TimeoutError:
             answer = _messages.CallAnswer(
                 _messages.CallOutcome.UNKNOWN,
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -230,6 +230,8 @@
         Share of the link of the host that incoming bytes take.
     waiting_nested : int
         Of the calls that wait, those of targets, which go first.
+    answer_wait_ms : int
+        Time for which a large answer would wait for the link.
     """
 
     running: int
@@ -239,6 +241,7 @@
     route_work_ms: int = 0
     link_percent: int = 0
     waiting_nested: int = 0
+    answer_wait_ms: int = 0
 
 
 class TargetCall(msgspec.Struct):
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -22,6 +22,13 @@
 CLOSED_MS = 2000
 #: The same when its daemon has just started and does not know it yet.
 UNKNOWN_TARGET_MS = 200
+#: For how long a peer gets nothing whose host answers that nobody listens:
+#: its daemon is starting again, which takes some 0.3 s, or is gone, and its
+#: row with it.  Asking costs a round trip of 3 ms.
+REFUSED_MS = 150
+#: A peer that was heard so recently is not suspected because a new connection
+#: did not come about: its host lives, and the connections that are open work.
+HEARD_RECENTLY_S = 0.5
 #: Share of the allowed silence after which a daemon is asked whether it
 #: lives: a round trip takes 3 ms, and a busy link adds some 200 ms.
 ASK_SHARE = 0.4
@@ -137,6 +144,14 @@
         weight = 0.5 ** (age_ms / LINK_HALF_LIFE_MS)
         return self.report.link_percent / 100 * weight
 
+    def estimate_answer_wait_ms(self, now_s: float) -> float:
+        """Estimate how long a large answer of its target waits to leave."""
+        if self.report is None:
+            return 0.0
+        age_ms = (now_s - self.reported_s) * 1000
+        weight = 0.5 ** (age_ms / LINK_HALF_LIFE_MS)
+        return self.report.answer_wait_ms * weight
+
     def estimate_present(self, now_s: float, is_nested: bool) -> float:
         """Estimate the calls that go before a new one at the target.
 
@@ -288,6 +303,25 @@
         """Whether it failed just now, and gets nothing if it can be."""
         return now_s < self.suspect_until_s
 
+    def note_unreachable(
+        self, now_s: float, detail: str, is_refused: bool
+    ) -> None:
+        """Note that a new connection did not come about.
+
+        Parameters
+        ----------
+        now_s : float
+            Time of the event loop.
+        detail : str
+            For logs.
+        is_refused : bool
+            Whether its host answered that nobody listens.
+        """
+        if is_refused:
+            self._suspect(now_s, REFUSED_MS, detail)
+        elif now_s - self.heard_s > HEARD_RECENTLY_S:
+            self.fail(now_s, detail)
+
     def fail(self, now_s: float, detail: str) -> None:
         """Note a failed connection: it gets nothing for a while."""
         if self.is_suspect(now_s):
@@ -297,8 +331,13 @@
             self._settings.suspect_ms << self.failures,
         )
         self.failures = min(self.failures + 1, 8)
-        self.suspect_until_s = now_s + pause_ms / 1000
         self.pool.close()
+        self._suspect(now_s, pause_ms, detail)
+
+    def _suspect(self, now_s: float, pause_ms: int, detail: str) -> None:
+        if self.is_suspect(now_s):
+            return
+        self.suspect_until_s = now_s + pause_ms / 1000
         LOG.warning(
             'peer suspect',
             extra={
--- a/sedgering/mesh/_sender.py
+++ b/sedgering/mesh/_sender.py
@@ -71,7 +71,7 @@
         try:
             connection = await peer.pool.take()
         except transport.ConnectFailed as error:
-            peer.fail(now_s(), str(error))
+            peer.note_unreachable(now_s(), str(error), error.is_refused)
             return _messages.CallAnswer(
                 _Outcome.NOT_RUN,
                 reason=_Reason.UNREACHABLE,
--- a/sedgering/model/_hosts.py
+++ b/sedgering/model/_hosts.py
@@ -7,6 +7,7 @@
 
 from sedgering import base
 from sedgering import mesh
+from sedgering.mesh import _answer_room
 from sedgering.mesh import _config
 from sedgering.mesh import _decisions
 from sedgering.mesh import _exchange
@@ -49,6 +50,7 @@
             gate,
             link,
             room,
+            _answer_room.AnswerRoom(None, gate.now_s),
         )
         self.model_target: _targets.ModelTarget = target
         self.work_book: WorkBook = work_book
@@ -145,6 +147,7 @@
     def join(self, hosts: dict[base.HostId, 'ModelHost'], hop_s: float):
         """Learn of all hosts, and report the own target as ready."""
         self.state.fleet.replace({h: host.row for h, host in hosts.items()})
+        self.state.start.end()
         self.state.sender = _ModelSender(
             self.state.identity,
             self.side,
--- a/sedgering/transport/__init__.py
+++ b/sedgering/transport/__init__.py
@@ -12,6 +12,9 @@
 from sedgering.transport._messages import make_json_response
 from sedgering.transport._messages import Request
 from sedgering.transport._messages import Response
+from sedgering.transport._pacing import LinkPacer
+from sedgering.transport._pacing import make_pacer
+from sedgering.transport._pacing import PacedWrite
 from sedgering.transport._pool import ConnectionPool
 from sedgering.transport._server import CallerLimits
 from sedgering.transport._server import serve
@@ -24,6 +27,8 @@
     'ConnectionPool',
     'ExchangeFailed',
     'Headers',
+    'LinkPacer',
+    'PacedWrite',
     'Request',
     'Response',
     'Service',
@@ -32,6 +37,7 @@
     'encode_response',
     'find_header',
     'make_json_response',
+    'make_pacer',
     'serve',
     'strip_hop_headers',
 ]
--- a/sedgering/transport/_client.py
+++ b/sedgering/transport/_client.py
@@ -33,7 +33,19 @@
 
 
 class ConnectFailed(Exception):
-    """No connection came about; nothing was sent."""
+    """No connection came about; nothing was sent.
+
+    Parameters
+    ----------
+    detail : str
+        What happened.
+    is_refused : bool
+        Whether the host answered that nobody listens there.
+    """
+
+    def __init__(self, detail: str, is_refused: bool = False):
+        super().__init__(detail)
+        self.is_refused = is_refused
 
 
 class ExchangeFailed(Exception):
@@ -305,5 +317,6 @@
         )
     except (OSError, TimeoutError) as error:
         detail = f'{address}:{port}: {type(error).__name__}: {error}'
-        raise ConnectFailed(detail) from error
+        is_refused = isinstance(error, ConnectionRefusedError)
+        raise ConnectFailed(detail, is_refused) from error
     return connection
--- a/sedgering/transport/_pool.py
+++ b/sedgering/transport/_pool.py
@@ -38,6 +38,11 @@
         self.idle_s = idle_s
         self._idle: list[tuple[float, _client.ClientConnection]] = []
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether a connection is open and free."""
+        return any(item.is_sound for _since_s, item in self._idle)
+
     async def take(self) -> _client.ClientConnection:
         """Take an idle connection that is still sound, or open one.
 
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -12,6 +12,7 @@
 from sedgering import ports
 from sedgering.transport import _headers
 from sedgering.transport import _messages
+from sedgering.transport import _pacing
 from sedgering.transport import _sockets
 
 __all__ = ['CallerLimits', 'Service', 'serve']
@@ -62,6 +63,8 @@
 
     #: Whether answers carry ``Connection: close`` from now on.
     is_closing = False
+    #: Shares the link among large answers; None where that is not needed.
+    pacer: _pacing.LinkPacer | None = None
 
     def __init__(self):
         self.connections: set[ServerConnection] = set()
@@ -137,6 +140,10 @@
         self._is_refused = False
         self._is_paused = False
         self._is_ended = False
+        #: Answers that are being written in pieces.
+        self._paced: collections.deque[_pacing.PacedWrite] = (
+            collections.deque()
+        )
 
     # What the transport tells.
 
@@ -158,6 +165,9 @@
         if self._timer is not None:
             self._timer.cancel()
         self._release_body()
+        for paced in self._paced:
+            paced.cancel()
+        self._paced.clear()
         for item in self.pending:
             if item.task is not None:
                 item.task.cancel()
@@ -303,7 +313,7 @@
         """Write the answers that are next in order."""
         while self.pending and self.pending[0].data is not None:
             item = self.pending.popleft()
-            self.transport.write(item.data)
+            self._write(item.data)
             if item.must_close:
                 self._close()
                 return
@@ -312,6 +322,28 @@
             self._is_paused = False
             self.transport.resume_reading()
 
+    def _write(self, data: bytes):
+        """Write an answer, behind those that are still being written."""
+        pacer = self.service.pacer
+        if pacer is None:
+            self.transport.write(data)
+        elif not self._paced and len(data) < _pacing.SMALL_BYTES:
+            self.transport.write(data)
+            pacer.note_small(len(data))
+        else:
+            paced = _pacing.PacedWrite(
+                self.transport.write, data, self._end_paced
+            )
+            self._paced.append(paced)
+            pacer.submit(paced)
+
+    def _end_paced(self):
+        """Note that the first answer of those in pieces is written."""
+        self._paced.popleft()
+        self.last_activity_s = self.loop.time()
+        if self._is_ended and not self._paced:
+            self.transport.close()
+
     def _close(self):
         """Close after an answer; requests behind it were not passed on."""
         for item in self.pending:
@@ -319,7 +351,10 @@
                 item.task.cancel()
         self.pending.clear()
         self._is_ended = True
-        if self._is_refused:
+        if self._paced:
+            # Closed once all is written; what comes is not read any more.
+            self._is_refused = True
+        elif self._is_refused:
             # Bytes that are still on their way would reset the connection
             # before the caller has read the answer.
             self.loop.call_later(LINGER_S, self.transport.close)
@@ -330,7 +365,8 @@
     @property
     def is_idle(self) -> bool:
         """Whether nothing is under way."""
-        return not self.pending and self._request is None
+        is_done = not self.pending and not self._paced
+        return is_done and self._request is None
 
     def close_idle(self) -> bool:
         """Close the connection if nothing is under way on it."""
@@ -367,7 +403,8 @@
         now_s = self.loop.time()
         silent_ms = (now_s - self.last_activity_s) * 1000
         if self._request is None:
-            is_late = not self.pending and silent_ms > limits.idle_timeout_ms
+            is_done = not self.pending and not self._paced
+            is_late = is_done and silent_ms > limits.idle_timeout_ms
             if is_late:
                 self._is_ended = True
                 self.transport.close()
