--- a/sedgering/testing/_mesh_target.py
+++ b/sedgering/testing/_mesh_target.py
@@ -107,7 +107,7 @@
 
     def _finish(self, request_id: str, habit: TargetHabit) -> None:
         own = [('X-Request-Id', request_id), ('X-Response-Signature', PROOF)]
-        body = f'answer to {request_id}'.encode()
+        body = f'answer to {request_id}'.encode().ljust(self.state.body_bytes)
         if habit is TargetHabit.RESET:
             self.transport.abort()
         elif habit is TargetHabit.ENCODED:
@@ -164,6 +164,8 @@
         self.target = target
         self.habit = TargetHabit.SOUND
         self.work_s = 0.0
+        #: Least size of answers, which are filled up with spaces.
+        self.body_bytes = 0
         self.runs: list[tuple] = []
         self.running = 0
         self.most_running = 0
