--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -96,8 +96,7 @@
         self.loop = asyncio.get_running_loop()
         names = state.names
         self.request_id = base.RequestId(
-            transport.find_header(request.headers, names.request_id.lower())
-            or ''
+            request.find(names.request_id.lower()) or ''
         )
         self.route: bundles.Route | None = None
         self.policy: bundles.Policy | None = None
@@ -131,7 +130,7 @@
         if snapshot is None:
             return self._refuse(exceptions.Code.REQUEST_NOT_READY)
         self.version = snapshot.version
-        host = transport.find_header(self.request.headers, 'host') or ''
+        host = self.request.find('host') or ''
         self.route = bundles.find_route(
             snapshot,
             bundles.RequestHead(
@@ -160,7 +159,7 @@
     def _set_times(self) -> None:
         """Set deadline and goal from the head of the request."""
         name = self.state.names.deadline_ms.lower()
-        text = transport.find_header(self.request.headers, name)
+        text = self.request.find(name)
         timeout_ms = self.policy.timeout_ms
         stated_ms = timeout_ms
         if text is not None:
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -78,7 +78,7 @@
     HopError
         When it does not come from a daemon.
     """
-    value = transport.find_header(request.headers, CALL)
+    value = request.find(CALL)
     fields = (value or '').split(SEPARATOR)
     try:
         (request_id, target_set, target, route, origin) = fields[:5]
@@ -113,7 +113,7 @@
 
 def is_ping(request: transport.Request) -> bool:
     """Say whether a daemon only asks whether this one lives."""
-    return transport.find_header(request.headers, PING) is not None
+    return request.find(PING) is not None
 
 
 def encode_answer(answer: _messages.CallAnswer) -> transport.Response:
@@ -152,15 +152,15 @@
     HopError
         When it does not come from a daemon.
     """
-    value = transport.find_header(response.headers, OUTCOME)
+    value = response.find(OUTCOME)
     fields = (value or '').split(SEPARATOR, 4)
     try:
         outcome = _messages.CallOutcome(fields[0])
         reason = _messages.RefusalReason(fields[1])
         retry_after_ms, reached = int(fields[2]), bool(int(fields[3]))
         detail = fields[4]
-        load = _decode_load(response.headers)
-        member = _decode_member(response.headers)
+        load = _decode_load(response)
+        member = _decode_member(response)
     except (ValueError, IndexError, msgspec.MsgspecError) as error:
         raise HopError(f'answer: {value!r}') from error
     answer = _messages.CallAnswer(
@@ -173,9 +173,9 @@
 
 
 def _decode_member(
-    headers: transport.Headers,
+    response: transport.Response,
 ) -> _messages.MemberRow | None:
-    value = transport.find_header(headers, MEMBER)
+    value = response.find(MEMBER)
     if value is None:
         return None
     return msgspec.json.decode(
@@ -183,15 +183,15 @@
     )
 
 
-def _decode_load(headers: transport.Headers) -> _messages.LoadReport | None:
-    value = transport.find_header(headers, LOAD)
+def _decode_load(response: transport.Response) -> _messages.LoadReport | None:
+    value = response.find(LOAD)
     if value is None:
         return None
     running, waiting, limit, work_ms, route_work_ms, link_percent = map(
         int, value.split(SEPARATOR)
     )
-    waiting_nested = transport.find_header(headers, NESTED) or '0'
-    answer_wait_ms = transport.find_header(headers, ANSWER_WAIT) or '0'
+    waiting_nested = response.find(NESTED) or '0'
+    answer_wait_ms = response.find(ANSWER_WAIT) or '0'
     return _messages.LoadReport(
         running,
         waiting,
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -262,14 +262,11 @@
         self, response: transport.Response, call: _messages.TargetCall
     ) -> bool:
         """An answer that names another request belongs to that one."""
-        echoed = transport.find_header(
-            response.headers, self.names.request_id.lower()
-        )
+        echoed = response.find(self.names.request_id.lower())
         return echoed is None or echoed == call.request_id
 
     def _classify(self, response: transport.Response) -> _messages.CallAnswer:
         """Tell the target's answer from a refusal and from damage."""
-        headers = response.headers
         if response.status == MISDIRECTED:
             self.target.forget()
             self.refresh_gate()
@@ -278,7 +275,7 @@
                 reason=_messages.RefusalReason.WRONG_TARGET,
                 reached_target=True,
             )
-        if transport.find_header(headers, self.names.not_run.lower()):
+        if response.find(self.names.not_run.lower()):
             return _messages.CallAnswer(
                 _messages.CallOutcome.NOT_RUN,
                 reason=_messages.RefusalReason.TARGET_REFUSED,
@@ -297,13 +294,9 @@
         )
 
     def _is_sound(self, response: transport.Response) -> bool:
-        headers = response.headers
-        if transport.find_header(headers, 'content-encoding') is not None:
+        if response.find('content-encoding') is not None:
             return False
-        return (
-            transport.find_header(headers, self.names.proof.lower())
-            is not None
-        )
+        return response.find(self.names.proof.lower()) is not None
 
 
 def _judge(answer: _messages.CallAnswer | None) -> _gate.CallResult:
--- a/sedgering/mesh/_probe.py
+++ b/sedgering/mesh/_probe.py
@@ -59,8 +59,8 @@
         LOG.info('probe failed', extra={'detail': repr(error)})
         return None
     pool.put(connection)
-    target = transport.find_header(response.headers, names.target.lower())
-    load = transport.find_header(response.headers, names.load.lower()) or ''
+    target = response.find(names.target.lower())
+    load = response.find(names.load.lower()) or ''
     slots = load.rpartition(',')[2].strip()
     is_ready = response.status == STATUS_OK
     if target is None or (is_ready and not slots.isdigit()):
--- a/sedgering/mesh/_relay.py
+++ b/sedgering/mesh/_relay.py
@@ -129,7 +129,7 @@
 
 def is_poll(request: transport.Request) -> bool:
     """Say whether another daemon polls."""
-    return transport.find_header(request.headers, MARK) is not None
+    return request.find(MARK) is not None
 
 
 def decode_relay_news(response: transport.Response) -> RelayNews:
--- a/sedgering/mesh/_room.py
+++ b/sedgering/mesh/_room.py
@@ -40,7 +40,7 @@
 
 def find_room_bytes(request: transport.Request) -> int | None:
     """Return the bytes for which a daemon asks; None when it does not."""
-    value = transport.find_header(request.headers, MARK)
+    value = request.find(MARK)
     return int(value) if value is not None and value.isdigit() else None
 
 
--- a/sedgering/transport/_client.py
+++ b/sedgering/transport/_client.py
@@ -32,6 +32,10 @@
 FOREIGN_LIMIT = 4
 
 
+#: Fields that tell where the body ends.
+_FRAMING = frozenset(('content-length', 'transfer-encoding'))
+
+
 class ConnectFailed(Exception):
     """No connection came about; nothing was sent.
 
@@ -227,8 +231,8 @@
         if response is None:
             return
         response.status = self._parser.get_status_code()
-        names = {name.lower() for name, _value in response.headers}
-        is_framed = bool(names & {'content-length', 'transfer-encoding'})
+        response.fields = _headers.index_headers(response.headers)
+        is_framed = not _FRAMING.isdisjoint(response.fields)
         bodiless = response.status < 200 or response.status in (204, 304)
         self._is_unframed = not is_framed and not bodiless
         if self._is_head and response.status >= 200:
@@ -274,7 +278,7 @@
             self._waiter.set_result(response)
 
     def _note_keep_alive(self, response: _messages.Response) -> None:
-        stated = _headers.find_header(response.headers, 'keep-alive')
+        stated = response.find('keep-alive')
         if stated:
             kept_s = _parse_keep_alive_s(stated)
             self.kept_until_s = self.loop.time() + kept_s * KEPT_SHARE
--- a/sedgering/transport/_headers.py
+++ b/sedgering/transport/_headers.py
@@ -1,6 +1,6 @@
 """Header fields: kept as they came, found by their name in lower case."""
 
-__all__ = ['Headers', 'find_header', 'strip_hop_headers']
+__all__ = ['Headers', 'find_header', 'index_headers', 'strip_hop_headers']
 
 #: Name and value as they came, in the order of the message.
 Headers = list[tuple[str, str]]
@@ -33,6 +33,14 @@
     return None
 
 
+def index_headers(headers: Headers) -> dict[str, str]:
+    """Return the first value of each field by its name in lower case."""
+    fields: dict[str, str] = {}
+    for name, value in headers:
+        fields.setdefault(name.lower(), value)
+    return fields
+
+
 def strip_hop_headers(
     headers: Headers, extra: frozenset[str] = frozenset()
 ) -> Headers:
--- a/sedgering/transport/_messages.py
+++ b/sedgering/transport/_messages.py
@@ -35,6 +35,10 @@
         Whether the request stated a body, be it empty.
     received_s : float
         Time of the event loop at which its head began to arrive.
+    fields : dict of str to str or None
+        First value of each field by its name in lower case, as it was
+        received: a message is asked for a dozen of them.  None where it was
+        not received.
     """
 
     method: str
@@ -43,6 +47,13 @@
     body: bytes = b''
     has_body: bool = False
     received_s: float = 0.0
+    fields: dict[str, str] | None = None
+
+    def find(self, name: str) -> str | None:
+        """Return the first value of a field; `name` is in lower case."""
+        if self.fields is None:
+            return _headers.find_header(self.headers, name)
+        return self.fields.get(name)
 
 
 class Response(msgspec.Struct):
@@ -60,6 +71,10 @@
         Reason phrase; the standard one where it is empty.
     must_close : bool
         Whether the connection is closed after it.
+    fields : dict of str to str or None
+        First value of each field by its name in lower case, as it was
+        received: a message is asked for a dozen of them.  None where it was
+        not received.
     """
 
     status: int
@@ -67,6 +82,13 @@
     body: bytes = b''
     reason: str = ''
     must_close: bool = False
+    fields: dict[str, str] | None = None
+
+    def find(self, name: str) -> str | None:
+        """Return the first value of a field; `name` is in lower case."""
+        if self.fields is None:
+            return _headers.find_header(self.headers, name)
+        return self.fields.get(name)
 
 
 def encode_request(request: Request) -> bytes:
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -235,17 +235,15 @@
         request = self._request
         request.method = self._parser.get_method().decode('ascii')
         request.url = self._url.decode('latin-1')
+        request.fields = _headers.index_headers(request.headers)
         _check_framing(request, self._parser.get_http_version())
-        length = _headers.find_header(request.headers, 'content-length')
-        is_chunked = (
-            _headers.find_header(request.headers, 'transfer-encoding')
-            is not None
-        )
+        length = request.find('content-length')
+        is_chunked = request.find('transfer-encoding') is not None
         request.has_body = is_chunked or length is not None
         limit = self.service.find_limits().body_bytes
         if length is not None and int(length) > limit:
             raise _Refused(413)
-        expects = _headers.find_header(request.headers, 'expect')
+        expects = request.find('expect')
         if expects and expects.lower() == '100-continue' and not self.pending:
             self.transport.write(_CONTINUE)
 
@@ -432,23 +430,25 @@
 
 
 #: Fields of which two may be read differently by the next reader.
-_SINGLE_NAMES = ('content-length', 'transfer-encoding', 'host')
+_SINGLE_NAMES = frozenset(('content-length', 'transfer-encoding', 'host'))
 
 
 def _check_framing(request: _messages.Request, version: str) -> None:
     """Refuse heads that two readers may frame differently (RFC 9112)."""
-    names = [name.lower() for name, _value in request.headers]
-    for name in _SINGLE_NAMES:
-        if names.count(name) > 1:
+    seen: set[str] = set()
+    for name, value in request.headers:
+        if '\0' in value or not name:
             raise _Refused(400)
-    if version == '1.1' and 'host' not in names:
+        lower = name.lower()
+        if lower in _SINGLE_NAMES:
+            if lower in seen:
+                raise _Refused(400)
+            seen.add(lower)
+    if version == '1.1' and 'host' not in seen:
         raise _Refused(400)
-    coding = _headers.find_header(request.headers, 'transfer-encoding')
+    coding = request.find('transfer-encoding')
     if coding is not None:
-        if coding.strip().lower() != 'chunked' or 'content-length' in names:
-            raise _Refused(400)
-    for name, value in request.headers:
-        if '\0' in value or not name:
+        if coding.strip().lower() != 'chunked' or 'content-length' in seen:
             raise _Refused(400)
 
 
