A free place is searched before a call waits

Cause: with 40 targets or more a daemon asks each once in some seconds; what it knows of their load is old, and calls wait at full targets while others are idle. A call now goes out on condition that a place is free; a host without one tells the wait; after four it waits where that is shortest. Where searches find nothing, one call in eight still searches.

--- a/sedgering/mesh/_decisions.py
+++ b/sedgering/mesh/_decisions.py
@@ -88,6 +88,10 @@
             f'+{load.waiting} {load.work_ms}ms',
         )
 
+    def count_attempt(self, reason: _messages.RefusalReason) -> None:
+        """Count an attempt that is too usual for a line of its own."""
+        self.counts.count('attempt', reason.value)
+
     def log_refusal(
         self,
         request_id: base.RequestId,
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -10,6 +10,7 @@
 from sedgering.mesh import _choice
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
+from sedgering.mesh import _search
 from sedgering.mesh import _state
 from sedgering import transport
 
@@ -106,6 +107,9 @@
         self.goal_s = 0.0
         self.urgency = _messages.CallUrgency.FIRST
         self.caller_left_ms = 0
+        self.search: _search.Search | None = None
+        #: Hosts that had no free place, when that was asked.
+        self.busy_answers = 0
         self.sheds = 0
         self.corrections = 0
         #: Whether a host could not be reached: a connection that is open
@@ -148,6 +152,9 @@
             self._set_times()
         except ValueError:
             return self._refuse(exceptions.Code.REQUEST_MALFORMED)
+        self.search = _search.Search(
+            self.state.places, self.target_set, len(self.request.body)
+        )
         try:
             async with asyncio.timeout_at(self.deadline_s):
                 return await self._attempt_all()
@@ -256,9 +263,29 @@
             self._news.set_result(None)
 
     def _choose(self) -> _peers.Peer | None:
-        hops = len(self.asked) - self.corrections
+        hops = len(self.asked) - self.corrections - self.busy_answers
         if hops >= self.state.mesh_settings.hops_limit:
             return None
+        if self.search.is_on:
+            peer = self._choose_untried()
+            if peer is not None:
+                return peer
+            self.search.end(False)
+        return self._choose_shortest_wait() or self._choose_untried()
+
+    def _choose_shortest_wait(self) -> _peers.Peer | None:
+        """Choose among the hosts that had no free place."""
+        while (host := self.search.pop_shortest()) is not None:
+            row = self.state.fleet.members.get(host)
+            if row is None or row.state is not _messages.TargetState.READY:
+                continue
+            peer = self.state.peers.find(row)
+            if self._now_s >= peer.closed_until_s:
+                return peer
+        return None
+
+    def _choose_untried(self) -> _peers.Peer | None:
+        """Choose among the hosts that were not asked yet."""
         members = self.state.fleet.by_set.get(self.target_set, ())
         candidates = _choice.draw_candidates(
             members, self.state.identity.data_centre, self.state.rng
@@ -301,6 +328,7 @@
             remaining_ms=max(0, int((self.deadline_s - now_s) * 1000)),
             goal_ms=self._find_goal_ms(now_s),
             version=self.version,
+            may_wait=not self.search.is_on,
         )
 
     def _find_goal_ms(self, now_s: float) -> int:
@@ -311,10 +339,17 @@
 
     def _learn(self, peer: _peers.Peer, answer: _messages.CallAnswer) -> None:
         """Remember what an answer tells of its target."""
+        if answer.reason is _Reason.BUSY:
+            self.busy_answers += 1
+            self.search.note_busy(peer.row.host, answer.retry_after_ms)
+            self.state.decisions.count_attempt(answer.reason)
+            return
         if answer.reached_target:
             self.arrivals += 1
         if answer.outcome is not _Outcome.NOT_RUN:
             self.may_have_run = True
+        if self.arrivals or self.may_have_run:
+            self.search.end(True)
         if answer.outcome is _Outcome.ANSWERED:
             self.state.peers.note_answer(
                 self.route.name, len(answer.response.body)
--- a/sedgering/mesh/_gate.py
+++ b/sedgering/mesh/_gate.py
@@ -98,6 +98,8 @@
         Who waits for it.
     deadline_s, goal_s : float
         Times of the event loop.
+    may_wait : bool
+        Whether it may wait for a place.
     """
 
     route: base.RouteName
@@ -105,6 +107,7 @@
     urgency: _messages.CallUrgency
     deadline_s: float
     goal_s: float
+    may_wait: bool = True
 
     @property
     def is_nested(self) -> bool:
@@ -218,12 +221,18 @@
         if not self.is_open:
             raise GateRefused(_messages.RefusalReason.LEAVING)
         is_late = ticket.goal_s <= self.now_s() and not ticket.is_nested
-        if not is_late:
+        is_next = self._is_next(ticket, is_late)
+        if not is_late and (is_next or ticket.may_wait):
             self._demand.note(self.work.find_mean_ms(ticket.route))
-        if self._is_next(ticket, is_late):
+        if is_next:
             self.running += 1
             return
         wait_ms = self._estimate_wait_ms(ticket, is_late)
+        if not ticket.may_wait:
+            raise GateRefused(
+                _messages.RefusalReason.BUSY,
+                int(min(wait_ms, LONGEST_WAIT_MS)),
+            )
         if not self._can_serve(ticket, is_late, wait_ms):
             raise GateRefused(
                 _messages.RefusalReason.SHED,
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -33,6 +33,8 @@
 #: The row that holds, with a refusal of a call to another target.
 MEMBER = 'sedgering-member'
 PING = 'sedgering-ping'
+#: Set where a call is only to have a free place.
+FREE_PLACE = 'sedgering-free-place'
 SEPARATOR = '|'
 #: Numbers of the load field.
 LOAD_FIELDS = 6
@@ -65,6 +67,8 @@
     )
     headers = transport.strip_hop_headers(strip_own(request.headers))
     headers.append((CALL, SEPARATOR.join(fields)))
+    if not call.may_wait:
+        headers.append((FREE_PLACE, '1'))
     return transport.encode_request(
         msgspec.structs.replace(request, headers=headers)
     )
@@ -88,6 +92,7 @@
         )
     except ValueError as error:
         raise HopError(f'call: {value!r}') from error
+    may_wait = request.find(FREE_PLACE) is None
     request.headers = strip_own(request.headers)
     return _messages.TargetCall(
         request=request,
@@ -102,6 +107,7 @@
         remaining_ms=remaining_ms,
         goal_ms=goal_ms,
         version=base.Version(version),
+        may_wait=may_wait,
     )
 
 
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -174,11 +174,13 @@
             call.urgency,
             now_s + call.remaining_ms / 1000,
             now_s + call.goal_ms / 1000,
+            call.may_wait,
         )
         try:
             await self.gate.enter(ticket)
         except _gate.GateRefused as error:
-            self.gate_log.note_refused(call.route)
+            if error.reason is not _messages.RefusalReason.BUSY:
+                self.gate_log.note_refused(call.route)
             return self._refuse(call, error.reason, error.retry_after_ms)
         answer = None
         started_s = self.gate.now_s()
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -58,6 +58,8 @@
     LEAVING = 'leaving'
     #: It could not have finished in time.
     SHED = 'shed'
+    #: All places are taken, and the call was only to have a free one.
+    BUSY = 'busy'
     #: Too many bodies are on their way to the host.
     LINK_FULL = 'link full'
     #: The target itself refused before work.
@@ -269,6 +271,9 @@
         Time left until its deadline, and until its latency goal.
     version : int
         Bundle version by which it was routed.
+    may_wait : bool
+        Whether it may wait for a place; else it is refused as busy where
+        none is free, with the time for which it would have waited.
     """
 
     request: transport.Request
@@ -283,6 +288,7 @@
     remaining_ms: int
     goal_ms: int
     version: base.Version
+    may_wait: bool = True
 
 
 class CallAnswer(msgspec.Struct):
--- a/sedgering/mesh/_state.py
+++ b/sedgering/mesh/_state.py
@@ -11,6 +11,7 @@
 from sedgering.mesh import _inbound
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
+from sedgering.mesh import _search
 from sedgering.mesh import _sender
 from sedgering.mesh import _settings
 from sedgering.mesh import _start
@@ -71,6 +72,7 @@
         self.sender = _sender.CallSender(identity, side, peers)
         self.turns = _choice.WeightedTurns()
         self.callers = _callers.CallerTable()
+        self.places = _search.FreePlaces()
         self.start = _start.StartWait()
 
     def take_told(self, row: _messages.MemberRow) -> bool:
