Scenarios of the search; relays gather changes for 0.6 s

Each change of the members renews the watches of all relays: up to 3.3 calls a second and relay while hosts are stopped in turn; now 1.7. Versions must be in force after 2 s at the earliest.

--- /dev/null
+++ b/features/steps/search_steps.py
@@ -0,0 +1,164 @@
+"""Steps over the search for a free place."""
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+from sedgering import mesh
+from sedgering.mesh import _gate
+from sedgering.mesh import _search
+from sedgering import testing
+
+SET = 'calendar'
+#: Far more than a call over loopback takes, and less than any work here.
+HELD_S = 1.5
+
+
+@when('a call comes that is only to have a free place')
+def step_free_place(context):
+    subject = context.gate
+    now_s = subject.loop.time()
+    ticket = mesh.Ticket(
+        SET, 1, mesh.CallUrgency.FIRST, now_s + 300, now_s + 200, False
+    )
+    context.waiting = subject.gate.waiting
+    context.refusal = None
+    try:
+        subject.loop.run_until_complete(subject.gate.enter(ticket))
+    except _gate.GateRefused as error:
+        context.refusal = error
+
+
+@then('it is refused as busy, with a wait of {least:d} to {most:d} ms')
+def step_busy(context, least, most):
+    assert context.refusal.reason is mesh.RefusalReason.BUSY
+    assert least <= context.refusal.retry_after_ms <= most, context.refusal
+
+
+@then('nothing waits that did not wait before')
+def step_nothing_waits(context):
+    assert context.gate.gate.waiting == context.waiting
+
+
+@then('it runs at once')
+def step_runs(context):
+    assert context.refusal is None
+    assert context.gate.gate.running == 2
+
+
+@given('a search among hosts')
+def step_search(context):
+    context.search = _search.Search(_search.FreePlaces(), SET, 0)
+
+
+@given('a search among hosts for a body of {size:d} bytes')
+def step_search_body(context, size):
+    context.search = _search.Search(_search.FreePlaces(), SET, size)
+
+
+@when('hosts tell waits of {first:d}, {second:d}, {third:d} and {fourth:d} ms')
+def step_waits(context, first, second, third, fourth):
+    for wait_ms in (first, second, third, fourth):
+        assert context.search.is_on
+        context.search.note_busy(f'h{wait_ms}', wait_ms)
+
+
+@then('the search is over, and they are asked by their waits, once each')
+def step_by_waits(context):
+    search = context.search
+    assert not search.is_on
+    hosts = [search.pop_shortest() for _ in range(5)]
+    assert hosts == ['h100', 'h200', 'h300', 'h400', None], hosts
+
+
+@then('nothing is searched')
+def step_not_searched(context):
+    assert not context.search.is_on
+    assert context.search.pop_shortest() is None
+
+
+def _search_in_vain(places):
+    """Begin a search; return whether it was worth it."""
+    search = _search.Search(places, SET, 0)
+    if not search.is_on:
+        return False
+    for number in range(_search.ASKS_LIMIT):
+        search.note_busy(f'h{number}', 100)
+    return True
+
+
+@given('{count:d} searches of a set that found nothing')
+def step_in_vain(context, count):
+    context.places = _search.FreePlaces()
+    for _number in range(count):
+        _search_in_vain(context.places)
+
+
+@then('of {count:d} more calls {searching:d} search')
+def step_some_search(context, count, searching):
+    found = [_search_in_vain(context.places) for _ in range(count)]
+    assert sum(found) == searching, sum(found)
+
+
+@then('once these have found places again all calls search')
+def step_found_again(context):
+    for _number in range(8 * _search.TRY_EVERY):
+        search = _search.Search(context.places, SET, 0)
+        if search.is_on:
+            search.note_busy('h1', 100)
+            search.end(True)
+    for _number in range(3):
+        assert _search.Search(context.places, SET, 0).is_on
+
+
+@then('a call of another set searches')
+def step_other_set(context):
+    assert _search.Search(context.places, 'ledger', 0).is_on
+
+
+@given('a mesh of {hosts:d} hosts, {full:d} of which have all places taken')
+def step_full_mesh(context, hosts, full):
+    context.fleet = testing.MeshFleet()
+    context.cleanups.append(context.fleet.stop)
+    context.first = context.fleet.add_host('h0', 'ledger')
+    others = [
+        context.fleet.add_host(f'h{number}') for number in range(1, hosts)
+    ]
+    context.fleet.configure(testing.make_document(1, [{}]))
+    context.fleet.wait_ready()
+    context.free = others[-1]
+    for host in others[:full]:
+        gate = host.daemon.state.side.gate
+        gate.running = gate.limit
+
+
+@when('a caller of the first host asks {count:d} times, one after the other')
+def step_ask(context, count):
+    port = context.first.addresses.callers_port
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        context.statuses = []
+        started_s = loop.time()
+        for number in range(count):
+            answer = await context.fleet.start_call(
+                port,
+                '/r0/',
+                X_Request_Id=f'a{number}',
+                X_Request_Deadline='3000',
+            )
+            context.statuses.append(answer.status)
+        context.elapsed_s = loop.time() - started_s
+
+    context.fleet.run(run())
+
+
+@then('all were answered at the host that is free, and no call was held')
+def step_at_free(context):
+    count = len(context.statuses)
+    assert context.statuses == [200] * count, context.statuses
+    assert len(context.free.books.runs) == count
+    # A place elsewhere never becomes free.
+    assert context.elapsed_s < HELD_S * count, context.elapsed_s
--- a/sedgering/mesh/_watch.py
+++ b/sedgering/mesh/_watch.py
@@ -34,7 +34,7 @@
 #: call.  A third of the shortest time in which a version must be in force.
 GATHER_S = 0.7
 #: The same in a daemon that others poll: they wait for it.
-POLLED_GATHER_S = 0.3
+POLLED_GATHER_S = 0.6
 #: Wait of the first watch after a pause or a failure, which shows that the
 #: store answers.
 CONFIRM_WAIT_MS = 20
