While the store is away, one call of a daemon asks for it at a time

Cause: a store that refuses all for 9 s makes relays deaf; every daemon gives them up and asks the store by two watches, each once in 0.5 to 1 s, and goes on watching until the relays have rested, up to 8 s.

Now the watch of the members asks for both, after up to 2 s in a daemon that nobody polls (its row must be back within about 2 s of the store's return); and relays are asked again as soon as the own watch hears the store.

Scenario with 5 hosts and 5 s: 74 calls before (seen failing), under 60 now.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -72,3 +72,11 @@
   Scenario: A small mesh has no relays
     Given a mesh of 2 hosts in which relays serve
     Then 2 hosts watch the store
+
+  Scenario: While the store is away each daemon asks it by one call at a time
+    Given a mesh of 5 hosts in which relays serve
+    When the store refuses all calls for 5 s
+    Then it was asked 60 times at the most
+    And 2 hosts watch the store
+    When version 2 is written
+    Then all hosts have version 2
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -378,3 +378,23 @@
     # Two polls that are under way may still ask for it.
     subject.fleet.wait_for(lambda: len(context.asked) > 20)
     assert context.asked.count(base.NO_VERSION) <= 4, context.asked
+
+
+@when('the store refuses all calls for {seconds:d} s')
+def step_store_away(context, seconds):
+    engine = context.relays.fleet.engine
+    engine.faults = testing.Faults(mode=testing.StoreMode.LIMITED)
+    refused = engine.stats.refused
+
+    async def wait():
+        await asyncio.sleep(seconds)
+
+    context.relays.fleet.run(wait())
+    engine.faults = testing.Faults()
+    context.refused = engine.stats.refused - refused
+
+
+@then('it was asked {most:d} times at the most')
+def step_asked(context, most):
+    # 5 daemons, one call in 0.1 s at first and in 0.5 to 2 s later.
+    assert 5 <= context.refused <= most, context.refused
--- a/sedgering/mesh/_follow.py
+++ b/sedgering/mesh/_follow.py
@@ -121,6 +121,7 @@
         self._are_members_known = asyncio.Event()
         self._needs_whole = False
         self._near = _Near({}, [], [])
+        self._was_fresh = False
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -155,8 +156,21 @@
     async def _look_again(self) -> None:
         while True:
             await asyncio.sleep(LOOK_S)
+            self._note_store_return()
             self._decide()
 
+    def _note_store_return(self) -> None:
+        """Ask the relays again once this daemon hears the store again.
+
+        They were given up since they did not; most hear it again, too, and
+        in a large fleet nobody should watch on in their place.
+        """
+        is_fresh = self.source.is_fresh
+        if is_fresh and not self._was_fresh:
+            self._rests.clear()
+            self._rest_until_s.clear()
+        self._was_fresh = is_fresh
+
     def _decide(self) -> None:
         """Watch the store, or leave it to the relays."""
         is_followed = self._is_starting or any(
--- a/sedgering/mesh/_source.py
+++ b/sedgering/mesh/_source.py
@@ -99,11 +99,14 @@
     def set_watching(self, is_watching: bool) -> None:
         """Watch the store, or leave that to others."""
         wait_ms, gather_s = _watch.WATCH_WAIT_MS, _watch.GATHER_S
+        longest_pause_s = _watch.LONGEST_PAUSE_S
         if self.is_polled:
             wait_ms, gather_s = POLLED_WAIT_MS, _watch.POLLED_GATHER_S
+            longest_pause_s = _watch.POLLED_LONGEST_PAUSE_S
         for watcher in (self._config_watcher, self._member_watcher):
             watcher.wait_ms = wait_ms
             watcher.gather_s = gather_s
+            watcher.pauses.longest_s = longest_pause_s
             watcher.set_enabled(is_watching)
 
     def publish(self, row: _messages.MemberRow | None) -> None:
--- a/sedgering/mesh/_watch.py
+++ b/sedgering/mesh/_watch.py
@@ -40,7 +40,12 @@
 CONFIRM_WAIT_MS = 20
 #: Pauses after failures; spread so that many daemons do not return at once.
 FIRST_PAUSE_S = 0.2
-LONGEST_PAUSE_S = 1.0
+LONGEST_PAUSE_S = 2.0
+#: The longest one in a daemon that others poll, and wait for.
+POLLED_LONGEST_PAUSE_S = 1.0
+#: Longest time for which one watch leaves it to another to find out whether
+#: the store is back.
+LEFT_TO_OTHERS_S = 5.0
 
 
 class ConfigRow(msgspec.Struct, frozen=True):
@@ -67,13 +72,25 @@
 
 
 class StoreReturn:
-    """Tells all tasks of a daemon that the store answers again."""
+    """Tells all tasks of a daemon that the store answers again.
+
+    While it does not, one task asks, and the others wait for it: with the
+    store away for 9 s, the watches of 195 daemons made 3,000 calls and more,
+    each of them refused.
+
+    Attributes
+    ----------
+    is_away : bool
+        Whether the task that asks has had no answer to its last call.
+    """
 
     def __init__(self):
+        self.is_away = False
         self._returned = asyncio.Event()
 
     def tell(self) -> None:
         """End all pauses."""
+        self.is_away = False
         self._returned.set()
         self._returned = asyncio.Event()
 
@@ -98,12 +115,13 @@
 
     def __init__(self, store_return: StoreReturn):
         self.store_return = store_return
+        self.longest_s = LONGEST_PAUSE_S
         self._pause_s = FIRST_PAUSE_S
         self._rng = random.Random()
 
     def reset(self) -> None:
         """Start with short pauses again."""
-        if self._pause_s > FIRST_PAUSE_S:
+        if self._pause_s > FIRST_PAUSE_S or self.store_return.is_away:
             self.store_return.tell()
         self._pause_s = FIRST_PAUSE_S
 
@@ -111,7 +129,7 @@
         """Wait, longer each time, with jitter."""
         longest_s = self._pause_s * self._rng.uniform(0.5, 1.0)
         await self.store_return.wait(longest_s)
-        self._pause_s = min(LONGEST_PAUSE_S, 2 * self._pause_s)
+        self._pause_s = min(self.longest_s, 2 * self._pause_s)
 
 
 class TableWatcher(abc.ABC):
@@ -127,6 +145,9 @@
         Of the daemon.
     """
 
+    #: Whether this watch finds out for the others that the store is back.
+    is_scout = False
+
     def __init__(
         self,
         name: str,
@@ -143,7 +164,8 @@
         self.is_fresh = False
         self._revision: int | None = None
         self._is_lost = False
-        self._pauses = Pauses(store_return)
+        self.pauses = Pauses(store_return)
+        self._store_return = store_return
         self._is_enabled = asyncio.Event()
         self._is_enabled.set()
 
@@ -198,7 +220,7 @@
                 await asyncio.sleep(self.gather_s)
 
     def _note_success(self) -> None:
-        self._pauses.reset()
+        self.pauses.reset()
         self.is_fresh = True
         if self._is_lost:
             self._is_lost = False
@@ -218,7 +240,10 @@
                     'detail': f'{self.name}: {error.detail}',
                 },
             )
-        await self._pauses.wait()
+        self._store_return.is_away |= self.is_scout
+        await self.pauses.wait()
+        if self._store_return.is_away and not self.is_scout:
+            await self._store_return.wait(LEFT_TO_OTHERS_S)
 
 
 class ConfigWatcher(TableWatcher):
@@ -276,7 +301,7 @@
 
 
 class MemberWatcher(TableWatcher):
-    """Follows the rows of hosts.
+    """Follows the rows of hosts; asks for the others while the store is away.
 
     Parameters
     ----------
@@ -288,6 +313,8 @@
         Of the daemon.
     """
 
+    is_scout = True
+
     def __init__(
         self,
         table: storage.WatchedTable,
