On the first start of all, members are read once all have written their rows

Cause: who reads the members first finds none, takes the fleet for a small one, reads the document and watches both tables until enough rows have come.

The platform says that the whole fleet starts for the first time: members are read 1.5 s later then, and the own row is written without reading it first.

Scenario with 6 hosts: seen failing without it.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -80,3 +80,10 @@
     And 2 hosts watch the store
     When version 2 is written
     Then all hosts have version 2
+
+  Scenario: On the first start of all nobody takes the fleet for a small one
+    Given a mesh of 6 hosts that all start for the first time
+    Then 2 hosts watch the store
+    And all hosts have version 1
+    And 2 hosts have read the document in the store
+    And the store was written 6 times
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -208,9 +208,10 @@
 class RelaySubject:
     """A mesh in which relays serve from a few hosts on."""
 
-    def __init__(self, hosts: int):
+    def __init__(self, hosts: int, is_first_start: bool = False):
         self.fleet = testing.MeshFleet(
-            mesh.MeshSettings(relay_from_hosts=RELAY_FROM_HOSTS)
+            mesh.MeshSettings(relay_from_hosts=RELAY_FROM_HOSTS),
+            is_first_start=is_first_start,
         )
         for number in range(hosts):
             self.fleet.add_host(f'h{number}')
@@ -398,3 +399,25 @@
 def step_asked(context, most):
     # 5 daemons, one call in 0.1 s at first and in 0.5 to 2 s later.
     assert 5 <= context.refused <= most, context.refused
+
+
+@given('a mesh of {hosts:d} hosts that all start for the first time')
+def step_first_start(context, hosts):
+    context.relays = RelaySubject(hosts, is_first_start=True)
+    context.cleanups.append(context.relays.fleet.stop)
+
+
+@then('{count:d} hosts have read the document in the store')
+def step_readers(context, count):
+    readers = [
+        host.name
+        for host in context.relays.living
+        if host.daemon.source._config_watcher.reads
+    ]
+    assert len(readers) == count, readers
+
+
+@then('the store was written {count:d} times')
+def step_written(context, count):
+    engine = context.relays.fleet.engine
+    assert engine.stats.writes == count, engine.stats
--- a/sedgering/mesh/_source.py
+++ b/sedgering/mesh/_source.py
@@ -25,6 +25,11 @@
 #: For how long a daemon that was polled goes on to watch the store; polls
 #: come about once a second.
 POLLED_S = 5.0
+#: Pause before the members are read when the whole fleet starts for the first
+#: time: all hosts start within 0.3 s and write their rows, and who reads them
+#: earlier takes the fleet for a small one, and watches the store itself.  At
+#: 195 hosts that made some 1,500 calls.
+FIRST_START_S = 1.5
 #: Longest wait of a watch in a daemon that others poll: they must learn
 #: soon that it does not hear the store.
 POLLED_WAIT_MS = 2000
@@ -43,6 +48,9 @@
         Whose row is kept.
     loop : AbstractEventLoop
         In which the callbacks run.
+    is_first_start : bool
+        Whether the whole fleet starts for the first time: no host has a row
+        yet.
     """
 
     def __init__(
@@ -51,6 +59,7 @@
         members: storage.WatchedTable,
         host: base.HostId,
         loop: asyncio.AbstractEventLoop,
+        is_first_start: bool = False,
     ):
         self.host = host
         self.loop = loop
@@ -74,6 +83,9 @@
         # document takes 0.7 s on a link of 5 Mbit/s, the same from a relay
         # 0.03 s.
         self._config_watcher.set_enabled(False)
+        if is_first_start:
+            self._keeper.note_known(_members.MemberEntry(host, 0, None))
+            self._member_watcher.first_pause_s = FIRST_START_S
 
     @property
     def is_polled(self) -> bool:
--- a/sedgering/mesh/_watch.py
+++ b/sedgering/mesh/_watch.py
@@ -160,6 +160,8 @@
         self.wait_ms = WATCH_WAIT_MS
         #: Pause after changes.
         self.gather_s = GATHER_S
+        #: Pause before the first call.
+        self.first_pause_s = 0.0
         #: Whether the last call was answered, and changes are watched.
         self.is_fresh = False
         self._revision: int | None = None
@@ -191,6 +193,7 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
+        await asyncio.sleep(self.first_pause_s)
         while True:
             await self._is_enabled.wait()
             try:
--- a/sedgering/platform/_factory.py
+++ b/sedgering/platform/_factory.py
@@ -21,6 +21,7 @@
     client: _store.StoreClient,
     host: base.HostId,
     loop: asyncio.AbstractEventLoop,
+    is_first_start: bool = False,
 ) -> mesh.MeshSource:
     """Make the source of versions and members of one daemon.
 
@@ -32,6 +33,8 @@
         Of the daemon.
     loop : AbstractEventLoop
         In which the daemon runs.
+    is_first_start : bool
+        Whether the whole fleet starts for the first time.
     """
     config_row = mesh.ConfigRow(
         _tables.PlatformTable(client, CONFIG_TABLE),
@@ -39,4 +42,4 @@
         _document.decode_document,
     )
     members = _tables.PlatformTable(client, MEMBERS_TABLE)
-    return mesh.MeshSource(config_row, members, host, loop)
+    return mesh.MeshSource(config_row, members, host, loop, is_first_start)
--- a/sedgering/platform/_program.py
+++ b/sedgering/platform/_program.py
@@ -35,7 +35,10 @@
     )
     carrier = _loop_carrier.LoopCarrier(host_settings.store)
     source = _factory.make_mesh_source(
-        _store.StoreClient(carrier), host_settings.identity.host, loop
+        _store.StoreClient(carrier),
+        host_settings.identity.host,
+        loop,
+        host_settings.is_first_start,
     )
     daemon = mesh.make_mesh_daemon(
         host_settings.identity,
--- a/sedgering/platform/_settings.py
+++ b/sedgering/platform/_settings.py
@@ -51,6 +51,8 @@
         Time from the request to end until the process is killed.
     retry_ratio, retry_extra, retry_window_s : float
         Retry budget of the whole fleet.
+    is_first_start : bool
+        Whether the whole fleet starts for the first time.
     """
 
     identity: mesh.MeshIdentity
@@ -60,6 +62,7 @@
     retry_ratio: float
     retry_extra: float
     retry_window_s: float
+    is_first_start: bool = False
 
 
 class _Listen(msgspec.Struct):
@@ -93,6 +96,8 @@
     service: str
     platform: _Platform
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    #: Whether the whole fleet starts for the first time.
+    bootstrap: bool = False
 
 
 def read_settings() -> HostSettings:
@@ -154,6 +159,7 @@
         retry_ratio=float(bounds['budget_ratio']),
         retry_extra=float(bounds['budget_extra']),
         retry_window_s=_wire.parse_duration_ms(bounds['budget_window']) / 1000,
+        is_first_start=file.bootstrap,
     )
 
 
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -128,15 +128,19 @@
     ----------
     mesh_settings : MeshSettings
         Of all daemons.
-    link_mbps : int
+    link_mbps : float
         Width of the links of all hosts; 0 when it is not known.
+    is_first_start : bool
+        Whether all daemons are told that the fleet starts for the first time.
     """
 
     def __init__(
         self,
         mesh_settings: mesh.MeshSettings | None = None,
-        link_mbps: int = 0,
+        link_mbps: float = 0,
+        is_first_start: bool = False,
     ):
+        self.is_first_start = is_first_start
         self.link_mbps = link_mbps
         self.mesh_settings = mesh_settings or mesh.MeshSettings()
         self.loop = asyncio.new_event_loop()
@@ -275,7 +279,9 @@
                 platform.StoreSettings(ADDRESS, self.store_port)
             )
         )
-        source = platform.make_mesh_source(client, identity.host, self.loop)
+        source = platform.make_mesh_source(
+            client, identity.host, self.loop, self.is_first_start
+        )
         host.daemon = mesh.make_mesh_daemon(
             identity,
             host.addresses,
