--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -11,6 +11,7 @@
 from sedgering import platform
 from sedgering.testing import _engine
 from sedgering.testing import _fleet
+from sedgering.testing import _loops
 from sedgering.testing import _mesh_target
 from sedgering.testing import _platform_calls
 from sedgering.testing import _store_server
@@ -249,6 +250,7 @@
         self.run(self._stop())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join()
+        _loops.finish_loop(self.loop)
 
     async def _start_store(self) -> None:
         service = _store_server.StoreService(self.engine)
--- a/sedgering/testing/_store_server.py
+++ b/sedgering/testing/_store_server.py
@@ -11,6 +11,7 @@
 from sedgering import exceptions
 from sedgering import storage
 from sedgering.testing import _engine
+from sedgering.testing import _loops
 from sedgering import transport
 
 __all__ = ['StoreServer', 'StoreService']
@@ -211,7 +212,7 @@
         self._run(self._close())
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
-        self._loop.close()
+        _loops.finish_loop(self._loop)
 
     def _run(self, work) -> None:
         asyncio.run_coroutine_threadsafe(work, self._loop).result()
