Searches are looked at without being changed; a row is tried again each second

Found by reading: asking whether another host is left took the host with the shortest wait out of the search; a request that found all hosts busy ended as `not run` (5003) and not as full (5008); a row that waits for the store would have been tried again after up to 2 s only, when others must know of it about 2 s after the store's return.

--- a/features/steps/search_steps.py
+++ b/features/steps/search_steps.py
@@ -69,14 +69,15 @@
 def step_by_waits(context):
     search = context.search
     assert not search.is_on
-    hosts = [search.pop_shortest() for _ in range(5)]
-    assert hosts == ['h100', 'h200', 'h300', 'h400', None], hosts
+    assert search.list_by_wait() == ['h100', 'h200', 'h300', 'h400']
+    search.forget('h100')
+    assert search.list_by_wait() == ['h200', 'h300', 'h400']
 
 
 @then('nothing is searched')
 def step_not_searched(context):
     assert not context.search.is_on
-    assert context.search.pop_shortest() is None
+    assert not context.search.list_by_wait()
 
 
 def _search_in_vain(places):
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -208,7 +208,7 @@
         for row in new:
             self.state.note_started(row)
         self.state.budget.daemons = max(1, len(members))
-        self.follower.note_members()
+        self.follower.note_members_known()
         self._note_ready()
 
     def take_report(self, report: _messages.TargetReport) -> None:
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -42,6 +42,8 @@
 _CLOSING_REASONS = frozenset(
     (_Reason.WRONG_TARGET, _Reason.TARGET_UNKNOWN, _Reason.LEAVING)
 )
+#: Refusals by which a target is well, and has no room.
+_FULL_REASONS = frozenset((_Reason.BUSY, _Reason.LINK_FULL, _Reason.SHED))
 _STATUS = {
     exceptions.Code.REQUEST_NO_ROUTE: 404,
     exceptions.Code.REQUEST_MALFORMED: 400,
@@ -220,6 +222,7 @@
             self.state.budget.note_request(self.target_set, self._now_s)
         self.asked.append(peer.row.host)
         self.tried.add(peer.row.host)
+        self.search.forget(peer.row.host)
         attempt = _Attempt(
             peer,
             self.loop.create_task(
@@ -275,7 +278,7 @@
 
     def _choose_shortest_wait(self) -> _peers.Peer | None:
         """Choose among the hosts that had no free place."""
-        while (host := self.search.pop_shortest()) is not None:
+        for host in self.search.list_by_wait():
             row = self.state.fleet.members.get(host)
             if row is None or row.state is not _messages.TargetState.READY:
                 continue
@@ -458,7 +461,7 @@
             return self._refuse(exceptions.Code.REQUEST_UNKNOWN)
         if self.last is None:
             return self._refuse(exceptions.Code.REQUEST_NO_TARGET)
-        if self.last.reason in (_Reason.SHED, _Reason.LINK_FULL):
+        if self.last.reason in _FULL_REASONS:
             return self._refuse(exceptions.Code.REQUEST_SHED)
         return self._refuse(exceptions.Code.REQUEST_NOT_RUN)
 
--- a/sedgering/mesh/_follow.py
+++ b/sedgering/mesh/_follow.py
@@ -140,8 +140,8 @@
         relays = self._find_near().relays
         return all(row.host != self.identity.host for row in relays)
 
-    def note_members(self) -> None:
-        """Take in that the members are known, or have changed."""
+    def note_members_known(self) -> None:
+        """Begin to follow: the members are known, and the relays with them."""
         if self._start_until_s is None:
             self._start_until_s = self.source.loop.time() + START_S
             self._decide()
--- a/sedgering/mesh/_keeper.py
+++ b/sedgering/mesh/_keeper.py
@@ -18,6 +18,9 @@
 
 LOG = logging.getLogger(__name__)
 
+#: Longest pause between two tries: others must know of the target about two
+#: seconds after the store is back.
+LONGEST_PAUSE_S = 1.0
 OPERATION = base.OperationId('member row')
 
 _ENCODER = msgspec.json.Encoder()
@@ -55,6 +58,7 @@
         self._revision: int | None = None
         self._written: bytes | None = None
         self._pauses = _watch.Pauses(store_return)
+        self._pauses.longest_s = LONGEST_PAUSE_S
 
     def want(self, row: _messages.MemberRow | None) -> None:
         """Make this the row; the newest wish replaces older ones."""
--- a/sedgering/mesh/_search.py
+++ b/sedgering/mesh/_search.py
@@ -109,10 +109,11 @@
             if self._waits_ms:
                 self._places.note(self._target_set, is_found)
 
-    def pop_shortest(self) -> base.HostId | None:
-        """Return the host with the shortest wait, each one once."""
-        if not self._waits_ms:
-            return None
-        host = min(self._waits_ms, key=self._waits_ms.get)
-        del self._waits_ms[host]
-        return host
+    def list_by_wait(self) -> list[base.HostId]:
+        """Return the busy hosts, the one with the shortest wait first."""
+        return sorted(self._waits_ms, key=self._waits_ms.get)
+
+    def forget(self, host: base.HostId) -> None:
+        """Leave a host out: the call has been sent there to wait."""
+        if not self.is_on:
+            self._waits_ms.pop(host, None)
