Silence is looked for among peers with calls under way only

Each daemon went over all peers ten times a second and computed the longest work time of each: 368 us a look with 195 peers and three routes each, 0.37 % of a core of a mean of 3.5 %.

--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -424,19 +424,28 @@
     def abandon_silent(self, now_s: float) -> None:
         """Give up daemons and targets that are silent for too long."""
         limit_ms = self.mesh_settings.silence_ms
-        for peer in self._peers.values():
-            target_limit_ms = max(limit_ms, LATE_WORKS * peer.longest_work_ms)
+        for peer in self._list_busy():
             if peer.find_silence_ms(now_s) > limit_ms:
                 peer.abandon(now_s)
-            elif peer.find_target_silence_ms(now_s) > target_limit_ms:
+                continue
+            target_limit_ms = max(limit_ms, LATE_WORKS * peer.longest_work_ms)
+            if peer.find_target_silence_ms(now_s) > target_limit_ms:
                 peer.end_waits()
 
+    def _list_busy(self) -> list[Peer]:
+        """Return the peers with calls under way.
+
+        Most have none: with 195 hosts a look at all of them ten times a
+        second takes 0.37 % of a core (368 us a look, and 6 us of these).
+        """
+        return [peer for peer in self._peers.values() if peer.in_flight]
+
     def list_unheard(self, now_s: float) -> list[Peer]:
         """Return peers whose daemons should be asked whether they live."""
         wait_ms = self.mesh_settings.silence_ms * ASK_SHARE
         return [
             peer
-            for peer in self._peers.values()
+            for peer in self._list_busy()
             if not peer.is_asked_for_life
             and peer.find_silence_ms(now_s) > wait_ms
         ]
