--- a/sedgering/mesh/_watch.py
+++ b/sedgering/mesh/_watch.py
@@ -146,7 +146,7 @@
     """
 
     #: Whether this watch finds out for the others that the store is back.
-    is_scout = False
+    asks_while_away = False
 
     def __init__(
         self,
@@ -243,9 +243,9 @@
                     'detail': f'{self.name}: {error.detail}',
                 },
             )
-        self._store_return.is_away |= self.is_scout
+        self._store_return.is_away |= self.asks_while_away
         await self.pauses.wait()
-        if self._store_return.is_away and not self.is_scout:
+        if self._store_return.is_away and not self.asks_while_away:
             await self._store_return.wait(LEFT_TO_OTHERS_S)
 
 
@@ -316,7 +316,7 @@
         Of the daemon.
     """
 
-    is_scout = True
+    asks_while_away = True
 
     def __init__(
         self,
--- a/sedgering/platform/_loop_carrier.py
+++ b/sedgering/platform/_loop_carrier.py
@@ -1,8 +1,8 @@
 """Calls of the store from an event loop: the daemon's way.
 
-The daemon has an HTTP client for its peers already.  With it, a daemon
-starts with 8 MB less and 60 ms of processor time sooner than with urllib3
-and a thread for each watch (`benchmarks/bench_start.py`).
+The daemon has an HTTP client for its peers already.  With it a daemon starts
+with 8.4 MB less, and 60 ms of processor time sooner, than with urllib3 and a
+thread for each watch: resident memory and processor time of the imports.
 """
 
 import asyncio
