The daemon's program ends as the others do; two copies become one

Found by reading the whole change again:

- The program that the platform starts left out what the one before it had: settings that are refused ended it with a traceback and status 1.
It calls `_common.run_program` again: one line with the code, status 2.
Scenario seen failing first.
- The longest wait for a connection to the store stood in both carriers; it stands beside their base class.
- Refusals of a full link and of a full gate set the same time in two branches.

Ruled out: one renewal for both carriers (their pools are of two libraries and share two lines).

--- a/features/start.feature
+++ b/features/start.feature
@@ -14,6 +14,10 @@
     Given ports that listen before their service is there
     Then the daemon's program ends with status 2 on the same port
 
+  Scenario: Settings that cannot be read end the daemon with one line
+    When the daemon's program is started without the settings of its host
+    Then it ends with status 2 and one line with a code
+
   Scenario: A request that comes before the version is held, and served
     Given a host whose daemon starts before the operator has written
     When a caller asks, and the first version comes 0.1 s later
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -320,3 +320,21 @@
 
     body = asyncio.run(run())
     assert body == (b'x' * PIECES if result == 'ends' else b''), body
+
+
+@when("the daemon's program is started without the settings of its host")
+def step_no_settings(context):
+    context.ended = subprocess.run(
+        [sys.executable, '-m', 'sedgering.cli.daemon'],
+        cwd=ROOT,
+        env={},
+        capture_output=True,
+        text=True,
+    )
+
+
+@then('it ends with status 2 and one line with a code')
+def step_one_line(context):
+    lines = context.ended.stderr.splitlines()
+    assert context.ended.returncode == 2, context.ended
+    assert len(lines) == 1 and 'SDG-1' in lines[0], lines
--- a/sedgering/cli/daemon.py
+++ b/sedgering/cli/daemon.py
@@ -15,6 +15,7 @@
 __all__ = ['main']
 
 CONFIG_OPTION = '--config='
+#: As in `_common`, which is loaded once the ports are open.
 EXIT_USAGE = 2
 USAGE = 'usage: sedgering.cli.daemon [--config=FILE] [ADDRESS:PORT ...]'
 
@@ -40,10 +41,11 @@
         raise SystemExit(EXIT_USAGE) from error
     # Nothing here speaks TLS; without it a daemon takes 4 MB less.
     sys.modules.setdefault('ssl', None)
+    from sedgering.cli import _common
     from sedgering.cli import _host
 
     path = options[-1].removeprefix(CONFIG_OPTION) if options else ''
-    _host.run_host(path, opened=opened)
+    _common.run_program(lambda: _host.run_host(path, opened=opened))
 
 
 if __name__ == '__main__':
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -366,10 +366,8 @@
             peer.close(self._now_s, answer.reason)
         elif answer.reason is _Reason.UNREACHABLE:
             self.was_unreachable = True
-        elif answer.reason is _Reason.LINK_FULL:
-            peer.shed_until_s = self._now_s + answer.retry_after_ms / 2000
-        elif answer.reason is _Reason.SHED:
-            self.sheds += 1
+        elif answer.reason in _FULL_REASONS:
+            self.sheds += answer.reason is _Reason.SHED
             peer.shed_until_s = self._now_s + answer.retry_after_ms / 2000
         if answer.outcome is not _Outcome.ANSWERED:
             self.state.decisions.log_attempt(
--- a/sedgering/platform/_blocking_carrier.py
+++ b/sedgering/platform/_blocking_carrier.py
@@ -10,7 +10,6 @@
 
 __all__ = ['BlockingCarrier', 'run_blocking']
 
-CONNECT_TIMEOUT_S = 0.7
 #: Idle connections kept: calls that a tool makes at the same time.
 CONNECTIONS = 3
 #: Failures before anything was sent.
@@ -44,7 +43,7 @@
         """Send a call; see :class:`StoreCarrier`."""
         usual_s = self.store_settings.timeout_ms / 1000
         timeout = urllib3.Timeout(
-            connect=min(CONNECT_TIMEOUT_S, usual_s),
+            connect=min(_carrier.CONNECT_TIMEOUT_S, usual_s),
             read=usual_s + call.wait_ms / 1000,
         )
         try:
--- a/sedgering/platform/_carrier.py
+++ b/sedgering/platform/_carrier.py
@@ -5,6 +5,7 @@
 import msgspec
 
 __all__ = [
+    'CONNECT_TIMEOUT_S',
     'CallLost',
     'CallNotSent',
     'StoreAnswer',
@@ -13,6 +14,10 @@
 ]
 
 
+#: Longest wait for a connection to the store: it answers in 4 ms.
+CONNECT_TIMEOUT_S = 0.7
+
+
 class CallNotSent(Exception):
     """Nothing reached the store."""
 
--- a/sedgering/platform/_loop_carrier.py
+++ b/sedgering/platform/_loop_carrier.py
@@ -13,7 +13,6 @@
 
 __all__ = ['LoopCarrier']
 
-CONNECT_TIMEOUT_S = 0.7
 #: Time beyond the wait of a watch after which its answer is taken as lost.
 WATCH_MARGIN_S = 1.0
 #: Idle connections kept: two watches, and one for all other calls.
@@ -93,7 +92,7 @@
     return transport.ConnectionPool(
         store_settings.address,
         store_settings.port,
-        min(CONNECT_TIMEOUT_S, store_settings.timeout_ms / 1000),
+        min(_carrier.CONNECT_TIMEOUT_S, store_settings.timeout_ms / 1000),
         CONNECTIONS,
         IDLE_S,
     )
