The end of a daemon bounds the requests that it took

Cause: a request has the time that its caller states (7 s), a daemon that was told to leave has its grace time (6 s, less 0.4). Nothing joined the two: whatever was still under way at the end was cut with its connection. Found on the way, by the tests: an answer that the socket had not taken counted as done; a daemon whose loop stood still for 0.3 s took that for 0.3 s without work, and ended; an answer on a connection that closes was reset by a request that crossed the close; with a grace time below 2.5 s the daemon served beyond its own end.

Change: requests of a leaving daemon end 0.2 s before it, with an answer (504 if they may have run, 503 if not), and give targets no more time than that; unsent bytes count as under way; quiet is counted in looks; connections that close after an answer read and drop what comes, until the caller closes, 1 s at most after all is sent; at most half of the grace time is served.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -21,6 +21,18 @@
       | after  |
       | before |
 
+  Scenario: A target is given the time that the daemon has
+    Given a route "/long/" with a timeout of 10000 ms
+    And the targets work 8 s
+    When the first host has 2 s to leave, after a caller asks "/long/"
+    Then each target was given less than 2 s
+
+  Scenario: A daemon that stands still does not take that for quiet
+    Given a route "/long/" with a timeout of 10000 ms
+    And the targets work 4 s
+    When the first host has 8 s to leave, and stands still for 0.5 s
+    Then the request that it had taken before is answered 200
+
   Scenario: An answer that its caller reads slowly is not cut
     Given answers of 12000000 bytes
     When a slow reader has asked a daemon that then leaves within 8 s
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 from behave import given
 from behave import then
@@ -30,6 +31,8 @@
         self.socket.setblocking(False)
         self.port = port
         self.loop = asyncio.get_running_loop()
+        #: How the stream ended.
+        self.ended = 'end of the stream'
 
     async def ask(self, request_id):
         """Send a request, on a new connection if there is none."""
@@ -44,8 +47,8 @@
         try:
             while piece := await self.loop.sock_recv(self.socket, PIECE_BYTES):
                 data += piece
-        except ConnectionResetError:
-            pass
+        except ConnectionResetError as error:
+            self.ended = repr(error)
         finally:
             self.socket.close()
         return data
@@ -108,6 +111,50 @@
     assert 2 / 3 < share < 1, context.answered_s
 
 
+@then('each target was given less than {most_s:d} s')
+def step_given_time(context, most_s):
+    runs = context.mesh.list_runs()
+    assert runs
+    for _request_id, _line, headers, _body in runs:
+        assert 0 < int(headers['X-Request-Deadline']) < most_s * 1000
+
+
+@when(
+    'the first host has {grace_s:d} s to leave, and stands still for '
+    '{pause_s:g} s'
+)
+def step_stand_still(context, grace_s, pause_s):
+    mesh = context.mesh
+    port = mesh.first.addresses.callers_port
+
+    async def run():
+        asking = asyncio.ensure_future(
+            mesh.fleet.start_call(
+                port,
+                '/long/',
+                X_Request_Id='x',
+                X_Request_Deadline=str(DEADLINE_MS),
+            )
+        )
+        await _wait_running(mesh)
+        leaving = asyncio.ensure_future(
+            _end(mesh.first.daemon, grace_s * 1000)
+        )
+        serving_ms = mesh.first.daemon.state.mesh_settings.leave_serving_ms
+        await asyncio.sleep(serving_ms / 1000 + PAUSE_S)
+        # Of all that runs in this loop.
+        time.sleep(pause_s)
+        context.answer = await asking
+        await leaving
+
+    mesh.fleet.run(run())
+
+
+@then('the request that it had taken before is answered {status:d}')
+def step_taken_before(context, status):
+    assert context.answer.status == status, context.answer
+
+
 @when('a slow reader has asked a daemon that then leaves within {grace_s:d} s')
 def step_slow_reader(context, grace_s):
     mesh = context.mesh
@@ -124,6 +171,7 @@
         limits = mesh.first.daemon.state.mesh_settings
         await asyncio.sleep(limits.leave_serving_ms / 1000 + 0.6)
         context.data = await reader.read()
+        context.ended = reader.ended
         await leaving
 
     mesh.fleet.run(run())
@@ -143,6 +191,7 @@
         await reader.ask('crossing')
         await asyncio.sleep(PAUSE_S)
         context.data = await reader.read()
+        context.ended = reader.ended
 
     mesh.fleet.run(run())
 
@@ -150,4 +199,4 @@
 @then('it reads the whole answer')
 def step_whole(context):
     _head, _mark, body = context.data.partition(b'\r\n\r\n')
-    assert len(body) == context.size, (len(body), context.size)
+    assert len(body) == context.size, (len(body), context.ended)
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -39,9 +39,17 @@
 PEER_CHECK_S = 0.1
 #: Between two looks at whether a leaving daemon is idle.
 LEAVE_CHECK_S = 0.05
-#: A leaving daemon ends when nothing was under way for so long: peers that
-#: would send more have been refused meanwhile, and leave it out for 2 s.
-LEAVE_QUIET_S = 0.3
+#: A leaving daemon ends when nothing was under way at so many looks in a
+#: row, 0.3 s: peers that would send more have been refused meanwhile, and
+#: leave it out for 2 s.  Looks are counted, since time also passes while the
+#: process stands still.
+LEAVE_QUIET_LOOKS = 6
+#: Share of the grace time for which a leaving daemon takes requests at most;
+#: the rest is for those that are under way.
+LEAVE_SERVING_SHARE = 0.5
+#: Time before the end of a leaving daemon at which what is still under way
+#: is answered: such answers are small, and take a round trip to be read.
+LAST_ANSWERS_S = 0.2
 
 
 class MeshDaemon:
@@ -284,21 +292,24 @@
         loop = asyncio.get_running_loop()
         limits = self.state.mesh_settings
         started_s = loop.time()
+        end_s = started_s + (grace_ms - limits.leave_margin_ms) / 1000
+        self.state.serving.end_at(end_s - LAST_ANSWERS_S)
         self.is_leaving = True
         self.outbound.is_closing = True
         self.source.publish(None)
         LOG.info('leaving')
-        await asyncio.sleep(limits.leave_serving_ms / 1000)
+        serving_ms = min(
+            limits.leave_serving_ms, grace_ms * LEAVE_SERVING_SHARE
+        )
+        await asyncio.sleep(serving_ms / 1000)
         # Peers that have not heard of it send calls until they are refused;
         # what is accepted now could be cut at the end.
         self.state.side.leave()
         for server in self._servers:
             server.close()
-        end_s = started_s + (grace_ms - limits.leave_margin_ms) / 1000
-        quiet_s = loop.time() + LEAVE_QUIET_S
-        while loop.time() < min(end_s, quiet_s):
-            if self._is_busy():
-                quiet_s = loop.time() + LEAVE_QUIET_S
+        quiet_looks = 0
+        while loop.time() < end_s and quiet_looks < LEAVE_QUIET_LOOKS:
+            quiet_looks = 0 if self._is_busy() else quiet_looks + 1
             await asyncio.sleep(LEAVE_CHECK_S)
         self._stop_tasks()
         left = len(self.outbound.connections)
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -157,13 +157,16 @@
         self.search = _search.Search(
             self.state.places, self.target_set, len(self.request.body)
         )
+        limit = self.state.serving.limit(self.deadline_s)
         try:
-            async with asyncio.timeout_at(self.deadline_s):
+            async with limit:
                 return await self._attempt_all()
         except TimeoutError:
             if self.attempts:
                 return self._refuse(exceptions.Code.REQUEST_LATE)
             return self._refuse_after()
+        finally:
+            self.state.serving.forget(limit)
 
     def _set_times(self) -> None:
         """Set deadline and goal from the head of the request."""
@@ -174,7 +177,9 @@
         if text is not None:
             stated_ms = _parse_ms(text)
         started_s = self.request.received_s
-        self.deadline_s = started_s + min(timeout_ms, stated_ms) / 1000
+        deadline_s = started_s + min(timeout_ms, stated_ms) / 1000
+        # Work that ends after this daemon would be done for nobody.
+        self.deadline_s = min(deadline_s, self.state.serving.end_s)
         self.caller_left_ms = stated_ms
         origin = self.state.callers.note_call(
             self.route.name,
--- a/sedgering/mesh/_state.py
+++ b/sedgering/mesh/_state.py
@@ -13,6 +13,7 @@
 from sedgering.mesh import _peers
 from sedgering.mesh import _search
 from sedgering.mesh import _sender
+from sedgering.mesh import _serving
 from sedgering.mesh import _settings
 from sedgering.mesh import _start
 
@@ -74,6 +75,7 @@
         self.callers = _callers.CallerTable()
         self.places = _search.FreePlaces()
         self.start = _start.StartWait()
+        self.serving = _serving.ServingTime()
 
     def take_told(self, row: _messages.MemberRow) -> bool:
         """Believe what a daemon tells of the target beside it.
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -30,7 +30,7 @@
 #: with a body are refused.  A fifth of the smallest memory limit, 200 MB.
 BODY_MEMORY_BYTES = 40 * 1024 * 1024
 
-#: Time for which the rest of a refused request is read and dropped.
+#: Time for which a caller that has its last answer may take to close.
 LINGER_S = 1.0
 
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -140,6 +140,8 @@
         self._is_refused = False
         self._is_paused = False
         self._is_ended = False
+        #: Whether all is written, and the caller is to close.
+        self._is_lingering = False
         #: Answers that are being written in pieces.
         self._paced: collections.deque[_pacing.PacedWrite] = (
             collections.deque()
@@ -340,7 +342,7 @@
         self._paced.popleft()
         self.last_activity_s = self.loop.time()
         if self._is_ended and not self._paced:
-            self.transport.close()
+            self._linger()
 
     def _close(self):
         """Close after an answer; requests behind it were not passed on."""
@@ -349,22 +351,39 @@
                 item.task.cancel()
         self.pending.clear()
         self._is_ended = True
-        if self._paced:
-            # Closed once all is written; what comes is not read any more.
-            self._is_refused = True
-        elif self._is_refused:
-            # Bytes that are still on their way would reset the connection
-            # before the caller has read the answer.
-            self.loop.call_later(LINGER_S, self.transport.close)
-        else:
-            self._is_refused = True
+        # What comes is not read any more.
+        self._is_refused = True
+        if not self._paced:
+            self._linger()
+
+    def _linger(self):
+        """Close once the caller has closed, or some time after all is sent.
+
+        A request that crosses the close, or the rest of one that was
+        refused, would reset the connection if it came to a closed one: a
+        caller that reads slowly then loses the answer (12 kB of 300 kB
+        arrived).
+        """
+        if not self._is_lingering:
+            self._is_lingering = True
+            self.transport.write_eof()
+        elif not self._has_unsent:
             self.transport.close()
+            return
+        self._timer.cancel()
+        self._timer = self.loop.call_later(LINGER_S, self._linger)
+
+    @property
+    def _has_unsent(self) -> bool:
+        """Whether the socket has not taken all answers yet."""
+        return self.transport.get_write_buffer_size() > 0
 
     @property
     def is_idle(self) -> bool:
         """Whether nothing is under way."""
         is_done = not self.pending and not self._paced
-        return is_done and self._request is None
+        is_sent = not self._is_lingering and not self._has_unsent
+        return is_done and is_sent and self._request is None
 
     def close_idle(self) -> bool:
         """Close the connection if nothing is under way on it."""
