Failing test: callers seem hopeless where calls fail

Two checks of 'reported work time' are replaced: they pinned that failures are told as work, which is the fault. They now ask what that was for, that a peer expects more than 300 ms of such a target; stricter, since a peer also has to expect it of a route that has not been done there.

--- a/features/gate.feature
+++ b/features/gate.feature
@@ -97,13 +97,25 @@
     Given a gate with 12 places where work takes 100 ms
     When the target refuses 50 calls
     Then the limit is 6
-    And the gate's reported work time is above 300 ms
+    And a peer that is told of it expects more than 300 ms
     And the limit is 12 again after 40 good calls
 
   Scenario: A target that fails at once does not seem quick
     Given a gate with 12 places where work takes 100 ms
     When the target fails 50 calls after 1 ms each
-    Then the gate's reported work time is above 300 ms
+    Then a peer that is told of it expects more than 300 ms
+
+  Scenario: Work takes no longer where calls fail
+    Seen: while the targets of one set refused half of what came, only 8 of
+    239 callers were served within their goal, though places were free; new
+    callers waited behind those that had come back.
+    Cause: the share of failed calls was told as longer work, and by that no
+    caller seemed able to meet its goal any more, from its first try on.
+    Given a gate with 12 places where work takes 100 ms
+    And 20 calls were done after 100 ms each
+    When the target refuses 50 calls
+    Then a peer that is told of it takes work as 95 to 105 ms
+    And a caller with a goal of 200 ms may still meet it
 
   Scenario: A closed gate refuses those that wait, and lets the rest end
     Given a gate with 1 places where work takes 50 ms
--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -13,6 +13,7 @@
 from sedgering import base
 from sedgering import mesh
 from sedgering.mesh import _choice
+from sedgering.mesh import _exchange
 from sedgering.mesh import _gate
 from sedgering.mesh import _gate_log
 from sedgering.mesh import _hop
@@ -20,6 +21,7 @@
 from sedgering import platform
 from sedgering import testing
 from sedgering import transport
+from sedgering.transport import _headers
 
 ROUTE = base.RouteName('calendar')
 SET = base.TargetSetName('calendar')
@@ -211,10 +213,49 @@
     step_limit(context, limit)
 
 
-@then("the gate's reported work time is above {least_ms:d} ms")
-def step_reported(context, least_ms):
+@given('{count:d} calls were done after {elapsed_ms:d} ms each')
+def step_done(context, count, elapsed_ms):
+    end_calls(context.gate, count, _gate.CallResult.DONE, elapsed_ms)
+
+
+def make_told(context):
+    """Make a peer that was just told what the gate reports."""
     report = context.gate.gate.make_report(ROUTE)
-    assert report.work_ms > least_ms, report
+    # As it travels between daemons.
+    answer = mesh.CallAnswer(mesh.CallOutcome.NOT_RUN, load=report)
+    load = _hop.decode_answer(decoded(_hop.encode_answer(answer))).load
+    peers = mesh.PeerTable(mesh.MeshSettings())
+    peer = peers.find(testing.make_member_row('near', data_centre='hall'))
+    peers.take_report(peer, load, ROUTE, 0.0)
+    return peers, peer
+
+
+def decoded(response):
+    """Return a response as its reader has it."""
+    response.fields = _headers.index_headers(response.headers)
+    return response
+
+
+@then('a peer that is told of it expects more than {least_ms:d} ms')
+def step_expected(context, least_ms):
+    peers, peer = make_told(context)
+    expected_ms = _choice.estimate_ms(
+        peer, base.DataCentre('hall'), ROUTE, 0, False, peers, 0.0
+    )
+    assert expected_ms > least_ms, expected_ms
+
+
+@then('a peer that is told of it takes work as {least_ms:d} to {most_ms:d} ms')
+def step_told_work(context, least_ms, most_ms):
+    peers, _peer = make_told(context)
+    work_ms = peers.typical_work_ms(ROUTE)
+    assert least_ms <= work_ms <= most_ms, work_ms
+
+
+@then('a caller with a goal of {goal_ms:d} ms may still meet it')
+def step_may_meet(context, goal_ms):
+    peers, _peer = make_told(context)
+    assert goal_ms > peers.typical_work_ms(ROUTE) * _exchange.HOPE_SHARE
 
 
 def end_calls(subject, count, result, elapsed_ms):
