A target that fails calls costs more, but its work takes no longer

Cause: a gate told its share of failed calls as longer work, up to six times. That weighs targets against each other, and was meant to; but callers' daemons also judged by it whether a new caller can still meet its goal. While a whole set refuses half of what comes, work of 400 ms was told as 1,400, all new callers counted as late on arrival, and waited behind those that had come back: a queue that fed itself after its cause was gone.

Ruled out: full links (few 'link full' of reads), too few places (8 of 9 taken, up to 57 waiting: the free one is kept for callers in time, of which there were none).

Change: the share travels beside the work time, and the choice alone applies it, also to routes that have not been done at the target.

--- a/sedgering/mesh/_choice.py
+++ b/sedgering/mesh/_choice.py
@@ -22,6 +22,10 @@
 BITS = 8
 #: Answers that take less time on the link wait behind no large one.
 SHORT_ANSWER_MS = 10.0
+#: How much more a target costs for each share of calls that it fails: one that
+#: fails half of them takes two tries, of which the first one is lost.  This
+#: weighs targets against each other; it is no time that a call takes.
+FAILURE_COST = 5.0
 #: Targets that are compared for one call.  A comparison takes 3 us: with all
 #: 24 of a set 66 us, with these 38, and 71 of 300 (bench_choice.py).
 #: Two choices at random are nearly as good as all; this is six times as many.
@@ -91,6 +95,7 @@
         overtaken = peer.estimate_present(now_s, False) - present
         cost_ms += max(0.0, overtaken) * work_ms / peer.limit
     cost_ms += peer.work_ms * (turns + spread)
+    cost_ms *= 1 + FAILURE_COST * peer.estimate_failed_share(now_s)
     cost_ms += estimate_link_ms(peer, body_bytes, now_s)
     cost_ms += estimate_answer_ms(peer, peers, route, work_ms, now_s)
     if peer.row.data_centre != data_centre:
--- a/sedgering/mesh/_gate.py
+++ b/sedgering/mesh/_gate.py
@@ -31,8 +31,6 @@
 #: Weight of the newest result in the share of failures: about the last
 #: thirty calls count.
 FAILURE_WEIGHT = 0.03
-#: How much more a target seems to cost for each share that it fails.
-FAILURE_COST = 5.0
 #: Share of a route's calls that end within the work time that must fit
 #: before the goal.
 LIKELY_SHARE = 0.85
@@ -199,14 +197,14 @@
         route : str
             Of the call that is answered.
         """
-        cost = 1 + FAILURE_COST * self._failure_share
         return _messages.LoadReport(
             self.running,
             self.waiting,
             self.limit,
-            int(self.work.mean_ms * cost),
-            int(self.work.find_told_ms(route) * cost),
+            int(self.work.mean_ms),
+            int(self.work.find_told_ms(route)),
             waiting_nested=self._waiting_nested,
+            failed_percent=round(100 * self._failure_share),
         )
 
     async def enter(self, ticket: Ticket) -> None:
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -30,6 +30,8 @@
 NESTED = 'sedgering-nested'
 #: Apart for the same reason.
 ANSWER_WAIT = 'sedgering-answer-wait'
+#: Share of calls that its target failed; left out where it is zero.
+FAILED = 'sedgering-failed'
 #: The row that holds, with a refusal of a call to another target.
 MEMBER = 'sedgering-member'
 PING = 'sedgering-ping'
@@ -142,6 +144,8 @@
             headers.append((NESTED, str(load.waiting_nested)))
         if load.answer_wait_ms:
             headers.append((ANSWER_WAIT, str(load.answer_wait_ms)))
+        if load.failed_percent:
+            headers.append((FAILED, str(load.failed_percent)))
     if answer.member is not None:
         encoded = msgspec.json.encode(answer.member)
         headers.append((MEMBER, encoded.decode('latin-1')))
@@ -198,6 +202,7 @@
     )
     waiting_nested = response.find(NESTED) or '0'
     answer_wait_ms = response.find(ANSWER_WAIT) or '0'
+    failed_percent = response.find(FAILED) or '0'
     return _messages.LoadReport(
         running,
         waiting,
@@ -207,4 +212,5 @@
         link_percent,
         int(waiting_nested),
         int(answer_wait_ms),
+        int(failed_percent),
     )
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -223,8 +223,7 @@
     running, waiting, limit : int
         Calls at the target, calls that wait, and most calls at a time.
     work_ms : int
-        Recent mean time at the target, raised by the share of calls that
-        it fails.
+        Recent mean time at the target.
     route_work_ms : int
         The same for the route of the call that is answered; 0 when the
         route has not been seen there.
@@ -234,6 +233,8 @@
         Of the calls that wait, those of targets, which go first.
     answer_wait_ms : int
         Time for which a large answer would wait for the link.
+    failed_percent : int
+        Share of recent calls that the target failed or refused.
     """
 
     running: int
@@ -244,6 +245,7 @@
     link_percent: int = 0
     waiting_nested: int = 0
     answer_wait_ms: int = 0
+    failed_percent: int = 0
 
 
 class TargetCall(msgspec.Struct):
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -132,6 +132,17 @@
             work_ms += (told_ms - typical_ms) * weight
         return work_ms * (COLD_COST if now_s < self._cold_until_s else 1)
 
+    def estimate_failed_share(self, now_s: float) -> float:
+        """Estimate the share of calls that its target fails, 0 to 1.
+
+        Believed less the older it is, as its work times are.
+        """
+        if self.report is None:
+            return 0.0
+        age_ms = (now_s - self.reported_s) * 1000
+        weight = 0.5 ** (age_ms / WORK_HALF_LIFE_MS)
+        return self.report.failed_percent / 100 * weight
+
     def note_cold(self, until_s: float) -> None:
         """Note that the target has just started and is slow until then."""
         self._cold_until_s = until_s
