Failing tests: what the bound on a daemon's requests leaves open

Six faults around the end of a daemon, each failing on this code: - three requests on one connection, the second quicker than the first: its answer is to be the last, and the third is passed on behind it, run, and dropped (answered: ahead-0, ahead-1; run: also ahead-2); - a request whose body is whole 3.1 s after the daemon was told to leave is passed on, and broken off with 504 at the end; - with 1 or 2 s to leave, work is broken off after 0.402 and 1.402 s, before the last sixth of that time; with 6 s it is not; - a later attempt of a request that was taken before the end was known is given 8130 ms by a daemon with less than 6000; - a timeout that expires as a daemon without time is told to leave: 'Cannot change state of expiring Timeout' ends the leaving; - a connection with 16 requests is not read any more, and stays so when it closes: the bytes behind reset it.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -42,3 +42,45 @@
     Given answers of 300000 bytes
     When a slow reader of a leaving daemon sends another request
     Then it reads the whole answer
+
+  Scenario: A request sent ahead is not passed on behind the last answer
+    When a caller of a leaving daemon sends ahead behind a quick request
+    Then each request that ran is answered
+
+  Scenario: A request that is whole too late is refused and not run
+    Given a route "/long/" with a timeout of 10000 ms
+    And the targets work 8 s
+    When the end of a request reaches a daemon that takes no more requests
+    Then it is told 503 within 1 s
+    And no target ran it
+
+  Scenario Outline: Work is not broken off before the last sixth
+    Given a route "/long/" with a timeout of 10000 ms
+    And the targets work 8 s
+    When the first host has <grace> s to leave, before a caller asks "/long/"
+    Then the caller is told 504 in the last sixth of that time
+
+    Examples:
+      | grace |
+      | 1     |
+      | 2     |
+      | 6     |
+
+  Scenario: A later attempt is given the time that the daemon has
+    Given a third host that is ready
+    And a route "/long/" with a timeout of 10000 ms
+    And the targets work 1 s
+    And the targets are reset
+    When the first host has 6 s to leave, before a caller asks "/long/"
+    Then each later attempt was given less than 6 s
+
+  Scenario: A request that ends as its daemon is told to leave does no harm
+    Given a route "/long/" with a timeout of 300 ms
+    And the targets work 8 s
+    When the first host has no time to leave as a request ends
+    Then the daemon has left
+
+  Scenario: A connection that is not read any more is read before its close
+    Given answers of 20000 bytes
+    When a slow reader of a leaving daemon sends more ahead than is taken
+    Then its connection is not reset
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -15,9 +15,16 @@
 #: In which a request or an answer has arrived.
 PAUSE_S = 0.1
 DEADLINE_MS = 9000
+#: Of daemons whose end is not what is looked at.
+GRACE_MS = 8000
 REQUEST = (
     'GET /r0/ HTTP/1.1\r\nHost: calendar.example\r\nX-Request-Id: {}\r\n\r\n'
 )
+BODY = b'body'
+POST = (
+    'POST /long/ HTTP/1.1\r\nHost: calendar.example\r\nX-Request-Id: {}\r\n'
+    f'Content-Length: {len(BODY)}\r\n\r\n'
+)
 
 
 class SlowReader:
@@ -65,6 +72,12 @@
         await asyncio.sleep(0.01)
 
 
+@given('a third host that is ready')
+def step_third(context):
+    context.mesh.fleet.add_host('hall-3')
+    context.mesh.fleet.wait_ready()
+
+
 @given('answers of {size:d} bytes')
 def step_answers(context, size):
     for books in context.mesh.list_books():
@@ -200,3 +213,150 @@
 def step_whole(context):
     _head, _mark, body = context.data.partition(b'\r\n\r\n')
     assert len(body) == context.size, (len(body), context.ended)
+
+
+@when('a caller of a leaving daemon sends ahead behind a quick request')
+def step_ahead(context):
+    mesh = context.mesh
+
+    async def run():
+        reader = SlowReader(mesh.first.addresses.callers_port)
+        leaving = asyncio.ensure_future(_end(mesh.first.daemon, GRACE_MS))
+        await asyncio.sleep(0)
+        for number, work_s in enumerate((0.5, 0.0, 0.5)):
+            for books in mesh.list_books():
+                books.work_s = work_s
+            await reader.ask(f'ahead-{number}')
+            await asyncio.sleep(PAUSE_S)
+        context.data = await reader.read()
+        await leaving
+
+    mesh.fleet.run(run())
+
+
+@then('each request that ran is answered')
+def step_all_answered(context):
+    ran = {run[0] for run in context.mesh.list_runs()}
+    answered = {
+        name for name in ran if f'answer to {name}'.encode() in context.data
+    }
+    assert ran == answered, (ran, answered)
+
+
+@when('the end of a request reaches a daemon that takes no more requests')
+def step_late_end(context):
+    mesh = context.mesh
+    head = POST.format('late').encode()
+
+    async def run():
+        port = mesh.first.addresses.callers_port
+        reader, writer = await asyncio.open_connection(ADDRESS, port)
+        leaving = asyncio.ensure_future(_end(mesh.first.daemon, GRACE_MS))
+        writer.write(head)
+        limits = mesh.first.daemon.state.mesh_settings
+        # More than 3 s after it was told to leave.
+        await asyncio.sleep(limits.leave_serving_ms / 1000 + 0.6)
+        started_s = mesh.fleet.loop.time()
+        writer.write(BODY)
+        context.data = await reader.readline()
+        context.waited_s = mesh.fleet.loop.time() - started_s
+        writer.close()
+        await leaving
+
+    mesh.fleet.run(run())
+
+
+@then('it is told {status:d} within {limit_s:d} s')
+def step_told_soon(context, status, limit_s):
+    assert f' {status} '.encode() in context.data, context.data
+    assert context.waited_s < limit_s, context.waited_s
+
+
+@then('no target ran it')
+def step_not_run(context):
+    assert not context.mesh.list_runs()
+
+
+@then('the caller is told {status:d} in the last sixth of that time')
+def step_told_last(context, status):
+    assert context.answer.status == status, context.answer
+    share = context.answered_s / context.grace_s
+    assert 5 / 6 <= share < 1, context.answered_s
+
+
+@then('each later attempt was given less than {most_s:d} s')
+def step_later_given(context, most_s):
+    # The first attempt was sent before the daemon knew its end, and has all
+    # of the caller's time.
+    given = [
+        int(headers['X-Request-Deadline'])
+        for _request_id, _line, headers, _body in context.mesh.list_runs()
+    ]
+    given.remove(max(given))
+    assert given
+    assert max(given) < most_s * 1000, given
+
+
+@when('the first host has no time to leave as a request ends')
+def step_no_time(context):
+    mesh = context.mesh
+    loop = mesh.fleet.loop
+    daemon = mesh.first.daemon
+    context.raised = None
+
+    def begin():
+        try:
+            daemon.state.serving.end_at(loop.time() - 1)
+        except RuntimeError as error:
+            context.raised = error
+
+    async def run():
+        port = mesh.first.addresses.callers_port
+        asking = asyncio.ensure_future(
+            mesh.fleet.start_call(port, '/long/', X_Request_Id='x')
+        )
+        await _wait_running(mesh)
+        (limit,) = daemon.state.serving._limits
+        # Its time and the end come up in one turn of the loop.
+        loop.call_at(limit.when() + 1e-9, begin)
+        await asking
+
+    mesh.fleet.run(run())
+
+
+@then('the daemon has left')
+def step_has_left(context):
+    assert context.raised is None, context.raised
+
+
+@when('a slow reader of a leaving daemon sends more ahead than is taken')
+def step_more_ahead(context):
+    mesh = context.mesh
+
+    async def run():
+        reader = SlowReader(mesh.first.addresses.callers_port)
+        leaving = asyncio.ensure_future(_end(mesh.first.daemon, GRACE_MS))
+        await asyncio.sleep(0)
+        for books in mesh.list_books():
+            books.work_s = 1.0
+        await reader.ask('ahead-0')
+        await asyncio.sleep(PAUSE_S)
+        for books in mesh.list_books():
+            books.work_s = 0.0
+        for number in range(1, 16):
+            await reader.ask(f'ahead-{number}')
+        await asyncio.sleep(PAUSE_S)
+        # Not read: the connection has as many as it takes.
+        await reader.ask('ahead-16')
+        # The answers are there after 1 s, and the connection closes.
+        await asyncio.sleep(2.5)
+        context.data = await reader.read()
+        context.ended = reader.ended
+        await leaving
+
+    mesh.fleet.run(run())
+
+
+@then('its connection is not reset')
+def step_not_reset(context):
+    assert context.ended == 'end of the stream', context.ended
