A leaving daemon takes no request that it could break off

Cause: the bound on requests was joined to the grace time alone. A request that was whole late (a slow body, one sent ahead) was still passed on, and broken off at the end; margins of 0.6 s in all are more than the last sixth of a grace time below 3.6 s; attempts made after the daemon was told to leave used the caller's time; a timeout that was expiring was moved. On the connection, an answer that is to be the last can be ready before an earlier one: what came meanwhile was passed on, and dropped behind it; and a connection with 16 requests stayed unread when it closed.

Change: what is whole after the daemon stopped listening is told 503, not run; both margins together take 0.15 of the grace time at most; later attempts get no more time than the daemon has; what comes behind a last answer is dropped unread by the parser; a closing connection is read.

--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -50,6 +50,9 @@
 #: Time before the end of a leaving daemon at which what is still under way
 #: is answered: such answers are small, and take a round trip to be read.
 LAST_ANSWERS_S = 0.2
+#: Share of the grace time that this and the margin take at most: work may be
+#: broken off in the last sixth of it only.
+LAST_SHARE = 0.15
 
 
 class MeshDaemon:
@@ -292,8 +295,11 @@
         loop = asyncio.get_running_loop()
         limits = self.state.mesh_settings
         started_s = loop.time()
-        end_s = started_s + (grace_ms - limits.leave_margin_ms) / 1000
-        self.state.serving.end_at(end_s - LAST_ANSWERS_S)
+        margin_s = limits.leave_margin_ms / 1000
+        last_s = margin_s + LAST_ANSWERS_S
+        kept_share = min(1.0, LAST_SHARE * grace_ms / 1000 / last_s)
+        end_s = started_s + grace_ms / 1000 - margin_s * kept_share
+        self.state.serving.end_at(end_s - LAST_ANSWERS_S * kept_share)
         self.is_leaving = True
         self.outbound.is_closing = True
         self.source.publish(None)
@@ -305,6 +311,7 @@
         # Peers that have not heard of it send calls until they are refused;
         # what is accepted now could be cut at the end.
         self.state.side.leave()
+        self.state.serving.is_over = True
         for server in self._servers:
             server.close()
         quiet_looks = 0
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -154,6 +154,10 @@
             self._set_times()
         except ValueError:
             return self._refuse(exceptions.Code.REQUEST_MALFORMED)
+        if self.state.serving.is_over:
+            # A body that came slowly, or a request sent ahead: its work
+            # could be broken off at the end.
+            return self._refuse(exceptions.Code.REQUEST_LEAVING)
         self.search = _search.Search(
             self.state.places, self.target_set, len(self.request.body)
         )
@@ -323,6 +327,8 @@
 
     def _make_call(self, row: _messages.MemberRow) -> _messages.TargetCall:
         now_s = self._now_s
+        # The daemon may have been told to leave since the request came.
+        deadline_s = min(self.deadline_s, self.state.serving.end_s)
         return _messages.TargetCall(
             request=self.request,
             request_id=self.request_id,
@@ -333,7 +339,7 @@
             priority=self.policy.priority,
             is_repeatable=self.route.repeatable,
             urgency=self.urgency,
-            remaining_ms=max(0, int((self.deadline_s - now_s) * 1000)),
+            remaining_ms=max(0, int((deadline_s - now_s) * 1000)),
             goal_ms=self._find_goal_ms(now_s),
             version=self.version,
             may_wait=not self.search.is_on,
--- a/sedgering/mesh/_serving.py
+++ b/sedgering/mesh/_serving.py
@@ -19,6 +19,8 @@
         #: Time of the event loop at which the last answers are given; endless
         #: until the daemon leaves.
         self.end_s = math.inf
+        #: Whether requests are refused that are whole only now.
+        self.is_over = False
         self._limits: set[asyncio.Timeout] = set()
 
     def limit(self, deadline_s: float) -> asyncio.Timeout:
@@ -41,5 +43,6 @@
         """Let all requests end at the latest then, present and later ones."""
         self.end_s = end_s
         for timeout in self._limits:
-            if timeout.when() > end_s:
+            # One that expires just now can't be moved any more.
+            if timeout.when() > end_s and not timeout.expired():
                 timeout.reschedule(end_s)
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -300,6 +300,9 @@
             must_close = True
         item.must_close = must_close
         if must_close:
+            # What comes now would be passed on, and have no answer: those
+            # before this one may still be under way.
+            self._is_refused = True
             connection = 'Connection: close'
         else:
             idle_ms = self.service.find_limits().idle_timeout_ms
@@ -351,8 +354,11 @@
                 item.task.cancel()
         self.pending.clear()
         self._is_ended = True
-        # What comes is not read any more.
+        # What comes is read and dropped.
         self._is_refused = True
+        if self._is_paused:
+            self._is_paused = False
+            self.transport.resume_reading()
         if not self._paced:
             self._linger()
 
