A leaving daemon serves what ends before it, to the last

Cause: refusing all that is whole 2.5 s after SIGTERM also refused calls of the target beside the daemon, which may go on working: its parents then fail. Change: refused is only what could be broken off, with a time beyond the end. Result: scenario of a request whose time ends before the daemon, told 200; the one whose time is longer is told 503 as before.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -50,10 +50,16 @@
   Scenario: A request that is whole too late is refused and not run
     Given a route "/long/" with a timeout of 10000 ms
     And the targets work 8 s
-    When the end of a request reaches a daemon that takes no more requests
+    When the end of a request of 9000 ms reaches a daemon that is leaving
     Then it is told 503 within 1 s
     And no target ran it
 
+  Scenario: A request that ends before its daemon is served to the last
+    Given a route "/long/" with a timeout of 10000 ms
+    And the targets work 0.2 s
+    When the end of a request of 4000 ms reaches a daemon that is leaving
+    Then it is told 200 within 1 s
+
   Scenario Outline: Work is not broken off before the last sixth
     Given a route "/long/" with a timeout of 10000 ms
     And the targets work 8 s
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -23,7 +23,7 @@
 BODY = b'body'
 POST = (
     'POST /long/ HTTP/1.1\r\nHost: calendar.example\r\nX-Request-Id: {}\r\n'
-    f'Content-Length: {len(BODY)}\r\n\r\n'
+    f'X-Request-Deadline: {{}}\r\nContent-Length: {len(BODY)}\r\n\r\n'
 )
 
 
@@ -243,10 +243,12 @@
     assert ran == answered, (ran, answered)
 
 
-@when('the end of a request reaches a daemon that takes no more requests')
-def step_late_end(context):
+@when(
+    'the end of a request of {time_ms:d} ms reaches a daemon that is leaving'
+)
+def step_late_end(context, time_ms):
     mesh = context.mesh
-    head = POST.format('late').encode()
+    head = POST.format('late', time_ms).encode()
 
     async def run():
         port = mesh.first.addresses.callers_port
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -154,9 +154,8 @@
             self._set_times()
         except ValueError:
             return self._refuse(exceptions.Code.REQUEST_MALFORMED)
-        if self.state.serving.is_over:
-            # A body that came slowly, or a request sent ahead: its work
-            # could be broken off at the end.
+        if self.state.serving.would_break_off(self.deadline_s):
+            # A body that came slowly, or a request sent ahead.
             return self._refuse(exceptions.Code.REQUEST_LEAVING)
         self.search = _search.Search(
             self.state.places, self.target_set, len(self.request.body)
--- a/sedgering/mesh/_serving.py
+++ b/sedgering/mesh/_serving.py
@@ -19,10 +19,24 @@
         #: Time of the event loop at which the last answers are given; endless
         #: until the daemon leaves.
         self.end_s = math.inf
-        #: Whether requests are refused that are whole only now.
+        #: Whether callers should have stopped: what comes now is not begun
+        #: unless it ends in time.
         self.is_over = False
         self._limits: set[asyncio.Timeout] = set()
 
+    def would_break_off(self, deadline_s: float) -> bool:
+        """Whether a request that is whole only now may be cut short.
+
+        One whose own time ends before the daemon, such as the call of a
+        target that has work under way, is served.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Time of the event loop at which the request ends.
+        """
+        return self.is_over and deadline_s >= self.end_s
+
     def limit(self, deadline_s: float) -> asyncio.Timeout:
         """Make a timeout that ends with the daemon at the latest.
 
