--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -1,54 +1,15 @@
 """Steps over a daemon that ends while requests are under way."""
 
 import asyncio
-import socket
 
 from behave import given
 from behave import then
 from behave import when
+import slow_reader
 
-ADDRESS = '127.0.0.1'
-#: Of a caller that reads slowly: far less than an answer.
-RECEIVE_BUFFER_BYTES = 8 * 1024
-PIECE_BYTES = 256 * 1024
 #: In which a request or an answer has arrived.
 PAUSE_S = 0.1
 DEADLINE_MS = 9000
-REQUEST = (
-    'GET /r0/ HTTP/1.1\r\nHost: calendar.example\r\nX-Request-Id: {}\r\n\r\n'
-)
-
-
-class SlowReader:
-    """A caller whose connection takes a little at a time."""
-
-    def __init__(self, port):
-        self.socket = socket.socket()
-        self.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
-        self.socket.setblocking(False)
-        self.port = port
-        self.loop = asyncio.get_running_loop()
-
-    async def ask(self, request_id):
-        """Send a request, on a new connection if there is none."""
-        if not self.socket.getsockname()[1]:
-            await self.loop.sock_connect(self.socket, (ADDRESS, self.port))
-        data = REQUEST.format(request_id).encode()
-        await self.loop.sock_sendall(self.socket, data)
-
-    async def read(self):
-        """Read until the end of the stream or a reset."""
-        data = b''
-        try:
-            while piece := await self.loop.sock_recv(self.socket, PIECE_BYTES):
-                data += piece
-        except ConnectionResetError:
-            pass
-        finally:
-            self.socket.close()
-        return data
 
 
 async def _end(daemon, grace_ms):
@@ -113,7 +74,7 @@
     mesh = context.mesh
 
     async def run():
-        reader = SlowReader(mesh.first.addresses.callers_port)
+        reader = slow_reader.SlowReader(mesh.first.addresses.callers_port)
         await reader.ask('slow')
         while not mesh.list_runs():
             await asyncio.sleep(0.01)
@@ -135,7 +96,7 @@
 
     async def run():
         mesh.first.daemon.outbound.is_closing = True
-        reader = SlowReader(mesh.first.addresses.callers_port)
+        reader = slow_reader.SlowReader(mesh.first.addresses.callers_port)
         await reader.ask('slow')
         while not mesh.list_runs():
             await asyncio.sleep(0.01)
--- /dev/null
+++ b/features/steps/slow_reader.py
@@ -0,0 +1,44 @@
+"""A caller whose connection takes a little at a time."""
+
+import asyncio
+import socket
+
+ADDRESS = '127.0.0.1'
+#: Far less than an answer.
+RECEIVE_BUFFER_BYTES = 8 * 1024
+PIECE_BYTES = 256 * 1024
+REQUEST = (
+    'GET /r0/ HTTP/1.1\r\nHost: calendar.example\r\nX-Request-Id: {}\r\n\r\n'
+)
+
+
+class SlowReader:
+    """A caller whose connection takes a little at a time."""
+
+    def __init__(self, port):
+        self.socket = socket.socket()
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        self.socket.setblocking(False)
+        self.port = port
+        self.loop = asyncio.get_running_loop()
+
+    async def ask(self, request_id):
+        """Send a request, on a new connection if there is none."""
+        if not self.socket.getsockname()[1]:
+            await self.loop.sock_connect(self.socket, (ADDRESS, self.port))
+        data = REQUEST.format(request_id).encode()
+        await self.loop.sock_sendall(self.socket, data)
+
+    async def read(self):
+        """Read until the end of the stream or a reset."""
+        data = b''
+        try:
+            while piece := await self.loop.sock_recv(self.socket, PIECE_BYTES):
+                data += piece
+        except ConnectionResetError:
+            pass
+        finally:
+            self.socket.close()
+        return data
