A request that ends late tells where its attempts were

Cause: a request ended with its daemon 3.6 s after its target had answered. Its line could not tell whether the answer had not left the target's host, had come and waited, or whether the connection was silent. Ruled out: the line of the attempt, which is written where an attempt ends; one that is under way at the deadline has none.

Each attempt keeps its stage and since when. `request refused` carries for each one under way (four at most): not connected, asks for room, at the own target, or sent with the bytes that came and when, or those that the other host has not acknowledged. The kernel's queue counts (SIOCOUTQ): it takes what the event loop has written off. Cost: an object a call and an addition a read.

features/sight.feature: red where the attempts are not told, bytes are not counted, the count of an earlier answer is kept, or the stage is not noted; green so.

--- /dev/null
+++ b/features/sight.feature
@@ -0,0 +1,51 @@
+Feature: What logs and metrics tell of a request that ended late
+  A request that ends without its answer has waited somewhere: for the link of
+  the target's host, for its caller to read, for a connection that is silent,
+  or for processor time.  One reading of the lines must tell which.
+
+  Scenario Outline: Where an attempt is
+    Given an attempt at "hall-2" that <stage> since 300 ms
+    Then it is described as "<text>"
+
+    Examples:
+      | stage                | text                                 |
+      | has no connection    | hall-2: not connected for 300 ms     |
+      | asks for room        | hall-2: asks for room for 300 ms     |
+      | runs at its own host | hall-2: at the own target for 300 ms |
+
+  Scenario: An attempt whose bytes do not arrive
+    When 8000000 bytes are sent to a host that reads none
+    Then the attempt tells that no byte came, and of bytes not acknowledged
+
+  Scenario: A request that waits for a silent daemon
+    Given a mesh with two calendar hosts
+    And only the second host has a target
+    And its daemon answers nothing
+    When a caller asks "/slow/" with id "x", and the lines are read
+    Then the line "request refused" has attempts "hall-2: sent \d+ ms ago, no byte came$"
+
+  Scenario: A request on a connection that brought answers before
+    Given a mesh with two calendar hosts
+    And only the second host has a target
+    And its daemon has answered, and answers nothing more
+    When a caller asks "/slow/" with id "x", and the lines are read
+    Then the line "request refused" has attempts "hall-2: sent \d+ ms ago, no byte came$"
+
+  Scenario: A request whose answer waits for the link of the target's host
+    Given a mesh with two calendar hosts
+    And only the second host has a target
+    And answers of 100000 bytes over a link of 20 kB/s
+    When a caller asks "/slow/" with id "x", and the lines are read
+    Then the line "request refused" has attempts "hall-2: sent \d+ ms ago, \d+ bytes came, the last \d+ ms ago$"
+
+  Scenario: A request that waits for the target beside its daemon
+    Given a mesh with two calendar hosts
+    And only the first host has a target
+    And the targets work 8 s
+    When a caller asks "/slow/" with id "x", and the lines are read
+    Then the line "request refused" has attempts "hall-1: at the own target for \d+ ms$"
+
+  Scenario: A refusal without attempts under way tells of none
+    Given a mesh with two calendar hosts
+    When a caller asks "/none/" with id "x", and the lines are read
+    Then the line "request refused" has no attempts
--- /dev/null
+++ b/features/steps/sight_steps.py
@@ -0,0 +1,191 @@
+"""Steps over what logs and metrics tell of requests that end late."""
+
+import asyncio
+import io
+import logging
+import re
+import socket
+
+from behave import given
+from behave import then
+from behave import when
+import msgspec
+
+from sedgering.mesh import _progress
+from sedgering import observability
+from sedgering import transport
+
+#: In which a request has been sent on.
+SENT_S = 0.3
+STAGES = {
+    'has no connection': _progress.AttemptStage.CONNECTION,
+    'asks for room': _progress.AttemptStage.ROOM,
+    'runs at its own host': _progress.AttemptStage.OWN_TARGET,
+}
+
+
+class LogLines:
+    """What daemons wrote, as JSON lines."""
+
+    def __init__(self):
+        self.stream = io.StringIO()
+        self.handler = logging.StreamHandler(self.stream)
+        self.handler.setFormatter(observability.JsonFormatter({}))
+        self.root = logging.getLogger()
+        self.level = self.root.level
+
+    def start(self):
+        """Take lines in, until the end of the scenario."""
+        self.root.addHandler(self.handler)
+        self.root.setLevel(logging.INFO)
+        logging.disable(logging.NOTSET)
+
+    def stop(self):
+        """Leave logging as it was."""
+        logging.disable(logging.CRITICAL)
+        self.root.setLevel(self.level)
+        self.root.removeHandler(self.handler)
+
+    def list(self, message):
+        """Return the records with a message."""
+        return [
+            msgspec.json.decode(line)
+            for line in self.stream.getvalue().splitlines()
+            if msgspec.json.decode(line)['message'] == message
+        ]
+
+
+def _start_lines(context):
+    context.lines = LogLines()
+    context.lines.start()
+    context.cleanups.append(context.lines.stop)
+
+
+def _start_call(context, path, request_id):
+    mesh = context.mesh
+    return asyncio.ensure_future(
+        mesh.fleet.start_call(
+            mesh.first.addresses.callers_port,
+            path,
+            X_Request_Id=request_id,
+            X_Request_Deadline='5000',
+        )
+    )
+
+
+async def _drop(task):
+    """End a call whose answer is not waited for."""
+    task.cancel()
+    await asyncio.wait((task,))
+
+
+@given('an attempt at "{host}" that {stage} since {age_ms:d} ms')
+def step_attempt(context, host, stage, age_ms):
+    context.progress = _progress.AttemptProgress(host, 1.0)
+    context.progress.note(STAGES[stage], 2.0)
+    context.told = context.progress.describe(2.0 + age_ms / 1000)
+
+
+@then('it is described as "{text}"')
+def step_described(context, text):
+    assert context.told == text, context.told
+
+
+@when('{size:d} bytes are sent to a host that reads none')
+def step_send_unread(context, size):
+    context.size = size
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            port = listener.getsockname()[1]
+            progress = _progress.AttemptProgress('hall-2', loop.time())
+            progress.connection = await transport.connect(
+                '127.0.0.1', port, SENT_S
+            )
+            sending = asyncio.ensure_future(
+                progress.connection.exchange(b'x' * size, lambda _item: True)
+            )
+            progress.note(_progress.AttemptStage.ANSWER, loop.time())
+            await asyncio.sleep(SENT_S)
+            context.told = progress.describe(loop.time())
+            await _drop(sending)
+            # Once more, of a connection that is closed.
+            await asyncio.sleep(0)
+            context.told_closed = progress.describe(loop.time())
+
+    asyncio.run(run())
+
+
+@then('the attempt tells that no byte came, and of bytes not acknowledged')
+def step_unread(context):
+    pattern = (
+        r'hall-2: sent \d+ ms ago, no byte came, (\d+) bytes not acknowledged$'
+    )
+    found = re.match(pattern, context.told)
+    assert found, context.told
+    assert 0 < int(found[1]) < context.size, context.told
+    assert context.told_closed.endswith('no byte came'), context.told_closed
+
+
+@given('only the first host has a target')
+def step_only_first(context):
+    mesh = context.mesh
+    mesh.configure({'timeout': '2500ms', 'prefix': '/slow/', 'name': 'slow'})
+    mesh.fleet.report(mesh.second, 'draining')
+
+
+@given('its daemon answers nothing')
+def step_silent(context):
+    inbound = context.mesh.second.daemon.inbound
+    inbound.answer = lambda _call: asyncio.sleep(3600)
+
+
+@given('its daemon has answered, and answers nothing more')
+def step_silent_later(context):
+    mesh = context.mesh
+    assert mesh.ask('/slow/', 'before').status == 200
+    row = mesh.first.daemon.state.fleet.members[mesh.second.name]
+    assert mesh.first.daemon.state.peers.find(row).pool.has_idle
+    step_silent(context)
+
+
+@given('answers of {size:d} bytes over a link of {rate:d} kB/s')
+def step_slow_link(context, size, rate):
+    mesh = context.mesh
+    for books in mesh.list_books():
+        books.body_bytes = size
+    daemon = mesh.second.daemon
+
+    async def narrow():
+        loop = asyncio.get_running_loop()
+        pacer = transport.LinkPacer(rate * 1000, loop)
+        daemon.inbound.pacer = daemon.state.side.answer_room.pacer = pacer
+
+    mesh.fleet.run(narrow())
+
+
+@when('a caller asks "{path}" with id "{request_id}", and the lines are read')
+def step_ask(context, path, request_id):
+    _start_lines(context)
+
+    async def run():
+        await _start_call(context, path, request_id)
+
+    context.mesh.fleet.run(run())
+
+
+@then('the line "{message}" has {field} "{pattern}"')
+def step_field(context, message, field, pattern):
+    found = context.lines.list(message)
+    assert found, context.lines.stream.getvalue()
+    value = found[0][field]
+    values = value if isinstance(value, list) else [value]
+    assert len(values) == 1, values
+    assert re.match(pattern, values[0]), values
+
+
+@then('the line "request refused" has no attempts')
+def step_no_attempts(context):
+    (line,) = context.lines.list('request refused')
+    assert line['attempts'] == [], line
--- a/sedgering/mesh/_decisions.py
+++ b/sedgering/mesh/_decisions.py
@@ -99,11 +99,16 @@
         route: base.RouteName,
         target_set: base.TargetSetName,
         asked: tuple[base.HostId, ...],
+        attempts: list[str],
         last: _messages.CallAnswer | None,
         elapsed_ms: int,
         version: base.Version,
     ) -> None:
-        """Note an answer of the daemon's own."""
+        """Note an answer of the daemon's own.
+
+        Attempts that are still under way are told with where they are: what
+        they wait for is the cause of a request that ends late.
+        """
         self.counts.count('refused', str(code))
         self._write(
             'request refused',
@@ -112,6 +117,7 @@
             route=route,
             target_set=target_set,
             asked=asked,
+            attempts=attempts,
             reason='' if last is None else last.reason.value,
             elapsed_ms=elapsed_ms,
             version=version,
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -10,6 +10,7 @@
 from sedgering.mesh import _choice
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
+from sedgering.mesh import _progress
 from sedgering.mesh import _search
 from sedgering.mesh import _state
 from sedgering import transport
@@ -30,6 +31,8 @@
 CORRECTIONS_LIMIT = 8
 #: Gates that may refuse a request before it is given up.
 SHEDS_LIMIT = 2
+#: Most attempts under way that a line names; few routes allow more.
+ATTEMPTS_TOLD_LIMIT = 4
 SERVER_ERROR = 500
 #: In logs, of a request that no route matches.
 NO_ROUTE = base.RouteName('')
@@ -61,6 +64,8 @@
         Asked.
     task : Task
         Ends with the answer.
+    progress : AttemptProgress
+        Where it is.
     loop : AbstractEventLoop
         In which it runs.
     """
@@ -69,10 +74,12 @@
         self,
         peer: _peers.Peer,
         task: asyncio.Task,
+        progress: _progress.AttemptProgress,
         loop: asyncio.AbstractEventLoop,
     ):
         self.peer = peer
         self.task = task
+        self.progress = progress
         #: Done when the target or its daemon is silent for too long.
         self.silence: asyncio.Future = loop.create_future()
 
@@ -223,12 +230,12 @@
         self.asked.append(peer.row.host)
         self.tried.add(peer.row.host)
         self.search.forget(peer.row.host)
+        progress = _progress.AttemptProgress(peer.row.host, self._now_s)
+        sending = self.state.sender.send(
+            peer, self._make_call(peer.row), progress
+        )
         attempt = _Attempt(
-            peer,
-            self.loop.create_task(
-                self.state.sender.send(peer, self._make_call(peer.row))
-            ),
-            self.loop,
+            peer, self.loop.create_task(sending), progress, self.loop
         )
         attempt.task.add_done_callback(self._note_news)
         if self.route.repeatable:
@@ -476,6 +483,7 @@
             self.route.name if self.route else NO_ROUTE,
             self.target_set,
             tuple(self.asked),
+            self.describe_attempts(),
             self.last,
             self._elapsed_ms(),
             self.version,
@@ -483,6 +491,14 @@
         body = json.dumps({'code': int(code), 'error': code.text}).encode()
         return transport.Response(status, headers, body)
 
+    def describe_attempts(self) -> list[str]:
+        """Say of each attempt under way where it is."""
+        now_s = self._now_s
+        return [
+            attempt.progress.describe(now_s)
+            for attempt in self.attempts[:ATTEMPTS_TOLD_LIMIT]
+        ]
+
     def _find_pause_s(self) -> float:
         """Return when a refused caller should come back."""
         limits = self.state.mesh_settings
--- a/sedgering/mesh/_sender.py
+++ b/sedgering/mesh/_sender.py
@@ -6,6 +6,7 @@
 from sedgering.mesh import _inbound
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
+from sedgering.mesh import _progress
 from sedgering.mesh import _room
 from sedgering import transport
 
@@ -13,6 +14,7 @@
 
 _Outcome = _messages.CallOutcome
 _Reason = _messages.RefusalReason
+_Stage = _progress.AttemptStage
 
 
 class CallSender:
@@ -39,18 +41,32 @@
         self.peers = peers
 
     async def send(
-        self, peer: _peers.Peer, call: _messages.TargetCall
+        self,
+        peer: _peers.Peer,
+        call: _messages.TargetCall,
+        progress: _progress.AttemptProgress,
     ) -> _messages.CallAnswer:
-        """Send a call, and wait for its answer."""
+        """Send a call, and wait for its answer.
+
+        Parameters
+        ----------
+        peer : Peer
+            The target and its daemon.
+        call : TargetCall
+            To send.
+        progress : AttemptProgress
+            Is told where the call is.
+        """
         loop = asyncio.get_running_loop()
         is_nested = call.urgency is _messages.CallUrgency.TARGET
         peer.start_call(loop.time(), is_nested)
         try:
             if peer.row.host == self.identity.host:
+                progress.note(_Stage.OWN_TARGET, loop.time())
                 answer = await self.side.run(call)
                 self._take_report(peer, call, answer)
                 return answer
-            return await self._ask(peer, call)
+            return await self._ask(peer, call, progress)
         finally:
             peer.end_call(is_nested)
 
@@ -64,7 +80,10 @@
         self.peers.take_report(peer, answer.load, call.route, now_s)
 
     async def _ask(
-        self, peer: _peers.Peer, call: _messages.TargetCall
+        self,
+        peer: _peers.Peer,
+        call: _messages.TargetCall,
+        progress: _progress.AttemptProgress,
     ) -> _messages.CallAnswer:
         """Send a call to another daemon."""
         now_s = asyncio.get_running_loop().time
@@ -77,11 +96,14 @@
                 reason=_Reason.UNREACHABLE,
                 detail=str(error),
             )
+        progress.connection = connection
+        progress.note(_Stage.ROOM, now_s())
         is_sent = False
         try:
             answer = await self._ask_for_room(peer, connection, call)
             if answer is None:
                 is_sent = True
+                progress.note(_Stage.ANSWER, now_s())
                 answer = await self._exchange(connection, call)
         except (transport.ExchangeFailed, _hop.HopError) as error:
             connection.close()
--- a/sedgering/model/_hosts.py
+++ b/sedgering/model/_hosts.py
@@ -77,7 +77,7 @@
         self.sides: dict[base.HostId, ModelSide] = sides
         self.hop_s: float = hop_s
 
-    async def _ask(self, peer, call):
+    async def _ask(self, peer, call, _progress):
         await asyncio.sleep(self.hop_s)
         lag_ms = int(self.hop_s * 1000)
         arrived = msgspec.structs.replace(
--- a/sedgering/observability/_logs.py
+++ b/sedgering/observability/_logs.py
@@ -12,6 +12,7 @@
 FIELDS = (
     'age_ms',
     'asked',
+    'attempts',
     'code',
     'detail',
     'dropped_lines',
--- a/sedgering/transport/_client.py
+++ b/sedgering/transport/_client.py
@@ -75,6 +75,8 @@
         self.kept_until_s = float('inf')
         #: When the peer sent anything last, or the connection was made.
         self.heard_s = loop.time()
+        #: Of the answer that is awaited, head and body.
+        self.received_bytes = 0
         self._parser: httptools.HttpResponseParser | None = None
         self._waiter: asyncio.Future | None = None
         self._is_own: Callable[[_messages.Response], bool] | None = None
@@ -114,6 +116,7 @@
         self._is_head = is_head
         self._is_unframed = False
         self._foreign = 0
+        self.received_bytes = 0
         self.transport.write(data)
         try:
             response = await self._waiter
@@ -159,6 +162,12 @@
                 raise ExchangeFailed(f'silent for {silence_s:.1f} s')
             await asyncio.wait((exchange,), timeout=left_s)
 
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """Of what was sent, what the peer's host has not acknowledged."""
+        in_kernel = _sockets.find_unacknowledged_bytes(self.transport)
+        return self.transport.get_write_buffer_size() + in_kernel
+
     def close(self) -> None:
         """Close at once; what is under way is cancelled at the peer."""
         self.is_sound = False
@@ -179,6 +188,7 @@
     def data_received(self, data):
         """Feed the parser; bytes that nobody waits for spoil it."""
         self.heard_s = self.loop.time()
+        self.received_bytes += len(data)
         if self._parser is None or self._waiter is None:
             self.close()
             return
--- a/sedgering/transport/_sockets.py
+++ b/sedgering/transport/_sockets.py
@@ -1,8 +1,12 @@
-"""Options of connected sockets."""
+"""Options and queues of connected sockets."""
 
+import asyncio
+import fcntl
 import socket
+import struct
+import termios
 
-__all__ = ['tune_socket']
+__all__ = ['find_unacknowledged_bytes', 'tune_socket']
 
 #: Unanswered probes after which a silent peer is taken as gone.
 PROBES = 2
@@ -29,3 +33,24 @@
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, probe_after_s)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, probe_after_s)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, PROBES)
+
+
+def find_unacknowledged_bytes(transport: asyncio.Transport) -> int:
+    """Return what the kernel holds and the other host has not acknowledged.
+
+    It takes some hundred kB from the event loop while a link is full
+    (tcp(7), SIOCOUTQ).  What the other host has acknowledged may still wait
+    for its reader there.
+
+    Parameters
+    ----------
+    transport : Transport
+        Of a TCP connection.
+    """
+    descriptor = transport.get_extra_info('socket').fileno()
+    if descriptor < 0:
+        # Closed: its queues are gone.
+        return 0
+    queued = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4))
+    (queued_bytes,) = struct.unpack('i', queued)
+    return queued_bytes
