Lines and gauges tell of answers that wait for the link

Cause: a call whose answer waits at the target's host looks like one whose connection is silent; nothing told of the answers that wait there.

`gate` has `answers`: how many wait, bytes that the daemon holds, bytes in sockets, and for how long they will keep the link busy; it is also written in seconds without calls while any wait. Less than 16 kB in sockets is told of by the gauges only: a piece is on its way most of the time. Gauges tell the same, and what callers have not read.

features/sight.feature: red where the line is written with calls only, or the gauge stays 0; green so.

--- a/features/sight.feature
+++ b/features/sight.feature
@@ -23,6 +23,7 @@
     And its daemon answers nothing
     When a caller asks "/slow/" with id "x", and the lines are read
     Then the line "request refused" has attempts "hall-2: sent \d+ ms ago, no byte came$"
+    And no line "gate" tells of answers that wait
 
   Scenario: A request on a connection that brought answers before
     Given a mesh with two calendar hosts
@@ -37,6 +38,8 @@
     And answers of 100000 bytes over a link of 20 kB/s
     When a caller asks "/slow/" with id "x", and the lines are read
     Then the line "request refused" has attempts "hall-2: sent \d+ ms ago, \d+ bytes came, the last \d+ ms ago$"
+    And a line "gate" without calls tells that 1 waits for the link
+    And the metrics of the second host told of it
 
   Scenario: A request that waits for the target beside its daemon
     Given a mesh with two calendar hosts
--- a/features/steps/sight_steps.py
+++ b/features/steps/sight_steps.py
@@ -17,6 +17,8 @@
 
 #: In which a request has been sent on.
 SENT_S = 0.3
+#: Between two looks at the metrics.
+LOOK_S = 0.1
 STAGES = {
     'has no connection': _progress.AttemptStage.CONNECTION,
     'asks for room': _progress.AttemptStage.ROOM,
@@ -61,6 +63,21 @@
     context.cleanups.append(context.lines.stop)
 
 
+def _read_gauges(daemon):
+    """Return the metrics of a daemon by name and labels."""
+    lines = daemon.render_metrics().decode().splitlines()
+    pairs = [line.rsplit(' ', 1) for line in lines if line[0] != '#']
+    return {name: float(value) for name, value in pairs}
+
+
+async def _watch_gauges(context, daemon):
+    """Keep the metrics as they are seen, again and again."""
+    context.gauges = []
+    while True:
+        context.gauges.append(_read_gauges(daemon))
+        await asyncio.sleep(LOOK_S)
+
+
 def _start_call(context, path, request_id):
     mesh = context.mesh
     return asyncio.ensure_future(
@@ -168,9 +185,14 @@
 @when('a caller asks "{path}" with id "{request_id}", and the lines are read')
 def step_ask(context, path, request_id):
     _start_lines(context)
+    daemon = context.mesh.second.daemon
 
     async def run():
-        await _start_call(context, path, request_id)
+        watching = asyncio.ensure_future(_watch_gauges(context, daemon))
+        try:
+            await _start_call(context, path, request_id)
+        finally:
+            await _drop(watching)
 
     context.mesh.fleet.run(run())
 
@@ -189,3 +211,38 @@
 def step_no_attempts(context):
     (line,) = context.lines.list('request refused')
     assert line['attempts'] == [], line
+
+
+@then('no line "gate" tells of answers that wait')
+def step_no_answers(context):
+    told = [line['answers'] for line in context.lines.list('gate')]
+    assert not any(told), told
+
+
+@then('a line "gate" without calls tells that {count:d} waits for the link')
+def step_answers(context, count):
+    lines = context.lines.list('gate')
+    told = [line['answers'] for line in lines if not line['detail']]
+    pattern = (
+        rf'{count} wait for the link: (\d+) bytes held, \d+ in sockets,'
+        r' (\d+) ms$'
+    )
+    found = [re.match(pattern, text) for text in told]
+    assert found and all(found), lines
+    held_bytes, wait_ms = map(int, found[0].groups())
+    assert 10_000 < held_bytes < 100_000, told
+    # 20 kB/s: 50 us a byte, and at most one piece on its way.
+    assert held_bytes / 20 <= wait_ms + 1 <= (held_bytes + 17_000) / 20, told
+
+
+@then('the metrics of the second host told of it')
+def step_gauges_second(context):
+    name = 'sedgering_peer_answers_{}'
+    for suffix, least in (
+        ('waiting', 1),
+        ('held_bytes', 10_000),
+        ('wait_ms', 500),
+    ):
+        seen = [gauges[name.format(suffix)] for gauges in context.gauges]
+        assert max(seen) >= least, (suffix, seen)
+        assert min(seen) == 0, (suffix, seen)
--- a/sedgering/mesh/_answer_room.py
+++ b/sedgering/mesh/_answer_room.py
@@ -52,6 +52,11 @@
         promised_s = self._promised_bytes / self.pacer.bytes_per_s
         return (promised_s + self.pacer.wait_s) * 1000
 
+    @property
+    def backlog_ms(self) -> float:
+        """Time for which the answers that wait will keep the link busy."""
+        return 0.0 if self.pacer is None else self.pacer.wait_s * 1000
+
     def has_room(
         self, route: base.RouteName, work_ms: float, goal_s: float
     ) -> bool:
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -6,6 +6,7 @@
 
 from sedgering import base
 from sedgering.mesh import _answer_room
+from sedgering.mesh import _backlog
 from sedgering.mesh import _budget
 from sedgering.mesh import _config
 from sedgering.mesh import _decisions
@@ -81,6 +82,9 @@
         )
         self.inbound.pacer = state.side.answer_room.pacer
         state.side.link.watch(self.inbound, self.outbound)
+        self.backlog = _backlog.AnswerBacklog(
+            self.inbound, state.side.answer_room
+        )
         self.is_leaving = False
         self._servers: list[asyncio.AbstractServer] = []
         self._tasks: list[asyncio.Task] = []
@@ -119,7 +123,9 @@
             loop.create_task(self._find_target()),
             loop.create_task(self._watch_peers()),
             loop.create_task(
-                self.state.side.gate_log.run(self.state.side.gate)
+                self.state.side.gate_log.run(
+                    self.state.side.gate, self.backlog
+                )
             ),
             loop.create_task(self.follower.run()),
         ]
@@ -231,6 +237,7 @@
     def render_metrics(self) -> bytes:
         """Return counters and present values as text."""
         gate = self.state.side.gate
+        callers = self.outbound.find_load()
         return self.state.decisions.counts.render(
             {
                 'version_in_force': self.state.config.version,
@@ -239,6 +246,12 @@
                 'gate_waiting': gate.waiting,
                 'gate_limit': gate.limit,
                 'is_ready': int(self.is_ready),
+                'caller_answers_waiting': callers.answers,
+                'caller_answers_held_bytes': callers.held_bytes,
+                'caller_answers_unacknowledged_bytes': (
+                    callers.unacknowledged_bytes
+                ),
+                **self.backlog.find_gauges(),
             }
         )
 
--- a/sedgering/mesh/_gate_log.py
+++ b/sedgering/mesh/_gate_log.py
@@ -1,4 +1,4 @@
-"""One log line a second on what a gate did, while it did anything."""
+"""One log line a second on what a gate did, and on answers that wait."""
 
 import asyncio
 import logging
@@ -6,6 +6,7 @@
 import msgspec
 
 from sedgering import base
+from sedgering.mesh import _backlog
 from sedgering.mesh import _gate
 
 __all__ = ['GateLog']
@@ -31,7 +32,8 @@
 
     Together with the lines on single requests it tells why callers were
     refused at a moment: how full the places were, how long calls waited,
-    and how long the work of each route took.
+    and how long the work of each route took.  Answers that wait for the link
+    tell why calls seem slow whose work is done.
     """
 
     def __init__(self):
@@ -53,18 +55,22 @@
             tally = self._tallies[route] = _Tally()
         return tally
 
-    async def run(self, gate: _gate.Gate) -> None:
-        """Write a line each second in which calls came."""
+    async def run(
+        self, gate: _gate.Gate, backlog: _backlog.AnswerBacklog
+    ) -> None:
+        """Write a line each second in which calls came or answers wait."""
         while True:
             await asyncio.sleep(INTERVAL_S)
             text = self.take_text(gate)
-            if text:
+            answers = backlog.describe()
+            if text or answers:
                 LOG.info(
                     'gate',
                     extra={
                         'load': f'{gate.running}/{gate.limit}'
                         f'+{gate.waiting} {gate.work.mean_ms:.0f}ms',
                         'detail': text,
+                        'answers': answers,
                     },
                 )
 
--- a/sedgering/observability/_logs.py
+++ b/sedgering/observability/_logs.py
@@ -11,6 +11,7 @@
 #: Fields that a record may carry through `extra`.
 FIELDS = (
     'age_ms',
+    'answers',
     'asked',
     'attempts',
     'code',
--- a/sedgering/transport/__init__.py
+++ b/sedgering/transport/__init__.py
@@ -7,6 +7,7 @@
 from sedgering.transport._headers import find_header
 from sedgering.transport._headers import Headers
 from sedgering.transport._headers import strip_hop_headers
+from sedgering.transport._load import ServiceLoad
 from sedgering.transport._messages import encode_request
 from sedgering.transport._messages import encode_response
 from sedgering.transport._messages import make_json_response
@@ -32,6 +33,7 @@
     'Request',
     'Response',
     'Service',
+    'ServiceLoad',
     'connect',
     'encode_request',
     'encode_response',
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -4,6 +4,7 @@
 import asyncio
 import collections
 import logging
+import math
 import socket
 
 import httptools
@@ -11,6 +12,7 @@
 
 from sedgering import ports
 from sedgering.transport import _headers
+from sedgering.transport import _load
 from sedgering.transport import _messages
 from sedgering.transport import _pacing
 from sedgering.transport import _sockets
@@ -84,6 +86,13 @@
     def find_limits(self) -> CallerLimits:
         """Return the limits in force now."""
 
+    def find_load(self) -> _load.ServiceLoad:
+        """Tell what all connections hold: one system call each."""
+        load = _load.ServiceLoad()
+        for connection in self.connections:
+            connection.add_load(load)
+        return load
+
     def refuse(self, status: int) -> _messages.Response:
         """Make the answer to a request that could not be read."""
         return _messages.make_json_response(status, {'error': status})
@@ -92,12 +101,13 @@
 class _Pending:
     """A request that waits for its answer, and its place in the order."""
 
-    __slots__ = ('data', 'is_head', 'must_close', 'task')
+    __slots__ = ('data', 'is_head', 'must_close', 'received_s', 'task')
 
     def __init__(self):
         self.data: bytes | None = None
         self.is_head = False
         self.must_close = False
+        self.received_s = math.inf
         self.task: asyncio.Task | None = None
 
 
@@ -265,6 +275,7 @@
         self._request = None
         item = _Pending()
         item.is_head = request.method == 'HEAD'
+        item.received_s = request.received_s
         item.must_close = not self._parser.should_keep_alive()
         self.pending.append(item)
         item.task = self.loop.create_task(self._answer(request, item))
@@ -388,6 +399,25 @@
         _release(sum(len(chunk) for chunk in self._chunks))
         self._chunks = []
 
+    # What is told of it.
+
+    def add_load(self, load: _load.ServiceLoad) -> None:
+        """Add what is under way here."""
+        ready = [len(item.data) for item in self.pending if item.data]
+        paced = [len(item.left) for item in self._paced]
+        unwritten = self.transport.get_write_buffer_size()
+        unacknowledged = _sockets.find_unacknowledged_bytes(self.transport)
+        written = len(paced) or int(unwritten > 0)
+        load.requests += len(self.pending) - len(ready)
+        load.answers += len(ready) + (written or int(unacknowledged > 0))
+        load.held_answers += len(ready) + written
+        load.held_bytes += sum(ready) + sum(paced) + unwritten
+        load.unacknowledged_bytes += unacknowledged
+        if self.pending:
+            load.oldest_s = min(load.oldest_s, self.pending[0].received_s)
+        elif written or unacknowledged:
+            load.oldest_s = min(load.oldest_s, self.last_activity_s)
+
     # Time.
 
     def _arm(self):
