A leaving daemon tells each second what it waits for, and what is cut

Cause: `left` told how many connections were cut, not which requests, what they waited for, or whether the event loop had run. Ruled out: a line for each request that is cut; there may be hundreds, and the process ends.

`leave waits` and `left` tell of callers and of peers what has no answer, what is ready and not read (held by the process, or in sockets), the age of the oldest, the four oldest requests with where their attempts are, the longest lag of the event loop and processor time since the line before. Polls that a relay holds are told apart from calls. `sedgering explain` finds the lines that name a request. What is cut is counted; answers that only the kernel has are not, it sends them on.

--- a/features/sight.feature
+++ b/features/sight.feature
@@ -52,3 +52,54 @@
     Given a mesh with two calendar hosts
     When a caller asks "/none/" with id "x", and the lines are read
     Then the line "request refused" has no attempts
+
+  Scenario: What a leaving daemon waits for
+    Given a mesh with two calendar hosts
+    And only the second host has a target
+    And its daemon answers nothing
+    When the first host leaves while a caller asks "/slow/" with id "x"
+    Then the line "leave waits" has callers "1 without answer, 0 answers unread"
+    And the line "leave waits" has requests "\d+ ms, hall-2: sent \d+ ms ago, no byte came$"
+    And the story of "x" has the line "leave waits"
+
+  Scenario: What the end of a daemon cuts is written down and counted
+    Given a mesh with two calendar hosts
+    And only the second host has a target
+    And its daemon answers nothing
+    When the first host ends while a caller asks "/slow/" with id "x"
+    Then the line "left" has requests "\d+ ms, hall-2: sent \d+ ms ago, no byte came$"
+    And the story of "x" has the line "left"
+    And the metrics of the first host tell of 1 request cut
+
+  Scenario Outline: An answer that waits to be read by its caller
+    Given a mesh with two calendar hosts
+    And answers of <size> bytes
+    When the first host leaves while a slow reader has an answer
+    Then the line "leave waits" has callers "0 without answer, 1 answers unread: <held> bytes held, \d{5,} in sockets"
+    And the metrics of the first host told of it
+
+    Examples: More than the kernel takes at once, and less
+      | size     | held   |
+      | 12000000 | \d{5,} |
+      | 60000    | 0      |
+
+  Scenario Outline: An answer that the kernel has is not cut by the end
+    Given a mesh with two calendar hosts
+    And answers of <size> bytes
+    When the first host ends while a slow reader has an answer
+    Then the metrics of the first host tell of <count> answer cut
+
+    Examples:
+      | size     | count |
+      | 12000000 | 1     |
+      | 60000    | 0     |
+
+  Scenario: A leaving daemon that gets no processor time
+    Given a mesh with two calendar hosts
+    When the first host leaves and stands still for 0.7 s
+    Then a line "leave waits" tells 600 ms of lag and less processor time
+
+  Scenario: A leaving daemon with processor time
+    Given a mesh with two calendar hosts
+    When the first host leaves and stands still for 0 s
+    Then a line "leave waits" tells less than 300 ms of lag
--- a/features/steps/sight_steps.py
+++ b/features/steps/sight_steps.py
@@ -5,16 +5,22 @@
 import logging
 import re
 import socket
+import time
 
 from behave import given
 from behave import then
 from behave import when
 import msgspec
+import slow_reader
 
+from sedgering.cli import _explain
 from sedgering.mesh import _progress
 from sedgering import observability
 from sedgering import transport
 
+GRACE_MS = 4000
+#: After which a leaving daemon has written a line.
+LINE_S = 1.2
 #: In which a request has been sent on.
 SENT_S = 0.3
 #: Between two looks at the metrics.
@@ -197,6 +203,88 @@
     context.mesh.fleet.run(run())
 
 
+@when('the first host leaves while a caller asks "{path}" with id "{name}"')
+def step_leave(context, path, name):
+    _start_lines(context)
+    daemon = context.mesh.first.daemon
+
+    async def run():
+        asking = _start_call(context, path, name)
+        await asyncio.sleep(SENT_S)
+        leaving = asyncio.ensure_future(daemon.leave(GRACE_MS))
+        await asyncio.sleep(LINE_S)
+        await _drop(asking)
+        await leaving
+
+    context.mesh.fleet.run(run())
+
+
+@when('the first host ends while a caller asks "{path}" with id "{name}"')
+def step_end(context, path, name):
+    _start_lines(context)
+    daemon = context.mesh.first.daemon
+
+    async def run():
+        asking = _start_call(context, path, name)
+        await asyncio.sleep(SENT_S)
+        daemon.leave_log.note_end()
+        await _drop(asking)
+
+    context.mesh.fleet.run(run())
+
+
+@when('the first host leaves while a slow reader has an answer')
+def step_leave_reader(context):
+    _start_lines(context)
+    mesh = context.mesh
+    daemon = mesh.first.daemon
+
+    async def run():
+        reader = slow_reader.SlowReader(mesh.first.addresses.callers_port)
+        await reader.ask('x')
+        while not mesh.list_runs():
+            await asyncio.sleep(LOOK_S)
+        await asyncio.sleep(SENT_S)
+        watching = asyncio.ensure_future(_watch_gauges(context, daemon))
+        leaving = asyncio.ensure_future(daemon.leave(GRACE_MS))
+        await asyncio.sleep(LINE_S)
+        await _drop(watching)
+        reader.socket.close()
+        await leaving
+
+    mesh.fleet.run(run())
+
+
+@when('the first host ends while a slow reader has an answer')
+def step_end_reader(context):
+    mesh = context.mesh
+
+    async def run():
+        reader = slow_reader.SlowReader(mesh.first.addresses.callers_port)
+        await reader.ask('x')
+        while not mesh.list_runs():
+            await asyncio.sleep(LOOK_S)
+        await asyncio.sleep(SENT_S)
+        mesh.first.daemon.leave_log.note_end()
+        reader.socket.close()
+
+    mesh.fleet.run(run())
+
+
+@when('the first host leaves and stands still for {still_s:g} s')
+def step_still(context, still_s):
+    _start_lines(context)
+    daemon = context.mesh.first.daemon
+
+    async def run():
+        leaving = asyncio.ensure_future(daemon.leave(GRACE_MS))
+        await asyncio.sleep(SENT_S)
+        time.sleep(still_s)
+        await leaving
+
+    context.mesh.fleet.run(run())
+
+
 @then('the line "{message}" has {field} "{pattern}"')
 def step_field(context, message, field, pattern):
     found = context.lines.list(message)
@@ -246,3 +334,60 @@
         seen = [gauges[name.format(suffix)] for gauges in context.gauges]
         assert max(seen) >= least, (suffix, seen)
         assert min(seen) == 0, (suffix, seen)
+
+
+@then('the metrics of the first host told of it')
+def step_gauges_first(context):
+    for name, least in (
+        ('sedgering_caller_answers_waiting', 1),
+        ('sedgering_caller_answers_unacknowledged_bytes', 10_000),
+    ):
+        seen = [gauges[name] for gauges in context.gauges]
+        assert min(seen) >= least, (name, seen)
+
+
+@then('the metrics of the first host tell of {count:d} request cut')
+def step_cut(context, count):
+    gauges = _read_gauges(context.mesh.first.daemon)
+    name = 'sedgering_requests_total{{kind="cut",label="{}"}}'
+    assert gauges[name.format('request')] == count, gauges
+    assert name.format('call') not in gauges, gauges
+
+
+@then('the metrics of the first host tell of {count:d} answer cut')
+def step_answer_cut(context, count):
+    gauges = _read_gauges(context.mesh.first.daemon)
+    name = 'sedgering_requests_total{kind="cut",label="answer to a caller"}'
+    assert gauges.get(name, 0) == count, gauges
+
+
+@then('the story of "{request_id}" has the line "{message}"')
+def step_story(context, request_id, message):
+    lines = context.lines.stream.getvalue().splitlines()
+    records = list(_explain.read_records(lines))
+    story = list(_explain.explain_request(records, request_id))
+    (told, *_others) = [line for line in story if f' {message}: ' in line]
+    for field in (
+        'callers=1 without',
+        'requests=[',
+        'hall-2: sent',
+        'lag_ms=',
+    ):
+        assert field in told, told
+    assert not list(_explain.explain_request(records, 'y'))[1:]
+
+
+@then(
+    'a line "leave waits" tells {lag_ms:d} ms of lag and less processor time'
+)
+def step_lag(context, lag_ms):
+    lines = context.lines.list('leave waits')
+    late = [line for line in lines if line['lag_ms'] >= lag_ms]
+    assert len(late) == 1, lines
+    assert late[0]['cpu_ms'] < lag_ms, late
+
+
+@then('a line "leave waits" tells less than {lag_ms:d} ms of lag')
+def step_no_lag(context, lag_ms):
+    lines = context.lines.list('leave waits')
+    assert lines and min(line['lag_ms'] for line in lines) < lag_ms, lines
--- a/sedgering/cli/_explain.py
+++ b/sedgering/cli/_explain.py
@@ -47,9 +47,7 @@
     request_id : str
         As the caller sent it.
     """
-    found = [
-        record for record in records if record.get('request_id') == request_id
-    ]
+    found = [record for record in records if _names(record, request_id)]
     if not found:
         yield (
             f'{request_id}: no line; a plain success is logged once in a '
@@ -75,6 +73,12 @@
         yield _format(record)
 
 
+def _names(record: dict, request_id: str) -> bool:
+    """Say whether a line is about a request, alone or among others."""
+    is_alone = record.get('request_id') == request_id
+    return is_alone or request_id in record.get('request_ids', ())
+
+
 def _format(record: dict) -> str:
     fields = [
         f'{name}={value}'
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -14,6 +14,7 @@
 from sedgering.mesh import _follow
 from sedgering.mesh import _gate
 from sedgering.mesh import _inbound
+from sedgering.mesh import _leave_log
 from sedgering.mesh import _link
 from sedgering.mesh import _messages
 from sedgering.mesh import _outbound
@@ -85,6 +86,9 @@
         self.backlog = _backlog.AnswerBacklog(
             self.inbound, state.side.answer_room
         )
+        self.leave_log = _leave_log.LeaveLog(
+            self.outbound, self.inbound, self.pause, state.decisions.counts
+        )
         self.is_leaving = False
         self._servers: list[asyncio.AbstractServer] = []
         self._tasks: list[asyncio.Task] = []
@@ -301,6 +305,7 @@
         self.outbound.is_closing = True
         self.source.publish(None)
         LOG.info('leaving')
+        self._tasks.append(loop.create_task(self.leave_log.run()))
         await asyncio.sleep(limits.leave_serving_ms / 1000)
         # Peers that have not heard of it send calls until they are refused;
         # what is accepted now could be cut at the end.
@@ -314,8 +319,7 @@
                 quiet_s = loop.time() + LEAVE_QUIET_S
             await asyncio.sleep(LEAVE_CHECK_S)
         self._stop_tasks()
-        left = len(self.outbound.connections)
-        LOG.info('left', extra={'detail': f'{left} connections cut'})
+        self.leave_log.note_end()
 
     async def close(self) -> None:
         """End at once, without leaving."""
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -491,6 +491,11 @@
         body = json.dumps({'code': int(code), 'error': code.text}).encode()
         return transport.Response(status, headers, body)
 
+    def describe(self) -> str:
+        """Say for how long it has been under way, and what it waits for."""
+        attempts = '; '.join(self.describe_attempts()) or 'no attempt'
+        return f'{self._elapsed_ms()} ms, {attempts}'
+
     def describe_attempts(self) -> list[str]:
         """Say of each attempt under way where it is."""
         now_s = self._now_s
--- a/sedgering/mesh/_outbound.py
+++ b/sedgering/mesh/_outbound.py
@@ -23,6 +23,8 @@
         super().__init__()
         self.state = state
         self.pause = pause
+        #: Requests that have no answer yet.
+        self.under_way: set[_exchange.Exchange] = set()
 
     def find_limits(self) -> transport.CallerLimits:
         """Return the limits that the operator set."""
@@ -31,4 +33,9 @@
     async def answer(self, request: transport.Request) -> transport.Response:
         """Answer one request."""
         request.received_s -= await self.pause.settle()
-        return await _exchange.Exchange(request, self.state).run()
+        exchange = _exchange.Exchange(request, self.state)
+        self.under_way.add(exchange)
+        try:
+            return await exchange.run()
+        finally:
+            self.under_way.discard(exchange)
--- a/sedgering/mesh/_pause.py
+++ b/sedgering/mesh/_pause.py
@@ -31,6 +31,7 @@
         self._beat_s = self._loop.time()
         self._lag_s = 0.0
         self._until_s = 0.0
+        self._longest_lag_s = 0.0
 
     async def run(self) -> None:
         """Beat again and again."""
@@ -43,6 +44,7 @@
         """Take in one beat."""
         lag_s = now_s - self._beat_s - BEAT_S
         self._beat_s = now_s
+        self._longest_lag_s = max(self._longest_lag_s, lag_s)
         if lag_s > LATE_S:
             self._lag_s = lag_s
             self._until_s = now_s + SETTLE_S
@@ -56,6 +58,13 @@
             return lag_s
         return self._lag_s if now_s < self._until_s else 0.0
 
+    def take_longest_lag_s(self) -> float:
+        """Return by how much the latest beat since the last call was late."""
+        late_s = self._loop.time() - self._beat_s - BEAT_S
+        longest_s = max(0.0, self._longest_lag_s, late_s)
+        self._longest_lag_s = 0.0
+        return longest_s
+
     async def settle(self) -> float:
         """Wait a moment after a pause; return its length in seconds."""
         lag_s = self.find_lag_s()
--- a/sedgering/mesh/_relay.py
+++ b/sedgering/mesh/_relay.py
@@ -161,6 +161,8 @@
 
     def __init__(self, source: _source.MeshSource):
         self.source = source
+        #: That are held now.
+        self.polls = 0
 
     async def answer(self, request: transport.Request) -> transport.Response:
         """Answer a poll once there is news, or after a while."""
@@ -169,7 +171,11 @@
         except msgspec.DecodeError as error:
             return transport.make_json_response(400, {'error': str(error)})
         self.source.note_poll()
-        news = await self._wait_for_news(poll)
+        self.polls += 1
+        try:
+            news = await self._wait_for_news(poll)
+        finally:
+            self.polls -= 1
         body = _ENCODER.encode(news)
         return transport.Response(200, [], body)
 
