--- a/features/steps/slow_reader.py
+++ b/features/steps/slow_reader.py
@@ -23,6 +23,8 @@
         self.socket.setblocking(False)
         self.port = port
         self.loop = asyncio.get_running_loop()
+        #: How the stream ended.
+        self.ended = 'end of the stream'
 
     async def ask(self, request_id):
         """Send a request, on a new connection if there is none."""
@@ -37,8 +39,8 @@
         try:
             while piece := await self.loop.sock_recv(self.socket, PIECE_BYTES):
                 data += piece
-        except ConnectionResetError:
-            pass
+        except ConnectionResetError as error:
+            self.ended = repr(error)
         finally:
             self.socket.close()
         return data
