--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -1,25 +1,18 @@
 """Steps over a daemon that ends while requests are under way."""
 
 import asyncio
-import socket
 import time
 
 from behave import given
 from behave import then
 from behave import when
+import slow_reader
 
-ADDRESS = '127.0.0.1'
-#: Of a caller that reads slowly: far less than an answer.
-RECEIVE_BUFFER_BYTES = 8 * 1024
-PIECE_BYTES = 256 * 1024
 #: In which a request or an answer has arrived.
 PAUSE_S = 0.1
 DEADLINE_MS = 9000
 #: Of daemons whose end is not what is looked at.
 GRACE_MS = 8000
-REQUEST = (
-    'GET /r0/ HTTP/1.1\r\nHost: calendar.example\r\nX-Request-Id: {}\r\n\r\n'
-)
 BODY = b'body'
 POST = (
     'POST /long/ HTTP/1.1\r\nHost: calendar.example\r\nX-Request-Id: {}\r\n'
@@ -27,40 +20,6 @@
 )
 
 
-class SlowReader:
-    """A caller whose connection takes a little at a time."""
-
-    def __init__(self, port):
-        self.socket = socket.socket()
-        self.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
-        self.socket.setblocking(False)
-        self.port = port
-        self.loop = asyncio.get_running_loop()
-        #: How the stream ended.
-        self.ended = 'end of the stream'
-
-    async def ask(self, request_id):
-        """Send a request, on a new connection if there is none."""
-        if not self.socket.getsockname()[1]:
-            await self.loop.sock_connect(self.socket, (ADDRESS, self.port))
-        data = REQUEST.format(request_id).encode()
-        await self.loop.sock_sendall(self.socket, data)
-
-    async def read(self):
-        """Read until the end of the stream or a reset."""
-        data = b''
-        try:
-            while piece := await self.loop.sock_recv(self.socket, PIECE_BYTES):
-                data += piece
-        except ConnectionResetError as error:
-            self.ended = repr(error)
-        finally:
-            self.socket.close()
-        return data
-
-
 async def _end(daemon, grace_ms):
     """Let a daemon leave, and cut what is left as its process ends."""
     await daemon.leave(grace_ms)
@@ -173,7 +132,7 @@
     mesh = context.mesh
 
     async def run():
-        reader = SlowReader(mesh.first.addresses.callers_port)
+        reader = slow_reader.SlowReader(mesh.first.addresses.callers_port)
         await reader.ask('slow')
         while not mesh.list_runs():
             await asyncio.sleep(0.01)
@@ -196,7 +155,7 @@
 
     async def run():
         mesh.first.daemon.outbound.is_closing = True
-        reader = SlowReader(mesh.first.addresses.callers_port)
+        reader = slow_reader.SlowReader(mesh.first.addresses.callers_port)
         await reader.ask('slow')
         while not mesh.list_runs():
             await asyncio.sleep(0.01)
@@ -220,7 +179,7 @@
     mesh = context.mesh
 
     async def run():
-        reader = SlowReader(mesh.first.addresses.callers_port)
+        reader = slow_reader.SlowReader(mesh.first.addresses.callers_port)
         leaving = asyncio.ensure_future(_end(mesh.first.daemon, GRACE_MS))
         await asyncio.sleep(0)
         for number, work_s in enumerate((0.5, 0.0, 0.5)):
@@ -252,7 +211,9 @@
 
     async def run():
         port = mesh.first.addresses.callers_port
-        reader, writer = await asyncio.open_connection(ADDRESS, port)
+        reader, writer = await asyncio.open_connection(
+            slow_reader.ADDRESS, port
+        )
         leaving = asyncio.ensure_future(_end(mesh.first.daemon, GRACE_MS))
         writer.write(head)
         limits = mesh.first.daemon.state.mesh_settings
@@ -336,7 +297,7 @@
     mesh = context.mesh
 
     async def run():
-        reader = SlowReader(mesh.first.addresses.callers_port)
+        reader = slow_reader.SlowReader(mesh.first.addresses.callers_port)
         leaving = asyncio.ensure_future(_end(mesh.first.daemon, GRACE_MS))
         await asyncio.sleep(0)
         for books in mesh.list_books():
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -6,6 +6,7 @@
 
 from sedgering import base
 from sedgering.mesh import _answer_room
+from sedgering.mesh import _backlog
 from sedgering.mesh import _budget
 from sedgering.mesh import _config
 from sedgering.mesh import _decisions
@@ -13,6 +14,7 @@
 from sedgering.mesh import _follow
 from sedgering.mesh import _gate
 from sedgering.mesh import _inbound
+from sedgering.mesh import _leave_log
 from sedgering.mesh import _link
 from sedgering.mesh import _messages
 from sedgering.mesh import _outbound
@@ -92,6 +94,12 @@
         )
         self.inbound.pacer = state.side.answer_room.pacer
         state.side.link.watch(self.inbound, self.outbound)
+        self.backlog = _backlog.AnswerBacklog(
+            self.inbound, state.side.answer_room
+        )
+        self.leave_log = _leave_log.LeaveLog(
+            self.outbound, self.inbound, self.pause, state.decisions.counts
+        )
         self.is_leaving = False
         self._servers: list[asyncio.AbstractServer] = []
         self._tasks: list[asyncio.Task] = []
@@ -130,7 +138,9 @@
             loop.create_task(self._find_target()),
             loop.create_task(self._watch_peers()),
             loop.create_task(
-                self.state.side.gate_log.run(self.state.side.gate)
+                self.state.side.gate_log.run(
+                    self.state.side.gate, self.backlog
+                )
             ),
             loop.create_task(self.follower.run()),
         ]
@@ -242,6 +252,7 @@
     def render_metrics(self) -> bytes:
         """Return counters and present values as text."""
         gate = self.state.side.gate
+        callers = self.outbound.find_load()
         return self.state.decisions.counts.render(
             {
                 'version_in_force': self.state.config.version,
@@ -250,6 +261,12 @@
                 'gate_waiting': gate.waiting,
                 'gate_limit': gate.limit,
                 'is_ready': int(self.is_ready),
+                'caller_answers_waiting': callers.answers,
+                'caller_answers_held_bytes': callers.held_bytes,
+                'caller_answers_unacknowledged_bytes': (
+                    callers.unacknowledged_bytes
+                ),
+                **self.backlog.find_gauges(),
             }
         )
 
@@ -304,6 +321,7 @@
         self.outbound.is_closing = True
         self.source.publish(None)
         LOG.info('leaving')
+        self._tasks.append(loop.create_task(self.leave_log.run()))
         serving_ms = min(
             limits.leave_serving_ms, grace_ms * LEAVE_SERVING_SHARE
         )
@@ -319,8 +337,7 @@
             quiet_looks = 0 if self._is_busy() else quiet_looks + 1
             await asyncio.sleep(LEAVE_CHECK_S)
         self._stop_tasks()
-        left = len(self.outbound.connections)
-        LOG.info('left', extra={'detail': f'{left} connections cut'})
+        self.leave_log.note_end()
 
     async def close(self) -> None:
         """End at once, without leaving."""
