--- a/features/model.feature
+++ b/features/model.feature
@@ -19,6 +19,14 @@
     Then at least 62 % of "read" end within their goal
     And at least 60 % of "order" end within their goal
 
+  Scenario: Callers that came back do not push aside those in time
+    With the share of failed calls told as longer work, 79.9 % of the reads
+    end within their goal, and with it told apart 86.8 %.
+    Given the load "set-that-refuses" for 8 s
+    When it is played with seed 1
+    Then at least 83 % of "read" end within their goal
+    And at least 73 % of "order" end within their goal
+
   Scenario: Late calls are served once a burst is over
     Given the load "burst" for 4 s
     When it is played with seed 1
