What a caller is told, and one attempt, in modules of their own

_exchange.py: 542 to 491 lines, nothing changed but places: attempt, refusal, and one name for no route that stood twice. 108 scenarios of mesh, start, sight and callers pass.

--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -2,15 +2,16 @@
 
 import asyncio
 from collections.abc import Sequence
-import json
 
 from sedgering import base
 from sedgering import bundle as bundles
 from sedgering import exceptions
+from sedgering.mesh import _attempt
 from sedgering.mesh import _choice
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
 from sedgering.mesh import _progress
+from sedgering.mesh import _refusal
 from sedgering.mesh import _search
 from sedgering.mesh import _state
 from sedgering import transport
@@ -34,8 +35,6 @@
 #: Most attempts under way that a line names; few routes allow more.
 ATTEMPTS_TOLD_LIMIT = 4
 SERVER_ERROR = 500
-#: In logs, of a request that no route matches.
-NO_ROUTE = base.RouteName('')
 
 _Outcome = _messages.CallOutcome
 _Reason = _messages.RefusalReason
@@ -47,54 +46,6 @@
 )
 #: Refusals by which a target is well, and has no room.
 _FULL_REASONS = frozenset((_Reason.BUSY, _Reason.LINK_FULL, _Reason.SHED))
-_STATUS = {
-    exceptions.Code.REQUEST_NO_ROUTE: 404,
-    exceptions.Code.REQUEST_MALFORMED: 400,
-    exceptions.Code.REQUEST_UNKNOWN: 502,
-    exceptions.Code.REQUEST_LATE: 504,
-}
-
-
-class _Attempt:
-    """A call under way.
-
-    Parameters
-    ----------
-    peer : Peer
-        Asked.
-    task : Task
-        Ends with the answer.
-    progress : AttemptProgress
-        Where it is.
-    loop : AbstractEventLoop
-        In which it runs.
-    """
-
-    def __init__(
-        self,
-        peer: _peers.Peer,
-        task: asyncio.Task,
-        progress: _progress.AttemptProgress,
-        loop: asyncio.AbstractEventLoop,
-    ):
-        self.peer = peer
-        self.task = task
-        self.progress = progress
-        #: Done when the target or its daemon is silent for too long.
-        self.silence: asyncio.Future = loop.create_future()
-
-    @property
-    def has_news(self) -> bool:
-        """Whether it has ended, or is silent for too long."""
-        return self.task.done() or self.silence.done()
-
-    def watch_silence(self) -> None:
-        """Be told when the target or its daemon is silent."""
-        self.silence = self.peer.watch_silence()
-
-    def forget_silence(self) -> None:
-        """Be told no more."""
-        self.peer.forget_silence(self.silence)
 
 
 class Exchange:
@@ -129,7 +80,7 @@
         #: Of these, the ones that are not asked again.
         self.tried: set[base.HostId] = set()
         self.may_have_run = False
-        self.attempts: list[_Attempt] = []
+        self.attempts: list[_attempt.Attempt] = []
         #: Done when any of them has news.
         self._news: asyncio.Future = self.loop.create_future()
         self.last: _messages.CallAnswer | None = None
@@ -242,7 +193,7 @@
         sending = self.state.sender.send(
             peer, self._make_call(peer.row), progress
         )
-        attempt = _Attempt(
+        attempt = _attempt.Attempt(
             peer, self.loop.create_task(sending), progress, self.loop
         )
         attempt.task.add_done_callback(self._note_news)
@@ -481,16 +432,10 @@
         return self._refuse(exceptions.Code.REQUEST_NOT_RUN)
 
     def _refuse(self, code: exceptions.Code) -> transport.Response:
-        status = _STATUS.get(code, 503)
-        headers = [('Content-Type', 'application/json')]
-        if self.request_id:
-            headers.append((self.state.names.request_id, self.request_id))
-        if status == 503:
-            headers.append(('Retry-After', f'{self._find_pause_s():.3f}'))
         self.state.decisions.log_refusal(
             self.request_id,
             int(code),
-            self.route.name if self.route else NO_ROUTE,
+            self.route.name if self.route else _messages.NO_ROUTE,
             self.target_set,
             tuple(self.asked),
             self.describe_attempts(),
@@ -498,8 +443,12 @@
             self._elapsed_ms(),
             self.version,
         )
-        body = json.dumps({'code': int(code), 'error': code.text}).encode()
-        return transport.Response(status, headers, body)
+        return _refusal.make_refusal(
+            code,
+            self.state.names.request_id,
+            self.request_id,
+            self._find_pause_s(),
+        )
 
     def describe(self) -> str:
         """Say for how long it has been under way, and what it waits for."""
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -32,8 +32,6 @@
 #: Idle connections to the target beyond its slots.
 SPARE_CONNECTIONS = 4
 MISDIRECTED = 421
-#: For reports that belong to no call.
-NO_ROUTE = base.RouteName('')
 SERVER_ERROR = 500
 #: Fields of the caller that the daemon sets itself.
 _REPLACED = ('deadline_ms', 'expected_target', 'origin')
@@ -131,12 +129,13 @@
         """Tell whether a large body may be sent here."""
         if self.room.ask(body_bytes):
             return _messages.CallAnswer(
-                _messages.CallOutcome.NOT_RUN, load=self.make_report(NO_ROUTE)
+                _messages.CallOutcome.NOT_RUN,
+                load=self.make_report(_messages.NO_ROUTE),
             )
         return _messages.CallAnswer(
             _messages.CallOutcome.NOT_RUN,
             reason=_messages.RefusalReason.LINK_FULL,
-            load=self.make_report(NO_ROUTE),
+            load=self.make_report(_messages.NO_ROUTE),
         )
 
     async def run_for_peer(
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -16,12 +16,16 @@
     'LoadReport',
     'MemberRow',
     'MeshIdentity',
+    'NO_ROUTE',
     'RefusalReason',
     'TargetCall',
     'TargetReport',
     'TargetState',
 ]
 
+#: Of a request that no route matches, and of reports that belong to no call.
+NO_ROUTE = base.RouteName('')
+
 
 class TargetState(enum.Enum):
     """What a target says of itself."""
--- /dev/null
+++ b/sedgering/mesh/_refusal.py
@@ -0,0 +1,47 @@
+"""What a caller is told that gets no answer of a target."""
+
+import json
+
+from sedgering import base
+from sedgering import exceptions
+from sedgering import transport
+
+__all__ = ['make_refusal']
+
+#: All other codes say that the request has not run and never will.
+_STATUS = {
+    exceptions.Code.REQUEST_NO_ROUTE: 404,
+    exceptions.Code.REQUEST_MALFORMED: 400,
+    exceptions.Code.REQUEST_UNKNOWN: 502,
+    exceptions.Code.REQUEST_LATE: 504,
+}
+NOT_RUN = 503
+
+
+def make_refusal(
+    code: exceptions.Code,
+    id_field: str,
+    request_id: base.RequestId,
+    pause_s: float,
+) -> transport.Response:
+    """Make the answer of the daemon's own to a request.
+
+    Parameters
+    ----------
+    code : Code
+        Why.
+    id_field : str
+        Name of the field that carries the id.
+    request_id : str
+        Of the caller; empty without one.
+    pause_s : float
+        When to come back, told where the request has not run.
+    """
+    status = _STATUS.get(code, NOT_RUN)
+    headers = [('Content-Type', 'application/json')]
+    if request_id:
+        headers.append((id_field, request_id))
+    if status == NOT_RUN:
+        headers.append(('Retry-After', f'{pause_s:.3f}'))
+    body = json.dumps({'code': int(code), 'error': code.text}).encode()
+    return transport.Response(status, headers, body)
