A target that starts again under its id is a new lifetime

Cause: a lifetime was its id. Its first reports after a restart were dropped as late, one that had said that it was leaving stayed closed for good, a late goodbye of the earlier lifetime closed the one that had come after it, and peers kept the load, work times and closed marks of the earlier one.

Change: a lifetime is the id and the moment of the start (`born_ms`; `born` only in the adapter). The later one is taken at once and ends all before it, a report or goodbye of an earlier one changes nothing, and within one the sequence counts. Without that moment all is as before. It travels in the member row (rows without it are read as 0), so that peers start anew and keep only the connections to the daemon. The gate forgets work times, failures and its lowered limit; calls under way at the earlier lifetime are ended, since they would hold places until their deadlines. A health check does not tell the start: a daemon that was restarted takes it from its own row.

Ruled out: the moment of the start as an order between different ids, since clocks jump; the probe decides there as before. A store write when a start becomes known of a target that was already told of.

Found on the way, with its own scenario: a late report that was to be settled took the place of a later lifetime of the same target that had been taken meanwhile.

Result: the three scenarios with daemons failed on the code before (two for want of an answer within 20 s, one with both calls still under way after 1.5 s), the settled one failed without its guard; features/targets.feature passes with 26 scenarios, gate, mesh, relays, start, model and soak pass.

--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -662,7 +662,7 @@
             name = base.TargetName(f'i-{number}')
             before = target.target
             if kind == 'leave':
-                target.leave(name)
+                target.leave(mesh.Lifetime(name))
                 closed.add(name)
             elif kind == 'misdirected':
                 closed.add(target.target)
--- /dev/null
+++ b/features/steps/target_steps.py
@@ -0,0 +1,322 @@
+"""Steps over lifetimes of targets, and over what other writers say."""
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
+
+from sedgering import base
+from sedgering import mesh
+from sedgering.mesh import _gate
+from sedgering.mesh import _members
+from sedgering.mesh import _relay
+from sedgering import testing
+
+SET = base.TargetSetName('calendar')
+ROUTE = base.RouteName('calendar')
+TARGET = base.TargetName('i-1')
+#: Within this a call of a lifetime that has ended must have an answer; the
+#: work takes several times as long.
+AT_ONCE_S = 1.5
+EXAMPLES = 500
+
+
+class LifetimeSubject:
+    """A local target that is told lines of a table."""
+
+    def __init__(self):
+        self.target = mesh.LocalTarget()
+
+    def tell(self, line: str) -> None:
+        """Tell a line such as ``ready 40 born 10``."""
+        words, _mark, born = line.partition(' born ')
+        kind, _space, sequence = words.partition(' ')
+        if kind == 'leaving':
+            self._tell_report('ready', 2, born)
+            self.target.leave(mesh.Lifetime(TARGET, int(born)))
+        elif kind == 'forgotten':
+            self._tell_report('ready', 2, born)
+            self.target.forget()
+        else:
+            self._tell_report(kind, sequence, born)
+
+    def move(self, kind, lifetime, counter) -> set[mesh.Lifetime]:
+        """Let something arrive; return the lifetimes that it ends."""
+        before = self.target.lifetime
+        ended = set()
+        if kind == 'leave':
+            self.target.leave(lifetime)
+            ended.add(lifetime)
+        elif kind == 'misdirected':
+            self.target.forget()
+        elif kind == 'probed':
+            self.target.settle_rival(lifetime.target, 0.0)
+        else:
+            report = make_report(kind, counter, lifetime)
+            self.target.take_report(report, 0.0)
+            if kind == 'draining' and self.target.report is report:
+                ended.add(lifetime)
+        if before is not None and before != self.target.lifetime:
+            ended.add(before)
+        return ended
+
+    def _tell_report(self, state, sequence, born) -> None:
+        lifetime = mesh.Lifetime(TARGET, int(born))
+        report = make_report(state, int(sequence), lifetime)
+        self.target.take_report(report, 0.0)
+
+
+def make_report(state, sequence, lifetime) -> mesh.TargetReport:
+    """Make a report of a lifetime."""
+    return mesh.TargetReport(
+        lifetime.target,
+        SET,
+        2,
+        mesh.TargetState(state),
+        0,
+        sequence,
+        lifetime.born_ms,
+    )
+
+
+@given('a lifetime of a target told of {first} born {born:d}')
+def step_first(context, first, born):
+    context.subject = LifetimeSubject()
+    context.subject.tell(f'{first} born {born}')
+
+
+@when('it tells of {second} born {born:d}')
+def step_second(context, second, born):
+    if second == 'leaving':
+        lifetime = mesh.Lifetime(TARGET, born)
+        context.subject.target.leave(lifetime)
+    else:
+        context.subject.tell(f'{second} born {born}')
+
+
+@then('the target is {state} in the lifetime born at {born:d}')
+def step_state(context, state, born):
+    target = context.subject.target
+    assert target.is_open == (state == 'open'), target.report
+    found = target.report.born_ms if target.report else 0
+    assert found == born, target.report
+    assert (target.report is None) == (state == 'none')
+
+
+@then('no order of reports and goodbyes opens a lifetime that has ended')
+def step_any_order(context):
+    lifetimes = st.builds(
+        mesh.Lifetime,
+        st.sampled_from(['i-1', 'i-2']),
+        st.integers(1, 3),
+    )
+    kinds = ('ready', 'draining', 'leave', 'misdirected', 'probed')
+    moves = st.tuples(st.sampled_from(kinds), lifetimes, st.integers(0, 5))
+
+    @hypothesis.settings(
+        max_examples=EXAMPLES, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(st.lists(moves, max_size=30))
+    def check(sequence):
+        subject = LifetimeSubject()
+        ended: set[mesh.Lifetime] = set()
+        for kind, lifetime, counter in sequence:
+            ended |= subject.move(kind, lifetime, counter)
+            present = subject.target.lifetime
+            if subject.target.is_open:
+                assert not [
+                    item
+                    for item in ended
+                    if item == present or present.is_before(item)
+                ], sequence
+
+    check()
+
+
+@given('a target beside which another one, born at {born:d}, reported late')
+def step_rival(context, born):
+    context.subject = LifetimeSubject()
+    context.subject.tell('ready 5 born 1')
+    other = mesh.Lifetime(base.TargetName('i-2'), born)
+    report = make_report('ready', 7, other)
+    assert not context.subject.target.take_report(report, 0.0)
+
+
+@when('that one starts again, born at {born:d}, before it is asked who it is')
+def step_rival_again(context, born):
+    other = mesh.Lifetime(base.TargetName('i-2'), born)
+    target = context.subject.target
+    target.take_report(make_report('ready', 1, other), 0.0)
+    target.settle_rival(other.target, 0.0)
+
+
+@given('what a daemon has learnt of a target born at {born:d}')
+def step_learnt(context, born):
+    context.fleet = mesh.FleetTable()
+    context.peers = mesh.PeerTable(mesh.MeshSettings())
+    row = testing.make_member_row('near', born_ms=born)
+    context.fleet.replace({row.host: row})
+    peer = context.peers.find(row)
+    load = mesh.LoadReport(2, 2, 1, 900, 900)
+    context.peers.take_report(peer, load, ROUTE, 0.0)
+    peer.close(0.0, mesh.RefusalReason.LEAVING)
+    peer.fail(0.0, 'test')
+    context.old = peer
+
+
+@when('the row of its host names the same target born at {born:d}')
+def step_row_again(context, born):
+    row = testing.make_member_row('near', born_ms=born, cold_ms=3000)
+    context.started = context.fleet.replace({row.host: row})
+    context.row = row
+
+
+@then('it is cold, its load and work times are not known, and it is open')
+def step_new_peer(context):
+    assert context.started == [context.row], context.started
+    peer = context.peers.find(context.row)
+    assert peer is not context.old
+    assert peer.report is None
+    assert not peer.closed_until_s and not peer.suspect_until_s
+    assert peer.estimate_work_ms(ROUTE, 100.0, 0.0) == 100.0
+
+
+@then('the connections to its daemon are kept')
+def step_pool_kept(context):
+    assert context.peers.find(context.row).pool is context.old.pool
+
+
+@then('a member row without the start of its target is decoded')
+def step_old_row(context):
+    row = testing.make_member_row('near')
+    fields = msgspec.to_builtins(row)
+    del fields['born_ms']
+    found = msgspec.json.decode(msgspec.json.encode(fields), type=type(row))
+    assert found == row and found.born_ms == 0
+
+
+@then('the row of a target born at {born:d} keeps that on its way to others')
+def step_row_way(context, born):
+    row = testing.make_member_row('near', born_ms=born)
+    entry = _members.MemberEntry(row.host, 7, row)
+    news = _relay.RelayNews(
+        True, 7, None, _members.MemberNews((entry,), 7, True)
+    )
+    found = _relay.decode_relay_news(_relay.encode_news(news))
+    assert found == news
+
+
+@given('a gate that learnt of a slow target that refuses')
+def step_gate_learnt(context):
+    gate = mesh.Gate(mesh.MeshSettings(), lambda: 0.0)
+    gate.open(12)
+    ticket = mesh.Ticket(ROUTE, 1, mesh.CallUrgency.FIRST, 9.0, 9.0)
+    for result in (_gate.CallResult.DONE, _gate.CallResult.REFUSED):
+        for _ in range(20):
+            gate.running += 1
+            gate.leave(ticket, result, 900.0)
+    assert gate.limit < 12 and gate.make_report(ROUTE).work_ms > 900
+    context.gate = gate
+
+
+@when('its target starts again')
+def step_gate_renewed(context):
+    context.gate.renew()
+
+
+@then('its limit, work times and failures are those of a new target')
+def step_gate_new(context):
+    new = mesh.Gate(mesh.MeshSettings(), lambda: 0.0)
+    new.open(12)
+    assert context.gate.make_report(ROUTE) == new.make_report(ROUTE)
+
+
+@given(
+    'the target of the first host said "{state}" in a lifetime born at'
+    ' {born:d}'
+)
+def step_said_born(context, state, born):
+    subject = context.mesh
+    subject.first.born_ms = born
+    subject.first.sequence = 40
+    assert subject.fleet.report(subject.first, state) == 200
+
+
+@when('it starts again, born at {born:d}, and says "{state}"')
+def step_starts_again(context, state, born):
+    subject = context.mesh
+    subject.first.born_ms = born
+    subject.first.sequence = 0
+    assert subject.fleet.report(subject.first, state) == 200
+
+
+@when('a goodbye of the lifetime born at {born:d} arrives late')
+def step_late_goodbye(context, born):
+    subject = context.mesh
+    living, subject.first.born_ms = subject.first.born_ms, born
+    assert subject.fleet.deregister(subject.first) == 200
+    subject.first.born_ms = living
+
+
+@then('all daemons have a row of a target born at {born:d}')
+def step_rows_born(context, born):
+    subject = context.mesh
+
+    def is_known():
+        rows = [
+            host.daemon.state.fleet.members.get(subject.first.name)
+            for host in subject.fleet.hosts.values()
+        ]
+        return all(row and row.born_ms == born for row in rows)
+
+    subject.fleet.wait_for(is_known)
+
+
+@given('only the first host has a target')
+def step_only_first(context):
+    subject = context.mesh
+    subject.configure(
+        {'timeout': '9000ms', 'prefix': '/slow/', 'name': 'slow'}
+    )
+    assert subject.fleet.report(subject.second, 'draining') == 200
+
+
+@when('{count:d} callers ask "{path}", and all places of the target are taken')
+def step_callers(context, count, path):
+    subject = context.mesh
+    port = subject.first.addresses.callers_port
+
+    async def start():
+        return [
+            asyncio.ensure_future(
+                subject.fleet.start_call(
+                    port,
+                    path,
+                    X_Request_Id=f'{number}',
+                    X_Request_Deadline='9000',
+                )
+            )
+            for number in range(count)
+        ]
+
+    context.calls = subject.fleet.run(start())
+    subject.fleet.wait_for(lambda: subject.first.books.running == count)
+
+
+@then('the {count:d} calls of the earlier lifetime end at once')
+def step_calls_end(context, count):
+    async def wait():
+        return await asyncio.wait(context.calls, timeout=AT_ONCE_S)
+
+    done, pending = context.mesh.fleet.run(wait())
+    assert len(done) == count, pending
+
+
+@then('no place of the target is taken')
+def step_no_place(context):
+    gate = context.mesh.first.daemon.state.side.gate
+    context.mesh.fleet.wait_for(lambda: not gate.running)
--- /dev/null
+++ b/features/targets.feature
@@ -0,0 +1,87 @@
+Feature: A target that starts again under its id is a new lifetime
+  A target may start again under the id that it had, and then counts its
+  reports anew.  Told apart by their ids alone, the first reports of the new
+  lifetime were late ones, one that had said that it was leaving was closed
+  for good, and a late goodbye closed the one that had come after it.
+
+  Scenario Outline: Reports of two lifetimes with one id
+    Given a lifetime of a target told of <first>
+    When it tells of <second>
+    Then the target is <state> in the lifetime born at <born>
+
+    Examples: a later lifetime is taken at once
+      | first                | second              | state  | born |
+      | ready 40 born 10     | ready 1 born 20     | open   | 20   |
+      | ready 40 born 10     | draining 1 born 20  | closed | 20   |
+      | draining 40 born 10  | ready 1 born 20     | open   | 20   |
+      | leaving born 10      | ready 1 born 20     | open   | 20   |
+      | forgotten born 10    | ready 1 born 20     | open   | 20   |
+      | ready 40 born 10     | leaving born 20     | closed | 20   |
+
+    Examples: an earlier one changes nothing
+      | first                | second              | state  | born |
+      | ready 2 born 20      | draining 40 born 10 | open   | 20   |
+      | ready 2 born 20      | ready 40 born 10    | open   | 20   |
+      | ready 2 born 20      | leaving born 10     | open   | 20   |
+      | draining 2 born 20   | ready 40 born 10    | closed | 20   |
+
+    Examples: within one lifetime the sequence counts
+      | first                | second              | state  | born |
+      | ready 2 born 20      | draining 1 born 20  | open   | 20   |
+      | ready 2 born 20      | draining 3 born 20  | closed | 20   |
+      | draining 2 born 20   | ready 3 born 20     | closed | 20   |
+      | leaving born 20      | ready 3 born 20     | closed | 20   |
+      | forgotten born 20    | ready 3 born 20     | none   | 0    |
+
+    Examples: a lifetime whose start was not known is the one that tells it
+      | first                | second              | state  | born |
+      | ready 1 born 0       | ready 2 born 20     | open   | 20   |
+      | ready 2 born 0       | ready 1 born 20     | open   | 0    |
+      | draining 1 born 0    | ready 2 born 20     | closed | 0    |
+
+  Scenario: Whatever arrives late opens no lifetime that has ended
+    Then no order of reports and goodbyes opens a lifetime that has ended
+
+  Scenario: A late report that is settled afterwards brings nothing back
+    Given a target beside which another one, born at 10, reported late
+    When that one starts again, born at 20, before it is asked who it is
+    Then the target is open in the lifetime born at 20
+
+  Scenario: A peer that starts again under its id is a new one to others
+    Given what a daemon has learnt of a target born at 10
+    When the row of its host names the same target born at 20
+    Then it is cold, its load and work times are not known, and it is open
+    And the connections to its daemon are kept
+
+  Scenario: Rows of the version before, and for it
+    Then a member row without the start of its target is decoded
+    And the row of a target born at 20 keeps that on its way to others
+
+  Scenario: A gate forgets what it learnt of the earlier lifetime
+    Given a gate that learnt of a slow target that refuses
+    When its target starts again
+    Then its limit, work times and failures are those of a new target
+
+  Scenario: A target starts again under its id while it is draining
+    Given a mesh with two calendar hosts
+    And the target of the first host said "draining" in a lifetime born at 10
+    When it starts again, born at 20, and says "ready"
+    Then the first host serves the second, whose own target leaves
+    And all daemons have a row of a target born at 20
+
+  Scenario: A late goodbye of the earlier lifetime is acknowledged only
+    Given a mesh with two calendar hosts
+    And the target of the first host said "ready" in a lifetime born at 10
+    When it starts again, born at 20, and says "ready"
+    And a goodbye of the lifetime born at 10 arrives late
+    Then the first host serves the second, whose own target leaves
+
+  Scenario: Calls of an earlier lifetime do not hold places of the next one
+    Given a mesh with two calendar hosts
+    And only the first host has a target
+    And the target of the first host said "ready" in a lifetime born at 10
+    And the targets work 5 s
+    When 2 callers ask "/slow/", and all places of the target are taken
+    And it starts again, born at 20, and says "ready"
+    Then the 2 calls of the earlier lifetime end at once
+    And no place of the target is taken
--- a/sedgering/mesh/__init__.py
+++ b/sedgering/mesh/__init__.py
@@ -22,6 +22,7 @@
 from sedgering.mesh._messages import CallOutcome
 from sedgering.mesh._messages import CallUrgency
 from sedgering.mesh._messages import HeaderNames
+from sedgering.mesh._messages import Lifetime
 from sedgering.mesh._messages import LoadReport
 from sedgering.mesh._messages import MemberRow
 from sedgering.mesh._messages import MeshIdentity
@@ -29,6 +30,7 @@
 from sedgering.mesh._messages import TargetCall
 from sedgering.mesh._messages import TargetReport
 from sedgering.mesh._messages import TargetState
+from sedgering.mesh._messages import UNKNOWN_BORN_MS
 from sedgering.mesh._pause import PauseWatch
 from sedgering.mesh._peers import PeerTable
 from sedgering.mesh._settings import MeshSettings
@@ -49,6 +51,7 @@
     'Gate',
     'GateRefused',
     'HeaderNames',
+    'Lifetime',
     'LoadReport',
     'LocalTarget',
     'MemberRow',
@@ -63,6 +66,7 @@
     'TargetCall',
     'TargetReport',
     'TargetState',
+    'UNKNOWN_BORN_MS',
     'Ticket',
     'WeightedTurns',
     'choose_member',
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -4,6 +4,8 @@
 import logging
 import random
 
+import msgspec
+
 from sedgering import base
 from sedgering.mesh import _answer_room
 from sedgering.mesh import _budget
@@ -142,12 +144,14 @@
             LOG.info('probe refused', extra={'target': report.target})
             return
         row = self.state.fleet.members.get(self.identity.host)
-        is_known = row is not None and row.target == report.target
-        if is_known and row.state is not _messages.TargetState.READY:
-            # An earlier lifetime of this daemon has acknowledged that
-            # the target is leaving.
-            LOG.info('target is leaving', extra={'target': row.target})
-            return
+        if row is not None and row.target == report.target:
+            if row.state is not _messages.TargetState.READY:
+                # An earlier lifetime of this daemon has acknowledged that
+                # the target is leaving.
+                LOG.info('target is leaving', extra={'target': row.target})
+                return
+            # A health check does not tell when the target was born.
+            report = msgspec.structs.replace(report, born_ms=row.born_ms)
         self.take_report(report)
 
     async def _probe_target(self, path: str) -> _messages.TargetReport | None:
@@ -164,7 +168,9 @@
         answer = await self._probe_target(path) if path else None
         side = self.state.side
         present = answer.target if answer else None
+        before = side.target.lifetime
         if side.target.settle_rival(present, side.gate.now_s()):
+            self._note_lifetime(before)
             self._show_target()
 
     async def _watch_peers(self) -> None:
@@ -216,18 +222,30 @@
         now_s = self.state.side.gate.now_s()
         target = self.state.side.target
         was_settling = target.rival is not None
+        before = target.lifetime
         if target.take_report(report, now_s):
+            self._note_lifetime(before)
             self._show_target()
         if target.rival is not None and not was_settling:
             task = asyncio.get_running_loop().create_task(self._settle_rival())
             self._tasks.append(task)
             task.add_done_callback(self._tasks.remove)
 
-    def take_leave(self, target: base.TargetName) -> None:
+    def take_leave(self, lifetime: _messages.Lifetime) -> None:
         """Note that the local target is leaving for good."""
-        if self.state.side.target.leave(target):
+        if self.state.side.target.leave(lifetime):
             self._show_target()
 
+    def _note_lifetime(self, before: _messages.Lifetime | None) -> None:
+        """Start anew with a target that is not the one before."""
+        side = self.state.side
+        present = side.target.lifetime
+        if before is None:
+            return
+        is_restart = before.is_before(present)
+        if is_restart or before.target != present.target:
+            side.renew(is_restart)
+
     def render_metrics(self) -> bytes:
         """Return counters and present values as text."""
         gate = self.state.side.gate
@@ -268,6 +286,7 @@
             state=report.state,
             cold_ms=report.cold_ms,
             link_mbps=round(self.identity.link_mbps),
+            born_ms=report.born_ms,
         )
 
     async def leave(self, grace_ms: int) -> None:
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -384,7 +384,7 @@
         """Believe a host about its target; say whether to ask it again."""
         told = answer.member
         self.state.take_told(told)
-        is_other = told.target != peer.row.target
+        is_other = told.lifetime != peer.row.lifetime
         return is_other and self.corrections < CORRECTIONS_LIMIT
 
     def _is_final(self, answer: _messages.CallAnswer) -> bool:
--- a/sedgering/mesh/_fleet.py
+++ b/sedgering/mesh/_fleet.py
@@ -38,7 +38,7 @@
         Returns
         -------
         list of MemberRow
-            Those whose target has started since.
+            Those whose target has started since, under whatever id.
         """
         self._told = {
             host: row
@@ -59,7 +59,8 @@
         """
         if self._stored.get(row.host) is None:
             return False
-        if self.members[row.host] == row:
+        known = self.members[row.host]
+        if known == row or row.lifetime.is_before(known.lifetime):
             return False
         self._told[row.host] = row
         self._take({**self.members, row.host: row})
@@ -74,7 +75,7 @@
             old = self.members.get(host)
             if old != row:
                 _log_change('member changed' if old else 'member new', row)
-            if old is None or old.target != row.target:
+            if old is None or old.lifetime != row.lifetime:
                 started.append(row)
         for host, row in self.members.items():
             if host not in members:
--- a/sedgering/mesh/_gate.py
+++ b/sedgering/mesh/_gate.py
@@ -184,6 +184,13 @@
         self.is_open = True
         self._admit_waiting()
 
+    def renew(self) -> None:
+        """Forget what was learnt: another lifetime of the target is there."""
+        self.limit = self.slots
+        self.work = _work.WorkTimes(LIKELY_SHARE)
+        self._failure_share = 0.0
+        self._calm = 0
+
     def close(self, reason: _messages.RefusalReason) -> None:
         """Refuse new calls and those that wait; the rest goes on."""
         self.is_open = False
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -92,6 +92,8 @@
         self.row: _messages.MemberRow | None = None
         #: Calls at the target, by the identity of their tickets.
         self._under_way: dict[int, _gate.Ticket] = {}
+        #: Connections on which they are.
+        self._busy: set[transport.ClientConnection] = set()
         self._replaced = frozenset(
             getattr(names, field).lower() for field in _REPLACED
         )
@@ -118,6 +120,23 @@
         else:
             self.gate.close(_messages.RefusalReason.LEAVING)
 
+    def renew(self, is_restart: bool) -> None:
+        """Forget what was learnt of an earlier lifetime of the target.
+
+        Parameters
+        ----------
+        is_restart : bool
+            Whether the same target has started again.  Its calls under way
+            are lost then, and their connections may never say so: they
+            would hold places until their deadlines.
+        """
+        self.gate.renew()
+        self.pool.close()
+        if not is_restart:
+            return
+        for connection in list(self._busy):
+            connection.close()
+
     def make_report(self, route: base.RouteName) -> _messages.LoadReport:
         """Make what other daemons are told with the answer to a call."""
         report = self.gate.make_report(route)
@@ -232,6 +251,7 @@
             self.pool.put(connection)
             return self._refuse(call, _messages.RefusalReason.DEADLINE)
         data = self._encode(call, remaining_ms)
+        self._busy.add(connection)
         try:
             response = await connection.exchange(
                 data,
@@ -245,6 +265,8 @@
                 reached_target=True,
                 detail=str(error),
             )
+        finally:
+            self._busy.discard(connection)
         self.pool.put(connection)
         return self._classify(response)
 
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -13,6 +13,7 @@
     'CallOutcome',
     'CallUrgency',
     'HeaderNames',
+    'Lifetime',
     'LoadReport',
     'MemberRow',
     'MeshIdentity',
@@ -20,8 +21,12 @@
     'TargetCall',
     'TargetReport',
     'TargetState',
+    'UNKNOWN_BORN_MS',
 ]
 
+#: Start of a target that does not tell it.
+UNKNOWN_BORN_MS = 0
+
 
 class TargetState(enum.Enum):
     """What a target says of itself."""
@@ -161,13 +166,39 @@
     target_port: int
 
 
+class Lifetime(msgspec.Struct, frozen=True):
+    """One run of a target, from its start to its end.
+
+    A target that starts again may keep its id; then only the moment of its
+    start tells the two runs apart.
+
+    Parameters
+    ----------
+    target : str
+        Id of the target.
+    born_ms : int
+        Unix time of its start; 0 when it does not tell it.
+    """
+
+    target: base.TargetName
+    born_ms: int = UNKNOWN_BORN_MS
+
+    def is_before(self, other: 'Lifetime') -> bool:
+        """Whether the same target is known to have started again since."""
+        return (
+            self.target == other.target
+            and self.born_ms != UNKNOWN_BORN_MS
+            and self.born_ms < other.born_ms
+        )
+
+
 class TargetReport(msgspec.Struct, frozen=True):
     """What the local target says of itself.
 
     Parameters
     ----------
     target : str
-        Id of this lifetime of the target.
+        Id of the target.
     target_set : str
         What it belongs to.
     slots : int
@@ -177,7 +208,9 @@
     cold_ms : int
         For how much longer it is slow after its start.
     sequence : int
-        Grows with each report of one target.
+        Grows with each report of one lifetime.
+    born_ms : int
+        Unix time of the start of this lifetime; 0 when it is not told.
     """
 
     target: base.TargetName
@@ -186,6 +219,12 @@
     state: TargetState
     cold_ms: int
     sequence: int
+    born_ms: int = UNKNOWN_BORN_MS
+
+    @property
+    def lifetime(self) -> Lifetime:
+        """Lifetime that reports."""
+        return Lifetime(self.target, self.born_ms)
 
 
 class MemberRow(msgspec.Struct, frozen=True):
@@ -201,6 +240,8 @@
         For how long the target was still cold when the row was written.
     link_mbps : int
         Width of the link of the host; 0 when it is not known.
+    born_ms : int
+        Unix time of the start of the target; 0 when it is not told.
     """
 
     host: base.HostId
@@ -213,6 +254,12 @@
     state: TargetState
     cold_ms: int = 0
     link_mbps: int = 0
+    born_ms: int = UNKNOWN_BORN_MS
+
+    @property
+    def lifetime(self) -> Lifetime:
+        """Lifetime of the target."""
+        return Lifetime(self.target, self.born_ms)
 
 
 class LoadReport(msgspec.Struct):
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -402,7 +402,7 @@
             old = peer.row
             if (old.address, old.port) != (row.address, row.port):
                 peer.pool.close()
-            elif old.target == row.target:
+            elif old.lifetime == row.lifetime:
                 return peer
             else:
                 # The same daemon, or one that took its place: connections
--- a/sedgering/mesh/_relay.py
+++ b/sedgering/mesh/_relay.py
@@ -27,6 +27,7 @@
     'RelayPoll',
     'choose_relays',
     'decode_relay_news',
+    'encode_news',
     'encode_poll',
     'hash_text',
     'is_poll',
@@ -127,6 +128,11 @@
     )
 
 
+def encode_news(news: RelayNews) -> transport.Response:
+    """Encode the answer to a poll."""
+    return transport.Response(STATUS_OK, [], _ENCODER.encode(news))
+
+
 def is_poll(request: transport.Request) -> bool:
     """Say whether another daemon polls."""
     return request.find(MARK) is not None
@@ -169,9 +175,7 @@
         except msgspec.DecodeError as error:
             return transport.make_json_response(400, {'error': str(error)})
         self.source.note_poll()
-        news = await self._wait_for_news(poll)
-        body = _ENCODER.encode(news)
-        return transport.Response(200, [], body)
+        return encode_news(await self._wait_for_news(poll))
 
     async def _wait_for_news(self, poll: RelayPoll) -> RelayNews:
         loop = asyncio.get_running_loop()
--- a/sedgering/mesh/_target.py
+++ b/sedgering/mesh/_target.py
@@ -1,8 +1,9 @@
 """The target beside this daemon, as it reports itself."""
 
-import collections
 import logging
 
+import msgspec
+
 from sedgering import base
 from sedgering.mesh import _messages
 
@@ -13,7 +14,8 @@
 #: Sequence of the first report of a lifetime.  A later one may come from a
 #: lifetime that has crashed: reports can be delayed by seconds.
 FIRST_SEQUENCE = 1
-#: Lifetimes remembered as ended, so that a late report revives none.
+#: Targets of which an ended lifetime is remembered, so that a late report
+#: revives none.
 REMEMBERED = 16
 
 
@@ -21,7 +23,7 @@
     """State of the local target: what was reported last, and what ended.
 
     A target that has said that it is leaving stays closed: only another
-    lifetime opens the gate again.
+    lifetime opens the gate again, which may have the same id.
     """
 
     def __init__(self):
@@ -29,9 +31,9 @@
         #: Report of another lifetime while one is open.
         self.rival: _messages.TargetReport | None = None
         self.cold_until_s = 0.0
-        self._ended: collections.deque[base.TargetName] = collections.deque(
-            maxlen=REMEMBERED
-        )
+        #: When the last lifetime of each that has ended was born; those
+        #: that ended last are at the end.
+        self._ended: dict[base.TargetName, int] = {}
 
     @property
     def is_open(self) -> bool:
@@ -43,9 +45,14 @@
 
     @property
     def target(self) -> base.TargetName | None:
-        """Id of the present lifetime, if one is known."""
+        """Id of the present target, if one is known."""
         return self.report.target if self.report else None
 
+    @property
+    def lifetime(self) -> _messages.Lifetime | None:
+        """The present lifetime, if one is known."""
+        return self.report.lifetime if self.report else None
+
     def take_report(
         self, report: _messages.TargetReport, now_s: float
     ) -> bool:
@@ -56,19 +63,17 @@
         bool
             Whether anything changed that other daemons must know.
         """
-        if report.target in self._ended:
+        if self._has_ended(report.lifetime):
             return False
         old = self.report
         if old is not None and old.target == report.target:
-            if report.sequence <= old.sequence:
-                return False
-            if old.state is not _messages.TargetState.READY:
+            if not _is_next(old, report):
                 return False
         elif self.is_open and report.sequence > FIRST_SEQUENCE:
             self.rival = report
             return False
         elif old is not None:
-            self._ended.append(old.target)
+            self._end(old.lifetime)
         return self._accept(report, now_s)
 
     def settle_rival(
@@ -91,15 +96,18 @@
         rival, self.rival = self.rival, None
         if rival is None or self.report is None or present is None:
             return False
-        if rival.target in self._ended:
+        if self._has_ended(rival.lifetime):
             # It has left since it reported.
             return False
+        if rival.target == self.report.target:
+            # It has reported again, and was taken.
+            return False
         if present == rival.target:
-            self._ended.append(self.report.target)
+            self._end(self.report.lifetime)
             return self._accept(rival, now_s)
         if present == self.report.target:
             _log('late report', rival)
-            self._ended.append(rival.target)
+            self._end(rival.lifetime)
         return False
 
     def _accept(self, report: _messages.TargetReport, now_s: float) -> bool:
@@ -109,6 +117,7 @@
         is_changed = (
             old is None
             or old.target != report.target
+            or old.lifetime.is_before(report.lifetime)
             or old.state is not report.state
             or old.slots != report.slots
         )
@@ -116,26 +125,33 @@
             _log('target reported', report)
         return is_changed
 
-    def leave(self, target: base.TargetName) -> bool:
+    def leave(self, lifetime: _messages.Lifetime) -> bool:
         """Note that a lifetime has said that it is leaving for good.
 
+        Parameters
+        ----------
+        lifetime : Lifetime
+            Of a target that does not tell its start: the present one.
+
         Returns
         -------
         bool
             Whether the present lifetime was meant, and was open.
         """
-        if self.report is None or self.report.target != target:
-            if target not in self._ended:
-                self._ended.append(target)
+        present = self.report
+        if (
+            present is None
+            or present.target != lifetime.target
+            or lifetime.is_before(present.lifetime)
+        ):
+            self._end(lifetime)
             return False
         was_open = self.is_open
-        self.report = _messages.TargetReport(
-            target=target,
-            target_set=self.report.target_set,
-            slots=self.report.slots,
+        self.report = msgspec.structs.replace(
+            present,
             state=_messages.TargetState.GONE,
             cold_ms=0,
-            sequence=self.report.sequence,
+            born_ms=max(present.born_ms, lifetime.born_ms),
         )
         _log('target left', self.report)
         return was_open
@@ -144,9 +160,33 @@
         """Close until the next report: another target answered there."""
         if self.report is not None:
             _log('target forgotten', self.report)
-            self._ended.append(self.report.target)
+            self._end(self.report.lifetime)
         self.report = None
 
+    def _end(self, lifetime: _messages.Lifetime) -> None:
+        """Remember that a lifetime, and all before it, have ended."""
+        born_ms = self._ended.pop(lifetime.target, lifetime.born_ms)
+        self._ended[lifetime.target] = max(born_ms, lifetime.born_ms)
+        if len(self._ended) > REMEMBERED:
+            del self._ended[next(iter(self._ended))]
+
+    def _has_ended(self, lifetime: _messages.Lifetime) -> bool:
+        born_ms = self._ended.get(lifetime.target)
+        return born_ms is not None and lifetime.born_ms <= born_ms
+
+
+def _is_next(
+    old: _messages.TargetReport, report: _messages.TargetReport
+) -> bool:
+    """Whether a report with the same id as the last one takes its place."""
+    if old.lifetime.is_before(report.lifetime):
+        return True
+    if report.lifetime.is_before(old.lifetime):
+        _log('report of an earlier lifetime', report)
+        return False
+    is_ready = old.state is _messages.TargetState.READY
+    return is_ready and report.sequence > old.sequence
+
 
 def _log(message: str, report: _messages.TargetReport) -> None:
     LOG.info(
--- a/sedgering/platform/_reports.py
+++ b/sedgering/platform/_reports.py
@@ -25,6 +25,12 @@
     #: For how much longer the target is slow after its start.
     cold_remaining: str = '0ms'
     sequence: int = 0
+    #: Unix time of the start of the lifetime, in milliseconds.
+    born: int = mesh.UNKNOWN_BORN_MS
+
+
+class _Goodbye(msgspec.Struct):
+    born: int = mesh.UNKNOWN_BORN_MS
 
 
 class ReportsService(transport.Service):
@@ -50,18 +56,23 @@
         if match is None or request.method != 'POST':
             return transport.make_json_response(404, {'error': 'no such path'})
         target = base.TargetName(match.group(1))
-        if match.group(2) == 'deregister':
-            self.daemon.take_leave(target)
-            return transport.make_json_response(200, {})
         try:
-            report = _decode_report(target, request.body)
+            if match.group(2) == 'deregister':
+                self.daemon.take_leave(_decode_goodbye(target, request.body))
+            else:
+                self.daemon.take_report(_decode_report(target, request.body))
         except (msgspec.MsgspecError, ValueError) as error:
             LOG.warning('report refused', extra={'detail': str(error)})
             return transport.make_json_response(400, {'error': str(error)})
-        self.daemon.take_report(report)
         return transport.make_json_response(200, {})
 
 
+def _decode_goodbye(target: base.TargetName, body: bytes) -> mesh.Lifetime:
+    """Decode a goodbye; targets that do not tell their start send no body."""
+    goodbye = msgspec.json.decode(body or b'{}', type=_Goodbye)
+    return mesh.Lifetime(target, goodbye.born)
+
+
 def _decode_report(target: base.TargetName, body: bytes) -> mesh.TargetReport:
     heartbeat = msgspec.json.decode(body, type=_Heartbeat)
     return mesh.TargetReport(
@@ -71,4 +82,5 @@
         state=mesh.TargetState(heartbeat.state),
         cold_ms=_wire.parse_duration_ms(heartbeat.cold_remaining),
         sequence=heartbeat.sequence,
+        born_ms=heartbeat.born,
     )
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -120,6 +120,8 @@
         self.servers: list = []
         self.target_server: asyncio.AbstractServer | None = None
         self.sequence = 0
+        #: Start of the lifetime of its target; 0 when that is not told.
+        self.born_ms = 0
 
 
 class MeshFleet:
@@ -219,7 +221,12 @@
 
     def _tell(self, host: MeshHost, verb: str, state: str) -> int:
         request = _platform_calls.make_report(
-            host.books.target, verb, host.target_set, state, host.sequence
+            host.books.target,
+            verb,
+            host.target_set,
+            state,
+            host.sequence,
+            born_ms=host.born_ms,
         )
         port = host.addresses.reports_port
         return self.call(port, request.url, request.body).status
--- a/sedgering/testing/_platform_calls.py
+++ b/sedgering/testing/_platform_calls.py
@@ -24,6 +24,7 @@
     state: str,
     sequence: int,
     slots: int = 2,
+    born_ms: int = 0,
 ) -> transport.Request:
     """Make what a target tells the daemon beside it.
 
@@ -35,19 +36,26 @@
         `heartbeat` or `deregister`.
     target_set, state, sequence, slots
         What is told.
+    born_ms : int
+        Start of the lifetime; 0 for a target that does not tell it.
     """
-    body = {
-        'service': target_set,
-        'slots': slots,
-        'state': state,
-        'cold_remaining': '0ms',
-        'sequence': sequence,
-    }
+    body = {'born': born_ms} if born_ms else {}
+    if verb == 'heartbeat':
+        body |= {
+            'service': target_set,
+            'address': '10.128.0.9:8080',
+            'zone': 'hall',
+            'version': 'v1',
+            'slots': slots,
+            'state': state,
+            'cold_remaining': '0ms',
+            'sequence': sequence,
+        }
     return transport.Request(
         'POST',
         f'/v1/instances/{target}/{verb}',
         [('Host', 'daemon')],
-        json.dumps(body).encode(),
+        json.dumps(body).encode() if body else b'',
         True,
     )
 
