A row of another writer names no target, and the others hold

Cause: rows were decoded for their types only, by the page and without their key: one value that is no base64 or one body nested without end lost all rows of the answer, an address that is no IP number led to a name look-up, a port beyond the range to an error in the middle of a request, a row under another key to two rows of one host. Each read of a strange row was logged anew.

A value of the store that cannot be read marks its row only; the tools still refuse it, since no record may be left out unseen. News of a relay keep their other rows where one is strange. A host whose own row was spoilt or removed by another writer writes it again.

Ruled out: to refuse rows of a target set that no bundle names. A version may name it a moment later, and until then no route leads there (scenario).

--- a/sedgering/exceptions.py
+++ b/sedgering/exceptions.py
@@ -1,9 +1,9 @@
 """Numbered result codes and the exceptions that carry them.
 
 The thousands digit names the subject: 1 settings and bundles, 2 release,
-3 platform, 4 peers and distribution, 5 requests.  A number is never used
-again for another meaning.  docs/errors.md lists them; a test compares
-the two.
+3 platform, 4 peers and distribution, 5 requests, 6 targets and members.  A
+number is never used again for another meaning.  docs/errors.md lists them;
+a test compares the two.
 """
 
 import enum
@@ -11,9 +11,11 @@
 __all__ = [
     'BundleError',
     'Code',
+    'MemberError',
     'PeerError',
     'PlatformError',
     'ReleaseError',
+    'ReportError',
     'RequestError',
     'SedgeringError',
     'SettingsError',
@@ -89,6 +91,12 @@
     REQUEST_CLAIMED = 5013, 'request with this key has no known outcome'
     REQUEST_KEY_REUSED = 5014, 'key belongs to another request; not run'
 
+    REPORT_UNREADABLE = 6001, 'report cannot be decoded; nothing changed'
+    REPORT_SET = 6002, 'report is of an unknown target set; nothing changed'
+    REPORT_TARGET = 6003, 'report names two targets; nothing changed'
+    REPORT_LIFETIME = 6004, 'report does not tell its start; nothing changed'
+    MEMBER_UNREADABLE = 6101, 'member row cannot be decoded; names no target'
+
 
 class SedgeringError(Exception):
     """An error with a numbered code.
@@ -132,5 +140,13 @@
     """A message from or a call to another proxy that failed."""
 
 
+class ReportError(SedgeringError):
+    """A report of a target that changes nothing."""
+
+
+class MemberError(SedgeringError):
+    """A member row that names no target."""
+
+
 class RequestError(SedgeringError):
     """A request that gets an answer of the proxy's own."""
--- a/sedgering/mesh/_keeper.py
+++ b/sedgering/mesh/_keeper.py
@@ -72,6 +72,26 @@
             self._revision = entry.revision
             self._written = _encode(entry.row)
 
+    def note_seen(
+        self, row: _messages.MemberRow | None, revision: int
+    ) -> None:
+        """Write the row again where another writer has taken it away.
+
+        Parameters
+        ----------
+        row : MemberRow or None
+            This host's row as the store has it; None when there is none that
+            names a target.
+        revision : int
+            Counter of the store up to which that is known.
+        """
+        is_written = self._wanted is not None and self._revision
+        if row is None and is_written and revision > self._revision:
+            LOG.warning('row taken away', extra={'version': revision})
+            self._revision = None
+            self._is_new = True
+            self._is_wanted.set()
+
     def ask(self, read: Callable[[], Awaitable]) -> None:
         """Read something once in this task."""
         self._read = read
--- a/sedgering/mesh/_members.py
+++ b/sedgering/mesh/_members.py
@@ -3,9 +3,10 @@
 import msgspec
 
 from sedgering import base
+from sedgering import exceptions
 from sedgering.mesh import _messages
 
-__all__ = ['MemberEntry', 'MemberLog', 'MemberNews']
+__all__ = ['MemberEntry', 'MemberLog', 'MemberNews', 'decode_row']
 
 #: Removals remembered.  Whoever lags behind more of them gets all rows.
 REMOVALS_LIMIT = 256
@@ -47,6 +48,31 @@
     is_complete: bool
 
 
+def decode_row(host: base.HostId, value: bytes) -> _messages.MemberRow:
+    """Decode the row of a host.
+
+    Parameters
+    ----------
+    host : str
+        Key of the row.
+    value : bytes
+        As the store has it; another writer may have written it.
+
+    Raises
+    ------
+    MemberError
+        When it names no target that could be used.
+    """
+    code = exceptions.Code.MEMBER_UNREADABLE
+    try:
+        row = msgspec.json.decode(value, type=_messages.MemberRow)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise exceptions.MemberError(code, str(error)) from error
+    if row.host != host:
+        raise exceptions.MemberError(code, f'names the host {row.host!r}')
+    return row
+
+
 class MemberLog:
     """Member rows, merged by revision.
 
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -1,6 +1,7 @@
 """Typed messages of the request path."""
 
 import enum
+from typing import Annotated
 
 import msgspec
 
@@ -27,6 +28,20 @@
 #: Start of a target that does not tell it.
 UNKNOWN_BORN_MS = 0
 
+_OCTET = '(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])'
+#: An IP number: any other address would be looked up by name.
+_Address = Annotated[
+    str, msgspec.Meta(pattern=rf'^({_OCTET}\.){{3}}{_OCTET}\Z')
+]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+#: Names become header fields between daemons, where "|" separates them.
+_PATTERN = msgspec.Meta(pattern=r'^[!-{}~]{1,200}\Z')
+_Target = Annotated[base.TargetName, _PATTERN]
+_TargetSet = Annotated[base.TargetSetName, _PATTERN]
+#: Whole numbers of sizes and times; up to the largest one that every reader
+#: of JSON keeps exactly.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
+
 
 class TargetState(enum.Enum):
     """What a target says of itself."""
@@ -246,15 +261,15 @@
 
     host: base.HostId
     data_centre: base.DataCentre
-    address: str
-    port: int
-    target_set: base.TargetSetName
-    target: base.TargetName
-    slots: int
+    address: _Address
+    port: _Port
+    target_set: _TargetSet
+    target: _Target
+    slots: _Count
     state: TargetState
-    cold_ms: int = 0
-    link_mbps: int = 0
-    born_ms: int = UNKNOWN_BORN_MS
+    cold_ms: _Count = 0
+    link_mbps: _Count = 0
+    born_ms: _Count = UNKNOWN_BORN_MS
 
     @property
     def lifetime(self) -> Lifetime:
--- a/sedgering/mesh/_relay.py
+++ b/sedgering/mesh/_relay.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import logging
 import math
 import zlib
 
@@ -33,6 +34,8 @@
     'is_poll',
 ]
 
+LOG = logging.getLogger(__name__)
+
 #: Longest time for which a poll is held: a daemon that falls silent is
 #: noticed a little later, well within the 2 s in which a version must be
 #: in force.
@@ -91,6 +94,30 @@
     members: _members.MemberNews | None
 
 
+class _LooseMembers(msgspec.Struct, array_like=True):
+    """Member rows of which some may be strange; see `MemberNews`."""
+
+    entries: tuple[msgspec.Raw, ...]
+    revision: int
+    is_complete: bool
+
+
+class _LooseNews(msgspec.Struct, array_like=True):
+    """News of which some member rows may be strange; see `RelayNews`."""
+
+    is_fresh: bool
+    version_revision: int
+    version: _versions.VersionNews | None
+    members: _LooseMembers | None
+
+
+class _EntryHead(msgspec.Struct, array_like=True):
+    """What a strange entry must tell at least; see `MemberEntry`."""
+
+    host: base.HostId
+    revision: int
+
+
 _POLL_DECODER = msgspec.msgpack.Decoder(RelayPoll)
 _NEWS_DECODER = msgspec.msgpack.Decoder(RelayNews)
 
@@ -149,13 +176,51 @@
     try:
         if response.status != STATUS_OK:
             raise msgspec.DecodeError(f'status {response.status}')
-        return _NEWS_DECODER.decode(response.body)
-    except msgspec.DecodeError as error:
+        return _decode_news(response.body)
+    except (msgspec.DecodeError, RecursionError) as error:
         raise exceptions.PeerError(
             exceptions.Code.PEER_DAMAGED, str(error)
         ) from error
 
 
+def _decode_news(body: bytes) -> RelayNews:
+    try:
+        return _NEWS_DECODER.decode(body)
+    except msgspec.ValidationError as error:
+        news = msgspec.msgpack.decode(body, type=_LooseNews)
+        if news.members is None:
+            raise
+        LOG.warning(
+            'strange rows of a relay',
+            extra={
+                'code': int(exceptions.Code.MEMBER_UNREADABLE),
+                'detail': str(error),
+            },
+        )
+    entries = map(_decode_entry, news.members.entries)
+    members = _members.MemberNews(
+        tuple(entry for entry in entries if entry is not None),
+        news.members.revision,
+        news.members.is_complete,
+    )
+    return RelayNews(
+        news.is_fresh, news.version_revision, news.version, members
+    )
+
+
+def _decode_entry(data: bytes) -> _members.MemberEntry | None:
+    """Decode one entry; a strange row names no target."""
+    try:
+        return msgspec.msgpack.decode(data, type=_members.MemberEntry)
+    except msgspec.ValidationError:
+        pass
+    try:
+        head = msgspec.msgpack.decode(data, type=_EntryHead)
+    except msgspec.ValidationError:
+        return None
+    return _members.MemberEntry(head.host, head.revision, None)
+
+
 class RelayDesk:
     """Answers polls of other daemons.
 
@@ -172,7 +237,7 @@
         """Answer a poll once there is news, or after a while."""
         try:
             poll = _POLL_DECODER.decode(request.body)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             return transport.make_json_response(400, {'error': str(error)})
         self.source.note_poll()
         return encode_news(await self._wait_for_news(poll))
--- a/sedgering/mesh/_source.py
+++ b/sedgering/mesh/_source.py
@@ -157,6 +157,8 @@
         is_first = not self.members.revision
         is_changed = self.members.merge(news)
         self._member_watcher.skip_to(news.revision)
+        own = self.members.find_entry(self.host)
+        self._keeper.note_seen(own.row, self.members.revision)
         if is_changed or is_first:
             self._on_members(self.members.list_members())
             self._note_change()
--- a/sedgering/mesh/_watch.py
+++ b/sedgering/mesh/_watch.py
@@ -13,6 +13,7 @@
 from sedgering.mesh import _config
 from sedgering.mesh import _members
 from sedgering.mesh import _messages
+from sedgering import observability
 from sedgering import storage
 
 __all__ = [
@@ -272,6 +273,7 @@
         super().__init__('watch-config', row.table, store_return)
         self.row = row
         self.post = post
+        self._refusals = observability.RefusalLog(LOG, logging.ERROR)
         #: Times that the whole row was read.
         self.reads = 0
 
@@ -292,13 +294,8 @@
         try:
             return self.row.decode(row.value)
         except exceptions.BundleError as error:
-            LOG.error(
-                'document refused',
-                extra={
-                    'version': row.revision,
-                    'code': int(error.code),
-                    'detail': error.detail,
-                },
+            self._refusals.note(
+                row.revision, 'document refused', error, version=row.revision
             )
         return None
 
@@ -326,6 +323,7 @@
     ):
         super().__init__('watch-members', table, store_return)
         self.post = post
+        self._refusals = observability.RefusalLog(LOG, logging.ERROR)
 
     async def read_all(self) -> int:
         """Read all rows."""
@@ -342,21 +340,18 @@
         rows = {row.key: row for row in page.rows}
         entries = tuple(
             _members.MemberEntry(
-                base.HostId(row.key), row.revision, _decode_member(row)
+                base.HostId(row.key), row.revision, self._decode(row)
             )
             for row in rows.values()
         )
         self.post(_members.MemberNews(entries, page.revision, is_complete))
 
-
-def _decode_member(row: storage.Row) -> _messages.MemberRow | None:
-    if row.is_removed:
+    def _decode(self, row: storage.Row) -> _messages.MemberRow | None:
+        if row.is_removed:
+            return None
+        try:
+            return _members.decode_row(base.HostId(row.key), row.value)
+        except exceptions.MemberError as error:
+            key = (row.key, row.revision)
+            self._refusals.note(key, 'member row refused', error, peer=row.key)
         return None
-    try:
-        return msgspec.json.decode(row.value, type=_messages.MemberRow)
-    except msgspec.MsgspecError as error:
-        LOG.error(
-            'member row refused',
-            extra={'peer': row.key, 'detail': str(error)},
-        )
-    return None
--- a/sedgering/observability/__init__.py
+++ b/sedgering/observability/__init__.py
@@ -5,10 +5,12 @@
 from sedgering.observability._counts import RequestCounts
 from sedgering.observability._logs import configure_logging
 from sedgering.observability._logs import JsonFormatter
+from sedgering.observability._refusals import RefusalLog
 
 __all__ = [
     'JsonFormatter',
     'Metrics',
+    'RefusalLog',
     'RequestCounts',
     'configure_logging',
     'make_metrics',
--- a/sedgering/platform/_records.py
+++ b/sedgering/platform/_records.py
@@ -42,7 +42,7 @@
 
     def read(self, keys: Sequence[str]) -> tuple[storage.Row, ...]:
         """Read rows as of one moment; see :class:`TableStore`."""
-        return _run(self.table.read(keys))
+        return _check_readable(_run(self.table.read(keys)))
 
     def scan(
         self, prefix: str, after: str = '', limit: int = 1000
@@ -51,7 +51,8 @@
         start = max(prefix, after + '\0' if after else '')
         end = _end_of(prefix)
         name = self.table.name
-        return _run(self.client.list_rows(name, start, end, limit)).rows
+        page = _run(self.client.list_rows(name, start, end, limit))
+        return _check_readable(page.rows)
 
     def transact(self, transaction: storage.Transaction) -> storage.Outcome:
         """Try a transaction once; see :class:`TableStore`."""
@@ -113,6 +114,18 @@
     )
 
 
+def _check_readable(
+    rows: tuple[storage.Row, ...],
+) -> tuple[storage.Row, ...]:
+    """Return records; none of them may be left out unseen."""
+    for row in rows:
+        if not row.is_readable:
+            raise exceptions.PlatformError(
+                exceptions.Code.PLATFORM_REFUSED, f'{row.key}: no base64'
+            )
+    return rows
+
+
 def _end_of(prefix: str) -> str:
     """Return the first key after all that start with a prefix."""
     return prefix[:-1] + chr(ord(prefix[-1]) + 1) if prefix else ''
--- a/sedgering/platform/_store.py
+++ b/sedgering/platform/_store.py
@@ -11,7 +11,7 @@
 from sedgering.platform import _carrier
 from sedgering import storage
 
-__all__ = ['StoreClient']
+__all__ = ['StoreClient', 'decode_rows']
 
 #: Most entries of one transaction, as the store's page says.
 ENTRIES_LIMIT = 100
@@ -40,7 +40,8 @@
 
 class _WireRow(msgspec.Struct):
     key: str
-    value: str = ''
+    #: Base64, unless another writer put something else there.
+    value: Any = ''
     #: The store's counter, not a version of a schema.
     schema_version: int = 0
     deleted: bool = False
@@ -124,7 +125,7 @@
             body = _make_transaction(table, conditions)
             answer = await self._send('POST', '/v1/rows-tx', body, _JSON)
             _check_status(answer, STATUS_CONFLICT)
-            rows = _make_rows(_decode_page(answer.body))
+            rows = decode_rows(answer.body)
             found = {row.key: row for row in rows if row.revision}
         return tuple(found.get(key) or storage.Row(key) for key in keys)
 
@@ -277,26 +278,39 @@
     return {'table': table, 'part': '', 'key': key}
 
 
+def decode_rows(data: bytes) -> tuple[storage.Row, ...]:
+    """Decode the rows of an answer.
+
+    A row whose value cannot be read is marked, and leaves the others whole.
+
+    Raises
+    ------
+    PlatformError
+        When the answer is none of the store's.
+    """
+    return _make_rows(_decode_page(data))
+
+
 def _decode_page(data: bytes) -> _WirePage:
     try:
         return _PAGE_DECODER.decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise _make_error(exceptions.Code.PLATFORM_REFUSED, error) from error
 
 
 def _make_rows(page: _WirePage) -> tuple[storage.Row, ...]:
+    return tuple(map(_make_row, page.rows))
+
+
+def _make_row(row: _WireRow) -> storage.Row:
     try:
-        return tuple(
-            storage.Row(
-                row.key,
-                row.schema_version,
-                base64.b64decode(row.value),
-                row.deleted,
-            )
-            for row in page.rows
+        value = base64.b64decode(row.value, validate=True)
+    except (TypeError, ValueError):
+        # Whoever decodes the value logs that there is none.
+        return storage.Row(
+            row.key, row.schema_version, b'', row.deleted, is_readable=False
         )
-    except ValueError as error:
-        raise _make_error(exceptions.Code.PLATFORM_REFUSED, error) from error
+    return storage.Row(row.key, row.schema_version, value, row.deleted)
 
 
 def _check_status(
--- a/sedgering/storage/_base.py
+++ b/sedgering/storage/_base.py
@@ -39,12 +39,15 @@
         Empty when the row is absent.
     is_removed : bool
         Whether a watch tells of its removal.
+    is_readable : bool
+        Whether the store told a value; without one it is empty.
     """
 
     key: str
     revision: int = ABSENT
     value: bytes = b''
     is_removed: bool = False
+    is_readable: bool = True
 
 
 class RowsPage(msgspec.Struct, frozen=True):
