Reports of another writer are refused with a number, and change nothing

A first report of another id was taken at once for a target that had replaced the one before.

A first report of another id that does not tell its start, beside a target that does, is settled by asking who is there. A goodbye without a body is taken as before: targets that do not tell their start send none.

Ruled out: to refuse a target set that no bundle names while none is known; the settings name the target set of the host.

--- a/features/steps/target_steps.py
+++ b/features/steps/target_steps.py
@@ -154,6 +154,22 @@
     target.settle_rival(other.target, 0.0)
 
 
+@when('another id reports itself for the first time, born at {born:d}')
+def step_other_first(context, born):
+    other = mesh.Lifetime(base.TargetName('i-2'), born)
+    report = make_report('ready', 1, other)
+    context.subject.target.take_report(report, 0.0)
+
+
+@then('the {which} id is taken for the target beside the daemon')
+def step_which_taken(context, which):
+    target = context.subject.target
+    assert target.is_open
+    assert target.target == {'same': TARGET, 'other': 'i-2'}[which]
+    # The other one is asked for where it is not believed.
+    assert (target.rival is not None) == (which == 'same')
+
+
 @given('what a daemon has learnt of a target born at {born:d}')
 def step_learnt(context, born):
     context.fleet = mesh.FleetTable()
--- a/features/targets.feature
+++ b/features/targets.feature
@@ -47,6 +47,18 @@
     When that one starts again, born at 20, before it is asked who it is
     Then the target is open in the lifetime born at 20
 
+  Scenario Outline: A first report of another id is taken, unless it is strange
+    Given a lifetime of a target told of ready 5 born <present>
+    When another id reports itself for the first time, born at <other>
+    Then <taken> is taken for the target beside the daemon
+
+    Examples:
+      | present | other | taken        |
+      | 10      | 20    | the other id |
+      | 10      | 0     | the same id  |
+      | 0       | 0     | the other id |
+      | 0       | 20    | the other id |
+
   Scenario: A peer that starts again under its id is a new one to others
     Given what a daemon has learnt of a target born at 10
     When the row of its host names the same target born at 20
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sedgering import base
+from sedgering import exceptions
 from sedgering.mesh import _answer_room
 from sedgering.mesh import _budget
 from sedgering.mesh import _config
@@ -218,7 +219,15 @@
         self._note_ready()
 
     def take_report(self, report: _messages.TargetReport) -> None:
-        """Take in what the local target says of itself."""
+        """Take in what the local target says of itself.
+
+        Raises
+        ------
+        ReportError
+            When it is not the word of a target that can be here.
+        """
+        self._check_set(report.target_set)
+        self.check_lifetime(report.lifetime)
         now_s = self.state.side.gate.now_s()
         target = self.state.side.target
         was_settling = target.rival is not None
@@ -231,6 +240,38 @@
             self._tasks.append(task)
             task.add_done_callback(self._tasks.remove)
 
+    def check_lifetime(
+        self, lifetime: _messages.Lifetime
+    ) -> _messages.Lifetime:
+        """Return a lifetime that is told of.
+
+        Raises
+        ------
+        ReportError
+            When it does not tell its start, and its target does.
+        """
+        present = self.state.side.target.lifetime
+        if (
+            present is not None
+            and lifetime.target == present.target
+            and lifetime.born_ms == _messages.UNKNOWN_BORN_MS
+            and present.born_ms != _messages.UNKNOWN_BORN_MS
+        ):
+            raise exceptions.ReportError(
+                exceptions.Code.REPORT_LIFETIME, lifetime.target
+            )
+        return lifetime
+
+    def _check_set(self, target_set: base.TargetSetName) -> None:
+        """Refuse a target set that neither settings nor the bundle name."""
+        if target_set == self.identity.target_set:
+            return
+        snapshot = self.state.config.snapshot
+        if snapshot is None or target_set not in snapshot.target_sets:
+            raise exceptions.ReportError(
+                exceptions.Code.REPORT_SET, target_set
+            )
+
     def take_leave(self, lifetime: _messages.Lifetime) -> None:
         """Note that the local target is leaving for good."""
         if self.state.side.target.leave(lifetime):
--- a/sedgering/mesh/_target.py
+++ b/sedgering/mesh/_target.py
@@ -69,7 +69,7 @@
         if old is not None and old.target == report.target:
             if not _is_next(old, report):
                 return False
-        elif self.is_open and report.sequence > FIRST_SEQUENCE:
+        elif self.is_open and _is_doubtful(old, report):
             self.rival = report
             return False
         elif old is not None:
@@ -175,6 +175,18 @@
         return born_ms is not None and lifetime.born_ms <= born_ms
 
 
+def _is_doubtful(
+    old: _messages.TargetReport, report: _messages.TargetReport
+) -> bool:
+    """Whether a report of another id may not be of the target beside us.
+
+    It is late, or of another writer: the last one told its start.
+    """
+    unknown = _messages.UNKNOWN_BORN_MS
+    lacks_start = report.born_ms == unknown and old.born_ms != unknown
+    return lacks_start or report.sequence > FIRST_SEQUENCE
+
+
 def _is_next(
     old: _messages.TargetReport, report: _messages.TargetReport
 ) -> bool:
