An operator's document with surprising bytes never ends the watch

Cause: a duration of hundreds of digits is an infinite number (OverflowError), a body nested without end a RecursionError; neither was taken for a document that cannot be decoded. The watch ended with a traceback, lost its place and read the row anew every 2 s. Limits of nothing or less were put in force, and would have refused every caller.

Change: durations have a largest number of digits, nesting counts as unreadable, limits of callers start at 1 byte and 1 ms.

--- a/sedgering/platform/_document.py
+++ b/sedgering/platform/_document.py
@@ -1,5 +1,6 @@
 """The operator's document, decoded into a bundle of our own."""
 
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -22,6 +23,10 @@
 REPEATABLE_KINDS = frozenset(('safe', 'download'))
 
 
+#: A limit of nothing would refuse every caller.
+_Size = Annotated[int, msgspec.Meta(ge=1, le=2**53 - 1)]
+
+
 class _Metadata(msgspec.Struct):
     name: str = ''
 
@@ -64,8 +69,8 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
+    max_header_bytes: _Size
+    max_body_bytes: _Size
     header_timeout: str
     idle_timeout: str
 
@@ -81,7 +86,7 @@
     try:
         document = msgspec.json.decode(data, type=_Document)
         return _convert(document)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise exceptions.BundleError(
             exceptions.Code.BUNDLE_UNREADABLE, str(error)
         ) from error
@@ -155,6 +160,13 @@
     return transport.CallerLimits(
         header_bytes=spec.max_header_bytes,
         body_bytes=spec.max_body_bytes,
-        header_timeout_ms=_wire.parse_duration_ms(spec.header_timeout),
-        idle_timeout_ms=_wire.parse_duration_ms(spec.idle_timeout),
+        header_timeout_ms=_parse_timeout_ms(spec.header_timeout),
+        idle_timeout_ms=_parse_timeout_ms(spec.idle_timeout),
     )
+
+
+def _parse_timeout_ms(text: str) -> int:
+    timeout_ms = _wire.parse_duration_ms(text)
+    if not timeout_ms:
+        raise ValueError('time-out of nothing')
+    return timeout_ms
--- a/sedgering/platform/_wire.py
+++ b/sedgering/platform/_wire.py
@@ -30,8 +30,9 @@
     load='X-Server-Load',
 )
 
-_DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
-_VERSION = re.compile(r'r(\d{1,18})')
+#: Fewer digits than an infinite number has.
+_DURATION = re.compile(r'([0-9]{1,15}(?:\.[0-9]{1,30})?)(ms|s)')
+_VERSION = re.compile(r'r([0-9]{1,18})')
 
 
 def parse_duration_ms(text: str) -> int:
