Half of the soak's restarts keep the id of the target; old rows undo nothing

The member table believed a daemon that told of an earlier lifetime of its target, and a row of an earlier lifetime that the store got late took the place of what its daemon had told since. Both are left out now where the ids are the same; a later lifetime in the store counts at once.

In the soak each other start of a target keeps its id and counts its reports anew.

--- a/features/steps/target_steps.py
+++ b/features/steps/target_steps.py
@@ -206,6 +206,31 @@
     assert context.peers.find(context.row).pool is context.old.pool
 
 
+@given('a member table that has a target born at {born:d}')
+def step_table(context, born):
+    context.fleet = mesh.FleetTable()
+    step_stored(context, born)
+
+
+@when("the store's row of it is written again, born at {born:d}")
+def step_stored(context, born):
+    row = testing.make_member_row('near', born_ms=born)
+    context.fleet.replace({row.host: row})
+
+
+@when('a daemon tells of the same target born at {born:d}')
+def step_told(context, born):
+    row = testing.make_member_row('near', born_ms=born)
+    context.fleet.take_told(row)
+
+
+@then('the member table has it born at {born:d}')
+def step_table_has(context, born):
+    row = context.fleet.members['near']
+    assert row.born_ms == born, row
+    assert context.fleet.by_set[SET] == (row,)
+
+
 @then('a member row without the start of its target is decoded')
 def step_old_row(context):
     row = testing.make_member_row('near')
--- a/features/targets.feature
+++ b/features/targets.feature
@@ -65,6 +65,16 @@
     Then it is cold, its load and work times are not known, and it is open
     And the connections to its daemon are kept
 
+  Scenario: What daemons tell of an earlier lifetime is not believed
+    Given a member table that has a target born at 20
+    When a daemon tells of the same target born at 10
+    Then the member table has it born at 20
+    When a daemon tells of the same target born at 30
+    And the store's row of it is written again, born at 25
+    Then the member table has it born at 30
+    When the store's row of it is written again, born at 40
+    Then the member table has it born at 40
+
   Scenario: Rows of the version before, and for it
     Then a member row without the start of its target is decoded
     And the row of a target born at 20 keeps that on its way to others
--- a/sedgering/mesh/_fleet.py
+++ b/sedgering/mesh/_fleet.py
@@ -44,6 +44,7 @@
             host: row
             for host, row in self._told.items()
             if members.get(host) == self._stored[host]
+            or _is_earlier(members.get(host), row)
         }
         self._stored = members
         return self._take({**members, **self._told})
@@ -102,6 +103,13 @@
         }
 
 
+def _is_earlier(
+    stored: _messages.MemberRow | None, told: _messages.MemberRow
+) -> bool:
+    """Whether the store still has an earlier lifetime of a target."""
+    return stored is not None and stored.lifetime.is_before(told.lifetime)
+
+
 def _log_change(message: str, row: _messages.MemberRow) -> None:
     LOG.info(
         message,
--- a/sedgering/platform/_wire.py
+++ b/sedgering/platform/_wire.py
@@ -21,7 +21,7 @@
     # The time that the sender still waits, not a moment.
     deadline_ms='X-Request-Deadline',
     proof='X-Response-Signature',
-    # The id of one lifetime of a target.
+    # The id of a target; it may keep it when it starts again.
     expected_target='X-Expect-Instance',
     # The target set of the host where the request began.
     origin='X-Caller-Service',
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -10,6 +10,7 @@
 __all__ = ['Ledger', 'Target']
 
 SLOTS = 4
+NS_PER_MS = 1_000_000
 WORK_S = 0.03
 BEAT_S = 0.5
 BEAT_TIMEOUT_S = 1.0
@@ -76,6 +77,7 @@
         self.is_leaving = False
         self.books: _Books | None = None
         self._sequence = 0
+        self._born_ms = 0
         self._server: asyncio.Server | None = None
         self._connections: list[testing.TargetStandin] = []
         self._beats: asyncio.Task | None = None
@@ -84,10 +86,11 @@
         """Start a new lifetime."""
         self.lifetime += 1
         self._sequence = 0
+        self._born_ms = time.time_ns() // NS_PER_MS
         self.is_leaving = False
-        self.books = _Books(
-            f'i-{self.daemon.name}-{self.lifetime}', self.ledger
-        )
+        # Each other start keeps the id of the lifetime before.
+        number = (self.lifetime + 1) // 2
+        self.books = _Books(f'i-{self.daemon.name}-{number}', self.ledger)
         self._server = await asyncio.get_running_loop().create_server(
             self._make_connection,
             self.daemon.address,
@@ -139,6 +142,7 @@
             state,
             self._sequence,
             SLOTS,
+            self._born_ms,
         )
         try:
             async with asyncio.timeout(BEAT_TIMEOUT_S):
