Only calls that were sent while the earlier lifetime was heard are ended

A target that starts again may have calls at work before its first report is in; ending all calls under way at that report would have cut them, among them some that may run once. Only those sent before the last report of the earlier lifetime are ended: that one was alive then.

And what was learnt outlived a target that had been forgotten meanwhile, or whose start became known only later: the target side remembers of which lifetime it has learnt.

--- a/features/steps/target_steps.py
+++ b/features/steps/target_steps.py
@@ -357,6 +357,45 @@
     assert len(done) == count, pending
 
 
+@when('it says "{state}" once more')
+def step_says_again(context, state):
+    assert context.mesh.fleet.report(context.mesh.first, state) == 200
+
+
+@then('the {count:d} calls are answered {status:d}')
+def step_calls_answered(context, count, status):
+    async def wait():
+        return [await call for call in context.calls]
+
+    answers = context.mesh.fleet.run(wait())
+    assert [item.status for item in answers] == [status] * count, answers
+
+
+@given('its daemon has learnt that its work takes {work_ms:d} ms')
+def step_learnt_work(context, work_ms):
+    gate = context.mesh.first.daemon.state.side.gate
+    for _ in range(20):
+        gate.work.note(ROUTE, work_ms)
+
+
+@when('another target answers at its address')
+def step_other_answers(context):
+    subject = context.mesh
+
+    async def forget():
+        side = subject.first.daemon.state.side
+        side.target.forget()
+        side.refresh_gate()
+
+    subject.fleet.run(forget())
+
+
+@then('its daemon does not know how long its work takes')
+def step_work_unknown(context):
+    gate = context.mesh.first.daemon.state.side.gate
+    assert gate.work.find_told_ms(ROUTE) == 0, gate.work.find_told_ms(ROUTE)
+
+
 @then('no place of the target is taken')
 def step_no_place(context):
     gate = context.mesh.first.daemon.state.side.gate
--- a/features/targets.feature
+++ b/features/targets.feature
@@ -104,6 +104,24 @@
     And the target of the first host said "ready" in a lifetime born at 10
     And the targets work 5 s
     When 2 callers ask "/slow/", and all places of the target are taken
+    And it says "ready" once more
     And it starts again, born at 20, and says "ready"
     Then the 2 calls of the earlier lifetime end at once
     And no place of the target is taken
+
+  Scenario: Calls that the next lifetime may have are not ended
+    Given a mesh with two calendar hosts
+    And only the first host has a target
+    And the target of the first host said "ready" in a lifetime born at 10
+    And the targets work 1 s
+    When 2 callers ask "/slow/", and all places of the target are taken
+    And it starts again, born at 20, and says "ready"
+    Then the 2 calls are answered 200
+
+  Scenario: What was learnt is forgotten also after a target was not there
+    Given a mesh with two calendar hosts
+    And the target of the first host said "ready" in a lifetime born at 10
+    And its daemon has learnt that its work takes 900 ms
+    When another target answers at its address
+    And it starts again, born at 20, and says "ready"
+    Then its daemon does not know how long its work takes
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -169,9 +169,8 @@
         answer = await self._probe_target(path) if path else None
         side = self.state.side
         present = answer.target if answer else None
-        before = side.target.lifetime
         if side.target.settle_rival(present, side.gate.now_s()):
-            self._note_lifetime(before)
+            side.note_lifetime()
             self._show_target()
 
     async def _watch_peers(self) -> None:
@@ -231,9 +230,9 @@
         now_s = self.state.side.gate.now_s()
         target = self.state.side.target
         was_settling = target.rival is not None
-        before = target.lifetime
-        if target.take_report(report, now_s):
-            self._note_lifetime(before)
+        is_changed = target.take_report(report, now_s)
+        self.state.side.note_lifetime()
+        if is_changed:
             self._show_target()
         if target.rival is not None and not was_settling:
             task = asyncio.get_running_loop().create_task(self._settle_rival())
@@ -277,16 +276,6 @@
         if self.state.side.target.leave(lifetime):
             self._show_target()
 
-    def _note_lifetime(self, before: _messages.Lifetime | None) -> None:
-        """Start anew with a target that is not the one before."""
-        side = self.state.side
-        present = side.target.lifetime
-        if before is None:
-            return
-        is_restart = before.is_before(present)
-        if is_restart or before.target != present.target:
-            side.renew(is_restart)
-
     def render_metrics(self) -> bytes:
         """Return counters and present values as text."""
         gate = self.state.side.gate
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -92,8 +92,10 @@
         self.row: _messages.MemberRow | None = None
         #: Calls at the target, by the identity of their tickets.
         self._under_way: dict[int, _gate.Ticket] = {}
-        #: Connections on which they are.
-        self._busy: set[transport.ClientConnection] = set()
+        #: Connections on which they are, and when they were sent.
+        self._busy: dict[transport.ClientConnection, float] = {}
+        #: Of which the gate has learnt.
+        self._lifetime: _messages.Lifetime | None = None
         self._replaced = frozenset(
             getattr(names, field).lower() for field in _REPLACED
         )
@@ -120,22 +122,34 @@
         else:
             self.gate.close(_messages.RefusalReason.LEAVING)
 
-    def renew(self, is_restart: bool) -> None:
-        """Forget what was learnt of an earlier lifetime of the target.
-
-        Parameters
-        ----------
-        is_restart : bool
-            Whether the same target has started again.  Its calls under way
-            are lost then, and their connections may never say so: they
-            would hold places until their deadlines.
-        """
-        self.gate.renew()
-        self.pool.close()
-        if not is_restart:
+    def note_lifetime(self) -> None:
+        """Start anew with a target that is not the one before."""
+        before, present = self._lifetime, self.target.lifetime
+        if present is None:
+            # Whoever comes next is compared with the last one known.
             return
-        for connection in list(self._busy):
-            connection.close()
+        self._lifetime = present
+        if before is None:
+            return
+        is_restart = before.is_before(present)
+        if is_restart or before.target != present.target:
+            LOG.info('target renewed', extra={'target': present.target})
+            self.gate.renew()
+            self.pool.close()
+        if is_restart:
+            self._end_calls(self.target.earlier_heard_s)
+
+    def _end_calls(self, until_s: float) -> None:
+        """End the calls that were sent before a moment.
+
+        Those sent while the earlier lifetime was heard are lost with it, and
+        their connections may say so only after seconds, or never: they would
+        hold places of the present one.  Later ones may have reached the
+        present one already.
+        """
+        for connection, sent_s in list(self._busy.items()):
+            if sent_s < until_s:
+                connection.close()
 
     def make_report(self, route: base.RouteName) -> _messages.LoadReport:
         """Make what other daemons are told with the answer to a call."""
@@ -251,7 +265,7 @@
             self.pool.put(connection)
             return self._refuse(call, _messages.RefusalReason.DEADLINE)
         data = self._encode(call, remaining_ms)
-        self._busy.add(connection)
+        self._busy[connection] = self.gate.now_s()
         try:
             response = await connection.exchange(
                 data,
@@ -266,7 +280,7 @@
                 detail=str(error),
             )
         finally:
-            self._busy.discard(connection)
+            del self._busy[connection]
         self.pool.put(connection)
         return self._classify(response)
 
--- a/sedgering/mesh/_target.py
+++ b/sedgering/mesh/_target.py
@@ -31,6 +31,10 @@
         #: Report of another lifetime while one is open.
         self.rival: _messages.TargetReport | None = None
         self.cold_until_s = 0.0
+        #: When the present lifetime reported last, and when the one before
+        #: it did: it was alive then.
+        self.heard_s = 0.0
+        self.earlier_heard_s = 0.0
         #: When the last lifetime of each that has ended was born; those
         #: that ended last are at the end.
         self._ended: dict[base.TargetName, int] = {}
@@ -112,6 +116,9 @@
 
     def _accept(self, report: _messages.TargetReport, now_s: float) -> bool:
         old = self.report
+        if old is not None and old.lifetime.is_before(report.lifetime):
+            self.earlier_heard_s = self.heard_s
+        self.heard_s = now_s
         self.report = report
         self.cold_until_s = now_s + report.cold_ms / 1000
         is_changed = (
