--- a/features/sight.feature
+++ b/features/sight.feature
@@ -43,7 +43,7 @@
 
   Scenario: A request that waits for the target beside its daemon
     Given a mesh with two calendar hosts
-    And only the first host has a target
+    And only the first host has a target, and a route of 2.5 s
     And the targets work 8 s
     When a caller asks "/slow/" with id "x", and the lines are read
     Then the line "request refused" has attempts "hall-1: at the own target for \d+ ms$"
--- a/features/steps/sight_steps.py
+++ b/features/steps/sight_steps.py
@@ -151,7 +151,7 @@
     assert context.told_closed.endswith('no byte came'), context.told_closed
 
 
-@given('only the first host has a target')
+@given('only the first host has a target, and a route of 2.5 s')
 def step_only_first(context):
     mesh = context.mesh
     mesh.configure({'timeout': '2500ms', 'prefix': '/slow/', 'name': 'slow'})
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -4,7 +4,10 @@
 import logging
 import random
 
+import msgspec
+
 from sedgering import base
+from sedgering import exceptions
 from sedgering.mesh import _answer_room
 from sedgering.mesh import _backlog
 from sedgering.mesh import _budget
@@ -163,12 +166,14 @@
             LOG.info('probe refused', extra={'target': report.target})
             return
         row = self.state.fleet.members.get(self.identity.host)
-        is_known = row is not None and row.target == report.target
-        if is_known and row.state is not _messages.TargetState.READY:
-            # An earlier lifetime of this daemon has acknowledged that
-            # the target is leaving.
-            LOG.info('target is leaving', extra={'target': row.target})
-            return
+        if row is not None and row.target == report.target:
+            if row.state is not _messages.TargetState.READY:
+                # An earlier lifetime of this daemon has acknowledged that
+                # the target is leaving.
+                LOG.info('target is leaving', extra={'target': row.target})
+                return
+            # A health check does not tell when the target was born.
+            report = msgspec.structs.replace(report, born_ms=row.born_ms)
         self.take_report(report)
 
     async def _probe_target(self, path: str) -> _messages.TargetReport | None:
@@ -186,6 +191,7 @@
         side = self.state.side
         present = answer.target if answer else None
         if side.target.settle_rival(present, side.gate.now_s()):
+            side.note_lifetime()
             self._show_target()
 
     async def _watch_peers(self) -> None:
@@ -233,20 +239,62 @@
         self._note_ready()
 
     def take_report(self, report: _messages.TargetReport) -> None:
-        """Take in what the local target says of itself."""
+        """Take in what the local target says of itself.
+
+        Raises
+        ------
+        ReportError
+            When it is not the word of a target that can be here.
+        """
+        self._check_set(report.target_set)
+        self.check_lifetime(report.lifetime)
         now_s = self.state.side.gate.now_s()
         target = self.state.side.target
         was_settling = target.rival is not None
-        if target.take_report(report, now_s):
+        is_changed = target.take_report(report, now_s)
+        self.state.side.note_lifetime()
+        if is_changed:
             self._show_target()
         if target.rival is not None and not was_settling:
             task = asyncio.get_running_loop().create_task(self._settle_rival())
             self._tasks.append(task)
             task.add_done_callback(self._tasks.remove)
 
-    def take_leave(self, target: base.TargetName) -> None:
+    def check_lifetime(
+        self, lifetime: _messages.Lifetime
+    ) -> _messages.Lifetime:
+        """Return a lifetime that is told of.
+
+        Raises
+        ------
+        ReportError
+            When it does not tell its start, and its target does.
+        """
+        present = self.state.side.target.lifetime
+        if (
+            present is not None
+            and lifetime.target == present.target
+            and lifetime.born_ms == _messages.UNKNOWN_BORN_MS
+            and present.born_ms != _messages.UNKNOWN_BORN_MS
+        ):
+            raise exceptions.ReportError(
+                exceptions.Code.REPORT_LIFETIME, lifetime.target
+            )
+        return lifetime
+
+    def _check_set(self, target_set: base.TargetSetName) -> None:
+        """Refuse a target set that neither settings nor the bundle name."""
+        if target_set == self.identity.target_set:
+            return
+        snapshot = self.state.config.snapshot
+        if snapshot is None or target_set not in snapshot.target_sets:
+            raise exceptions.ReportError(
+                exceptions.Code.REPORT_SET, target_set
+            )
+
+    def take_leave(self, lifetime: _messages.Lifetime) -> None:
         """Note that the local target is leaving for good."""
-        if self.state.side.target.leave(target):
+        if self.state.side.target.leave(lifetime):
             self._show_target()
 
     def render_metrics(self) -> bytes:
@@ -296,6 +344,7 @@
             state=report.state,
             cold_ms=report.cold_ms,
             link_mbps=round(self.identity.link_mbps),
+            born_ms=report.born_ms,
         )
 
     async def leave(self, grace_ms: int) -> None:
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -1,6 +1,7 @@
 """Typed messages of the request path."""
 
 import enum
+from typing import Annotated
 
 import msgspec
 
@@ -13,6 +14,7 @@
     'CallOutcome',
     'CallUrgency',
     'HeaderNames',
+    'Lifetime',
     'LoadReport',
     'MemberRow',
     'MeshIdentity',
@@ -21,10 +23,27 @@
     'TargetCall',
     'TargetReport',
     'TargetState',
+    'UNKNOWN_BORN_MS',
 ]
 
 #: Of a request that no route matches, and of reports that belong to no call.
 NO_ROUTE = base.RouteName('')
+#: Start of a target that does not tell it.
+UNKNOWN_BORN_MS = 0
+
+_OCTET = '(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])'
+#: An IP number: any other address would be looked up by name.
+_Address = Annotated[
+    str, msgspec.Meta(pattern=rf'^({_OCTET}\.){{3}}{_OCTET}\Z')
+]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+#: Names become header fields between daemons, where "|" separates them.
+_PATTERN = msgspec.Meta(pattern=r'^[!-{}~]{1,200}\Z')
+_Target = Annotated[base.TargetName, _PATTERN]
+_TargetSet = Annotated[base.TargetSetName, _PATTERN]
+#: Whole numbers of sizes and times; up to the largest one that every reader
+#: of JSON keeps exactly.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
 
 
 class TargetState(enum.Enum):
@@ -165,13 +184,39 @@
     target_port: int
 
 
+class Lifetime(msgspec.Struct, frozen=True):
+    """One run of a target, from its start to its end.
+
+    A target that starts again may keep its id; then only the moment of its
+    start tells the two runs apart.
+
+    Parameters
+    ----------
+    target : str
+        Id of the target.
+    born_ms : int
+        Unix time of its start; 0 when it does not tell it.
+    """
+
+    target: base.TargetName
+    born_ms: int = UNKNOWN_BORN_MS
+
+    def is_before(self, other: 'Lifetime') -> bool:
+        """Whether the same target is known to have started again since."""
+        return (
+            self.target == other.target
+            and self.born_ms != UNKNOWN_BORN_MS
+            and self.born_ms < other.born_ms
+        )
+
+
 class TargetReport(msgspec.Struct, frozen=True):
     """What the local target says of itself.
 
     Parameters
     ----------
     target : str
-        Id of this lifetime of the target.
+        Id of the target.
     target_set : str
         What it belongs to.
     slots : int
@@ -181,7 +226,9 @@
     cold_ms : int
         For how much longer it is slow after its start.
     sequence : int
-        Grows with each report of one target.
+        Grows with each report of one lifetime.
+    born_ms : int
+        Unix time of the start of this lifetime; 0 when it is not told.
     """
 
     target: base.TargetName
@@ -190,6 +237,12 @@
     state: TargetState
     cold_ms: int
     sequence: int
+    born_ms: int = UNKNOWN_BORN_MS
+
+    @property
+    def lifetime(self) -> Lifetime:
+        """Lifetime that reports."""
+        return Lifetime(self.target, self.born_ms)
 
 
 class MemberRow(msgspec.Struct, frozen=True):
@@ -205,18 +258,26 @@
         For how long the target was still cold when the row was written.
     link_mbps : int
         Width of the link of the host; 0 when it is not known.
+    born_ms : int
+        Unix time of the start of the target; 0 when it is not told.
     """
 
     host: base.HostId
     data_centre: base.DataCentre
-    address: str
-    port: int
-    target_set: base.TargetSetName
-    target: base.TargetName
-    slots: int
+    address: _Address
+    port: _Port
+    target_set: _TargetSet
+    target: _Target
+    slots: _Count
     state: TargetState
-    cold_ms: int = 0
-    link_mbps: int = 0
+    cold_ms: _Count = 0
+    link_mbps: _Count = 0
+    born_ms: _Count = UNKNOWN_BORN_MS
+
+    @property
+    def lifetime(self) -> Lifetime:
+        """Lifetime of the target."""
+        return Lifetime(self.target, self.born_ms)
 
 
 class LoadReport(msgspec.Struct):
