--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -358,21 +358,16 @@
         grace_ms : int
             Time after which the process is ended from outside.
         """
-        loop = asyncio.get_running_loop()
-        limits = self.state.mesh_settings
-        started_s = loop.time()
-        margin_s = limits.leave_margin_ms / 1000
-        last_s = margin_s + LAST_ANSWERS_S
-        kept_share = min(1.0, LAST_SHARE * grace_ms / 1000 / last_s)
-        end_s = started_s + grace_ms / 1000 - margin_s * kept_share
-        self.state.serving.end_at(end_s - LAST_ANSWERS_S * kept_share)
+        end_s = self._plan_end(grace_ms / 1000)
         self.is_leaving = True
         self.outbound.is_closing = True
         self.source.publish(None)
         LOG.info('leaving')
+        loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(self.leave_log.run()))
         serving_ms = min(
-            limits.leave_serving_ms, grace_ms * LEAVE_SERVING_SHARE
+            self.state.mesh_settings.leave_serving_ms,
+            grace_ms * LEAVE_SERVING_SHARE,
         )
         await asyncio.sleep(serving_ms / 1000)
         # Peers that have not heard of it send calls until they are refused;
@@ -381,12 +376,27 @@
         self.state.serving.is_over = True
         for server in self._servers:
             server.close()
+        await self._wait_until_quiet(end_s)
+        self._stop_tasks()
+        self.leave_log.note_end()
+
+    def _plan_end(self, grace_s: float) -> float:
+        """Bound all requests by the grace time; return when to end."""
+        margin_s = self.state.mesh_settings.leave_margin_ms / 1000
+        last_s = margin_s + LAST_ANSWERS_S
+        kept_share = min(1.0, LAST_SHARE * grace_s / last_s)
+        end_s = asyncio.get_running_loop().time() + grace_s
+        end_s -= margin_s * kept_share
+        self.state.serving.end_at(end_s - LAST_ANSWERS_S * kept_share)
+        return end_s
+
+    async def _wait_until_quiet(self, end_s: float) -> None:
+        """Wait until nothing is under way, or until the end."""
+        loop = asyncio.get_running_loop()
         quiet_looks = 0
         while loop.time() < end_s and quiet_looks < LEAVE_QUIET_LOOKS:
             quiet_looks = 0 if self._is_busy() else quiet_looks + 1
             await asyncio.sleep(LEAVE_CHECK_S)
-        self._stop_tasks()
-        self.leave_log.note_end()
 
     async def close(self) -> None:
         """End at once, without leaving."""
