The soak sees a leaving daemon cut what it took

The soak's callers stated 1.5 s and its answers were small: no request outlasted its daemon.

Change: beside the callers of before, two callers of each host state 8 s, let targets work for up to 7.5 s, ask for answers of up to 500 kB, read some of them slowly through a small window, and send a second request behind some; links between daemons are narrow at times (60 to 600 kB/s); some daemons are told narrow links, so that they pace. All callers write on sockets of their own: http.client sends nothing ahead.

Checks: a request that ran and was sent to a daemon at most 3 s after its SIGTERM has a whole answer; a halt of that daemon alone excuses, faults elsewhere and narrow links don't, nor does an answer that its caller had time to read. A daemon ends by itself within its grace time, with status 0. Long requests are told 502 only where no target answered, since work may outlast the daemon beside its target; the check of 502 for the others is unchanged. Each is shown to fire in features/soak.feature. Broken seeds keep books.json, with every request and fault.

Plans: the new choices are drawn from generators of their own. Plans of seeds 0 to 1999 without narrow links have the digest that they had before; a scenario holds it. `--long-callers 0` is the soak of before.

Ruled out: a mode of links for narrow ones (it would have changed the plans of all seeds); an excuse for 504 (none is needed: a 504 is an answer).

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -3,6 +3,21 @@
 
   Scenario: The same seed makes the same plan
     Then plans of 50 seeds are alike twice, and differ from others
+    And the plans that were there before links were throttled are unchanged
+
+  Scenario: Links are as narrow as they are throttled
+    Then a throttled link moves answers as slowly as it should
+
+  Scenario Outline: A daemon that is told to leave ends by itself, in time
+    Given books in which nothing is wrong
+    When a daemon that <end> is told to leave within 2 s
+    Then the soak says that <finding>
+
+    Examples:
+      | end       | finding             |
+      | stays     | outstayed its grace |
+      | fails     | left with 1         |
+      | ends well | nothing is broken   |
 
   Scenario Outline: Each promise that is broken is seen
     Given books in which <deed>
@@ -38,6 +53,28 @@
       | lost beside planned work         | the store was away             | ended without answer |
       | cut beside planned work          | the store was away             | was told 502         |
       | cut beside planned work          | another daemon was killed      | nothing is broken    |
+      | lost beside planned work         | a link was narrow              | ended without answer |
+      | cut beside planned work          | a link was narrow              | was told 502         |
+
+  Scenario Outline: A leaving daemon answers what it took
+    Given books in which a <request>
+    And <fault> then
+    Then the soak says that <finding>
+
+    Examples:
+      | request                                      | fault                                                    | finding                     |
+      | request was cut that was sent before SIGTERM | its daemon was terminated                                | 5.60 s after SIGTERM        |
+      | request was cut that was sent 2.9 s after    | its daemon was terminated                                | 5.60 s after SIGTERM        |
+      | request was cut that was sent 2.9 s after    | its daemon was terminated, and another daemon was killed | 5.60 s after SIGTERM        |
+      | request was cut that was sent 2.9 s after    | its daemon was terminated, and its daemon was killed     | nothing is broken           |
+      | request was cut that was sent 3.1 s after    | its daemon was terminated                                | ended without answer        |
+      | request was cut that was sent 3.1 s after    | its daemon was terminated, and another daemon was killed | nothing is broken           |
+      | request was cut that could still be read     | its daemon was terminated, and another daemon was killed | 5.60 s after SIGTERM        |
+      | request was cut that was read for too long   | its daemon was terminated                                | nothing is broken           |
+      | long request was told 502 and not answered   | another daemon was terminated                            | nothing is broken           |
+      | long request was told 502 and answered       | another daemon was terminated                            | was told 502 without answer |
+      | long request was held                        | another daemon was terminated                            | beyond its deadline         |
+      | long request was read slowly                 | another daemon was terminated                            | nothing is broken           |
 
   Scenario: A short soak of real processes keeps all promises
     When seed 1 runs on 3 hosts for 4 s
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,7 +1,11 @@
 """Steps over the soak: its plans, its checks, and a short run."""
 
+import asyncio
+import hashlib
 import pathlib
+import sys
 import tempfile
+import time
 
 from behave import given
 from behave import then
@@ -11,12 +15,35 @@
 from soak import _callers
 from soak import _checks
 from soak import _faults
+from soak import _links
+from soak import _long
 from soak import _targets
 from soak import _world
 
 SEEDS = 50
 SENT_S = 100.0
 CLOSING_S = 200.0
+#: Of faults around the requests.
+FAULT_S = SENT_S - 1
+#: Of the plans of seeds 0 to 1999 for 5 hosts and 12 s, before links were
+#: throttled: seeds that were used keep them.
+FIRST_PLANS_SHA256 = (
+    '1b99e284b62dd4cc56c190f876170b8b9d804e5ad3bb6aa3b269701a293d032a'
+)
+#: A program that stays when it is told to leave, one that fails then, and
+#: one that ends as it should; each says when it is ready to be told.
+ENDS = {
+    'stays': 'signal.SIG_IGN',
+    'fails': 'lambda *_: sys.exit(1)',
+    'ends well': 'lambda *_: sys.exit(0)',
+}
+PROGRAM = (
+    'import signal, sys, time; signal.signal(signal.SIGTERM, {}); '
+    'print(flush=True); time.sleep(30)'
+)
+#: Pieces that a link must have moved one by one, and its width.
+THROTTLED_BYTES = 10 * _links.PIECE_BYTES
+THROTTLE_BYTES_PER_S = 2 * THROTTLED_BYTES
 
 
 class SoakSubject:
@@ -43,6 +70,7 @@
             request_id,
             values.pop('is_once', True),
             caller.host_daemon.name,
+            _callers.ONCE_PATH,
             sent_s,
             values.pop('done_s', sent_s + 0.1),
             **values,
@@ -58,7 +86,7 @@
         """Note a fault around the requests."""
         fault = _faults.Fault(0.0, kind, host, 1.0)
         self.world.disturbances.append(
-            _world.Disturbance(fault, SENT_S - 1, SENT_S + 1)
+            _world.Disturbance(fault, FAULT_S, FAULT_S + 8)
         )
 
 
@@ -99,6 +127,74 @@
     subject.ran('cut', SENT_S)
 
 
+def add_cut(subject, told_s, **fields):
+    """Add a request that ran, sent so long after SIGTERM, and was cut."""
+    sent_s = FAULT_S + told_s
+    record = subject.add(
+        subject.world.callers[0],
+        'cut-off',
+        sent_s,
+        status=0,
+        done_s=FAULT_S + 5.6,
+        deadline_ms=_long.DEADLINE_MS,
+        **fields,
+    )
+    subject.ran(record.request_id, sent_s)
+
+
+def cut_before(subject):
+    add_cut(subject, -0.5)
+
+
+def cut_after(subject):
+    add_cut(subject, 2.9)
+
+
+def cut_late(subject):
+    add_cut(subject, 3.1)
+
+
+def cut_reading(subject):
+    add_cut(subject, 0.5, began_s=FAULT_S + 4, reading_s=1.0)
+
+
+def cut_reading_on(subject):
+    add_cut(subject, 0.5, began_s=FAULT_S + 4, reading_s=2.0)
+
+
+def lose_answer(subject):
+    lose_unanswered(subject)
+    subject.world.ledger.answers['unknown'] = SENT_S + 0.1
+
+
+def lose_unanswered(subject):
+    subject.add(
+        subject.world.callers[0],
+        'unknown',
+        status=502,
+        deadline_ms=_long.DEADLINE_MS,
+    )
+    subject.ran('unknown', SENT_S)
+
+
+def hold_reader(subject):
+    hold_long(subject, 12.0)
+
+
+def read_slowly(subject):
+    hold_long(subject, 9.0)
+
+
+def hold_long(subject, took_s):
+    subject.add(
+        subject.world.callers[0],
+        'reader',
+        done_s=SENT_S + took_s,
+        deadline_ms=_long.DEADLINE_MS,
+        reading_s=1.0,
+    )
+
+
 def run_late(subject):
     books = subject.world.targets[0].books
     books.left_s = -1e9
@@ -131,6 +227,15 @@
     'a request was held by a sound daemon': hold,
     'a request was lost beside planned work': lose,
     'a request was cut beside planned work': cut,
+    'a request was cut that was sent before SIGTERM': cut_before,
+    'a request was cut that was sent 2.9 s after': cut_after,
+    'a request was cut that was sent 3.1 s after': cut_late,
+    'a request was cut that could still be read': cut_reading,
+    'a request was cut that was read for too long': cut_reading_on,
+    'a long request was told 502 and not answered': lose_unanswered,
+    'a long request was told 502 and answered': lose_answer,
+    'a long request was held': hold_reader,
+    'a long request was read slowly': read_slowly,
     'a target that had left ran a request': run_late,
     'a target worked on more than its slots': overload,
     'a daemon went back to an older version': go_back,
@@ -142,20 +247,38 @@
     'its daemon was paused': (_faults.FaultKind.PAUSE, 0),
     'another daemon was paused': (_faults.FaultKind.PAUSE, 1),
     'another daemon was killed': (_faults.FaultKind.KILL, 1),
+    'its daemon was killed': (_faults.FaultKind.KILL, 0),
+    'a link was narrow': (_faults.FaultKind.THROTTLE, 1),
+    'another daemon was terminated': (_faults.FaultKind.TERMINATE, 1),
     'its daemon was terminated': (_faults.FaultKind.TERMINATE, 0),
 }
 
 
 @then('plans of {seeds:d} seeds are alike twice, and differ from others')
 def step_plans(context, seeds):
-    plans = [_faults.make_plan(seed, 5, 12.0) for seed in range(seeds)]
-    again = [_faults.make_plan(seed, 5, 12.0) for seed in range(seeds)]
+    plans = [_faults.make_plan(seed, 5, 12.0, True) for seed in range(seeds)]
+    again = [_faults.make_plan(seed, 5, 12.0, True) for seed in range(seeds)]
     assert plans == again
     assert len(set(plans)) == seeds
     kinds = {fault.kind for plan in plans for fault in plan}
     assert kinds == set(_faults.FaultKind)
 
 
+@then('the plans that were there before links were throttled are unchanged')
+def step_first_plans(context):
+    digest = hashlib.sha256()
+    for seed in range(2000):
+        plan = _faults.make_plan(seed, 5, 12.0)
+        digest.update(repr(plan).encode())
+        rest = [
+            fault
+            for fault in _faults.make_plan(seed, 5, 12.0, True)
+            if fault.kind is not _faults.FaultKind.THROTTLE
+        ]
+        assert tuple(rest) == plan, seed
+    assert digest.hexdigest() == FIRST_PLANS_SHA256, digest.hexdigest()
+
+
 @given('books in which {deed}')
 def step_books(context, deed):
     context.soak = SoakSubject()
@@ -165,7 +288,60 @@
 
 @given('{fault} then')
 def step_fault(context, fault):
-    context.soak.disturb(*FAULTS[fault])
+    for name in fault.split(', and '):
+        context.soak.disturb(*FAULTS[name])
+
+
+@when('a daemon that {end} is told to leave within {grace_s:g} s')
+def step_told_to_leave(context, end, grace_s):
+    world = context.soak.world
+
+    async def run():
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-c',
+            PROGRAM.format(ENDS[end]),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        world.daemons[0].process = process
+        await process.stdout.readline()
+        await world.end_daemon(world.daemons[0], grace_s)
+        assert process.returncode is not None
+
+    asyncio.run(run())
+
+
+@then('a throttled link moves answers as slowly as it should')
+def step_throttled(context):
+    async def run():
+        async def answer(_reader, writer):
+            writer.write(bytes(THROTTLED_BYTES))
+            writer.close()
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        link = _links.Link('127.0.0.1', 0, '127.0.0.1', port)
+        await link.start()
+        link.bytes_per_s = THROTTLE_BYTES_PER_S
+        reader, writer = await asyncio.open_connection(
+            *link._server.sockets[0].getsockname()
+        )
+        started_s = time.monotonic()
+        arrivals = []
+        size_bytes = 0
+        while data := await reader.read(THROTTLED_BYTES):
+            size_bytes += len(data)
+            arrivals.append(time.monotonic() - started_s)
+        writer.close()
+        link.close()
+        server.close()
+        return size_bytes, arrivals
+
+    size_bytes, arrivals = asyncio.run(run())
+    assert size_bytes == THROTTLED_BYTES, size_bytes
+    # Nine of ten pieces wait for the one before.
+    assert 0.4 < arrivals[-1] < 1.5, arrivals
+    assert len(arrivals) > 5, arrivals
 
 
 @then('the soak says that {finding}')
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 import tempfile
 from typing import Annotated
 
+import msgspec
 import typer
 
 from soak import _checks
@@ -23,9 +24,13 @@
     try:
         await world.run()
         broken = _checks.check_promises(world)
+        books = world.list_records(), world.ledger, world.disturbances
+        (folder / 'books.json').write_bytes(
+            msgspec.json.encode(books, enc_hook=vars)
+        )
     finally:
         await world.stop()
-    records = [record for caller in world.callers for record in caller.records]
+    records = world.list_records()
     good = sum(record.status == _checks.STATUS_OK for record in records)
     faults = len(world.disturbances)
     return broken, f'{len(records)} calls, {good} good, {faults} faults'
@@ -51,6 +56,9 @@
     hosts: Annotated[int, typer.Option(help='Daemons.')] = 5,
     seconds: Annotated[float, typer.Option(help='Time of faults.')] = 12.0,
     callers: Annotated[int, typer.Option(help='Callers of each host.')] = 2,
+    long_callers: Annotated[
+        int, typer.Option(help='Of each host, with long requests; 0: none.')
+    ] = 2,
     keep: Annotated[
         pathlib.Path | None,
         typer.Option(help='Keep the logs of broken seeds here.'),
@@ -60,9 +68,13 @@
     """Run seeds one after the other; status 1 when a promise is broken."""
     failed = []
     for number in range(seed, seed + seeds):
-        world_settings = _world.WorldSettings(number, hosts, seconds, callers)
+        world_settings = _world.WorldSettings(
+            number, hosts, seconds, callers, long_callers=long_callers
+        )
         if plan:
-            for fault in _faults.make_plan(number, hosts, seconds):
+            for fault in _faults.make_plan(
+                number, hosts, seconds, long_callers > 0
+            ):
                 print(fault)
             continue
         with tempfile.TemporaryDirectory(prefix='soak-') as name:
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from soak import _callers
+from soak import _daemons
 from soak import _faults
 from soak import _targets
 from soak import _world
@@ -21,16 +22,22 @@
 HELD_S = 2.5
 #: A disturbance counts for what happens so long after it, as on the pages.
 TOUCH_S = 3.0
+#: Requests sent so long after SIGTERM are answered if they run.
+TAKEN_S = 3.0
+#: Time before the end of the grace time from which on an answer that is
+#: read slowly may be cut: the margin of the daemon, and its last answers.
+LAST_S = 0.6
 
 
 def check_promises(world: _world.World) -> list[str]:
     """Return a line for each promise that was broken."""
-    records = [record for caller in world.callers for record in caller.records]
+    records = world.list_records()
     return [
         *_check_runs(world, records),
         *(line for item in records for line in _check_answer(world, item)),
         *(line for probe in world.probes for line in probe.broken),
         *_check_targets(world),
+        *world.bad_ends,
         *_check_recovery(world, records),
     ]
 
@@ -56,16 +63,49 @@
         yield f'{request_id} was told {status}, and ran'
     if status in DENIED_STATUSES:
         yield f'{request_id} was told {status}, and has a route'
-    held_s = record.done_s - record.sent_s - _callers.DEADLINE_MS / 1000
+    waited_s = record.done_s - record.sent_s - record.reading_s
+    held_s = waited_s - record.deadline_ms / 1000
     if held_s > HELD_S and not _is_disturbed(world, record, False):
         yield f'{request_id} was held {held_s:.1f} s beyond its deadline'
+    if status and record.deadline_ms > _callers.DEADLINE_MS:
+        # Work may outlast the daemon beside its target; answers may not.
+        has_run = request_id in world.ledger.answers
     if status not in (0, STATUS_UNKNOWN) or not has_run:
         return
-    if not _is_disturbed(world, record, True):
+    cut_s = None if status else _find_cut_s(world, record)
+    if cut_s:
+        how = f'without answer {cut_s:.2f} s after SIGTERM: {record.end}'
+        yield f'{request_id} ran, and its connection ended {how}'
+    elif cut_s is None and not _is_disturbed(world, record, True):
         end = 'was told 502' if status else 'its connection ended'
         yield f'{request_id} ran, and {end} without answer'
 
 
+def _find_cut_s(
+    world: _world.World, record: _callers.CallRecord
+) -> float | None:
+    """Return how long after SIGTERM a leaving daemon cut; None if not.
+
+    Faults elsewhere end no connection between a caller and its daemon: only
+    its own halt excuses, or a caller that reads until after its end (0).
+    """
+    own = {
+        item.fault.kind: item.start_s
+        for item in world.disturbances
+        if world.daemons[item.fault.host].name == record.host
+        and item.start_s < record.done_s
+        and record.sent_s < item.end_s
+    }
+    told_s = own.get(_faults.FaultKind.TERMINATE)
+    if told_s is None or own.keys() & _faults.HALTS:
+        return None
+    end_s = told_s + _daemons.GRACE_S - LAST_S
+    if record.began_s and record.began_s + record.reading_s > end_s:
+        return 0.0
+    is_taken = record.sent_s <= told_s + TAKEN_S
+    return record.done_s - told_s if is_taken else None
+
+
 def _is_disturbed(
     world: _world.World, record: _callers.CallRecord, anywhere: bool
 ) -> bool:
@@ -76,7 +116,7 @@
     """
     return any(
         not item.fault.is_planned
-        and not (anywhere and item.fault.kind in _faults.STORE_KINDS)
+        and not (anywhere and item.fault.kind in _faults.COSTLESS)
         and item.start_s < record.done_s
         and record.sent_s < item.end_s + TOUCH_S
         and (anywhere or world.daemons[item.fault.host].name == record.host)
--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -124,6 +124,8 @@
         self.address = make_address(number)
         self.target_set = target_set
         self.data_centre = data_centre
+        #: Width of its link, as it is told.
+        self.link_mbps = LINK_MBPS
         #: Grows with each start.
         self.lifetime = 0
         #: When it was last started, stopped, paused or resumed.
@@ -171,6 +173,6 @@
                 self.target_set,
                 self.address,
                 PORTS,
-                LINK_MBPS,
+                self.link_mbps,
             )
         )
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -1,5 +1,6 @@
 """Plans of faults: what happens when, as a seed determines."""
 
+from collections.abc import Iterator
 import enum
 import random
 
@@ -14,6 +15,9 @@
 MEAN_GAP_S = 0.7
 LEAST_S = 0.3
 MOST_S = 3.0
+#: The same of links that are throttled, and their least and greatest width.
+THROTTLE_GAP_S = 2.0
+THROTTLE_BYTES_PER_S = (60_000, 600_000)
 #: Share of faults that are followed by others at the same moment.
 SERIES_SHARE = 0.25
 SERIES_LENGTH = 3
@@ -31,6 +35,7 @@
     VERSION = 'version'
     TARGET_LEAVES = 'target leaves'
     TARGET_HABIT = 'target habit'
+    THROTTLE = 'throttle'
 
 
 #: Planned work: none of it may cost a request.
@@ -39,6 +44,13 @@
 )
 #: Faults of the store alone cost no request.
 STORE_KINDS = frozenset((FaultKind.STORE, FaultKind.STORE_LINK))
+#: Faults by which a process does nothing from one moment to the next.
+HALTS = frozenset((FaultKind.KILL, FaultKind.PAUSE))
+#: Faults that excuse no request that was lost.
+COSTLESS = STORE_KINDS | {FaultKind.THROTTLE}
+#: Kinds of the first plans; those of later ones are drawn by themselves, so
+#: that a seed keeps its plan.
+_FIRST_KINDS = frozenset(FaultKind) - {FaultKind.THROTTLE}
 #: How much longer they last: longer than a daemon takes to leave.
 STORE_FACTOR = 3
 #: Share of plans that are planned work only, and of those with the store.
@@ -76,7 +88,8 @@
     for_s : float
         For how long, where that fits; until the start again of what ends.
     detail : str
-        Mode of a link or of the store, or habit of a target.
+        Mode of a link or of the store, habit of a target, or width of a
+        link in bytes a second.
     """
 
     at_s: float
@@ -91,7 +104,9 @@
         return self.kind in PLANNED
 
 
-def make_plan(seed: int, hosts: int, seconds: float) -> tuple[Fault, ...]:
+def make_plan(
+    seed: int, hosts: int, seconds: float, has_throttles: bool = False
+) -> tuple[Fault, ...]:
     """Make the plan of a seed.
 
     Parameters
@@ -102,6 +117,8 @@
         Hosts of the mesh.
     seconds : float
         Faults begin within this time.
+    has_throttles : bool
+        Whether links between daemons are narrow at times.
     """
     rng = random.Random(seed)
     kinds = _choose_kinds(rng)
@@ -110,12 +127,28 @@
     while True:
         at_s += rng.expovariate(1 / MEAN_GAP_S)
         if at_s >= seconds:
-            return tuple(plan)
+            if has_throttles:
+                plan += _make_throttles(seed, hosts, seconds)
+            return tuple(sorted(plan, key=lambda fault: fault.at_s))
         is_series = rng.random() < SERIES_SHARE
         for _ in range(SERIES_LENGTH if is_series else 1):
             plan.append(_make_fault(rng, kinds, at_s, hosts))
 
 
+def _make_throttles(seed: int, hosts: int, seconds: float) -> Iterator[Fault]:
+    """Make the times at which links between daemons are narrow.
+
+    They are drawn by themselves: the other faults of a seed stay.
+    """
+    rng = random.Random(f'throttles {seed}')
+    at_s = rng.expovariate(1 / THROTTLE_GAP_S)
+    while at_s < seconds:
+        host, for_s = rng.randrange(hosts), rng.uniform(LEAST_S, MOST_S)
+        rate = str(rng.randint(*THROTTLE_BYTES_PER_S))
+        yield Fault(at_s, FaultKind.THROTTLE, host, for_s, rate)
+        at_s += rng.expovariate(1 / THROTTLE_GAP_S)
+
+
 def _choose_kinds(rng: random.Random) -> list[FaultKind]:
     """Choose what a plan is made of.
 
@@ -123,9 +156,9 @@
     cost no request.
     """
     draw = rng.random()
-    kinds = set(FaultKind)
+    kinds = _FIRST_KINDS
     if draw < PLANNED_SHARE:
-        kinds = set(PLANNED)
+        kinds = PLANNED
     elif draw < 2 * PLANNED_SHARE:
         kinds = PLANNED | STORE_KINDS
     return sorted(kinds, key=lambda kind: kind.value)
--- a/soak/_links.py
+++ b/soak/_links.py
@@ -8,6 +8,8 @@
 
 CHUNK_BYTES = 64 * 1024
 DELAY_S = 0.15
+#: Moved at a time by a link that is throttled.
+PIECE_BYTES = 4 * 1024
 #: Between two looks at whether a silent link is open again.
 LOOK_S = 0.02
 
@@ -44,6 +46,11 @@
         self.target_address = target_address
         self.target_port = target_port
         self.mode = LinkMode.OPEN
+        #: Width of each direction, for all connections; 0 for any.
+        self.bytes_per_s = 0.0
+        #: When each direction will have moved what was read, by whether it
+        #: is the one of answers.
+        self._free_s = {False: 0.0, True: 0.0}
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
@@ -112,8 +119,19 @@
                 if self.mode is LinkMode.DELAYED:
                     await asyncio.sleep(DELAY_S)
                 await self._wait_open(is_answer)
-                writer.write(data)
-                await writer.drain()
+                for start in range(0, len(data), PIECE_BYTES):
+                    piece = data[start : start + PIECE_BYTES]
+                    await self._wait_room(is_answer, len(piece))
+                    writer.write(piece)
+                    await writer.drain()
+
+    async def _wait_room(self, is_answer: bool, size_bytes: int) -> None:
+        if not self.bytes_per_s:
+            return
+        now_s = asyncio.get_running_loop().time()
+        free_s = max(now_s, self._free_s[is_answer])
+        self._free_s[is_answer] = free_s + size_bytes / self.bytes_per_s
+        await asyncio.sleep(free_s - now_s)
 
     async def _wait_open(self, is_answer: bool) -> None:
         while self.mode is LinkMode.SILENT or (
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -6,6 +6,7 @@
 from sedgering import testing
 from sedgering import transport
 from soak import _daemons
+from soak import _long
 
 __all__ = ['Ledger', 'Target']
 
@@ -15,6 +16,8 @@
 BEAT_TIMEOUT_S = 1.0
 #: For how long a leaving target goes on serving after its acknowledgement.
 SERVE_ON_S = _daemons.DRAIN_S + 0.6
+#: Between two looks at whether a leaving target has ended its work.
+LOOK_S = 0.05
 #: Between the end of one target and the start of the next at its address.
 REUSE_AFTER_S = 0.5
 
@@ -26,12 +29,15 @@
     ----------
     runs : dict
         By the id of the request, the times at which it began to run.
+    answers : dict
+        By the id of the request, when a sound target last answered it.
     late_runs : list of str
         Requests that reached a target too long after its acknowledgement.
     """
 
     def __init__(self):
         self.runs: dict[str, list[float]] = {}
+        self.answers: dict[str, float] = {}
         self.late_runs: list[str] = []
 
 
@@ -43,10 +49,16 @@
         self.work_s = WORK_S
         self.ledger = ledger
         self.left_s: float | None = None
+        #: Sizes of answers, by the id of the request.
+        self.sizes_bytes: dict[str, int] = {}
 
     def note_run(self, request_id, line, headers, body) -> None:
         """Note when a request began to run."""
         super().note_run(request_id, line, headers, body)
+        # The stand-in takes the time before anything else can run.
+        self.work_s, self.sizes_bytes[request_id] = _long.read_work(
+            line, WORK_S
+        )
         now_s = time.monotonic()
         self.ledger.runs.setdefault(request_id, []).append(now_s)
         if self.left_s is not None:
@@ -57,6 +69,16 @@
                 )
 
 
+class _Connection(testing.TargetStandin):
+    """Answers each request at the size that it asks for."""
+
+    def _finish(self, request_id: str, habit: testing.TargetHabit) -> None:
+        self.state.body_bytes = self.state.sizes_bytes[request_id]
+        super()._finish(request_id, habit)
+        if habit is testing.TargetHabit.SOUND:
+            self.state.ledger.answers[request_id] = time.monotonic()
+
+
 class Target:
     """The target of one host, through all of its lifetimes.
 
@@ -104,6 +126,8 @@
         if await self._send('heartbeat', 'draining'):
             self.books.left_s = time.monotonic()
         await asyncio.sleep(SERVE_ON_S)
+        while self.books.running:
+            await asyncio.sleep(LOOK_S)
         await self._send('deregister', 'draining')
         self.stop()
         await asyncio.sleep(REUSE_AFTER_S)
@@ -119,7 +143,7 @@
         self._connections.clear()
 
     def _make_connection(self) -> testing.TargetStandin:
-        connection = testing.TargetStandin(self.books)
+        connection = _Connection(self.books)
         self._connections.append(connection)
         return connection
 
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -15,6 +15,7 @@
 from soak import _daemons
 from soak import _faults
 from soak import _links
+from soak import _long
 from soak import _probes
 from soak import _targets
 
@@ -45,6 +46,8 @@
         Of each host.
     relay_from_hosts : int
         Hosts from which on relays serve.
+    long_callers : int
+        Of each host; without them no link is narrow.
     """
 
     seed: int
@@ -52,6 +55,7 @@
     seconds: float = 12.0
     callers: int = 2
     relay_from_hosts: int = 4
+    long_callers: int = 2
 
 
 class Disturbance(msgspec.Struct):
@@ -85,6 +89,8 @@
         self.settings = world_settings
         self.ledger = _targets.Ledger()
         self.disturbances: list[Disturbance] = []
+        #: How daemons broke the promise to end in time.
+        self.bad_ends: list[str] = []
         self.version = 1
         self.closing_s = 0.0
         self.store = _daemons.StoreProcess(
@@ -113,13 +119,31 @@
             for daemon in self.daemons
             for number in range(world_settings.callers)
         ]
+        # Drawn by itself, so that the other choices stay those of the seed.
+        rng = random.Random(f'long {world_settings.seed}')
+        if world_settings.long_callers:
+            for daemon in self.daemons:
+                daemon.link_mbps = rng.choice(_long.LINKS_MBPS)
+        self.long_callers = [
+            _long.LongCaller(
+                f'{daemon.name}-long-{number}', daemon, rng.randrange(1 << 30)
+            )
+            for daemon in self.daemons
+            for number in range(world_settings.long_callers)
+        ]
         self._busy: set[tuple] = set()
 
+    def list_records(self) -> list[_callers.CallRecord]:
+        """List how the requests of all callers ended."""
+        callers = (*self.callers, *self.long_callers)
+        return [record for caller in callers for record in caller.records]
+
     async def run(self) -> None:
         """Run the plan of the seed, and let the mesh recover."""
         await self._start()
+        size = self.settings
         plan = _faults.make_plan(
-            self.settings.seed, self.settings.hosts, self.settings.seconds
+            size.seed, size.hosts, size.seconds, size.long_callers > 0
         )
         started_s = time.monotonic()
         tasks = []
@@ -128,12 +152,15 @@
             await asyncio.sleep(max(0.0, pause_s))
             tasks.append(asyncio.ensure_future(self._carry_out(fault)))
         await asyncio.gather(*tasks)
+        # What they have under way lasts no longer than the rest.
+        for caller in self.long_callers:
+            caller.is_stopping = True
         await asyncio.sleep(SETTLE_S)
         self.closing_s = time.monotonic()
         await asyncio.sleep(CLOSING_S)
         for caller in self.callers:
             caller.is_stopping = True
-        for caller in self.callers:
+        for caller in (*self.callers, *self.long_callers):
             await asyncio.to_thread(caller.join)
         await asyncio.gather(
             *(probe.look(self.version) for probe in self.probes)
@@ -141,7 +168,7 @@
 
     async def stop(self) -> None:
         """End everything that was started."""
-        for caller in self.callers:
+        for caller in (*self.callers, *self.long_callers):
             caller.is_stopping = True
         for probe in self.probes:
             probe.stop()
@@ -164,7 +191,7 @@
         for target in self.targets:
             await target.start()
         await _wait_for(self._are_all_ready, 'all daemons to be ready')
-        for worker in (*self.callers, *self.probes):
+        for worker in (*self.callers, *self.long_callers, *self.probes):
             worker.start()
 
     async def _are_all_ready(self) -> bool:
@@ -198,14 +225,21 @@
         await self._start_again(fault.host)
 
     async def _terminate(self, fault: _faults.Fault) -> None:
-        daemon = self.daemons[fault.host]
+        await self.end_daemon(self.daemons[fault.host], _daemons.GRACE_S)
+        await self._start_again(fault.host)
+
+    async def end_daemon(
+        self, daemon: _daemons.Daemon, grace_s: float
+    ) -> None:
+        """Tell a daemon to leave; it is to end by itself within its grace."""
         daemon.signal(signal.SIGTERM)
         try:
-            async with asyncio.timeout(_daemons.GRACE_S):
-                await daemon.process.wait()
+            async with asyncio.timeout(grace_s):
+                if status := await daemon.process.wait():
+                    self.bad_ends.append(f'{daemon.name} left with {status}')
         except TimeoutError:
+            self.bad_ends.append(f'{daemon.name} outstayed its grace time')
             await daemon.kill()
-        await self._start_again(fault.host)
 
     async def _start_again(self, host: int) -> None:
         await self.daemons[host].start()
@@ -220,6 +254,12 @@
     async def _break_peer_link(self, fault: _faults.Fault) -> None:
         await _break_link(self.daemons[fault.host].peer_link, fault)
 
+    async def _throttle(self, fault: _faults.Fault) -> None:
+        link = self.daemons[fault.host].peer_link
+        link.bytes_per_s = float(fault.detail)
+        await asyncio.sleep(fault.for_s)
+        link.bytes_per_s = 0.0
+
     async def _break_store_link(self, fault: _faults.Fault) -> None:
         await _break_link(self.daemons[fault.host].store_link, fault)
 
@@ -243,7 +283,8 @@
 
     async def _write_version(self) -> bool:
         """Write the newest version; say whether the store answered."""
-        document = _make_document(self.version)
+        is_long = self.settings.long_callers > 0
+        document = _make_document(self.version, is_long)
         path, body = testing.encode_write('op', 'config', document)
         answer = await self._call_store(path, body)
         return answer is not None and answer.status == 200
@@ -259,11 +300,13 @@
         )
 
 
-def _make_document(version: int) -> bytes:
-    """Make a version: two routes, and one for each version so far."""
+def _make_document(version: int, is_long: bool) -> bytes:
+    """Make a version: its routes, and one for each version so far."""
     common = {'host': _callers.HOST_HEADER, 'timeout': '1200ms'}
     once = {**common, 'prefix': _callers.ONCE_PATH, 'kind': 'non_idempotent'}
     routes = [{**common, 'prefix': _callers.REPEATABLE_PATH}, once]
+    if is_long:
+        routes += [{**common, **fields} for fields in _long.ROUTES]
     routes += [
         {**common, 'prefix': _probes.make_path(number)}
         for number in range(1, version + 1)
@@ -305,4 +348,5 @@
     _Kind.VERSION: World._change_version,
     _Kind.TARGET_LEAVES: World._replace_target,
     _Kind.TARGET_HABIT: World._change_habit,
+    _Kind.THROTTLE: World._throttle,
 }
