Callers of long requests wait for late answers

It waited 8 s for a request with a deadline of 8 s (`TimeoutError('timed out')` after 8.006 s). So the soak also could not see a long request that was held beyond its deadline: `held` needs 2.5 s more.

Ruled out: the daemon (started 0.2 s after the request was sent, no fault of it from then on; targets began 1.1 and 3.1 s after that, for 7.2 s of work each, so it had nothing to tell before the deadline).

Change: callers of long requests wait 14 s. A scenario asks of each caller that it waits longer than a request may be held.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -5,6 +5,10 @@
     Then plans of 50 seeds are alike twice, and differ from others
     And the plans that were there before links were throttled are unchanged
 
+  Scenario: Callers wait for answers that come too late
+    Given books in which nothing is wrong
+    Then each caller waits for longer than a request may be held
+
   Scenario: Links are as narrow as they are throttled
     Then a throttled link moves answers as slowly as it should
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -322,6 +322,16 @@
     asyncio.run(run())
 
 
+@then('each caller waits for longer than a request may be held')
+def step_patience(context):
+    world = context.soak.world
+    assert world.long_callers
+    for caller in (*world.callers, *world.long_callers):
+        deadlines_ms = [record.deadline_ms for record in caller._choose()]
+        held_s = max(deadlines_ms) / 1000 + _checks.HELD_S
+        assert caller.patience_s > held_s, (caller.name, held_s)
+
+
 @then('a throttled link moves answers as slowly as it should')
 def step_throttled(context):
     async def run():
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -18,8 +18,6 @@
 ONCE_PATH = '/once/'
 HOST_HEADER = 'soak.example'
 DEADLINE_MS = 1500
-#: Longest silence of a daemon that a caller bears.
-PATIENCE_S = 8.0
 #: Share of requests that may run once only.
 ONCE_SHARE = 0.4
 PAUSE_S = 0.02
@@ -86,6 +84,9 @@
         Of its choices.
     """
 
+    #: Longest silence of a daemon that it bears.
+    patience_s = 8.0
+
     def __init__(self, name: str, daemon: _daemons.Daemon, seed: int):
         super().__init__(name=name, daemon=True)
         self.host_daemon = daemon
@@ -145,7 +146,7 @@
     def _connect(self) -> None:
         self._socket = socket.socket()
         self._stream = self._socket.makefile('rb')
-        self._socket.settimeout(PATIENCE_S)
+        self._socket.settimeout(self.patience_s)
         if self.rate:
             self._socket.setsockopt(
                 socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
--- a/soak/_long.py
+++ b/soak/_long.py
@@ -37,6 +37,9 @@
 class LongCaller(_callers.Caller):
     """A caller whose requests may outlast its daemon."""
 
+    #: It must see answers that come too late.
+    patience_s = 14.0
+
     def _choose(self) -> list[_callers.CallRecord]:
         self.rate = self._draw(SLOW_SHARE, READ_BYTES_PER_S)
         self.behind_s = self._rng.uniform(0, BEHIND_S)
