--- /dev/null
+++ b/features/sight.feature
@@ -0,0 +1,105 @@
+Feature: What logs and metrics tell of a request that ended late
+  A request that ends without its answer has waited somewhere: for the link of
+  the target's host, for its caller to read, for a connection that is silent,
+  or for processor time.  One reading of the lines must tell which.
+
+  Scenario Outline: Where an attempt is
+    Given an attempt at "hall-2" that <stage> since 300 ms
+    Then it is described as "<text>"
+
+    Examples:
+      | stage                | text                                 |
+      | has no connection    | hall-2: not connected for 300 ms     |
+      | asks for room        | hall-2: asks for room for 300 ms     |
+      | runs at its own host | hall-2: at the own target for 300 ms |
+
+  Scenario: An attempt whose bytes do not arrive
+    When 8000000 bytes are sent to a host that reads none
+    Then the attempt tells that no byte came, and of bytes not acknowledged
+
+  Scenario: A request that waits for a silent daemon
+    Given a mesh with two calendar hosts
+    And only the second host has a target
+    And its daemon answers nothing
+    When a caller asks "/slow/" with id "x", and the lines are read
+    Then the line "request refused" has attempts "hall-2: sent \d+ ms ago, no byte came$"
+    And no line "gate" tells of answers that wait
+
+  Scenario: A request on a connection that brought answers before
+    Given a mesh with two calendar hosts
+    And only the second host has a target
+    And its daemon has answered, and answers nothing more
+    When a caller asks "/slow/" with id "x", and the lines are read
+    Then the line "request refused" has attempts "hall-2: sent \d+ ms ago, no byte came$"
+
+  Scenario: A request whose answer waits for the link of the target's host
+    Given a mesh with two calendar hosts
+    And only the second host has a target
+    And answers of 100000 bytes over a link of 20 kB/s
+    When a caller asks "/slow/" with id "x", and the lines are read
+    Then the line "request refused" has attempts "hall-2: sent \d+ ms ago, \d+ bytes came, the last \d+ ms ago$"
+    And a line "gate" without calls tells that 1 waits for the link
+    And the metrics of the second host told of it
+
+  Scenario: A request that waits for the target beside its daemon
+    Given a mesh with two calendar hosts
+    And only the first host has a target, and a route of 2.5 s
+    And the targets work 8 s
+    When a caller asks "/slow/" with id "x", and the lines are read
+    Then the line "request refused" has attempts "hall-1: at the own target for \d+ ms$"
+
+  Scenario: A refusal without attempts under way tells of none
+    Given a mesh with two calendar hosts
+    When a caller asks "/none/" with id "x", and the lines are read
+    Then the line "request refused" has no attempts
+
+  Scenario: What a leaving daemon waits for
+    Given a mesh with two calendar hosts
+    And only the second host has a target
+    And its daemon answers nothing
+    When the first host leaves while a caller asks "/slow/" with id "x"
+    Then the line "leave waits" has callers "1 without answer, 0 answers unread"
+    And the line "leave waits" has requests "\d+ ms, hall-2: sent \d+ ms ago, no byte came$"
+    And the story of "x" has the line "leave waits"
+
+  Scenario: What the end of a daemon cuts is written down and counted
+    Given a mesh with two calendar hosts
+    And only the second host has a target
+    And its daemon answers nothing
+    When the first host ends while a caller asks "/slow/" with id "x"
+    Then the line "left" has requests "\d+ ms, hall-2: sent \d+ ms ago, no byte came$"
+    And the story of "x" has the line "left"
+    And the metrics of the first host tell of 1 request cut
+
+  Scenario Outline: An answer that waits to be read by its caller
+    Given a mesh with two calendar hosts
+    And answers of <size> bytes
+    When the first host leaves while a slow reader has an answer
+    Then the line "leave waits" has callers "0 without answer, 1 answers unread: <held> bytes held, \d{5,} in sockets"
+    And the metrics of the first host told of it
+
+    Examples: More than the kernel takes at once, and less
+      | size     | held   |
+      | 12000000 | \d{5,} |
+      | 60000    | 0      |
+
+  Scenario Outline: An answer that the kernel has is not cut by the end
+    Given a mesh with two calendar hosts
+    And answers of <size> bytes
+    When the first host ends while a slow reader has an answer
+    Then the metrics of the first host tell of <count> answer cut
+
+    Examples:
+      | size     | count |
+      | 12000000 | 1     |
+      | 60000    | 0     |
+
+  Scenario: A leaving daemon that gets no processor time
+    Given a mesh with two calendar hosts
+    When the first host leaves and stands still for 0.7 s
+    Then a line "leave waits" tells 600 ms of lag and less processor time
+
+  Scenario: A leaving daemon with processor time
+    Given a mesh with two calendar hosts
+    When the first host leaves and stands still for 0 s
+    Then a line "leave waits" tells less than 300 ms of lag
--- a/sedgering/mesh/_fleet.py
+++ b/sedgering/mesh/_fleet.py
@@ -38,12 +38,13 @@
         Returns
         -------
         list of MemberRow
-            Those whose target has started since.
+            Those whose target has started since, under whatever id.
         """
         self._told = {
             host: row
             for host, row in self._told.items()
             if members.get(host) == self._stored[host]
+            or _is_earlier(members.get(host), row)
         }
         self._stored = members
         return self._take({**members, **self._told})
@@ -59,7 +60,8 @@
         """
         if self._stored.get(row.host) is None:
             return False
-        if self.members[row.host] == row:
+        known = self.members[row.host]
+        if known == row or row.lifetime.is_before(known.lifetime):
             return False
         self._told[row.host] = row
         self._take({**self.members, row.host: row})
@@ -74,7 +76,7 @@
             old = self.members.get(host)
             if old != row:
                 _log_change('member changed' if old else 'member new', row)
-            if old is None or old.target != row.target:
+            if old is None or old.lifetime != row.lifetime:
                 started.append(row)
         for host, row in self.members.items():
             if host not in members:
@@ -101,6 +103,13 @@
         }
 
 
+def _is_earlier(
+    stored: _messages.MemberRow | None, told: _messages.MemberRow
+) -> bool:
+    """Whether the store still has an earlier lifetime of a target."""
+    return stored is not None and stored.lifetime.is_before(told.lifetime)
+
+
 def _log_change(message: str, row: _messages.MemberRow) -> None:
     LOG.info(
         message,
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -32,8 +32,6 @@
 #: Idle connections to the target beyond its slots.
 SPARE_CONNECTIONS = 4
 MISDIRECTED = 421
-#: For reports that belong to no call.
-NO_ROUTE = base.RouteName('')
 SERVER_ERROR = 500
 #: Fields of the caller that the daemon sets itself.
 _REPLACED = ('deadline_ms', 'expected_target', 'origin')
@@ -92,6 +90,10 @@
         self.row: _messages.MemberRow | None = None
         #: Calls at the target, by the identity of their tickets.
         self._under_way: dict[int, _gate.Ticket] = {}
+        #: Connections on which they are, and when they were sent.
+        self._busy: dict[transport.ClientConnection, float] = {}
+        #: Of which the gate has learnt.
+        self._lifetime: _messages.Lifetime | None = None
         self._replaced = frozenset(
             getattr(names, field).lower() for field in _REPLACED
         )
@@ -118,6 +120,35 @@
         else:
             self.gate.close(_messages.RefusalReason.LEAVING)
 
+    def note_lifetime(self) -> None:
+        """Start anew with a target that is not the one before."""
+        before, present = self._lifetime, self.target.lifetime
+        if present is None:
+            # Whoever comes next is compared with the last one known.
+            return
+        self._lifetime = present
+        if before is None:
+            return
+        is_restart = before.is_before(present)
+        if is_restart or before.target != present.target:
+            LOG.info('target renewed', extra={'target': present.target})
+            self.gate.renew()
+            self.pool.close()
+        if is_restart:
+            self._end_calls(self.target.earlier_heard_s)
+
+    def _end_calls(self, until_s: float) -> None:
+        """End the calls that were sent before a moment.
+
+        Those sent while the earlier lifetime was heard are lost with it, and
+        their connections may say so only after seconds, or never: they would
+        hold places of the present one.  Later ones may have reached the
+        present one already.
+        """
+        for connection, sent_s in list(self._busy.items()):
+            if sent_s < until_s:
+                connection.close()
+
     def make_report(self, route: base.RouteName) -> _messages.LoadReport:
         """Make what other daemons are told with the answer to a call."""
         report = self.gate.make_report(route)
@@ -131,12 +162,13 @@
         """Tell whether a large body may be sent here."""
         if self.room.ask(body_bytes):
             return _messages.CallAnswer(
-                _messages.CallOutcome.NOT_RUN, load=self.make_report(NO_ROUTE)
+                _messages.CallOutcome.NOT_RUN,
+                load=self.make_report(_messages.NO_ROUTE),
             )
         return _messages.CallAnswer(
             _messages.CallOutcome.NOT_RUN,
             reason=_messages.RefusalReason.LINK_FULL,
-            load=self.make_report(NO_ROUTE),
+            load=self.make_report(_messages.NO_ROUTE),
         )
 
     async def run_for_peer(
@@ -232,6 +264,7 @@
             self.pool.put(connection)
             return self._refuse(call, _messages.RefusalReason.DEADLINE)
         data = self._encode(call, remaining_ms)
+        self._busy[connection] = self.gate.now_s()
         try:
             response = await connection.exchange(
                 data,
@@ -245,6 +278,8 @@
                 reached_target=True,
                 detail=str(error),
             )
+        finally:
+            del self._busy[connection]
         self.pool.put(connection)
         return self._classify(response)
 
--- a/sedgering/platform/_wire.py
+++ b/sedgering/platform/_wire.py
@@ -21,7 +21,7 @@
     # The time that the sender still waits, not a moment.
     deadline_ms='X-Request-Deadline',
     proof='X-Response-Signature',
-    # The id of one lifetime of a target.
+    # The id of a target; it may keep it when it starts again.
     expected_target='X-Expect-Instance',
     # The target set of the host where the request began.
     origin='X-Caller-Service',
@@ -30,8 +30,9 @@
     load='X-Server-Load',
 )
 
-_DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
-_VERSION = re.compile(r'r(\d{1,18})')
+#: Fewer digits than an infinite number has.
+_DURATION = re.compile(r'([0-9]{1,15}(?:\.[0-9]{1,30})?)(ms|s)')
+_VERSION = re.compile(r'r([0-9]{1,18})')
 
 
 def parse_duration_ms(text: str) -> int:
