Sight: lines of lost attempts carry the fingerprint of their request

Cause sought: whether one request ends targets (H1) or targets end by themselves (H3). Lines named attempts, whose ids differ with each repeat. Now a line of an attempt that may have run has a hash of method, URL, host, caller and body. Ruled out: logging the URL (it may hold secrets).

--- a/features/steps/sight_steps.py
+++ b/features/steps/sight_steps.py
@@ -63,7 +63,8 @@
         ]
 
 
-def _start_lines(context):
+def start_lines(context):
+    """Take lines in, until the end of the scenario."""
     context.lines = LogLines()
     context.lines.start()
     context.cleanups.append(context.lines.stop)
@@ -190,7 +191,7 @@
 
 @when('a caller asks "{path}" with id "{request_id}", and the lines are read')
 def step_ask(context, path, request_id):
-    _start_lines(context)
+    start_lines(context)
     daemon = context.mesh.second.daemon
 
     async def run():
@@ -205,7 +206,7 @@
 
 @when('the first host leaves while a caller asks "{path}" with id "{name}"')
 def step_leave(context, path, name):
-    _start_lines(context)
+    start_lines(context)
     daemon = context.mesh.first.daemon
 
     async def run():
@@ -221,7 +222,7 @@
 
 @when('the first host ends while a caller asks "{path}" with id "{name}"')
 def step_end(context, path, name):
-    _start_lines(context)
+    start_lines(context)
     daemon = context.mesh.first.daemon
 
     async def run():
@@ -235,7 +236,7 @@
 
 @when('the first host leaves while a slow reader has an answer')
 def step_leave_reader(context):
-    _start_lines(context)
+    start_lines(context)
     mesh = context.mesh
     daemon = mesh.first.daemon
 
@@ -273,7 +274,7 @@
 
 @when('the first host leaves and stands still for {still_s:g} s')
 def step_still(context, still_s):
-    _start_lines(context)
+    start_lines(context)
     daemon = context.mesh.first.daemon
 
     async def run():
--- a/sedgering/base.py
+++ b/sedgering/base.py
@@ -10,6 +10,7 @@
 __all__ = [
     'DataCentre',
     'Digest',
+    'Fingerprint',
     'HostId',
     'Incarnation',
     'NO_VERSION',
@@ -26,6 +27,7 @@
 
 DataCentre = NewType('DataCentre', str)
 Digest = NewType('Digest', bytes)
+Fingerprint = NewType('Fingerprint', str)
 HostId = NewType('HostId', str)
 Incarnation = NewType('Incarnation', int)
 OperationId = NewType('OperationId', str)
--- a/sedgering/mesh/_decisions.py
+++ b/sedgering/mesh/_decisions.py
@@ -68,8 +68,13 @@
         target_set: base.TargetSetName,
         row: _messages.MemberRow,
         answer: _messages.CallAnswer,
+        fingerprint: base.Fingerprint | None,
     ) -> None:
-        """Note an attempt that brought no answer of a target."""
+        """Note an attempt that brought no answer of a target.
+
+        Repeats of a request have ids of their own; its fingerprint shows
+        which ones ended targets again and again.
+        """
         self.counts.count('attempt', answer.reason.value)
         load = answer.load
         self._write(
@@ -82,6 +87,7 @@
             outcome=answer.outcome.value,
             reason=answer.reason.value,
             detail=answer.detail,
+            fingerprint=fingerprint or '',
             load=''
             if load is None
             else f'{load.running}/{load.limit}'
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -8,6 +8,7 @@
 from sedgering import exceptions
 from sedgering.mesh import _attempt
 from sedgering.mesh import _choice
+from sedgering.mesh import _fingerprint
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
 from sedgering.mesh import _progress
@@ -344,8 +345,13 @@
                 self.target_set,
                 peer.row,
                 answer,
+                self._find_fingerprint() if self.may_have_run else None,
             )
 
+    def _find_fingerprint(self) -> base.Fingerprint:
+        fields = self.state.mesh_settings.caller_fields
+        return _fingerprint.make_fingerprint(self.request, fields)
+
     def _may_ask_again(
         self, peer: _peers.Peer, answer: _messages.CallAnswer
     ) -> bool:
--- a/sedgering/mesh/_settings.py
+++ b/sedgering/mesh/_settings.py
@@ -62,6 +62,9 @@
         Each daemon that watches makes 40 to 70 calls a minute.  With 74 that
         do, versions fill links of 10 Mbit/s and 46 % of calm traffic is
         served; with relays 94 %.
+    caller_fields : list of str
+        Header fields, in lower case, that say who asks.  Two requests that
+        differ in one of them are not the same request.
     advertised_port : int
         Port at which other daemons reach this one, where that is not the
         port on which it listens; 0 for the same.
@@ -90,6 +93,7 @@
     leave_serving_ms: settings.IntervalMs = 2500
     leave_margin_ms: settings.IntervalMs = 400
     relay_from_hosts: settings.Count = 6
+    caller_fields: tuple[str, ...] = ('authorization', 'cookie', 'x-api-key')
     advertised_port: settings.PortOrNone = 0
     success_log_every: settings.Count = 100
     log_lines_per_s: settings.Count = 50
--- a/sedgering/observability/_logs.py
+++ b/sedgering/observability/_logs.py
@@ -20,6 +20,7 @@
     'detail',
     'dropped_lines',
     'elapsed_ms',
+    'fingerprint',
     'lag_ms',
     'load',
     'operation_id',
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -122,6 +122,8 @@
         self.sequence = 0
         #: Start of the lifetime of its target; 0 when that is not told.
         self.born_ms = 0
+        #: Lifetimes of its target that have ended without a word.
+        self.crashes = 0
 
 
 class MeshFleet:
@@ -220,7 +222,14 @@
             connection.close()
 
     def _tell(self, host: MeshHost, verb: str, state: str) -> int:
-        request = _platform_calls.make_report(
+        request = self._make_report(host, verb, state)
+        port = host.addresses.reports_port
+        return self.call(port, request.url, request.body).status
+
+    def _make_report(
+        self, host: MeshHost, verb: str, state: str
+    ) -> transport.Request:
+        return _platform_calls.make_report(
             host.books.target,
             verb,
             host.target_set,
@@ -228,8 +237,36 @@
             host.sequence,
             born_ms=host.born_ms,
         )
+
+    def let_crash(self, host: MeshHost, back_after_s: float) -> None:
+        """Let the target end under what is fatal, and come back later.
+
+        Parameters
+        ----------
+        host : MeshHost
+            Of the target.
+        back_after_s : float
+            Time until its next lifetime, which has another id.
+        """
+        host.books.end = lambda: self.crash(host, back_after_s)
+
+    def crash(self, host: MeshHost, back_after_s: float) -> None:
+        """End a target without a word; in the thread of the loop."""
+        host.crashes += 1
+        host.target_server.close()
+        host.books.reset_connections()
+        self.loop.call_later(
+            back_after_s,
+            lambda: self.loop.create_task(self._start_again(host)),
+        )
+
+    async def _start_again(self, host: MeshHost) -> None:
+        host.books.target = f'i-{host.name}-{host.crashes}'
+        await self._start_target(host)
+        host.sequence = 1
+        request = self._make_report(host, 'heartbeat', 'ready')
         port = host.addresses.reports_port
-        return self.call(port, request.url, request.body).status
+        await self.start_call(port, request.url, request.body)
 
     def wait_for(self, condition) -> None:
         """Wait until a condition holds; fail after some seconds."""
@@ -264,12 +301,15 @@
         await transport.serve(service, ADDRESS, self.store_port)
 
     async def _start_host(self, host: MeshHost) -> None:
+        await self._start_target(host)
+        await self._start_daemon(host)
+
+    async def _start_target(self, host: MeshHost) -> None:
         host.target_server = await self.loop.create_server(
             lambda: _mesh_target.TargetStandin(host.books),
             ADDRESS,
             host.addresses.target_port,
         )
-        await self._start_daemon(host)
 
     async def _kill(self, host: MeshHost) -> None:
         for server in host.servers:
--- a/sedgering/testing/_mesh_target.py
+++ b/sedgering/testing/_mesh_target.py
@@ -1,6 +1,7 @@
 """Stand-in of a target that speaks the platform's protocol."""
 
 import asyncio
+from collections.abc import Callable
 import enum
 import socket
 import struct
@@ -51,9 +52,11 @@
         """Count the connection."""
         self.transport = transport
         self.state.connections += 1
+        self.state.open_connections.add(self)
 
     def connection_lost(self, exc):
         """Drop a request whose connection is closed."""
+        self.state.open_connections.discard(self)
         if self.task is not None and not self.task.done():
             self.state.cancelled += 1
             self.task.cancel()
@@ -103,6 +106,9 @@
             await asyncio.sleep(books.work_s)
         finally:
             books.running -= 1
+        if line.split()[1] in books.fatal_urls:
+            books.end()
+            return
         self._finish(request_id, books.habit)
 
     def _finish(self, request_id: str, habit: TargetHabit) -> None:
@@ -172,6 +178,16 @@
         self.cancelled = 0
         self.connections = 0
         self.is_leaving = False
+        self.open_connections: set[TargetStandin] = set()
+        #: Requests under which the target ends, after the time of its work.
+        self.fatal_urls: set[str] = set()
+        #: Ends the target, as a crash would.
+        self.end: Callable[[], None] = self.reset_connections
+
+    def reset_connections(self) -> None:
+        """Reset all connections, as the end of a process does."""
+        for connection in list(self.open_connections):
+            connection.transport.abort()
 
     def note_run(
         self, request_id: str, line: str, headers: dict, body: bytes
