--- /dev/null
+++ b/features/crashes.feature
@@ -0,0 +1,25 @@
+Feature: A request that ends targets, and targets that end
+  Seen: one request, asked again and again at any host, ended twelve to
+  seventeen targets of one set, and reads of that set were refused for twenty
+  seconds.  It came about as each repeat was a request of its own to every
+  daemon.  Cause: nothing that was learnt of a request outlived it, or reached
+  another daemon.  Proof: the first scenario, in which every ask ended a
+  target on the code of that time.
+
+  Scenario: A request that ends each target that begins it
+    Given a mesh with 6 calendar hosts whose targets come back after 0.3 s
+    When "/r0/fatal" is asked at each host in turn for 3 s, as others ask "/r0/"
+    Then 4 targets have ended at most
+    And it was told 502 where it had run, and else 503 with a time to return
+    And 97 % of the others were answered by a target
+
+  Scenario: A target that is back is used, whoever still names the one before
+    Seen: a target lived for 52 s beside a daemon that refused each call as
+    for an unknown target.  A call that named the target before it came after
+    the first report of the new one, which refused it, rightly; the daemon
+    took that for the end of the target that had just reported itself.  Proof:
+    the journal of that target, two requests in all, both misdirected.
+    Given a mesh with two calendar hosts
+    And only the second host has a target, which works 0.2 s
+    When it is replaced while a call that names it is on its way
+    Then the target that is there is open
--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -155,7 +155,7 @@
         self._write_settings()
         await self._start(
             [
-                'sedgering.cli.daemon',
+                *('soak._suspendable', 'sedgering.cli.daemon'),
                 f'--config={self._config_path}',
                 *(
                     f'{self.address}:{port}'
@@ -165,6 +165,13 @@
             **{platform.SETTINGS_VARIABLE: str(self._settings_path)},
         )
 
+    async def suspend(self, for_s: float) -> None:
+        """Let its host be suspended, as its clocks show it."""
+        self.signal(signal.SIGUSR1)
+        self.signal(signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        self.signal(signal.SIGCONT)
+
     def _write_settings(self) -> None:
         self._settings_path.write_bytes(
             testing.make_daemon_settings(
