The event loop of a daemon runs on the clock that counts suspensions

Cause: asyncio times by the steady clock, which stands still while a host is suspended; a request of 3 s on a host suspended for 4 s was answered after 6 s. Ruled out: noticing the gap and shifting each deadline (a dozen places keep times). Change: the loop reads CLOCK_BOOTTIME, so that a suspension is what a stopped process was already; the same clock in the old daemon's monotonic_ms. Left: the old daemon's own time.monotonic in proxy/_upstream and _guard.

--- a/sedgering/clock.py
+++ b/sedgering/clock.py
@@ -8,8 +8,11 @@
 
 
 def monotonic_ms() -> int:
-    """Return monotonic time in milliseconds; every decision rests on it."""
-    return time.monotonic_ns() // _NS_PER_MS
+    """Return monotonic time in milliseconds; every decision rests on it.
+
+    It goes on while the host is suspended, as the time of callers does.
+    """
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_PER_MS
 
 
 def wall_ms() -> int:
--- a/sedgering/platform/_program.py
+++ b/sedgering/platform/_program.py
@@ -98,4 +98,5 @@
     opened : OpenPorts
         Ports that listen already.
     """
-    asyncio.run(_serve(host_settings, mesh_settings, opened))
+    with asyncio.Runner(loop_factory=transport.BootTimeLoop) as runner:
+        runner.run(_serve(host_settings, mesh_settings, opened))
--- a/sedgering/transport/__init__.py
+++ b/sedgering/transport/__init__.py
@@ -8,6 +8,7 @@
 from sedgering.transport._headers import Headers
 from sedgering.transport._headers import strip_hop_headers
 from sedgering.transport._load import ServiceLoad
+from sedgering.transport._loop import BootTimeLoop
 from sedgering.transport._messages import encode_request
 from sedgering.transport._messages import encode_response
 from sedgering.transport._messages import make_json_response
@@ -22,6 +23,7 @@
 from sedgering.transport._server import Service
 
 __all__ = [
+    'BootTimeLoop',
     'CallerLimits',
     'ClientConnection',
     'ConnectFailed',
