--- a/sedgering/cli/_experiment.py
+++ b/sedgering/cli/_experiment.py
@@ -29,6 +29,8 @@
         Medians of the shares of the callers of this kind.
     in_goal_spread : float
         Largest less smallest share within the goal.
+    ends : int
+        Median of the targets that ended.
     """
 
     load: str
@@ -38,6 +40,7 @@
     late_share: float
     refused_share: float
     in_goal_spread: float
+    ends: int
 
 
 def run_experiment(
@@ -67,15 +70,17 @@
                 statistics.median(late),
                 statistics.median(refused),
                 max(in_goal) - min(in_goal),
+                round(statistics.median(item.ends for item in results)),
             )
 
 
 def show_experiment(rows: Iterable[ExperimentRow]) -> Iterator[str]:
     """Make the lines of a table."""
-    yield f'{COLUMNS} {"spread":>8} {"worth":>8}'
+    yield f'{COLUMNS} {"spread":>8} {"worth":>8} {"ended":>6}'
     for row in rows:
         yield (
             f'{row.load:24} {row.callers:16} {row.in_goal_share:8.3f} '
             f'{row.late_share:8.3f} {row.refused_share:8.3f} '
-            f'{row.in_goal_spread:8.3f} {row.worth_share:8.3f}'
+            f'{row.in_goal_spread:8.3f} {row.worth_share:8.3f} '
+            f'{row.ends:6d}'
         )
--- /dev/null
+++ b/sedgering/mesh/_crash_watch.py
@@ -0,0 +1,121 @@
+"""Sees that the local target has ended without a word, and under what."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+import logging
+
+from sedgering import clock
+from sedgering.mesh import _crashes
+from sedgering.mesh import _lost_calls
+from sedgering.mesh import _messages
+from sedgering import transport
+
+__all__ = ['CrashWatch']
+
+LOG = logging.getLogger(__name__)
+
+
+class CrashWatch:
+    """Watches one target from the daemon beside it.
+
+    A connection that ends without an answer says little: targets also reset
+    single connections.  That nobody listens any more says that it has ended.
+
+    Parameters
+    ----------
+    crashes : CrashTable
+        Is told of each end.
+    is_listening : callable
+        Asks whether the target takes connections.
+    now_s : callable
+        Time of the event loop.
+    """
+
+    def __init__(
+        self,
+        crashes: _crashes.CrashTable,
+        is_listening: Callable[[], Awaitable[bool]],
+        now_s: Callable[[], float],
+    ):
+        self.crashes = crashes
+        self.now_s = now_s
+        #: Told to other daemons with the row of this host.
+        self.records: tuple[_messages.CrashRecord, ...] = ()
+        #: Is told of each end, with a record that may name no request.
+        self.on_end: Callable[[_messages.CrashRecord], None] = _ignore
+        self._is_listening = is_listening
+        self._lost = _lost_calls.LostCalls()
+        self._question: asyncio.Task | None = None
+
+    def note_lost(
+        self, request: transport.Request, lifetime: _messages.Lifetime
+    ) -> None:
+        """Take in a call that ended without an answer."""
+        fingerprint = self.crashes.make_fingerprint(request)
+        self._lost.note(fingerprint, lifetime, self.now_s())
+
+    async def has_ended(self) -> bool:
+        """Ask whether the target has ended.
+
+        Calls that are lost at the same moment share one question, which
+        opens a connection.
+        """
+        if self._question is None or self._question.done():
+            loop = asyncio.get_running_loop()
+            self._question = loop.create_task(self._ask())
+        return await asyncio.shield(self._question)
+
+    async def _ask(self) -> bool:
+        return not await self._is_listening()
+
+    def note_end(
+        self,
+        lifetime: _messages.Lifetime,
+        under_way: Iterable[transport.Request],
+    ) -> None:
+        """Write down the end of a lifetime, and tell of it.
+
+        Parameters
+        ----------
+        lifetime : Lifetime
+            That has ended.
+        under_way : iterable of Request
+            Calls that it had not answered.
+        """
+        suspects = dict.fromkeys(map(self.crashes.make_fingerprint, under_way))
+        suspects.update(dict.fromkeys(self._lost.take(lifetime, self.now_s())))
+        record = _messages.CrashRecord(
+            _messages.CrashId(f'{lifetime.target}@{lifetime.born_ms}'),
+            clock.wall_ms(),
+            tuple(suspects)[: _messages.MOST_SUSPECTS],
+        )
+        LOG.warning(
+            'target lost',
+            extra={
+                'target': lifetime.target,
+                'fingerprints': record.suspects,
+            },
+        )
+        if suspects:
+            self._keep(record)
+            self.crashes.take_record(record)
+        self.on_end(record)
+
+    def restore(self, records: tuple[_messages.CrashRecord, ...]) -> None:
+        """Keep what an earlier lifetime of this daemon has told."""
+        own = self.records
+        self.records = ()
+        for record in dict.fromkeys((*records, *own)):
+            self._keep(record)
+
+    def _keep(self, record: _messages.CrashRecord) -> None:
+        """Add a record; leave out the oldest, and those of long ago."""
+        oldest_ms = clock.wall_ms() - _crashes.KEEP_S * 1000
+        recent = [item for item in self.records if item.ended_ms > oldest_ms]
+        self.records = (*recent, record)[-_messages.MOST_CRASHES :]
+
+
+def _ignore(_record: _messages.CrashRecord) -> None:
+    """Tell nobody."""
--- /dev/null
+++ b/sedgering/mesh/_crashes.py
@@ -0,0 +1,283 @@
+"""Requests under which targets ended, as all daemons know of them.
+
+A request that ends each target that begins it comes again, at any host.  When
+a target ends, the daemon beside it says which requests were under way; what
+was under way at three ends, and was never answered, is not begun any more.
+A request that does no harm is answered sooner or later, and is cleared by it.
+
+With six targets and the request asked 20 times a second, 3 targets end where
+38 to 47 did, in 3 s (features/crashes.feature, before and after).
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import enum
+import logging
+
+import msgspec
+
+from sedgering import base
+from sedgering import clock
+from sedgering.mesh import _fingerprint
+from sedgering.mesh import _messages
+from sedgering import transport
+
+__all__ = ['CrashTable', 'Standing']
+
+LOG = logging.getLogger(__name__)
+
+#: For how long a request is held back at first: a trial may cost a target
+#: for some seconds, and all that it has under way.
+FIRST_HOLD_S = 60.0
+#: How much longer after each trial that ends a target: 1, 10, 100 minutes.
+HOLD_FACTOR = 10.0
+LONGEST_HOLD_S = 24 * 3600.0
+#: Share of a hold after which an end counts as that of a trial; the others
+#: are of what was under way when the request was first held back.
+TRIAL_SHARE = 0.5
+#: For how long an end is held against a request that is not held back.
+KEEP_S = 3600.0
+#: Requests remembered, some 700 bytes each.  An end names a dozen.
+ENTRIES_LIMIT = 512
+
+
+class Standing(enum.Enum):
+    """What is known of a request."""
+
+    #: Nothing, or that a target has answered it since.
+    SOUND = 'sound'
+    #: Targets have ended under it: it may run at one place only.
+    SUSPECT = 'suspect'
+    #: It is not begun.
+    QUARANTINED = 'quarantined'
+
+
+class _Entry(msgspec.Struct):
+    """What is known of one request.
+
+    Parameters
+    ----------
+    crashes, forgiven : dict of CrashId
+        Ends while it was under way, the last one at the end, and those that
+        came before a target answered it.
+    blamed_s : float
+        When it was blamed last, as time of the event loop.
+    held_s, hold_s : float
+        Since when it is held back, and for how long.
+    """
+
+    crashes: dict[_messages.CrashId, None]
+    forgiven: dict[_messages.CrashId, None]
+    blamed_s: float
+    held_s: float = 0.0
+    hold_s: float = 0.0
+
+    @property
+    def count(self) -> int:
+        """Ends that speak against it."""
+        return len(self.crashes.keys() - self.forgiven.keys())
+
+    @property
+    def due_s(self) -> float:
+        """When it may be tried once more."""
+        return self.held_s + self.hold_s
+
+
+class CrashTable:
+    """What is known of requests under which targets ended.
+
+    Daemons tell each other of ends, in any order and more than once; each
+    end has an id, so that it counts once.
+
+    Parameters
+    ----------
+    caller_fields : iterable of str
+        Header fields, in lower case, that say who asks.
+    limit : int
+        Ends after which a request is held back; 0 for never.
+    now_s : callable
+        Time of the event loop.
+    """
+
+    def __init__(
+        self,
+        caller_fields: Iterable[str],
+        limit: int,
+        now_s: Callable[[], float],
+    ):
+        self.caller_fields = tuple(caller_fields)
+        self.limit = limit
+        self.now_s = now_s
+        self._entries: dict[base.Fingerprint, _Entry] = {}
+        #: Starts of the fingerprints, which rule most requests out.
+        self._heads: set[str] = set()
+
+    def __len__(self) -> int:
+        """Return the number of requests that are known."""
+        return len(self._entries)
+
+    @property
+    def quarantined(self) -> int:
+        """Requests that are held back."""
+        return sum(
+            entry.count >= self.limit for entry in self._entries.values()
+        )
+
+    def make_fingerprint(self, request: transport.Request) -> base.Fingerprint:
+        """Return what tells a request from others."""
+        return _fingerprint.make_fingerprint(request, self.caller_fields)
+
+    def find(self, request: transport.Request) -> base.Fingerprint | None:
+        """Return the fingerprint of a request if anything is known of it.
+
+        Costs nothing while no target has ended, and 0.3 us for a request of
+        another URL.
+        """
+        if not self._entries:
+            return None
+        if _fingerprint.hash_head(request) not in self._heads:
+            return None
+        fingerprint = self.make_fingerprint(request)
+        return fingerprint if fingerprint in self._entries else None
+
+    def judge(self, fingerprint: base.Fingerprint) -> Standing:
+        """Return what is known of a request."""
+        entry = self._entries.get(fingerprint)
+        if entry is None or not entry.count:
+            return Standing.SOUND
+        if entry.count < self.limit or self.now_s() >= entry.due_s:
+            return Standing.SUSPECT
+        return Standing.QUARANTINED
+
+    def count_crashes(self, fingerprint: base.Fingerprint) -> int:
+        """Return how many ends speak against a request."""
+        entry = self._entries.get(fingerprint)
+        return entry.count if entry else 0
+
+    def list_crashes(
+        self, fingerprint: base.Fingerprint
+    ) -> tuple[_messages.CrashId, ...]:
+        """Return the ends that speak against a request."""
+        entry = self._entries.get(fingerprint)
+        if entry is None:
+            return ()
+        return tuple(
+            crash for crash in entry.crashes if crash not in entry.forgiven
+        )
+
+    def list_forgiven(
+        self, fingerprint: base.Fingerprint
+    ) -> tuple[_messages.CrashId, ...]:
+        """Return the ends that speak no more against a request."""
+        entry = self._entries.get(fingerprint)
+        return tuple(entry.forgiven) if entry else ()
+
+    def find_wait_s(self, fingerprint: base.Fingerprint) -> float:
+        """Return the time until a request that is held back may be tried."""
+        entry = self._entries.get(fingerprint)
+        return max(0.0, entry.due_s - self.now_s()) if entry else 0.0
+
+    def take_record(self, record: _messages.CrashRecord) -> None:
+        """Take in that a target has ended."""
+        age_s = (clock.wall_ms() - record.ended_ms) / 1000
+        if abs(age_s) > KEEP_S:
+            # A row that nobody has written since.
+            return
+        for fingerprint in record.suspects:
+            self.blame(fingerprint, (record.crash,))
+
+    def blame(
+        self,
+        fingerprint: base.Fingerprint,
+        crashes: Iterable[_messages.CrashId],
+    ) -> None:
+        """Take in ends of targets while a request was under way."""
+        if not self.limit:
+            return
+        entry = self._entries.get(fingerprint)
+        known = entry.crashes if entry else {}
+        new = [crash for crash in crashes if crash not in known]
+        if not new:
+            return
+        now_s = self.now_s()
+        if entry is None:
+            self._forget_some(now_s)
+            entry = self._entries[fingerprint] = _Entry({}, {}, now_s)
+            self._heads.add(_read_head(fingerprint))
+        entry.crashes.update(dict.fromkeys(new))
+        entry.blamed_s = now_s
+        if entry.count >= self.limit:
+            self._hold(fingerprint, entry, now_s)
+
+    def forgive(
+        self,
+        fingerprint: base.Fingerprint,
+        crashes: Iterable[_messages.CrashId] | None = None,
+    ) -> None:
+        """Take in that a target has answered a request.
+
+        Parameters
+        ----------
+        fingerprint : Fingerprint
+            Of the request.
+        crashes : iterable of CrashId or None
+            Ends known where it was answered; those that are known here where
+            it is left out.
+        """
+        entry = self._entries.get(fingerprint)
+        if entry is None:
+            return
+        was_held = entry.count >= self.limit
+        told = entry.crashes if crashes is None else crashes
+        entry.forgiven.update(dict.fromkeys(told))
+        if not was_held or entry.count >= self.limit:
+            return
+        entry.held_s = entry.hold_s = 0.0
+        LOG.info('request cleared', extra={'fingerprint': fingerprint})
+
+    def _hold(
+        self, fingerprint: base.Fingerprint, entry: _Entry, now_s: float
+    ) -> None:
+        """Hold a request back, longer after each trial."""
+        if not entry.hold_s:
+            entry.hold_s = FIRST_HOLD_S
+        elif now_s - entry.held_s < TRIAL_SHARE * entry.hold_s:
+            return
+        else:
+            entry.hold_s = min(LONGEST_HOLD_S, HOLD_FACTOR * entry.hold_s)
+        entry.held_s = now_s
+        LOG.warning(
+            'request quarantined',
+            extra={
+                'fingerprint': fingerprint,
+                'crashes': list(entry.crashes),
+                'wait_ms': int(entry.hold_s * 1000),
+            },
+        )
+
+    def _forget_some(self, now_s: float) -> None:
+        """Make room for one more entry; forget what is long ago."""
+        old = [
+            fingerprint
+            for fingerprint, entry in self._entries.items()
+            if now_s - max(entry.blamed_s, entry.due_s) > KEEP_S
+        ]
+        if not old and len(self._entries) >= ENTRIES_LIMIT:
+            # A request that is held back goes last.
+            old = [
+                min(
+                    self._entries,
+                    key=lambda item: (
+                        self._entries[item].hold_s,
+                        self._entries[item].blamed_s,
+                    ),
+                )
+            ]
+        for fingerprint in old:
+            del self._entries[fingerprint]
+        if old:
+            self._heads = set(map(_read_head, self._entries))
+
+
+def _read_head(fingerprint: base.Fingerprint) -> str:
+    return fingerprint.partition(_fingerprint.SEPARATOR)[0]
--- /dev/null
+++ b/sedgering/mesh/_lost_calls.py
@@ -0,0 +1,61 @@
+"""Calls that ended without an answer just before their target did."""
+
+import collections
+
+import msgspec
+
+from sedgering import base
+from sedgering.mesh import _messages
+
+__all__ = ['LostCalls']
+
+#: For how long before the end of a target a call may have caused it, though
+#: its connection is gone: callers give up, and an end is seen a moment later.
+KEEP_S = 2.0
+
+
+class _Lost(msgspec.Struct, frozen=True):
+    """One call without an answer.
+
+    Parameters
+    ----------
+    fingerprint : Fingerprint
+        Of its request.
+    lifetime : Lifetime
+        To which it was sent.
+    at_s : float
+        When it ended, as time of the event loop.
+    """
+
+    fingerprint: base.Fingerprint
+    lifetime: _messages.Lifetime
+    at_s: float
+
+
+class LostCalls:
+    """The last calls to the local target that ended without an answer."""
+
+    def __init__(self):
+        self._calls: collections.deque[_Lost] = collections.deque(
+            maxlen=_messages.MOST_SUSPECTS
+        )
+
+    def note(
+        self,
+        fingerprint: base.Fingerprint,
+        lifetime: _messages.Lifetime,
+        now_s: float,
+    ) -> None:
+        """Take in one call."""
+        self._calls.append(_Lost(fingerprint, lifetime, now_s))
+
+    def take(
+        self, lifetime: _messages.Lifetime, now_s: float
+    ) -> list[base.Fingerprint]:
+        """Return the calls that a lifetime lost, the last ones first."""
+        calls, found = list(self._calls), {}
+        self._calls.clear()
+        for call in reversed(calls):
+            if call.lifetime == lifetime and now_s - call.at_s <= KEEP_S:
+                found[call.fingerprint] = None
+        return list(found)
--- a/sedgering/model/_hosts.py
+++ b/sedgering/model/_hosts.py
@@ -35,6 +35,13 @@
 WorkBook = dict[str, _targets.Work]
 
 
+class _ModelConnection:
+    """Stands for a connection to a model target."""
+
+    def close(self) -> None:
+        """Do nothing: the target ends what is under way itself."""
+
+
 class ModelSide(_inbound.TargetSide):
     """Runs calls at a model target in place of a socket."""
 
@@ -55,7 +62,35 @@
         self.model_target: _targets.ModelTarget = target
         self.work_book: WorkBook = work_book
 
+    async def is_listening(self):
+        return self.model_target.is_up
+
     async def _send(self, call, ticket):
+        now_s = self.gate.now_s()
+        lifetime = self.target.lifetime
+        sent = _inbound.SentCall(call.request, lifetime, now_s)
+        connection = _ModelConnection()
+        self._busy[connection] = sent
+        try:
+            return await self._run_model(call, ticket)
+        except _targets.TargetDown:
+            self._note_end(lifetime)
+            return mesh.CallAnswer(
+                mesh.CallOutcome.NOT_RUN,
+                reason=mesh.RefusalReason.TARGET_UNKNOWN,
+            )
+        except _targets.TargetEnded:
+            await self._settle_loss(sent)
+            return mesh.CallAnswer(
+                mesh.CallOutcome.UNKNOWN,
+                reason=mesh.RefusalReason.CONNECTION_LOST,
+                reached_target=True,
+                crashes=self._list_crashes(call),
+            )
+        finally:
+            del self._busy[connection]
+
+    async def _run_model(self, call, ticket):
         work = self.work_book[call.request_id]
         left_s = ticket.deadline_s - self.gate.now_s()
         try:
@@ -146,7 +181,7 @@
 
     def join(self, hosts: dict[base.HostId, 'ModelHost'], hop_s: float):
         """Learn of all hosts, and report the own target as ready."""
-        self.state.fleet.replace({h: host.row for h, host in hosts.items()})
+        self.take_rows({name: host.row for name, host in hosts.items()})
         self.state.start.end()
         self.state.sender = _ModelSender(
             self.state.identity,
@@ -155,6 +190,10 @@
             {name: host.side for name, host in hosts.items()},
             hop_s,
         )
+        self.report()
+
+    def report(self) -> None:
+        """Report the own target as ready."""
         report = mesh.TargetReport(
             self.row.target,
             self.row.target_set,
@@ -163,9 +202,37 @@
             0,
             1,
         )
-        self.side.target.take_report(report, 0.0)
+        self.side.target.take_report(report, self.side.gate.now_s())
+        self.side.note_lifetime()
         self.side.refresh_gate()
 
+    def renew(self) -> None:
+        """Start another lifetime of the target, and report it."""
+        self.target.start()
+        name = f'{self.row.host}-{self.target.ends}'
+        self.row = msgspec.structs.replace(
+            self.row,
+            target=base.TargetName(name),
+            state=mesh.TargetState.READY,
+            crashes=self.side.watch.records,
+        )
+        self.report()
+
+    def note_down(self) -> None:
+        """Show in the row that the target has ended."""
+        self.row = msgspec.structs.replace(
+            self.row,
+            state=mesh.TargetState.DOWN,
+            crashes=self.side.watch.records,
+        )
+
+    def take_rows(self, rows: dict[base.HostId, mesh.MemberRow]) -> None:
+        """Take over the rows of all hosts, as the store has them."""
+        for row in rows.values():
+            for record in row.crashes:
+                self.state.crashes.take_record(record)
+        self.state.fleet.replace(rows)
+
     async def ask(
         self, path: str, request_id: str, deadline_ms: int
     ) -> transport.Response:
--- a/sedgering/model/_loads.py
+++ b/sedgering/model/_loads.py
@@ -91,6 +91,12 @@
         Whether a request may run twice.
     nested : NestedCalls or None
         What its targets call meanwhile.
+    from_s : float
+        When its callers begin.
+    is_same : bool
+        Whether all of them ask the very same request.
+    is_fatal : bool
+        Whether each target that begins such a request ends.
     """
 
     name: settings.Name
@@ -107,6 +113,9 @@
     retries: int = 2
     is_repeatable: bool = True
     nested: NestedCalls | None = None
+    from_s: float = 0.0
+    is_same: bool = False
+    is_fatal: bool = False
 
 
 class EventKind(enum.Enum):
@@ -118,6 +127,8 @@
     SLOW = 'slow'
     #: A share of a set's targets refuses `factor` of its requests.
     SHED = 'shed'
+    #: Some of a set's targets end, and are back when it is over.
+    END = 'end'
 
 
 class Event(settings.SettingsStruct):
@@ -135,14 +146,17 @@
         To whose targets; unused for a burst.
     targets : int
         To how many of them.
+    skipped : int
+        How many are left out before the first one.
     """
 
     kind: EventKind
     at_s: float
     for_s: Positive
-    factor: Positive
+    factor: Positive = 1.0
     target_set: str = ''
     targets: settings.Count = 1
+    skipped: settings.CountOrNone = 0
 
 
 class Load(settings.SettingsStruct):
@@ -162,6 +176,8 @@
         What happens meanwhile.
     hop_ms : float
         Way between two hosts.
+    back_after_s : float
+        Time until a target is back that has ended under a request.
     """
 
     name: settings.Name
@@ -171,6 +187,7 @@
     callers: list[CallerKind]
     events: list[Event] = []
     hop_ms: float = 2.0
+    back_after_s: Positive = 3.0
 
 
 def load_pattern(path: pathlib.Path) -> Load:
--- a/sedgering/model/_play.py
+++ b/sedgering/model/_play.py
@@ -28,6 +28,9 @@
 RETRY_RATIO = 0.2
 RETRY_EXTRA = 60
 RETRY_WINDOW_S = 10.0
+#: Time until all daemons know of a change of a row: the store, the longest
+#: pause of a relay, and its answer.
+ROW_DELAY_S = 0.7
 
 
 def play(
@@ -72,13 +75,17 @@
         loop = asyncio.get_running_loop()
         self._make_hosts()
         for event in self.load.events:
-            loop.call_at(event.at_s, self._start_event, event, event.factor)
-            loop.call_at(event.at_s + event.for_s, self._start_event, event, 1)
+            begin, end = self._start_event, self._start_event
+            if event.kind is _loads.EventKind.END:
+                begin, end = self._end_targets, self._bring_all_back
+            loop.call_at(event.at_s, begin, event, event.factor)
+            loop.call_at(event.at_s + event.for_s, end, event, 1)
         while loop.time() < self.load.length_s:
             await asyncio.sleep(TICK_S)
             self._let_arrive()
         await asyncio.gather(*self.tasks)
-        return _results.LoadResult(self.load, self.results)
+        ends = sum(host.target.ends for host in self.hosts.values())
+        return _results.LoadResult(self.load, self.results, ends)
 
     # Hosts and targets.
 
@@ -122,6 +129,36 @@
             return await self._call_nested(host, nested, work_ms, deadline_s)
 
         target.call = call
+        target.on_end = lambda: self._plan_return(host)
+        host.side.watch.on_end = lambda record: self._tell_end(host, record)
+
+    def _plan_return(self, host: _hosts.ModelHost) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.load.back_after_s, self._bring_back, host)
+
+    def _bring_back(self, host: _hosts.ModelHost) -> None:
+        if not host.target.is_up:
+            host.renew()
+            self._publish()
+
+    def _tell_end(self, host, record: mesh.CrashRecord) -> None:
+        """Tell the daemons beside the set at once, and all by the row."""
+        host.note_down()
+        self._publish()
+        loop = asyncio.get_running_loop()
+        for other in self.hosts.values():
+            if other.row.target_set == host.row.target_set:
+                take = other.state.crashes.take_record
+                loop.call_later(self.load.hop_ms / 1000, take, record)
+
+    def _publish(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(ROW_DELAY_S, self._show_rows)
+
+    def _show_rows(self) -> None:
+        rows = {name: host.row for name, host in self.hosts.items()}
+        for host in self.hosts.values():
+            host.take_rows(rows)
 
     def _make_bundle(self) -> bundles.Bundle:
         policies = []
@@ -176,23 +213,36 @@
         if event.kind is _loads.EventKind.BURST:
             self.factor = factor
             return
-        hit = [
-            host.target
-            for host in self.hosts.values()
-            if host.row.target_set == event.target_set
-        ][: event.targets]
-        for target in hit:
+        for target in [host.target for host in self._list_hit(event)]:
             if event.kind is _loads.EventKind.SLOW:
                 target.slowness = factor
             else:
                 target.shed_share = 0.0 if factor == 1 else factor
 
+    def _list_hit(self, event: _loads.Event) -> list[_hosts.ModelHost]:
+        found = [
+            host
+            for host in self.hosts.values()
+            if host.row.target_set == event.target_set
+        ]
+        return found[event.skipped : event.skipped + event.targets]
+
+    def _end_targets(self, event: _loads.Event, _factor: float) -> None:
+        for host in self._list_hit(event):
+            host.target.end()
+
+    def _bring_all_back(self, event: _loads.Event, _factor: float) -> None:
+        for host in self._list_hit(event):
+            self._bring_back(host)
+
     # Callers.
 
     def _let_arrive(self) -> None:
         loop = asyncio.get_running_loop()
         hosts = list(self.hosts.values())
         for kind in self.load.callers:
+            if loop.time() < kind.from_s:
+                continue
             mean = kind.rate_per_s * self.factor * TICK_S
             for _ in range(_draw_poisson(self.rng, mean)):
                 host = self.rng.choice(hosts)
@@ -210,8 +260,11 @@
         found.asked += 1
         first_s = loop.time()
         end_s = first_s + kind.deadline_ms / 1000
+        path = f'/{kind.name}/'
+        if not kind.is_same:
+            path += f'{next(self.ids)}'
         for number in range(kind.retries + 1):
-            status, pause_s = await self._try(kind, host, work, end_s)
+            status, pause_s = await self._try(kind, host, path, work, end_s)
             now_s = loop.time()
             if status == SUCCESS:
                 if (now_s - first_s) * 1000 <= kind.goal_ms:
@@ -230,11 +283,11 @@
         else:
             found.failed += 1
 
-    async def _try(self, kind, host, work, end_s) -> tuple[int, float]:
+    async def _try(self, kind, host, path, work, end_s) -> tuple[int, float]:
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         left_ms = max(1, int((end_s - started_s) * 1000))
-        response = await self._ask(host, kind.name, work, left_ms)
+        response = await self._ask(host, path, work, left_ms)
         if response.status == REFUSED:
             found = self.results[kind.name]
             found.refusals += 1
@@ -242,11 +295,11 @@
         told = dict(response.headers).get('Retry-After', '0')
         return response.status, float(told)
 
-    async def _ask(self, host, name, work, left_ms) -> transport.Response:
+    async def _ask(self, host, path, work, left_ms) -> transport.Response:
         request_id = f'{next(self.ids)}'
         self.work_book[request_id] = work
         try:
-            return await host.ask(f'/{name}/', request_id, left_ms)
+            return await host.ask(path, request_id, left_ms)
         finally:
             del self.work_book[request_id]
 
@@ -257,8 +310,8 @@
         if stated_ms <= 0:
             return False
         work = _targets.Work(work_ms)
-        name = _nested_name(nested.target_set)
-        response = await self._ask(host, name, work, stated_ms)
+        path = f'/{_nested_name(nested.target_set)}/{next(self.ids)}'
+        response = await self._ask(host, path, work, stated_ms)
         return response.status == SUCCESS
 
 
@@ -287,7 +340,7 @@
     work_ms = _draw_work_ms(rng, kind.work_ms, kind.work_spread)
     nested = kind.nested
     if nested is None or rng.random() >= nested.share:
-        return _targets.Work(work_ms)
+        return _targets.Work(work_ms, is_fatal=kind.is_fatal)
     nested_ms = tuple(
         _draw_work_ms(rng, nested.work_ms, NESTED_SPREAD)
         for _ in range(nested.count)
--- a/sedgering/model/_results.py
+++ b/sedgering/model/_results.py
@@ -60,10 +60,13 @@
         That was played.
     kinds : dict of str to KindResult
         By name of the kind.
+    ends : int
+        Targets that have ended, for whatever cause.
     """
 
     load: _loads.Load
     kinds: dict[str, KindResult]
+    ends: int = 0
 
     @property
     def worth_share(self) -> float:
--- a/sedgering/model/_targets.py
+++ b/sedgering/model/_targets.py
@@ -9,7 +9,15 @@
 from sedgering.model import _loads
 from sedgering import transport
 
-__all__ = ['ModelTarget', 'Work']
+__all__ = ['ModelTarget', 'TargetDown', 'TargetEnded', 'Work']
+
+
+class TargetDown(Exception):
+    """Nobody listens; nothing was sent."""
+
+
+class TargetEnded(Exception):
+    """The target has ended while a request was under way."""
 
 
 class Work:
@@ -23,6 +31,8 @@
         Calls that it makes.
     nested_ms : tuple of float
         Work of each of these.
+    is_fatal : bool
+        Whether a target ends after this work.
     """
 
     def __init__(
@@ -30,7 +40,9 @@
         work_ms: float,
         nested: _loads.NestedCalls | None = None,
         nested_ms: tuple[float, ...] = (),
+        is_fatal: bool = False,
     ):
+        self.is_fatal = is_fatal
         self.work_ms = work_ms
         self.nested = nested
         self.nested_ms = nested_ms
@@ -57,15 +69,61 @@
         self.rng = rng
         self.slowness = 1.0
         self.shed_share = 0.0
-        self._slots = asyncio.Semaphore(group.slots)
-        self._waiting = 0
+        self.is_up = True
+        #: Times that it has ended.
+        self.ends = 0
+        #: Plans its return; set by the player.
+        self.on_end: Callable[[], None]
+        self._working: set[asyncio.Task] = set()
+        self._start_anew()
         #: Makes one nested call and says whether it succeeded.
         self.call: Callable[
             [_loads.NestedCalls, float, float], Awaitable[bool]
         ]
 
+    def _start_anew(self) -> None:
+        self._slots = asyncio.Semaphore(self.group.slots)
+        self._waiting = 0
+
+    def end(self) -> None:
+        """End, with all that is under way."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        self.ends += 1
+        for working in self._working:
+            working.cancel()
+        self.on_end()
+
+    def start(self) -> None:
+        """Start a new lifetime."""
+        self._start_anew()
+        self.is_up = True
+
     async def run(self, work: Work, deadline_s: float) -> mesh.CallAnswer:
-        """Run one request."""
+        """Run one request.
+
+        Raises
+        ------
+        TargetDown, TargetEnded
+            When there is no answer.
+        """
+        if not self.is_up:
+            raise TargetDown
+        loop = asyncio.get_running_loop()
+        working = loop.create_task(self._run(work, deadline_s))
+        self._working.add(working)
+        try:
+            return await working
+        except asyncio.CancelledError:
+            working.cancel()
+            if not asyncio.current_task().cancelling():
+                raise TargetEnded from None
+            raise
+        finally:
+            self._working.discard(working)
+
+    async def _run(self, work: Work, deadline_s: float) -> mesh.CallAnswer:
         is_full = self._slots.locked() and self._waiting >= self.group.queue
         if is_full or self.rng.random() < self.shed_share:
             return mesh.CallAnswer(
@@ -90,6 +148,8 @@
 
     async def _work(self, work: Work, deadline_s: float) -> bool:
         await asyncio.sleep(work.work_ms * self.slowness / self.speed / 1000)
+        if work.is_fatal:
+            self.end()
         nested = work.nested
         if nested is None:
             return True
