Targets that end together count as one end against a request

Seen by a test: three targets of six ended at one moment for a cause of their own, and a popular request that was under way at all three was held back for a minute. Cause: ends counted alike, whether or not the request was known as a suspect by then. Ruled out: a shorter hold, a time between ends (a harmful request ends three targets in 0.1 s). Change: ends before a request ran as a suspect count as one; each end of its trials, which run at one place and from the second on alone, counts.

--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -8,14 +8,30 @@
 import mesh_steps
 import sight_steps
 
-FATAL_URL = '/r0/fatal'
+from sedgering import testing
+
+FATAL_URLS = {'/r0/fatal', '/once/fatal'}
 #: Between two asks of the request that ends targets.
 ASK_GAP_S = 0.05
 #: Between two asks of each of the others.
 OTHERS_GAP_S = 0.02
 OTHERS = 4
+#: Told to those whose request is held back.
+HELD_BACK = b'"code": 5015'
+#: Targets that end together, or one after the other with these pauses.
+CAUSES = {
+    'a cause of their own': (3, 0.3),
+    'a cause of their own, together': (3, 0.0),
+}
+FIRST_END_S = 0.5
+#: Between two series of ends.
+SERIES_GAP_S = 1.0
 #: Time that the target of the tests takes for its work.
 WORK_S = 0.02
+#: Time until a target is back that has ended for a cause of its own.
+BACK_S = 0.4
+#: Time in which a row is written.
+ROWS_S = 0.5
 #: Beyond it nobody waits for an answer.
 STATED_MS = 2000
 
@@ -58,18 +74,26 @@
 )
 def step_mesh_of(context, count, back_s):
     mesh = mesh_steps.MeshSubject()
+    mesh.back_s = back_s
     context.mesh = mesh
     context.cleanups.append(mesh.fleet.stop)
     for number in range(count):
         host = mesh.fleet.add_host(f'hall-{number}')
         host.books.work_s = WORK_S
-        host.books.fatal_urls = {FATAL_URL}
+        host.books.fatal_urls = set(FATAL_URLS)
         mesh.fleet.let_crash(host, back_s)
     mesh.routes[0] = {'attempts': 3}
     mesh.configure()
     mesh.fleet.wait_ready()
 
 
+@given('the store answers nothing')
+def step_store_away(context):
+    context.mesh.fleet.engine.faults = testing.Faults(
+        mode=testing.StoreMode.SILENT
+    )
+
+
 @given('requests go to {attempts:d} target at most')
 def step_attempts(context, attempts):
     context.mesh.routes[0] = {'attempts': attempts}
@@ -95,6 +119,93 @@
     mesh.fleet.run(run())
 
 
+@when('all daemons are killed and start again')
+def step_restart(context):
+    mesh = context.mesh
+    # Rows that tell of the last end are written by now.
+    mesh.fleet.run(asyncio.sleep(ROWS_S))
+    mesh.fleet.restart_all()
+    mesh.fleet.wait_ready()
+
+
+async def _end_targets(mesh, cause: str) -> None:
+    """End targets for a cause that no request has."""
+    if cause not in CAUSES:
+        await _Asker(mesh, 'fatal', '/r0/fatal', ASK_GAP_S).run(2.0)
+        return
+    hosts = list(mesh.fleet.hosts.values())
+    count, pause_s = CAUSES[cause]
+    await asyncio.sleep(FIRST_END_S)
+    for group in (hosts[:count], hosts[count:]):
+        for host in group:
+            mesh.fleet.crash(host, BACK_S)
+            await asyncio.sleep(pause_s)
+        await asyncio.sleep(SERIES_GAP_S)
+
+
+@when(
+    '"{url}" is asked at each host in turn for {for_s:g} s, '
+    'as targets end for {cause}'
+)
+def step_ask_same(context, url, for_s, cause):
+    mesh = context.mesh
+    context.others = [
+        _Asker(mesh, f'same-{number}', url, OTHERS_GAP_S)
+        for number in range(OTHERS)
+    ]
+
+    async def run():
+        askers = (asker.run(for_s) for asker in context.others)
+        await asyncio.gather(_end_targets(mesh, cause), *askers)
+
+    mesh.fleet.run(run())
+
+
+@then('none of its askers was told that it is held back')
+def step_not_held(context):
+    for asker in context.others:
+        for answer in asker.answers.values():
+            assert HELD_BACK not in answer.body, answer
+
+
+@then('no attempt of it ran twice')
+def step_once(context):
+    ids = [run[0] for run in context.mesh.list_runs()]
+    ran = [item for item in ids if item in context.fatal.answers]
+    assert ran and len(set(ran)) == len(ran), ran
+
+
+@when('{count:d} of the targets end')
+def step_some_end(context, count):
+    sight_steps.start_lines(context)
+    mesh = context.mesh
+
+    async def run():
+        for host in list(mesh.fleet.hosts.values())[:count]:
+            mesh.fleet.crash(host, mesh.back_s)
+
+    mesh.fleet.run(run())
+    context.ended = count
+
+
+@then('{count:d} calls of each host are answered, and few attempts fail')
+def step_calls_go(context, count):
+    mesh = context.mesh
+    hosts = list(mesh.fleet.hosts.values())
+    for host in hosts:
+        for number in range(count):
+            answer = mesh.fleet.call(
+                host.addresses.callers_port,
+                f'/r0/{number}',
+                X_Request_Id=f'{host.name}-{number}',
+                X_Request_Deadline=str(STATED_MS),
+            )
+            assert answer.status == 200, answer
+    failed = context.lines.list('attempt failed')
+    # Each daemon finds each of them gone, once or twice.
+    assert len(failed) <= 2 * context.ended * len(hosts), len(failed)
+
+
 @then('{most:d} targets have ended at most')
 def step_ended(context, most):
     hosts = context.mesh.fleet.hosts.values()
@@ -112,6 +223,7 @@
             assert float(answer.find('retry-after')) > 0, answer
 
 
+@then('{percent:d} % of its askers were answered by a target')
 @then('{percent:d} % of the others were answered by a target')
 def step_others(context, percent):
     answers = [
--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -592,6 +592,10 @@
 FIELDS = st.lists(
     st.tuples(st.sampled_from(['X-A', 'Accept']), NAMES), max_size=3
 )
+CRASHES = st.lists(NAMES, max_size=4).map(tuple)
+EVIDENCE = st.lists(
+    st.builds(mesh.CrashEvidence, NAMES, st.booleans()), max_size=4
+).map(tuple)
 CALLS = st.builds(
     mesh.TargetCall,
     request=st.builds(
@@ -613,6 +617,8 @@
     remaining_ms=st.integers(0, 9999),
     goal_ms=st.integers(0, 9999),
     version=st.integers(0, 9999),
+    is_trial=st.booleans(),
+    forgiven=CRASHES,
 )
 ANSWERS = st.builds(
     mesh.CallAnswer,
@@ -629,6 +635,7 @@
     | st.builds(mesh.LoadReport, *[st.integers(0, 999) for _ in range(7)]),
     reached_target=st.booleans(),
     detail=NAMES,
+    crashes=EVIDENCE,
 )
 
 
--- /dev/null
+++ b/features/steps/quarantine_steps.py
@@ -0,0 +1,315 @@
+"""Steps over what is known of requests under which targets ended."""
+
+import random
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
+
+from sedgering import base
+from sedgering import clock
+from sedgering import exceptions
+from sedgering import mesh
+from sedgering.mesh import _choice
+from sedgering.mesh import _hop
+from sedgering.mesh import _members
+from sedgering.mesh import _peers
+from sedgering.mesh import _trials
+from sedgering import testing
+from sedgering import transport
+
+FINGERPRINT = base.Fingerprint('00000000-0000000000000000')
+LIMIT = 3
+OTHER_END = (mesh.CrashEvidence(mesh.CrashId('x')),)
+CALLER_FIELDS = ('authorization', 'cookie')
+EXAMPLES = 300
+SUSPECTS = 200
+FIELDS = {'Host': 'a.example', 'Cookie': 'b', 'X-Request-Id': 'c'}
+DIFFERENCES = {
+    'nothing': {},
+    'their ids': {'X-Request-Id': 'd'},
+    'their deadlines': {'X-Request-Deadline': '7'},
+    'the port of the host': {'Host': 'A.example:80'},
+    'the method': {'method': 'PUT'},
+    'the host': {'Host': 'b.example'},
+    'the path': {'url': '/b?x=1'},
+    'the query': {'url': '/a?x=2'},
+    'the body': {'body': b'other'},
+    'the authorization': {'Authorization': 'e'},
+    'the cookie': {'Cookie': 'f'},
+}
+
+
+class TableSubject:
+    """What one daemon knows, at a time that a test sets."""
+
+    def __init__(self, limit: int = LIMIT):
+        self.now_s = 1000.0
+        self.table = mesh.CrashTable(CALLER_FIELDS, limit, lambda: self.now_s)
+
+    def tell(self, words: str) -> None:
+        """Tell of an end, ``end 1`` or ``trial 1``, or of an answer."""
+        kind, _space, number = words.strip().partition(' ')
+        if kind in ('end', 'trial'):
+            evidence = mesh.CrashEvidence(number, kind == 'trial')
+            self.table.blame(FINGERPRINT, (evidence,))
+        elif kind == 'answer':
+            self.table.forgive(FINGERPRINT)
+
+    def judge(self) -> str:
+        """Return what is known."""
+        return self.table.judge(FINGERPRINT).value
+
+
+def make_request(**fields) -> transport.Request:
+    """Make a request that differs in some fields."""
+    own = {
+        name: fields.pop(name)
+        for name in ('method', 'url', 'body')
+        if name in fields
+    }
+    values = {'method': 'POST', 'url': '/a?x=1', 'body': b'body', **own}
+    return transport.Request(
+        headers=list({**FIELDS, **fields}.items()), **values
+    )
+
+
+def make_fingerprint(number: int) -> base.Fingerprint:
+    """Make the fingerprint of some other request."""
+    return base.Fingerprint(f'{number:08x}-{number:016x}')
+
+
+@given('a limit of {limit:d} ends')
+def step_limit(context, limit):
+    context.subject = TableSubject(limit)
+
+
+@given('a request of which {told} is told')
+def step_told(context, told):
+    if not hasattr(context, 'subject'):
+        context.subject = TableSubject()
+    for words in told.split(','):
+        context.subject.tell(words)
+
+
+@then('it is {standing:w}')
+def step_standing(context, standing):
+    assert context.subject.judge() == standing, context.subject.judge()
+
+
+@then('daemons that were told the same ends and answers agree')
+def step_agree(_context):
+    crashes = st.lists(
+        st.builds(
+            mesh.CrashEvidence, st.sampled_from('abcdef'), st.booleans()
+        ),
+        max_size=12,
+    )
+    forgiven = st.sets(st.sampled_from('abcdef'))
+
+    @hypothesis.settings(
+        max_examples=EXAMPLES, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(crashes, forgiven, st.randoms())
+    def check(told, answered, rng):
+        subjects = [TableSubject() for _ in range(3)]
+        for subject in subjects:
+            order = list(told) + rng.choices(told, k=3) if told else []
+            rng.shuffle(order)
+            for crash in order:
+                subject.table.blame(FINGERPRINT, (crash,))
+            subject.table.forgive(FINGERPRINT, answered)
+        assert len({subject.judge() for subject in subjects}) == 1
+        counted = [item for item in told if item.crash not in answered]
+        trials = {item.crash for item in counted if item.was_trial}
+        others = {item.crash for item in counted} - trials
+        expected = len(trials) + bool(others)
+        found = subjects[0].table.count_crashes(FINGERPRINT)
+        assert found == expected, (found, expected)
+
+    check()
+
+
+@then('it may be tried after {wait_s:d} s')
+def step_wait(context, wait_s):
+    subject = context.subject
+    assert subject.judge() == 'quarantined'
+    found_s = subject.table.find_wait_s(FINGERPRINT)
+    assert round(found_s) == wait_s, found_s
+    before_s = subject.now_s
+    subject.now_s += wait_s + 0.001
+    assert subject.judge() == 'suspect'
+    subject.now_s = before_s
+
+
+@when('trial {number:d} is told after {pause_s:d} s')
+def step_trial(context, number, pause_s):
+    context.subject.now_s += pause_s
+    context.subject.tell(f'trial {number}')
+
+
+@when('an answer is told after {pause_s:d} s')
+def step_answer(context, pause_s):
+    context.subject.now_s += pause_s
+    context.subject.tell('answer')
+
+
+@when('{count:d} other requests are blamed for one end each')
+def step_others(context, count):
+    for number in range(1, count + 1):
+        context.subject.now_s += 0.01
+        context.subject.table.blame(make_fingerprint(number), OTHER_END)
+
+
+@then('{count:d} requests are known, and the first one is {standing}')
+def step_bounded(context, count, standing):
+    assert len(context.subject.table) == count, len(context.subject.table)
+    step_standing(context, standing)
+
+
+@when('another one is blamed {pause_s:d} s later')
+def step_later(context, pause_s):
+    context.subject.now_s += pause_s
+    context.subject.table.blame(make_fingerprint(1), OTHER_END)
+
+
+@then('{count:d} requests are known')
+def step_known(context, count):
+    assert len(context.subject.table) == count, len(context.subject.table)
+
+
+@given('a request that a row blames for {count:d} ends of {hours:d} hours ago')
+def step_old(context, count, hours):
+    context.subject = TableSubject()
+    ended_ms = clock.wall_ms() - hours * 3_600_000
+    for number in range(count):
+        context.subject.table.take_record(
+            mesh.CrashRecord(
+                f'{number}', ended_ms, (FINGERPRINT,), (FINGERPRINT,)
+            )
+        )
+
+
+@given('two requests that differ in {difference}')
+def step_two(context, difference):
+    table = TableSubject().table
+    context.fingerprints = [
+        table.make_fingerprint(request)
+        for request in (
+            make_request(),
+            make_request(**DIFFERENCES[difference]),
+        )
+    ]
+
+
+@then('they are {result} request')
+def step_same(context, result):
+    first, second = context.fingerprints
+    assert (first == second) == (result == 'the same'), context.fingerprints
+
+
+@given('a suspect of {crashes:d} ends that runs')
+def step_runs(context, crashes):
+    context.desk = _trials.TrialDesk()
+    assert context.desk.begin(FINGERPRINT, crashes)
+
+
+@then('the same suspect may {run} beside it')
+def step_same_suspect(context, run):
+    assert context.desk.begin(FINGERPRINT, 1) == (run == 'run')
+
+
+@then('another one of {crashes:d} ends may {run} beside it')
+def step_other_suspect(context, crashes, run):
+    other = make_fingerprint(1)
+    assert context.desk.begin(other, crashes) == (run == 'run')
+    context.desk.end(FINGERPRINT)
+    if run == 'not run':
+        assert context.desk.begin(other, crashes)
+
+
+@given('{count:d} targets of one set')
+def step_targets(context, count):
+    context.rows = [
+        testing.make_member_row(
+            f'host-{number}', port=number + 1, data_centre=f'hall-{number % 3}'
+        )
+        for number in range(count)
+    ]
+
+
+def choose_places(rows) -> dict[base.Fingerprint, str]:
+    """Let one daemon choose, with its own order of rows."""
+    rows = random.Random().sample(rows, len(rows))
+    peers = _peers.PeerTable(mesh.MeshSettings())
+    return {
+        fingerprint: _choice.choose_trial_place(
+            rows, peers, fingerprint, 1.0
+        ).row.host
+        for fingerprint in map(make_fingerprint, range(SUSPECTS))
+    }
+
+
+@then('daemons in any data centre choose the same place for each suspect')
+def step_same_place(context):
+    context.places = choose_places(context.rows)
+    assert choose_places(context.rows) == context.places
+    assert len(set(context.places.values())) == len(context.rows)
+
+
+@then('when a target ends, only what was to run there goes elsewhere')
+def step_moves(context):
+    gone = context.rows[0].host
+    later = choose_places(context.rows[1:])
+    for fingerprint, place in context.places.items():
+        assert (later[fingerprint] == place) == (place != gone)
+
+
+@then('they read a suspect that is refused as one that was shed')
+def step_read_before(_context):
+    for reason in (
+        mesh.RefusalReason.SUSPECTED,
+        mesh.RefusalReason.QUARANTINED,
+    ):
+        answer = mesh.CallAnswer(
+            mesh.CallOutcome.NOT_RUN,
+            reason=reason,
+            crashes=(mesh.CrashEvidence('i-1@2', True),),
+        )
+        response = _hop.encode_answer(answer)
+        assert _hop.decode_answer(response) == answer
+        outcome = response.find(_hop.OUTCOME).split(_hop.SEPARATOR)
+        assert outcome[1] == mesh.RefusalReason.SHED.value, outcome
+
+
+@then('a row without ends is read, and one with ends that cannot be is not')
+def step_rows(_context):
+    record = mesh.CrashRecord('i-1@2', 5, (FINGERPRINT,))
+    row = testing.make_member_row('hall-1', crashes=(record,))
+    fields = msgspec.to_builtins(row)
+    decode = _members.decode_row
+    assert decode('hall-1', msgspec.json.encode(fields)) == row
+    without = {**fields, 'crashes': []}
+    assert not decode('hall-1', msgspec.json.encode(without)).crashes
+    del without['crashes']
+    assert not decode('hall-1', msgspec.json.encode(without)).crashes
+    told = fields['crashes'][0]
+    for crashes in (
+        None,
+        5,
+        [{}],
+        [{**told, 'crash': 'with a space'}],
+        [{**told, 'ended_ms': -1}],
+        [{**told, 'suspects': ['other']}],
+        [{**told, 'suspects': [FINGERPRINT] * 33}],
+        [told] * 5,
+    ):
+        data = msgspec.json.encode({**fields, 'crashes': crashes})
+        try:
+            decode('hall-1', data)
+        except exceptions.MemberError:
+            continue
+        raise AssertionError(crashes)
--- a/sedgering/mesh/__init__.py
+++ b/sedgering/mesh/__init__.py
@@ -23,6 +23,7 @@
 from sedgering.mesh._messages import CallAnswer
 from sedgering.mesh._messages import CallOutcome
 from sedgering.mesh._messages import CallUrgency
+from sedgering.mesh._messages import CrashEvidence
 from sedgering.mesh._messages import CrashId
 from sedgering.mesh._messages import CrashRecord
 from sedgering.mesh._messages import HeaderNames
@@ -51,6 +52,7 @@
     'CallerTable',
     'ConfigHolder',
     'ConfigRow',
+    'CrashEvidence',
     'CrashId',
     'CrashRecord',
     'CrashTable',
--- a/sedgering/mesh/_crash_watch.py
+++ b/sedgering/mesh/_crash_watch.py
@@ -6,17 +6,40 @@
 from collections.abc import Iterable
 import logging
 
+import msgspec
+
 from sedgering import clock
 from sedgering.mesh import _crashes
 from sedgering.mesh import _lost_calls
 from sedgering.mesh import _messages
 from sedgering import transport
 
-__all__ = ['CrashWatch']
+__all__ = ['CrashWatch', 'SentCall']
 
 LOG = logging.getLogger(__name__)
 
 
+class SentCall(msgspec.Struct, frozen=True):
+    """A call at the target.
+
+    Parameters
+    ----------
+    request : Request
+        That was sent.
+    lifetime : Lifetime
+        To which.
+    at_s : float
+        When, as time of the event loop.
+    is_trial : bool
+        Whether it runs as a suspect.
+    """
+
+    request: transport.Request
+    lifetime: _messages.Lifetime
+    at_s: float
+    is_trial: bool
+
+
 class CrashWatch:
     """Watches one target from the daemon beside it.
 
@@ -49,12 +72,12 @@
         self._lost = _lost_calls.LostCalls()
         self._question: asyncio.Task | None = None
 
-    def note_lost(
-        self, request: transport.Request, lifetime: _messages.Lifetime
-    ) -> None:
+    def note_lost(self, sent: SentCall) -> None:
         """Take in a call that ended without an answer."""
-        fingerprint = self.crashes.make_fingerprint(request)
-        self._lost.note(fingerprint, lifetime, self.now_s())
+        fingerprint = self.crashes.make_fingerprint(sent.request)
+        self._lost.note(
+            fingerprint, sent.lifetime, sent.is_trial, self.now_s()
+        )
 
     async def has_ended(self) -> bool:
         """Ask whether the target has ended.
@@ -73,7 +96,7 @@
     def note_end(
         self,
         lifetime: _messages.Lifetime,
-        under_way: Iterable[transport.Request],
+        under_way: Iterable[SentCall],
     ) -> None:
         """Write down the end of a lifetime, and tell of it.
 
@@ -84,14 +107,17 @@
         under_way : iterable of Request
             Calls that it had not answered.
         """
-        suspects = dict.fromkeys(map(self.crashes.make_fingerprint, under_way))
-        suspects.update(dict.fromkeys(self._lost.take(lifetime, self.now_s())))
+        for sent in under_way:
+            self.note_lost(sent)
+        suspects = self._lost.take(lifetime, self.now_s())
+        named = list(suspects)[: _messages.MOST_SUSPECTS]
         record = _messages.CrashRecord(
             _messages.CrashId(f'{lifetime.target}@{lifetime.born_ms}'),
             clock.wall_ms(),
-            tuple(suspects)[: _messages.MOST_SUSPECTS],
+            tuple(named),
+            tuple(item for item in named if suspects[item]),
         )
-        LOG.warning(
+        LOG.info(
             'target lost',
             extra={
                 'target': lifetime.target,
--- a/sedgering/mesh/_crashes.py
+++ b/sedgering/mesh/_crashes.py
@@ -1,9 +1,13 @@
 """Requests under which targets ended, as all daemons know of them.
 
 A request that ends each target that begins it comes again, at any host.  When
-a target ends, the daemon beside it says which requests were under way; what
-was under way at three ends, and was never answered, is not begun any more.
-A request that does no harm is answered sooner or later, and is cleared by it.
+a target ends, the daemon beside it says which requests were under way.  These
+are suspects, and run at one place only; one under which two more targets end
+there is not begun any more.  A request that does no harm is answered sooner or
+later, and is cleared by it.
+
+Ends before a request was a suspect count as one: targets that end together for
+a cause of their own have the same popular request under way.
 
 With six targets and the request asked 20 times a second, 3 targets end where
 38 to 47 did, in 3 s (features/crashes.feature, before and after).
@@ -39,6 +43,8 @@
 KEEP_S = 3600.0
 #: Requests remembered, some 700 bytes each.  An end names a dozen.
 ENTRIES_LIMIT = 512
+#: Less than both values of an end that is known.
+UNKNOWN = -1
 
 
 class Standing(enum.Enum):
@@ -57,25 +63,32 @@
 
     Parameters
     ----------
-    crashes, forgiven : dict of CrashId
-        Ends while it was under way, the last one at the end, and those that
-        came before a target answered it.
+    crashes : dict of CrashId to bool
+        Ends while it was under way, the last one at the end, and whether it
+        ran there as a suspect.
+    forgiven : set of CrashId
+        Those that came before a target answered it.
     blamed_s : float
         When it was blamed last, as time of the event loop.
     held_s, hold_s : float
         Since when it is held back, and for how long.
     """
 
-    crashes: dict[_messages.CrashId, None]
-    forgiven: dict[_messages.CrashId, None]
+    crashes: dict[_messages.CrashId, bool]
+    forgiven: set[_messages.CrashId]
     blamed_s: float
     held_s: float = 0.0
     hold_s: float = 0.0
 
     @property
     def count(self) -> int:
-        """Ends that speak against it."""
-        return len(self.crashes.keys() - self.forgiven.keys())
+        """Ends that speak against it, the first ones together as one."""
+        trials = [
+            was_trial
+            for crash, was_trial in self.crashes.items()
+            if crash not in self.forgiven
+        ]
+        return sum(trials) + (not all(trials))
 
     @property
     def due_s(self) -> float:
@@ -156,13 +169,15 @@
 
     def list_crashes(
         self, fingerprint: base.Fingerprint
-    ) -> tuple[_messages.CrashId, ...]:
+    ) -> tuple[_messages.CrashEvidence, ...]:
         """Return the ends that speak against a request."""
         entry = self._entries.get(fingerprint)
         if entry is None:
             return ()
         return tuple(
-            crash for crash in entry.crashes if crash not in entry.forgiven
+            _messages.CrashEvidence(crash, was_trial)
+            for crash, was_trial in entry.crashes.items()
+            if crash not in entry.forgiven
         )
 
     def list_forgiven(
@@ -170,7 +185,7 @@
     ) -> tuple[_messages.CrashId, ...]:
         """Return the ends that speak no more against a request."""
         entry = self._entries.get(fingerprint)
-        return tuple(entry.forgiven) if entry else ()
+        return tuple(sorted(entry.forgiven)) if entry else ()
 
     def find_wait_s(self, fingerprint: base.Fingerprint) -> float:
         """Return the time until a request that is held back may be tried."""
@@ -184,27 +199,33 @@
             # A row that nobody has written since.
             return
         for fingerprint in record.suspects:
-            self.blame(fingerprint, (record.crash,))
+            was_trial = fingerprint in record.trials
+            evidence = _messages.CrashEvidence(record.crash, was_trial)
+            self.blame(fingerprint, (evidence,))
 
     def blame(
         self,
         fingerprint: base.Fingerprint,
-        crashes: Iterable[_messages.CrashId],
+        crashes: Iterable[_messages.CrashEvidence],
     ) -> None:
         """Take in ends of targets while a request was under way."""
         if not self.limit:
             return
         entry = self._entries.get(fingerprint)
         known = entry.crashes if entry else {}
-        new = [crash for crash in crashes if crash not in known]
+        new = {
+            item.crash: item.was_trial
+            for item in crashes
+            if item.was_trial > known.get(item.crash, UNKNOWN)
+        }
         if not new:
             return
         now_s = self.now_s()
         if entry is None:
             self._forget_some(now_s)
-            entry = self._entries[fingerprint] = _Entry({}, {}, now_s)
+            entry = self._entries[fingerprint] = _Entry({}, set(), now_s)
             self._heads.add(_read_head(fingerprint))
-        entry.crashes.update(dict.fromkeys(new))
+        entry.crashes.update(new)
         entry.blamed_s = now_s
         if entry.count >= self.limit:
             self._hold(fingerprint, entry, now_s)
@@ -229,7 +250,7 @@
             return
         was_held = entry.count >= self.limit
         told = entry.crashes if crashes is None else crashes
-        entry.forgiven.update(dict.fromkeys(told))
+        entry.forgiven.update(told)
         if not was_held or entry.count >= self.limit:
             return
         entry.held_s = entry.hold_s = 0.0
--- a/sedgering/mesh/_fingerprint.py
+++ b/sedgering/mesh/_fingerprint.py
@@ -48,7 +48,8 @@
         and the body.  What was asked cannot be read from it.
     """
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    host = (request.find('host') or '').lower()
+    # As routes compare it.
+    host = (request.find('host') or '').partition(':')[0].lower()
     callers = [request.find(name) or '' for name in caller_fields]
     for text in (request.method, request.url, host, *callers):
         data = _encode(text)
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -4,6 +4,8 @@
 from what callers and targets send.
 """
 
+from collections.abc import Iterable
+
 import msgspec
 
 from sedgering import base
@@ -48,6 +50,8 @@
 SEPARATOR = '|'
 #: Between the ids of ends, which hold no spaces.
 ID_SEPARATOR = ' '
+#: Before the id of an end under which a request ran as a suspect.
+TRIAL_MARK = 'trial:'
 #: Numbers of the load field.
 LOAD_FIELDS = 6
 #: Reasons that daemons of the version before read as a call that came to
@@ -143,6 +147,25 @@
     return tuple(map(_messages.CrashId, (value or '').split()))
 
 
+def _encode_evidence(crashes: Iterable[_messages.CrashEvidence]) -> str:
+    return ID_SEPARATOR.join(
+        f'{TRIAL_MARK if item.was_trial else ""}{item.crash}'
+        for item in crashes
+    )
+
+
+def _decode_evidence(
+    value: str | None,
+) -> tuple[_messages.CrashEvidence, ...]:
+    return tuple(
+        _messages.CrashEvidence(
+            _messages.CrashId(text.removeprefix(TRIAL_MARK)),
+            text.startswith(TRIAL_MARK),
+        )
+        for text in _split_ids(value)
+    )
+
+
 def encode_ping() -> bytes:
     """Encode a request that only asks whether a daemon lives."""
     headers = [('Host', 'peer'), (PING, '1')]
@@ -181,7 +204,7 @@
         if load.failed_percent:
             headers.append((FAILED, str(load.failed_percent)))
     if answer.crashes:
-        headers.append((CRASHES, ID_SEPARATOR.join(answer.crashes)))
+        headers.append((CRASHES, _encode_evidence(answer.crashes)))
     if answer.member is not None:
         encoded = msgspec.json.encode(answer.member)
         headers.append((MEMBER, encoded.decode('latin-1')))
@@ -218,7 +241,7 @@
         reached,
         member,
         detail,
-        _split_ids(response.find(CRASHES)),
+        _decode_evidence(response.find(CRASHES)),
     )
     if outcome is _messages.CallOutcome.ANSWERED:
         response.headers = strip_own(response.headers)
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -25,7 +25,7 @@
 from sedgering.mesh import _trials
 from sedgering import transport
 
-__all__ = ['InboundService', 'SentCall', 'TargetSide']
+__all__ = ['InboundService', 'TargetSide']
 
 LOG = logging.getLogger(__name__)
 
@@ -41,24 +41,6 @@
 _REPLACED = ('deadline_ms', 'expected_target', 'origin')
 
 
-class SentCall(msgspec.Struct, frozen=True):
-    """A call at the target.
-
-    Parameters
-    ----------
-    request : Request
-        That was sent.
-    lifetime : Lifetime
-        To which.
-    at_s : float
-        When, as time of the event loop.
-    """
-
-    request: transport.Request
-    lifetime: _messages.Lifetime
-    at_s: float
-
-
 class TargetSide:
     """Runs calls at the local target.
 
@@ -113,7 +95,9 @@
         #: Calls at the target, by the identity of their tickets.
         self._under_way: dict[int, _gate.Ticket] = {}
         #: Connections on which they are.
-        self._busy: dict[transport.ClientConnection, SentCall] = {}
+        self._busy: dict[
+            transport.ClientConnection, _crash_watch.SentCall
+        ] = {}
         #: Of which the gate has learnt.
         self._lifetime: _messages.Lifetime | None = None
         #: The one for which the gate is open.
@@ -220,9 +204,7 @@
 
     def _tell_end(self, lifetime: _messages.Lifetime) -> None:
         under_way = [
-            sent.request
-            for sent in self._busy.values()
-            if sent.lifetime == lifetime
+            sent for sent in self._busy.values() if sent.lifetime == lifetime
         ]
         self.watch.note_end(lifetime, under_way)
 
@@ -414,7 +396,7 @@
             self.pool.put(connection)
             return self._refuse(call, _messages.RefusalReason.DEADLINE)
         data = self._encode(call, remaining_ms)
-        sent = SentCall(call.request, lifetime, self.gate.now_s())
+        sent = self._make_sent(call, lifetime)
         self._busy[connection] = sent
         try:
             response = await connection.exchange(
@@ -432,16 +414,25 @@
                 crashes=self._list_crashes(call),
             )
         except asyncio.CancelledError:
-            self.watch.note_lost(sent.request, sent.lifetime)
+            self.watch.note_lost(sent)
             raise
         finally:
             del self._busy[connection]
         self.pool.put(connection)
         return self._classify(response, call)
 
-    async def _settle_loss(self, sent: SentCall) -> None:
+    def _make_sent(
+        self, call: _messages.TargetCall, lifetime: _messages.Lifetime
+    ) -> _crash_watch.SentCall:
+        fingerprint = self.crashes.find(call.request)
+        is_trial = fingerprint is not None and self.trials.runs(fingerprint)
+        return _crash_watch.SentCall(
+            call.request, lifetime, self.gate.now_s(), is_trial
+        )
+
+    async def _settle_loss(self, sent: _crash_watch.SentCall) -> None:
         """Find out whether a call was lost with its target."""
-        self.watch.note_lost(sent.request, sent.lifetime)
+        self.watch.note_lost(sent)
         is_present = self.target.lifetime == sent.lifetime
         if is_present and self.target.is_open:
             if await self.watch.has_ended():
--- a/sedgering/mesh/_lost_calls.py
+++ b/sedgering/mesh/_lost_calls.py
@@ -23,12 +23,15 @@
         Of its request.
     lifetime : Lifetime
         To which it was sent.
+    is_trial : bool
+        Whether it ran as a suspect.
     at_s : float
         When it ended, as time of the event loop.
     """
 
     fingerprint: base.Fingerprint
     lifetime: _messages.Lifetime
+    is_trial: bool
     at_s: float
 
 
@@ -44,18 +47,26 @@
         self,
         fingerprint: base.Fingerprint,
         lifetime: _messages.Lifetime,
+        is_trial: bool,
         now_s: float,
     ) -> None:
         """Take in one call."""
-        self._calls.append(_Lost(fingerprint, lifetime, now_s))
+        self._calls.append(_Lost(fingerprint, lifetime, is_trial, now_s))
 
     def take(
         self, lifetime: _messages.Lifetime, now_s: float
-    ) -> list[base.Fingerprint]:
-        """Return the calls that a lifetime lost, the last ones first."""
+    ) -> dict[base.Fingerprint, bool]:
+        """Return the calls that a lifetime lost, the last ones first.
+
+        Returns
+        -------
+        dict of Fingerprint to bool
+            Whether each ran as a suspect.
+        """
         calls, found = list(self._calls), {}
         self._calls.clear()
         for call in reversed(calls):
             if call.lifetime == lifetime and now_s - call.at_s <= KEEP_S:
-                found[call.fingerprint] = None
-        return list(found)
+                was_trial = found.get(call.fingerprint, False)
+                found[call.fingerprint] = was_trial or call.is_trial
+        return found
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -13,6 +13,7 @@
     'CallAnswer',
     'CallOutcome',
     'CallUrgency',
+    'CrashEvidence',
     'CrashId',
     'CrashRecord',
     'HeaderNames',
@@ -57,7 +58,10 @@
 #: Requests that are told with an end: a target has some places, and a few
 #: that ended just before.
 MOST_SUSPECTS = 32
-#: Ends that a row tells of, 3 KB at the most.
+_Fingerprints = Annotated[
+    tuple[_Fingerprint, ...], msgspec.Meta(max_length=MOST_SUSPECTS)
+]
+#: Ends that a row tells of, 7 KB at the most.
 MOST_CRASHES = 4
 
 
@@ -245,13 +249,30 @@
         Unix time at which the daemon beside it saw it.
     suspects : tuple of Fingerprint
         Requests that were under way, or had ended without answer just before.
+    trials : tuple of Fingerprint
+        Of these, the ones of which it was known that targets had ended under
+        them, and that ran nowhere else.
     """
 
     crash: _CrashId
     ended_ms: _Count
-    suspects: Annotated[
-        tuple[_Fingerprint, ...], msgspec.Meta(max_length=MOST_SUSPECTS)
-    ]
+    suspects: _Fingerprints
+    trials: _Fingerprints = ()
+
+
+class CrashEvidence(msgspec.Struct, frozen=True):
+    """One end of a target that speaks against a request.
+
+    Parameters
+    ----------
+    crash : CrashId
+        Of the end.
+    was_trial : bool
+        Whether the request ran there as a suspect.
+    """
+
+    crash: CrashId
+    was_trial: bool = False
 
 
 class TargetReport(msgspec.Struct, frozen=True):
@@ -435,7 +456,7 @@
         The row that holds now, with a refusal as the wrong target.
     detail : str
         For logs.
-    crashes : tuple of CrashId
+    crashes : tuple of CrashEvidence
         Ends of targets under the request, which speak against it.
     """
 
@@ -447,4 +468,4 @@
     reached_target: bool = False
     member: MemberRow | None = None
     detail: str = ''
-    crashes: tuple[CrashId, ...] = ()
+    crashes: tuple[CrashEvidence, ...] = ()
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -179,6 +179,15 @@
         self.run(self._kill(host))
         self.run(self._start_daemon(host))
 
+    def restart_all(self) -> None:
+        """Kill all daemons, and start them again when none runs."""
+        for host in self.hosts.values():
+            self.kill(host)
+        for host in self.hosts.values():
+            self.run(self._start_daemon(host))
+        for host in self.hosts.values():
+            self.report(host)
+
     def report(self, host: MeshHost, state: str = 'ready') -> int:
         """Let a target report itself; return the status it was given."""
         host.sequence += 1
