Soak: a request that ends targets, and hosts that are suspended

Asked ten times a second at any host for most of the plan, it ends each target that begins it; after three ends and 3 s it may reach three more. Suspensions come every 6 s on average. Both are drawn by themselves: plans of earlier seeds are the same (a digest each for those before and after throttled links, in place of one that took all kinds but throttles out). Who is held back is told the time until the next trial: a caller that came back after a third of its time was refused again.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -4,6 +4,7 @@
   Scenario: The same seed makes the same plan
     Then plans of 50 seeds are alike twice, and differ from others
     And the plans that were there before links were throttled are unchanged
+    And plans with later kinds have suspended hosts, and one request that ends targets
 
   Scenario: Callers wait for answers that come too late
     Given books in which nothing is wrong
@@ -47,6 +48,10 @@
       | a daemon went back to an older version          | lacks version              |
       | a daemon served nobody after the last fault     | served nobody              |
       | a daemon lacks the newest version               | of 2 in force              |
+      | a request reached 4 targets 3.1 s after 3 ends  | targets 4 times more       |
+      | a request reached 3 targets 3.1 s after 3 ends  | nothing is broken          |
+      | a request reached 9 targets 2.9 s after 3 ends  | nothing is broken          |
+      | a request reached 9 targets 3.1 s after 2 ends  | nothing is broken          |
 
   Scenario Outline: Faults that explain an end are no findings
     Given books in which a request was <end>
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -18,6 +18,8 @@
 OTHERS = 4
 #: Told to those whose request is held back.
 HELD_BACK = b'"code": 5015'
+#: A caller whose request is held back is told to come back later than this.
+LEAST_HOLD_S = 50
 #: Targets that end together, or one after the other with these pauses.
 CAUSES = {
     'a cause of their own': (3, 0.3),
@@ -220,7 +222,9 @@
         expected = 502 if request_id in ran else 503
         assert answer.status == expected, (request_id, answer)
         if expected == 503:
-            assert float(answer.find('retry-after')) > 0, answer
+            pause_s = float(answer.find('retry-after'))
+            least_s = LEAST_HOLD_S if HELD_BACK in answer.body else 0
+            assert pause_s > least_s, answer
 
 
 @then('{percent:d} % of its askers were answered by a target')
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -30,6 +30,13 @@
 FIRST_PLANS_SHA256 = (
     '1b99e284b62dd4cc56c190f876170b8b9d804e5ad3bb6aa3b269701a293d032a'
 )
+#: The same with throttled links, before hosts were suspended.
+SECOND_PLANS_SHA256 = (
+    '6b966889aafced56b396a05e332f7ef5cc03b8461c829e4ae79561c9650c546b'
+)
+LAST_KINDS = frozenset(
+    (_faults.FaultKind.SUSPEND, _faults.FaultKind.FATAL_REQUEST)
+)
 #: A program that stays when it is told to leave, one that fails then, and
 #: one that ends as it should; each says when it is ready to be told.
 ENDS = {
@@ -229,6 +236,19 @@
     subject.world.probes[1].version = 1
 
 
+def reach_late(count, after_s, ends):
+    """Let a request reach targets after some had ended under it."""
+
+    def deed(subject):
+        subject.world.ledger.ends_s += [SENT_S] * ends
+        for number in range(count):
+            request_id = f'fatal-{number}'
+            subject.world.fatal.ids.add(request_id)
+            subject.ran(request_id, SENT_S + after_s)
+
+    return deed
+
+
 DEEDS = {
     'nothing is wrong': lambda subject: None,
     'a request that may run once ran twice': run_twice,
@@ -255,6 +275,10 @@
     'a daemon went back to an older version': go_back,
     'a daemon served nobody after the last fault': serve_nobody,
     'a daemon lacks the newest version': lag,
+    'a request reached 4 targets 3.1 s after 3 ends': reach_late(4, 3.1, 3),
+    'a request reached 3 targets 3.1 s after 3 ends': reach_late(3, 3.1, 3),
+    'a request reached 9 targets 2.9 s after 3 ends': reach_late(9, 2.9, 3),
+    'a request reached 9 targets 3.1 s after 2 ends': reach_late(9, 3.1, 2),
 }
 FAULTS = {
     'the store was away': (_faults.FaultKind.STORE, 1),
@@ -275,22 +299,45 @@
     assert plans == again
     assert len(set(plans)) == seeds
     kinds = {fault.kind for plan in plans for fault in plan}
-    assert kinds == set(_faults.FaultKind)
+    # The end of a target follows from a request, and is in no plan.
+    assert kinds == set(_faults.FaultKind) - {_faults.FaultKind.TARGET_ENDS}
 
 
 @then('the plans that were there before links were throttled are unchanged')
 def step_first_plans(context):
-    digest = hashlib.sha256()
+    digest, throttled = hashlib.sha256(), hashlib.sha256()
     for seed in range(2000):
         plan = _faults.make_plan(seed, 5, 12.0)
         digest.update(repr(plan).encode())
-        rest = [
+        whole = _faults.make_plan(seed, 5, 12.0, True)
+        second = tuple(item for item in whole if item.kind not in LAST_KINDS)
+        throttled.update(repr(second).encode())
+        first = [
             fault
-            for fault in _faults.make_plan(seed, 5, 12.0, True)
+            for fault in second
             if fault.kind is not _faults.FaultKind.THROTTLE
         ]
-        assert tuple(rest) == plan, seed
+        assert tuple(first) == plan, seed
     assert digest.hexdigest() == FIRST_PLANS_SHA256, digest.hexdigest()
+    assert throttled.hexdigest() == SECOND_PLANS_SHA256, throttled.hexdigest()
+
+
+@then(
+    'plans with later kinds have suspended hosts, and one request that ends '
+    'targets'
+)
+def step_later_kinds(context):
+    for seed in range(SEEDS):
+        plan = _faults.make_plan(seed, 5, 12.0, True)
+        kinds = [fault.kind for fault in plan]
+        assert kinds.count(_faults.FaultKind.FATAL_REQUEST) == 1, seed
+    plans = [_faults.make_plan(seed, 5, 12.0, True) for seed in range(SEEDS)]
+    suspended = sum(
+        fault.kind is _faults.FaultKind.SUSPEND
+        for plan in plans
+        for fault in plan
+    )
+    assert suspended > SEEDS, suspended
 
 
 @given('books in which {deed}')
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -515,7 +515,7 @@
             code,
             self.state.names.request_id,
             self.request_id,
-            self._find_pause_s(),
+            self._find_pause_s(code),
         )
 
     def describe(self) -> str:
@@ -531,8 +531,11 @@
             for attempt in self.attempts[:ATTEMPTS_TOLD_LIMIT]
         ]
 
-    def _find_pause_s(self) -> float:
+    def _find_pause_s(self, code: exceptions.Code) -> float:
         """Return when a refused caller should come back."""
+        if code is exceptions.Code.REQUEST_QUARANTINED:
+            # Sooner it would only be refused again.
+            return self.state.crashes.find_wait_s(self.fingerprint)
         limits = self.state.mesh_settings
         left_ms = self.caller_left_ms - self._elapsed_ms()
         share = self.state.rng.uniform(*RETRY_AFTER_SHARES)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -33,7 +33,11 @@
     records = world.list_records()
     good = sum(record.status == _checks.STATUS_OK for record in records)
     faults = len(world.disturbances)
-    return broken, f'{len(records)} calls, {good} good, {faults} faults'
+    ends = len(world.ledger.ends_s)
+    return broken, (
+        f'{len(records)} calls, {good} good, {faults} faults,'
+        f' {ends} targets ended'
+    )
 
 
 def run_seed(
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -4,6 +4,7 @@
 
 from soak import _callers
 from soak import _daemons
+from soak import _fatal
 from soak import _faults
 from soak import _targets
 from soak import _world
@@ -35,6 +36,7 @@
     records = world.list_records()
     return [
         *_check_runs(world, records),
+        *_check_fatal(world),
         *(line for item in records for line in _check_answer(world, item)),
         *(line for probe in world.probes for line in probe.broken),
         *_check_targets(world),
@@ -45,7 +47,7 @@
 
 def _check_runs(world, records) -> Iterator[str]:
     once = {record.request_id for record in records if record.is_once}
-    known = {record.request_id for record in records}
+    known = {record.request_id for record in records} | world.fatal.ids
     for request_id, times in world.ledger.runs.items():
         if request_id in once and len(times) > 1:
             yield f'{request_id} may run once, and ran {len(times)} times'
@@ -53,6 +55,18 @@
             yield f'{request_id} ran, and nobody asked for it'
 
 
+def _check_fatal(world: _world.World) -> Iterator[str]:
+    runs_s = [
+        run_s
+        for request_id, times in world.ledger.runs.items()
+        if request_id in world.fatal.ids
+        for run_s in times
+    ]
+    line = _fatal.check_fatal(runs_s, world.ledger.ends_s)
+    if line is not None:
+        yield line
+
+
 def _check_answer(
     world: _world.World, record: _callers.CallRecord
 ) -> Iterator[str]:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -17,6 +17,10 @@
 MOST_S = 3.0
 #: The same of links that are throttled, and their least and greatest width.
 THROTTLE_GAP_S = 2.0
+#: Mean time between two suspensions of hosts.
+SUSPEND_GAP_S = 6.0
+#: When a request that ends targets comes first, as a share of the plan.
+FATAL_SHARE = 0.4
 THROTTLE_BYTES_PER_S = (60_000, 600_000)
 #: Share of faults that are followed by others at the same moment.
 SERIES_SHARE = 0.25
@@ -36,6 +40,11 @@
     TARGET_LEAVES = 'target leaves'
     TARGET_HABIT = 'target habit'
     THROTTLE = 'throttle'
+    SUSPEND = 'suspend'
+    #: A request is asked under which targets end.
+    FATAL_REQUEST = 'fatal request'
+    #: A target has ended under it; in no plan.
+    TARGET_ENDS = 'target ends'
 
 
 #: Planned work: none of it may cost a request.
@@ -45,12 +54,17 @@
 #: Faults of the store alone cost no request.
 STORE_KINDS = frozenset((FaultKind.STORE, FaultKind.STORE_LINK))
 #: Faults by which a process does nothing from one moment to the next.
-HALTS = frozenset((FaultKind.KILL, FaultKind.PAUSE))
+HALTS = frozenset((FaultKind.KILL, FaultKind.PAUSE, FaultKind.SUSPEND))
 #: Faults that excuse no request that was lost.
-COSTLESS = STORE_KINDS | {FaultKind.THROTTLE}
+COSTLESS = STORE_KINDS | {FaultKind.THROTTLE, FaultKind.FATAL_REQUEST}
 #: Kinds of the first plans; those of later ones are drawn by themselves, so
 #: that a seed keeps its plan.
-_FIRST_KINDS = frozenset(FaultKind) - {FaultKind.THROTTLE}
+_FIRST_KINDS = frozenset(FaultKind) - {
+    FaultKind.THROTTLE,
+    FaultKind.SUSPEND,
+    FaultKind.FATAL_REQUEST,
+    FaultKind.TARGET_ENDS,
+}
 #: How much longer they last: longer than a daemon takes to leave.
 STORE_FACTOR = 3
 #: Share of plans that are planned work only, and of those with the store.
@@ -105,7 +119,7 @@
 
 
 def make_plan(
-    seed: int, hosts: int, seconds: float, has_throttles: bool = False
+    seed: int, hosts: int, seconds: float, has_later_kinds: bool = False
 ) -> tuple[Fault, ...]:
     """Make the plan of a seed.
 
@@ -117,8 +131,9 @@
         Hosts of the mesh.
     seconds : float
         Faults begin within this time.
-    has_throttles : bool
-        Whether links between daemons are narrow at times.
+    has_later_kinds : bool
+        Whether links between daemons are narrow at times, hosts are
+        suspended, and a request ends targets.
     """
     rng = random.Random(seed)
     kinds = _choose_kinds(rng)
@@ -127,8 +142,10 @@
     while True:
         at_s += rng.expovariate(1 / MEAN_GAP_S)
         if at_s >= seconds:
-            if has_throttles:
+            if has_later_kinds:
                 plan += _make_throttles(seed, hosts, seconds)
+                plan += _make_suspensions(seed, hosts, seconds)
+                plan.append(_make_fatal(seed, seconds))
             return tuple(sorted(plan, key=lambda fault: fault.at_s))
         is_series = rng.random() < SERIES_SHARE
         for _ in range(SERIES_LENGTH if is_series else 1):
@@ -149,6 +166,25 @@
         at_s += rng.expovariate(1 / THROTTLE_GAP_S)
 
 
+def _make_suspensions(
+    seed: int, hosts: int, seconds: float
+) -> Iterator[Fault]:
+    """Make the times for which hosts are suspended, drawn by themselves."""
+    rng = random.Random(f'suspensions {seed}')
+    at_s = rng.expovariate(1 / SUSPEND_GAP_S)
+    while at_s < seconds:
+        host, for_s = rng.randrange(hosts), rng.uniform(LEAST_S, MOST_S)
+        yield Fault(at_s, FaultKind.SUSPEND, host, for_s)
+        at_s += rng.expovariate(1 / SUSPEND_GAP_S)
+
+
+def _make_fatal(seed: int, seconds: float) -> Fault:
+    """Make the time for which a request is asked that ends targets."""
+    rng = random.Random(f'fatal {seed}')
+    at_s = rng.uniform(0, FATAL_SHARE * seconds)
+    return Fault(at_s, FaultKind.FATAL_REQUEST, 0, seconds - at_s)
+
+
 def _choose_kinds(rng: random.Random) -> list[FaultKind]:
     """Choose what a plan is made of.
 
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -1,11 +1,13 @@
 """Targets beside the daemons: they report themselves, serve and leave."""
 
 import asyncio
+from collections.abc import Callable
 import time
 
 from sedgering import testing
 from sedgering import transport
 from soak import _daemons
+from soak import _fatal
 from soak import _long
 
 __all__ = ['Ledger', 'Target']
@@ -21,6 +23,8 @@
 LOOK_S = 0.05
 #: Between the end of one target and the start of the next at its address.
 REUSE_AFTER_S = 0.5
+#: Between the end of a target under a request and its next lifetime.
+BACK_AFTER_S = 1.0
 
 
 class Ledger:
@@ -35,12 +39,15 @@
         which one.
     late_runs : list of str
         Requests that reached a target too long after its acknowledgement.
+    ends_s : list of float
+        When targets ended under a request.
     """
 
     def __init__(self):
         self.runs: dict[str, list[float]] = {}
         self.answers: dict[str, tuple[float, str]] = {}
         self.late_runs: list[str] = []
+        self.ends_s: list[float] = []
 
 
 class _Books(testing.TargetBooks):
@@ -103,8 +110,10 @@
         self._sequence = 0
         self._born_ms = 0
         self._server: asyncio.Server | None = None
-        self._connections: list[testing.TargetStandin] = []
         self._beats: asyncio.Task | None = None
+        self._return: asyncio.Task | None = None
+        #: Is told of each end under a request.
+        self.note_end: Callable[[], None] = _ignore
 
     async def start(self) -> None:
         """Start a new lifetime."""
@@ -115,6 +124,8 @@
         # Each other start keeps the id of the lifetime before.
         number = (self.lifetime + 1) // 2
         self.books = _Books(f'i-{self.daemon.name}-{number}', self.ledger)
+        self.books.fatal_urls = {_fatal.FATAL_PATH}
+        self.books.end = self._crash
         self._server = await asyncio.get_running_loop().create_server(
             self._make_connection,
             self.daemon.address,
@@ -124,7 +135,7 @@
 
     async def replace(self) -> None:
         """Leave with an acknowledgement, and start anew."""
-        if self.is_leaving:
+        if self.is_leaving or self._return is not None:
             return
         self.is_leaving = True
         self.books.is_leaving = True
@@ -143,14 +154,25 @@
         self.most_running = max(self.most_running, self.books.most_running)
         self._beats.cancel()
         self._server.close()
-        for connection in self._connections:
-            connection.transport.abort()
-        self._connections.clear()
+        self.books.reset_connections()
+        if self._return is not None:
+            self._return.cancel()
+
+    def _crash(self) -> None:
+        """End this lifetime without a word."""
+        self.ledger.ends_s.append(time.monotonic())
+        self.note_end()
+        self.stop()
+        if not self.is_leaving:
+            self._return = asyncio.ensure_future(self._come_back())
+
+    async def _come_back(self) -> None:
+        await asyncio.sleep(BACK_AFTER_S)
+        self._return = None
+        await self.start()
 
     def _make_connection(self) -> testing.TargetStandin:
-        connection = _Connection(self.books)
-        self._connections.append(connection)
-        return connection
+        return _Connection(self.books)
 
     async def _beat(self) -> None:
         while True:
@@ -189,3 +211,7 @@
             # A dead or paused daemon; the next heartbeat tries again.
             return False
         return response.status == 200
+
+
+def _ignore() -> None:
+    """Tell nobody."""
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import pathlib
 import random
@@ -14,6 +15,7 @@
 from sedgering import transport
 from soak import _callers
 from soak import _daemons
+from soak import _fatal
 from soak import _faults
 from soak import _links
 from soak import _long
@@ -48,7 +50,8 @@
     relay_from_hosts : int
         Hosts from which on relays serve.
     long_callers : int
-        Of each host; without them no link is narrow.
+        Of each host; without them no link is narrow, no host is suspended,
+        and no request ends targets.
     """
 
     seed: int
@@ -111,6 +114,9 @@
         self.targets = [
             _targets.Target(daemon, self.ledger) for daemon in self.daemons
         ]
+        for number, target in enumerate(self.targets):
+            target.note_end = functools.partial(self._note_end, number)
+        self.fatal = _fatal.FatalCaller(world_settings.seed)
         self.probes = [_probes.Probe(daemon) for daemon in self.daemons]
         rng = random.Random(world_settings.seed)
         self.callers = [
@@ -257,6 +263,19 @@
         await asyncio.sleep(fault.for_s)
         daemon.signal(signal.SIGCONT)
 
+    async def _suspend(self, fault: _faults.Fault) -> None:
+        await self.daemons[fault.host].suspend(fault.for_s)
+
+    async def _ask_fatal(self, fault: _faults.Fault) -> None:
+        await self.fatal.ask(self.daemons, fault.for_s)
+
+    def _note_end(self, host: int) -> None:
+        """Note that a target has ended under a request."""
+        for_s = _targets.BACK_AFTER_S
+        fault = _faults.Fault(0.0, _Kind.TARGET_ENDS, host, for_s)
+        now_s = time.monotonic()
+        self.disturbances.append(Disturbance(fault, now_s, now_s + for_s))
+
     async def _break_peer_link(self, fault: _faults.Fault) -> None:
         await _break_link(self.daemons[fault.host].peer_link, fault)
 
@@ -312,7 +331,8 @@
     once = {**common, 'prefix': _callers.ONCE_PATH, 'kind': 'non_idempotent'}
     routes = [{**common, 'prefix': _callers.REPEATABLE_PATH}, once]
     if is_long:
-        routes += [{**common, **fields} for fields in _long.ROUTES]
+        later = (*_long.ROUTES, _fatal.ROUTE)
+        routes += [{**common, **fields} for fields in later]
     routes += [
         {**common, 'prefix': _probes.make_path(number)}
         for number in range(1, version + 1)
@@ -343,7 +363,9 @@
 
 _Kind = _faults.FaultKind
 #: Faults of which a daemon bears one at a time.
-_PROCESS_KINDS = frozenset((_Kind.KILL, _Kind.TERMINATE, _Kind.PAUSE))
+_PROCESS_KINDS = frozenset(
+    (_Kind.KILL, _Kind.TERMINATE, _Kind.PAUSE, _Kind.SUSPEND)
+)
 _ACTIONS = {
     _Kind.KILL: World._kill,
     _Kind.TERMINATE: World._terminate,
@@ -355,4 +377,6 @@
     _Kind.TARGET_LEAVES: World._replace_target,
     _Kind.TARGET_HABIT: World._change_habit,
     _Kind.THROTTLE: World._throttle,
+    _Kind.SUSPEND: World._suspend,
+    _Kind.FATAL_REQUEST: World._ask_fatal,
 }
