Ends are told with a fresh message whatever the clock says; targets come back

A message of an end was left out where the clock of a host was wrong by an hour: now only rows are looked at for their age.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -63,6 +63,8 @@
   Scenario: Ends of long ago are not taken from a row that nobody has written
     Given a request that a row blames for 3 ends of 2 hours ago
     Then it is sound
+    Given a request that a row blames for 3 ends of 0 hours ago
+    Then it is quarantined
 
   Scenario Outline: What makes two requests the same
     Given two requests that differ in <difference>
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -185,12 +185,12 @@
 def step_old(context, count, hours):
     context.subject = TableSubject()
     ended_ms = clock.wall_ms() - hours * 3_600_000
-    for number in range(count):
-        context.subject.table.take_record(
-            mesh.CrashRecord(
-                f'{number}', ended_ms, (FINGERPRINT,), (FINGERPRINT,)
-            )
-        )
+    records = tuple(
+        mesh.CrashRecord(f'{number}', ended_ms, (FINGERPRINT,), (FINGERPRINT,))
+        for number in range(count)
+    )
+    row = testing.make_member_row('hall-1', crashes=records)
+    context.subject.table.take_row(row)
 
 
 @given('two requests that differ in {difference}')
--- a/features/steps/target_steps.py
+++ b/features/steps/target_steps.py
@@ -38,6 +38,9 @@
         if kind == 'leaving':
             self._tell_report('ready', 2, born)
             self.target.leave(mesh.Lifetime(TARGET, int(born)))
+        elif kind == 'down':
+            self._tell_report('ready', sequence, born)
+            self.target.note_down(mesh.Lifetime(TARGET, int(born)))
         elif kind == 'forgotten':
             self._tell_report('ready', 2, born)
             self.target.forget()
--- a/features/targets.feature
+++ b/features/targets.feature
@@ -39,6 +39,16 @@
       | ready 2 born 0       | ready 1 born 20     | open   | 0    |
       | draining 1 born 0    | ready 2 born 20     | closed | 0    |
 
+    Examples: one that has ended without a word is opened by its next report
+      | first                | second              | state  | born |
+      | down 40 born 10      | ready 1 born 20     | open   | 20   |
+      | down 40 born 10      | ready 41 born 10    | open   | 10   |
+      | down 40 born 10      | ready 40 born 10    | closed | 10   |
+      | down 40 born 10      | ready 50 born 5     | closed | 10   |
+      | down 40 born 0       | ready 1 born 0      | open   | 0    |
+      | down 40 born 10      | draining 41 born 10 | closed | 10   |
+      | leaving born 10      | down 40 born 10     | closed | 10   |
+
   Scenario: Whatever arrives late opens no lifetime that has ended
     Then no order of reports and goodbyes opens a lifetime that has ended
 
--- a/sedgering/mesh/_crashes.py
+++ b/sedgering/mesh/_crashes.py
@@ -193,12 +193,18 @@
         entry = self._entries.get(fingerprint)
         return max(0.0, entry.due_s - self.now_s()) if entry else 0.0
 
+    def take_row(self, row: _messages.MemberRow) -> None:
+        """Take in the ends that a row tells of.
+
+        A row that nobody has written since may be of last month.
+        """
+        now_ms = clock.wall_ms()
+        for record in row.crashes:
+            if abs(now_ms - record.ended_ms) <= KEEP_S * 1000:
+                self.take_record(record)
+
     def take_record(self, record: _messages.CrashRecord) -> None:
         """Take in that a target has ended."""
-        age_s = (clock.wall_ms() - record.ended_ms) / 1000
-        if abs(age_s) > KEEP_S:
-            # A row that nobody has written since.
-            return
         for fingerprint in record.suspects:
             was_trial = fingerprint in record.trials
             evidence = _messages.CrashEvidence(record.crash, was_trial)
--- a/sedgering/mesh/_target.py
+++ b/sedgering/mesh/_target.py
@@ -17,10 +17,6 @@
 #: Targets of which an ended lifetime is remembered, so that a late report
 #: revives none.
 REMEMBERED = 16
-#: States after which a later report of the same lifetime counts.
-_CHANGING_STATES = frozenset(
-    (_messages.TargetState.READY, _messages.TargetState.DOWN)
-)
 
 
 class LocalTarget:
@@ -233,7 +229,11 @@
     if report.lifetime.is_before(old.lifetime):
         _log('report of an earlier lifetime', report)
         return False
-    may_change = old.state in _CHANGING_STATES
+    is_down = old.state is _messages.TargetState.DOWN
+    if is_down and report.born_ms == _messages.UNKNOWN_BORN_MS:
+        # Most likely it has started again, and counts anew.
+        return True
+    may_change = is_down or old.state is _messages.TargetState.READY
     return may_change and report.sequence > old.sequence
 
 
--- a/sedgering/model/_hosts.py
+++ b/sedgering/model/_hosts.py
@@ -228,8 +228,7 @@
     def take_rows(self, rows: dict[base.HostId, mesh.MemberRow]) -> None:
         """Take over the rows of all hosts, as the store has them."""
         for row in rows.values():
-            for record in row.crashes:
-                self.state.crashes.take_record(record)
+            self.state.crashes.take_row(row)
         self.state.fleet.replace(rows)
 
     async def ask(
