--- a/benchmarks/bench_restart.py
+++ b/benchmarks/bench_restart.py
@@ -107,6 +107,8 @@
 async def measure(folder: pathlib.Path, hosts: int) -> dict:
     """Start a fleet, kill it, start it again, and measure that."""
     world = _world.World(folder, _world.WorldSettings(1, hosts, callers=0))
+    for daemon in world.daemons:
+        daemon.is_suspendable = False
     try:
         await world._start()
         path, body = testing.encode_write('op', 'config', make_version())
--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -47,6 +47,8 @@
     def __init__(self, folder: pathlib.Path, name: str):
         self.folder = folder
         self.name = name
+        #: Folder with the code that runs; the working one where it is None.
+        self.code_folder: pathlib.Path | None = None
         self.process: asyncio.subprocess.Process | None = None
 
     async def _start(self, arguments: list[str], **environment: str) -> None:
@@ -58,6 +60,7 @@
                 stdout=output,
                 stderr=output,
                 env={**os.environ, **environment},
+                cwd=self.code_folder,
             )
 
     @property
@@ -128,6 +131,8 @@
         self.link_mbps = LINK_MBPS
         #: Grows with each start.
         self.lifetime = 0
+        #: Whether its steady clock can stand still.
+        self.is_suspendable = True
         #: When it was last started, stopped, paused or resumed.
         self.disturbed_s = 0.0
         self.peer_link = _links.Link(
@@ -153,9 +158,11 @@
         """Start the daemon."""
         self.lifetime += 1
         self._write_settings()
+        launcher = ['soak._suspendable'] if self.is_suspendable else []
         await self._start(
             [
-                *('soak._suspendable', 'sedgering.cli.daemon'),
+                *launcher,
+                'sedgering.cli.daemon',
                 f'--config={self._config_path}',
                 *(
                     f'{self.address}:{port}'
