One job a module: target side, records of ends, the standing of a request

What daemons tell of ends stands in _crash_records.py in place of _messages.py; what is known of one request in _standing.py, in place of four methods of Exchange and a map of fields.

--- a/sedgering/mesh/__init__.py
+++ b/sedgering/mesh/__init__.py
@@ -11,6 +11,9 @@
 from sedgering.mesh._choice import WeightedTurns
 from sedgering.mesh._config import AcceptedConfig
 from sedgering.mesh._config import ConfigHolder
+from sedgering.mesh._crash_records import CrashEvidence
+from sedgering.mesh._crash_records import CrashId
+from sedgering.mesh._crash_records import CrashRecord
 from sedgering.mesh._crashes import CrashTable
 from sedgering.mesh._crashes import Standing
 from sedgering.mesh._daemon import make_mesh_daemon
@@ -23,9 +26,6 @@
 from sedgering.mesh._messages import CallAnswer
 from sedgering.mesh._messages import CallOutcome
 from sedgering.mesh._messages import CallUrgency
-from sedgering.mesh._messages import CrashEvidence
-from sedgering.mesh._messages import CrashId
-from sedgering.mesh._messages import CrashRecord
 from sedgering.mesh._messages import HeaderNames
 from sedgering.mesh._messages import Lifetime
 from sedgering.mesh._messages import LoadReport
--- a/sedgering/mesh/_crash_watch.py
+++ b/sedgering/mesh/_crash_watch.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from sedgering import clock
+from sedgering.mesh import _crash_records
 from sedgering.mesh import _crashes
 from sedgering.mesh import _lost_calls
 from sedgering.mesh import _messages
@@ -72,9 +73,9 @@
         self.crashes = crashes
         self.now_s = now_s
         #: Told to other daemons with the row of this host.
-        self.records: tuple[_messages.CrashRecord, ...] = ()
+        self.records: tuple[_crash_records.CrashRecord, ...] = ()
         #: Is told of each end, with a record that may name no request.
-        self.on_end: Callable[[_messages.CrashRecord], None] = _ignore
+        self.on_end: Callable[[_crash_records.CrashRecord], None] = _ignore
         self._is_listening = is_listening
         self._lost = _lost_calls.LostCalls()
         self._question: asyncio.Task | None = None
@@ -122,9 +123,9 @@
         for sent in under_way:
             self.note_lost(sent)
         suspects = self._lost.take(lifetime, self.now_s())
-        named = list(suspects)[: _messages.MOST_SUSPECTS]
-        record = _messages.CrashRecord(
-            _messages.CrashId(f'{lifetime.target}@{lifetime.born_ms}'),
+        named = list(suspects)[: _crash_records.MOST_SUSPECTS]
+        record = _crash_records.CrashRecord(
+            _crash_records.CrashId(f'{lifetime.target}@{lifetime.born_ms}'),
             clock.wall_ms(),
             tuple(named),
             tuple(item for item in named if suspects[item]),
@@ -141,19 +142,19 @@
             self.crashes.take_record(record)
         self.on_end(record)
 
-    def restore(self, records: tuple[_messages.CrashRecord, ...]) -> None:
+    def restore(self, records: tuple[_crash_records.CrashRecord, ...]) -> None:
         """Keep what an earlier lifetime of this daemon has told."""
         own = self.records
         self.records = ()
         for record in dict.fromkeys((*records, *own)):
             self._keep(record)
 
-    def _keep(self, record: _messages.CrashRecord) -> None:
+    def _keep(self, record: _crash_records.CrashRecord) -> None:
         """Add a record; leave out the oldest, and those of long ago."""
         oldest_ms = clock.wall_ms() - _crashes.KEEP_S * 1000
         recent = [item for item in self.records if item.ended_ms > oldest_ms]
-        self.records = (*recent, record)[-_messages.MOST_CRASHES :]
+        self.records = (*recent, record)[-_crash_records.MOST_CRASHES :]
 
 
-def _ignore(_record: _messages.CrashRecord) -> None:
+def _ignore(_record: _crash_records.CrashRecord) -> None:
     """Tell nobody."""
--- a/sedgering/mesh/_crashes.py
+++ b/sedgering/mesh/_crashes.py
@@ -22,6 +22,7 @@
 
 from sedgering import base
 from sedgering import clock
+from sedgering.mesh import _crash_records
 from sedgering.mesh import _fingerprint
 from sedgering.mesh import _messages
 from sedgering import transport
@@ -75,8 +76,8 @@
         Since when it is held back, and for how long.
     """
 
-    crashes: dict[_messages.CrashId, bool]
-    forgiven: set[_messages.CrashId]
+    crashes: dict[_crash_records.CrashId, bool]
+    forgiven: set[_crash_records.CrashId]
     blamed_s: float
     held_s: float = 0.0
     hold_s: float = 0.0
@@ -170,20 +171,20 @@
 
     def list_crashes(
         self, fingerprint: base.Fingerprint
-    ) -> tuple[_messages.CrashEvidence, ...]:
+    ) -> tuple[_crash_records.CrashEvidence, ...]:
         """Return the ends that speak against a request."""
         entry = self._entries.get(fingerprint)
         if entry is None:
             return ()
         return tuple(
-            _messages.CrashEvidence(crash, was_trial)
+            _crash_records.CrashEvidence(crash, was_trial)
             for crash, was_trial in entry.crashes.items()
             if crash not in entry.forgiven
         )
 
     def list_forgiven(
         self, fingerprint: base.Fingerprint
-    ) -> tuple[_messages.CrashId, ...]:
+    ) -> tuple[_crash_records.CrashId, ...]:
         """Return the ends that speak no more against a request."""
         entry = self._entries.get(fingerprint)
         return tuple(sorted(entry.forgiven)) if entry else ()
@@ -203,17 +204,17 @@
             if abs(now_ms - record.ended_ms) <= KEEP_S * 1000:
                 self.take_record(record)
 
-    def take_record(self, record: _messages.CrashRecord) -> None:
+    def take_record(self, record: _crash_records.CrashRecord) -> None:
         """Take in that a target has ended."""
         for fingerprint in record.suspects:
             was_trial = fingerprint in record.trials
-            evidence = _messages.CrashEvidence(record.crash, was_trial)
+            evidence = _crash_records.CrashEvidence(record.crash, was_trial)
             self.blame(fingerprint, (evidence,))
 
     def blame(
         self,
         fingerprint: base.Fingerprint,
-        crashes: Iterable[_messages.CrashEvidence],
+        crashes: Iterable[_crash_records.CrashEvidence],
     ) -> None:
         """Take in ends of targets while a request was under way."""
         if not self.limit:
@@ -240,7 +241,7 @@
     def forgive(
         self,
         fingerprint: base.Fingerprint,
-        crashes: Iterable[_messages.CrashId] | None = None,
+        crashes: Iterable[_crash_records.CrashId] | None = None,
     ) -> None:
         """Take in that a target has answered a request.
 
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -12,6 +12,7 @@
 from sedgering.mesh import _backlog
 from sedgering.mesh import _budget
 from sedgering.mesh import _config
+from sedgering.mesh import _crash_records
 from sedgering.mesh import _decisions
 from sedgering.mesh import _fleet
 from sedgering.mesh import _follow
@@ -31,6 +32,7 @@
 from sedgering.mesh import _source
 from sedgering.mesh import _state
 from sedgering.mesh import _target
+from sedgering.mesh import _target_side
 from sedgering import ports
 from sedgering import transport
 
@@ -335,7 +337,7 @@
             }
         )
 
-    def _tell_end(self, record: _messages.CrashRecord) -> None:
+    def _tell_end(self, record: _crash_records.CrashRecord) -> None:
         """Tell others that the local target has ended, and under what.
 
         The daemons beside targets of its set first: each is the only caller
@@ -505,7 +507,7 @@
     pacer = transport.make_pacer(identity.link_mbps, loop)
     rng = random.Random()
     gate = _gate.Gate(mesh_settings, now_s)
-    side = _inbound.TargetSide(
+    side = _target_side.TargetSide(
         names,
         addresses,
         mesh_settings,
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -8,12 +8,12 @@
 from sedgering import exceptions
 from sedgering.mesh import _attempt
 from sedgering.mesh import _choice
-from sedgering.mesh import _crashes
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
 from sedgering.mesh import _progress
 from sedgering.mesh import _refusal
 from sedgering.mesh import _search
+from sedgering.mesh import _standing
 from sedgering.mesh import _state
 from sedgering import transport
 
@@ -87,14 +87,17 @@
         #: Done when any of them has news.
         self._news: asyncio.Future = self.loop.create_future()
         self.last: _messages.CallAnswer | None = None
-        #: Known once targets have ended under the request.
-        self.fingerprint: base.Fingerprint | None = None
+        #: Known from when the daemon is ready.
+        self.standing: _standing.RequestStanding | None = None
         self.answered: _messages.CallAnswer | None = None
         self.answered_by = base.HostId('')
 
     async def run(self) -> transport.Response:
         """Answer the request."""
         await self.state.start.wait()
+        self.standing = _standing.RequestStanding(
+            self.request, self.state.crashes
+        )
         snapshot = self.state.config.snapshot
         if snapshot is None:
             return self._refuse(exceptions.Code.REQUEST_NOT_READY)
@@ -120,8 +123,7 @@
         if self.state.serving.would_break_off(self.deadline_s):
             # A body that came slowly, or a request sent ahead.
             return self._refuse(exceptions.Code.REQUEST_LEAVING)
-        self.fingerprint = self.state.crashes.find(self.request)
-        if self._standing is _crashes.Standing.QUARANTINED:
+        if self.standing.is_quarantined:
             return self._refuse(exceptions.Code.REQUEST_QUARANTINED)
         self.search = _search.Search(
             self.state.places, self.target_set, len(self.request.body)
@@ -158,16 +160,6 @@
         goal_ms = self.policy.latency_goal_ms or timeout_ms
         self.goal_s = started_s + (goal_ms - origin.waited_ms) / 1000
 
-    @property
-    def _standing(self) -> _crashes.Standing:
-        if self.fingerprint is None:
-            return _crashes.Standing.SOUND
-        return self.state.crashes.judge(self.fingerprint)
-
-    @property
-    def _is_suspect(self) -> bool:
-        return self._standing is _crashes.Standing.SUSPECT
-
     @property
     def _now_s(self) -> float:
         return self.loop.time()
@@ -251,7 +243,7 @@
         hops = len(self.asked) - self.corrections - self.busy_answers
         if hops >= self.state.mesh_settings.hops_limit:
             return None
-        if self._is_suspect:
+        if self.standing.is_suspect:
             self.search.end(False)
             return self._choose_trial_place()
         if self.search.is_on:
@@ -270,7 +262,7 @@
         peer = _choice.choose_trial_place(
             self.state.fleet.by_set.get(self.target_set, ()),
             self.state.peers,
-            self.fingerprint,
+            self.standing.fingerprint,
             self._now_s,
         )
         is_tried = peer is not None and peer.row.host in self.tried
@@ -320,7 +312,7 @@
         now_s = self._now_s
         # Work that ends after this daemon would be done for nobody.
         deadline_s = min(self.deadline_s, self.state.serving.end_s)
-        return _messages.TargetCall(
+        call = _messages.TargetCall(
             request=self.request,
             request_id=self.request_id,
             target_set=self.target_set,
@@ -334,19 +326,9 @@
             goal_ms=self._find_goal_ms(now_s),
             version=self.version,
             may_wait=not self.search.is_on,
-            **self._describe_standing(),
         )
-
-    def _describe_standing(self) -> dict[str, object]:
-        """Return the fields of a call under which targets have ended."""
-        if self.fingerprint is None:
-            return {}
-        crashes = self.state.crashes
-        return {
-            'is_trial': self._is_suspect,
-            'crashes': crashes.list_crashes(self.fingerprint),
-            'forgiven': crashes.list_forgiven(self.fingerprint),
-        }
+        self.standing.tell(call)
+        return call
 
     def _find_goal_ms(self, now_s: float) -> int:
         """Return the time left until the goal; 0 when it cannot be met."""
@@ -361,8 +343,7 @@
             self.search.note_busy(peer.row.host, answer.retry_after_ms)
             self.state.decisions.count_attempt(answer.reason)
             return
-        if answer.crashes:
-            self._note_crashes(peer, answer)
+        self.standing.note(answer)
         if answer.reached_target:
             self.arrivals += 1
         if answer.outcome is not _Outcome.NOT_RUN:
@@ -375,8 +356,6 @@
             )
             self.answered = answer
             self.answered_by = peer.row.host
-            if self.fingerprint is not None:
-                self.state.crashes.forgive(self.fingerprint)
         if answer.member is not None and self._may_ask_again(peer, answer):
             self.corrections += 1
             self.tried.discard(peer.row.host)
@@ -384,6 +363,12 @@
             peer.close(self._now_s, answer.reason)
             if answer.reason is _Reason.TARGET_UNKNOWN:
                 self.corrections += self.corrections < CORRECTIONS_LIMIT
+        elif answer.reason is _Reason.SUSPECTED:
+            # It may be the place where the request may run.
+            self.tried.discard(peer.row.host)
+        elif answer.reason is _Reason.CONNECTION_LOST and answer.crashes:
+            # Its target has ended; its row tells so a moment later.
+            peer.close(self._now_s, _Reason.TARGET_UNKNOWN)
         elif answer.reason is _Reason.UNREACHABLE:
             self.was_unreachable = True
         elif answer.reason in _FULL_REASONS:
@@ -396,25 +381,12 @@
                 self.target_set,
                 peer.row,
                 answer,
-                self._find_fingerprint() if self.may_have_run else None,
+                self._find_lost(),
             )
 
-    def _find_fingerprint(self) -> base.Fingerprint:
-        if self.fingerprint is None:
-            return self.state.crashes.make_fingerprint(self.request)
-        return self.fingerprint
-
-    def _note_crashes(
-        self, peer: _peers.Peer, answer: _messages.CallAnswer
-    ) -> None:
-        """Take in ends of targets under this request."""
-        self.fingerprint = self._find_fingerprint()
-        self.state.crashes.blame(self.fingerprint, answer.crashes)
-        if answer.reason is _Reason.SUSPECTED:
-            # It may be the place where the request may run.
-            self.tried.discard(peer.row.host)
-        elif answer.reason is _Reason.CONNECTION_LOST:
-            peer.close(self._now_s, _Reason.TARGET_UNKNOWN)
+    def _find_lost(self) -> base.Fingerprint | None:
+        """Return what tells repeats of a request that may have run."""
+        return self.standing.make_fingerprint() if self.may_have_run else None
 
     def _may_ask_again(
         self, peer: _peers.Peer, answer: _messages.CallAnswer
@@ -437,7 +409,7 @@
         return not self._may_send_again() or self._choose() is None
 
     def _may_go_on(self, answer: _messages.CallAnswer) -> bool:
-        if self._standing is _crashes.Standing.QUARANTINED:
+        if self.standing.is_quarantined:
             return False
         if answer.outcome is _Outcome.NOT_RUN and not answer.reached_target:
             # Nothing arrived at a target: neither attempts nor the
@@ -497,7 +469,7 @@
             return self._pass_on(self.answered)
         if self.may_have_run:
             return self._refuse(exceptions.Code.REQUEST_UNKNOWN)
-        if self._standing is _crashes.Standing.QUARANTINED:
+        if self.standing.is_quarantined:
             return self._refuse(exceptions.Code.REQUEST_QUARANTINED)
         if self.last is None:
             return self._refuse(exceptions.Code.REQUEST_NO_TARGET)
@@ -516,7 +488,7 @@
             self.last,
             self._elapsed_ms(),
             self.version,
-            self.fingerprint,
+            self.standing.fingerprint,
         )
         return _refusal.make_refusal(
             code,
@@ -542,7 +514,7 @@
         """Return when a refused caller should come back."""
         if code is exceptions.Code.REQUEST_QUARANTINED:
             # Sooner it would only be refused again.
-            return self.state.crashes.find_wait_s(self.fingerprint)
+            return self.standing.find_wait_s()
         limits = self.state.mesh_settings
         left_ms = self.caller_left_ms - self._elapsed_ms()
         share = self.state.rng.uniform(*RETRY_AFTER_SHARES)
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from sedgering import base
+from sedgering.mesh import _crash_records
 from sedgering.mesh import _messages
 from sedgering import transport
 
@@ -147,11 +148,11 @@
     )
 
 
-def _split_ids(value: str | None) -> tuple[_messages.CrashId, ...]:
-    return tuple(map(_messages.CrashId, (value or '').split()))
+def _split_ids(value: str | None) -> tuple[_crash_records.CrashId, ...]:
+    return tuple(map(_crash_records.CrashId, (value or '').split()))
 
 
-def _encode_evidence(crashes: Iterable[_messages.CrashEvidence]) -> str:
+def _encode_evidence(crashes: Iterable[_crash_records.CrashEvidence]) -> str:
     return ID_SEPARATOR.join(
         f'{TRIAL_MARK if item.was_trial else ""}{item.crash}'
         for item in crashes
@@ -160,10 +161,10 @@
 
 def _decode_evidence(
     value: str | None,
-) -> tuple[_messages.CrashEvidence, ...]:
+) -> tuple[_crash_records.CrashEvidence, ...]:
     return tuple(
-        _messages.CrashEvidence(
-            _messages.CrashId(text.removeprefix(TRIAL_MARK)),
+        _crash_records.CrashEvidence(
+            _crash_records.CrashId(text.removeprefix(TRIAL_MARK)),
             text.startswith(TRIAL_MARK),
         )
         for text in _split_ids(value)
--- a/sedgering/mesh/_lost_calls.py
+++ b/sedgering/mesh/_lost_calls.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sedgering import base
+from sedgering.mesh import _crash_records
 from sedgering.mesh import _messages
 
 __all__ = ['LostCalls']
@@ -40,7 +41,7 @@
 
     def __init__(self):
         self._calls: collections.deque[_Lost] = collections.deque(
-            maxlen=_messages.MOST_SUSPECTS
+            maxlen=_crash_records.MOST_SUSPECTS
         )
 
     def note(
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -1,11 +1,12 @@
 """Typed messages of the request path."""
 
 import enum
-from typing import Annotated, NewType
+from typing import Annotated
 
 import msgspec
 
 from sedgering import base
+from sedgering.mesh import _crash_records
 from sedgering import transport
 
 __all__ = [
@@ -13,15 +14,10 @@
     'CallAnswer',
     'CallOutcome',
     'CallUrgency',
-    'CrashEvidence',
-    'CrashId',
-    'CrashRecord',
     'HeaderNames',
     'Lifetime',
     'LoadReport',
     'MemberRow',
-    'MOST_CRASHES',
-    'MOST_SUSPECTS',
     'MeshIdentity',
     'NO_ROUTE',
     'RefusalReason',
@@ -49,20 +45,6 @@
 #: Whole numbers of sizes and times; up to the largest one that every reader
 #: of JSON keeps exactly.
 _Count = Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
-#: Names the end of one lifetime of a target, in a header field.
-CrashId = NewType('CrashId', str)
-_CrashId = Annotated[CrashId, msgspec.Meta(pattern=r'^[!-~]{1,220}\Z')]
-_Fingerprint = Annotated[
-    base.Fingerprint, msgspec.Meta(pattern=r'^[0-9a-f]{8}-[0-9a-f]{16}\Z')
-]
-#: Requests that are told with an end: a target has some places, and a few
-#: that ended just before.
-MOST_SUSPECTS = 32
-_Fingerprints = Annotated[
-    tuple[_Fingerprint, ...], msgspec.Meta(max_length=MOST_SUSPECTS)
-]
-#: Ends that a row tells of, 8 KB at the most.
-MOST_CRASHES = 4
 
 
 class TargetState(enum.Enum):
@@ -238,43 +220,6 @@
         )
 
 
-class CrashRecord(msgspec.Struct, frozen=True):
-    """The end of a lifetime that had not said that it was leaving.
-
-    Parameters
-    ----------
-    crash : CrashId
-        Of this end.
-    ended_ms : int
-        Unix time at which the daemon beside it saw it.
-    suspects : tuple of Fingerprint
-        Requests that were under way, or had ended without answer just before.
-    trials : tuple of Fingerprint
-        Of these, the ones of which it was known that targets had ended under
-        them, and that ran nowhere else.
-    """
-
-    crash: _CrashId
-    ended_ms: _Count
-    suspects: _Fingerprints
-    trials: _Fingerprints = ()
-
-
-class CrashEvidence(msgspec.Struct, frozen=True):
-    """One end of a target that speaks against a request.
-
-    Parameters
-    ----------
-    crash : CrashId
-        Of the end.
-    was_trial : bool
-        Whether the request ran there as a suspect.
-    """
-
-    crash: CrashId
-    was_trial: bool = False
-
-
 class TargetReport(msgspec.Struct, frozen=True):
     """What the local target says of itself.
 
@@ -341,7 +286,8 @@
     link_mbps: _Count = 0
     born_ms: _Count = UNKNOWN_BORN_MS
     crashes: Annotated[
-        tuple[CrashRecord, ...], msgspec.Meta(max_length=MOST_CRASHES)
+        tuple[_crash_records.CrashRecord, ...],
+        msgspec.Meta(max_length=_crash_records.MOST_CRASHES),
     ] = ()
 
     @property
@@ -434,8 +380,8 @@
     version: base.Version
     may_wait: bool = True
     is_trial: bool = False
-    crashes: tuple[CrashEvidence, ...] = ()
-    forgiven: tuple[CrashId, ...] = ()
+    crashes: tuple[_crash_records.CrashEvidence, ...] = ()
+    forgiven: tuple[_crash_records.CrashId, ...] = ()
 
 
 class CallAnswer(msgspec.Struct):
@@ -471,4 +417,4 @@
     reached_target: bool = False
     member: MemberRow | None = None
     detail: str = ''
-    crashes: tuple[CrashEvidence, ...] = ()
+    crashes: tuple[_crash_records.CrashEvidence, ...] = ()
--- a/sedgering/mesh/_notice.py
+++ b/sedgering/mesh/_notice.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from sedgering.mesh import _messages
+from sedgering.mesh import _crash_records
 from sedgering import transport
 
 __all__ = ['decode_notice', 'encode_notice', 'is_notice']
@@ -15,10 +15,10 @@
 MARK = 'sedgering-crash'
 
 _ENCODER = msgspec.json.Encoder()
-_DECODER = msgspec.json.Decoder(_messages.CrashRecord)
+_DECODER = msgspec.json.Decoder(_crash_records.CrashRecord)
 
 
-def encode_notice(record: _messages.CrashRecord) -> bytes:
+def encode_notice(record: _crash_records.CrashRecord) -> bytes:
     """Encode a record as a request to another daemon."""
     headers = [('Host', 'peer'), (MARK, '1')]
     return transport.encode_request(
@@ -31,7 +31,7 @@
     return request.find(MARK) is not None
 
 
-def decode_notice(request: transport.Request) -> _messages.CrashRecord:
+def decode_notice(request: transport.Request) -> _crash_records.CrashRecord:
     """Decode a record.
 
     Raises
--- a/sedgering/mesh/_sender.py
+++ b/sedgering/mesh/_sender.py
@@ -3,11 +3,11 @@
 import asyncio
 
 from sedgering.mesh import _hop
-from sedgering.mesh import _inbound
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
 from sedgering.mesh import _progress
 from sedgering.mesh import _room
+from sedgering.mesh import _target_side
 from sedgering import transport
 
 __all__ = ['CallSender']
@@ -33,7 +33,7 @@
     def __init__(
         self,
         identity: _messages.MeshIdentity,
-        side: _inbound.TargetSide,
+        side: _target_side.TargetSide,
         peers: _peers.PeerTable,
     ):
         self.identity = identity
--- a/sedgering/mesh/_state.py
+++ b/sedgering/mesh/_state.py
@@ -8,7 +8,6 @@
 from sedgering.mesh import _config
 from sedgering.mesh import _decisions
 from sedgering.mesh import _fleet
-from sedgering.mesh import _inbound
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
 from sedgering.mesh import _search
@@ -16,6 +15,7 @@
 from sedgering.mesh import _serving
 from sedgering.mesh import _settings
 from sedgering.mesh import _start
+from sedgering.mesh import _target_side
 
 __all__ = ['RequestState']
 
@@ -55,7 +55,7 @@
         config: _config.ConfigHolder,
         fleet: _fleet.FleetTable,
         peers: _peers.PeerTable,
-        side: _inbound.TargetSide,
+        side: _target_side.TargetSide,
         budget: _budget.RetryWindow,
         decisions: _decisions.DecisionLog,
         rng: random.Random,
--- a/sedgering/model/_hosts.py
+++ b/sedgering/model/_hosts.py
@@ -12,12 +12,12 @@
 from sedgering.mesh import _decisions
 from sedgering.mesh import _exchange
 from sedgering.mesh import _gate
-from sedgering.mesh import _inbound
 from sedgering.mesh import _link
 from sedgering.mesh import _peers
 from sedgering.mesh import _room
 from sedgering.mesh import _sender
 from sedgering.mesh import _state
+from sedgering.mesh import _target_side
 from sedgering.model import _targets
 from sedgering import transport
 
@@ -42,7 +42,7 @@
         """Do nothing: the target ends what is under way itself."""
 
 
-class ModelSide(_inbound.TargetSide):
+class ModelSide(_target_side.TargetSide):
     """Runs calls at a model target in place of a socket."""
 
     def __init__(self, mesh_settings, link, room, gate, target, work_book):
