--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -41,7 +41,10 @@
 class _Asker:
     """Asks the hosts of a mesh in turn, and keeps what it was told."""
 
-    def __init__(self, mesh, name, url, gap_s):
+    def __init__(self, mesh, name, url, gap_s, waits=False):
+        #: Whether it asks again only once it has been answered, so that what
+        #: it meets does not depend on how busy the machine is.
+        self.waits = waits
         self.mesh = mesh
         self.name = name
         self.url = url
@@ -58,6 +61,8 @@
             host = hosts[len(asking) % len(hosts)]
             request_id = f'{self.name}-{len(asking)}'
             asking.append(loop.create_task(self._ask(host, request_id)))
+            if self.waits:
+                await asking[-1]
             await asyncio.sleep(self.gap_s)
         await asyncio.gather(*asking)
 
@@ -108,7 +113,7 @@
 )
 def step_ask_fatal(context, url, for_s, other_url):
     mesh = context.mesh
-    context.fatal = _Asker(mesh, 'fatal', url, ASK_GAP_S)
+    context.fatal = _Asker(mesh, 'fatal', url, ASK_GAP_S, waits=True)
     context.others = [
         _Asker(mesh, f'other-{number}', f'{other_url}{number}', OTHERS_GAP_S)
         for number in range(OTHERS)
@@ -133,7 +138,8 @@
 async def _end_targets(mesh, cause: str) -> None:
     """End targets for a cause that no request has."""
     if cause not in CAUSES:
-        await _Asker(mesh, 'fatal', '/r0/fatal', ASK_GAP_S).run(2.0)
+        asker = _Asker(mesh, 'fatal', '/r0/fatal', ASK_GAP_S, waits=True)
+        await asker.run(2.0)
         return
     hosts = list(mesh.fleet.hosts.values())
     count, pause_s = CAUSES[cause]
