--- a/features/model.feature
+++ b/features/model.feature
@@ -32,6 +32,24 @@
     When it is played with seed 1
     Then at most 9 % of "read" are refused in the end
 
+  Scenario: A request that ends targets costs the others next to nothing
+    With nothing held back 18 targets end, and 24 % of the reads end within
+    their goal.
+    Given the load "request-that-ends-targets" for 10 s
+    When it is played with seed 1
+    Then at most 4 targets end
+    And at least 94 % of "read" end within their goal
+    And at most 1 % of "read" are refused in the end
+
+  Scenario: Targets that end for a cause of their own are held against nobody
+    With nothing held back 94 % of the very same request, and 90 % of the
+    others, end within their goal.
+    Given the load "targets-that-end" for 10 s
+    When it is played with seed 1
+    Then at most 7 targets end
+    And at least 90 % of "same" end within their goal
+    And at least 87 % of "read" end within their goal
+
   Scenario: A load pattern that is malformed is refused with a code
     Given a load pattern with a rate of 0
     When it is loaded
--- a/features/steps/model_steps.py
+++ b/features/steps/model_steps.py
@@ -44,6 +44,11 @@
     assert found.in_goal * 100 >= percent * found.asked, found
 
 
+@then('at most {most:d} targets end')
+def step_ends(context, most):
+    assert 0 < context.result.ends <= most, context.result.ends
+
+
 @then('at most {percent:d} % of "{kind}" are refused in the end')
 def step_refused(context, percent, kind):
     found = context.result.kinds[kind]
