A target that tells its start later has not ended

Seen in a profile of a calm start: a request was blamed for an end that there was not. Cause: a health check, which tells no start, opens the gate; the first report tells it, and any difference of lifetimes counted as another one. Now only a later start, or another id, does.

--- a/features/steps/target_steps.py
+++ b/features/steps/target_steps.py
@@ -405,3 +405,18 @@
 def step_no_place(context):
     gate = context.mesh.first.daemon.state.side.gate
     context.mesh.fleet.wait_for(lambda: not gate.running)
+
+
+@when('it tells for the first time when it was born')
+def step_tells_start(context):
+    host = context.mesh.first
+    assert host.born_ms == 0, host.born_ms
+    host.born_ms = 10
+    assert context.mesh.fleet.report(host) == 200
+
+
+@then('no request is blamed for an end')
+def step_none_blamed(context):
+    for host in context.mesh.fleet.hosts.values():
+        assert not len(host.daemon.state.crashes)
+        assert not host.daemon.state.side.watch.records
--- a/features/targets.feature
+++ b/features/targets.feature
@@ -135,3 +135,15 @@
     When another target answers at its address
     And it starts again, born at 20, and says "ready"
     Then its daemon does not know how long its work takes
+
+  Scenario: A target that tells its start later has not ended
+    Seen in a profile of a calm start: a request was blamed for an end that
+    there was not.  A health check, which tells no start, had opened the gate;
+    the first report told it, and was taken for another lifetime.
+    Given a mesh with two calendar hosts
+    And only the first host has a target
+    And the targets work 0.3 s
+    When 2 callers ask "/slow/", and all places of the target are taken
+    And it tells for the first time when it was born
+    Then the 2 calls are answered 200
+    And no request is blamed for an end
--- a/sedgering/mesh/_target_side.py
+++ b/sedgering/mesh/_target_side.py
@@ -156,11 +156,11 @@
         if before is None:
             return
         is_restart = before.is_before(present)
-        if before != present and self._open_lifetime == before:
-            # Seen by its next lifetime only: it was back at once.
-            self._open_lifetime = None
-            self._tell_end(before)
         if is_restart or before.target != present.target:
+            if self._open_lifetime == before:
+                # Its end is seen by the next lifetime only.
+                self._open_lifetime = None
+                self._tell_end(before)
             LOG.info('target renewed', extra={'target': present.target})
             self.gate.renew()
             self.pool.close()
