--- a/sedgering/base.py
+++ b/sedgering/base.py
@@ -5,9 +5,12 @@
 """
 
 import abc
-from typing import Any, Generic, NewType, TypeVar
+from typing import Annotated, Any, Generic, NewType, TypeVar
+
+import msgspec
 
 __all__ = [
+    'Count',
     'DataCentre',
     'Digest',
     'Fingerprint',
@@ -19,6 +22,7 @@
     'PolicyName',
     'RequestId',
     'RouteName',
+    'SoftwareVersion',
     'System',
     'TargetName',
     'TargetSetName',
@@ -35,10 +39,15 @@
 PolicyName = NewType('PolicyName', str)
 RequestId = NewType('RequestId', str)
 RouteName = NewType('RouteName', str)
+SoftwareVersion = NewType('SoftwareVersion', str)
 TargetName = NewType('TargetName', str)
 TargetSetName = NewType('TargetSetName', str)
 Version = NewType('Version', int)
 
+#: Whole numbers of sizes and times in messages; up to the largest one that
+#: every reader of JSON keeps exactly.
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
+
 #: Held by a proxy that has not applied any bundle yet.
 NO_VERSION = Version(0)
 
--- a/sedgering/mesh/_crash_records.py
+++ b/sedgering/mesh/_crash_records.py
@@ -28,7 +28,6 @@
 ]
 #: Ends that a row tells of, 8 KB at the most.
 MOST_CRASHES = 4
-_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
 
 
 class CrashRecord(msgspec.Struct, frozen=True):
@@ -48,7 +47,7 @@
     """
 
     crash: _CrashId
-    ended_ms: _Count
+    ended_ms: base.Count
     suspects: _Fingerprints
     trials: _Fingerprints = ()
 
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -88,14 +88,14 @@
         self._news: asyncio.Future = self.loop.create_future()
         self.last: _messages.CallAnswer | None = None
         #: Known from when the daemon is ready.
-        self.standing: _standing.RequestStanding | None = None
+        self.standing: _standing.KnownRequest | None = None
         self.answered: _messages.CallAnswer | None = None
         self.answered_by = base.HostId('')
 
     async def run(self) -> transport.Response:
         """Answer the request."""
         await self.state.start.wait()
-        self.standing = _standing.RequestStanding(
+        self.standing = _standing.KnownRequest(
             self.request, self.state.crashes
         )
         snapshot = self.state.config.snapshot
--- a/sedgering/mesh/_standing.py
+++ b/sedgering/mesh/_standing.py
@@ -5,11 +5,11 @@
 from sedgering.mesh import _messages
 from sedgering import transport
 
-__all__ = ['RequestStanding']
+__all__ = ['KnownRequest']
 
 
-class RequestStanding:
-    """The standing of one request, at the daemon of its caller.
+class KnownRequest:
+    """What is known of one request, at the daemon of its caller.
 
     Parameters
     ----------
