--- /dev/null
+++ b/features/steps/rollout_steps.py
@@ -0,0 +1,482 @@
+"""Steps over rollouts: permits, exposure, verdicts, and whole fleets."""
+
+import asyncio
+import random
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies as st
+
+from sedgering import base
+from sedgering import exceptions
+from sedgering.mesh import _rollout_log
+from sedgering.platform import _rollouts
+from sedgering import rollout
+from sedgering import storage
+from sedgering import testing
+
+SET = base.TargetSetName('calendar')
+ROUTE = base.RouteName('browse')
+OTHER_ROUTE = base.RouteName('book')
+RULES = {
+    'sequential': rollout.SequentialRule(),
+    'share': rollout.ShareRule(),
+}
+EXAMPLES = 300
+#: Calls at each of three new targets between two looks, and at eight old ones.
+CALLS_A_LOOK = 12
+LOOKS = 12
+#: Median and spread of work, as in the users' loads.
+WORK_MS = 130
+SPREAD = 0.8
+#: Speeds of targets of one set.
+SPEEDS = (0.5, 1.0, 1.5)
+SHARE = 0.1
+
+
+def list_versions(text: str) -> list[str]:
+    """Return the versions that a step names."""
+    words = [word for word in text.split() if word != 'none']
+    return ['' if word == 'empty' else word for word in words]
+
+
+def make_row(stage: str, stage_ms: int = 0) -> rollout.Rollout:
+    """Make a rollout from v1 to v2."""
+    return rollout.Rollout(
+        SET, 'v1', 'v2', 7, rollout.Stage(stage), 0, stage_ms
+    )
+
+
+def make_order(revision: int = 7, duration_ms: int = 10_000) -> rollout.Order:
+    """Make an order of v2."""
+    return rollout.Order(
+        SET, base.SoftwareVersion('v2'), duration_ms, revision
+    )
+
+
+@given('a rollout from v1 to v2 in the stage {stage}')
+def step_stage(context, stage):
+    context.permits = rollout.make_permits(
+        make_row(stage), make_order(), base.SoftwareVersion('v1')
+    )
+
+
+@given('targets of the versions {versions}, and {order}')
+def step_versions(context, versions, order):
+    majority = rollout.find_majority(list_versions(versions))
+    found = None if order == 'no order' else make_order()
+    context.permits = rollout.make_permits(None, found, majority)
+
+
+@then('calls go to {usual}, a share of them to {trial}')
+def step_usual(context, usual, trial):
+    permits = context.permits
+    sent = [item for item in ('v1', 'v2', 'v3') if permits.may_send(item)]
+    assert sent == [usual], sent
+    assert permits.trial == (None if trial == 'none' else trial)
+
+
+@then('the gates of {opened} are open, those of {closed} are not')
+def step_gates(context, opened, closed):
+    permits = context.permits
+    for version in list_versions(opened):
+        assert permits.may_run(version), version
+    for version in list_versions(closed):
+        assert not permits.may_run(version), version
+
+
+# Exposure.
+
+
+@then('no order of calls and answers exposes more than a tenth of them')
+def step_exposure(context):
+    @hypothesis.settings(
+        max_examples=EXAMPLES, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(st.lists(st.sampled_from('aer'), max_size=200))
+    def check(moves):
+        quota = rollout.ExposureQuota(SHARE)
+        quota.retain([(SET, 7)])
+        sent = exposed = 0
+        for move in moves:
+            if move == 'a':
+                quota.note_arrival(SET)
+                sent += 1
+            elif move == 'e' and quota.may_expose(SET):
+                quota.note_exposed(SET, 1)
+                exposed += 1
+            elif move == 'r' and exposed:
+                quota.note_exposed(SET, -1)
+                exposed -= 1
+            quota.retain([(SET, 7)])
+            assert exposed <= SHARE * (sent + exposed), moves
+
+    check()
+    assert not rollout.ExposureQuota(SHARE).may_expose(SET)
+
+
+@then(
+    'of {new:d} new targets beside {old:d} old ones {count:d} {verb} on '
+    'trial, in any order'
+)
+def step_exposed(context, new, old, count, verb):
+    hosts = [base.HostId(f'host-{number}') for number in range(new)]
+    found = rollout.choose_exposed(hosts, old)
+    assert len(found) == count, found
+    assert found == rollout.choose_exposed(hosts[::-1], old)
+
+
+# Verdicts.
+
+
+class Version:
+    """Draws what the targets of one version show.
+
+    Parameters
+    ----------
+    kind : str
+        As the scenario names it.
+    rng : random.Random
+        Source of the draws.
+    """
+
+    def __init__(self, kind: str, rng: random.Random):
+        self.kind = kind
+        self.rng = rng
+
+    def note(self, evidence: rollout.Evidence, number: int, look: int):
+        """Let one target answer one call."""
+        rng = self.rng
+        route = ROUTE if rng.random() < 0.6 else OTHER_ROUTE
+        work_ms = WORK_MS * rng.lognormvariate(0, SPREAD)
+        work_ms /= SPEEDS[number % len(SPEEDS)]
+        fails = rng.random() < 0.004
+        if self.kind == 'twice as slow':
+            work_ms *= 2 * SPEEDS[number % len(SPEEDS)]
+        elif self.kind == 'failing like the old ones':
+            fails = rng.random() < 0.2
+        elif self.kind == 'bad at one of three targets':
+            fails = fails or (number == 0 and rng.random() < 0.5)
+        elif self.kind == 'failing by half':
+            fails = fails or rng.random() < 0.5
+        elif self.kind == 'failing by a third':
+            fails = fails or rng.random() < 0.36
+        elif self.kind == 'eight times slower by half':
+            work_ms *= 8 if rng.random() < 0.5 else 1
+        elif self.kind == 'failing on one route':
+            fails = fails or (route == OTHER_ROUTE and rng.random() < 0.5)
+        elif self.kind == 'failing after a while':
+            fails = fails or (look > 3 and rng.random() < 0.5)
+        evidence.note(route, fails, work_ms)
+
+
+def judge_once(kind: str, rule: rollout.VerdictRule, seed: int):
+    """Judge a version look by look; return the verdict and its bad calls."""
+    rng = random.Random(seed)
+    new = [rollout.Evidence('v2', 7) for _ in range(3)]
+    old = [rollout.Evidence('v1', 7) for _ in range(8)]
+    new_version = Version(kind, rng)
+    is_shared = kind == 'failing like the old ones'
+    old_version = Version(kind if is_shared else 'usual', rng)
+    verdict = rollout.Verdict.OPEN
+    for look in range(LOOKS):
+        for _ in range(CALLS_A_LOOK):
+            for number, evidence in enumerate(new):
+                new_version.note(evidence, number, look)
+            for number, evidence in enumerate(old):
+                old_version.note(evidence, number, look)
+        verdict = rollout.judge(new, old, rule)
+        if verdict is rollout.Verdict.BAD:
+            break
+    return verdict, sum(evidence.failures for evidence in new)
+
+
+@given('a new version whose calls are {kind}')
+def step_kind(context, kind):
+    context.kind = kind
+
+
+@when('it is judged {times:d} times with the {rule} rule')
+def step_judge(context, times, rule):
+    context.found = [
+        judge_once(context.kind, RULES[rule], seed) for seed in range(times)
+    ]
+
+
+@then('it is found {verdict} each time')
+def step_verdict(context, verdict):
+    others = [
+        seed
+        for seed, (found, _bad) in enumerate(context.found)
+        if found.value != verdict
+    ]
+    assert not others, others[:20]
+
+
+@then('that takes {bad:d} bad calls in the median at most')
+def step_bad_calls(context, bad):
+    counts = sorted(count for _verdict, count in context.found)
+    assert counts[len(counts) // 2] <= bad, counts[len(counts) // 2]
+
+
+# News, stages, orders.
+
+
+@then('whatever order news come in, the newest of each set holds')
+def step_news(context):
+    sets = st.sampled_from(['calendar', 'ledger'])
+    orders = st.builds(
+        rollout.Order,
+        sets,
+        st.sampled_from(['', 'v2']),
+        st.just(1000),
+        st.integers(1, 9),
+    )
+    stages = st.sampled_from(list(rollout.Stage))
+    rows = st.builds(
+        rollout.Rollout, sets, st.just('v1'), st.just('v2'), st.just(7), stages
+    )
+    entries = st.builds(_rollout_log.RolloutEntry, st.integers(1, 9), rows)
+    items = st.lists(st.one_of(orders, entries), max_size=20)
+
+    @hypothesis.settings(
+        max_examples=EXAMPLES, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(items)
+    def check(items):
+        log = _rollout_log.RolloutLog()
+        newest: dict[tuple, int] = {}
+        for item in items:
+            if isinstance(item, rollout.Order):
+                log.merge(_rollout_log.RolloutNews((item,)))
+                key = ('order/', item.target_set)
+            else:
+                log.merge(_rollout_log.RolloutNews((), (item,)))
+                key = ('rollout/', item.rollout.target_set)
+            newest[key] = max(newest.get(key, 0), item.revision)
+        log.is_known = True
+        known = {kind + name: at for (kind, name), at in newest.items()}
+        assert log.list_known() == known
+        assert log.find_news(known) is None
+        other = _rollout_log.RolloutLog()
+        other.merge(log.find_news(None))
+        other.is_known = True
+        assert other.list_known() == known
+
+    check()
+
+
+@given('a rollout of 10 s in the stage {stage} since {age:d} ms')
+def step_row(context, stage, age):
+    context.row = make_row(stage, age)
+
+
+@when('its new version {shows} at {now:d} ms')
+def step_shows(context, shows, now):
+    fails = shows == 'is bad'
+    new = [rollout.Evidence('v2', 7) for _ in range(3)]
+    old = [rollout.Evidence('v1', 7) for _ in range(3)]
+    for evidence in new + old:
+        if shows == 'shows nothing':
+            break
+        for _ in range(40):
+            evidence.note(ROUTE, fails and evidence in new, 100.0)
+    if shows == 'is stopped':
+        new[0].is_stopped = new[1].is_stopped = True
+    if shows == 'leaves work behind':
+        old[0].running = 1
+    order = None if shows == 'is withdrawn' else make_order()
+    sight = rollout.Sight(order, now, new, old, shows != 'is silent')
+    context.next = rollout.plan_next(
+        context.row, sight, rollout.SequentialRule()
+    )
+
+
+@then('its next stage is {stage}')
+def step_next(context, stage):
+    assert context.next.value == stage, context.next
+
+
+@when("the operator's order is {order}")
+def step_order_text(context, order):
+    row = storage.Row('rollout/calendar', 7, order.encode())
+    try:
+        context.order = _rollouts.decode_order(row)
+    except exceptions.RolloutError as error:
+        context.order = error
+
+
+@then('the order is refused as unreadable')
+def step_order_refused(context):
+    error = context.order
+    assert isinstance(error, exceptions.RolloutError), error
+    assert error.code is exceptions.Code.ROLLOUT_UNREADABLE
+
+
+# Whole fleets.
+
+
+class RolloutFleet:
+    """A fleet, and callers that ask it all the while."""
+
+    def __init__(self, count: int):
+        self.fleet = testing.MeshFleet(has_rollouts=True)
+        self.statuses: list[int] = []
+        self.fleet.configure(testing.make_document(1, [{}]))
+        for number in range(count):
+            self.fleet.add_host(f'old-{number}')
+        self.fleet.wait_ready()
+
+    def add(self, count: int, version: str) -> None:
+        """Add targets of another version."""
+        for number in range(count):
+            self.fleet.add_host(f'new-{number}', version=version)
+        self.fleet.wait_ready()
+
+    def list_hosts(self, version: str) -> list:
+        """Return the hosts whose targets have a version."""
+        return [
+            host
+            for host in self.fleet.hosts.values()
+            if host.version == version
+        ]
+
+    def count_runs(self, version: str) -> int:
+        """Return the calls that targets of a version ran."""
+        return sum(len(host.books.runs) for host in self.list_hosts(version))
+
+    def ask_until(self, is_over, longest_s: float) -> None:
+        """Let callers ask, one after the other, until a condition holds."""
+        self.fleet.run(self._ask_until(is_over, longest_s))
+
+    async def _ask_until(self, is_over, longest_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + longest_s
+        number = 0
+        while not is_over() and loop.time() < end_s:
+            for host in self.list_hosts('v1'):
+                number += 1
+                response = await self.fleet.start_call(
+                    host.addresses.callers_port,
+                    '/r0/x',
+                    X_Request_Id=f'q{number}-{len(self.statuses)}',
+                    X_Request_Deadline='1000',
+                )
+                self.statuses.append(response.status)
+            await asyncio.sleep(0.005)
+
+
+@given('a fleet with {count:d} calendar targets of the version v1')
+def step_fleet(context, count):
+    context.subject = RolloutFleet(count)
+    context.cleanups.append(context.subject.fleet.stop)
+
+
+@when('{count:d} targets of the version v2 come')
+def step_come(context, count):
+    context.subject.add(count, 'v2')
+
+
+@when(
+    '{count:d} targets of the version v2 come, and are ordered within '
+    '{duration:d} ms'
+)
+def step_ordered(context, count, duration):
+    context.subject.add(count, 'v2')
+    context.subject.fleet.order_rollout('calendar', 'v2', duration)
+
+
+@when('all of these fail their calls')
+def step_fail(context):
+    for host in context.subject.list_hosts('v2'):
+        host.books.habit = testing.TargetHabit.FAILING
+
+
+@when('callers ask all the while until the operator reads {state}')
+def step_ask_until(context, state):
+    subject = context.subject
+    fleet = subject.fleet
+    trial = {}
+
+    def is_over() -> bool:
+        stages = {
+            entry.rollout.stage
+            for host in fleet.hosts.values()
+            if (entry := host.daemon.source.rollouts.find_entry(SET))
+        }
+        if stages <= {rollout.Stage.TRIAL}:
+            # As long as nobody has moved.
+            trial.update(
+                new=subject.count_runs('v2'), old=subject.count_runs('v1')
+            )
+        return fleet.read_rollout('calendar') == state
+
+    subject.ask_until(is_over, 15)
+    assert fleet.read_rollout('calendar') == state
+    context.trial = trial
+
+
+@when('the store is away once the version is on trial')
+def step_store_away(context):
+    fleet = context.subject.fleet
+    fleet.wait_for(
+        lambda: all(
+            host.daemon.source.rollouts.list_trials()
+            for host in fleet.hosts.values()
+        )
+    )
+    fleet.engine.faults.mode = testing.StoreMode.RESET
+
+
+@when('callers ask for {seconds:g} s')
+def step_ask_for(context, seconds):
+    subject = context.subject
+    subject.statuses.clear()
+    context.before = subject.count_runs('v2')
+    subject.ask_until(lambda: False, seconds)
+
+
+@when('all daemons are started again')
+def step_restart_all(context):
+    context.subject.fleet.restart_all()
+    context.subject.fleet.wait_ready()
+
+
+@then('all calls were answered well')
+def step_answered(context):
+    statuses = context.subject.statuses
+    assert statuses and set(statuses) == {200}, (
+        len(statuses),
+        [status for status in statuses if status != 200][:9],
+    )
+
+
+@then('no call is under way at the version v1, and none comes any more')
+def step_old_quiet(context):
+    subject = context.subject
+    assert not any(host.books.running for host in subject.list_hosts('v1'))
+    runs = subject.count_runs('v1')
+    subject.ask_until(lambda: False, 0.5)
+    assert subject.count_runs('v1') == runs
+
+
+@then('before the move the version v2 got a tenth of the calls at most')
+def step_tenth(context):
+    new, old = context.trial['new'], context.trial['old']
+    assert 0 < new <= SHARE * (new + old), context.trial
+
+
+@then('the version v2 failed {count:d} calls at most')
+def step_failed(context, count):
+    runs = context.subject.count_runs('v2')
+    assert 0 < runs <= count, runs
+
+
+@then('no call comes to the version v2 any more')
+def step_new_quiet(context):
+    subject = context.subject
+    runs = subject.count_runs('v2')
+    subject.ask_until(lambda: False, 0.5)
+    assert subject.count_runs('v2') == runs
--- a/sedgering/exceptions.py
+++ b/sedgering/exceptions.py
@@ -1,9 +1,9 @@
 """Numbered result codes and the exceptions that carry them.
 
 The thousands digit names the subject: 1 settings and bundles, 2 release,
-3 platform, 4 peers and distribution, 5 requests, 6 targets and members.  A
-number is never used again for another meaning.  docs/errors.md lists them;
-a test compares the two.
+3 platform, 4 peers and distribution, 5 requests, 6 targets, members and
+rollouts.  A number is never used again for another meaning.  docs/errors.md
+lists them; a test compares the two.
 """
 
 import enum
@@ -17,6 +17,7 @@
     'ReleaseError',
     'ReportError',
     'RequestError',
+    'RolloutError',
     'SedgeringError',
     'SettingsError',
 ]
@@ -97,6 +98,7 @@
     REPORT_TARGET = 6003, 'report names two targets; nothing changed'
     REPORT_LIFETIME = 6004, 'report does not tell its start; nothing changed'
     MEMBER_UNREADABLE = 6101, 'member row cannot be decoded; names no target'
+    ROLLOUT_UNREADABLE = 6201, 'order or row of a rollout cannot be decoded'
 
 
 class SedgeringError(Exception):
@@ -149,5 +151,9 @@
     """A member row that names no target."""
 
 
+class RolloutError(SedgeringError):
+    """An order or a row of a rollout that changes nothing."""
+
+
 class RequestError(SedgeringError):
     """A request that gets an answer of the proxy's own."""
--- a/sedgering/mesh/__init__.py
+++ b/sedgering/mesh/__init__.py
@@ -38,6 +38,7 @@
 from sedgering.mesh._messages import UNKNOWN_BORN_MS
 from sedgering.mesh._pause import PauseWatch
 from sedgering.mesh._peers import PeerTable
+from sedgering.mesh._rollout_store import RolloutStore
 from sedgering.mesh._settings import MeshSettings
 from sedgering.mesh._source import MeshSource
 from sedgering.mesh._target import LocalTarget
@@ -72,6 +73,7 @@
     'PeerTable',
     'RefusalReason',
     'RetryWindow',
+    'RolloutStore',
     'Standing',
     'TargetCall',
     'TargetReport',
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -1,6 +1,7 @@
 """Puts the event-driven daemon together, and takes it apart."""
 
 import asyncio
+from collections.abc import Coroutine
 import logging
 import random
 
@@ -27,6 +28,7 @@
 from sedgering.mesh import _peers
 from sedgering.mesh import _probe
 from sedgering.mesh import _relay
+from sedgering.mesh import _rollout_driver
 from sedgering.mesh import _room
 from sedgering.mesh import _settings
 from sedgering.mesh import _source
@@ -114,6 +116,11 @@
         self.leave_log = _leave_log.LeaveLog(
             self.outbound, self.inbound, self.pause, state.decisions.counts
         )
+        self.rollouts = _rollout_driver.RolloutDriver(
+            identity, state.fleet, state.peers, source
+        )
+        if source.rollout_store is not None:
+            state.fleet.rollouts = source.rollouts
         self.is_leaving = False
         state.side.watch.on_end = self._tell_end
         self._servers: list[asyncio.AbstractServer] = []
@@ -126,6 +133,7 @@
             not self.is_leaving
             and self.state.config.snapshot is not None
             and self.state.fleet.is_known
+            and self.source.rollouts.is_known
         )
 
     async def start(self, opened: ports.OpenPorts | None = None) -> None:
@@ -159,7 +167,11 @@
             ),
             loop.create_task(self.follower.run()),
         ]
-        self.source.start(self.take_config, self.take_members)
+        if self.source.rollout_store is not None:
+            self._tasks.append(loop.create_task(self.rollouts.run()))
+        self.source.start(
+            self.take_config, self.take_members, self.take_rollouts
+        )
         LOG.info('started', extra={'detail': f'{own.address}'})
 
     async def _find_target(self) -> None:
@@ -185,7 +197,9 @@
                 LOG.info('target is leaving', extra={'target': row.target})
                 return
             # A health check does not tell when the target was born.
-            report = msgspec.structs.replace(report, born_ms=row.born_ms)
+            report = msgspec.structs.replace(
+                report, born_ms=row.born_ms, version=row.version
+            )
         self.take_report(report)
 
     async def _probe_target(self, path: str) -> _messages.TargetReport | None:
@@ -226,11 +240,11 @@
         if self.state.config.apply(config):
             routes = config.bundle.routes
             self.state.turns.retain(routes)
-            names = [route.name for route in routes]
+            names = frozenset(route.name for route in routes)
             self.state.callers.retain(names)
             self.state.peers.retain_routes(names)
             self.state.side.gate.work.retain(names)
-            self.state.side.answer_room.retain(frozenset(names))
+            self.state.side.answer_room.retain(names)
         self._note_ready()
 
     def _note_ready(self) -> None:
@@ -252,9 +266,31 @@
         for row in new:
             self.state.note_started(row)
         self.state.budget.daemons = max(1, len(members))
+        self._refresh_permit()
         self.follower.note_members_known()
         self._note_ready()
 
+    def take_rollouts(self) -> None:
+        """Take in that orders or rollouts have changed."""
+        rollouts = self.source.rollouts
+        self.state.fleet.note_rollouts()
+        self.state.exposure.retain(rollouts.list_trials())
+        self._refresh_permit()
+        self._note_ready()
+
+    def _refresh_permit(self) -> None:
+        """Open or close the gate as the version of the target allows."""
+        side = self.state.side
+        report = side.target.report
+        if report is None:
+            return
+        entry = self.source.rollouts.find_entry(report.target_set)
+        side.trial.follow(entry.rollout if entry else None, report.version)
+        may_run = self.state.fleet.may_run(report.target_set, report.version)
+        if may_run is not side.is_permitted or side.trial.has_just_changed():
+            side.is_permitted = may_run
+            side.refresh_gate()
+
     def take_report(self, report: _messages.TargetReport) -> None:
         """Take in what the local target says of itself.
 
@@ -271,11 +307,16 @@
         is_changed = target.take_report(report, now_s)
         self.state.side.note_lifetime()
         if is_changed:
+            self._refresh_permit()
             self._show_target()
         if target.rival is not None and not was_settling:
-            task = asyncio.get_running_loop().create_task(self._settle_rival())
-            self._tasks.append(task)
-            task.add_done_callback(self._tasks.remove)
+            self._start_task(self._settle_rival())
+
+    def _start_task(self, work: Coroutine) -> None:
+        """Run something beside all else, until the daemon ends."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.append(task)
+        task.add_done_callback(self._tasks.remove)
 
     def check_lifetime(
         self, lifetime: _messages.Lifetime
@@ -354,12 +395,9 @@
         if len(rows) > NOTICES_LIMIT:
             rows = self.state.rng.sample(rows, NOTICES_LIMIT)
         data = _notice.encode_notice(record)
-        loop = asyncio.get_running_loop()
         for row in rows:
-            telling = self.state.peers.find(row).tell(data, 'notice lost')
-            task = loop.create_task(telling)
-            self._tasks.append(task)
-            task.add_done_callback(self._tasks.remove)
+            peer = self.state.peers.find(row)
+            self._start_task(peer.tell(data, 'notice lost'))
 
     @property
     def _target_set(self) -> base.TargetSetName:
@@ -394,6 +432,7 @@
             link_mbps=round(self.identity.link_mbps),
             born_ms=report.born_ms,
             crashes=self.state.side.watch.records,
+            version=report.version,
         )
 
     async def leave(self, grace_ms: int) -> None:
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -89,6 +89,8 @@
         self.last: _messages.CallAnswer | None = None
         #: Known from when the daemon is ready.
         self.standing: _standing.KnownRequest | None = None
+        #: Target of a version on trial, where the request went first.
+        self.exposed: _peers.Peer | None = None
         self.answered: _messages.CallAnswer | None = None
         self.answered_by = base.HostId('')
 
@@ -240,6 +242,10 @@
             self._news.set_result(None)
 
     def _choose(self) -> _peers.Peer | None:
+        if not self.asked and not self.standing.is_suspect:
+            peer = self._choose_exposed()
+            if peer is not None:
+                return peer
         hops = len(self.asked) - self.corrections - self.busy_answers
         if hops >= self.state.mesh_settings.hops_limit:
             return None
@@ -253,6 +259,28 @@
             self.search.end(False)
         return self._choose_shortest_wait() or self._choose_untried()
 
+    def _choose_exposed(self) -> _peers.Peer | None:
+        """Choose a target of a version on trial, if it may get one more call.
+
+        Only for a first attempt: what failed there goes to the version that
+        is known to serve.
+        """
+        state = self.state
+        now_s = self._now_s
+        rows = [
+            row
+            for row in state.fleet.trials.get(self.target_set, ())
+            if not state.peers.find(row).is_cold(now_s)
+        ]
+        if not rows or not state.exposure.may_expose(self.target_set):
+            return None
+        peer = self._choose_of(rows)
+        if peer is None or peer.is_suspect(now_s):
+            return None
+        state.exposure.note_exposed(self.target_set, 1)
+        self.exposed = peer
+        return peer
+
     def _choose_trial_place(self) -> _peers.Peer | None:
         """Choose the one target at which a suspect may run now.
 
@@ -339,6 +367,8 @@
     def _learn(self, peer: _peers.Peer, answer: _messages.CallAnswer) -> None:
         """Remember what an answer tells of its target."""
         if answer.reason is _Reason.BUSY:
+            if peer is self.exposed:
+                self.state.exposure.note_exposed(self.target_set, -1)
             self.busy_answers += 1
             self.search.note_busy(peer.row.host, answer.retry_after_ms)
             self.state.decisions.count_attempt(answer.reason)
@@ -346,6 +376,9 @@
         self.standing.note(answer)
         if answer.reached_target:
             self.arrivals += 1
+            self.state.exposure.note_arrival(self.target_set)
+        elif peer is self.exposed:
+            self.state.exposure.note_exposed(self.target_set, -1)
         if answer.outcome is not _Outcome.NOT_RUN:
             self.may_have_run = True
         if self.arrivals or self.may_have_run:
--- a/sedgering/mesh/_fleet.py
+++ b/sedgering/mesh/_fleet.py
@@ -4,6 +4,8 @@
 
 from sedgering import base
 from sedgering.mesh import _messages
+from sedgering.mesh import _rollout_log
+from sedgering import rollout
 
 __all__ = ['FleetTable']
 
@@ -29,6 +31,27 @@
             base.TargetSetName, tuple[_messages.MemberRow, ...]
         ] = {}
         self.is_known = False
+        #: Targets that get a bounded share of the calls to their set.
+        self.trials: dict[
+            base.TargetSetName, tuple[_messages.MemberRow, ...]
+        ] = {}
+        #: Orders and rollouts; None where the operator orders none.
+        self.rollouts: _rollout_log.RolloutLog | None = None
+
+    def note_rollouts(self) -> None:
+        """Work out anew which targets may get calls."""
+        self._index()
+
+    def list_ready(
+        self, target_set: base.TargetSetName
+    ) -> list[_messages.MemberRow]:
+        """Return the targets of a set that take calls, of any version."""
+        return [
+            row
+            for row in self._latest_by_address().values()
+            if row.state is _messages.TargetState.READY
+            and row.target_set == target_set
+        ]
 
     def replace(
         self, members: dict[base.HostId, _messages.MemberRow]
@@ -91,7 +114,61 @@
         for row in self._latest_by_address().values():
             if row.state is _messages.TargetState.READY:
                 by_set.setdefault(row.target_set, []).append(row)
-        self.by_set = {name: tuple(rows) for name, rows in by_set.items()}
+        self.trials = {}
+        self.by_set = {
+            name: tuple(self._choose_permitted(name, rows))
+            for name, rows in by_set.items()
+        }
+
+    def _choose_permitted(
+        self,
+        target_set: base.TargetSetName,
+        rows: list[_messages.MemberRow],
+    ) -> list[_messages.MemberRow]:
+        """Return the targets of a set to which calls go as usual."""
+        if self.rollouts is None:
+            return rows
+        permits = self.find_permits(target_set)
+        usual = [row for row in rows if permits.may_send(row.version)]
+        if permits.trial is not None:
+            self._choose_trials(target_set, permits.trial, usual, rows)
+        if not usual and permits.leaving is not None:
+            # No target of the new version is there: those of the old one
+            # serve as long as they may.
+            usual = [row for row in rows if row.version == permits.leaving]
+        return usual
+
+    def find_permits(self, target_set: base.TargetSetName) -> rollout.Permits:
+        """Say which versions of the targets of a set may get calls."""
+        versions = [
+            row.version
+            for row in self.members.values()
+            if row.target_set == target_set
+        ]
+        return self.rollouts.make_permits(target_set, versions)
+
+    def may_run(
+        self,
+        target_set: base.TargetSetName,
+        version: base.SoftwareVersion,
+    ) -> bool:
+        """Whether a target may run calls, by the version that it has."""
+        if self.rollouts is None:
+            return True
+        return self.find_permits(target_set).may_run(version)
+
+    def _choose_trials(
+        self,
+        target_set: base.TargetSetName,
+        version: base.SoftwareVersion,
+        usual: list[_messages.MemberRow],
+        rows: list[_messages.MemberRow],
+    ) -> None:
+        hosts = [row.host for row in rows if row.version == version]
+        exposed = rollout.choose_exposed(hosts, len(usual))
+        self.trials[target_set] = tuple(
+            row for row in rows if row.host in exposed
+        )
 
     def _latest_by_address(self) -> dict[base.HostId, _messages.MemberRow]:
         """Leave out rows whose address another host has taken over."""
--- a/sedgering/mesh/_follow.py
+++ b/sedgering/mesh/_follow.py
@@ -15,7 +15,7 @@
 from sedgering.mesh import _versions
 from sedgering import transport
 
-__all__ = ['RelayFollower']
+__all__ = ['RelayFollower', 'list_watching']
 
 LOG = logging.getLogger(__name__)
 
@@ -76,6 +76,33 @@
     relays: list[_messages.MemberRow]
 
 
+def list_watching(
+    members: dict[base.HostId, _messages.MemberRow], relay_from_hosts: int
+) -> list[_messages.MemberRow]:
+    """Return the hosts that watch the store while all are well.
+
+    Parameters
+    ----------
+    members : dict
+        All hosts.
+    relay_from_hosts : int
+        Hosts from which on a few watch the store for the others.
+    """
+    rows = list(members.values())
+    if len(rows) < relay_from_hosts:
+        return rows
+    if len(rows) < OWN_RELAYS_FROM_HOSTS:
+        return _relay.choose_relays(rows)
+    by_centre: dict[base.DataCentre, list[_messages.MemberRow]] = {}
+    for row in rows:
+        by_centre.setdefault(row.data_centre, []).append(row)
+    return [
+        relay
+        for group in by_centre.values()
+        for relay in _relay.choose_relays(group)
+    ]
+
+
 class RelayFollower:
     """Polls relays of its data centre, and decides who asks the store.
 
@@ -228,7 +255,10 @@
     ) -> _relay.RelayNews:
         version = await self._find_version_to_tell(link)
         poll = _relay.RelayPoll(
-            self.identity.host, version, self.source.members.revision
+            self.identity.host,
+            version,
+            self.source.members.revision,
+            self.source.rollouts.list_known(),
         )
         peer = self.peers.find(row)
         async with asyncio.timeout(_relay.POLL_WAIT_S + POLL_MARGIN_S):
@@ -262,6 +292,8 @@
     ) -> None:
         if news.members is not None:
             self.source.take_members(news.members)
+        if news.rollouts is not None:
+            self.source.take_rollouts(news.rollouts)
         if news.version is not None and not self._take_version(news):
             await asyncio.sleep(REFUSED_PAUSE_S)
             return
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sedgering import base
+from sedgering.mesh import _evidence_hop
 from sedgering.mesh import _hop
 from sedgering.mesh import _messages
 from sedgering.mesh import _notice
@@ -64,6 +65,8 @@
             return transport.Response(200, [])
         if _notice.is_notice(request):
             return self._take_notice(request)
+        if _evidence_hop.is_question(request):
+            return self._tell_evidence(request)
         body_bytes = _room.find_room_bytes(request)
         if body_bytes is not None:
             return _hop.encode_answer(
@@ -90,6 +93,17 @@
             )
         return _hop.encode_answer(answer)
 
+    def _tell_evidence(self, request: transport.Request) -> transport.Response:
+        """Tell what the local target has shown of its version."""
+        try:
+            order_revision = _evidence_hop.decode_question(request)
+        except ValueError as error:
+            LOG.warning('question refused', extra={'detail': str(error)})
+            return transport.make_json_response(400, {'error': str(error)})
+        return _evidence_hop.encode_evidence(
+            self.side.trial.find_evidence(order_revision, self.side.gate)
+        )
+
     def _take_notice(self, request: transport.Request) -> transport.Response:
         """Take in that a target beside another daemon has ended."""
         try:
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -7,6 +7,7 @@
 
 from sedgering import base
 from sedgering.mesh import _crash_records
+from sedgering import rollout
 from sedgering import transport
 
 __all__ = [
@@ -41,10 +42,10 @@
 #: Names become header fields between daemons, where "|" separates them.
 _PATTERN = msgspec.Meta(pattern=r'^[!-{}~]{1,200}\Z')
 _Target = Annotated[base.TargetName, _PATTERN]
+_SoftwareVersion = Annotated[
+    base.SoftwareVersion, msgspec.Meta(max_length=200)
+]
 _TargetSet = Annotated[base.TargetSetName, _PATTERN]
-#: Whole numbers of sizes and times; up to the largest one that every reader
-#: of JSON keeps exactly.
-_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
 
 
 class TargetState(enum.Enum):
@@ -239,6 +240,8 @@
         Grows with each report of one lifetime.
     born_ms : int
         Unix time of the start of this lifetime; 0 when it is not told.
+    version : str
+        Of its software; empty when it is not told.
     """
 
     target: base.TargetName
@@ -248,6 +251,7 @@
     cold_ms: int
     sequence: int
     born_ms: int = UNKNOWN_BORN_MS
+    version: base.SoftwareVersion = rollout.UNKNOWN_VERSION
 
     @property
     def lifetime(self) -> Lifetime:
@@ -272,6 +276,8 @@
         Unix time of the start of the target; 0 when it is not told.
     crashes : tuple of CrashRecord
         The last ends of targets beside the daemon.
+    version : str
+        Of the software of the target; empty when it is not told.
     """
 
     host: base.HostId
@@ -280,15 +286,16 @@
     port: _Port
     target_set: _TargetSet
     target: _Target
-    slots: _Count
+    slots: base.Count
     state: TargetState
-    cold_ms: _Count = 0
-    link_mbps: _Count = 0
-    born_ms: _Count = UNKNOWN_BORN_MS
+    cold_ms: base.Count = 0
+    link_mbps: base.Count = 0
+    born_ms: base.Count = UNKNOWN_BORN_MS
     crashes: Annotated[
         tuple[_crash_records.CrashRecord, ...],
         msgspec.Meta(max_length=_crash_records.MOST_CRASHES),
     ] = ()
+    version: _SoftwareVersion = rollout.UNKNOWN_VERSION
 
     @property
     def lifetime(self) -> Lifetime:
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -143,6 +143,10 @@
         weight = 0.5 ** (age_ms / WORK_HALF_LIFE_MS)
         return self.report.failed_percent / 100 * weight
 
+    def is_cold(self, now_s: float) -> bool:
+        """Whether the target has just started and is slow."""
+        return now_s < self._cold_until_s
+
     def note_cold(self, until_s: float) -> None:
         """Note that the target has just started and is slow until then."""
         self._cold_until_s = until_s
@@ -269,10 +273,26 @@
         bool
             Whether there was an answer.
         """
+        return await self.ask(data, failure) is not None
+
+    async def ask(
+        self, data: bytes, failure: str
+    ) -> transport.Response | None:
+        """Send its daemon what is answered at once, and return the answer.
+
+        Parameters
+        ----------
+        data : bytes
+            The encoded request.
+        failure : str
+            What to write where no answer comes.
+        """
         try:
             async with asyncio.timeout(ASK_TIMEOUT_S):
                 connection = await self.pool.take()
-                await connection.exchange(data, lambda _response: True)
+                response = await connection.exchange(
+                    data, lambda _response: True
+                )
         except (
             transport.ConnectFailed,
             transport.ExchangeFailed,
@@ -282,9 +302,9 @@
                 failure,
                 extra={'peer': self.row.host, 'detail': repr(error)},
             )
-            return False
+            return None
         self.pool.put(connection)
-        return True
+        return response
 
     def take_report(
         self,
--- a/sedgering/mesh/_relay.py
+++ b/sedgering/mesh/_relay.py
@@ -17,6 +17,7 @@
 from sedgering import exceptions
 from sedgering.mesh import _members
 from sedgering.mesh import _messages
+from sedgering.mesh import _rollout_log
 from sedgering.mesh import _source
 from sedgering.mesh import _versions
 from sedgering import transport
@@ -66,11 +67,15 @@
         Version held; 0 asks for a whole one.
     member_revision : int
         Counter of the store up to which it knows the member rows.
+    rollouts : dict of str to int or None
+        Revisions of the orders and rollouts that it knows; None when it has
+        not been told of any, or that there are none.
     """
 
     host: base.HostId
     version: base.Version
     member_revision: int
+    rollouts: dict[str, int] | None = None
 
 
 class RelayNews(msgspec.Struct, frozen=True, array_like=True):
@@ -86,12 +91,15 @@
         None when the sender holds the newest.
     members : MemberNews or None
         Without entries when only the counter has grown.
+    rollouts : RolloutNews or None
+        None when the sender knows all of them, or the relay does not.
     """
 
     is_fresh: bool
     version_revision: int
     version: _versions.VersionNews | None
     members: _members.MemberNews | None
+    rollouts: _rollout_log.RolloutNews | None = None
 
 
 class _LooseMembers(msgspec.Struct, array_like=True):
@@ -109,6 +117,7 @@
     version_revision: int
     version: _versions.VersionNews | None
     members: _LooseMembers | None
+    rollouts: _rollout_log.RolloutNews | None = None
 
 
 class _EntryHead(msgspec.Struct, array_like=True):
@@ -204,7 +213,11 @@
         news.members.is_complete,
     )
     return RelayNews(
-        news.is_fresh, news.version_revision, news.version, members
+        news.is_fresh,
+        news.version_revision,
+        news.version,
+        members,
+        news.rollouts,
     )
 
 
@@ -272,6 +285,7 @@
             source.versions.revision,
             source.versions.find_news(poll.version),
             members,
+            source.rollouts.find_news(poll.rollouts),
         )
 
 
@@ -281,4 +295,4 @@
     has_members = members is not None and (
         members.entries or members.is_complete
     )
-    return bool(news.version or has_members)
+    return bool(news.version or has_members or news.rollouts)
--- a/sedgering/mesh/_settings.py
+++ b/sedgering/mesh/_settings.py
@@ -74,6 +74,9 @@
     advertised_port : int
         Port at which other daemons reach this one, where that is not the
         port on which it listens; 0 for the same.
+    exposed_share_percent : int
+        Share of the calls to a set that a version on trial may get at most,
+        over the whole fleet; what the operator lets a bad version harm.
     success_log_every : int
         One in so many plain successes is logged.
     log_lines_per_s : int
@@ -102,5 +105,6 @@
     caller_fields: tuple[str, ...] = ('authorization', 'cookie', 'x-api-key')
     quarantine_crashes: settings.CountOrNone = 3
     advertised_port: settings.PortOrNone = 0
+    exposed_share_percent: settings.Percent = 10
     success_log_every: settings.Count = 100
     log_lines_per_s: settings.Count = 50
--- a/sedgering/mesh/_source.py
+++ b/sedgering/mesh/_source.py
@@ -3,13 +3,18 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
+
 from sedgering import base
 from sedgering.mesh import _config
 from sedgering.mesh import _keeper
 from sedgering.mesh import _members
 from sedgering.mesh import _messages
+from sedgering.mesh import _rollout_log
+from sedgering.mesh import _rollout_store
 from sedgering.mesh import _versions
 from sedgering.mesh import _watch
+from sedgering import rollout
 from sedgering import storage
 
 __all__ = ['MeshSource']
@@ -19,6 +24,9 @@
 #: Called in the event loop with the whole list of member rows.
 OnMembers = Callable[[dict[base.HostId, _messages.MemberRow]], None]
 
+#: Called in the event loop when orders or rollouts have changed.
+OnRollouts = Callable[[], None]
+
 #: For how long a daemon may lag behind the version of a peer before it
 #: reads the store itself: a watch gathers changes for 0.7 s.
 BEHIND_S = 0.8
@@ -51,6 +59,8 @@
     is_first_start : bool
         Whether the whole fleet starts for the first time: no host has a row
         yet.
+    rollout_store : RolloutStore or None
+        Rows of rollouts; None where the operator orders none.
     """
 
     def __init__(
@@ -60,6 +70,7 @@
         host: base.HostId,
         loop: asyncio.AbstractEventLoop,
         is_first_start: bool = False,
+        rollout_store: _rollout_store.RolloutStore | None = None,
     ):
         self.host = host
         self.loop = loop
@@ -73,8 +84,23 @@
         self._member_watcher = _watch.MemberWatcher(
             members, self.take_members, store_return
         )
+        self.rollouts = _rollout_log.RolloutLog()
+        self.rollout_store = rollout_store
+        self._rollout_watcher: _rollout_store.RolloutWatcher | None = None
+        if rollout_store is None:
+            self.rollouts.is_known = True
+        else:
+            self._config_watcher.post_orders = self.take_orders
+            self._rollout_watcher = _rollout_store.RolloutWatcher(
+                rollout_store.table, self._take_rows, store_return
+            )
+            self._rollout_watcher.set_enabled(False)
+        #: Clock of the store less that of the event loop.
+        self._store_offset_ms = 0
+        self._on_rollouts: OnRollouts | None = None
         self._on_config: OnConfig | None = None
         self._on_members: OnMembers | None = None
+        self._is_watching = False
         self._polled_s = -POLLED_S
         self._is_check_due = False
         self._changed = asyncio.Event()
@@ -97,15 +123,20 @@
         """Whether the store tells this daemon of each change."""
         return self._config_watcher.is_fresh and self._member_watcher.is_fresh
 
-    def start(self, on_config: OnConfig, on_members: OnMembers) -> None:
+    def start(
+        self,
+        on_config: OnConfig,
+        on_members: OnMembers,
+        on_rollouts: OnRollouts,
+    ) -> None:
         """Start to watch; the callbacks run in the event loop."""
         self._on_config = on_config
         self._on_members = on_members
-        for worker in (
-            self._config_watcher,
-            self._member_watcher,
-            self._keeper,
-        ):
+        self._on_rollouts = on_rollouts
+        workers = [self._config_watcher, self._member_watcher, self._keeper]
+        if self._rollout_watcher is not None:
+            workers.append(self._rollout_watcher)
+        for worker in workers:
             self._tasks.append(self.loop.create_task(worker.run()))
 
     def set_watching(self, is_watching: bool) -> None:
@@ -120,6 +151,27 @@
             watcher.gather_s = gather_s
             watcher.pauses.longest_s = longest_pause_s
             watcher.set_enabled(is_watching)
+        self._is_watching = is_watching
+        self._watch_rollouts()
+
+    @property
+    def is_watching(self) -> bool:
+        """Whether this daemon watches the store itself."""
+        return self._is_watching
+
+    def _watch_rollouts(self) -> None:
+        """Watch the rows of rollouts while there is an order to follow."""
+        if self._rollout_watcher is not None:
+            is_followed = bool(self.rollouts.list_open())
+            if not self.rollouts.is_known:
+                is_followed = bool(self.rollouts.list_orders())
+            is_needed = self._is_watching and is_followed
+            self._rollout_watcher.set_enabled(is_needed)
+
+    @property
+    def store_now_ms(self) -> int:
+        """Steady clock of the store, as far as it is known."""
+        return int(self.loop.time() * 1000) + self._store_offset_ms
 
     def publish(self, row: _messages.MemberRow | None) -> None:
         """Make this the row of this host, until the next call.
@@ -163,6 +215,70 @@
             self._on_members(self.members.list_members())
             self._note_change()
 
+    def take_orders(
+        self,
+        orders: list[rollout.Order],
+        is_complete: bool,
+        page: storage.RowsPage,
+    ) -> None:
+        """Take in orders of the operator.
+
+        Parameters
+        ----------
+        orders : list of Order
+            Those that were written, and those that were withdrawn.
+        is_complete : bool
+            Whether others have been withdrawn.
+        page : RowsPage
+            From which they come.
+        """
+        if page.now_ms:
+            self._store_offset_ms = page.now_ms - int(self.loop.time() * 1000)
+        if is_complete:
+            named = {order.target_set for order in orders}
+            orders = orders + [
+                msgspec.structs.replace(
+                    order,
+                    version=_rollout_log.WITHDRAWN,
+                    revision=page.revision,
+                )
+                for order in self.rollouts.list_orders()
+                if order.target_set not in named and order.version
+            ]
+        if not self.rollouts.list_orders() and not orders:
+            # Without an order no rollout is under way.
+            self._note_rollouts_known()
+        self.take_rollouts(_rollout_log.RolloutNews(tuple(orders)), False)
+
+    def _take_rows(self, entries: list[_rollout_log.RolloutEntry]) -> None:
+        self.take_rollouts(_rollout_log.RolloutNews((), tuple(entries)))
+
+    def take_rollouts(
+        self, news: _rollout_log.RolloutNews, is_all: bool = True
+    ) -> None:
+        """Take in orders and rollouts from the store or another daemon.
+
+        Parameters
+        ----------
+        news : RolloutNews
+            What is told.
+        is_all : bool
+            Whether all rows are known with it: orders alone do not tell how
+            far their rollouts have come.
+        """
+        is_changed = self.rollouts.merge(news)
+        self._watch_rollouts()
+        if is_all:
+            self._note_rollouts_known()
+        if is_changed:
+            self._on_rollouts()
+            self._note_change()
+
+    def _note_rollouts_known(self) -> None:
+        if not self.rollouts.is_known:
+            self.rollouts.is_known = True
+            self._on_rollouts()
+
     def note_poll(self) -> None:
         """Note that another daemon relies on this one."""
         self._polled_s = self.loop.time()
--- a/sedgering/mesh/_state.py
+++ b/sedgering/mesh/_state.py
@@ -16,6 +16,7 @@
 from sedgering.mesh import _settings
 from sedgering.mesh import _start
 from sedgering.mesh import _target_side
+from sedgering import rollout
 
 __all__ = ['RequestState']
 
@@ -77,6 +78,9 @@
         self.places = _search.FreePlaces()
         self.start = _start.StartWait()
         self.serving = _serving.ServingTime()
+        self.exposure = rollout.ExposureQuota(
+            mesh_settings.exposed_share_percent / 100
+        )
 
     def take_told(self, row: _messages.MemberRow) -> bool:
         """Believe what a daemon tells of the target beside it.
--- a/sedgering/mesh/_target.py
+++ b/sedgering/mesh/_target.py
@@ -135,6 +135,7 @@
             or old.lifetime.is_before(report.lifetime)
             or old.state is not report.state
             or old.slots != report.slots
+            or old.version != report.version
         )
         if is_changed:
             _log('target reported', report)
--- a/sedgering/mesh/_target_side.py
+++ b/sedgering/mesh/_target_side.py
@@ -19,6 +19,7 @@
 from sedgering.mesh import _settings
 from sedgering.mesh import _target
 from sedgering.mesh import _trials
+from sedgering.mesh import _version_trial
 from sedgering import transport
 
 __all__ = ['TargetSide']
@@ -103,6 +104,9 @@
             self.crashes, self.is_listening, gate.now_s
         )
         self.trials = _trials.TrialDesk()
+        self.trial = _version_trial.VersionTrial()
+        #: Whether the version of the target may get calls.
+        self.is_permitted = True
         self._replaced = frozenset(
             getattr(names, field).lower() for field in _REPLACED
         )
@@ -123,7 +127,8 @@
     def refresh_gate(self) -> None:
         """Open or close the gate as the target last reported."""
         self._open_lifetime = None
-        if self.target.is_open and not self.is_leaving:
+        may_open = self.is_permitted and not self.trial.is_stopped
+        if self.target.is_open and not self.is_leaving and may_open:
             self._open_lifetime = self.target.lifetime
             slots = max(1, self.target.report.slots)
             self.pool.idle_limit = slots + SPARE_CONNECTIONS
@@ -317,7 +322,9 @@
             answer = await self._send_if_there(call, ticket)
         finally:
             elapsed_ms = (self.gate.now_s() - started_s) * 1000
-            self.gate.leave(ticket, _judge(answer), elapsed_ms)
+            result = _judge(answer)
+            self.gate.leave(ticket, result, elapsed_ms)
+            self._note_evidence(call.route, result, elapsed_ms, started_s)
         if answer.outcome is _messages.CallOutcome.ANSWERED:
             fingerprint = self.crashes.find(call.request)
             if fingerprint is not None:
@@ -325,6 +332,24 @@
         answer.load = self.make_report(call.route)
         return answer
 
+    def _note_evidence(
+        self,
+        route: base.RouteName,
+        result: _gate.CallResult,
+        elapsed_ms: float,
+        started_s: float,
+    ) -> None:
+        """Count a call for or against the version of the target.
+
+        Not while it is cold: all versions are slow then.
+        """
+        is_on = self.trial.is_on and started_s >= self.target.cold_until_s
+        if not is_on or result is _gate.CallResult.REFUSED:
+            return
+        self.trial.note(route, result is _gate.CallResult.FAILED, elapsed_ms)
+        if self.trial.has_just_changed():
+            self.refresh_gate()
+
     def _check_target(
         self, call: _messages.TargetCall
     ) -> _messages.RefusalReason:
--- a/sedgering/mesh/_watch.py
+++ b/sedgering/mesh/_watch.py
@@ -14,6 +14,7 @@
 from sedgering.mesh import _members
 from sedgering.mesh import _messages
 from sedgering import observability
+from sedgering import rollout
 from sedgering import storage
 
 __all__ = [
@@ -49,6 +50,11 @@
 LEFT_TO_OTHERS_S = 5.0
 
 
+#: Called with the orders among some rows, whether all orders are among them,
+#: and the rows.
+OnOrders = Callable[[list[rollout.Order], bool, storage.RowsPage], None]
+
+
 class ConfigRow(msgspec.Struct, frozen=True):
     """Where the operator writes versions, and how they are decoded.
 
@@ -61,15 +67,22 @@
     decode : callable
         Makes an :class:`AcceptedConfig` of its value; raises
         `BundleError` when it cannot be decoded.
+    decode_order : callable or None
+        Makes an order of another row of the table, or None where the row is
+        no order; raises `RolloutError` when it cannot be decoded.  None where
+        the operator orders no rollouts.
     """
 
     table: storage.WatchedTable
     key: str
     decode: Callable[[bytes], _config.AcceptedConfig]
+    decode_order: Callable[[storage.Row], rollout.Order | None] | None = None
 
     async def read(self) -> storage.RowsPage:
-        """Read the row."""
-        return await self.table.list_rows(self.key, self.key + '\0')
+        """Read the row, with the orders beside it."""
+        if self.decode_order is None:
+            return await self.table.list_rows(self.key, self.key + '\0')
+        return await self.table.list_rows()
 
 
 class StoreReturn:
@@ -273,6 +286,8 @@
         super().__init__('watch-config', row.table, store_return)
         self.row = row
         self.post = post
+        #: Told the orders of a page, whether they are all, and the page.
+        self.post_orders: OnOrders | None = None
         self._refusals = observability.RefusalLog(LOG, logging.ERROR)
         #: Times that the whole row was read.
         self.reads = 0
@@ -281,11 +296,32 @@
         """Read the operator's row."""
         self.reads += 1
         page = await self.row.read()
-        self.take_changes(page)
+        self._take_orders(page, True)
+        self._take_version(page)
         return page.revision
 
     def take_changes(self, page: storage.RowsPage) -> None:
-        """Decode the newest version."""
+        """Decode the newest version, and the orders beside it."""
+        self._take_orders(page, False)
+        self._take_version(page)
+
+    def _take_orders(self, page: storage.RowsPage, is_complete: bool) -> None:
+        if self.row.decode_order is None or self.post_orders is None:
+            return
+        orders = map(self._decode_order, page.rows)
+        found = [order for order in orders if order is not None]
+        self.post_orders(found, is_complete, page)
+
+    def _decode_order(self, row: storage.Row) -> rollout.Order | None:
+        try:
+            return self.row.decode_order(row)
+        except exceptions.RolloutError as error:
+            self._refusals.note(
+                row.revision, 'order refused', error, version=row.revision
+            )
+        return None
+
+    def _take_version(self, page: storage.RowsPage) -> None:
         newest = [row for row in page.rows if row.key == self.row.key][-1:]
         config = self._decode(newest[0]) if newest else None
         self.post(config, page.revision)
--- a/sedgering/platform/_factory.py
+++ b/sedgering/platform/_factory.py
@@ -5,6 +5,7 @@
 from sedgering import base
 from sedgering import mesh
 from sedgering.platform import _document
+from sedgering.platform import _rollouts
 from sedgering.platform import _store
 from sedgering.platform import _tables
 
@@ -22,6 +23,7 @@
     host: base.HostId,
     loop: asyncio.AbstractEventLoop,
     is_first_start: bool = False,
+    has_rollouts: bool = False,
 ) -> mesh.MeshSource:
     """Make the source of versions and members of one daemon.
 
@@ -35,11 +37,22 @@
         In which the daemon runs.
     is_first_start : bool
         Whether the whole fleet starts for the first time.
+    has_rollouts : bool
+        Whether the operator orders rollouts.
     """
     config_row = mesh.ConfigRow(
         _tables.PlatformTable(client, CONFIG_TABLE),
         CONFIG_KEY,
         _document.DocumentDecoder().decode,
+        _rollouts.decode_order if has_rollouts else None,
     )
     members = _tables.PlatformTable(client, MEMBERS_TABLE)
-    return mesh.MeshSource(config_row, members, host, loop, is_first_start)
+    rollout_store = _rollouts.PlatformRollouts(client)
+    return mesh.MeshSource(
+        config_row,
+        members,
+        host,
+        loop,
+        is_first_start,
+        rollout_store if has_rollouts else None,
+    )
--- a/sedgering/platform/_program.py
+++ b/sedgering/platform/_program.py
@@ -4,6 +4,8 @@
 import gc
 import signal
 
+import msgspec
+
 from sedgering import mesh
 from sedgering.platform import _document
 from sedgering.platform import _factory
@@ -39,7 +41,13 @@
         host_settings.identity.host,
         loop,
         host_settings.is_first_start,
+        has_rollouts=host_settings.exposed_share is not None,
     )
+    if host_settings.exposed_share is not None:
+        mesh_settings = msgspec.structs.replace(
+            mesh_settings,
+            exposed_share_percent=int(100 * host_settings.exposed_share),
+        )
     daemon = mesh.make_mesh_daemon(
         host_settings.identity,
         host_settings.addresses,
--- a/sedgering/platform/_reports.py
+++ b/sedgering/platform/_reports.py
@@ -32,9 +32,8 @@
 #: Most of the particulars that an answer repeats.
 DETAIL_CHARACTERS = 200
 
-#: Up to the largest whole number that every reader of JSON keeps exactly.
-_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
 _BornMs = Annotated[int, msgspec.Meta(ge=1, le=2**53 - 1)]
+_Version = Annotated[str, msgspec.Meta(max_length=200)]
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=10_000)]
 
 
@@ -70,12 +69,12 @@
     address: str
     zone: str
     #: Of its software.
-    version: str
+    version: _Version
     slots: _Slots
     state: str
     #: For how much longer the target is slow after its start.
     cold_remaining: str
-    sequence: _Count
+    sequence: base.Count
 
 
 class _Goodbye(_Told, kw_only=True):
@@ -162,6 +161,7 @@
         cold_ms=_decode_cold_ms(heartbeat.cold_remaining),
         sequence=heartbeat.sequence,
         born_ms=lifetime.born_ms,
+        version=base.SoftwareVersion(heartbeat.version),
     )
 
 
--- /dev/null
+++ b/sedgering/platform/_rollouts.py
@@ -0,0 +1,112 @@
+"""Orders of rollouts, and what the operator is told of them."""
+
+from typing import Annotated
+
+import msgspec
+
+from sedgering import base
+from sedgering import exceptions
+from sedgering import mesh
+from sedgering.platform import _store
+from sedgering.platform import _tables
+from sedgering.platform import _wire
+from sedgering import rollout
+from sedgering import storage
+
+__all__ = ['PlatformRollouts', 'decode_order']
+
+#: Keys of orders beside the operator's document, and of what it is told.
+ORDER_PREFIX = 'rollout/'
+STATUS_TABLE = 'status'
+#: Table of our own with one row for each set that was ever ordered to move.
+ROLLOUTS_TABLE = 'sedgering_rollouts'
+
+_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+#: What the operator reads of each stage.
+_STATES = {
+    rollout.Stage.TRIAL: 'running',
+    rollout.Stage.MOVING: 'running',
+    rollout.Stage.SETTLING: 'running',
+    rollout.Stage.SUCCEEDED: 'succeeded',
+    rollout.Stage.ROLLED_BACK: 'rolled_back',
+}
+
+
+class _Order(msgspec.Struct):
+    service: _Text
+    #: A version of its software.
+    to: _Text
+    duration: str
+
+
+class _Status(msgspec.Struct):
+    service: str
+    to: str
+    state: str
+
+
+def decode_order(row: storage.Row) -> rollout.Order | None:
+    """Decode an order; one that was withdrawn has no version.
+
+    Raises
+    ------
+    RolloutError
+        When it cannot be decoded; nothing changes then.
+    """
+    if not row.key.startswith(ORDER_PREFIX):
+        return None
+    target_set = base.TargetSetName(row.key.removeprefix(ORDER_PREFIX))
+    if row.is_removed:
+        return rollout.Order(
+            target_set, base.SoftwareVersion(''), 0, row.revision
+        )
+    try:
+        order = msgspec.json.decode(row.value, type=_Order)
+        duration_ms = _wire.parse_duration_ms(order.duration)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise _make_error(str(error)) from error
+    if order.service != target_set:
+        raise _make_error(f'{row.key} names {order.service!r}')
+    return rollout.Order(
+        target_set,
+        base.SoftwareVersion(order.to),
+        duration_ms,
+        row.revision,
+    )
+
+
+class PlatformRollouts(mesh.RolloutStore):
+    """Rows of rollouts in a table of our own, and the operator's beside them.
+
+    Parameters
+    ----------
+    client : StoreClient
+        With a carrier of the event loop.
+    """
+
+    def __init__(self, client: _store.StoreClient):
+        self.client = client
+        self.table = _tables.PlatformTable(client, ROLLOUTS_TABLE)
+
+    async def write(
+        self, row: rollout.Rollout, revision: int
+    ) -> storage.Outcome:
+        """Write a row, and tell the operator; see :class:`RolloutStore`."""
+        key = row.target_set
+        status = _Status(key, row.new, _STATES[row.stage])
+        condition = storage.Condition(key, revision)
+        told = storage.Put(f'{ORDER_PREFIX}{key}', msgspec.json.encode(status))
+        put = storage.Put(key, msgspec.json.encode(row))
+        try:
+            written = await self.client.transact_across(
+                [(ROLLOUTS_TABLE, condition)],
+                [(ROLLOUTS_TABLE, put), (STATUS_TABLE, told)],
+            )
+        except exceptions.PlatformError as error:
+            return _tables.tell_failure(error)
+        return storage.Outcome(storage.OutcomeKind.DONE, revision=written)
+
+
+def _make_error(detail: str) -> exceptions.RolloutError:
+    return exceptions.RolloutError(exceptions.Code.ROLLOUT_UNREADABLE, detail)
--- a/sedgering/platform/_settings.py
+++ b/sedgering/platform/_settings.py
@@ -53,6 +53,9 @@
         Retry budget of the whole fleet.
     is_first_start : bool
         Whether the whole fleet starts for the first time.
+    exposed_share : float or None
+        Share of the calls to a set that a version on trial may get at most;
+        None where the operator orders no rollouts.
     """
 
     identity: mesh.MeshIdentity
@@ -63,6 +66,7 @@
     retry_extra: float
     retry_window_s: float
     is_first_start: bool = False
+    exposed_share: float | None = None
 
 
 class _Listen(msgspec.Struct):
@@ -136,6 +140,7 @@
 
 def _convert(file: _File) -> HostSettings:
     bounds = dict(item.split('=', 1) for item in file.bounds)
+    exposed_share = bounds.get('expose_share')
     target_address, target_port = _split(file.app)
     store_address, store_port = _split(file.platform.address)
     return HostSettings(
@@ -160,6 +165,7 @@
         retry_extra=float(bounds['budget_extra']),
         retry_window_s=_wire.parse_duration_ms(bounds['budget_window']) / 1000,
         is_first_start=file.bootstrap,
+        exposed_share=float(exposed_share) if exposed_share else None,
     )
 
 
--- a/sedgering/platform/_store.py
+++ b/sedgering/platform/_store.py
@@ -9,6 +9,7 @@
 
 from sedgering import exceptions
 from sedgering.platform import _carrier
+from sedgering.platform import _wire
 from sedgering import storage
 
 __all__ = ['StoreClient', 'decode_rows']
@@ -51,6 +52,8 @@
     rows: list[_WireRow] = []
     schema_version: int = 0
     has_more: bool = False
+    #: The store's steady clock, as a duration.
+    now: str = ''
 
 
 _PAGE_DECODER = msgspec.json.Decoder(_WirePage)
@@ -100,7 +103,7 @@
             rows.extend(_make_rows(page))
             is_full = limit and len(rows) >= limit
             if is_full or not page.has_more or not page.rows:
-                return storage.RowsPage(tuple(rows), page.schema_version)
+                return _make_page(page, tuple(rows))
             start = page.rows[-1].key + '\0'
 
     async def read_rows(
@@ -146,7 +149,7 @@
             'wait_ms': str(wait_ms),
         }
         page = _decode_page(await self._read('/v1/rows-feed', fields, wait_ms))
-        return storage.RowsPage(_make_rows(page), page.schema_version)
+        return _make_page(page, _make_rows(page))
 
     async def transact(
         self, table: str, transaction: storage.Transaction
@@ -171,6 +174,33 @@
             transaction.puts,
             transaction.deletes,
         )
+        return await self._commit(body)
+
+    async def transact_across(
+        self,
+        conditions: Sequence[tuple[str, storage.Condition]],
+        puts: Sequence[tuple[str, storage.Put]],
+    ) -> int:
+        """Write rows of several tables if all conditions hold.
+
+        Parameters
+        ----------
+        conditions, puts : sequence of tuple
+            Each with the table to which it belongs.
+
+        Raises
+        ------
+        PlatformError
+            See :meth:`transact`.
+        """
+        return await self._commit(
+            _encode_entries(
+                [_make_condition(table, item) for table, item in conditions],
+                [_make_put(table, item) for table, item in puts],
+            )
+        )
+
+    async def _commit(self, body: bytes) -> int:
         answer = await self._write('POST', '/v1/rows-tx', body, _JSON)
         return _decode_page(answer.body).schema_version
 
@@ -256,24 +286,32 @@
         raise exceptions.PlatformError(
             exceptions.Code.PLATFORM_REFUSED, f'{entries} entries'
         )
+    return _encode_entries(
+        [_make_condition(table, item) for item in conditions],
+        [_make_put(table, item) for item in puts],
+        [_locate(table, key) for key in deletes],
+    )
+
+
+def _encode_entries(
+    conditions: list[dict[str, Any]],
+    puts: list[dict[str, Any]],
+    deletes: Sequence[dict[str, Any]] = (),
+) -> bytes:
     return msgspec.json.encode(
-        {
-            'precondition': [
-                {**_locate(table, item.key), 'schema_version': item.revision}
-                for item in conditions
-            ],
-            'puts': [
-                {
-                    **_locate(table, item.key),
-                    'value': base64.b64encode(item.value).decode('ascii'),
-                }
-                for item in puts
-            ],
-            'remove': [_locate(table, key) for key in deletes],
-        }
+        {'precondition': conditions, 'puts': puts, 'remove': list(deletes)}
     )
 
 
+def _make_condition(table: str, item: storage.Condition) -> dict[str, Any]:
+    return {**_locate(table, item.key), 'schema_version': item.revision}
+
+
+def _make_put(table: str, item: storage.Put) -> dict[str, Any]:
+    value = base64.b64encode(item.value).decode('ascii')
+    return {**_locate(table, item.key), 'value': value}
+
+
 def _locate(table: str, key: str) -> dict[str, Any]:
     return {'table': table, 'part': '', 'key': key}
 
@@ -298,6 +336,20 @@
         raise _make_error(exceptions.Code.PLATFORM_REFUSED, error) from error
 
 
+def _make_page(
+    page: _WirePage, rows: tuple[storage.Row, ...]
+) -> storage.RowsPage:
+    return storage.RowsPage(rows, page.schema_version, _parse_now_ms(page.now))
+
+
+def _parse_now_ms(text: str) -> int:
+    """Return the store's clock; 0 where it cannot be read."""
+    try:
+        return _wire.parse_duration_ms(text)
+    except ValueError:
+        return 0
+
+
 def _make_rows(page: _WirePage) -> tuple[storage.Row, ...]:
     return tuple(map(_make_row, page.rows))
 
--- a/sedgering/storage/_base.py
+++ b/sedgering/storage/_base.py
@@ -59,10 +59,13 @@
         In the order of keys, or of changes in a watch.
     revision : int
         Counter of the store at that moment; a watch goes on from it.
+    now_ms : int
+        Steady clock of the store at that moment; 0 when it did not tell.
     """
 
     rows: tuple[Row, ...]
     revision: int
+    now_ms: int = 0
 
 
 class Condition(msgspec.Struct, frozen=True):
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -116,6 +116,8 @@
         self.target_set = target_set
         self.addresses = mesh.Addresses(ADDRESS, *ports[:4], ADDRESS, ports[4])
         self.books = _mesh_target.TargetBooks(f'i-{name}')
+        #: Of the software of its target.
+        self.version = 'v1'
         self.daemon: mesh.MeshDaemon | None = None
         self.servers: list = []
         self.target_server: asyncio.AbstractServer | None = None
@@ -137,6 +139,8 @@
         Width of the links of all hosts; 0 when it is not known.
     is_first_start : bool
         Whether all daemons are told that the fleet starts for the first time.
+    has_rollouts : bool
+        Whether all daemons are told that the operator orders rollouts.
     """
 
     def __init__(
@@ -144,8 +148,10 @@
         mesh_settings: mesh.MeshSettings | None = None,
         link_mbps: float = 0,
         is_first_start: bool = False,
+        has_rollouts: bool = False,
     ):
         self.is_first_start = is_first_start
+        self.has_rollouts = has_rollouts
         self.link_mbps = link_mbps
         self.mesh_settings = mesh_settings or mesh.MeshSettings()
         self.loop = asyncio.new_event_loop()
@@ -161,10 +167,13 @@
         future = asyncio.run_coroutine_threadsafe(work, self.loop)
         return future.result(PATIENCE_S)
 
-    def add_host(self, name: str, target_set: str = 'calendar') -> MeshHost:
+    def add_host(
+        self, name: str, target_set: str = 'calendar', version: str = 'v1'
+    ) -> MeshHost:
         """Start a host whose target reports itself ready."""
         ports = _fleet.free_ports(PORTS_PER_HOST)
         host = MeshHost(name, target_set, ports)
+        host.version = version
         self.hosts[name] = host
         self.run(self._start_host(host))
         self.report(host)
@@ -201,6 +210,23 @@
         """Write the operator's document."""
         self.engine.write('op', 'config', document)
 
+    def order_rollout(
+        self, target_set: str, version: str, duration_ms: int
+    ) -> None:
+        """Write the operator's order to move the calls of a set."""
+        order = {
+            'service': target_set,
+            'to': version,
+            'duration': f'{duration_ms}ms',
+        }
+        key = f'rollout/{target_set}'
+        self.engine.write('op', key, json.dumps(order).encode())
+
+    def read_rollout(self, target_set: str) -> str:
+        """Return the state that the operator reads; empty before any."""
+        (row,) = self.engine.read((f'rollout/{target_set}',), 'status')
+        return json.loads(row.value)['state'] if row.revision else ''
+
     def call(
         self, port: int, path: str, body: bytes | None = None, **headers: str
     ) -> transport.Response:
@@ -245,6 +271,7 @@
             state,
             host.sequence,
             born_ms=host.born_ms,
+            version=host.version,
         )
 
     def let_crash(self, host: MeshHost, back_after_s: float) -> None:
@@ -338,7 +365,11 @@
             )
         )
         source = platform.make_mesh_source(
-            client, identity.host, self.loop, self.is_first_start
+            client,
+            identity.host,
+            self.loop,
+            self.is_first_start,
+            self.has_rollouts,
         )
         host.daemon = mesh.make_mesh_daemon(
             identity,
--- a/sedgering/testing/_platform_calls.py
+++ b/sedgering/testing/_platform_calls.py
@@ -25,6 +25,7 @@
     sequence: int,
     slots: int = 2,
     born_ms: int = 0,
+    version: str = 'v1',
 ) -> transport.Request:
     """Make what a target tells the daemon beside it.
 
@@ -38,6 +39,8 @@
         What is told.
     born_ms : int
         Start of the lifetime; 0 for a target that does not tell it.
+    version : str
+        Of its software.
     """
     body = {'born': born_ms} if born_ms else {}
     if verb == 'heartbeat':
@@ -45,7 +48,7 @@
             'service': target_set,
             'address': '10.128.0.9:8080',
             'zone': 'hall',
-            'version': 'v1',
+            'version': version,
             'slots': slots,
             'state': state,
             'cold_remaining': '0ms',
--- a/sedgering/testing/_store_server.py
+++ b/sedgering/testing/_store_server.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import threading
+import time
 import urllib.parse
 
 import msgspec
@@ -149,6 +150,7 @@
             'rows': [_encode_row(row) for row in rows],
             'has_more': has_more,
             'schema_version': self.engine.revision,
+            'now': f'{int(time.monotonic() * 1000)}ms',
         }
         return transport.make_json_response(status, body)
 
