--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -81,7 +81,7 @@
       | trial    | 0    | is good            | 5000 | moving      |
       | trial    | 0    | is bad             | 500  | rolled back |
       | trial    | 0    | shows nothing      | 5500 | trial       |
-      | trial    | 0    | shows nothing      | 6200 | rolled back |
+      | trial    | 0    | shows nothing      | 6700 | rolled back |
       | trial    | 0    | is stopped         | 500  | rolled back |
       | trial    | 0    | is withdrawn       | 500  | rolled back |
 
--- a/sedgering/rollout/_plan.py
+++ b/sedgering/rollout/_plan.py
@@ -13,7 +13,7 @@
 #: go to it, all of them are exposed.  What has no verdict by the second one is
 #: undone: moving takes the rest.
 LEAST_TRIAL_SHARE = 0.5
-LONGEST_TRIAL_SHARE = 0.62
+LONGEST_TRIAL_SHARE = 0.66
 #: When the move is done at the latest, whatever still runs at the old version.
 LAST_SHARE = 0.92
 #: Time for which the old version still takes calls while senders learn that
