The trial of a version is no longer named like the trials of requests

TargetSide.trials lets suspect requests run one by one; the trial of a new version beside it is version_trial. An alias that nobody used is gone.

--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -285,9 +285,14 @@
         if report is None:
             return
         entry = self.source.rollouts.find_entry(report.target_set)
-        side.trial.follow(entry.rollout if entry else None, report.version)
+        side.version_trial.follow(
+            entry.rollout if entry else None, report.version
+        )
         may_run = self.state.fleet.may_run(report.target_set, report.version)
-        if may_run is not side.is_permitted or side.trial.has_just_changed():
+        if (
+            may_run is not side.is_permitted
+            or side.version_trial.has_just_changed()
+        ):
             side.is_permitted = may_run
             side.refresh_gate()
 
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -126,7 +126,9 @@
             LOG.warning('question refused', extra={'detail': str(error)})
             return transport.make_json_response(400, {'error': str(error)})
         return _evidence_hop.encode_evidence(
-            self.side.trial.find_evidence(order_revision, self.side.gate)
+            self.side.version_trial.find_evidence(
+                order_revision, self.side.gate
+            )
         )
 
     def _take_notice(self, request: transport.Request) -> transport.Response:
--- a/sedgering/mesh/_target_side.py
+++ b/sedgering/mesh/_target_side.py
@@ -104,7 +104,7 @@
             self.crashes, self.is_listening, gate.now_s
         )
         self.trials = _trials.TrialDesk()
-        self.trial = _version_trial.VersionTrial()
+        self.version_trial = _version_trial.VersionTrial()
         #: Whether the version of the target may get calls.
         self.is_permitted = True
         self._replaced = frozenset(
@@ -127,7 +127,7 @@
     def refresh_gate(self) -> None:
         """Open or close the gate as the target last reported."""
         self._open_lifetime = None
-        may_open = self.is_permitted and not self.trial.is_stopped
+        may_open = self.is_permitted and not self.version_trial.is_stopped
         if self.target.is_open and not self.is_leaving and may_open:
             self._open_lifetime = self.target.lifetime
             slots = max(1, self.target.report.slots)
@@ -356,11 +356,15 @@
 
         Not while it is cold: all versions are slow then.
         """
-        is_on = self.trial.is_on and started_s >= self.target.cold_until_s
+        is_on = (
+            self.version_trial.is_on and started_s >= self.target.cold_until_s
+        )
         if not is_on or result is _gate.CallResult.REFUSED:
             return
-        self.trial.note(route, result is _gate.CallResult.FAILED, elapsed_ms)
-        if self.trial.has_just_changed():
+        self.version_trial.note(
+            route, result is _gate.CallResult.FAILED, elapsed_ms
+        )
+        if self.version_trial.has_just_changed():
             self.refresh_gate()
 
     @staticmethod
--- a/sedgering/rollout/__init__.py
+++ b/sedgering/rollout/__init__.py
@@ -18,7 +18,6 @@
 from sedgering.rollout._permits import find_majority
 from sedgering.rollout._permits import make_permits
 from sedgering.rollout._permits import Permits
-from sedgering.rollout._permits import PermitTable
 from sedgering.rollout._permits import UNKNOWN_VERSION
 from sedgering.rollout._plan import make_rollout
 from sedgering.rollout._plan import plan_next
@@ -34,7 +33,6 @@
     'Evidence',
     'ExposureQuota',
     'Order',
-    'PermitTable',
     'Permits',
     'Rollout',
     'RouteEvidence',
--- a/sedgering/rollout/_permits.py
+++ b/sedgering/rollout/_permits.py
@@ -2,7 +2,6 @@
 
 import collections
 from collections.abc import Iterable
-from collections.abc import Mapping
 
 import msgspec
 
@@ -101,7 +100,3 @@
     if not counts:
         return UNKNOWN_VERSION
     return min(counts, key=lambda version: (-counts[version], version))
-
-
-#: Permits of each set.
-PermitTable = Mapping[base.TargetSetName, Permits]
