A rollout whose order has not come yet is left alone

Seen on a small twin with two orders a second apart: the second, of a good version, was undone 0.7 s after it. Rows of rollouts are watched without a pause while one runs, the operator's table with one of 0.6 s; a daemon that had the row alone took the order as withdrawn.

Change: a row is followed once an order as new as the one that it names is known. A scenario of rollouts.feature has the four cases.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -70,6 +70,21 @@
   Scenario: News of orders and rollouts come in any order
     Then whatever order news come in, the newest of each set holds
 
+  Scenario Outline: A row that comes before its order is not undone
+    Seen: a good version was undone 0.7 s after its order.  Rows of rollouts are
+    watched without a pause while one runs, orders with one; the daemon that
+    had the row of the second alone took its order as withdrawn.
+    Given a daemon that knows the row of a rollout that follows order 7
+    When it has been told of <order>
+    Then it <verb> what to do with the rollout, of which the order <stands>
+
+    Examples:
+      | order                  | verb          | stands        |
+      | no order               | does not know | is not there  |
+      | order 5                | does not know | is an earlier |
+      | order 7                | knows         | stands        |
+      | the withdrawal after 7 | knows         | is withdrawn  |
+
   Scenario Outline: When a rollout goes on
     Given a rollout of 10 s in the stage <stage> since <age> ms
     When its new version <shows> at <now> ms
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -268,6 +268,35 @@
     check()
 
 
+@given('a daemon that knows the row of a rollout that follows order 7')
+def step_row_alone(context):
+    context.log = _rollout_log.RolloutLog()
+    context.log.is_known = True
+    entry = _rollout_log.RolloutEntry(8, make_row('trial'))
+    context.log.merge(_rollout_log.RolloutNews((), (entry,)))
+
+
+@when('it has been told of {order}')
+def step_told_order(context, order):
+    orders = {
+        'no order': (),
+        'order 5': (make_order(5),),
+        'order 7': (make_order(7),),
+        'the withdrawal after 7': (
+            make_order(7),
+            rollout.Order(SET, base.SoftwareVersion(''), 0, 9),
+        ),
+    }
+    context.log.merge(_rollout_log.RolloutNews(orders[order]))
+
+
+@then('it {verb} what to do with the rollout, of which the order {stands}')
+def step_order_known(context, verb, stands):
+    assert context.log.is_order_known(SET) == (verb == 'knows')
+    has_order = context.log.find_order(SET) is not None
+    assert has_order == (stands in ('stands', 'is an earlier'))
+
+
 @given('a rollout of 10 s in the stage {stage} since {age:d} ms')
 def step_row(context, stage, age):
     context.row = make_row(stage, age)
--- a/sedgering/mesh/_rollout_driver.py
+++ b/sedgering/mesh/_rollout_driver.py
@@ -97,7 +97,8 @@
     async def _follow(self, target_set: base.TargetSetName) -> None:
         """Take one rollout on, if it is due and this daemon's turn."""
         log = self.source.rollouts
-        if not log.is_known or not self._is_my_turn(target_set):
+        is_due = log.is_known and log.is_order_known(target_set)
+        if not is_due or not self._is_my_turn(target_set):
             return
         order = log.find_order(target_set)
         entry = log.find_entry(target_set)
--- a/sedgering/mesh/_rollout_log.py
+++ b/sedgering/mesh/_rollout_log.py
@@ -106,6 +106,19 @@
         order = self._orders.get(target_set)
         return order if order is not None and order.version else None
 
+    def is_order_known(self, target_set: base.TargetSetName) -> bool:
+        """Whether the order that the row of a set follows has come here.
+
+        Rows may come first.  Without this, a daemon that had the row of a
+        second rollout 0.6 s before its order took it as withdrawn, and undid
+        a good version.
+        """
+        order = self._orders.get(target_set)
+        entry = self._entries.get(target_set)
+        if order is None or entry is None:
+            return entry is None
+        return order.revision >= entry.rollout.order_revision
+
     def find_entry(
         self, target_set: base.TargetSetName
     ) -> RolloutEntry | None:
