--- a/features/steps/target_steps.py
+++ b/features/steps/target_steps.py
@@ -1,6 +1,7 @@
 """Steps over lifetimes of targets, and over what other writers say."""
 
 import asyncio
+import time
 
 from behave import given
 from behave import then
@@ -420,3 +421,36 @@
     for host in context.mesh.fleet.hosts.values():
         assert not len(host.daemon.state.crashes)
         assert not host.daemon.state.side.watch.records
+
+
+@given('two hosts with targets, and the store away')
+def step_store_away(context):
+    fleet = context.fleet = testing.MeshFleet()
+    context.cleanups.append(fleet.stop)
+    fleet.configure(testing.make_document(1, [{}]))
+    context.hosts = [fleet.add_host(name) for name in ('h1', 'h2')]
+    fleet.wait_ready()
+    fleet.engine.faults.mode = testing.StoreMode.RESET
+
+
+@when('the second target says goodbye, and its daemon starts again')
+def step_goodbye(context):
+    second = context.hosts[1]
+    second.books.is_leaving = True
+    context.fleet.deregister(second)
+    assert not second.daemon.state.side.gate.is_open
+    context.fleet.restart(second)
+
+
+@when('a late report of that target comes')
+def step_late_report(context):
+    context.fleet.report(context.hosts[1])
+
+
+@then('the gate before it stays closed')
+def step_gate_closed(context):
+    side = context.hosts[1].daemon.state.side
+    end_s = time.monotonic() + AT_ONCE_S
+    while time.monotonic() < end_s:
+        assert not side.gate.is_open, side.target.report
+        time.sleep(0.01)
--- a/features/targets.feature
+++ b/features/targets.feature
@@ -147,3 +147,12 @@
     And it tells for the first time when it was born
     Then the 2 calls are answered 200
     And no request is blamed for an end
+
+  Scenario: A goodbye outlives its daemon, though the store is away
+    Seen: a target that had said goodbye to a daemon that was leaving ended
+    under a call, for which its caller got 502.  The row could not be written,
+    the daemon had started again, and a late report opened the gate.
+    Given two hosts with targets, and the store away
+    When the second target says goodbye, and its daemon starts again
+    And a late report of that target comes
+    Then the gate before it stays closed
