A daemon that starts with the store away waits for a second report

Cause: a target said goodbye to a daemon that was leaving while the store was away, so that no row told it; the daemon started again, a late report opened the gate, and the target ended under a call (LOST).

Ruled out: to wait until the rows are known keeps the targets of all hosts that start in an outage closed for as long as it lasts; a health check needs the path of the bundle, which is not there either.

Change: while the rows are not known a report that is not the first of its lifetime opens the gate only with a later one, 1.5 s on.

--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -121,6 +121,8 @@
         )
         if source.rollout_store is not None:
             state.fleet.rollouts = source.rollouts
+        #: A report that waits for another one; see `_needs_another_report`.
+        self._early_report: _messages.TargetReport | None = None
         self.is_leaving = False
         state.side.watch.on_end = self._tell_end
         self._servers: list[asyncio.AbstractServer] = []
@@ -306,6 +308,8 @@
         """
         self._check_set(report.target_set)
         self.check_lifetime(report.lifetime)
+        if self._needs_another_report(report):
+            return
         now_s = self.state.side.gate.now_s()
         target = self.state.side.target
         was_settling = target.rival is not None
@@ -323,6 +327,24 @@
         self._tasks.append(task)
         task.add_done_callback(self._tasks.remove)
 
+    def _needs_another_report(self, report: _messages.TargetReport) -> bool:
+        """Whether one report is too little to open the gate for a target.
+
+        It may be a late one, of a target that has said goodbye to an earlier
+        lifetime of this daemon while no row could be written: it got calls,
+        and ended under them.  A target that is there reports again, 1.5 s
+        later.  Where the rows are known, they tell.
+        """
+        is_first = report.sequence <= _target.FIRST_SEQUENCE
+        is_ready = report.state is _messages.TargetState.READY
+        is_told = self.state.fleet.is_known or self.state.side.target.report
+        if is_first or is_told or not is_ready:
+            return False
+        earlier, self._early_report = self._early_report, report
+        if earlier is None or earlier.lifetime != report.lifetime:
+            return True
+        return report.sequence <= earlier.sequence
+
     def check_lifetime(
         self, lifetime: _messages.Lifetime
     ) -> _messages.Lifetime:
