Stages of a rollout are timed by the clock of the store alone

Seen on a small twin with two orders a second apart: the second, of a good version, was undone 0.5 s after it, also with its order known. The daemon that began it had the order from a relay and no answer of the store of its own yet, and took its own clock for the store's: for all others the time was over.

Change: each answer to a watch tells the clock, and who has none writes no stage. Two checks in rollouts.feature.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -85,6 +85,14 @@
       | order 7                | knows         | stands        |
       | the withdrawal after 7 | knows         | is withdrawn  |
 
+  Scenario: Stages are timed by the clock of the store alone
+    Seen: a good version was undone 0.5 s after its order.  A daemon that had the
+    order from a relay, and no answer of the store yet, wrote its own clock as
+    the start of the rollout.
+    Given a fleet with 4 calendar targets of the version v1
+    Then each daemon that watches the store knows its clock
+    And one that does not know it writes no row of a rollout
+
   Scenario Outline: When a rollout goes on
     Given a rollout of 10 s in the stage <stage> since <age> ms
     When its new version <shows> at <now> ms
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 from behave import given
 from behave import then
@@ -34,6 +35,8 @@
 #: Speeds of targets of one set.
 SPEEDS = (0.5, 1.0, 1.5)
 SHARE = 0.1
+#: A loop under load tells the time late.
+CLOCK_SLACK_MS = 1000
 
 
 def list_versions(text: str) -> list[str]:
@@ -509,3 +512,48 @@
     runs = subject.count_runs('v2')
     subject.ask_until(lambda: False, 0.5)
     assert subject.count_runs('v2') == runs
+
+
+@then('each daemon that watches the store knows its clock')
+def step_clocks(context):
+    for host in context.subject.fleet.hosts.values():
+        source = host.daemon.source
+        context.subject.fleet.wait_for(lambda: source.store_now_ms is not None)
+        off_ms = source.store_now_ms - time.monotonic() * 1000
+        assert abs(off_ms) < CLOCK_SLACK_MS, off_ms
+
+
+@then('one that does not know it writes no row of a rollout')
+def step_no_clock(context):
+    fleet = context.subject.fleet
+    host = next(iter(fleet.hosts.values()))
+    driver = host.daemon.rollouts
+    driver.source = _ClocklessSource(host.daemon.source)
+    entry = _rollout_log.RolloutNews((make_order(),))
+    driver.source.rollouts.merge(entry)
+    fleet.run(driver._follow(SET))
+    assert not driver.source.rollout_store.written
+
+
+class _ClocklessSource:
+    """A source that has had no answer of the store."""
+
+    store_now_ms = None
+    is_watching = True
+
+    def __init__(self, source):
+        self.loop = source.loop
+        self.rollouts = _rollout_log.RolloutLog()
+        self.rollouts.is_known = True
+        self.rollout_store = _Rows()
+
+
+class _Rows:
+    """Rows that are only counted."""
+
+    def __init__(self):
+        self.written = []
+
+    async def write(self, row, revision):
+        self.written.append((row, revision))
+        return storage.Outcome(storage.OutcomeKind.NOT_DONE)
--- a/sedgering/mesh/_rollout_driver.py
+++ b/sedgering/mesh/_rollout_driver.py
@@ -97,7 +97,8 @@
     async def _follow(self, target_set: base.TargetSetName) -> None:
         """Take one rollout on, if it is due and this daemon's turn."""
         log = self.source.rollouts
-        is_due = log.is_known and log.is_order_known(target_set)
+        is_known = log.is_known and log.is_order_known(target_set)
+        is_due = is_known and self.source.store_now_ms is not None
         if not is_due or not self._is_my_turn(target_set):
             return
         order = log.find_order(target_set)
--- a/sedgering/mesh/_source.py
+++ b/sedgering/mesh/_source.py
@@ -95,8 +95,12 @@
                 rollout_store.table, self._take_rows, store_return
             )
             self._rollout_watcher.set_enabled(False)
-        #: Clock of the store less that of the event loop.
-        self._store_offset_ms = 0
+        #: Clock of the store less that of the event loop; None where no
+        #: answer of the store has told it.
+        self._store_offset_ms: int | None = None
+        if rollout_store is not None:
+            self._config_watcher.on_clock = self._note_clock
+            self._member_watcher.on_clock = self._note_clock
         self._on_rollouts: OnRollouts | None = None
         self._on_config: OnConfig | None = None
         self._on_members: OnMembers | None = None
@@ -177,9 +181,18 @@
             is_needed = self._is_watching and is_followed
             self._rollout_watcher.set_enabled(is_needed)
 
+    def _note_clock(self, now_ms: int) -> None:
+        self._store_offset_ms = now_ms - int(self.loop.time() * 1000)
+
     @property
-    def store_now_ms(self) -> int:
-        """Steady clock of the store, as far as it is known."""
+    def store_now_ms(self) -> int | None:
+        """Steady clock of the store; None where nothing is known of it.
+
+        A daemon that took its own clock for it put the start of a rollout at
+        a moment that was long ago for all others, who undid it.
+        """
+        if self._store_offset_ms is None:
+            return None
         return int(self.loop.time() * 1000) + self._store_offset_ms
 
     def publish(self, row: _messages.MemberRow | None) -> None:
@@ -242,7 +255,7 @@
             From which they come.
         """
         if page.now_ms:
-            self._store_offset_ms = page.now_ms - int(self.loop.time() * 1000)
+            self._note_clock(page.now_ms)
         if is_complete:
             named = {order.target_set for order in orders}
             orders = orders + [
--- a/sedgering/mesh/_watch.py
+++ b/sedgering/mesh/_watch.py
@@ -199,6 +199,8 @@
         self._is_lost = False
         self.pauses = Pauses(store_return)
         self._store_return = store_return
+        #: Told the store's clock with each answer to a watch.
+        self.on_clock: Callable[[int], None] | None = None
         self._is_enabled = asyncio.Event()
         self._is_enabled.set()
 
@@ -264,6 +266,8 @@
             page = await self.table.watch(self._revision, wait_ms)
             self._note_success()
             self.skip_to(page.revision)
+            if self.on_clock is not None and page.now_ms:
+                self.on_clock(page.now_ms)
             self.take_changes(page)
             if page.rows:
                 await asyncio.sleep(self.gather_s)
