A choice works out once what all its targets have in common

Cause: a comparison looked up twelve times what does not differ between targets, made two lifetimes to see that a row is the same, and worked out decays of zeros; heads were gone through five times a hop, with a copy of the request for each encoding, and limits were asked for with each field. Change: CallCosts; rows compared by identity first; one pass over the fields of a head; encode_request takes the fields it sends. An exchange chooses where to go on once, and pays for a repeat only when there is a place for it: it asked whether there is one, with marks left by the question, and chose again.

--- a/benchmarks/bench_choice.py
+++ b/benchmarks/bench_choice.py
@@ -47,9 +47,8 @@
     rng = random.Random(1)
 
     def choose(members) -> None:
-        mesh.choose_member(
-            members, (), peers, 'hall-0', ROUTE, 0, False, rng, 0.1
-        )
+        costs = mesh.CallCosts(peers, 'hall-0', ROUTE, 0, False, 0.1)
+        mesh.choose_member(members, (), costs, rng)
 
     return {
         'all': time_us(lambda: choose(rows), choices),
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -194,17 +194,9 @@
 
 
 def _choose(context, seed, **kinds):
+    costs = _choice.CallCosts(context.peers, 'hall', ROUTE, 0, False, 0.0)
     peer = _choice.choose_member(
-        context.rows,
-        (),
-        context.peers,
-        'hall',
-        ROUTE,
-        0,
-        False,
-        random.Random(seed),
-        0.0,
-        **kinds,
+        context.rows, (), costs, random.Random(seed), **kinds
     )
     return peer.row.host
 
--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -213,9 +213,10 @@
 def step_recovered(context, most_ms, count):
     end_calls(context.gate, count, _gate.CallResult.DONE, 100)
     peers, peer = make_told(context)
-    expected_ms = _choice.estimate_ms(
-        peer, base.DataCentre('hall'), ROUTE, 0, False, peers, 0.0
+    costs = _choice.CallCosts(
+        peers, base.DataCentre('hall'), ROUTE, 0, False, 0.0
     )
+    expected_ms = costs.estimate_ms(peer)
     assert expected_ms < most_ms, expected_ms
 
 
@@ -245,9 +246,10 @@
 @then('a peer that is told of it expects more than {least_ms:d} ms')
 def step_expected(context, least_ms):
     peers, peer = make_told(context)
-    expected_ms = _choice.estimate_ms(
-        peer, base.DataCentre('hall'), ROUTE, 0, False, peers, 0.0
+    costs = _choice.CallCosts(
+        peers, base.DataCentre('hall'), ROUTE, 0, False, 0.0
     )
+    expected_ms = costs.estimate_ms(peer)
     assert expected_ms > least_ms, expected_ms
 
 
@@ -393,17 +395,17 @@
     context, body_bytes=0, tried=(), now_s=0.0, seed=1, is_nested=False
 ):
     """Choose from hall."""
-    peer = mesh.choose_member(
-        context.fleet.by_set[SET],
-        tried,
+    costs = mesh.CallCosts(
         context.peers,
         base.DataCentre('hall'),
         ROUTE,
         body_bytes,
         is_nested,
-        random.Random(seed),
         now_s,
     )
+    peer = mesh.choose_member(
+        context.fleet.by_set[SET], tried, costs, random.Random(seed)
+    )
     return peer and peer.row.host
 
 
--- a/sedgering/mesh/__init__.py
+++ b/sedgering/mesh/__init__.py
@@ -7,6 +7,7 @@
 
 from sedgering.mesh._budget import RetryWindow
 from sedgering.mesh._callers import CallerTable
+from sedgering.mesh._choice import CallCosts
 from sedgering.mesh._choice import choose_member
 from sedgering.mesh._choice import WeightedTurns
 from sedgering.mesh._config import AcceptedConfig
@@ -48,6 +49,7 @@
     'AcceptedConfig',
     'Addresses',
     'CallAnswer',
+    'CallCosts',
     'CallOutcome',
     'CallUrgency',
     'CallerTable',
--- a/sedgering/mesh/_choice.py
+++ b/sedgering/mesh/_choice.py
@@ -11,6 +11,7 @@
 from sedgering.mesh import _peers
 
 __all__ = [
+    'CallCosts',
     'WeightedTurns',
     'choose_member',
     'choose_trial_place',
@@ -80,67 +81,88 @@
             del self._balances[key]
 
 
-def estimate_ms(
-    peer: _peers.Peer,
-    data_centre: base.DataCentre,
-    route: base.RouteName,
-    body_bytes: int,
-    is_nested: bool,
-    peers: _peers.PeerTable,
-    now_s: float,
-) -> float:
-    """Estimate the time until a target has finished one more request."""
-    mesh_settings = peers.mesh_settings
-    present = peer.estimate_present(now_s, is_nested)
-    turns = max(0.0, present + 1 - peer.limit) / peer.limit
-    # A busy target is preferred less before it is full.
-    spread = 0.1 * present / peer.limit
-    typical_ms = peers.typical_work_ms(route)
-    work_ms = peer.estimate_work_ms(route, typical_ms, now_s)
-    cost_ms = work_ms
-    if is_nested:
-        # Each call that it overtakes is delayed by its work.
-        overtaken = peer.estimate_present(now_s, False) - present
-        cost_ms += max(0.0, overtaken) * work_ms / peer.limit
-    cost_ms += peer.work_ms * (turns + spread)
-    cost_ms *= 1 + FAILURE_COST * peer.estimate_failed_share(now_s)
-    cost_ms += estimate_link_ms(peer, body_bytes, now_s)
-    cost_ms += estimate_answer_ms(peer, peers, route, work_ms, now_s)
-    if peer.row.data_centre != data_centre:
-        way_bytes = body_bytes + peers.typical_answer_bytes(route)
-        cost_ms += mesh_settings.remote_penalty_ms
-        cost_ms += mesh_settings.remote_penalty_us_per_byte * way_bytes / 1000
-    return cost_ms
-
-
-def estimate_link_ms(
-    peer: _peers.Peer, body_bytes: int, now_s: float
-) -> float:
-    """Estimate the time that a request spends on the link of a target."""
-    if not peer.row.link_mbps:
-        return 0.0
-    used = min(MOST_USED, peer.estimate_link_share(now_s))
-    transfer_ms = body_bytes * BITS / (peer.row.link_mbps * 1000)
-    return transfer_ms + LINK_QUEUE_MS * used / (1 - used)
-
-
-def estimate_answer_ms(
-    peer: _peers.Peer,
-    peers: _peers.PeerTable,
-    route: base.RouteName,
-    work_ms: float,
-    now_s: float,
-) -> float:
-    """Estimate the time that an answer takes once its work is done."""
-    if not peer.row.link_mbps:
-        return 0.0
-    size_bytes = peers.typical_answer_bytes(route)
-    transfer_ms = size_bytes * BITS / (peer.row.link_mbps * 1000)
-    if transfer_ms < SHORT_ANSWER_MS:
-        # It goes in between the large ones.
-        return transfer_ms
-    wait_ms = peer.estimate_answer_wait_ms(now_s)
-    return transfer_ms + max(0.0, wait_ms - work_ms)
+class CallCosts:
+    """What one call costs at each of several targets.
+
+    What it costs at all of them is worked out once for each call.
+
+    Parameters
+    ----------
+    peers : PeerTable
+        What is known of the targets.
+    data_centre : DataCentre
+        Of this daemon.
+    route : str
+        That the request matched; work times are kept by route.
+    body_bytes : int
+        Size of the request body.
+    is_nested : bool
+        Whether a target waits for the call.
+    now_s : float
+        Time of the event loop.
+    """
+
+    def __init__(
+        self,
+        peers: _peers.PeerTable,
+        data_centre: base.DataCentre,
+        route: base.RouteName,
+        body_bytes: int,
+        is_nested: bool,
+        now_s: float,
+    ):
+        self.peers = peers
+        self.now_s = now_s
+        self._data_centre = data_centre
+        self._route = route
+        self._body_bytes = body_bytes
+        self._is_nested = is_nested
+        self._typical_ms = peers.typical_work_ms(route)
+        self._answer_bytes = peers.typical_answer_bytes(route)
+        limits = peers.mesh_settings
+        way_bytes = body_bytes + self._answer_bytes
+        self._remote_ms = limits.remote_penalty_ms
+        self._remote_ms += limits.remote_penalty_us_per_byte * way_bytes / 1000
+
+    def estimate_ms(self, peer: _peers.Peer) -> float:
+        """Estimate the time until a target has finished this call, too."""
+        now_s = self.now_s
+        limit = peer.limit
+        present = peer.estimate_present(now_s, self._is_nested)
+        turns = max(0.0, present + 1 - limit) / limit
+        # A busy target is preferred less before it is full.
+        spread = 0.1 * present / limit
+        work_ms = peer.estimate_work_ms(self._route, self._typical_ms, now_s)
+        cost_ms = work_ms + peer.work_ms * (turns + spread)
+        if self._is_nested:
+            # Each call that it overtakes is delayed by its work.
+            overtaken = peer.estimate_present(now_s, False) - present
+            cost_ms += max(0.0, overtaken) * work_ms / limit
+        cost_ms *= 1 + FAILURE_COST * peer.estimate_failed_share(now_s)
+        if peer.row.link_mbps:
+            cost_ms += self._estimate_link_ms(peer)
+            cost_ms += self._estimate_answer_ms(peer, work_ms)
+        if peer.row.data_centre != self._data_centre:
+            cost_ms += self._remote_ms
+        return cost_ms
+
+    def _estimate_link_ms(self, peer: _peers.Peer) -> float:
+        """Estimate the time that the request spends on the link of a target.
+
+        Its link is one whose width is known.
+        """
+        used = min(MOST_USED, peer.estimate_link_share(self.now_s))
+        transfer_ms = self._body_bytes * BITS / (peer.row.link_mbps * 1000)
+        return transfer_ms + LINK_QUEUE_MS * used / (1 - used)
+
+    def _estimate_answer_ms(self, peer: _peers.Peer, work_ms: float) -> float:
+        """Estimate the time that the answer takes once its work is done."""
+        transfer_ms = self._answer_bytes * BITS / (peer.row.link_mbps * 1000)
+        if transfer_ms < SHORT_ANSWER_MS:
+            # It goes in between the large ones.
+            return transfer_ms
+        wait_ms = peer.estimate_answer_wait_ms(self.now_s)
+        return transfer_ms + max(0.0, wait_ms - work_ms)
 
 
 def draw_candidates(
@@ -174,13 +196,8 @@
 def choose_member(
     members: Sequence[_messages.MemberRow],
     tried: Collection[base.HostId],
-    peers: _peers.PeerTable,
-    data_centre: base.DataCentre,
-    route: base.RouteName,
-    body_bytes: int,
-    is_nested: bool,
+    costs: CallCosts,
     rng: random.Random,
-    now_s: float,
     prefers_open: bool = False,
 ) -> _peers.Peer | None:
     """Choose the target that is expected to finish first.
@@ -191,20 +208,10 @@
         Open targets of the set.
     tried : collection of HostId
         Hosts that were asked already.
-    peers : PeerTable
-        What is known of them.
-    data_centre : DataCentre
-        Of this daemon.
-    route : str
-        That the request matched; work times are kept by route.
-    body_bytes : int
-        Size of the request body.
-    is_nested : bool
-        Whether a target waits for the call.
+    costs : CallCosts
+        Of the call.
     rng : random.Random
         Noise on the estimates.
-    now_s : float
-        Time of the event loop.
     prefers_open : bool
         Whether a peer with an open connection goes before all others.
 
@@ -216,15 +223,14 @@
     """
     best = None
     best_key = None
+    now_s = costs.now_s
     for row in members:
         if row.host in tried:
             continue
-        peer = peers.find(row)
+        peer = costs.peers.find(row)
         if now_s < peer.closed_until_s:
             continue
-        cost_ms = estimate_ms(
-            peer, data_centre, route, body_bytes, is_nested, peers, now_s
-        )
+        cost_ms = costs.estimate_ms(peer)
         cost_ms *= 1 + NOISE_SHARE * rng.random()
         key = (
             peer.is_suspect(now_s),
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -176,21 +176,21 @@
 
     async def _drive(self) -> transport.Response:
         """Start attempts as they are needed, and take their answers in."""
-        wants_attempt = True
+        peer = self._choose()
         while True:
-            peer = self._choose() if wants_attempt else None
             if peer is not None:
                 self._start(peer)
             if not self.attempts:
                 return self._refuse_after()
             answer = await self._wait()
             if answer is None:
-                wants_attempt = self._may_add()
+                # The silent ones go on: their answers may come yet.
+                peer = self._choose_repeat(True)
                 continue
             self.last = answer
             if self._is_final(answer):
                 return self._pass_on(answer)
-            wants_attempt = self._may_go_on(answer)
+            peer = self._choose_next(answer)
 
     def _start(self, peer: _peers.Peer) -> None:
         """Start an attempt at a target."""
@@ -338,17 +338,16 @@
     def _choose_of(
         self, members: Sequence[_messages.MemberRow]
     ) -> _peers.Peer | None:
-        return _choice.choose_member(
-            members,
-            self.tried,
+        costs = _choice.CallCosts(
             self.state.peers,
             self.state.identity.data_centre,
             self.route.name,
             len(self.request.body),
             self.urgency is _messages.CallUrgency.TARGET,
-            self.state.rng,
             self._now_s,
-            prefers_open=self.was_unreachable,
+        )
+        return _choice.choose_member(
+            members, self.tried, costs, self.state.rng, self.was_unreachable
         )
 
     def _make_call(self, row: _messages.MemberRow) -> _messages.TargetCall:
@@ -451,38 +450,35 @@
             return False
         if answer.response.status < SERVER_ERROR or not self.route.repeatable:
             return True
-        if self.attempts:
-            return False
         # A failure of the target's own may pass at another one.
-        return not self._may_send_again() or self._choose() is None
+        return not self.attempts and not self._may_send_again()
 
-    def _may_go_on(self, answer: _messages.CallAnswer) -> bool:
+    def _choose_next(self, answer: _messages.CallAnswer) -> _peers.Peer | None:
+        """Choose where to go on after an answer that is not final."""
         if self.standing.is_quarantined:
-            return False
-        if answer.outcome is _Outcome.NOT_RUN and not answer.reached_target:
+            return None
+        is_not_run = answer.outcome is _Outcome.NOT_RUN
+        if is_not_run and not answer.reached_target:
             # Nothing arrived at a target: neither attempts nor the
             # retry budget are touched.
-            return self.sheds < SHEDS_LIMIT
-        if answer.outcome is _Outcome.NOT_RUN or self.route.repeatable:
-            has_run = answer.outcome is not _Outcome.NOT_RUN
-            return self._may_send_again() and self._spend(has_run)
-        return False
+            return self._choose() if self.sheds < SHEDS_LIMIT else None
+        if is_not_run or self.route.repeatable:
+            return self._choose_repeat(not is_not_run)
+        return None
+
+    def _choose_repeat(self, has_run: bool) -> _peers.Peer | None:
+        """Choose where to send again, if that is allowed, and pay for it."""
+        if not self._may_send_again():
+            return None
+        peer = self._choose()
+        if peer is None or not self._spend(has_run):
+            return None
+        return peer
 
     def _may_send_again(self) -> bool:
         under_way = len(self.attempts)
         return self.arrivals + under_way < self.policy.attempts
 
-    def _may_add(self) -> bool:
-        """Whether another attempt may start beside those under way.
-
-        The ones that are silent go on: their answers may come yet.
-        """
-        return (
-            self._may_send_again()
-            and self._choose() is not None
-            and self._spend(True)
-        )
-
     def _spend(self, has_run: bool) -> bool:
         """Spend a retry; what has run repeats the calls that it made."""
         limits = self.state.mesh_settings
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -75,6 +75,11 @@
     return [item for item in headers if not item[0].lower().startswith(PREFIX)]
 
 
+def _strip(headers: transport.Headers) -> transport.Headers:
+    """Remove these, and what concerns one connection only."""
+    return transport.strip_hop_headers(headers, prefix=PREFIX)
+
+
 def encode_call(call: _messages.TargetCall) -> bytes:
     """Encode a call for the daemon beside its target."""
     request = call.request
@@ -91,7 +96,7 @@
         str(call.goal_ms),
         str(call.version),
     )
-    headers = transport.strip_hop_headers(strip_own(request.headers))
+    headers = _strip(request.headers)
     headers.append((CALL, SEPARATOR.join(fields)))
     if not call.may_wait:
         headers.append((FREE_PLACE, '1'))
@@ -101,9 +106,7 @@
         headers.append((CRASHES, _encode_evidence(call.crashes)))
     if call.forgiven:
         headers.append((FORGIVEN, ID_SEPARATOR.join(call.forgiven)))
-    return transport.encode_request(
-        msgspec.structs.replace(request, headers=headers)
-    )
+    return transport.encode_request(request, headers)
 
 
 def decode_call(request: transport.Request) -> _messages.TargetCall:
@@ -191,7 +194,7 @@
 def encode_answer(answer: _messages.CallAnswer) -> transport.Response:
     """Make the response that tells a daemon how a call ended."""
     response = answer.response or transport.Response(503, [])
-    headers = transport.strip_hop_headers(strip_own(response.headers))
+    headers = _strip(response.headers)
     reason = answer.reason
     if reason in _NEW_REASONS:
         headers.append((REASON, reason.value))
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -142,7 +142,7 @@
 
         Believed less the older it is, as its work times are.
         """
-        if self.report is None:
+        if self.report is None or not self.report.failed_percent:
             return 0.0
         age_ms = (now_s - self.reported_s) * 1000
         weight = 0.5 ** (age_ms / WORK_HALF_LIFE_MS)
@@ -158,7 +158,7 @@
 
     def estimate_link_share(self, now_s: float) -> float:
         """Estimate how much of the link of its host is used, 0 to 1."""
-        if self.report is None:
+        if self.report is None or not self.report.link_percent:
             return 0.0
         age_ms = (now_s - self.reported_s) * 1000
         weight = 0.5 ** (age_ms / LINK_HALF_LIFE_MS)
@@ -195,9 +195,11 @@
             own = self.in_flight_nested
             others = report.running + report.waiting_nested
             others -= self.report_in_flight_nested
+        if others <= 0:
+            return own
         age_ms = (now_s - self.reported_s) * 1000
         weight = 0.5 ** (age_ms / self._settings.report_half_life_ms)
-        return own + max(0, others) * weight
+        return own + others * weight
 
     def is_known_full(self, now_s: float) -> bool:
         """Whether it told just now that all places are taken and others wait.
@@ -471,6 +473,8 @@
         pool = None
         if peer is not None:
             old = peer.row
+            if old is row:
+                return peer
             if (old.address, old.port) != (row.address, row.port):
                 peer.pool.close()
             elif old.lifetime == row.lifetime:
--- a/sedgering/mesh/_target_side.py
+++ b/sedgering/mesh/_target_side.py
@@ -4,7 +4,6 @@
 import logging
 import math
 
-import msgspec
 
 from sedgering import base
 from sedgering.mesh import _answer_room
@@ -107,7 +106,7 @@
         self.version_trial = _version_trial.VersionTrial()
         #: Whether the version of the target may get calls.
         self.is_permitted = True
-        self._replaced = frozenset(
+        self._replaced = transport.HOP_NAMES | frozenset(
             getattr(names, field).lower() for field in _REPLACED
         )
 
@@ -514,9 +513,7 @@
         headers.append((names.deadline_ms, str(remaining_ms)))
         headers.append((names.expected_target, call.target))
         headers.append((names.origin, call.origin))
-        return transport.encode_request(
-            msgspec.structs.replace(call.request, headers=headers)
-        )
+        return transport.encode_request(call.request, headers)
 
     def _is_own(
         self, response: transport.Response, call: _messages.TargetCall
--- a/sedgering/transport/__init__.py
+++ b/sedgering/transport/__init__.py
@@ -6,6 +6,7 @@
 from sedgering.transport._client import ExchangeFailed
 from sedgering.transport._headers import find_header
 from sedgering.transport._headers import Headers
+from sedgering.transport._headers import HOP_NAMES
 from sedgering.transport._headers import strip_hop_headers
 from sedgering.transport._load import ServiceLoad
 from sedgering.transport._loop import BootTimeLoop
@@ -29,6 +30,7 @@
     'ConnectFailed',
     'ConnectionPool',
     'ExchangeFailed',
+    'HOP_NAMES',
     'Headers',
     'LinkPacer',
     'PacedWrite',
--- a/sedgering/transport/_headers.py
+++ b/sedgering/transport/_headers.py
@@ -1,6 +1,12 @@
 """Header fields: kept as they came, found by their name in lower case."""
 
-__all__ = ['Headers', 'find_header', 'index_headers', 'strip_hop_headers']
+__all__ = [
+    'HOP_NAMES',
+    'Headers',
+    'find_header',
+    'index_headers',
+    'strip_hop_headers',
+]
 
 #: Name and value as they came, in the order of the message.
 Headers = list[tuple[str, str]]
@@ -35,14 +41,14 @@
 
 def index_headers(headers: Headers) -> dict[str, str]:
     """Return the first value of each field by its name in lower case."""
-    fields: dict[str, str] = {}
-    for name, value in headers:
-        fields.setdefault(name.lower(), value)
-    return fields
+    # The first value is the last one written.
+    return {name.lower(): value for name, value in reversed(headers)}
 
 
 def strip_hop_headers(
-    headers: Headers, extra: frozenset[str] = frozenset()
+    headers: Headers,
+    dropped: frozenset[str] = HOP_NAMES,
+    prefix: str = '',
 ) -> Headers:
     """Return the fields that are passed on to the next hop.
 
@@ -50,17 +56,25 @@
     ----------
     headers : Headers
         Of the message received.
-    extra : frozenset of str
-        Further names to leave out, in lower case.
+    dropped : frozenset of str
+        Names to leave out, in lower case: at least those of the connection.
+    prefix : str
+        Names that begin with it are left out, too; in lower case.
 
     Returns
     -------
     Headers
-        Without the fields of the connection, those that the field
-        ``Connection`` names, and `extra`.
+        Without `dropped`, and without those that the field ``Connection``
+        names.
     """
-    dropped = HOP_NAMES | extra
     named = find_header(headers, 'connection')
     if named:
         dropped |= {item.strip().lower() for item in named.split(',')}
-    return [item for item in headers if item[0].lower() not in dropped]
+    if not prefix:
+        return [item for item in headers if item[0].lower() not in dropped]
+    return [
+        item
+        for item in headers
+        if (name := item[0].lower()) not in dropped
+        and not name.startswith(prefix)
+    ]
--- a/sedgering/transport/_messages.py
+++ b/sedgering/transport/_messages.py
@@ -91,10 +91,22 @@
         return self.fields.get(name)
 
 
-def encode_request(request: Request) -> bytes:
-    """Encode a request with the length of its body."""
+def encode_request(
+    request: Request, headers: _headers.Headers | None = None
+) -> bytes:
+    """Encode a request with the length of its body.
+
+    Parameters
+    ----------
+    request : Request
+        To send.
+    headers : Headers or None
+        Sent in place of its own.
+    """
+    if headers is None:
+        headers = request.headers
     lines = [f'{request.method} {request.url} HTTP/1.1']
-    lines += [f'{name}: {value}' for name, value in request.headers]
+    lines += [f'{name}: {value}' for name, value in headers]
     if request.has_body or request.body:
         lines.append(f'Content-Length: {len(request.body)}')
     lines.append('\r\n')
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -153,8 +153,9 @@
         self._request: _messages.Request | None = None
         self._chunks: list[bytes] = []
         self._body_size = 0
-        self._head_size = 0
         self._fields_size = 0
+        #: Of the request that is being read.
+        self._head_limit_bytes = 0
         self._url = b''
         self._is_reading_head = False
         self._is_refused = False
@@ -204,8 +205,6 @@
         if self._is_refused:
             return
         self.last_activity_s = self.loop.time()
-        if self._is_reading_head:
-            self._head_size += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -232,7 +231,7 @@
     def on_message_begin(self):
         """Note when a head begins."""
         self._is_reading_head = True
-        self._head_size = 0
+        self._head_limit_bytes = self.service.find_limits().header_bytes
         self._fields_size = 0
         self._url = b''
         self._chunks = []
@@ -244,7 +243,8 @@
     def on_url(self, url):
         """Gather the request target."""
         self._url += url
-        self._check_head(len(self._url))
+        if len(self._url) > self._head_limit_bytes:
+            raise _Refused(431)
 
     def on_header(self, name, value):
         """Gather one field."""
@@ -252,7 +252,8 @@
             (name.decode('latin-1'), value.decode('latin-1'))
         )
         self._fields_size += len(name) + len(value)
-        self._check_head(self._fields_size)
+        if self._fields_size > self._head_limit_bytes:
+            raise _Refused(431)
 
     def on_headers_complete(self):
         """Check the head, and ask for the body where the caller waits."""
@@ -500,10 +501,6 @@
         if not self._is_ended:
             self._arm()
 
-    def _check_head(self, size: int):
-        if size > self.service.find_limits().header_bytes:
-            raise _Refused(431)
-
 
 class _Refused(Exception):
     """A request that is answered without being passed on."""
@@ -519,23 +516,26 @@
 
 def _check_framing(request: _messages.Request, version: str) -> None:
     """Refuse heads that two readers may frame differently (RFC 9112)."""
-    seen: set[str] = set()
-    for name, value in request.headers:
-        if '\0' in value or not name:
-            raise _Refused(400)
-        lower = name.lower()
-        if lower in _SINGLE_NAMES:
-            if lower in seen:
-                raise _Refused(400)
-            seen.add(lower)
-    if version == '1.1' and 'host' not in seen:
+    fields = request.fields
+    if '' in fields or '\0' in ''.join([item[1] for item in request.headers]):
         raise _Refused(400)
-    coding = request.find('transfer-encoding')
+    if len(fields) < len(request.headers):
+        _check_repeats(request.headers)
+    if version == '1.1' and 'host' not in fields:
+        raise _Refused(400)
+    coding = fields.get('transfer-encoding')
     if coding is not None:
-        if coding.strip().lower() != 'chunked' or 'content-length' in seen:
+        if coding.strip().lower() != 'chunked' or 'content-length' in fields:
             raise _Refused(400)
 
 
+def _check_repeats(headers: _headers.Headers) -> None:
+    """Refuse heads in which a field that must be single comes twice."""
+    names = [name.lower() for name, _value in headers]
+    if any(names.count(name) > 1 for name in _SINGLE_NAMES):
+        raise _Refused(400)
+
+
 async def serve(
     service: Service,
     address: str,
