One decoder of peers' answers, one order of hosts

The same lines stood in _evidence_hop and _relay, and the same ranking by hash in the choice of targets on trial and twice in the driver of rollouts.

--- a/sedgering/mesh/_evidence_hop.py
+++ b/sedgering/mesh/_evidence_hop.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from sedgering import exceptions
+from sedgering.mesh import _peer_answers
 from sedgering import rollout
 from sedgering import transport
 
@@ -17,7 +17,6 @@
 PATH = '/evidence'
 #: Revision of the order that is asked about.
 MARK = 'sedgering-evidence'
-STATUS_OK = 200
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(rollout.Evidence)
@@ -47,7 +46,9 @@
 
 def encode_evidence(evidence: rollout.Evidence) -> transport.Response:
     """Encode the answer."""
-    return transport.Response(STATUS_OK, [], _ENCODER.encode(evidence))
+    return transport.Response(
+        _peer_answers.STATUS_OK, [], _ENCODER.encode(evidence)
+    )
 
 
 def decode_evidence(response: transport.Response) -> rollout.Evidence:
@@ -58,11 +59,4 @@
     PeerError
         When it is none.
     """
-    try:
-        if response.status != STATUS_OK:
-            raise msgspec.DecodeError(f'status {response.status}')
-        return _DECODER.decode(response.body)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise exceptions.PeerError(
-            exceptions.Code.PEER_DAMAGED, str(error)
-        ) from error
+    return _peer_answers.decode_peer_answer(response, _DECODER.decode)
--- a/sedgering/mesh/_relay.py
+++ b/sedgering/mesh/_relay.py
@@ -17,6 +17,7 @@
 from sedgering import exceptions
 from sedgering.mesh import _members
 from sedgering.mesh import _messages
+from sedgering.mesh import _peer_answers
 from sedgering.mesh import _rollout_log
 from sedgering.mesh import _source
 from sedgering.mesh import _versions
@@ -51,7 +52,6 @@
 
 PATH = '/relay'
 MARK = 'sedgering-relay'
-STATUS_OK = 200
 
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -166,7 +166,9 @@
 
 def encode_news(news: RelayNews) -> transport.Response:
     """Encode the answer to a poll."""
-    return transport.Response(STATUS_OK, [], _ENCODER.encode(news))
+    return transport.Response(
+        _peer_answers.STATUS_OK, [], _ENCODER.encode(news)
+    )
 
 
 def is_poll(request: transport.Request) -> bool:
@@ -182,14 +184,7 @@
     PeerError
         When it is none.
     """
-    try:
-        if response.status != STATUS_OK:
-            raise msgspec.DecodeError(f'status {response.status}')
-        return _decode_news(response.body)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise exceptions.PeerError(
-            exceptions.Code.PEER_DAMAGED, str(error)
-        ) from error
+    return _peer_answers.decode_peer_answer(response, _decode_news)
 
 
 def _decode_news(body: bytes) -> RelayNews:
--- a/sedgering/mesh/_rollout_driver.py
+++ b/sedgering/mesh/_rollout_driver.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import logging
-import zlib
 
 import msgspec
 
@@ -131,9 +130,7 @@
         own = self.identity.host
         if own not in hosts:
             hosts.append(own)
-        hosts.sort(
-            key=lambda host: zlib.crc32(f'{target_set} {host}'.encode())
-        )
+        hosts.sort(key=lambda host: rollout.rank_host(host, f'{target_set} '))
         return hosts.index(own)
 
     async def _begin(
@@ -188,9 +185,7 @@
     ) -> tuple[list[_messages.MemberRow], list[_messages.MemberRow]]:
         """Choose the targets that are asked what they have shown."""
         ready = self.fleet.list_ready(row.target_set)
-        ranked = sorted(
-            ready, key=lambda item: (zlib.crc32(item.host.encode()), item.host)
-        )
+        ranked = sorted(ready, key=lambda item: rollout.rank_host(item.host))
         new = [item for item in ranked if item.version == row.new]
         old = [item for item in ranked if item.version == row.old]
         is_ending = row.stage is _Stage.SETTLING
--- a/sedgering/rollout/__init__.py
+++ b/sedgering/rollout/__init__.py
@@ -12,6 +12,7 @@
 from sedgering.rollout._evidence import RouteEvidence
 from sedgering.rollout._exposure import choose_exposed
 from sedgering.rollout._exposure import ExposureQuota
+from sedgering.rollout._exposure import rank_host
 from sedgering.rollout._model import Order
 from sedgering.rollout._model import Rollout
 from sedgering.rollout._model import Stage
@@ -49,4 +50,5 @@
     'make_permits',
     'make_rollout',
     'plan_next',
+    'rank_host',
 ]
--- a/sedgering/rollout/_exposure.py
+++ b/sedgering/rollout/_exposure.py
@@ -8,7 +8,7 @@
 
 from sedgering import base
 
-__all__ = ['ExposureQuota', 'choose_exposed']
+__all__ = ['ExposureQuota', 'choose_exposed', 'rank_host']
 
 #: Share of what the operator allows that is used.  The rest covers calls that
 #: targets of the new version have taken while those of the old one, which
@@ -94,5 +94,17 @@
         Targets of the old one.
     """
     count = max(1, math.floor(TARGETS_SHARE * old_count + 0.5))
-    ranked = sorted(hosts, key=lambda host: (zlib.crc32(host.encode()), host))
-    return frozenset(ranked[:count])
+    return frozenset(sorted(hosts, key=rank_host)[:count])
+
+
+def rank_host(host: base.HostId, salt: str = '') -> tuple[int, base.HostId]:
+    """Return a key for an order of hosts on which all daemons agree.
+
+    Parameters
+    ----------
+    host : HostId
+        To place.
+    salt : str
+        Others make other orders.
+    """
+    return zlib.crc32(f'{salt}{host}'.encode()), host
