--- a/features/steps/target_steps.py
+++ b/features/steps/target_steps.py
@@ -15,6 +15,8 @@
 from sedgering.mesh import _gate
 from sedgering.mesh import _members
 from sedgering.mesh import _relay
+from sedgering.mesh import _rollout_log
+from sedgering import rollout
 from sedgering import testing
 
 SET = base.TargetSetName('calendar')
@@ -454,3 +456,60 @@
     while time.monotonic() < end_s:
         assert not side.gate.is_open, side.target.report
         time.sleep(0.01)
+
+
+@then(
+    'whatever rows change in whatever order, the same targets get calls as at '
+    'once'
+)
+def step_same_index(context):
+    """Compare a table that is told each change with one that starts anew.
+
+    Hosts share addresses, change their sets, versions and states, and go.
+    """
+    change = st.builds(
+        dict,
+        host=st.sampled_from('abcde'),
+        port=st.integers(1, 4),
+        target_set=st.sampled_from(('calendar', 'ledger')),
+        version=st.sampled_from(('v1', 'v2')),
+        target=st.sampled_from(('i-1', 'i-2')),
+        state=st.sampled_from(
+            (mesh.TargetState.READY, mesh.TargetState.DRAINING)
+        ),
+    )
+    moves = st.lists(st.one_of(change, st.sampled_from('abcde')), max_size=30)
+
+    @hypothesis.settings(
+        max_examples=400, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(moves)
+    def check(steps):
+        table = _make_rollout_table()
+        members = {}
+        for step in steps:
+            # The one written last is at the end.
+            host = step if isinstance(step, str) else step['host']
+            members = {
+                name: row for name, row in members.items() if name != host
+            }
+            if not isinstance(step, str):
+                members[host] = testing.make_member_row(**step)
+            table.replace(members)
+            fresh = _make_rollout_table()
+            fresh.replace(members)
+            assert table.by_set == fresh.by_set, steps
+            assert table.trials == fresh.trials, steps
+
+    check()
+
+
+def _make_rollout_table() -> mesh.FleetTable:
+    """Make a table that knows of a version on trial in one of two sets."""
+    table = mesh.FleetTable()
+    table.rollouts = _rollout_log.RolloutLog()
+    order = rollout.Order(SET, base.SoftwareVersion('v2'), 9000, 7)
+    row = rollout.Rollout(SET, 'v1', 'v2', 7, rollout.Stage.TRIAL, 0, 0)
+    entry = _rollout_log.RolloutEntry(8, row)
+    table.rollouts.merge(_rollout_log.RolloutNews((order,), (entry,)))
+    return table
--- a/features/targets.feature
+++ b/features/targets.feature
@@ -156,3 +156,6 @@
     When the second target says goodbye, and its daemon starts again
     And a late report of that target comes
     Then the gate before it stays closed
+
+  Scenario: Rows that change one by one, and the same rows at once
+    Then whatever rows change in whatever order, the same targets get calls as at once
