--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -76,7 +76,7 @@
 
 
 def _strip(headers: transport.Headers) -> transport.Headers:
-    """Remove these, and what concerns one connection only."""
+    """Remove the daemons' own fields, and those of one connection only."""
     return transport.strip_hop_headers(headers, prefix=PREFIX)
 
 
