One late report opens no gate where the rows are known but old

Traced by the lines of its daemon: the goodbye came while it was leaving and the store was away, so the row was not written; it started anew at 24.8, and a report of before the goodbye (sequence 22 again) came at 26.3. With the store back by then the row still said ready, and known rows were taken for proof. Ruled out: the health check (it came after the target had ended, or not at all). Change: a daemon that has heard nothing of its target waits for a second report whatever the rows say, unless the report is a first one or the health check answers. Rules first: where a target has no sound health check its daemon opens 1.5 s later after a restart.

--- a/features/steps/target_steps.py
+++ b/features/steps/target_steps.py
@@ -444,6 +444,30 @@
     context.fleet.restart(second)
 
 
+@when('the daemon of the second target starts again')
+def step_start_again(context):
+    context.fleet.restart(context.hosts[1])
+
+
+@when('the store is back, and that daemon knows the rows')
+def step_store_back(context):
+    context.fleet.engine.faults.mode = testing.StoreMode.SOUND
+    daemon = context.hosts[1].daemon
+    context.fleet.wait_for(lambda: daemon.is_ready)
+
+
+@when('two reports of that target come')
+def step_two_reports(context):
+    context.fleet.report(context.hosts[1])
+    context.fleet.report(context.hosts[1])
+
+
+@then('the gate before it opens')
+def step_gate_opens(context):
+    side = context.hosts[1].daemon.state.side
+    context.fleet.wait_for(lambda: side.gate.is_open)
+
+
 @when('a late report of that target comes')
 def step_late_report(context):
     context.fleet.report(context.hosts[1])
--- a/features/targets.feature
+++ b/features/targets.feature
@@ -157,5 +157,21 @@
     And a late report of that target comes
     Then the gate before it stays closed
 
+  Scenario: A goodbye outlives its daemon, and the store is back with the old row
+    Seen: the same, once the store had come back 0.1 s before the late report.
+    The row that it had was written before the goodbye.
+    Given two hosts with targets, and the store away
+    When the second target says goodbye, and its daemon starts again
+    And the store is back, and that daemon knows the rows
+    And a late report of that target comes
+    Then the gate before it stays closed
+
+  Scenario: A target whose daemon has started again serves after two reports
+    Given two hosts with targets, and the store away
+    When the daemon of the second target starts again
+    And the store is back, and that daemon knows the rows
+    And two reports of that target come
+    Then the gate before it opens
+
   Scenario: Rows that change one by one, and the same rows at once
     Then whatever rows change in whatever order, the same targets get calls as at once
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -333,13 +333,14 @@
 
         It may be a late one, of a target that has said goodbye to an earlier
         lifetime of this daemon while no row could be written: it got calls,
-        and ended under them.  A target that is there reports again, 1.5 s
-        later.  Where the rows are known, they tell.
+        and ended under them, also once the store was back with the old row.
+        A target that is there reports again, 1.5 s later, and answers its
+        health check before that.
         """
         is_first = report.sequence <= _target.FIRST_SEQUENCE
         is_ready = report.state is _messages.TargetState.READY
-        is_told = self.state.fleet.is_known or self.state.side.target.report
-        if is_first or is_told or not is_ready:
+        is_present = self.state.side.target.report is not None
+        if is_first or is_present or not is_ready:
             return False
         earlier, self._early_report = self._early_report, report
         if earlier is None or earlier.lifetime != report.lifetime:
