Interfaces of the parts for hard load: workspaces in the bundle, on the hop, and what gates tell

Change: workspaces and keyed routes of the bundle, left out of the encoding where there are none; fields of their own on the hop; order of the gate by workspace priority first. No behaviour changes without workspaces.

--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -622,6 +622,8 @@
     is_trial=st.booleans(),
     crashes=EVIDENCE,
     forgiven=CRASHES,
+    workspace=NAMES,
+    workspace_priority=st.integers(0, 9),
 )
 ANSWERS = st.builds(
     mesh.CallAnswer,
@@ -635,7 +637,7 @@
     reason=st.sampled_from(list(mesh.RefusalReason)),
     retry_after_ms=st.integers(0, 9999),
     load=st.none()
-    | st.builds(mesh.LoadReport, *[st.integers(0, 999) for _ in range(7)]),
+    | st.builds(mesh.LoadReport, *[st.integers(0, 999) for _ in range(11)]),
     reached_target=st.booleans(),
     detail=NAMES,
     crashes=EVIDENCE,
--- a/sedgering/base.py
+++ b/sedgering/base.py
@@ -17,6 +17,7 @@
     'HostId',
     'Incarnation',
     'NO_VERSION',
+    'NO_WORKSPACE',
     'OperationId',
     'PartyId',
     'PolicyName',
@@ -27,6 +28,7 @@
     'TargetName',
     'TargetSetName',
     'Version',
+    'WorkspaceName',
 ]
 
 DataCentre = NewType('DataCentre', str)
@@ -43,6 +45,7 @@
 TargetName = NewType('TargetName', str)
 TargetSetName = NewType('TargetSetName', str)
 Version = NewType('Version', int)
+WorkspaceName = NewType('WorkspaceName', str)
 
 #: Whole numbers of sizes and times in messages; up to the largest one that
 #: every reader of JSON keeps exactly.
@@ -51,6 +54,9 @@
 #: Held by a proxy that has not applied any bundle yet.
 NO_VERSION = Version(0)
 
+#: Of a call that no workspace makes: one of a target, or on a public route.
+NO_WORKSPACE = WorkspaceName('')
+
 TablesT = TypeVar('TablesT', bound=Any)
 
 
--- a/sedgering/bundle/__init__.py
+++ b/sedgering/bundle/__init__.py
@@ -18,6 +18,7 @@
 from sedgering.bundle._model import Route
 from sedgering.bundle._model import TargetSet
 from sedgering.bundle._model import WeightedTargetSet
+from sedgering.bundle._model import Workspace
 from sedgering.bundle._router import find_route
 from sedgering.bundle._router import RequestHead
 from sedgering.bundle._snapshot import BundleHolder
@@ -38,6 +39,7 @@
     'Snapshot',
     'TargetSet',
     'WeightedTargetSet',
+    'Workspace',
     'apply_delta',
     'check_bundle',
     'compose_deltas',
--- a/sedgering/bundle/_model.py
+++ b/sedgering/bundle/_model.py
@@ -18,6 +18,7 @@
     'Route',
     'TargetSet',
     'WeightedTargetSet',
+    'Workspace',
     'make_bundle',
 ]
 
@@ -25,7 +26,7 @@
 DEFAULT_SLOTS = 12
 DEFAULT_CONNECTIONS = 130
 
-NamedT = TypeVar('NamedT', 'Policy', 'TargetSet', 'Route')
+NamedT = TypeVar('NamedT', 'Policy', 'TargetSet', 'Route', 'Workspace')
 
 
 class Policy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -148,7 +149,36 @@
     repeatable: bool = False
 
 
-class Bundle(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Workspace(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A customer's share of the mesh: who may call, and how much.
+
+    Parameters
+    ----------
+    name : str
+        Unique among the workspaces of the bundle.
+    key_digests : tuple of str
+        Digests of its API keys; the keys themselves are not kept.
+    priority : int
+        Rank under load, before that of the policy; 0 is served first.
+    rate_per_s : int
+        Requests a second that the whole fleet serves; 0 for no limit.
+    burst : int
+        Requests beyond the rate that may come at once.
+    """
+
+    name: base.WorkspaceName
+    key_digests: tuple[str, ...] = ()
+    priority: int = 0
+    rate_per_s: int = 0
+    burst: int = 0
+
+
+class Bundle(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
     """Everything that one version puts in force.
 
     Parameters
@@ -157,12 +187,19 @@
         Mesh that the bundle is for.
     policies, target_sets, routes : tuple
         Sorted by name; :func:`make_bundle` sorts them.
+    workspaces : tuple of Workspace
+        Sorted by name.  Without any, and without keyed routes, the encoding
+        is the one that earlier releases read.
+    keyed_routes : tuple of str
+        Sorted names of the routes that need the key of a workspace.
     """
 
     mesh: str
     policies: tuple[Policy, ...] = ()
     target_sets: tuple[TargetSet, ...] = ()
     routes: tuple[Route, ...] = ()
+    workspaces: tuple[Workspace, ...] = ()
+    keyed_routes: tuple[base.RouteName, ...] = ()
 
 
 def _sorted_by_name(items: tuple[NamedT, ...]) -> tuple[NamedT, ...]:
@@ -174,6 +211,8 @@
     policies: tuple[Policy, ...] = (),
     target_sets: tuple[TargetSet, ...] = (),
     routes: tuple[Route, ...] = (),
+    workspaces: tuple[Workspace, ...] = (),
+    keyed_routes: tuple[base.RouteName, ...] = (),
 ) -> Bundle:
     """Make a bundle with its objects in canonical order.
 
@@ -181,7 +220,7 @@
     ----------
     mesh : str
         Mesh that the bundle is for.
-    policies, target_sets, routes : iterable
+    policies, target_sets, routes, workspaces, keyed_routes : iterable
         In any order.
 
     Returns
@@ -194,4 +233,6 @@
         policies=_sorted_by_name(policies),
         target_sets=_sorted_by_name(target_sets),
         routes=_sorted_by_name(routes),
+        workspaces=_sorted_by_name(workspaces),
+        keyed_routes=tuple(sorted(keyed_routes)),
     )
--- a/sedgering/bundle/_snapshot.py
+++ b/sedgering/bundle/_snapshot.py
@@ -46,10 +46,12 @@
     __slots__ = (
         'bundle',
         'digest',
+        'keyed_routes',
         'policies',
         'routes_by_host',
         'target_sets',
         'version',
+        'workspaces',
     )
 
     def __init__(
@@ -64,6 +66,8 @@
         self.policies = {policy.name: policy for policy in bundle.policies}
         self.target_sets = {item.name: item for item in bundle.target_sets}
         self.routes_by_host = _index_routes(bundle)
+        self.workspaces = {item.name: item for item in bundle.workspaces}
+        self.keyed_routes = frozenset(bundle.keyed_routes)
 
 
 def make_snapshot(
--- a/sedgering/mesh/_gate.py
+++ b/sedgering/mesh/_gate.py
@@ -93,6 +93,10 @@
         Times of the event loop.
     may_wait : bool
         Whether it may wait for a place.
+    workspace : str
+        That asks.
+    workspace_priority : int
+        Its rank, before `priority`; 0 is served first.
     """
 
     route: base.RouteName
@@ -101,6 +105,8 @@
     deadline_s: float
     goal_s: float
     may_wait: bool = True
+    workspace: base.WorkspaceName = base.NO_WORKSPACE
+    workspace_priority: int = 0
 
     @property
     def is_nested(self) -> bool:
@@ -111,11 +117,18 @@
         """Return its place in the order of service.
 
         Calls of targets first: their parents hold places.  Then what can
-        end in its goal, by priority, and what cannot last: a place gives
+        end in its goal, by the priority of its workspace and then its
+        own, and what cannot last: a place gives
         an answer in time to one or a late answer to the other.
         """
         until_s = self.deadline_s if is_late else self.goal_s
-        return (not self.is_nested, is_late, self.priority, until_s)
+        return (
+            not self.is_nested,
+            is_late,
+            self.workspace_priority,
+            self.priority,
+            until_s,
+        )
 
 
 class _Waiter:
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -36,6 +36,12 @@
 ANSWER_WAIT = 'sedgering-answer-wait'
 #: Share of calls that its target failed; left out where it is zero.
 FAILED = 'sedgering-failed'
+#: How long work takes at the moment, and what is asked of the gate; left out
+#: where it is not known.
+SLOWNESS = 'sedgering-slowness'
+DEMAND = 'sedgering-demand'
+#: The workspace that asks and its priority, where there is one.
+WORKSPACE = 'sedgering-workspace'
 #: The row that holds, with a refusal of a call to another target.
 MEMBER = 'sedgering-member'
 PING = 'sedgering-ping'
@@ -106,6 +112,9 @@
         headers.append((CRASHES, _encode_evidence(call.crashes)))
     if call.forgiven:
         headers.append((FORGIVEN, ID_SEPARATOR.join(call.forgiven)))
+    if call.workspace:
+        value = f'{call.workspace_priority}{SEPARATOR}{call.workspace}'
+        headers.append((WORKSPACE, value))
     return transport.encode_request(request, headers)
 
 
@@ -125,6 +134,7 @@
         (priority, repeatable, urgency, remaining_ms, goal_ms, version) = (
             numbers
         )
+        workspace, workspace_priority = _decode_workspace(request)
     except ValueError as error:
         raise HopError(f'call: {value!r}') from error
     may_wait = request.find(FREE_PLACE) is None
@@ -149,9 +159,21 @@
         is_trial=is_trial,
         crashes=crashes,
         forgiven=forgiven,
+        workspace=workspace,
+        workspace_priority=workspace_priority,
     )
 
 
+def _decode_workspace(
+    request: transport.Request,
+) -> tuple[base.WorkspaceName, int]:
+    value = request.find(WORKSPACE)
+    if value is None:
+        return base.NO_WORKSPACE, 0
+    priority, _separator, name = value.partition(SEPARATOR)
+    return base.WorkspaceName(name), int(priority)
+
+
 def _split_ids(value: str | None) -> tuple[_crash_records.CrashId, ...]:
     return tuple(map(_crash_records.CrashId, (value or '').split()))
 
@@ -217,6 +239,10 @@
             headers.append((ANSWER_WAIT, str(load.answer_wait_ms)))
         if load.failed_percent:
             headers.append((FAILED, str(load.failed_percent)))
+        if load.slowness_percent:
+            headers.append((SLOWNESS, str(load.slowness_percent)))
+        if load.demand_percent:
+            headers.append((DEMAND, str(load.demand_percent)))
     if answer.crashes:
         headers.append((CRASHES, _encode_evidence(answer.crashes)))
     if answer.member is not None:
@@ -284,6 +310,8 @@
     waiting_nested = response.find(NESTED) or '0'
     answer_wait_ms = response.find(ANSWER_WAIT) or '0'
     failed_percent = response.find(FAILED) or '0'
+    slowness_percent = response.find(SLOWNESS) or '0'
+    demand_percent = response.find(DEMAND) or '0'
     return _messages.LoadReport(
         running,
         waiting,
@@ -294,4 +322,6 @@
         int(waiting_nested),
         int(answer_wait_ms),
         int(failed_percent),
+        int(slowness_percent),
+        int(demand_percent),
     )
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -140,7 +140,12 @@
     target : str
         Id of the target that answers.
     load : str
-        Calls that run and that wait, and slots, in answers of targets.
+        Calls that run and that wait, and slots, in answers of targets; some
+        add how long work takes at the moment, in percent of the usual time.
+    workspace : str
+        Name of the workspace that asks, for the target.
+    key_scheme : str
+        Scheme of the authorization field that carries a workspace's key.
     """
 
     request_id: str
@@ -151,6 +156,8 @@
     not_run: str
     target: str
     load: str
+    workspace: str = 'X-Workspace'
+    key_scheme: str = 'Token'
 
 
 class MeshIdentity(msgspec.Struct, frozen=True):
@@ -323,6 +330,12 @@
         Time for which a large answer would wait for the link.
     failed_percent : int
         Share of recent calls that the target failed or refused.
+    slowness_percent : int
+        How long work takes at the target at this moment, in percent of the
+        usual time; 0 when it does not tell.
+    demand_percent : int
+        Work of the calls in time that the gate is asked to run, admitted or
+        not, in percent of what its places can do; 0 when it is not told.
     """
 
     running: int
@@ -334,6 +347,8 @@
     waiting_nested: int = 0
     answer_wait_ms: int = 0
     failed_percent: int = 0
+    slowness_percent: int = 0
+    demand_percent: int = 0
 
 
 class TargetCall(msgspec.Struct):
@@ -371,6 +386,10 @@
         Ends of targets under the request, as its sender knows them.
     forgiven : tuple of CrashId
         Those that came before a target answered it.
+    workspace : str
+        That asks; empty for calls of targets and on public routes.
+    workspace_priority : int
+        Its rank, before `priority`; 0 is served first.
     """
 
     request: transport.Request
@@ -389,6 +408,8 @@
     is_trial: bool = False
     crashes: tuple[_crash_records.CrashEvidence, ...] = ()
     forgiven: tuple[_crash_records.CrashId, ...] = ()
+    workspace: base.WorkspaceName = base.NO_WORKSPACE
+    workspace_priority: int = 0
 
 
 class CallAnswer(msgspec.Struct):
--- a/sedgering/mesh/_target_side.py
+++ b/sedgering/mesh/_target_side.py
@@ -376,6 +376,8 @@
             arrived_s + call.remaining_ms / 1000,
             arrived_s + call.goal_ms / 1000,
             call.may_wait,
+            call.workspace,
+            call.workspace_priority,
         )
 
     def _check_target(
