The daemon's modules are compiled with the build

Where somebody had run the tests before, the folders of compiled modules lay there, and hid it.

Ruled out: compiled modules beside the sources (the build puts all that it makes under target/), and a folder of their own by an option of the program (the interpreter's own library would have to be compiled into it, too).

Files that do not differ stay as they are. Scenarios in start.feature.

--- a/features/start.feature
+++ b/features/start.feature
@@ -18,6 +18,17 @@
     When the daemon's program is started without the settings of its host
     Then it ends with status 2 and one line with a code
 
+  Scenario: The daemon runs from modules that were compiled with the build
+    Given the daemon's modules, compiled twice into one folder
+    When the daemon's program is started from them without its settings
+    Then it ends with status 2 and one line with a code
+    And no module was compiled by its start
+
+  Scenario: A module without a source is compiled no more
+    Given the daemon's modules, compiled twice into one folder
+    When a compiled module whose source is gone lies among them
+    Then the next build removes it, and replaces no other
+
   Scenario: A request that comes before the version is held, and served
     Given a host whose daemon starts before the operator has written
     When a caller asks, and the first version comes 0.1 s later
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -1,14 +1,17 @@
 """Steps over the first moments of a daemon."""
 
 import asyncio
+import os
 import pathlib
 import subprocess
 import sys
+import tempfile
 import time
 
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
 from sedgering.mesh import _fleet
 from sedgering import ports
@@ -333,6 +336,67 @@
     )
 
 
+class CompiledModules:
+    """The daemon's modules in a folder of their own, without sources."""
+
+    def __init__(self, folder: pathlib.Path):
+        self.folder = folder
+
+    def build(self) -> None:
+        """Compile them as the build does."""
+        script = ROOT / 'scripts' / 'compile_daemon.py'
+        subprocess.run([sys.executable, script, self.folder], check=True)
+
+    def list_files(self) -> dict[pathlib.Path, int]:
+        """Return all files, and the inode of each: a new one is another."""
+        return {
+            path: path.stat().st_ino
+            for path in self.folder.rglob('*')
+            if path.is_file()
+        }
+
+
+@given("the daemon's modules, compiled twice into one folder")
+def step_compiled(context):
+    folder = tempfile.TemporaryDirectory()
+    context.cleanups.append(folder.cleanup)
+    context.compiled = CompiledModules(pathlib.Path(folder.name))
+    context.compiled.build()
+    context.files = context.compiled.list_files()
+    context.compiled.build()
+
+
+@when("the daemon's program is started from them without its settings")
+def step_start_compiled(context):
+    libraries = pathlib.Path(msgspec.__file__).parent.parent
+    path = os.pathsep.join(map(str, (context.compiled.folder, libraries)))
+    context.ended = subprocess.run(
+        [sys.executable, '-S', '-P', '-m', 'sedgering.cli.daemon'],
+        cwd=ROOT,
+        env={'PYTHONPATH': path},
+        capture_output=True,
+        text=True,
+    )
+
+
+@then('no module was compiled by its start')
+def step_none_compiled(context):
+    assert context.compiled.list_files() == context.files
+
+
+@when('a compiled module whose source is gone lies among them')
+def step_old_module(context):
+    context.old = context.compiled.folder / 'sedgering' / 'gone.pyc'
+    context.old.write_bytes(b'')
+
+
+@then('the next build removes it, and replaces no other')
+def step_old_removed(context):
+    context.compiled.build()
+    assert not context.old.exists()
+    assert context.compiled.list_files() == context.files
+
+
 @then('it ends with status 2 and one line with a code')
 def step_one_line(context):
     lines = context.ended.stderr.splitlines()
