Peers are looked at with each beat, and settings decoded when they differ

Cause: two timers of 0.1 s each, which rarely came due together, were 20 of the 22 wake-ups of a second at rest, each as a task that sleeps; the settings file was decoded twice a second.

Change: one timer beats, and the look at peers comes with it; a settings file that reads as the last one is not decoded again.

--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -45,8 +45,6 @@
 #: Time for which the first report of the local target is awaited before it
 #: is asked.
 AWAIT_REPORT_S = 0.1
-#: Between two looks at whether peers answer.
-PEER_CHECK_S = 0.1
 #: Between two looks at whether a leaving daemon is idle.
 LEAVE_CHECK_S = 0.05
 #: A leaving daemon ends when nothing was under way at so many looks in a
@@ -158,10 +156,9 @@
             )
         ]
         loop = asyncio.get_running_loop()
+        self.pause.start(self._check_peers)
         self._tasks = [
-            loop.create_task(self.pause.run()),
             loop.create_task(self._find_target()),
-            loop.create_task(self._watch_peers()),
             loop.create_task(
                 self.state.side.gate_log.run(
                     self.state.side.gate, self.backlog
@@ -222,20 +219,14 @@
             side.note_lifetime()
             self._show_target()
 
-    async def _watch_peers(self) -> None:
+    def _check_peers(self, now_s: float) -> None:
         """Ask silent peers whether they live, and give them up."""
-        loop = asyncio.get_running_loop()
+        if self.pause.find_lag_s():
+            return
         peers = self.state.peers
-        asking: set[asyncio.Task] = set()
-        while True:
-            await asyncio.sleep(PEER_CHECK_S)
-            if self.pause.find_lag_s():
-                continue
-            for peer in peers.list_unheard(loop.time()):
-                task = loop.create_task(peer.ask_for_life())
-                asking.add(task)
-                task.add_done_callback(asking.discard)
-            peers.abandon_silent(loop.time())
+        for peer in peers.list_unheard(now_s):
+            self._start_task(peer.ask_for_life())
+        peers.abandon_silent(now_s)
 
     def take_config(self, config: _config.AcceptedConfig) -> None:
         """Put a version in force, if it is newer."""
@@ -525,6 +516,7 @@
                 connection.transport.abort()
 
     def _stop_tasks(self) -> None:
+        self.pause.stop()
         self.source.stop()
         for task in self._tasks:
             task.cancel()
--- a/sedgering/mesh/_pause.py
+++ b/sedgering/mesh/_pause.py
@@ -1,6 +1,7 @@
 """Notices that the process stood still, and allows for the time lost."""
 
 import asyncio
+from collections.abc import Callable
 import logging
 
 __all__ = ['PauseWatch']
@@ -32,13 +33,30 @@
         self._lag_s = 0.0
         self._until_s = 0.0
         self._longest_lag_s = 0.0
+        self._timer: asyncio.TimerHandle | None = None
 
-    async def run(self) -> None:
-        """Beat again and again."""
-        while True:
-            await asyncio.sleep(BEAT_S)
-            now_s = self._loop.time()
-            self.note_beat(now_s)
+    def start(self, on_beat: Callable[[float], None]) -> None:
+        """Beat again and again, until :meth:`stop`.
+
+        Parameters
+        ----------
+        on_beat : callable
+            Called with the time after each beat: what else is looked at so
+            often wakes the process up no second time.
+        """
+        self._timer = self._loop.call_later(BEAT_S, self._beat, on_beat)
+
+    def stop(self) -> None:
+        """Beat no more."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _beat(self, on_beat: Callable[[float], None]) -> None:
+        # First of all, so that no defect of others ends the beat.
+        self.start(on_beat)
+        now_s = self._loop.time()
+        self.note_beat(now_s)
+        on_beat(now_s)
 
     def note_beat(self, now_s: float) -> None:
         """Take in one beat."""
--- a/sedgering/platform/_reload.py
+++ b/sedgering/platform/_reload.py
@@ -59,11 +59,13 @@
                 LOG.warning('settings refused', extra={'detail': str(error)})
             return
         self._refused = ''
-        changed = [
-            field
-            for field in msgspec.structs.asdict(found)
-            if getattr(found, field) != getattr(self.host_settings, field)
-        ]
+        changed = []
+        if found is not self.host_settings:
+            changed = [
+                field
+                for field in msgspec.structs.asdict(found)
+                if getattr(found, field) != getattr(self.host_settings, field)
+            ]
         if changed:
             self.host_settings = found
             self.apply(found)
--- a/sedgering/platform/_settings.py
+++ b/sedgering/platform/_settings.py
@@ -1,5 +1,6 @@
 """The settings file of the platform, decoded into typed fields."""
 
+import functools
 import os
 import pathlib
 from typing import Any
@@ -122,8 +123,9 @@
     return decode_settings(data)
 
 
+@functools.lru_cache(maxsize=1)
 def decode_settings(data: bytes) -> HostSettings:
-    """Decode a settings file.
+    """Decode a settings file; the last one is remembered as decoded.
 
     Raises
     ------
