--- a/sedgering/cli/operator.py
+++ b/sedgering/cli/operator.py
@@ -20,6 +20,7 @@
 from sedgering.cli import _diff
 from sedgering.cli import _experiment
 from sedgering.cli import _explain
+from sedgering.cli import _losses
 from sedgering.cli import _notice
 from sedgering import clock
 from sedgering import exceptions
@@ -161,6 +162,43 @@
         print(line)
 
 
+@app.command()
+def losses(
+    logs: Annotated[
+        list[pathlib.Path],
+        typer.Argument(help='Logs of daemons.', exists=True, dir_okay=False),
+    ],
+    window_s: Annotated[
+        float, typer.Option(help='Length of a time window.')
+    ] = 5.0,
+    from_s: Annotated[
+        float, typer.Option(help='First second that is looked at.')
+    ] = float('-inf'),
+    until_s: Annotated[
+        float, typer.Option(help='First second that is left out.')
+    ] = float('inf'),
+    as_json: JsonOption = False,
+) -> None:
+    """Tell where requests were lost, from the logs of daemons.
+
+    Example: sedgering losses host-1.log host-2.log --window-s 2
+    """
+    span = _losses.Span(from_s, until_s, window_s)
+    report = _losses.make_loss_report(_read_all(logs), span)
+    if as_json:
+        print(msgspec.json.encode(report).decode())
+        return
+    for line in _losses.show_losses(report):
+        print(line)
+
+
+def _read_all(paths: list[pathlib.Path]) -> Iterator[str]:
+    """Yield the lines of several files."""
+    for path in paths:
+        with path.open(encoding='utf-8', errors='replace') as lines:
+            yield from lines
+
+
 @app.command('sign-off')
 def sign_off(
     config: Config,
