The end of a request needs no callback of its task

Cause: each request's task had a callback that ends its coroutine and counts its body no more; it is a turn of the loop on both hops, and matters only to tasks that are cancelled before their first step.

Change: bodies are counted until the answer is known, or the request is given up; the callback is added where a task is cancelled.

--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -111,15 +111,43 @@
 class _Pending:
     """A request that waits for its answer, and its place in the order."""
 
-    __slots__ = ('data', 'is_head', 'must_close', 'received_s', 'task')
+    __slots__ = (
+        'begun',
+        'body_bytes',
+        'data',
+        'is_head',
+        'must_close',
+        'received_s',
+        'task',
+    )
 
     def __init__(self):
         self.data: bytes | None = None
         self.is_head = False
         self.must_close = False
         self.received_s = math.inf
+        #: Of its body, while it is counted.
+        self.body_bytes = 0
+        #: What answers it, and the task that runs that.
+        self.begun: Coroutine | None = None
         self.task: asyncio.Task | None = None
 
+    def release_body(self) -> None:
+        """Count its body no more."""
+        BodyMemory.used_bytes -= self.body_bytes
+        self.body_bytes = 0
+
+    def cancel(self) -> None:
+        """Give it up: nobody waits for its answer."""
+        self.release_body()
+        if self.task is not None:
+            self.task.add_done_callback(self._end_unbegun)
+            self.task.cancel()
+
+    def _end_unbegun(self, _task: asyncio.Task) -> None:
+        """End what was cancelled before its first step."""
+        self.begun.close()
+
 
 class BodyMemory:
     """Bytes of request bodies that this process holds."""
@@ -195,8 +223,7 @@
             paced.cancel()
         self._paced.clear()
         for item in self.pending:
-            if item.task is not None:
-                item.task.cancel()
+            item.cancel()
         self.pending.clear()
 
     def data_received(self, data):
@@ -294,26 +321,19 @@
         item.received_s = request.received_s
         item.must_close = not self._parser.should_keep_alive()
         self.pending.append(item)
-        size = len(request.body)
+        item.body_bytes = len(request.body)
         begun = self.service.begin(request)
         if isinstance(begun, _messages.Response):
-            _release(size)
             self._finish(item, begun)
             return
-        item.task = self.loop.create_task(self._answer(begun, item))
-
-        def end(_task: asyncio.Task) -> None:
-            # Also when it is cancelled before its first step.
-            begun.close()
-            _release(size)
-
-        item.task.add_done_callback(end)
+        item.begun = begun
+        item.task = self.loop.create_task(self._answer(item))
 
     # Answers.
 
-    async def _answer(self, begun: Coroutine, item: _Pending):
+    async def _answer(self, item: _Pending):
         try:
-            response = await begun
+            response = await item.begun
         except asyncio.CancelledError:
             raise
         except Exception:
@@ -324,6 +344,7 @@
         self._finish(item, response)
 
     def _finish(self, item: _Pending, response: _messages.Response | None):
+        item.release_body()
         if self._is_ended:
             return
         if response is None:
@@ -389,8 +410,7 @@
     def _close(self):
         """Close after an answer; requests behind it were not passed on."""
         for item in self.pending:
-            if item.task is not None:
-                item.task.cancel()
+            item.cancel()
         self.pending.clear()
         self._is_ended = True
         # What comes is read and dropped.
