A call of a daemon is told from a poll by its own field

Cause: each call was looked at five times for what it is not, in coroutines of their own, and waited in two more for a pause that nearly never was.

Change: polls and calls are known by their field; what is neither is answered without a task. Calls wait where the process has stood still, and only there.

--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -20,7 +20,7 @@
     'encode_answer',
     'encode_call',
     'encode_ping',
-    'is_for_free_place',
+    'is_call',
     'is_ping',
     'strip_own',
 ]
@@ -208,9 +208,9 @@
     return request.find(PING) is not None
 
 
-def is_for_free_place(request: transport.Request) -> bool:
-    """Say whether a call is only to have a free place."""
-    return request.find(FREE_PLACE) is not None
+def is_call(request: transport.Request) -> bool:
+    """Say whether a daemon sends a call to the target."""
+    return request.find(CALL) is not None
 
 
 def encode_answer(answer: _messages.CallAnswer) -> transport.Response:
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -61,13 +61,17 @@
     def begin(
         self, request: transport.Request
     ) -> Coroutine | transport.Response:
-        """Refuse at once a call for which there is no free place."""
-        if not _hop.is_for_free_place(request) or self.pause.find_lag_s():
-            return self.answer(request)
+        """Return the answer that waits for nothing, or what answers."""
+        if _relay.is_poll(request):
+            return self.desk.answer(request)
+        if not _hop.is_call(request):
+            return self._answer_at_once(request)
         try:
             call = _hop.decode_call(request)
         except _hop.HopError as error:
             return self._refuse_unreadable(error)
+        if call.may_wait or self.pause.find_lag_s():
+            return self._run(call)
         answer = self.side.refuse_if_busy(call)
         if answer is None:
             return self._run(call)
@@ -76,8 +80,13 @@
 
     async def answer(self, request: transport.Request) -> transport.Response:
         """Run a call and tell how it ended, or answer a poll."""
-        if _relay.is_poll(request):
-            return await self.desk.answer(request)
+        begun = self.begin(request)
+        return begun if isinstance(begun, transport.Response) else await begun
+
+    def _answer_at_once(
+        self, request: transport.Request
+    ) -> transport.Response:
+        """Answer what is neither a call nor a poll."""
         if _hop.is_ping(request):
             return transport.Response(200, [])
         if _notice.is_notice(request):
@@ -89,11 +98,7 @@
             return _hop.encode_answer(
                 self.side.answer_room_request(body_bytes)
             )
-        try:
-            call = _hop.decode_call(request)
-        except _hop.HopError as error:
-            return self._refuse_unreadable(error)
-        return await self._run(call)
+        return self._refuse_unreadable(_hop.HopError('neither call nor poll'))
 
     @staticmethod
     def _refuse_unreadable(error: _hop.HopError) -> transport.Response:
@@ -104,9 +109,10 @@
         """Run a call and tell how it ended."""
         self.note_version(call.version)
         self.side.room.note_arrival(len(call.request.body))
-        lag_ms = int(1000 * await self.pause.settle())
-        call.remaining_ms = max(0, call.remaining_ms - lag_ms)
-        call.goal_ms = max(0, call.goal_ms - lag_ms)
+        if self.pause.find_lag_s():
+            lag_ms = int(1000 * await self.pause.settle())
+            call.remaining_ms = max(0, call.remaining_ms - lag_ms)
+            call.goal_ms = max(0, call.goal_ms - lag_ms)
         try:
             async with asyncio.timeout(call.remaining_ms / 1000):
                 answer = await self.side.run_for_peer(call)
--- a/sedgering/mesh/_outbound.py
+++ b/sedgering/mesh/_outbound.py
@@ -32,7 +32,8 @@
 
     async def answer(self, request: transport.Request) -> transport.Response:
         """Answer one request."""
-        request.received_s -= await self.pause.settle()
+        if self.pause.find_lag_s():
+            request.received_s -= await self.pause.settle()
         exchange = _exchange.Exchange(request, self.state)
         self.under_way.add(exchange)
         try:
