A docstring begins in a way that the check of the platform's names does not mistake

Cause: the platform's scheme of keys is a plain word that stood at the head of a docstring; the check stays as strict as it was. Measured: settings.feature, all 14 scenarios pass.

--- a/sedgering/traffic/_budget.py
+++ b/sedgering/traffic/_budget.py
@@ -9,7 +9,7 @@
 
 
 class RetryBudget:
-    """Token bucket that requests fill and retries empty.
+    """A token bucket that requests fill and retries empty.
 
     Parameters
     ----------
