A health check that tells the speed gives the places of its target

Cause: the probe took the last figure of the load field for the places. Some targets add a fourth figure, how long work takes on their host now: one with 3 places that told 0,0,3,250 counted as one with 250 until its next report, and could get that many calls at a time. Ruled out: to take the third figure where it stands: the field is read for answers next, and has to be bounded wherever it is read. Change: sedgering/balance decodes the field, typed and bounded, in one place; a malformed one tells nothing, as before.

--- a/sedgering/mesh/_probe.py
+++ b/sedgering/mesh/_probe.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+from sedgering import balance
 from sedgering import base
 from sedgering.mesh import _messages
 from sedgering import transport
@@ -60,10 +61,9 @@
         return None
     pool.put(connection)
     target = response.find(names.target.lower())
-    load = response.find(names.load.lower()) or ''
-    slots = load.rpartition(',')[2].strip()
+    load = balance.decode_target_load(response.find(names.load.lower()) or '')
     is_ready = response.status == STATUS_OK
-    if target is None or (is_ready and not slots.isdigit()):
+    if target is None or (is_ready and load is None):
         LOG.info('probe refused', extra={'status': response.status})
         return None
     state = _messages.TargetState.DRAINING
@@ -72,7 +72,7 @@
     return _messages.TargetReport(
         target=base.TargetName(target),
         target_set=target_set,
-        slots=int(slots) if slots.isdigit() else 1,
+        slots=load.slots if load is not None else 1,
         state=state,
         cold_ms=0,
         sequence=-1,
--- a/sedgering/testing/_mesh_target.py
+++ b/sedgering/testing/_mesh_target.py
@@ -86,7 +86,7 @@
             )
             own = [
                 ('X-Instance-Id', books.target),
-                ('X-Server-Load', '0,0,2'),
+                ('X-Server-Load', books.load_field),
             ]
             self._write(status, own, b'')
             return
@@ -169,6 +169,8 @@
     def __init__(self, target: str):
         self.target = target
         self.habit = TargetHabit.SOUND
+        #: What it tells of its load.
+        self.load_field = '0,0,2'
         self.work_s = 0.0
         #: Least size of answers, which are filled up with spaces.
         self.body_bytes = 0
