Fields behind a chunked body are not taken into the head

Cause: the parser tells trailers as it tells fields, and they were appended to the list that is passed on: a caller could add fields that nobody had checked (RFC 9110, section 6.5.1). Ruled out: refusing such requests, since trailers are allowed. Change: they count towards the size of the head and are dropped.

--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -247,13 +247,18 @@
             raise _Refused(431)
 
     def on_header(self, name, value):
-        """Gather one field."""
-        self._request.headers.append(
-            (name.decode('latin-1'), value.decode('latin-1'))
-        )
+        """Gather one field; those behind a body are dropped.
+
+        Nobody has checked them: passed on within the head they would pass for
+        fields that were (RFC 9110, section 6.5.1).
+        """
         self._fields_size += len(name) + len(value)
         if self._fields_size > self._head_limit_bytes:
             raise _Refused(431)
+        if self._is_reading_head:
+            self._request.headers.append(
+                (name.decode('latin-1'), value.decode('latin-1'))
+            )
 
     def on_headers_complete(self):
         """Check the head, and ask for the body where the caller waits."""
