--- a/features/steps/bundle_steps.py
+++ b/features/steps/bundle_steps.py
@@ -100,7 +100,13 @@
     @hypothesis.given(valid_bundles(), st.randoms(use_true_random=False))
     def check(content, random):
         kinds = []
-        for kind in (content.policies, content.target_sets, content.routes):
+        for kind in (
+            content.policies,
+            content.target_sets,
+            content.routes,
+            content.workspaces,
+            content.keyed_routes,
+        ):
             shuffled = list(kind)
             random.shuffle(shuffled)
             kinds.append(shuffled)
--- a/features/steps/strategies.py
+++ b/features/steps/strategies.py
@@ -46,7 +46,41 @@
         _draw_route(draw, name, policies, target_sets)
         for name in draw(subsets())
     ]
-    return bundles.make_bundle(MESH, policies, target_sets, routes)
+    return bundles.make_bundle(
+        MESH,
+        policies,
+        target_sets,
+        routes,
+        _draw_workspaces(draw),
+        _draw_keyed(draw, routes),
+    )
+
+
+def _draw_workspaces(draw) -> list[bundles.Workspace]:
+    """Draw workspaces, mostly none; each key has at most one holder."""
+    if draw(strategies.booleans()):
+        return []
+    keys = iter(draw(strategies.permutations(range(12))))
+    return [
+        bundles.Workspace(
+            name,
+            tuple(
+                f'{next(keys):064x}'
+                for _ in range(draw(strategies.integers(0, 2)))
+            ),
+            priority=draw(strategies.integers(0, 1)),
+            rate_per_s=draw(strategies.integers(0, 300)),
+            burst=draw(strategies.integers(0, 300)),
+        )
+        for name in draw(subsets())
+    ]
+
+
+def _draw_keyed(draw, routes) -> list[str]:
+    if not routes or draw(strategies.booleans()):
+        return []
+    names = [route.name for route in routes]
+    return draw(strategies.lists(strategies.sampled_from(names), unique=True))
 
 
 def _draw_route(draw, name, policies, target_sets) -> bundles.Route:
--- /dev/null
+++ b/sedgering/access/__init__.py
@@ -0,0 +1,21 @@
+"""Who asks: keys of workspaces, and what a daemon may say of them."""
+
+from sedgering.access._identity import Currency
+from sedgering.access._identity import identify
+from sedgering.access._identity import Identity
+from sedgering.access._identity import NOBODY
+from sedgering.access._identity import Revocation
+from sedgering.access._keys import compute_key_digest
+from sedgering.access._keys import find_key
+from sedgering.access._keys import shorten_digest
+
+__all__ = [
+    'Currency',
+    'Identity',
+    'NOBODY',
+    'Revocation',
+    'compute_key_digest',
+    'find_key',
+    'identify',
+    'shorten_digest',
+]
--- a/sedgering/bundle/_codec.py
+++ b/sedgering/bundle/_codec.py
@@ -1,7 +1,8 @@
 """Canonical encoding of a bundle, and its digest.
 
 Two equal bundles have the same bytes: objects are sorted by name, and
-every field is written, in the order in which its struct declares it.
+every field is written, in the order in which its struct declares it.  Fields
+on workspaces are left out together where a bundle has none of them.
 """
 
 import hashlib
@@ -17,6 +18,16 @@
 #: Largest encoded bundle accepted, in bytes.
 MAX_BUNDLE_BYTES = 32 * 1024 * 1024
 
+
+class _OpenBundle(msgspec.Struct, frozen=True):
+    """A bundle that asks for no keys, as earlier releases read it."""
+
+    mesh: str
+    policies: tuple[_model.Policy, ...]
+    target_sets: tuple[_model.TargetSet, ...]
+    routes: tuple[_model.Route, ...]
+
+
 _ENCODER = msgspec.msgpack.Encoder(order='deterministic')
 _DECODER = msgspec.msgpack.Decoder(_model.Bundle)
 
@@ -34,7 +45,13 @@
     bytes
         The same bytes for equal bundles.
     """
-    return _ENCODER.encode(bundle)
+    if bundle.workspaces or bundle.keyed_routes:
+        return _ENCODER.encode(bundle)
+    return _ENCODER.encode(
+        _OpenBundle(
+            bundle.mesh, bundle.policies, bundle.target_sets, bundle.routes
+        )
+    )
 
 
 def compute_digest(encoded: bytes) -> base.Digest:
--- a/sedgering/bundle/_delta.py
+++ b/sedgering/bundle/_delta.py
@@ -56,6 +56,18 @@
     put: tuple[_model.Route, ...]
 
 
+class WorkspaceDelta(KindDelta, frozen=True, array_like=True):
+    """Changes to workspaces."""
+
+    put: tuple[_model.Workspace, ...]
+
+
+class KeyedRouteDelta(KindDelta, frozen=True, array_like=True):
+    """Changes to the names of routes that need a key."""
+
+    put: tuple[base.RouteName, ...]
+
+
 class Delta(msgspec.Struct, frozen=True, array_like=True):
     """What leads from one bundle to another.
 
@@ -67,6 +79,8 @@
         Mesh of both bundles.
     policies, target_sets, routes : KindDelta
         Changes to each kind of object.
+    workspaces, keyed_routes : KindDelta
+        The same; at the end, where earlier releases read over them.
     """
 
     base_digest: bytes
@@ -75,6 +89,8 @@
     policies: PolicyDelta
     target_sets: TargetSetDelta
     routes: RouteDelta
+    workspaces: WorkspaceDelta = WorkspaceDelta((), ())
+    keyed_routes: KeyedRouteDelta = KeyedRouteDelta((), ())
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -108,6 +124,10 @@
         policies=PolicyDelta(*_diff(old.policies, new.policies)),
         target_sets=TargetSetDelta(*_diff(old.target_sets, new.target_sets)),
         routes=RouteDelta(*_diff(old.routes, new.routes)),
+        workspaces=WorkspaceDelta(*_diff(old.workspaces, new.workspaces)),
+        keyed_routes=KeyedRouteDelta(
+            *_diff(old.keyed_routes, new.keyed_routes)
+        ),
     )
 
 
@@ -142,6 +162,8 @@
         _patch(old.policies, delta.policies),
         _patch(old.target_sets, delta.target_sets),
         _patch(old.routes, delta.routes),
+        _patch(old.workspaces, delta.workspaces),
+        _patch(old.keyed_routes, delta.keyed_routes),
     )
     digest = _codec.compute_digest(_codec.encode_bundle(new))
     if digest != delta.digest:
@@ -178,6 +200,10 @@
             *_join(first.target_sets, second.target_sets)
         ),
         routes=RouteDelta(*_join(first.routes, second.routes)),
+        workspaces=WorkspaceDelta(*_join(first.workspaces, second.workspaces)),
+        keyed_routes=KeyedRouteDelta(
+            *_join(first.keyed_routes, second.keyed_routes)
+        ),
     )
 
 
@@ -218,36 +244,44 @@
     return data
 
 
+def _by_name(items: tuple[ItemT, ...]) -> dict[str, ItemT]:
+    """Return items by their names; a name stands for itself."""
+    return {getattr(item, 'name', item): item for item in items}
+
+
 def _diff(
     old: tuple[ItemT, ...], new: tuple[ItemT, ...]
 ) -> tuple[tuple[str, ...], tuple[ItemT, ...]]:
-    old_by_name = {item.name: item for item in old}
-    new_names = {item.name for item in new}
-    removed = tuple(name for name in old_by_name if name not in new_names)
-    put = tuple(item for item in new if old_by_name.get(item.name) != item)
+    old_by_name = _by_name(old)
+    new_by_name = _by_name(new)
+    removed = tuple(name for name in old_by_name if name not in new_by_name)
+    put = tuple(
+        item
+        for name, item in new_by_name.items()
+        if old_by_name.get(name) != item
+    )
     return removed, put
 
 
 def _patch(old: tuple[ItemT, ...], delta: KindDelta) -> tuple[ItemT, ...]:
     if not delta.removed and not delta.put:
         return old
-    items = {item.name: item for item in old}
+    items = _by_name(old)
     for name in delta.removed:
         items.pop(name, None)
-    for item in delta.put:
-        items[item.name] = item
+    items.update(_by_name(delta.put))
     return tuple(items.values())
 
 
 def _join(
     first: KindDelta, second: KindDelta
 ) -> tuple[tuple[str, ...], tuple]:
-    put = {item.name: item for item in first.put}
+    put = _by_name(first.put)
     removed = set(first.removed)
     for name in second.removed:
         put.pop(name, None)
         removed.add(name)
-    for item in second.put:
-        put[item.name] = item
-        removed.discard(item.name)
+    put_later = _by_name(second.put)
+    put.update(put_later)
+    removed.difference_update(put_later)
     return tuple(sorted(removed)), tuple(put.values())
--- a/sedgering/bundle/_model.py
+++ b/sedgering/bundle/_model.py
@@ -173,12 +173,7 @@
     burst: int = 0
 
 
-class Bundle(
-    msgspec.Struct,
-    frozen=True,
-    forbid_unknown_fields=True,
-    omit_defaults=True,
-):
+class Bundle(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Everything that one version puts in force.
 
     Parameters
--- a/sedgering/bundle/_snapshot.py
+++ b/sedgering/bundle/_snapshot.py
@@ -52,6 +52,7 @@
         'target_sets',
         'version',
         'workspaces',
+        'workspaces_by_key',
     )
 
     def __init__(
@@ -67,8 +68,19 @@
         self.target_sets = {item.name: item for item in bundle.target_sets}
         self.routes_by_host = _index_routes(bundle)
         self.workspaces = {item.name: item for item in bundle.workspaces}
+        #: Workspaces by the digests of their keys.
+        self.workspaces_by_key = {
+            digest: item
+            for item in bundle.workspaces
+            for digest in item.key_digests
+        }
         self.keyed_routes = frozenset(bundle.keyed_routes)
 
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether callers may have to say who they are."""
+        return bool(self.workspaces or self.keyed_routes)
+
 
 def make_snapshot(
     version: base.Version,
--- a/sedgering/bundle/_source.py
+++ b/sedgering/bundle/_source.py
@@ -40,7 +40,12 @@
     except msgspec.ValidationError as error:
         raise _unreadable(path, error) from error
     ordered = _model.make_bundle(
-        bundle.mesh, bundle.policies, bundle.target_sets, bundle.routes
+        bundle.mesh,
+        bundle.policies,
+        bundle.target_sets,
+        bundle.routes,
+        bundle.workspaces,
+        bundle.keyed_routes,
     )
     return _validation.check_bundle(ordered)
 
--- a/sedgering/bundle/_validation.py
+++ b/sedgering/bundle/_validation.py
@@ -9,6 +9,8 @@
 
 NAME_PATTERN = re.compile(r'[a-z0-9][a-z0-9._-]{0,62}')
 METHOD_PATTERN = re.compile(r'[A-Z]{1,20}')
+#: SHA-256 in hexadecimal digits.
+KEY_DIGEST_PATTERN = re.compile(r'[0-9a-f]{64}')
 #: Values that a policy and a target set may have, by field.
 POLICY_RANGES = {
     'timeout_ms': range(1, 3_600_001),
@@ -22,6 +24,13 @@
     'slots': range(1, 10_001),
     'connections': range(1, 100_001),
 }
+WORKSPACE_RANGES = {
+    'priority': range(0, 1_001),
+    'rate_per_s': range(0, 1_000_001),
+    'burst': range(0, 1_000_001),
+}
+#: Digits of a digest that tell keys apart for people.
+DIGEST_HEAD_LENGTH = 8
 WEIGHT_RANGE = range(0, 1_000_001)
 MAX_OBJECTS = 100_000
 
@@ -65,6 +74,13 @@
     for route in routes:
         _check_match(route)
         _check_shares(route)
+    workspaces = _list_new(bundle.workspaces, held.workspaces)
+    _check_names(workspaces, bundle.workspaces, 'workspaces')
+    for workspace in workspaces:
+        _check_ranges(workspace, WORKSPACE_RANGES, 'workspaces')
+        _check_digests(workspace)
+    _check_keys(bundle.workspaces)
+    _check_keyed_routes(bundle)
     _check_references(bundle)
     _check_overlaps(bundle.routes)
     return bundle
@@ -98,7 +114,7 @@
 
 
 def _check_ranges(
-    item: _model.Policy | _model.TargetSet,
+    item: _model.Policy | _model.TargetSet | _model.Workspace,
     ranges: dict[str, range],
     kind: str,
 ) -> None:
@@ -115,6 +131,40 @@
     _check_ranges(target_set, TARGET_SET_RANGES, 'target_sets')
 
 
+def _check_digests(workspace: _model.Workspace) -> None:
+    for digest in workspace.key_digests:
+        if not KEY_DIGEST_PATTERN.fullmatch(digest):
+            # It may be a key that was written in place of its digest.
+            path = f'workspaces.{workspace.name}.key_digests'
+            _fail(exceptions.Code.BUNDLE_RANGE, f'{path}: not a SHA-256')
+
+
+def _check_keys(workspaces: tuple[_model.Workspace, ...]) -> None:
+    """Check that no key is held twice: it would not say who asks."""
+    holders: dict[str, str] = {}
+    for workspace in workspaces:
+        for digest in workspace.key_digests:
+            if digest in holders:
+                detail = (
+                    f'workspaces.{workspace.name} and '
+                    f'workspaces.{holders[digest]}: '
+                    f'key {digest[:DIGEST_HEAD_LENGTH]}'
+                )
+                _fail(exceptions.Code.BUNDLE_KEY, detail)
+            holders[digest] = workspace.name
+
+
+def _check_keyed_routes(bundle: _model.Bundle) -> None:
+    routes = {route.name for route in bundle.routes}
+    previous = ''
+    for name in bundle.keyed_routes:
+        if name not in routes:
+            _dangling('keyed_routes', name)
+        if name <= previous:
+            _fail_order(name, previous, 'keyed_routes')
+        previous = name
+
+
 def _check_references(bundle: _model.Bundle) -> None:
     policies = {policy.name for policy in bundle.policies}
     target_sets = {target_set.name for target_set in bundle.target_sets}
--- a/sedgering/cli/_diff.py
+++ b/sedgering/cli/_diff.py
@@ -8,7 +8,7 @@
 
 __all__ = ['describe_changes']
 
-_KINDS = ('policies', 'target_sets', 'routes')
+_KINDS = ('policies', 'target_sets', 'routes', 'workspaces')
 
 
 def describe_changes(
@@ -33,6 +33,12 @@
                 yield f'+ {path}'
             else:
                 yield from _describe_fields(path, before[name], after[name])
+    yield from _describe_keyed(set(old.keyed_routes), set(new.keyed_routes))
+
+
+def _describe_keyed(before: set[str], after: set[str]) -> Iterator[str]:
+    for name in sorted(before ^ after):
+        yield f'{"+" if name in after else "-"} keyed_routes.{name}'
 
 
 def _describe_fields(
--- a/sedgering/exceptions.py
+++ b/sedgering/exceptions.py
@@ -48,6 +48,7 @@
     BUNDLE_BASE = 1107, 'delta does not start from the version held'
     BUNDLE_ORDER = 1108, 'version is not greater than the version held'
     BUNDLE_MESH = 1109, 'bundle belongs to another mesh'
+    BUNDLE_KEY = 1110, 'a key of a workspace is held twice'
 
     RELEASE_LOST_SIGN_OFF = 2001, 'another sign-off came first'
     RELEASE_LOST_ROLL = 2002, 'another roll came first'
@@ -92,6 +93,8 @@
     REQUEST_CLAIMED = 5013, 'request with this key has no known outcome'
     REQUEST_KEY_REUSED = 5014, 'key belongs to another request; not run'
     REQUEST_QUARANTINED = 5015, 'targets ended under it before; not run'
+    REQUEST_KEY_UNKNOWN = 5016, 'no workspace holds its key; not run'
+    REQUEST_KEY_UNSURE = 5017, 'proxy may be behind on keys; not run'
 
     REPORT_UNREADABLE = 6001, 'report cannot be decoded; nothing changed'
     REPORT_SET = 6002, 'report is of an unknown target set; nothing changed'
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -125,6 +125,7 @@
         self._early_report: _messages.TargetReport | None = None
         self.is_leaving = False
         state.side.watch.on_end = self._tell_end
+        state.find_currency = source.find_currency
         self._servers: list[asyncio.AbstractServer] = []
         self._tasks: list[asyncio.Task] = []
 
--- a/sedgering/mesh/_decisions.py
+++ b/sedgering/mesh/_decisions.py
@@ -110,6 +110,7 @@
         elapsed_ms: int,
         version: base.Version,
         fingerprint: base.Fingerprint | None,
+        key_head: str = '',
     ) -> None:
         """Note an answer of the daemon's own.
 
@@ -117,6 +118,7 @@
         they wait for is the cause of a request that ends late.
         """
         self.counts.count('refused', str(code))
+        fields = {'key_head': key_head} if key_head else {}
         self._write(
             'request refused',
             request_id=request_id,
@@ -129,6 +131,7 @@
             elapsed_ms=elapsed_ms,
             version=version,
             fingerprint=fingerprint or '',
+            **fields,
         )
 
     def _write(self, message: str, **fields) -> None:
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Sequence
 
+from sedgering import access
 from sedgering import base
 from sedgering import bundle as bundles
 from sedgering import exceptions
@@ -38,6 +39,12 @@
 #: Most attempts under way that a line names; few routes allow more.
 ATTEMPTS_TOLD_LIMIT = 4
 SERVER_ERROR = 500
+#: Bounds of the time after which a caller returns whose key may be new: a
+#: daemon that lags behind has the newest version within some 2 s, and the
+#: caller may meet another one before.
+UNSURE_PAUSES_S = (0.3, 1.0)
+#: Field that carries the key of a workspace.
+KEY_FIELD = 'authorization'
 
 _Outcome = _messages.CallOutcome
 _Reason = _messages.RefusalReason
@@ -87,7 +94,9 @@
         #: Done when any of them has news.
         self._news: asyncio.Future = self.loop.create_future()
         self.last: _messages.CallAnswer | None = None
-        #: Known from when the daemon is ready.
+        #: Who asks; nobody where the bundle asks for no keys.
+        self.identity = access.NOBODY
+        #: Known from when it is known who asks.
         self.standing: _standing.KnownRequest | None = None
         #: Target of a version on trial, where the request went first.
         self.exposed: _peers.Peer | None = None
@@ -97,9 +106,6 @@
     async def run(self) -> transport.Response:
         """Answer the request."""
         await self.state.start.wait()
-        self.standing = _standing.KnownRequest(
-            self.request, self.state.crashes
-        )
         snapshot = self.state.config.snapshot
         if snapshot is None:
             return self._refuse(exceptions.Code.REQUEST_NOT_READY)
@@ -117,6 +123,13 @@
         if self.route is None:
             return self._refuse(exceptions.Code.REQUEST_NO_ROUTE)
         self.policy = snapshot.policies[self.route.policy]
+        if snapshot.has_workspaces:
+            self._identify(snapshot)
+            if self.identity.code is not None:
+                return self._refuse(self.identity.code)
+        self.standing = _standing.KnownRequest(
+            self.request, self.state.crashes
+        )
         self.target_set = self.state.turns.choose(self.route)
         try:
             self._set_times()
@@ -141,14 +154,44 @@
         finally:
             self.state.serving.forget(limit)
 
+    def _identify(self, snapshot: bundles.Snapshot) -> None:
+        """Find out who asks, and take the key off the request.
+
+        The key ends here: neither other daemons nor targets need it, and what
+        they were to log or keep would hold it.
+        """
+        request = self.request
+        names = self.state.names
+        self.identity = access.identify(
+            snapshot,
+            self.route.name,
+            [
+                value
+                for name, value in request.headers
+                if name.lower() == KEY_FIELD
+            ],
+            names.key_scheme,
+            self.state.find_currency(),
+            self.state.revocation,
+        )
+        dropped = frozenset((KEY_FIELD, names.workspace.lower()))
+        request.headers = [
+            item for item in request.headers if item[0].lower() not in dropped
+        ]
+        if request.fields is not None:
+            for name in dropped:
+                request.fields.pop(name, None)
+        request.workspace = self.identity.workspace
+
+    def _find_stated_ms(self) -> int:
+        """Return for how long the caller says that it waits."""
+        text = self.request.find(self.state.names.deadline_ms.lower())
+        return self.policy.timeout_ms if text is None else _parse_ms(text)
+
     def _set_times(self) -> None:
         """Set deadline and goal from the head of the request."""
-        name = self.state.names.deadline_ms.lower()
-        text = self.request.find(name)
         timeout_ms = self.policy.timeout_ms
-        stated_ms = timeout_ms
-        if text is not None:
-            stated_ms = _parse_ms(text)
+        stated_ms = self._find_stated_ms()
         started_s = self.request.received_s
         self.deadline_s = started_s + min(timeout_ms, stated_ms) / 1000
         self.caller_left_ms = stated_ms
@@ -370,6 +413,8 @@
             goal_ms=self._find_goal_ms(now_s),
             version=self.version,
             may_wait=not self.search.is_on,
+            workspace=self.identity.workspace,
+            workspace_priority=self.identity.priority,
         )
         self.standing.tell(call)
         return call
@@ -534,13 +579,15 @@
             self.last,
             self._elapsed_ms(),
             self.version,
-            self.standing.fingerprint,
+            self.standing.fingerprint if self.standing else None,
+            self.identity.key_head,
         )
         return _refusal.make_refusal(
             code,
             self.state.names.request_id,
             self.request_id,
             self._find_pause_s(code),
+            self.state.names.key_scheme,
         )
 
     def describe(self) -> str:
@@ -561,6 +608,8 @@
         if code is exceptions.Code.REQUEST_QUARANTINED:
             # Sooner it would only be refused again.
             return self.standing.find_wait_s()
+        if code is exceptions.Code.REQUEST_KEY_UNSURE:
+            return self.state.rng.uniform(*UNSURE_PAUSES_S)
         limits = self.state.mesh_settings
         left_ms = self.caller_left_ms - self._elapsed_ms()
         share = self.state.rng.uniform(*RETRY_AFTER_SHARES)
--- a/sedgering/mesh/_fingerprint.py
+++ b/sedgering/mesh/_fingerprint.py
@@ -51,6 +51,8 @@
     # As routes compare it.
     host = (request.find('host') or '').partition(':')[0].lower()
     callers = [request.find(name) or '' for name in caller_fields]
+    if request.workspace:
+        callers.append(request.workspace)
     for text in (request.method, request.url, host, *callers):
         data = _encode(text)
         # With its length, so that no text runs into the next one.
--- a/sedgering/mesh/_follow.py
+++ b/sedgering/mesh/_follow.py
@@ -311,6 +311,7 @@
             return
         if news.version is None:
             self.source.take_version(None, news.version_revision)
+        self.source.note_told()
         self._rests.pop(row.host, None)
         self._set_sound(link, True)
 
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -142,6 +142,7 @@
     crashes = _decode_evidence(request.find(CRASHES))
     forgiven = _split_ids(request.find(FORGIVEN))
     request.headers = strip_own(request.headers)
+    request.workspace = workspace
     return _messages.TargetCall(
         request=request,
         request_id=base.RequestId(request_id),
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -157,7 +157,7 @@
     target: str
     load: str
     workspace: str = 'X-Workspace'
-    key_scheme: str = 'Token'
+    key_scheme: str = 'Bearer'
 
 
 class MeshIdentity(msgspec.Struct, frozen=True):
--- a/sedgering/mesh/_refusal.py
+++ b/sedgering/mesh/_refusal.py
@@ -12,10 +12,12 @@
 _STATUS = {
     exceptions.Code.REQUEST_NO_ROUTE: 404,
     exceptions.Code.REQUEST_MALFORMED: 400,
+    exceptions.Code.REQUEST_KEY_UNKNOWN: 401,
     exceptions.Code.REQUEST_UNKNOWN: 502,
     exceptions.Code.REQUEST_LATE: 504,
 }
 NOT_RUN = 503
+UNAUTHORIZED = 401
 
 
 def make_refusal(
@@ -23,6 +25,7 @@
     id_field: str,
     request_id: base.RequestId,
     pause_s: float,
+    key_scheme: str = '',
 ) -> transport.Response:
     """Make the answer of the daemon's own to a request.
 
@@ -36,6 +39,8 @@
         Of the caller; empty without one.
     pause_s : float
         When to come back, told where the request has not run.
+    key_scheme : str
+        Scheme in which a key is sent, told where one is missing.
     """
     status = _STATUS.get(code, NOT_RUN)
     headers = [('Content-Type', 'application/json')]
@@ -43,5 +48,7 @@
         headers.append((id_field, request_id))
     if status == NOT_RUN:
         headers.append(('Retry-After', f'{pause_s:.3f}'))
+    if status == UNAUTHORIZED:
+        headers.append(('WWW-Authenticate', key_scheme))
     body = json.dumps({'code': int(code), 'error': code.text}).encode()
     return transport.Response(status, headers, body)
--- a/sedgering/mesh/_settings.py
+++ b/sedgering/mesh/_settings.py
@@ -77,6 +77,11 @@
     exposed_share_percent : int
         Share of the calls to a set that a version on trial may get at most,
         over the whole fleet; what the operator lets a bad version harm.
+    revoke_strict : bool
+        Whether known keys are refused, too, by a daemon that has not heard
+        for `revoke_ms` which keys were taken away; else it serves them.
+    revoke_ms : int
+        Time within which a key that is taken away must be refused.
     success_log_every : int
         One in so many plain successes is logged.
     log_lines_per_s : int
@@ -106,5 +111,7 @@
     quarantine_crashes: settings.CountOrNone = 3
     advertised_port: settings.PortOrNone = 0
     exposed_share_percent: settings.Percent = 10
+    revoke_strict: bool = False
+    revoke_ms: settings.IntervalMs = 5000
     success_log_every: settings.Count = 100
     log_lines_per_s: settings.Count = 50
--- a/sedgering/mesh/_source.py
+++ b/sedgering/mesh/_source.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 
 import msgspec
 
+from sedgering import access
 from sedgering import base
 from sedgering.mesh import _config
 from sedgering.mesh import _keeper
@@ -41,6 +43,12 @@
 #: Longest wait of a watch in a daemon that others poll: they must learn
 #: soon that it does not hear the store.
 POLLED_WAIT_MS = 2000
+#: For how long the word of a relay holds that there is no newer version: a
+#: poll takes 1.4 s at most, and another relay is asked after one that fails.
+TOLD_S = 2.0
+#: By how much what a relay tells may be older: its own watch waits so long,
+#: and others rely on it for a moment after it has lost the store.
+RELAY_LAG_S = POLLED_WAIT_MS / 1000 + _watch.LOST_GRACE_S
 
 
 class MeshSource:
@@ -106,6 +114,10 @@
         self._on_members: OnMembers | None = None
         self._is_watching = False
         self._polled_s = -POLLED_S
+        #: When a relay said last that it hears the store.
+        self._told_s = -math.inf
+        #: Greatest version by which another daemon routed a call.
+        self._heard_version = base.NO_VERSION
         self._is_check_due = False
         self._changed = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
@@ -127,6 +139,21 @@
         """Whether the store tells this daemon of each change."""
         return self._config_watcher.is_fresh and self._member_watcher.is_fresh
 
+    def find_currency(self) -> access.Currency:
+        """Tell how current the version of this daemon is."""
+        now_s = self.loop.time()
+        is_told = now_s - self._told_s <= TOLD_S
+        is_behind = self._heard_version > self.versions.version
+        heard_s = max(self._config_watcher.heard_s, self._told_s - RELAY_LAG_S)
+        return access.Currency(
+            (self._config_watcher.is_fresh or is_told) and not is_behind,
+            now_s - heard_s,
+        )
+
+    def note_told(self) -> None:
+        """Note that a relay hears the store, and has told its version."""
+        self._told_s = self.loop.time()
+
     @property
     def is_trusted(self) -> bool:
         """Whether others may rely on this daemon to hear the store."""
@@ -318,6 +345,7 @@
 
         It is usually on its way; it is read when it does not come.
         """
+        self._heard_version = max(self._heard_version, version)
         if version > self.versions.version and not self._is_check_due:
             self._is_check_due = True
             self.loop.call_later(BEHIND_S, self._check_behind, version)
--- a/sedgering/mesh/_state.py
+++ b/sedgering/mesh/_state.py
@@ -1,7 +1,9 @@
 """What all requests of a daemon share."""
 
+from collections.abc import Callable
 import random
 
+from sedgering import access
 from sedgering.mesh import _budget
 from sedgering.mesh import _callers
 from sedgering.mesh import _choice
@@ -78,6 +80,11 @@
         self.places = _search.FreePlaces()
         self.start = _start.StartWait()
         self.serving = _serving.ServingTime()
+        #: Tells how current the version in force is.
+        self.find_currency: Callable[[], access.Currency] = access.Currency
+        self.revocation = access.Revocation(
+            mesh_settings.revoke_strict, mesh_settings.revoke_ms / 1000
+        )
         self.exposure = rollout.ExposureQuota(
             mesh_settings.exposed_share_percent / 100
         )
--- a/sedgering/mesh/_target_side.py
+++ b/sedgering/mesh/_target_side.py
@@ -31,7 +31,7 @@
 MISDIRECTED = 421
 SERVER_ERROR = 500
 #: Fields of the caller that the daemon sets itself.
-_REPLACED = ('deadline_ms', 'expected_target', 'origin')
+_REPLACED = ('deadline_ms', 'expected_target', 'origin', 'workspace')
 
 
 class TargetSide:
@@ -514,6 +514,8 @@
         headers.append((names.deadline_ms, str(remaining_ms)))
         headers.append((names.expected_target, call.target))
         headers.append((names.origin, call.origin))
+        if call.workspace:
+            headers.append((names.workspace, call.workspace))
         return transport.encode_request(call.request, headers)
 
     def _is_own(
--- a/sedgering/mesh/_watch.py
+++ b/sedgering/mesh/_watch.py
@@ -193,6 +193,8 @@
         self.reread_pause_s = REREAD_PAUSE_S
         #: Whether the last call was answered, and changes are watched.
         self.is_fresh = False
+        #: When the store answered last.
+        self.heard_s = -math.inf
         self._revision: int | None = None
         #: When the last call that failed after others ended.
         self._lost_s = -math.inf
@@ -275,6 +277,7 @@
     def _note_success(self) -> None:
         self.pauses.reset()
         self.is_fresh = True
+        self.heard_s = asyncio.get_running_loop().time()
         if self._is_lost:
             self._is_lost = False
             LOG.info('store regained', extra={'detail': self.name})
--- a/sedgering/observability/_logs.py
+++ b/sedgering/observability/_logs.py
@@ -23,6 +23,7 @@
     'elapsed_ms',
     'fingerprint',
     'fingerprints',
+    'key_head',
     'lag_ms',
     'load',
     'operation_id',
--- a/sedgering/platform/_document.py
+++ b/sedgering/platform/_document.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from sedgering import access
 from sedgering import base
 from sedgering import bundle as bundles
 from sedgering import exceptions
@@ -62,6 +63,16 @@
     #: Either one service, or shares of several.
     service: str = ''
     split: list[_Share] = []
+    #: Whether callers need no key.
+    public: bool = False
+
+
+class _Tenant(msgspec.Struct):
+    api_keys: list[str] = []
+    priority: int = 0
+    #: Requests a second; 0 for no limit.
+    rate_per_s: int = 0
+    burst: int = 0
 
 
 class _Service(msgspec.Struct):
@@ -79,6 +90,7 @@
 class _RouteItem(msgspec.Struct, frozen=True):
     route: bundles.Route
     policy: bundles.Policy
+    is_public: bool
 
 
 class _ServiceItem(msgspec.Struct, frozen=True):
@@ -87,7 +99,13 @@
 
 
 #: What one resource of the document says; None where it is of no use here.
-_Item = _RouteItem | _ServiceItem | transport.CallerLimits | None
+_Item = (
+    _RouteItem
+    | _ServiceItem
+    | bundles.Workspace
+    | transport.CallerLimits
+    | None
+)
 
 
 class DocumentDecoder:
@@ -138,12 +156,16 @@
     name = resource.metadata.name
     if resource.resource_type == 'routes':
         spec = msgspec.convert(resource.spec, _Route)
-        return _RouteItem(_make_route(name, spec), _make_policy(name, spec))
+        return _RouteItem(
+            _make_route(name, spec), _make_policy(name, spec), spec.public
+        )
     if resource.resource_type == 'services':
         service = msgspec.convert(resource.spec, _Service)
         return _ServiceItem(
             _make_target_set(name, service), service.health_path
         )
+    if resource.resource_type == 'tenants':
+        return _make_workspace(name, msgspec.convert(resource.spec, _Tenant))
     if resource.resource_type == 'limits':
         return _make_limits(msgspec.convert(resource.spec, _Limits))
     return None
@@ -154,6 +176,9 @@
 ) -> mesh.AcceptedConfig:
     routes = [item for item in items if isinstance(item, _RouteItem)]
     services = [item for item in items if isinstance(item, _ServiceItem)]
+    workspaces = [
+        item for item in items if isinstance(item, bundles.Workspace)
+    ]
     limits = transport.CallerLimits()
     for item in items:
         if isinstance(item, transport.CallerLimits):
@@ -165,6 +190,8 @@
             tuple(item.policy for item in routes),
             tuple(item.target_set for item in services),
             tuple(item.route for item in routes),
+            tuple(workspaces),
+            _list_keyed(routes) if workspaces else (),
         ),
         limits=limits,
         health_paths={
@@ -173,6 +200,22 @@
     )
 
 
+def _list_keyed(routes: list[_RouteItem]) -> tuple[base.RouteName, ...]:
+    return tuple(item.route.name for item in routes if not item.is_public)
+
+
+def _make_workspace(name: str, spec: _Tenant) -> bundles.Workspace:
+    digests = map(access.compute_key_digest, spec.api_keys)
+    return bundles.Workspace(
+        name=base.WorkspaceName(name),
+        # A key that is listed twice is one key.
+        key_digests=tuple(dict.fromkeys(digests)),
+        priority=spec.priority,
+        rate_per_s=spec.rate_per_s,
+        burst=spec.burst,
+    )
+
+
 def _make_route(name: str, spec: _Route) -> bundles.Route:
     shares = spec.split or [_Share(spec.service, 1)]
     return bundles.Route(
--- a/sedgering/platform/_program.py
+++ b/sedgering/platform/_program.py
@@ -48,6 +48,13 @@
             mesh_settings,
             exposed_share_percent=int(100 * host_settings.exposed_share),
         )
+    mesh_settings = msgspec.structs.replace(
+        mesh_settings, revoke_strict=host_settings.revoke_strict
+    )
+    if host_settings.revoke_ms is not None:
+        mesh_settings = msgspec.structs.replace(
+            mesh_settings, revoke_ms=host_settings.revoke_ms
+        )
     daemon = mesh.make_mesh_daemon(
         host_settings.identity,
         host_settings.addresses,
--- a/sedgering/platform/_settings.py
+++ b/sedgering/platform/_settings.py
@@ -56,6 +56,11 @@
     exposed_share : float or None
         Share of the calls to a set that a version on trial may get at most;
         None where the operator orders no rollouts.
+    revoke_strict : bool
+        Whether a daemon that may be behind on keys stops to serve known ones.
+    revoke_ms : int or None
+        Time within which a key that is taken away must be refused; None where
+        the operator states none.
     """
 
     identity: mesh.MeshIdentity
@@ -67,6 +72,8 @@
     retry_window_s: float
     is_first_start: bool = False
     exposed_share: float | None = None
+    revoke_strict: bool = False
+    revoke_ms: int | None = None
 
 
 class _Listen(msgspec.Struct):
@@ -141,6 +148,7 @@
 def _convert(file: _File) -> HostSettings:
     bounds = dict(item.split('=', 1) for item in file.bounds)
     exposed_share = bounds.get('expose_share')
+    revoke = bounds.get('revoke')
     target_address, target_port = _split(file.app)
     store_address, store_port = _split(file.platform.address)
     return HostSettings(
@@ -166,6 +174,8 @@
         retry_window_s=_wire.parse_duration_ms(bounds['budget_window']) / 1000,
         is_first_start=file.bootstrap,
         exposed_share=float(exposed_share) if exposed_share else None,
+        revoke_strict=bounds.get('revoke_strict') == 'true',
+        revoke_ms=_wire.parse_duration_ms(revoke) if revoke else None,
     )
 
 
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -26,7 +26,12 @@
 HOST_HEADER = 'calendar.example'
 
 
-def make_document(version: int, routes: list[dict], **limits: Any) -> bytes:
+def make_document(
+    version: int,
+    routes: list[dict],
+    workspaces: dict[str, dict] | None = None,
+    **limits: Any,
+) -> bytes:
     """Make an operator's document.
 
     Parameters
@@ -35,6 +40,8 @@
         Number of the version.
     routes : list of dict
         Fields that differ from those of a repeatable route to `calendar`.
+    workspaces : dict of str to dict
+        Fields of each workspace, such as its keys, by its name.
     **limits
         Fields of the limits that differ from wide ones.
     """
@@ -60,6 +67,8 @@
     for name in sorted(services):
         spec = {'health_path': '/health', 'max_connections': 130}
         resources.append(_resource('services', name, spec))
+    for name, spec in (workspaces or {}).items():
+        resources.append(_resource('tenants', name, spec))
     wide = {
         'max_header_bytes': 16384,
         'max_body_bytes': 1048576,
--- a/sedgering/testing/_mesh_target.py
+++ b/sedgering/testing/_mesh_target.py
@@ -99,6 +99,7 @@
                 '503 Service Unavailable', [('X-Not-Executed', '1')], b''
             )
             return
+        books.fields.append(headers)
         books.note_run(request_id, line, dict(headers), body)
         books.running += 1
         books.most_running = max(books.most_running, books.running)
@@ -173,6 +174,8 @@
         #: Least size of answers, which are filled up with spaces.
         self.body_bytes = 0
         self.runs: list[tuple] = []
+        #: Fields of each run as they came, doubled ones too.
+        self.fields: list[list[tuple[str, str]]] = []
         self.running = 0
         self.most_running = 0
         self.cancelled = 0
--- a/sedgering/traffic/_budget.py
+++ b/sedgering/traffic/_budget.py
@@ -9,7 +9,7 @@
 
 
 class RetryBudget:
-    """Token bucket that requests fill and retries empty.
+    """Bucket of tokens that requests fill and retries empty.
 
     Parameters
     ----------
--- a/sedgering/transport/_messages.py
+++ b/sedgering/transport/_messages.py
@@ -39,6 +39,9 @@
         First value of each field by its name in lower case, as it was
         received: a message is asked for a dozen of them.  None where it was
         not received.
+    workspace : str
+        That asks, where a daemon has found it out; its key is no field any
+        more.
     """
 
     method: str
@@ -48,6 +51,7 @@
     has_body: bool = False
     received_s: float = 0.0
     fields: dict[str, str] | None = None
+    workspace: str = ''
 
     def find(self, name: str) -> str | None:
         """Return the first value of a field; `name` is in lower case."""
