Workspaces can be counted, made digests for and read about

Cause: operators see neither who is answered nor why a key is refused. Ruled out: labels for all workspaces, since thousands of them would make a page that nobody reads; a key as an argument, which stays in the shell's history.

--- a/features/access.feature
+++ b/features/access.feature
@@ -73,6 +73,17 @@
       | strict, late | an unknown key   | keyed  | refused 5017   |
       | strict, late | the key of a     | public | nobody's       |
 
+  Scenario: Counts by workspace are bounded
+    Then of 1000 workspaces the 16 largest are counted by name
+    And what all are counted sums to all requests
+
+  Scenario: A key is turned into what a bundle file holds
+    When the digest of a key is asked for on the command line
+    Then a bundle file with it says who holds the key
+
+  Scenario: Differences of workspaces can be read
+    Then what changes in workspaces and keyed routes is told in lines
+
   Scenario: Two workspaces never ask the same request
     Then a request has the same fingerprint on both sides of a hop
     And a request of two workspaces has two fingerprints
--- a/features/access_daemons.feature
+++ b/features/access_daemons.feature
@@ -45,6 +45,11 @@
     When a caller sends raw a forged workspace alone to "/public/a"
     Then the targets saw no workspace and no key
 
+  Scenario: Requests are counted by workspace
+    When a caller with the key of "blue" asks "/r0/a" as "id-8"
+    And a caller with the key of "nobody" asks "/r0/a" as "id-9"
+    Then the metrics count 1 answered request of "blue" and 1 refused by 5016
+
   Scenario: A known key on a public route says who asks
     When a caller with the key of "blue" asks "/public/a" as "id-3"
     Then the targets saw the workspace "blue" once, and no key
--- a/features/steps/access_daemon_steps.py
+++ b/features/steps/access_daemon_steps.py
@@ -277,6 +277,22 @@
     assert keyed.list_seen('authorization') == []
 
 
+@then(
+    'the metrics count {count:d} answered request of "{name}" and '
+    '{refused:d} refused by {code:d}'
+)
+def step_metrics(context, count, name, refused, code):
+    text = context.keyed.first.daemon.render_metrics().decode()
+    assert (
+        f'sedgering_workspace_requests{{kind="answered",workspace="{name}"}} '
+        f'{count:.1f}\n'
+    ) in text, text
+    assert (
+        f'sedgering_requests_total{{kind="refused",label="{code}"}} '
+        f'{refused:.1f}\n'
+    ) in text, text
+
+
 @then('the targets saw no workspace and no key')
 def step_saw_none(context):
     keyed = context.keyed
--- a/features/steps/access_steps.py
+++ b/features/steps/access_steps.py
@@ -2,6 +2,10 @@
 
 import hashlib
 import json
+import pathlib
+import subprocess
+import sys
+import tempfile
 
 from adapter_steps import SETTINGS
 from behave import given
@@ -12,6 +16,7 @@
 from sedgering import access
 from sedgering import base
 from sedgering import bundle as bundles
+from sedgering.cli import _diff
 from sedgering import exceptions
 from sedgering import mesh
 from sedgering.mesh import _fingerprint
@@ -21,6 +26,7 @@
 from sedgering import testing
 from sedgering import transport
 
+ROOT = pathlib.Path(__file__).parent.parent.parent
 #: Made by the release before workspaces: a bundle with one object of each
 #: kind, and an empty one.
 EARLIER_BYTES = (
@@ -287,6 +293,81 @@
     assert len(identity.key_head) in (0, 8)
 
 
+@then('of {count:d} workspaces the {limit:d} largest are counted by name')
+def step_bounded(context, count, limit):
+    counts = access.WorkspaceCounts()
+    # Small ones come first, and large ones between them.
+    for number in range(count):
+        for _ in range(1 + 50 * (number % 60 == 0)):
+            counts.count(base.WorkspaceName(f'w{number}'), 'answered')
+        counts.count(base.WorkspaceName(f'w{number}'), 'refused 5008')
+    counts.count(base.NO_WORKSPACE, 'answered')
+    context.counted = counts.list_largest()
+    names = {name for name, _kind, _value in context.counted}
+    large = {f'w{number}' for number in range(0, count, 60)}
+    assert names - {access.OTHERS} <= large, names
+    assert len(names) == limit + 1, names
+
+
+@then('what all are counted sums to all requests')
+def step_sum(context):
+    by_kind = {}
+    for _name, kind, value in context.counted:
+        by_kind[kind] = by_kind.get(kind, 0) + value
+    assert by_kind == {'answered': 1000 + 17 * 50, 'refused 5008': 1000}
+
+
+@when('the digest of a key is asked for on the command line')
+def step_key_digest(context):
+    done = subprocess.run(
+        [sys.executable, '-m', 'sedgering.cli.operator', 'key-digest'],
+        input=f'{KEY_A}\n',
+        capture_output=True,
+        text=True,
+        check=True,
+        cwd=ROOT,
+    )
+    context.digest = done.stdout.strip()
+
+
+@then('a bundle file with it says who holds the key')
+def step_bundle_file(context):
+    assert context.digest == digest(KEY_A)
+    text = (ROOT / 'examples' / 'tuulai' / 'bundle.yaml').read_text()
+    text += (
+        'workspaces:\n- name: blue\n  key_digests:\n'
+        f'  - {context.digest}\n  rate_per_s: 30\n'
+        'keyed_routes:\n- calendar\n'
+    )
+    path = pathlib.Path(tempfile.mkdtemp()) / 'bundle.yaml'
+    path.write_text(text)
+    snapshot = bundles.make_snapshot(1, b'', bundles.load_bundle(path))
+    values = [f'Token {KEY_A}']
+    identity = access.identify(
+        snapshot,
+        'calendar',
+        values,
+        SCHEME,
+        access.Currency(),
+        access.Revocation(),
+    )
+    assert identity.workspace == 'blue', identity
+
+
+@then('what changes in workspaces and keyed routes is told in lines')
+def step_changes(context):
+    old = make_open_bundle(WORKSPACE_A, WORKSPACE_B, keyed=('keyed',))
+    raised = bundles.Workspace('a', (digest(KEY_A),), rate_per_s=9)
+    new = make_open_bundle(raised, keyed=('public',))
+    assert list(_diff.describe_changes(old, new)) == [
+        '~ workspaces.a.priority: 1 -> 0',
+        '~ workspaces.a.rate_per_s: 0 -> 9',
+        '- workspaces.b',
+        '- keyed_routes.keyed',
+        '+ keyed_routes.public',
+    ]
+
+
 def make_call(workspace: str, *fields) -> mesh.TargetCall:
     """Make a call that a daemon sends."""
     request = transport.Request(
--- a/sedgering/access/__init__.py
+++ b/sedgering/access/__init__.py
@@ -1,5 +1,7 @@
 """Who asks: keys of workspaces, and what a daemon may say of them."""
 
+from sedgering.access._counts import OTHERS
+from sedgering.access._counts import WorkspaceCounts
 from sedgering.access._identity import Currency
 from sedgering.access._identity import identify
 from sedgering.access._identity import Identity
@@ -13,7 +15,9 @@
     'Currency',
     'Identity',
     'NOBODY',
+    'OTHERS',
     'Revocation',
+    'WorkspaceCounts',
     'compute_key_digest',
     'find_key',
     'identify',
--- a/sedgering/cli/operator.py
+++ b/sedgering/cli/operator.py
@@ -13,6 +13,7 @@
 import msgspec
 import typer
 
+from sedgering import access
 from sedgering import base
 from sedgering import bundle as bundles
 from sedgering.cli import _burn
@@ -72,7 +73,8 @@
     print(
         f'ok: {len(content.routes)} routes, '
         f'{len(content.target_sets)} target sets, '
-        f'{len(content.policies)} policies, sha256 {digest.hex()}'
+        f'{len(content.policies)} policies, '
+        f'{len(content.workspaces)} workspaces, sha256 {digest.hex()}'
     )
 
 
@@ -102,6 +104,18 @@
         print(f'equal to version {compared}')
 
 
+@app.command('key-digest')
+def key_digest() -> None:
+    """Turn the API key on standard input into what a bundle file holds.
+
+    Not an argument: those stand in the shell's history and in lists of
+    processes.
+
+    Example: sedgering key-digest < key.txt
+    """
+    print(access.compute_key_digest(sys.stdin.read().strip()))
+
+
 @app.command()
 def explain(
     subject: Annotated[str, typer.Argument(help='Request id, or host.')],
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -405,7 +405,8 @@
                     callers.unacknowledged_bytes
                 ),
                 **self.backlog.find_gauges(),
-            }
+            },
+            self.state.workspace_counts.list_largest(),
         )
 
     def _tell_end(self, record: _crash_records.CrashRecord) -> None:
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -39,6 +39,8 @@
 #: Most attempts under way that a line names; few routes allow more.
 ATTEMPTS_TOLD_LIMIT = 4
 SERVER_ERROR = 500
+#: Kind under which answers of targets are counted by workspace.
+COUNTED_ANSWER = 'answered'
 #: Bounds of the time after which a caller returns whose key may be new: a
 #: daemon that lags behind has the newest version within some 2 s, and the
 #: caller may meet another one before.
@@ -540,6 +542,9 @@
 
     def _pass_on(self, answer: _messages.CallAnswer) -> transport.Response:
         response = answer.response
+        self.state.workspace_counts.count(
+            self.identity.workspace, COUNTED_ANSWER
+        )
         self.state.decisions.log_success(
             self.request_id,
             self.route.name,
@@ -569,6 +574,9 @@
         return self._refuse(exceptions.Code.REQUEST_NOT_RUN)
 
     def _refuse(self, code: exceptions.Code) -> transport.Response:
+        self.state.workspace_counts.count(
+            self.identity.workspace, f'refused {int(code)}'
+        )
         self.state.decisions.log_refusal(
             self.request_id,
             int(code),
--- a/sedgering/mesh/_state.py
+++ b/sedgering/mesh/_state.py
@@ -82,6 +82,7 @@
         self.serving = _serving.ServingTime()
         #: Tells how current the version in force is.
         self.find_currency: Callable[[], access.Currency] = access.Currency
+        self.workspace_counts = access.WorkspaceCounts()
         self.revocation = access.Revocation(
             mesh_settings.revoke_strict, mesh_settings.revoke_ms / 1000
         )
--- a/sedgering/observability/_counts.py
+++ b/sedgering/observability/_counts.py
@@ -5,6 +5,7 @@
 """
 
 import bisect
+from collections.abc import Iterable
 import sys
 
 __all__ = ['RequestCounts']
@@ -40,13 +41,19 @@
         self.buckets[bisect.bisect_left(LATENCY_BOUNDS_S, elapsed_s)] += 1
         self.latency_sum_s += elapsed_s
 
-    def render(self, gauges: dict[str, float]) -> bytes:
+    def render(
+        self,
+        gauges: dict[str, float],
+        workspaces: Iterable[tuple[str, str, int]] = (),
+    ) -> bytes:
         """Return the text exposition.
 
         Parameters
         ----------
         gauges : dict of str to float
             Present values, such as the version in force.
+        workspaces : iterable of tuple
+            Label, kind and count of the largest workspaces and of the others.
         """
         # The daemon imports nothing that speaks TLS; this library does.
         if sys.modules.get('ssl', sys) is None:
@@ -55,16 +62,17 @@
         from prometheus_client import core
 
         registry = prometheus_client.CollectorRegistry()
-        registry.register(_Collector(self, gauges, core))
+        registry.register(_Collector(self, gauges, workspaces, core))
         return prometheus_client.generate_latest(registry)
 
 
 class _Collector:
     """Shows the tables as families of prometheus_client."""
 
-    def __init__(self, counts: RequestCounts, gauges, core):
+    def __init__(self, counts: RequestCounts, gauges, workspaces, core):
         self.counts = counts
         self.gauges = gauges
+        self.workspaces = workspaces
         self.core = core
 
     def collect(self):
@@ -78,11 +86,24 @@
             events.add_metric([kind, label], value)
         yield events
         yield self._make_histogram()
+        if self.workspaces:
+            yield self._make_workspaces()
         for name, value in self.gauges.items():
             yield self.core.GaugeMetricFamily(
                 f'sedgering_{name}', name.replace('_', ' '), value=value
             )
 
+    def _make_workspaces(self):
+        # Gauges: who comes to be one of the largest leaves the others.
+        family = self.core.GaugeMetricFamily(
+            'sedgering_workspace_requests',
+            'Requests since the start by workspace and by how they ended.',
+            labels=['workspace', 'kind'],
+        )
+        for name, kind, value in self.workspaces:
+            family.add_metric([name, kind], value)
+        return family
+
     def _make_histogram(self):
         total = 0
         buckets = []
