--- a/sedgering/mesh/_decisions.py
+++ b/sedgering/mesh/_decisions.py
@@ -111,6 +111,7 @@
         elapsed_ms: int,
         version: base.Version,
         fingerprint: base.Fingerprint | None,
+        key_head: str = '',
     ) -> None:
         """Note an answer of the daemon's own.
 
@@ -118,6 +119,7 @@
         they wait for is the cause of a request that ends late.
         """
         self.counts.count('refused', str(code))
+        fields = {'key_head': key_head} if key_head else {}
         self._write(
             'request refused',
             request_id=request_id,
@@ -130,6 +132,7 @@
             elapsed_ms=elapsed_ms,
             version=version,
             fingerprint=fingerprint or '',
+            **fields,
         )
 
     def log_rejection(
--- a/sedgering/model/_hosts.py
+++ b/sedgering/model/_hosts.py
@@ -239,7 +239,7 @@
         path: str,
         request_id: str,
         deadline_ms: int,
-        workspace: tuple[str, int],
+        workspace: str,
     ) -> transport.Response:
         """Send a request of this host, and wait for its answer.
 
@@ -249,16 +249,18 @@
             Of the request.
         deadline_ms : int
             Time for which its sender waits.
-        workspace : tuple of str and int
-            Name and priority of the workspace that asks.
+        workspace : str
+            That asks; empty for none.
         """
         headers = [
             ('Host', MESH_NAME),
             (NAMES.request_id, request_id),
             (NAMES.deadline_ms, str(deadline_ms)),
         ]
+        if workspace:
+            headers.append(
+                ('Authorization', f'{NAMES.key_scheme} {workspace}')
+            )
         now_s = asyncio.get_running_loop().time()
         request = transport.Request('GET', path, headers, received_s=now_s)
-        exchange = _exchange.Exchange(request, self.state)
-        exchange.workspace, exchange.workspace_priority = workspace
-        return await exchange.run()
+        return await _exchange.Exchange(request, self.state).run()
--- a/sedgering/model/_play.py
+++ b/sedgering/model/_play.py
@@ -6,6 +6,7 @@
 import math
 import random
 
+from sedgering import access
 from sedgering import base
 from sedgering import bundle as bundles
 from sedgering import mesh
@@ -23,8 +24,6 @@
 LONGEST_WAIT_SHARE = 1 / 3
 #: After which a caller is back that honours nothing it is told.
 HASTY_PAUSE_S = 0.02
-#: Name and priority of a call of a target.
-NO_WORKSPACE = ('', 0)
 NESTED_SPREAD = 0.5
 SUCCESS = 200
 REFUSED = 503
@@ -300,8 +299,7 @@
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         left_ms = max(1, int((end_s - started_s) * 1000))
-        workspace = (kind.workspace, kind.workspace_priority)
-        response = await self._ask(host, path, work, left_ms, workspace)
+        response = await self._ask(host, path, work, left_ms, kind.workspace)
         if response.status == REFUSED:
             found = self.results[kind.name]
             found.refusals += 1
@@ -310,7 +308,7 @@
         return response.status, float(told)
 
     async def _ask(
-        self, host, path, work, left_ms, workspace=NO_WORKSPACE
+        self, host, path, work, left_ms, workspace=base.NO_WORKSPACE
     ) -> transport.Response:
         request_id = f'{next(self.ids)}'
         self.work_book[request_id] = work
@@ -334,14 +332,18 @@
 def _make_workspaces(
     callers: Iterable[_loads.CallerKind],
 ) -> tuple[bundles.Workspace, ...]:
-    """Make the workspaces that callers name."""
+    """Make the workspaces that callers name; their names are their keys."""
     priorities = {
         kind.workspace: kind.workspace_priority
         for kind in callers
         if kind.workspace
     }
     return tuple(
-        bundles.Workspace(base.WorkspaceName(name), priority=priority)
+        bundles.Workspace(
+            base.WorkspaceName(name),
+            (access.compute_key_digest(name),),
+            priority,
+        )
         for name, priority in priorities.items()
     )
 
--- a/sedgering/testing/_mesh_target.py
+++ b/sedgering/testing/_mesh_target.py
@@ -86,7 +86,7 @@
             )
             own = [
                 ('X-Instance-Id', books.target),
-                ('X-Server-Load', '0,0,2'),
+                ('X-Server-Load', books.load_field),
             ]
             self._write(status, own, b'')
             return
@@ -99,6 +99,7 @@
                 '503 Service Unavailable', [('X-Not-Executed', '1')], b''
             )
             return
+        books.fields.append(headers)
         books.note_run(request_id, line, dict(headers), body)
         books.running += 1
         books.most_running = max(books.most_running, books.running)
@@ -169,10 +170,14 @@
     def __init__(self, target: str):
         self.target = target
         self.habit = TargetHabit.SOUND
+        #: What it tells of its load.
+        self.load_field = '0,0,2'
         self.work_s = 0.0
         #: Least size of answers, which are filled up with spaces.
         self.body_bytes = 0
         self.runs: list[tuple] = []
+        #: Fields of each run as they came, doubled ones too.
+        self.fields: list[list[tuple[str, str]]] = []
         self.running = 0
         self.most_running = 0
         self.cancelled = 0
