What is remembered fades without being touched; log lines tell the level

Cause: a rejection took 187 us with 78 workspaces in three ranks, as all sums were scaled with each call; and the fields of its line were missing, as the formatter passes on named fields only (found by the new scenario).

Change: later moments weigh more, sums are scaled once in two seconds; the line tells the share let through, demand, age and workspace; scenarios of the gate.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -115,3 +115,20 @@
     Given a gate whose workspaces ask for 10 and 10 calls
     When 8 of the first and 1 of the other are served
     Then a call without a workspace is neither first nor last of its rank
+
+  Scenario: A rejection at the source is told with what it was decided by
+    When a request is rejected at the source with 40 % let through
+    Then its line tells 40 % let through, a demand of 130 % and its age
+    And explaining the request shows them, and the code
+
+  Scenario: A gate tells how much of its places is asked for
+    Given a gate with 2 places and work of 100 ms
+    When 6 calls arrive at it together
+    Then it tells a demand of 60 %
+    And a daemon that reads its answer is told the same
+
+  Scenario: A call that has to wait gives way to a workspace that had less
+    Given a gate with 2 places and work of 100 ms
+    When calls arrive of the workspaces a, a, a, b, a, a, a, b
+    And 3 of them end, one after the other
+    Then those of the workspaces a, a, a, b, b have had a place
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -1,5 +1,8 @@
 """Steps over the decisions where there is too little room."""
 
+import asyncio
+import io
+import logging
 import random
 
 from behave import given
@@ -9,12 +12,17 @@
 from hypothesis import strategies as st
 
 from sedgering import base
+from sedgering.cli import _explain
+from sedgering import exceptions
+from sedgering import mesh
+from sedgering.mesh import _decisions
+from sedgering.mesh import _gate
+from sedgering.mesh import _hop
+from sedgering import observability
 from sedgering import overload
 
 SET = base.TargetSetName('catalogue')
 WORK_MS = 100.0
-#: Time until a call that finds no room is refused.
-REFUSED_AFTER_S = 0.01
 LAST_S = 1.0
 #: Time over which the gates of the subject average their demand.
 DEMAND_MEMORY_S = 0.5
@@ -73,8 +81,7 @@
         verdict = self.table.judge(call, self.now_s)
         self.seen.append((self.now_s, name, verdict.is_admitted))
         if verdict.is_admitted and not self._finds_room():
-            ended_s = self.now_s + REFUSED_AFTER_S
-            self.table.note_refused(call, self.now_s, ended_s)
+            self.table.note_refused(call, self.now_s)
 
     def _finds_room(self) -> bool:
         if self.room_per_s is None:
@@ -290,7 +297,7 @@
 
 
 def _judge(context, name: str) -> overload.Standing:
-    return context.shares.judge(base.WorkspaceName(name), WORK_MS)
+    return context.shares.judge(base.WorkspaceName(name), WORK_MS, 0.0)
 
 
 @then('the first one has had more than its share, and the other has not')
@@ -308,3 +315,147 @@
 @then('a call without a workspace is neither first nor last of its rank')
 def step_alike(context):
     assert _judge(context, base.NO_WORKSPACE) is overload.Standing.USUAL
+
+
+@when('a request is rejected at the source with {percent:d} % let through')
+def step_log(context, percent):
+    stream = io.StringIO()
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(observability.JsonFormatter({}))
+    logger = logging.getLogger(_decisions.__name__)
+    level = logger.level
+    logger.addHandler(handler)
+    logger.setLevel(logging.INFO)
+    logging.disable(logging.NOTSET)
+    try:
+        log = _decisions.DecisionLog(100, 50, lambda: 0.0)
+        log.log_rejection(
+            base.RequestId('id-1'),
+            int(exceptions.Code.REQUEST_SHED),
+            base.RouteName('look-up'),
+            SET,
+            base.WorkspaceName('north'),
+            overload.Verdict(False, percent / 100, 130.0, 70),
+            base.Version(4),
+        )
+    finally:
+        logging.disable(logging.CRITICAL)
+        logger.setLevel(level)
+        logger.removeHandler(handler)
+    assert log.counts.counts == {('rejected', '5008'): 1}, log.counts.counts
+    context.records = list(
+        _explain.read_records(stream.getvalue().split('\n'))
+    )
+
+
+@then(
+    'its line tells {share:d} % let through, a demand of {demand:d} % and its '
+    'age'
+)
+def step_line(context, share, demand):
+    (line,) = context.records
+    assert line['message'] == 'request rejected at the source', line
+    assert line['admitted_percent'] == share, line
+    assert line['demand_percent'] == demand, line
+    assert line['age_ms'] == 70, line
+
+
+@then('explaining the request shows them, and the code')
+def step_explained(context):
+    lines = '\n'.join(_explain.explain_request(context.records, 'id-1'))
+    for text in ('admitted_percent=40', 'demand_percent=130', 'SDG-5008'):
+        assert text in lines, lines
+
+
+class GateSubject:
+    """A gate on a clock that stands still, and the calls that got a place."""
+
+    def __init__(self, places: int, work_ms: float):
+        self.loop = asyncio.new_event_loop()
+        self.gate = mesh.Gate(mesh.MeshSettings(), lambda: 0.0)
+        self.gate.open(places)
+        self.gate.work.mean_ms = work_ms
+        self.tasks: list[asyncio.Task] = []
+        self.running: list[mesh.Ticket] = []
+        #: All that got a place, in that order.
+        self.admitted: list[mesh.Ticket] = []
+
+    def arrive(self, workspace=base.NO_WORKSPACE) -> None:
+        """Let a call arrive."""
+        ticket = mesh.Ticket(
+            base.RouteName('look-up'),
+            1,
+            mesh.CallUrgency.FIRST,
+            5.0,
+            4.0,
+            workspace=base.WorkspaceName(workspace),
+        )
+
+        async def enter():
+            await self.gate.enter(ticket)
+            self.running.append(ticket)
+            self.admitted.append(ticket)
+
+        self.tasks.append(self.loop.create_task(enter()))
+        self.settle()
+
+    def settle(self) -> None:
+        """Let everything that can go on go on."""
+        for _ in range(5):
+            self.loop.run_until_complete(asyncio.sleep(0))
+
+    def end_one(self) -> None:
+        """Let the first call end."""
+        ticket = self.running.pop(0)
+        self.gate.leave(ticket, _gate.CallResult.DONE, 100.0)
+        self.settle()
+
+    def close(self) -> None:
+        """Give up the calls that wait."""
+        for task in self.tasks:
+            task.cancel()
+        self.settle()
+        self.loop.close()
+
+
+@given('a gate with {places:d} places and work of {work_ms:d} ms')
+def step_gate(context, places, work_ms):
+    context.subject = GateSubject(places, work_ms)
+    context.cleanups.append(context.subject.close)
+
+
+@when('{count:d} calls arrive at it together')
+def step_arrive(context, count):
+    for _ in range(count):
+        context.subject.arrive()
+
+
+@when('calls arrive of the workspaces {names}')
+def step_arrive_workspaces(context, names):
+    for name in names.split(', '):
+        context.subject.arrive(name)
+
+
+@when('{count:d} of them end, one after the other')
+def step_end(context, count):
+    for _ in range(count):
+        context.subject.end_one()
+
+
+@then('it tells a demand of {percent:d} %')
+def step_demand(context, percent):
+    context.report = context.subject.gate.make_report(base.RouteName('x'))
+    assert context.report.demand_percent == percent, context.report
+
+
+@then('a daemon that reads its answer is told the same')
+def step_hop(context):
+    answer = mesh.CallAnswer(mesh.CallOutcome.NOT_RUN, load=context.report)
+    told = _hop.decode_answer(_hop.encode_answer(answer)).load
+    assert told.demand_percent == context.report.demand_percent, told
+
+
+@then('those of the workspaces {names} have had a place')
+def step_placed(context, names):
+    found = [ticket.workspace for ticket in context.subject.admitted]
+    assert found == names.split(', '), found
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -151,7 +151,7 @@
         begun_s = self._now_s
         response = await self._serve()
         if self.found_no_room:
-            self.state.levels.note_refused(asked, begun_s, self._now_s)
+            self.state.levels.note_refused(asked, begun_s)
         return response
 
     async def _serve(self) -> transport.Response:
--- a/sedgering/mesh/_gate.py
+++ b/sedgering/mesh/_gate.py
@@ -323,8 +323,9 @@
         if ticket.workspace == base.NO_WORKSPACE:
             return
         work_ms = self.work.find_mean_ms(ticket.route)
-        self._shares.note_asked(ticket.workspace, work_ms, self.now_s())
-        ticket.standing = self._shares.judge(ticket.workspace, work_ms)
+        now_s = self.now_s()
+        self._shares.note_asked(ticket.workspace, work_ms, now_s)
+        ticket.standing = self._shares.judge(ticket.workspace, work_ms, now_s)
 
     def _take_place(self, ticket: Ticket) -> None:
         self.running += 1
--- a/sedgering/observability/_logs.py
+++ b/sedgering/observability/_logs.py
@@ -10,6 +10,7 @@
 
 #: Fields that a record may carry through `extra`.
 FIELDS = (
+    'admitted_percent',
     'age_ms',
     'answers',
     'asked',
@@ -18,6 +19,7 @@
     'code',
     'cpu_ms',
     'crashes',
+    'demand_percent',
     'detail',
     'dropped_lines',
     'elapsed_ms',
@@ -41,6 +43,7 @@
     'target_set',
     'version',
     'wait_ms',
+    'workspace',
 )
 
 
--- a/sedgering/overload/_groups.py
+++ b/sedgering/overload/_groups.py
@@ -21,16 +21,14 @@
 
     def __init__(self):
         self._work_ms: dict[str, float] = {}
-
-    @property
-    def total_ms(self) -> float:
-        """Work of all together."""
-        return sum(self._work_ms.values())
+        #: Work of all together.
+        self.total_ms = 0.0
 
     def note(self, workspace: base.WorkspaceName, work_ms: float) -> None:
         """Add work of a workspace."""
         name = self._find_name(workspace)
         self._work_ms[name] = self._work_ms.get(name, 0.0) + work_ms
+        self.total_ms += work_ms
 
     def find_ms(self, workspace: base.WorkspaceName) -> float:
         """Return the work of a workspace, or of the group that it is in."""
@@ -47,6 +45,7 @@
             for name, work_ms in self._work_ms.items()
             if work_ms * factor > LEAST_WORK_MS
         }
+        self.total_ms = sum(self._work_ms.values())
 
     def _find_name(self, workspace: base.WorkspaceName) -> str:
         if workspace in self._work_ms or len(self._work_ms) < MOST_NAMED:
--- a/sedgering/overload/_level.py
+++ b/sedgering/overload/_level.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from sedgering import base
+from sedgering.overload import _fading
 from sedgering.overload import _groups
 
 __all__ = ['AskedCall', 'LevelTable', 'Verdict']
@@ -111,10 +112,13 @@
 
 
 class _SetLevel:
-    """What is known of one target set."""
+    """What is known of one target set.
 
-    def __init__(self, now_s: float):
-        self.at_s = now_s
+    Its sums fade: all of them are in the units of one moment.
+    """
+
+    def __init__(self):
+        self.fading = _fading.Fading(MEMORY_S)
         #: Work that was asked for, by rank.
         self.asked: dict[tuple, _groups.WorkspaceGroups] = {}
         #: Of that, what was let through and not refused since.
@@ -122,13 +126,16 @@
         self.demand_percent = 0.0
         self.told_s = -math.inf
 
-    def decay(self, now_s: float) -> None:
+    def fade(self, now_s: float) -> None:
         """Let what has been seen count for less."""
-        factor = math.exp((self.at_s - now_s) / MEMORY_S)
-        self.at_s = now_s
+        factor = self.fading.renew(now_s)
+        if factor is None:
+            return
         self.passed_ms *= factor
-        for groups in self.asked.values():
+        for rank, groups in list(self.asked.items()):
             groups.scale(factor)
+            if not groups.total_ms:
+                del self.asked[rank]
 
     def find_demand_percent(self, now_s: float) -> float:
         """Return the demand on the set; old knowledge counts for less."""
@@ -151,7 +158,7 @@
         now_s: float,
     ) -> None:
         """Take in what a gate of a set told of the demand on it."""
-        known = self._find(target_set, now_s)
+        known = self._find(target_set)
         before = known.find_demand_percent(now_s)
         known.demand_percent = before + DEMAND_WEIGHT * (
             demand_percent - before
@@ -160,18 +167,19 @@
 
     def judge(self, call: AskedCall, now_s: float) -> Verdict:
         """Count a call, and say whether it may go on."""
-        known = self._find(call.target_set, now_s)
-        known.decay(now_s)
-        groups = known.asked.setdefault(call.rank, _groups.WorkspaceGroups())
-        groups.note(call.workspace, call.work_ms)
-        verdict = self._judge(known, groups, call, now_s)
+        known = self._find(call.target_set)
+        known.fade(now_s)
+        groups = known.asked.get(call.rank)
+        if groups is None:
+            groups = known.asked[call.rank] = _groups.WorkspaceGroups()
+        work_ms = call.work_ms * known.fading.find_weight(now_s)
+        groups.note(call.workspace, work_ms)
+        verdict = self._judge(known, groups, call, work_ms, now_s)
         if verdict.is_admitted:
-            known.passed_ms += call.work_ms
+            known.passed_ms += work_ms
         return verdict
 
-    def note_refused(
-        self, call: AskedCall, begun_s: float, now_s: float
-    ) -> None:
+    def note_refused(self, call: AskedCall, begun_s: float) -> None:
         """Take in that a call that was let through found no room.
 
         Parameters
@@ -180,24 +188,23 @@
             As it was judged.
         begun_s : float
             When that was.
-        now_s : float
-            Time of the event loop.
         """
-        known = self._find(call.target_set, now_s)
-        known.decay(now_s)
-        left_share = math.exp((begun_s - now_s) / MEMORY_S)
-        known.passed_ms -= call.work_ms * left_share
-        known.passed_ms = max(0.0, known.passed_ms)
+        known = self._sets.get(call.target_set)
+        if known is None or not known.passed_ms:
+            # Forgotten since.
+            return
+        work_ms = call.work_ms * known.fading.find_weight(begun_s)
+        known.passed_ms = max(0.0, known.passed_ms - work_ms)
 
     def retain(self, target_sets: frozenset[base.TargetSetName]) -> None:
         """Forget sets that are no longer in force."""
         for name in [name for name in self._sets if name not in target_sets]:
             del self._sets[name]
 
-    def _find(self, target_set: base.TargetSetName, now_s: float) -> _SetLevel:
+    def _find(self, target_set: base.TargetSetName) -> _SetLevel:
         known = self._sets.get(target_set)
         if known is None:
-            known = self._sets[target_set] = _SetLevel(now_s)
+            known = self._sets[target_set] = _SetLevel()
         return known
 
     @staticmethod
@@ -205,6 +212,7 @@
         known: _SetLevel,
         groups: _groups.WorkspaceGroups,
         call: AskedCall,
+        work_ms: float,
         now_s: float,
     ) -> Verdict:
         demand_percent = known.find_demand_percent(now_s)
@@ -215,7 +223,7 @@
             for rank, item in known.asked.items()
             if rank < call.rank
         )
-        room_ms = HEADROOM * known.passed_ms + LEAST_CALLS * call.work_ms
+        room_ms = HEADROOM * known.passed_ms + LEAST_CALLS * work_ms
         level_ms = _groups.find_fair_level(
             groups.list_ms(), max(0.0, room_ms - ahead_ms)
         )
--- a/sedgering/overload/_shares.py
+++ b/sedgering/overload/_shares.py
@@ -1,9 +1,9 @@
 """Shares the room of one gate among the workspaces that ask it."""
 
 import enum
-import math
 
 from sedgering import base
+from sedgering.overload import _fading
 from sedgering.overload import _groups
 
 __all__ = ['RoomShares', 'Standing']
@@ -38,23 +38,23 @@
     def __init__(self):
         self._asked = _groups.WorkspaceGroups()
         self._served = _groups.WorkspaceGroups()
-        self._at_s = 0.0
+        self._fading = _fading.Fading(MEMORY_S)
 
     def note_asked(
         self, workspace: base.WorkspaceName, work_ms: float, now_s: float
     ) -> None:
         """Take in a call that has arrived."""
-        self._decay(now_s)
-        self._asked.note(workspace, work_ms)
+        self._note(self._asked, workspace, work_ms, now_s)
 
     def note_served(
         self, workspace: base.WorkspaceName, work_ms: float, now_s: float
     ) -> None:
         """Take in a call that got a place."""
-        self._decay(now_s)
-        self._served.note(workspace, work_ms)
+        self._note(self._served, workspace, work_ms, now_s)
 
-    def judge(self, workspace: base.WorkspaceName, work_ms: float) -> Standing:
+    def judge(
+        self, workspace: base.WorkspaceName, work_ms: float, now_s: float
+    ) -> Standing:
         """Say how a workspace has fared.
 
         Parameters
@@ -63,12 +63,15 @@
             That asks.
         work_ms : float
             Usual work of its call.
+        now_s : float
+            Time of the event loop.
         """
         if workspace == base.NO_WORKSPACE:
             return Standing.USUAL
         asked_ms = self._asked.find_ms(workspace)
         served_ms = self._served.find_ms(workspace)
-        if self._is_starved(asked_ms, served_ms, work_ms):
+        least_ms = LEAST_CALLS * work_ms * self._fading.find_weight(now_s)
+        if asked_ms >= least_ms and self._is_starved(asked_ms, served_ms):
             return Standing.STARVED
         level_ms = _groups.find_fair_level(
             self._asked.list_ms(), self._served.total_ms
@@ -76,16 +79,19 @@
         is_over = served_ms > OVER_SHARE * level_ms
         return Standing.OVER if is_over else Standing.USUAL
 
-    def _is_starved(
-        self, asked_ms: float, served_ms: float, work_ms: float
-    ) -> bool:
-        if asked_ms < LEAST_CALLS * work_ms:
-            return False
+    def _is_starved(self, asked_ms: float, served_ms: float) -> bool:
         all_share = self._served.total_ms / self._asked.total_ms
         return served_ms < STARVED_SHARE * all_share * asked_ms
 
-    def _decay(self, now_s: float) -> None:
-        factor = math.exp((self._at_s - now_s) / MEMORY_S)
-        self._at_s = now_s
-        self._asked.scale(factor)
-        self._served.scale(factor)
+    def _note(
+        self,
+        groups: _groups.WorkspaceGroups,
+        workspace: base.WorkspaceName,
+        work_ms: float,
+        now_s: float,
+    ) -> None:
+        factor = self._fading.renew(now_s)
+        if factor is not None:
+            self._asked.scale(factor)
+            self._served.scale(factor)
+        groups.note(workspace, work_ms * self._fading.find_weight(now_s))
