--- /dev/null
+++ b/features/steps/overload_steps.py
@@ -0,0 +1,461 @@
+"""Steps over the decisions where there is too little room."""
+
+import asyncio
+import io
+import logging
+import random
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies as st
+
+from sedgering import base
+from sedgering.cli import _explain
+from sedgering import exceptions
+from sedgering import mesh
+from sedgering.mesh import _decisions
+from sedgering.mesh import _gate
+from sedgering.mesh import _hop
+from sedgering import observability
+from sedgering import overload
+
+SET = base.TargetSetName('catalogue')
+WORK_MS = 100.0
+LAST_S = 1.0
+#: Time over which the gates of the subject average their demand.
+DEMAND_MEMORY_S = 0.5
+MOST_LOOKED_AT = 400
+
+
+class LevelSubject:
+    """One daemon's level of one set, and who was let through."""
+
+    def __init__(self, demand_percent: float):
+        self.table = overload.LevelTable()
+        self.demand_percent = demand_percent
+        self.now_s = 0.0
+        self.rng = random.Random(1)
+        #: Calls a second; none for a fixed share of refusals.
+        self.room_per_s: float | None = None
+        self.refused_share = 0.0
+        self.room = 0.0
+        #: Calls a second that fill the set, where demand follows them.
+        self.full_per_s: float | None = None
+        #: Moment, name of the kind, and whether it was let through.
+        self.seen: list[tuple[float, str, bool]] = []
+
+    def play(self, kinds: dict, length_s: float, is_told=True) -> None:
+        """Let kinds of calls come at their rates, in random order."""
+        end_s = self.now_s + length_s
+        rate_per_s = sum(rate for rate, _fields in kinds.values())
+        names = list(kinds)
+        weights = [kinds[name][0] for name in names]
+        while self.now_s < end_s:
+            step_s = 1 / rate_per_s
+            self.now_s += step_s
+            if self.room_per_s is not None:
+                self.room = min(5.0, self.room + self.room_per_s * step_s)
+            (name,) = self.rng.choices(names, weights)
+            self._ask(name, kinds[name][1])
+            if is_told:
+                percent = self._find_demand_percent()
+                self.table.take_demand(SET, percent, self.now_s)
+
+    def _find_demand_percent(self) -> float:
+        if self.full_per_s is None:
+            return self.demand_percent
+        from_s = self.now_s - DEMAND_MEMORY_S
+        passed = sum(
+            is_admitted
+            for at_s, _name, is_admitted in self.seen[-MOST_LOOKED_AT:]
+            if at_s > from_s
+        )
+        return 100 * passed / (self.full_per_s * DEMAND_MEMORY_S)
+
+    def _ask(self, name: str, fields: dict) -> None:
+        request_id = base.RequestId(str(self.rng.random()))
+        given_fields = {'priority': 1, **fields}
+        call = overload.AskedCall(SET, request_id, WORK_MS, **given_fields)
+        verdict = self.table.judge(call, self.now_s)
+        self.seen.append((self.now_s, name, verdict.is_admitted))
+        if verdict.is_admitted and not self._finds_room():
+            self.table.note_refused(call, self.now_s)
+
+    def _finds_room(self) -> bool:
+        if self.room_per_s is None:
+            return self.rng.random() >= self.refused_share
+        if self.room < 1:
+            return False
+        self.room -= 1
+        return True
+
+    def find_percent(self, name: str, from_s: float, to_s: float) -> float:
+        """Return the share of a kind that was let through."""
+        found = [
+            is_admitted
+            for at_s, kind, is_admitted in self.seen
+            if kind == name and from_s < at_s <= to_s
+        ]
+        return 100 * sum(found) / len(found)
+
+
+@given('a set of which gates tell a demand of {percent:d} %')
+def step_set(context, percent):
+    context.level = LevelSubject(percent)
+
+
+@given(
+    'a set of which gates tell what is let through, full at {rate:d} a second'
+)
+def step_follows(context, rate):
+    context.level = LevelSubject(0)
+    context.level.full_per_s = rate
+
+
+@given('room for {room:d} calls a second')
+def step_room(context, room):
+    context.level.room_per_s = room
+
+
+@when(
+    '{rate:d} calls a second of priority {priority:d} come for {length_s:d} '
+    's, and half find no room'
+)
+def step_half(context, rate, priority, length_s):
+    context.level.refused_share = 0.5
+    kinds = {f'priority {priority}': (rate, {'priority': priority})}
+    context.level.play(kinds, length_s)
+
+
+@when('{rate:d} calls a second of priority 1 come for {length_s:d} s')
+def step_come(context, rate, length_s):
+    context.level.play({'priority 1': (rate, {})}, length_s)
+
+
+@when(
+    '{one:d} of priority 0 and {other:d} of priority 3 come a second for 6 s'
+)
+def step_two(context, one, other):
+    kinds = {
+        'priority 0': (one, {'priority': 0}),
+        'priority 3': (other, {'priority': 3}),
+    }
+    context.level.play(kinds, 6)
+
+
+@when('workspaces come for 6 s with 20, 30 and 200 calls a second')
+def step_workspaces(context):
+    kinds = {
+        f'workspace "{number}"': (rate, {'workspace': f'{number}'})
+        for number, rate in enumerate((20, 30, 200))
+    }
+    context.level.play(kinds, 6)
+
+
+@when('{rate:d} calls of targets come a second for {length_s:d} s')
+def step_nested(context, rate, length_s):
+    kinds = {'priority 1': (rate, {'is_nested': True})}
+    context.level.play(kinds, length_s)
+
+
+@when('100 calls and 100 hasty ones come a second for 6 s')
+def step_hasty(context):
+    kinds = {
+        'the others': (100, {}),
+        'the hasty ones': (100, {'is_hasty': True}),
+    }
+    context.level.play(kinds, 6)
+
+
+@when('gates tell nothing for {length_s:d} s')
+def step_silent(context, length_s):
+    context.level.now_s += length_s
+    context.level.seen.clear()
+
+
+@when(
+    'the room grows to {room:d} calls a second, and {rate:d} come for '
+    '{length_s:d} s'
+)
+def step_grow(context, room, rate, length_s):
+    context.level.room_per_s = room
+    context.level.play({'priority 1': (rate, {})}, length_s)
+
+
+@then('all of priority 1 are let through')
+def step_all(context):
+    assert context.level.find_percent('priority 1', 0, 99) == 100
+
+
+@then('all calls are let through again')
+def step_again(context):
+    context.level.play({'priority 1': (100, {})}, 0.5, is_told=False)
+    assert all(found for _at_s, _name, found in context.level.seen)
+
+
+@then('{least:d} to {most:d} % of {name} are let through in the last second')
+def step_share(context, least, most, name):
+    level = context.level
+    found = level.find_percent(name, level.now_s - LAST_S, level.now_s)
+    assert least <= found <= most, found
+
+
+@then(
+    '{least:d} to {most:d} % of {name} are let through in the last 4 seconds'
+)
+def step_long_share(context, least, most, name):
+    level = context.level
+    found = level.find_percent(name, level.now_s - 4, level.now_s)
+    assert least <= found <= most, found
+
+
+@then('the shares let through in the last 6 seconds differ by 12 % at most')
+def step_steady(context):
+    level = context.level
+    shares = [
+        level.find_percent('priority 1', level.now_s - back, at_s)
+        for back in range(6, 0, -1)
+        for at_s in (level.now_s - back + 1,)
+    ]
+    assert max(shares) - min(shares) <= 12, shares
+
+
+@then('for any demands and room the shares fit the room and are max-min fair')
+def step_fair(_context):
+    amounts = st.lists(st.floats(0, 1000), min_size=1, max_size=20)
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(amounts, st.floats(0, 5000))
+    def check(asked, room):
+        level = overload.find_fair_level(asked, room)
+        got = [min(amount, level) for amount in asked]
+        slack = 1e-6 * (1 + room)
+        assert sum(got) <= room + slack, (got, room)
+        # All room is used, or everybody has what it asks for.
+        assert sum(got) >= min(sum(asked), room) - slack, (got, room)
+
+    check()
+
+
+@when('{count:d} workspaces ask for the same')
+def step_many(context, count):
+    context.groups = overload.WorkspaceGroups()
+    for number in range(count):
+        context.groups.note(base.WorkspaceName(f'w{number}'), WORK_MS)
+    context.work_ms = count * WORK_MS
+
+
+@then('at most {most:d} of them are counted apart, and no work is lost')
+def step_bounded(context, most):
+    works_ms = list(context.groups.list_ms())
+    assert len(works_ms) <= most, len(works_ms)
+    assert sum(works_ms) == context.work_ms, works_ms
+
+
+@then(
+    'a caller of {longest_ms:d} ms is hasty after {soon_ms:d} ms, and is not '
+    'after {later_ms:d} ms'
+)
+def step_is_hasty(_context, longest_ms, soon_ms, later_ms):
+    assert overload.is_hasty(soon_ms, longest_ms)
+    assert not overload.is_hasty(later_ms, longest_ms)
+
+
+def _ask_for(shares, asked) -> None:
+    for number, count in enumerate(asked):
+        for _ in range(count):
+            shares.note_asked(base.WorkspaceName(f'{number}'), WORK_MS, 0.0)
+
+
+def _serve(shares, served) -> None:
+    for number, count in enumerate(served):
+        for _ in range(count):
+            shares.note_served(base.WorkspaceName(f'{number}'), WORK_MS, 0.0)
+
+
+@given('a gate whose workspaces ask for {one:d} and {other:d} calls')
+def step_shares(context, one, other):
+    context.shares = overload.RoomShares()
+    _ask_for(context.shares, (one, other))
+
+
+@given(
+    'a gate whose workspaces ask for {one:d} and {other:d} calls, of which '
+    '{served:d} of the first are served'
+)
+def step_shares_served(context, one, other, served):
+    context.shares = overload.RoomShares()
+    _ask_for(context.shares, (one, other))
+    _serve(context.shares, (served, 0))
+
+
+@when('{one:d} of the first and {other:d} of the other are served')
+def step_serve(context, one, other):
+    _serve(context.shares, (one, other))
+
+
+def _judge(context, name: str) -> overload.Standing:
+    return context.shares.judge(base.WorkspaceName(name), WORK_MS, 0.0)
+
+
+@then('the first one has had more than its share, and the other has not')
+def step_over(context):
+    assert _judge(context, '0') is overload.Standing.OVER
+    assert _judge(context, '1') is not overload.Standing.OVER
+
+
+@then('the first one is not starved, and the other is')
+def step_starved(context):
+    assert _judge(context, '0') is not overload.Standing.STARVED
+    assert _judge(context, '1') is overload.Standing.STARVED
+
+
+@then('a call without a workspace is neither first nor last of its rank')
+def step_alike(context):
+    assert _judge(context, base.NO_WORKSPACE) is overload.Standing.USUAL
+
+
+@when('a request is rejected at the source with {percent:d} % let through')
+def step_log(context, percent):
+    stream = io.StringIO()
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(observability.JsonFormatter({}))
+    logger = logging.getLogger(_decisions.__name__)
+    level = logger.level
+    logger.addHandler(handler)
+    logger.setLevel(logging.INFO)
+    logging.disable(logging.NOTSET)
+    try:
+        log = _decisions.DecisionLog(100, 50, lambda: 0.0)
+        log.log_rejection(
+            base.RequestId('id-1'),
+            int(exceptions.Code.REQUEST_SHED),
+            base.RouteName('look-up'),
+            SET,
+            base.WorkspaceName('north'),
+            overload.Verdict(False, percent / 100, 130.0, 70),
+            base.Version(4),
+        )
+    finally:
+        logging.disable(logging.CRITICAL)
+        logger.setLevel(level)
+        logger.removeHandler(handler)
+    assert log.counts.counts == {('rejected', '5008'): 1}, log.counts.counts
+    context.records = list(
+        _explain.read_records(stream.getvalue().split('\n'))
+    )
+
+
+@then(
+    'its line tells {share:d} % let through, a demand of {demand:d} % and its '
+    'age'
+)
+def step_line(context, share, demand):
+    (line,) = context.records
+    assert line['message'] == 'request rejected at the source', line
+    assert line['admitted_percent'] == share, line
+    assert line['demand_percent'] == demand, line
+    assert line['age_ms'] == 70, line
+
+
+@then('explaining the request shows them, and the code')
+def step_explained(context):
+    lines = '\n'.join(_explain.explain_request(context.records, 'id-1'))
+    for text in ('admitted_percent=40', 'demand_percent=130', 'SDG-5008'):
+        assert text in lines, lines
+
+
+class GateSubject:
+    """A gate on a clock that stands still, and the calls that got a place."""
+
+    def __init__(self, places: int, work_ms: float):
+        self.loop = asyncio.new_event_loop()
+        self.gate = mesh.Gate(mesh.MeshSettings(), lambda: 0.0)
+        self.gate.open(places)
+        self.gate.work.mean_ms = work_ms
+        self.tasks: list[asyncio.Task] = []
+        self.running: list[mesh.Ticket] = []
+        #: All that got a place, in that order.
+        self.admitted: list[mesh.Ticket] = []
+
+    def arrive(self, workspace=base.NO_WORKSPACE) -> None:
+        """Let a call arrive."""
+        ticket = mesh.Ticket(
+            base.RouteName('look-up'),
+            1,
+            mesh.CallUrgency.FIRST,
+            5.0,
+            4.0,
+            workspace=base.WorkspaceName(workspace),
+        )
+
+        async def enter():
+            await self.gate.enter(ticket)
+            self.running.append(ticket)
+            self.admitted.append(ticket)
+
+        self.tasks.append(self.loop.create_task(enter()))
+        self.settle()
+
+    def settle(self) -> None:
+        """Let everything that can go on go on."""
+        for _ in range(5):
+            self.loop.run_until_complete(asyncio.sleep(0))
+
+    def end_one(self) -> None:
+        """Let the first call end."""
+        ticket = self.running.pop(0)
+        self.gate.leave(ticket, _gate.CallResult.DONE, 100.0)
+        self.settle()
+
+    def close(self) -> None:
+        """Give up the calls that wait."""
+        for task in self.tasks:
+            task.cancel()
+        self.settle()
+        self.loop.close()
+
+
+@given('a gate with {places:d} places and work of {work_ms:d} ms')
+def step_gate(context, places, work_ms):
+    context.subject = GateSubject(places, work_ms)
+    context.cleanups.append(context.subject.close)
+
+
+@when('{count:d} calls arrive at it together')
+def step_arrive(context, count):
+    for _ in range(count):
+        context.subject.arrive()
+
+
+@when('calls arrive of the workspaces {names}')
+def step_arrive_workspaces(context, names):
+    for name in names.split(', '):
+        context.subject.arrive(name)
+
+
+@when('{count:d} of them end, one after the other')
+def step_end(context, count):
+    for _ in range(count):
+        context.subject.end_one()
+
+
+@then('it tells a demand of {percent:d} %')
+def step_demand(context, percent):
+    context.report = context.subject.gate.make_report(base.RouteName('x'))
+    assert context.report.demand_percent == percent, context.report
+
+
+@then('a daemon that reads its answer is told the same')
+def step_hop(context):
+    answer = mesh.CallAnswer(mesh.CallOutcome.NOT_RUN, load=context.report)
+    told = _hop.decode_answer(_hop.encode_answer(answer)).load
+    assert told.demand_percent == context.report.demand_percent, told
+
+
+@then('those of the workspaces {names} have had a place')
+def step_placed(context, names):
+    found = [ticket.workspace for ticket in context.subject.admitted]
+    assert found == names.split(', '), found
--- a/sedgering/mesh/_state.py
+++ b/sedgering/mesh/_state.py
@@ -18,6 +18,7 @@
 from sedgering.mesh import _settings
 from sedgering.mesh import _start
 from sedgering.mesh import _target_side
+from sedgering import overload
 from sedgering import rollout
 
 __all__ = ['RequestState']
@@ -78,6 +79,7 @@
         self.turns = _choice.WeightedTurns()
         self.callers = _callers.CallerTable()
         self.places = _search.FreePlaces()
+        self.levels = overload.LevelTable()
         self.start = _start.StartWait()
         self.serving = _serving.ServingTime()
         #: Tells how current the version in force is.
--- a/sedgering/model/_hosts.py
+++ b/sedgering/model/_hosts.py
@@ -235,14 +235,32 @@
         self.state.fleet.replace(rows)
 
     async def ask(
-        self, path: str, request_id: str, deadline_ms: int
+        self,
+        path: str,
+        request_id: str,
+        deadline_ms: int,
+        workspace: str,
     ) -> transport.Response:
-        """Send a request of this host, and wait for its answer."""
+        """Send a request of this host, and wait for its answer.
+
+        Parameters
+        ----------
+        path, request_id : str
+            Of the request.
+        deadline_ms : int
+            Time for which its sender waits.
+        workspace : str
+            That asks; empty for none.
+        """
         headers = [
             ('Host', MESH_NAME),
             (NAMES.request_id, request_id),
             (NAMES.deadline_ms, str(deadline_ms)),
         ]
+        if workspace:
+            headers.append(
+                ('Authorization', f'{NAMES.key_scheme} {workspace}')
+            )
         now_s = asyncio.get_running_loop().time()
         request = transport.Request('GET', path, headers, received_s=now_s)
         return await _exchange.Exchange(request, self.state).run()
