--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -125,6 +125,7 @@
         self._early_report: _messages.TargetReport | None = None
         self.is_leaving = False
         state.side.watch.on_end = self._tell_end
+        state.find_currency = source.find_currency
         self._servers: list[asyncio.AbstractServer] = []
         self._tasks: list[asyncio.Task] = []
 
@@ -404,7 +405,8 @@
                     callers.unacknowledged_bytes
                 ),
                 **self.backlog.find_gauges(),
-            }
+            },
+            self.state.workspace_counts.list_largest(),
         )
 
     def _tell_end(self, record: _crash_records.CrashRecord) -> None:
