--- a/sedgering/mesh/_attempt.py
+++ b/sedgering/mesh/_attempt.py
@@ -31,6 +31,9 @@
         self.peer = peer
         self.task = task
         self.progress = progress
+        #: When it was sent, and the time that was estimated for it.
+        self.started_s = 0.0
+        self.expected_ms = 0.0
         #: Done when the target or its daemon is silent for too long; None
         #: where nobody asks.
         self.silence: asyncio.Future | None = None
