Keys are asked for by the proxy of threads too, and taken off in one pass

Cause: a bundle file with keyed routes was served openly by sedgering-proxy; two passes over the fields took longer than one; a settings file that is read again did not change how keys that are taken away are treated, and one that states nothing switched our own `revoke_strict` off. Ruled out: refusing such bundles at sedgering-proxy, since one bundle should mean the same at both. Change: it identifies callers as well; access.take_claims; settings joined at start and at each change; access stands below proxy. Scenarios: followers of relays, a later version heard of, strict daemons, the proxy; the scenario that greps for keys asserts that its events were logged.

--- a/features/access_daemons.feature
+++ b/features/access_daemons.feature
@@ -75,6 +75,29 @@
     When a caller with the key of "blue" asks "/r0/a" as "id-6"
     Then the answer with a key is 200
 
+  Scenario: A daemon that follows relays knows keys, and says no
+    Given four more hosts, most of which follow relays
+    When the key of "nobody" is given to "green"
+    Then every daemon serves it, and answers 401 to a key of nobody
+    When that key is taken away again
+    Then every daemon answers 401 to it
+
+  Scenario: A daemon whose peers use a later version does not say no
+    Given a call by a later version has come to the first host
+    When a caller with the key of "nobody" asks "/r0/a" as "id-10"
+    Then the answer with a key is 503 and says when to come back
+
+  Scenario: A strict daemon serves known keys for a while only
+    Given daemons that are strict after 300 ms
+    And no daemon hears the store
+    When a caller with the key of "blue" asks "/r0/a" as "id-11" 400 ms later
+    Then the answer with a key is 503 and says when to come back
+    And no target ran a request
+
+  Scenario: A proxy of threads asks for keys as well
+    Given a proxy with a route that needs the key of "blue"
+    Then it answers 401 without the key, and passes "blue" on with it
+
   Scenario: A daemon without a version does not say no
     Given a daemon that knows no version
     When a caller with the key of "nobody" asks "/r0/a" as "id-7"
@@ -82,5 +105,6 @@
 
   Scenario: No key stands in anything that daemons write
     When daemons refuse, serve, fail, crash and explain with known keys
-    Then neither logs, metrics, answers, the store nor rows hold a key
+    Then all of that stands in the logs
+    And neither logs, metrics, answers, the store nor rows hold a key
     And the start of the digest of the refused key is logged
--- a/features/steps/access_daemon_steps.py
+++ b/features/steps/access_daemon_steps.py
@@ -4,14 +4,20 @@
 import io
 import logging
 import re
+import socket
+import time
 
 from behave import given
 from behave import then
 from behave import when
 from mesh_steps import MeshSubject
 from mesh_steps import ROUTE_FIELDS
+import msgspec
+import request_subject
 
 from sedgering import access
+from sedgering import base
+from sedgering import bundle as bundles
 from sedgering.cli import _explain
 from sedgering import observability
 from sedgering import testing
@@ -239,6 +245,7 @@
     keyed.ask_as('green', '/deadly/', 'fatal', b'x')
     # A document that cannot be decoded, and one that is refused.
     keyed.fleet.configure(b'{"version":"r900","api_keys":["%b"' % KEYS_BYTES)
+    keyed.fleet.wait_for(lambda: 'document refused' in keyed.lines.getvalue())
     doubled = {**keyed.workspaces, 'red': keyed.workspaces['blue']}
     keyed.fleet.configure(testing.make_document(901, keyed.routes, doubled))
     keyed.fleet.wait_for(lambda: 'version refused' in keyed.lines.getvalue())
@@ -247,6 +254,139 @@
 KEYS_BYTES = KEYS['blue'].encode()
 
 
+@given('four more hosts, most of which follow relays')
+def step_more_hosts(context):
+    keyed = context.keyed
+    for number in range(3, 7):
+        keyed.fleet.add_host(f'hall-{number}')
+    keyed.fleet.wait_ready()
+    keyed.fleet.wait_for(
+        lambda: (
+            sum(
+                not host.daemon.source.is_watching
+                and host.daemon.source.find_currency().is_current
+                for host in keyed.fleet.hosts.values()
+            )
+            >= 3
+        )
+    )
+
+
+def ask_all(keyed, name):
+    """Ask each host with a key; return the statuses."""
+    return [
+        keyed.fleet.call(
+            host.addresses.callers_port,
+            '/r0/a',
+            X_Request_Id=f'all-{host.name}',
+            X_Request_Deadline='3000',
+            Authorization=f'Token {KEYS[name]}',
+        ).status
+        for host in keyed.fleet.hosts.values()
+    ]
+
+
+@when('the key of "{name}" is given to "{holder}"')
+def step_give(context, name, holder):
+    keyed = context.keyed
+    keyed.workspaces[holder]['api_keys'] = [KEYS[holder], KEYS[name]]
+    keyed.write()
+    context.given_key = name
+
+
+@when('that key is taken away again')
+def step_take_back(context):
+    context.keyed.workspaces['green']['api_keys'] = [KEYS['green']]
+    context.keyed.write()
+
+
+@then('every daemon serves it, and answers 401 to a key of nobody')
+def step_all_serve(context):
+    keyed = context.keyed
+    assert set(ask_all(keyed, context.given_key)) == {200}
+    KEYS['stranger'] = 'k3y-that-nobody-has'
+    assert set(ask_all(keyed, 'stranger')) == {401}
+
+
+@then('every daemon answers 401 to it')
+def step_all_refuse(context):
+    assert set(ask_all(context.keyed, context.given_key)) == {401}
+
+
+@given('a call by a later version has come to the first host')
+def step_later_version(context):
+    source = context.keyed.first.daemon.source
+
+    async def note():
+        source.note_newer(base.Version(source.versions.version + 1))
+
+    context.keyed.fleet.run(note())
+
+
+@given('daemons that are strict after {limit_ms:d} ms')
+def step_strict(context, limit_ms):
+    for host in context.keyed.fleet.hosts.values():
+        state = host.daemon.state
+        state.follow_revocation(
+            msgspec.structs.replace(
+                state.mesh_settings, revoke_strict=True, revoke_ms=limit_ms
+            )
+        )
+
+
+@when(
+    'a caller with the key of "{name}" asks "{path}" as "{request_id}" '
+    '{pause_ms:d} ms later'
+)
+def step_ask_later(context, name, path, request_id, pause_ms):
+    time.sleep(pause_ms / 1000)
+    context.keyed.ask_as(name, path, request_id)
+
+
+@given('a proxy with a route that needs the key of "{name}"')
+def step_proxy(context, name):
+    subject = request_subject.RequestSubject()
+    context.cleanups.append(subject.stop)
+    subject.add_target('answers')
+    holder = subject.state.holder
+    digest = access.compute_key_digest(KEYS[name])
+    content = msgspec.structs.replace(
+        holder.snapshot.bundle,
+        workspaces=(bundles.Workspace(name, (digest,)),),
+        keyed_routes=('repeatable',),
+    )
+    holder.apply(base.Version(2), b'd', content)
+    context.proxy = subject
+
+
+def ask_proxy(subject, fields: str) -> bytes:
+    """Ask a proxy of threads; return the head of its answer."""
+    path = request_subject.PATHS['repeatable']
+    head = (
+        f'GET {path} HTTP/1.1\r\nHost: {request_subject.HOST}\r\n'
+        f'Connection: close\r\n{fields}\r\n'
+    )
+    with socket.create_connection(('127.0.0.1', subject.port), 5) as sock:
+        sock.sendall(head.encode())
+        with sock.makefile('rb') as stream:
+            return stream.read().partition(b'\r\n\r\n')[0]
+
+
+@then('it answers 401 without the key, and passes "{name}" on with it')
+def step_proxy_keys(context, name):
+    subject = context.proxy
+    refused = ask_proxy(subject, 'X-Workspace: blue\r\n')
+    assert refused.startswith(b'HTTP/1.1 401 '), refused
+    assert b'WWW-Authenticate: Bearer' in refused, refused
+    fields = f'Authorization: Bearer {KEYS[name]}\r\nX-Workspace: green\r\n'
+    answer = ask_proxy(subject, fields)
+    assert answer.startswith(b'HTTP/1.1 200 '), answer
+    (target,) = subject.targets
+    (head,) = target.heads
+    assert head['x-workspace'] == name, head
+    assert 'authorization' not in head, head
+
+
 @then('the answer with a key is {status:d}')
 def step_status(context, status):
     answer = context.keyed.answers[-1]
@@ -334,6 +474,20 @@
         assert run[2]['X-Tenant'] == run[0], run
 
 
+@then('all of that stands in the logs')
+def step_logged(context):
+    lines = context.keyed.lines.getvalue()
+    for message in (
+        'request refused',
+        'request answered',
+        'attempt failed',
+        'target ended',
+        'document refused',
+        'version refused',
+    ):
+        assert f'"message":"{message}"' in lines, message
+
+
 @then('neither logs, metrics, answers, the store nor rows hold a key')
 def step_grep(context):
     keyed = context.keyed
--- a/sedgering/access/__init__.py
+++ b/sedgering/access/__init__.py
@@ -9,11 +9,14 @@
 from sedgering.access._identity import Revocation
 from sedgering.access._keys import compute_key_digest
 from sedgering.access._keys import find_key
+from sedgering.access._keys import KEY_FIELD
 from sedgering.access._keys import shorten_digest
+from sedgering.access._keys import take_claims
 
 __all__ = [
     'Currency',
     'Identity',
+    'KEY_FIELD',
     'NOBODY',
     'OTHERS',
     'Revocation',
@@ -22,4 +25,5 @@
     'find_key',
     'identify',
     'shorten_digest',
+    'take_claims',
 ]
--- a/sedgering/access/_keys.py
+++ b/sedgering/access/_keys.py
@@ -7,7 +7,16 @@
 from collections.abc import Sequence
 import hashlib
 
-__all__ = ['compute_key_digest', 'find_key', 'shorten_digest']
+__all__ = [
+    'KEY_FIELD',
+    'compute_key_digest',
+    'find_key',
+    'shorten_digest',
+    'take_claims',
+]
+
+#: Field that carries a key, in lower case (RFC 9110, section 11.6.2).
+KEY_FIELD = 'authorization'
 
 #: Digits by which people tell two keys apart.  They do not help to guess a
 #: key, and among a thousand keys two share them once in 8,000 meshes.
@@ -24,6 +33,36 @@
     return digest[:HEAD_LENGTH]
 
 
+def take_claims(
+    headers: Sequence[tuple[str, str]], workspace_field: str
+) -> tuple[list[str], list[tuple[str, str]]]:
+    """Take what callers say of themselves off the fields of a request.
+
+    Parameters
+    ----------
+    headers : sequence of (str, str)
+        As received.
+    workspace_field : str
+        Field, in lower case, that tells targets who asks: nobody else may.
+
+    Returns
+    -------
+    values : list of str
+        Of all authorization fields.
+    kept : list of (str, str)
+        The other fields.
+    """
+    values: list[str] = []
+    kept: list[tuple[str, str]] = []
+    for item in headers:
+        name = item[0].lower()
+        if name == KEY_FIELD:
+            values.append(item[1])
+        elif name != workspace_field:
+            kept.append(item)
+    return values, kept
+
+
 def find_key(values: Sequence[str], scheme: str) -> str | None:
     """Return the key that a request carries.
 
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -45,8 +45,6 @@
 #: daemon that lags behind has the newest version within some 2 s, and the
 #: caller may meet another one before.
 UNSURE_PAUSES_S = (0.3, 1.0)
-#: Field that carries the key of a workspace.
-KEY_FIELD = 'authorization'
 
 _Outcome = _messages.CallOutcome
 _Reason = _messages.RefusalReason
@@ -164,25 +162,21 @@
         """
         request = self.request
         names = self.state.names
+        workspace_field = names.workspace.lower()
+        values, request.headers = access.take_claims(
+            request.headers, workspace_field
+        )
+        if request.fields is not None:
+            request.fields.pop(access.KEY_FIELD, None)
+            request.fields.pop(workspace_field, None)
         self.identity = access.identify(
             snapshot,
             self.route.name,
-            [
-                value
-                for name, value in request.headers
-                if name.lower() == KEY_FIELD
-            ],
+            values,
             names.key_scheme,
             self.state.find_currency(),
             self.state.revocation,
         )
-        dropped = frozenset((KEY_FIELD, names.workspace.lower()))
-        request.headers = [
-            item for item in request.headers if item[0].lower() not in dropped
-        ]
-        if request.fields is not None:
-            for name in dropped:
-                request.fields.pop(name, None)
         request.workspace = self.identity.workspace
 
     def _find_stated_ms(self) -> int:
--- a/sedgering/mesh/_state.py
+++ b/sedgering/mesh/_state.py
@@ -83,13 +83,18 @@
         #: Tells how current the version in force is.
         self.find_currency: Callable[[], access.Currency] = access.Currency
         self.workspace_counts = access.WorkspaceCounts()
-        self.revocation = access.Revocation(
-            mesh_settings.revoke_strict, mesh_settings.revoke_ms / 1000
-        )
+        self.revocation = access.Revocation()
+        self.follow_revocation(mesh_settings)
         self.exposure = rollout.ExposureQuota(
             mesh_settings.exposed_share_percent / 100
         )
 
+    def follow_revocation(self, mesh_settings: _settings.MeshSettings) -> None:
+        """Treat keys that may have been taken away as settings say."""
+        self.revocation = access.Revocation(
+            mesh_settings.revoke_strict, mesh_settings.revoke_ms / 1000
+        )
+
     def take_told(self, row: _messages.MemberRow) -> bool:
         """Believe what a daemon tells of the target beside it.
 
--- a/sedgering/platform/_program.py
+++ b/sedgering/platform/_program.py
@@ -48,13 +48,8 @@
             mesh_settings,
             exposed_share_percent=int(100 * host_settings.exposed_share),
         )
-    mesh_settings = msgspec.structs.replace(
-        mesh_settings, revoke_strict=host_settings.revoke_strict
-    )
-    if host_settings.revoke_ms is not None:
-        mesh_settings = msgspec.structs.replace(
-            mesh_settings, revoke_ms=host_settings.revoke_ms
-        )
+    own_settings = mesh_settings
+    mesh_settings = _join_revocation(own_settings, host_settings)
     daemon = mesh.make_mesh_daemon(
         host_settings.identity,
         host_settings.addresses,
@@ -71,6 +66,7 @@
     def apply(found: _settings.HostSettings) -> None:
         budget.ratio = found.retry_ratio * share
         budget.extra = found.retry_extra * share
+        daemon.state.follow_revocation(_join_revocation(own_settings, found))
         if found.store != carrier.store_settings:
             carrier.move(found.store)
 
@@ -97,6 +93,20 @@
     await daemon.leave(follower.host_settings.grace_ms)
 
 
+def _join_revocation(
+    own_settings: mesh.MeshSettings, found: _settings.HostSettings
+) -> mesh.MeshSettings:
+    """Add what the platform states of keys that are taken away."""
+    revoke_ms = found.revoke_ms
+    if revoke_ms is None:
+        revoke_ms = own_settings.revoke_ms
+    return msgspec.structs.replace(
+        own_settings,
+        revoke_strict=own_settings.revoke_strict or found.revoke_strict,
+        revoke_ms=revoke_ms,
+    )
+
+
 def run_daemon(
     host_settings: _settings.HostSettings,
     mesh_settings: mesh.MeshSettings,
--- a/sedgering/proxy/_answers.py
+++ b/sedgering/proxy/_answers.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sedgering import exceptions
+from sedgering.proxy import _headers
 
 __all__ = ['CODE_HEADER', 'OUTCOME_HEADER', 'Answer', 'Told', 'make_answer']
 
@@ -50,6 +51,7 @@
 
 
 _UNAVAILABLE = b'503 Service Unavailable'
+_UNAUTHORIZED = b'401 Unauthorized'
 _STATUSES = {
     exceptions.Code.REQUEST_NO_ROUTE: b'404 Not Found',
     exceptions.Code.REQUEST_NO_TARGET: _UNAVAILABLE,
@@ -58,6 +60,8 @@
     exceptions.Code.REQUEST_SHED: _UNAVAILABLE,
     exceptions.Code.REQUEST_LEAVING: _UNAVAILABLE,
     exceptions.Code.REQUEST_GUARD_DOWN: _UNAVAILABLE,
+    exceptions.Code.REQUEST_KEY_UNKNOWN: _UNAUTHORIZED,
+    exceptions.Code.REQUEST_KEY_UNSURE: _UNAVAILABLE,
     exceptions.Code.REQUEST_ALREADY_RUN: b'409 Conflict',
     exceptions.Code.REQUEST_CLAIMED: b'409 Conflict',
     exceptions.Code.REQUEST_KEY_REUSED: b'422 Unprocessable Content',
@@ -87,6 +91,8 @@
         (CODE_HEADER, str(int(error.code)).encode()),
         (OUTCOME_HEADER, told.value.encode()),
     ]
+    if status == _UNAUTHORIZED:
+        headers.append((b'WWW-Authenticate', _headers.KEY_SCHEME.encode()))
     if status == _UNAVAILABLE:
         headers.append((b'Retry-After', RETRY_AFTER_S))
     return Answer(status, told, tuple(headers), body)
--- a/sedgering/proxy/_exchange.py
+++ b/sedgering/proxy/_exchange.py
@@ -4,6 +4,7 @@
 
 from cheroot import server as cheroot_server
 
+from sedgering import access
 from sedgering import bundle as bundles
 from sedgering import clock
 from sedgering import exceptions
@@ -71,6 +72,8 @@
             raise exceptions.RequestError(
                 exceptions.Code.REQUEST_NO_ROUTE, self.request.request_id
             )
+        if snapshot.has_workspaces:
+            self._identify(snapshot, route)
         policy = snapshot.policies[route.policy]
         self.request.set_deadline(policy)
         target_set = traffic.choose_target_set(route, self.state.rng)
@@ -96,6 +99,28 @@
                 clock.monotonic_ms(),
             )
 
+    def _identify(
+        self, snapshot: bundles.Snapshot, route: bundles.Route
+    ) -> None:
+        """Find out who asks; the key ends here."""
+        headers = self.request.headers
+        value = headers.pop(access.KEY_FIELD, None)
+        headers.pop(_headers.WORKSPACE_HEADER, None)
+        identity = access.identify(
+            snapshot,
+            route.name,
+            () if value is None else (value,),
+            _headers.KEY_SCHEME,
+            access.Currency(),
+            access.Revocation(),
+        )
+        if identity.code is not None:
+            raise exceptions.RequestError(
+                identity.code, self.request.request_id
+            )
+        if identity.workspace:
+            headers[_headers.WORKSPACE_HEADER] = identity.workspace
+
     def _limit_of(self, endpoints: tuple[membership.Endpoint, ...]) -> int:
         """Return what the targets may get from here together."""
         now_ms = clock.monotonic_ms()
--- a/sedgering/proxy/_headers.py
+++ b/sedgering/proxy/_headers.py
@@ -10,8 +10,10 @@
     'DEADLINE_HEADER',
     'HOP_HEADERS',
     'IDEMPOTENCY_HEADER',
+    'KEY_SCHEME',
     'LOAD_HEADER',
     'REQUEST_ID_HEADER',
+    'WORKSPACE_HEADER',
     'decode_headers',
     'make_request_headers',
     'parse_number',
@@ -24,6 +26,10 @@
 ATTEMPTS_HEADER = 'x-attempts-spent'
 #: Names a request that may come again; the guard claims it.
 IDEMPOTENCY_HEADER = 'idempotency-key'
+#: Stands before the key of a workspace.
+KEY_SCHEME = 'Bearer'
+#: Name of the workspace that asks, for the target.
+WORKSPACE_HEADER = 'x-workspace'
 #: Slots in use, on answers of targets.
 LOAD_HEADER = 'X-Target-Load'
 #: Meaningful for one connection only (RFC 9110, section 7.6.1).
