Half as much again as is served is let through, from a demand of 120 % on

Cause: with a quarter and 90 % sets that are asked for little more than they can do lost some calls at the source that would have found room.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -17,7 +17,7 @@
   Scenario: The least urgent are rejected first
     Given a set of which gates tell a demand of 150 %
     And room for 100 calls a second
-    When 80 of priority 0 and 80 of priority 3 come a second for 6 s
+    When 80 of priority 0 and 160 of priority 3 come a second for 6 s
     Then 99 to 100 % of priority 0 are let through in the last second
     And 5 to 75 % of priority 3 are let through in the last second
 
@@ -38,7 +38,7 @@
   Scenario: Who comes back at once goes after those who keep to their time
     Given a set of which gates tell a demand of 150 %
     And room for 100 calls a second
-    When 100 calls and 100 hasty ones come a second for 6 s
+    When 100 calls and 200 hasty ones come a second for 6 s
     Then 90 to 100 % of the others are let through in the last second
     And 5 to 45 % of the hasty ones are let through in the last second
 
@@ -77,7 +77,7 @@
     sent before it was refused.
     Given the load "hasty-callers-2-0" for 4 s
     When it is played with seed <seed>
-    Then at most 0.6 calls between hosts are sent for each try
+    Then at most 0.75 calls between hosts are sent for each try
     And at least 42 % of "read" end within their goal
 
     Examples:
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -160,11 +160,11 @@
     context.level.play(kinds, length_s)
 
 
-@when('100 calls and 100 hasty ones come a second for 6 s')
-def step_hasty(context):
+@when('{one:d} calls and {other:d} hasty ones come a second for 6 s')
+def step_hasty(context, one, other):
     kinds = {
-        'the others': (100, {}),
-        'the hasty ones': (100, {'is_hasty': True}),
+        'the others': (one, {}),
+        'the hasty ones': (other, {'is_hasty': True}),
     }
     context.level.play(kinds, 6)
 
--- a/sedgering/overload/_level.py
+++ b/sedgering/overload/_level.py
@@ -23,8 +23,9 @@
 #: second to a set twenty of them count; a burst lasts longer.
 MEMORY_S = 2.0
 #: Work let through for each unit that is served: gates are to have some to
-#: choose from, so that no place stays empty by chance.
-HEADROOM = 1.25
+#: choose from, so that no place stays empty by chance.  A set that is asked
+#: for little more than it can do refuses no more than a third anyway.
+HEADROOM = 1.5
 #: Share of a rank that is let through whatever is known: one of the callers
 #: that are told to come back shows whether room has come.
 PROBE_SHARE = 0.05
@@ -32,8 +33,9 @@
 #: that of all calls.  None may be served less than a quarter as often as all,
 #: and gates refuse some of what comes.
 WORKSPACE_SHARE = 0.5
-#: Demand on the places of a set from which on it counts as full.
-FULL_PERCENT = 90.0
+#: Demand on the places of a set from which on it counts as full.  Below it
+#: callers find room at the second gate that they ask, or a moment later.
+FULL_PERCENT = 120.0
 #: Weight of the newest gate in what is known of the demand on a set: about
 #: the last seven answers count.
 DEMAND_WEIGHT = 0.15
