--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -36,6 +36,8 @@
 #: Most attempts under way that a line names; few routes allow more.
 ATTEMPTS_TOLD_LIMIT = 4
 SERVER_ERROR = 500
+#: Kind under which answers of targets are counted by workspace.
+COUNTED_ANSWER = 'answered'
 #: Bounds of the time after which a caller returns whose key may be new: a
 #: daemon that lags behind has the newest version within some 2 s, and the
 #: caller may meet another one before.
@@ -287,12 +289,10 @@
         self.tried.add(peer.row.host)
         self.search.forget(peer.row.host)
         progress = _progress.AttemptProgress(peer.row.host, self._now_s)
-        sending = self.state.sender.send(
+        sent = self.state.sender.begin(
             peer, self._make_call(peer.row), progress
         )
-        attempt = _attempt.Attempt(
-            peer, self.loop.create_task(sending), progress, self.loop
-        )
+        attempt = _attempt.Attempt(peer, sent, progress)
         attempt.task.add_done_callback(self._note_news)
         if self.route.repeatable:
             attempt.watch_silence()
@@ -312,7 +312,7 @@
                 self._learn(attempt.peer, answer)
                 return answer
         for attempt in self.attempts:
-            if attempt.silence.done():
+            if attempt.is_silent:
                 attempt.watch_silence()
                 attempt.silence.add_done_callback(self._note_news)
         self._forget_sheds()
@@ -588,6 +588,9 @@
 
     def _pass_on(self, answer: _messages.CallAnswer) -> transport.Response:
         response = answer.response
+        self.state.workspace_counts.count(
+            self.identity.workspace, COUNTED_ANSWER
+        )
         self.state.decisions.log_success(
             self.request_id,
             self.route.name,
@@ -634,6 +637,9 @@
         return self._make_refusal(code)
 
     def _make_refusal(self, code: exceptions.Code) -> transport.Response:
+        self.state.workspace_counts.count(
+            self.identity.workspace, f'refused {int(code)}'
+        )
         return _refusal.make_refusal(
             code,
             self.state.names.request_id,
