--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -73,6 +73,7 @@
         self.connections: set[ServerConnection] = set()
         #: Bytes of all connections since the start.
         self.received_bytes = 0
+        self._look_timer: asyncio.TimerHandle | None = None
 
     @abc.abstractmethod
     async def answer(
@@ -96,6 +97,33 @@
     def find_limits(self) -> CallerLimits:
         """Return the limits in force now."""
 
+    def note_opened(self, connection: 'ServerConnection') -> None:
+        """Take in a connection, and look at its limits from now on."""
+        self.connections.add(connection)
+        if self._look_timer is None:
+            self._plan_look()
+
+    def _plan_look(self) -> None:
+        """Look again when the earliest limit may have passed."""
+        limits = self.find_limits()
+        wait_ms = min(limits.header_timeout_ms, limits.idle_timeout_ms) / 4
+        self._look_timer = asyncio.get_running_loop().call_later(
+            wait_ms / 1000, self._look
+        )
+
+    def _look(self) -> None:
+        """Close the connections whose time is up.
+
+        All at once: each look at its own time wakes the process up, and a
+        daemon has some hundred connections.
+        """
+        self._look_timer = None
+        if self.connections:
+            self._plan_look()
+        limits = self.find_limits()
+        for connection in list(self.connections):
+            connection.check_time(limits)
+
     def find_load(self) -> _load.ServiceLoad:
         """Tell what all connections hold."""
         load = _load.ServiceLoad()
@@ -111,15 +139,43 @@
 class _Pending:
     """A request that waits for its answer, and its place in the order."""
 
-    __slots__ = ('data', 'is_head', 'must_close', 'received_s', 'task')
+    __slots__ = (
+        'begun',
+        'body_bytes',
+        'data',
+        'is_head',
+        'must_close',
+        'received_s',
+        'task',
+    )
 
     def __init__(self):
         self.data: bytes | None = None
         self.is_head = False
         self.must_close = False
         self.received_s = math.inf
+        #: Of its body, while it is counted.
+        self.body_bytes = 0
+        #: What answers it, and the task that runs that.
+        self.begun: Coroutine | None = None
         self.task: asyncio.Task | None = None
 
+    def release_body(self) -> None:
+        """Count its body no more."""
+        BodyMemory.used_bytes -= self.body_bytes
+        self.body_bytes = 0
+
+    def cancel(self) -> None:
+        """Give it up: nobody waits for its answer."""
+        self.release_body()
+        if self.task is not None:
+            self.task.add_done_callback(self._end_unbegun)
+            self.task.cancel()
+
+    def _end_unbegun(self, _task: asyncio.Task) -> None:
+        """End what was cancelled before its first step."""
+        self.begun.close()
+
 
 class BodyMemory:
     """Bytes of request bodies that this process holds."""
@@ -176,13 +232,12 @@
     def connection_made(self, transport):
         """Start to wait for the first head."""
         self.transport = transport
-        self.service.connections.add(self)
         _sockets.tune_socket(
             transport.get_extra_info('socket'),
             UNACKNOWLEDGED_LIMIT_MS,
             PROBE_AFTER_S,
         )
-        self._arm()
+        self.service.note_opened(self)
 
     def connection_lost(self, exc):
         """Cancel what is under way: the caller is gone."""
@@ -195,8 +250,7 @@
             paced.cancel()
         self._paced.clear()
         for item in self.pending:
-            if item.task is not None:
-                item.task.cancel()
+            item.cancel()
         self.pending.clear()
 
     def data_received(self, data):
@@ -299,26 +353,19 @@
         item.received_s = request.received_s
         item.must_close = not self._parser.should_keep_alive()
         self.pending.append(item)
-        size = len(request.body)
+        item.body_bytes = len(request.body)
         begun = self.service.begin(request)
         if isinstance(begun, _messages.Response):
-            _release(size)
             self._finish(item, begun)
             return
-        item.task = self.loop.create_task(self._answer(begun, item))
-
-        def end(_task: asyncio.Task) -> None:
-            # Also when it is cancelled before its first step.
-            begun.close()
-            _release(size)
-
-        item.task.add_done_callback(end)
+        item.begun = begun
+        item.task = self.loop.create_task(self._answer(item))
 
     # Answers.
 
-    async def _answer(self, begun: Coroutine, item: _Pending):
+    async def _answer(self, item: _Pending):
         try:
-            response = await begun
+            response = await item.begun
         except asyncio.CancelledError:
             raise
         except Exception:
@@ -329,6 +376,7 @@
         self._finish(item, response)
 
     def _finish(self, item: _Pending, response: _messages.Response | None):
+        item.release_body()
         if self._is_ended:
             return
         if response is None:
@@ -394,8 +442,7 @@
     def _close(self):
         """Close after an answer; requests behind it were not passed on."""
         for item in self.pending:
-            if item.task is not None:
-                item.task.cancel()
+            item.cancel()
         self.pending.clear()
         self._is_ended = True
         # What comes is read and dropped.
@@ -420,7 +467,6 @@
         elif not self._has_unsent:
             self.transport.close()
             return
-        self._timer.cancel()
         self._timer = self.loop.call_later(LINGER_S, self._linger)
 
     @property
@@ -480,14 +526,10 @@
 
     # Time.
 
-    def _arm(self):
-        """Look again when the earliest limit may have passed."""
-        limits = self.service.find_limits()
-        wait_ms = min(limits.header_timeout_ms, limits.idle_timeout_ms) / 4
-        self._timer = self.loop.call_later(wait_ms / 1000, self._check_time)
-
-    def _check_time(self):
-        limits = self.service.find_limits()
+    def check_time(self, limits: CallerLimits) -> None:
+        """Refuse or close where a limit has passed."""
+        if self._is_ended:
+            return
         now_s = self.loop.time()
         silent_ms = (now_s - self.last_activity_s) * 1000
         if self._request is None:
@@ -503,8 +545,6 @@
                 self._refuse(408)
         elif silent_ms > limits.body_timeout_ms:
             self._refuse(408)
-        if not self._is_ended:
-            self._arm()
 
 
 class _Refused(Exception):
