Quotas of workspaces over the whole fleet, without a coordinator

Cause: a workspace has a rate and a burst over all daemons together; an even split of 5 a second over 73 daemons serves nobody.

--- a/sedgering/exceptions.py
+++ b/sedgering/exceptions.py
@@ -92,6 +92,7 @@
     REQUEST_CLAIMED = 5013, 'request with this key has no known outcome'
     REQUEST_KEY_REUSED = 5014, 'key belongs to another request; not run'
     REQUEST_QUARANTINED = 5015, 'targets ended under it before; not run'
+    REQUEST_QUOTA = 5017, 'its workspace is beyond its quota; not run'
 
     REPORT_UNREADABLE = 6001, 'report cannot be decoded; nothing changed'
     REPORT_SET = 6002, 'report is of an unknown target set; nothing changed'
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -104,6 +104,7 @@
             source.note_newer,
             self.pause,
             _relay.RelayDesk(source),
+            state.quotas,
         )
         self.follower = _follow.RelayFollower(
             identity, state.fleet, state.peers, source
@@ -247,6 +248,7 @@
             self.state.peers.retain_routes(names)
             self.state.side.gate.work.retain(names)
             self.state.side.answer_room.retain(names)
+            self.state.quotas.take_config(config.bundle.workspaces)
         self._note_ready()
 
     def _note_ready(self) -> None:
@@ -269,6 +271,7 @@
         for row in new:
             self.state.note_started(row)
         self.state.budget.daemons = max(1, len(members))
+        self.state.quotas.take_members(self.state.fleet.members)
         self._refresh_permit()
         self.follower.note_members_known()
         self._note_ready()
@@ -404,6 +407,7 @@
                     callers.unacknowledged_bytes
                 ),
                 **self.backlog.find_gauges(),
+                **self.state.quotas.find_gauges(),
             }
         )
 
@@ -526,6 +530,7 @@
 
     def _stop_tasks(self) -> None:
         self.source.stop()
+        self.state.quotas.stop()
         for task in self._tasks:
             task.cancel()
 
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -15,6 +15,7 @@
 from sedgering.mesh import _search
 from sedgering.mesh import _standing
 from sedgering.mesh import _state
+from sedgering import quota
 from sedgering import transport
 
 __all__ = ['Exchange']
@@ -69,6 +70,9 @@
         self.deadline_s = 0.0
         self.goal_s = 0.0
         self.urgency = _messages.CallUrgency.FIRST
+        self.workspace = base.NO_WORKSPACE
+        #: Taken from the quota of the workspace.
+        self.token: quota.Permit | None = None
         self.caller_left_ms = 0
         self.search: _search.Search | None = None
         #: Hosts that had no free place, when that was asked.
@@ -127,6 +131,8 @@
             return self._refuse(exceptions.Code.REQUEST_LEAVING)
         if self.standing.is_quarantined:
             return self._refuse(exceptions.Code.REQUEST_QUARANTINED)
+        if not await self._take_token():
+            return self._refuse(exceptions.Code.REQUEST_QUOTA)
         self.search = _search.Search(
             self.state.places, self.target_set, len(self.request.body)
         )
@@ -162,6 +168,17 @@
         goal_ms = self.policy.latency_goal_ms or timeout_ms
         self.goal_s = started_s + (goal_ms - origin.waited_ms) / 1000
 
+    async def _take_token(self) -> bool:
+        """Take a token of the workspace; say whether it may go on."""
+        quotas = self.state.quotas
+        if not quotas.is_counted(self.workspace):
+            return True
+        self.token = quotas.take(self.workspace)
+        if self.token is None:
+            until_s = min(self.deadline_s, self.state.serving.end_s)
+            self.token = await quotas.wait(self.workspace, until_s)
+        return self.token is not None
+
     @property
     def _now_s(self) -> float:
         return self.loop.time()
@@ -524,6 +541,8 @@
         return self._refuse(exceptions.Code.REQUEST_NOT_RUN)
 
     def _refuse(self, code: exceptions.Code) -> transport.Response:
+        if self.token is not None and not _refusal.may_have_run(code):
+            self.state.quotas.give_back(self.token)
         self.state.decisions.log_refusal(
             self.request_id,
             int(code),
@@ -561,6 +580,8 @@
         if code is exceptions.Code.REQUEST_QUARANTINED:
             # Sooner it would only be refused again.
             return self.standing.find_wait_s()
+        if code is exceptions.Code.REQUEST_QUOTA:
+            return self.state.quotas.find_pause_s(self.workspace)
         limits = self.state.mesh_settings
         left_ms = self.caller_left_ms - self._elapsed_ms()
         share = self.state.rng.uniform(*RETRY_AFTER_SHARES)
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -13,6 +13,8 @@
 from sedgering.mesh import _messages
 from sedgering.mesh import _notice
 from sedgering.mesh import _pause
+from sedgering.mesh import _quota_hop
+from sedgering.mesh import _quotas
 from sedgering.mesh import _relay
 from sedgering.mesh import _room
 from sedgering.mesh import _target_side
@@ -39,6 +41,8 @@
         Tells how late a call is read.
     desk : RelayDesk
         Answers polls.
+    quotas : WorkspaceQuotas
+        Answers daemons that ask for tokens.
     """
 
     def __init__(
@@ -47,12 +51,14 @@
         note_version: Callable[[base.Version], None],
         pause: _pause.PauseWatch,
         desk: _relay.RelayDesk,
+        quotas: _quotas.WorkspaceQuotas,
     ):
         super().__init__()
         self.side = side
         self.note_version = note_version
         self.pause = pause
         self.desk = desk
+        self.quotas = quotas
 
     def find_limits(self) -> transport.CallerLimits:
         """Return wide limits: the caller's were checked before."""
@@ -78,6 +84,8 @@
         """Run a call and tell how it ended, or answer a poll."""
         if _relay.is_poll(request):
             return await self.desk.answer(request)
+        if _quota_hop.is_ask(request):
+            return self.quotas.answer(request)
         if _hop.is_ping(request):
             return transport.Response(200, [])
         if _notice.is_notice(request):
--- a/sedgering/mesh/_refusal.py
+++ b/sedgering/mesh/_refusal.py
@@ -6,7 +6,7 @@
 from sedgering import exceptions
 from sedgering import transport
 
-__all__ = ['make_refusal']
+__all__ = ['make_refusal', 'may_have_run']
 
 #: All other codes say that the request has not run and never will.
 _STATUS = {
@@ -14,8 +14,20 @@
     exceptions.Code.REQUEST_MALFORMED: 400,
     exceptions.Code.REQUEST_UNKNOWN: 502,
     exceptions.Code.REQUEST_LATE: 504,
+    exceptions.Code.REQUEST_QUOTA: 429,
 }
+#: The outcome of such requests is not known.
+_UNKNOWN = frozenset(
+    (exceptions.Code.REQUEST_UNKNOWN, exceptions.Code.REQUEST_LATE)
+)
 NOT_RUN = 503
+#: That tell when to come back.
+_PAUSED = frozenset((429, NOT_RUN))
+
+
+def may_have_run(code: exceptions.Code) -> bool:
+    """Say whether a target may have run a request that ends so."""
+    return code in _UNKNOWN
 
 
 def make_refusal(
@@ -41,7 +53,7 @@
     headers = [('Content-Type', 'application/json')]
     if request_id:
         headers.append((id_field, request_id))
-    if status == NOT_RUN:
+    if status in _PAUSED:
         headers.append(('Retry-After', f'{pause_s:.3f}'))
     body = json.dumps({'code': int(code), 'error': code.text}).encode()
     return transport.Response(status, headers, body)
--- a/sedgering/mesh/_settings.py
+++ b/sedgering/mesh/_settings.py
@@ -77,6 +77,14 @@
     exposed_share_percent : int
         Share of the calls to a set that a version on trial may get at most,
         over the whole fleet; what the operator lets a bad version harm.
+    quota_window_ms : int
+        Window in which requests of a workspace are counted against its
+        quota; 0 where quotas are not counted.
+    quota_excess_percent : int
+        Share by which a quota may be passed in a window, over the whole
+        fleet.
+    quota_slack : int
+        Requests by which it may be passed besides.
     success_log_every : int
         One in so many plain successes is logged.
     log_lines_per_s : int
@@ -106,5 +114,8 @@
     quarantine_crashes: settings.CountOrNone = 3
     advertised_port: settings.PortOrNone = 0
     exposed_share_percent: settings.Percent = 10
+    quota_window_ms: settings.CountOrNone = 0
+    quota_excess_percent: settings.Percent = 0
+    quota_slack: settings.CountOrNone = 0
     success_log_every: settings.Count = 100
     log_lines_per_s: settings.Count = 50
--- a/sedgering/mesh/_state.py
+++ b/sedgering/mesh/_state.py
@@ -10,6 +10,7 @@
 from sedgering.mesh import _fleet
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
+from sedgering.mesh import _quotas
 from sedgering.mesh import _search
 from sedgering.mesh import _sender
 from sedgering.mesh import _serving
@@ -78,6 +79,15 @@
         self.places = _search.FreePlaces()
         self.start = _start.StartWait()
         self.serving = _serving.ServingTime()
+        self.quotas = _quotas.make_workspace_quotas(
+            identity,
+            mesh_settings,
+            fleet,
+            peers,
+            decisions.counts,
+            rng,
+            side.gate.now_s,
+        )
         self.exposure = rollout.ExposureQuota(
             mesh_settings.exposed_share_percent / 100
         )
--- a/sedgering/model/__init__.py
+++ b/sedgering/model/__init__.py
@@ -5,6 +5,7 @@
 sockets, no store and no threads, so a seed gives the same figures each time.
 """
 
+from sedgering.model._clock import make_virtual_runner
 from sedgering.model._clock import run_virtual
 from sedgering.model._loads import CallerKind
 from sedgering.model._loads import Event
@@ -27,6 +28,7 @@
     'NestedCalls',
     'TargetGroup',
     'load_pattern',
+    'make_virtual_runner',
     'play',
     'run_virtual',
 ]
--- a/sedgering/model/_clock.py
+++ b/sedgering/model/_clock.py
@@ -5,7 +5,7 @@
 import selectors
 from typing import Any
 
-__all__ = ['run_virtual']
+__all__ = ['make_virtual_runner', 'run_virtual']
 
 
 class _JumpingSelector(selectors.DefaultSelector):
@@ -38,7 +38,12 @@
         return self._jumping.now_s
 
 
+def make_virtual_runner() -> asyncio.Runner:
+    """Make a runner of coroutines that follow each other in virtual time."""
+    return asyncio.Runner(loop_factory=_VirtualLoop)
+
+
 def run_virtual(work: Coroutine) -> Any:
     """Run a coroutine to its end in virtual time, and return its result."""
-    with asyncio.Runner(loop_factory=_VirtualLoop) as runner:
+    with make_virtual_runner() as runner:
         return runner.run(work)
--- a/sedgering/platform/_program.py
+++ b/sedgering/platform/_program.py
@@ -48,6 +48,13 @@
             mesh_settings,
             exposed_share_percent=int(100 * host_settings.exposed_share),
         )
+    if host_settings.quota_window_ms:
+        mesh_settings = msgspec.structs.replace(
+            mesh_settings,
+            quota_window_ms=host_settings.quota_window_ms,
+            quota_excess_percent=host_settings.quota_excess_percent,
+            quota_slack=host_settings.quota_slack,
+        )
     daemon = mesh.make_mesh_daemon(
         host_settings.identity,
         host_settings.addresses,
--- a/sedgering/platform/_settings.py
+++ b/sedgering/platform/_settings.py
@@ -56,6 +56,11 @@
     exposed_share : float or None
         Share of the calls to a set that a version on trial may get at most;
         None where the operator orders no rollouts.
+    quota_window_ms : int
+        Window in which requests of a workspace are counted; 0 where they
+        are not.
+    quota_excess_percent, quota_slack : int
+        By how much, and by how many requests, a quota may be passed in it.
     """
 
     identity: mesh.MeshIdentity
@@ -67,6 +72,9 @@
     retry_window_s: float
     is_first_start: bool = False
     exposed_share: float | None = None
+    quota_window_ms: int = 0
+    quota_excess_percent: int = 0
+    quota_slack: int = 0
 
 
 class _Listen(msgspec.Struct):
@@ -141,6 +149,8 @@
 def _convert(file: _File) -> HostSettings:
     bounds = dict(item.split('=', 1) for item in file.bounds)
     exposed_share = bounds.get('expose_share')
+    quota_window = bounds.get('quota_window')
+    quota_excess = float(bounds.get('quota_excess', 0))
     target_address, target_port = _split(file.app)
     store_address, store_port = _split(file.platform.address)
     return HostSettings(
@@ -166,6 +176,11 @@
         retry_window_s=_wire.parse_duration_ms(bounds['budget_window']) / 1000,
         is_first_start=file.bootstrap,
         exposed_share=float(exposed_share) if exposed_share else None,
+        quota_window_ms=(
+            _wire.parse_duration_ms(quota_window) if quota_window else 0
+        ),
+        quota_excess_percent=int(100 * quota_excess),
+        quota_slack=int(bounds.get('quota_slack', 0)),
     )
 
 
