Hosts that are cut off together find a keeper anywhere in the ranking

Cause: keepers were looked for among the first eight by rank only, and asking a better one held up what was due to the present one. Ruled out: a longer fixed list, which fails as often with a larger share cut off. Change: the next four by rank that were not silent lately are asked; a better one is asked beside the present one.

--- a/sedgering/mesh/_quota_shard.py
+++ b/sedgering/mesh/_quota_shard.py
@@ -54,6 +54,8 @@
         #: Until when the keeper has no tokens of a workspace.
         self._dry_until_s: dict[base.WorkspaceName, float] = {}
         self._woken = asyncio.Event()
+        #: Whether a better keeper than the present one is there.
+        self._probe: asyncio.Task | None = None
         self._sent_s = now_s
         self._short: collections.Counter = collections.Counter()
         self._short_told_s = now_s
@@ -106,14 +108,21 @@
 
     async def run(self) -> None:
         """Ask until cancelled."""
-        while True:
-            await self._wait_until_due()
-            try:
-                await self._step()
-            except Exception:
-                # A defect must not end the task: nobody would get tokens.
-                LOG.exception('quotas not asked for')
-            await asyncio.sleep(GAP_S)
+        try:
+            while True:
+                await self._wait_until_due()
+                await self._step_safely()
+                await asyncio.sleep(GAP_S)
+        finally:
+            if self._probe is not None:
+                self._probe.cancel()
+
+    async def _step_safely(self) -> None:
+        try:
+            await self._step()
+        except Exception:
+            # A defect must not end the task: nobody would get tokens.
+            LOG.exception('quotas not asked for')
 
     async def _wait_until_due(self) -> None:
         due_s = self._sent_s + BEAT_S * self.quotas.rng.uniform(0.8, 1.0)
@@ -133,8 +142,10 @@
         candidates = link.list_candidates(self.ranked, now_s)
         if not link.keeper:
             await self._find_keeper(candidates)
+        elif self._probe is not None:
+            await self._take_probe()
         elif candidates and candidates[0] != link.keeper:
-            await self._move(candidates[0])
+            self._probe = asyncio.create_task(self._ask_better(candidates[0]))
         if link.keeper:
             await self._ask()
         self._serve_alone()
@@ -156,14 +167,23 @@
                 self._turn_to(host, answer, now_s)
                 return
 
-    async def _move(self, host: base.HostId) -> None:
-        """Turn to a better keeper, if it is there."""
+    async def _ask_better(
+        self, host: base.HostId
+    ) -> tuple[base.HostId, quota.QuotaGrant | None, float]:
+        """Ask a better keeper whether it is there; the present one serves."""
+        answer = await self.quotas.ask(host, self.link.make_probe())
+        return host, answer, self.quotas.now_s()
+
+    async def _take_probe(self) -> None:
+        """Turn to a better keeper once it has answered."""
+        if not self._probe.done():
+            return
         link = self.link
-        answer = await self.quotas.ask(host, link.make_probe())
+        probe, self._probe = self._probe, None
+        host, answer, heard_s = probe.result()
         if answer is None:
-            link.note_silence(host, self.quotas.now_s())
+            link.note_silence(host, heard_s)
             return
-        heard_s = self.quotas.now_s()
         if link.lent_to == link.keeper:
             ended = await self.quotas.ask(link.keeper, link.make_last())
             if ended is not None:
--- a/sedgering/quota/_link.py
+++ b/sedgering/quota/_link.py
@@ -22,7 +22,7 @@
 LEASE_S = 1.2
 #: Added to it by the lender: clocks of two hosts differ a little in speed.
 LEASE_MARGIN_S = 0.02
-#: Keepers by rank that are tried.
+#: Keepers by rank that are asked at a time for whether they are there.
 CANDIDATES = 4
 #: Questions in a row without an answer after which a keeper is given up.  A
 #: packet that was lost is sent again after 0.2 s.
@@ -85,7 +85,7 @@
         """
         allowed = [
             host
-            for host in ranked[: 2 * CANDIDATES]
+            for host in ranked
             if host not in self._shunned
             or now_s >= self._shunned[host].until_s
         ]
