--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -92,7 +92,7 @@
     Given a mesh of two hosts with a quota of 5 a second for "crew"
     When callers of "crew" send 60 requests at once
     Then between 3 and 45 were answered, and the others refused with 429
-    And each refusal tells code 5017 and when to come back
+    And each refusal tells code 5018 and when to come back
     And the target ran no request that was refused
 
   Scenario: Requests of a workspace without a quota need no token
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -13,10 +13,8 @@
 import msgspec
 import quota_world
 
-from sedgering import base
 from sedgering import bundle as bundles
 from sedgering import mesh
-from sedgering.mesh import _exchange
 from sedgering.mesh import _fleet
 from sedgering.mesh import _peers
 from sedgering.mesh import _quota_hop
@@ -469,20 +467,19 @@
         self.fleet = testing.MeshFleet(settings)
         self.names = [f'hall-{number}' for number in range(hosts)]
         self.hosts = [self.fleet.add_host(name) for name in self.names]
-        self.fleet.configure(testing.make_document(1, [{}]))
+        workspaces = {
+            'crew': {
+                'api_keys': ['k-crew'],
+                'rate_per_s': rate,
+                'burst': rate,
+            },
+            'guests': {'api_keys': ['k-guests']},
+        }
+        self.fleet.configure(testing.make_document(1, [{}], workspaces))
         self.fleet.wait_ready()
-        self.workspaces = (
-            bundles.Workspace('crew', rate_per_s=rate, burst=rate),
-            bundles.Workspace('guests'),
-        )
-        self.fleet.run(self._take_quotas())
         self.fleet.wait_for(self.is_lent)
         self.answers = []
 
-    async def _take_quotas(self):
-        for host in self.hosts:
-            host.daemon.state.quotas.take_config(self.workspaces)
-
     def is_lent(self):
         """Whether all parts are lent, and the buckets are filled a little."""
         shares = [
@@ -502,7 +499,10 @@
     async def _ask_all(self, port, workspace, count, is_together):
         calls = [
             self.fleet.start_call(
-                port, '/r0/', X_Request_Id=f'q{number}', X_Crew=workspace
+                port,
+                '/r0/',
+                X_Request_Id=f'q{number}',
+                Authorization=f'Token k-{workspace}',
             )
             for number in range(count)
         ]
@@ -515,22 +515,7 @@
         return [item for item in self.answers if item.status == 429]
 
 
-def _read_crew(exchange):
-    """Stand in for the identity of callers: a field names the workspace."""
-    return base.WorkspaceName(exchange.request.find('x-crew') or '')
-
-
 def _make_crew(context, hosts, rate):
-    original = _exchange.Exchange._take_token
-
-    async def take(exchange):
-        exchange.workspace = _read_crew(exchange)
-        return await original(exchange)
-
-    _exchange.Exchange._take_token = take
-    context.cleanups.append(
-        lambda: setattr(_exchange.Exchange, '_take_token', original)
-    )
     context.crew = CrewMesh(hosts, rate)
     context.cleanups.append(context.crew.fleet.stop)
 
--- a/sedgering/quota/_book.py
+++ b/sedgering/quota/_book.py
@@ -21,7 +21,7 @@
 
 
 class _Bucket(msgspec.Struct):
-    """Tokens of one workspace."""
+    """The tokens of one workspace."""
 
     level: float
     #: Of the book's total, up to which it is refilled.
@@ -143,7 +143,7 @@
         Returns
         -------
         tuple of int
-            Tokens, and milliseconds; 0 when all that wait have got one.
+            Number of them, and milliseconds; 0 when all that wait have got one.
         """
         self.advance(now_s)
         bucket = self._buckets.get(workspace)
--- a/sedgering/quota/_messages.py
+++ b/sedgering/quota/_messages.py
@@ -24,7 +24,7 @@
 
 
 class QuotaNeed(msgspec.Struct, frozen=True, array_like=True):
-    """Tokens of one workspace that a daemon needs.
+    """The tokens of one workspace that a daemon needs.
 
     Parameters
     ----------
@@ -33,7 +33,7 @@
     waiting : int
         Requests that wait for one.
     ahead : int
-        Tokens for requests that are expected.
+        As many for requests that are expected.
     """
 
     workspace: base.WorkspaceName
@@ -75,7 +75,7 @@
     stamp : QuotaStamp
         When it was made.
     granted : tuple of int
-        Tokens for each of the needs.
+        How many for each of the needs.
     waits_ms : tuple of int
         Time until there will be room; 0 where all that wait got a token.
     """
--- a/sedgering/quota/_purse.py
+++ b/sedgering/quota/_purse.py
@@ -1,4 +1,4 @@
-"""Tokens that a daemon holds, and how many more it will need."""
+"""The tokens that a daemon holds, and how many more it will need."""
 
 import math
 
@@ -10,7 +10,7 @@
 
 #: Time over which the demand of a workspace at this daemon is averaged.
 DEMAND_S = 1.0
-#: Tokens are fetched ahead for so long: a round trip takes 3 ms, and what is
+#: They are fetched ahead for so long: a round trip takes 3 ms, and what is
 #: not used ends.
 AHEAD_S = 0.35
 #: Below so many requests a second tokens are fetched for requests that wait
@@ -36,7 +36,7 @@
 
 
 class _Held(msgspec.Struct):
-    """Tokens and demand of one workspace."""
+    """The tokens and demand of one workspace."""
 
     #: Ends of the tokens held, the first to end first.
     ends_s: list[float] = []
@@ -45,7 +45,7 @@
 
 
 class QuotaPurse:
-    """Tokens of all workspaces at one daemon."""
+    """The tokens of all workspaces at one daemon."""
 
     def __init__(self):
         self._tables: dict[base.WorkspaceName, _Held] = {}
--- a/sedgering/quota/_reserve.py
+++ b/sedgering/quota/_reserve.py
@@ -1,4 +1,4 @@
-"""Tokens of a daemon that reaches no keeper."""
+"""The tokens of a daemon that reaches no keeper."""
 
 from sedgering import base
 from sedgering.quota import _book
