--- a/sedgering/quota/__init__.py
+++ b/sedgering/quota/__init__.py
@@ -1,7 +1,8 @@
 """Quotas of workspaces, kept by the whole fleet without a coordinator.
 
-The tokens of a workspace come from buckets of daemons that are ranked by a hash
-of its shard; each daemon lends its part of every rate to the one that it asks.
+The tokens of a workspace come from buckets of daemons that are ranked by a
+hash of its shard; each daemon lends its part of every rate to the one that it
+asks.
 Decisions only: no sockets, clocks or tasks (docs/design/0020).
 """
 
--- a/sedgering/quota/_book.py
+++ b/sedgering/quota/_book.py
@@ -143,7 +143,7 @@
         Returns
         -------
         tuple of int
-            Number of them, and milliseconds; 0 when all that wait have got one.
+            Granted, and milliseconds; 0 when all that wait have got one.
         """
         self.advance(now_s)
         bucket = self._buckets.get(workspace)
