Parts of leaving hosts, and a property on who counts them

Change: the property checks after each message that no part is counted twice; a leaving daemon lends nothing, so a host without a row is counted for 3 s rather than 20; a keeper writes what it lent and refused.

--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -116,6 +116,7 @@
         for name, since_s in self.since_s.items():
             worst = self.world.find_worst(name, since_s)
             assert worst <= 1, (name, worst)
+        assert not self.world.faults, self.world.faults
 
     def teardown(self):
         self._run(self.world.close)
--- a/features/steps/quota_world.py
+++ b/features/steps/quota_world.py
@@ -60,6 +60,8 @@
         self.loop = asyncio.get_running_loop()
         self.bounds = BOUNDS
         self.messages = 0
+        #: Parts that were counted twice.
+        self.faults: list[tuple] = []
         self.sent_bytes = 0
         self.rows: dict[base.HostId, mesh.MemberRow] = {}
         self.workspaces = [
@@ -129,6 +131,9 @@
     def leave(self, name: str) -> None:
         """Let a host take its row back, and go some time later."""
         row = self.rows.pop(name, None)
+        quotas = self.daemons[name].quotas
+        if quotas is not None:
+            quotas.leave()
         if row is not None:
             self.loop.call_later(ROW_DELAY_S, self._tell_rows)
             self.loop.call_later(3.0, self.kill, name)
@@ -160,7 +165,9 @@
         """Answer a question; one that was given up is read all the same."""
         await own.thaw()
         if own is other:
-            return own.quotas.keeper.answer(ask, self.loop.time())
+            grant = own.quotas.keeper.answer(ask, self.loop.time())
+            self.check_parts()
+            return grant
         self.messages += 1
         self.sent_bytes += len(msgspec.msgpack.encode(ask))
         await asyncio.sleep(self.rng.uniform(*LATENCY_S))
@@ -174,10 +181,32 @@
         if other.quotas is None:
             return None
         grant = other.quotas.keeper.answer(ask, self.loop.time())
+        self.check_parts()
         self.sent_bytes += len(msgspec.msgpack.encode(grant))
         await asyncio.sleep(self.rng.uniform(*LATENCY_S))
         return grant
 
+    def check_parts(self) -> None:
+        """Check that the part of each host is counted once at most.
+
+        So is what buckets hold: all of them together no more than a lane's
+        capacity.
+        """
+        now_s = self.loop.time()
+        living = [i.quotas for i in self.daemons.values() if i.quotas]
+        for shard in quota.list_lanes(1):
+            counted = collections.Counter(
+                host
+                for quotas in living
+                for host in quotas.keeper.list_lenders(shard, now_s)
+            )
+            for quotas in living:
+                driver = quotas._drivers.get(shard)
+                if driver and driver.reserve.is_counted(now_s):
+                    counted[quotas.identity.host] += 1
+            twice = [host for host, times in counted.items() if times > 1]
+            self.faults += [(now_s, shard, host) for host in twice]
+
     def call(self, workspace: str, host: str) -> None:
         """Let a caller of a host send a request."""
         task = self.loop.create_task(self._call(workspace, host))
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -483,6 +483,7 @@
         end_s = self._plan_end(grace_ms / 1000)
         self.is_leaving = True
         self.outbound.is_closing = True
+        self.state.quotas.leave()
         self.source.publish(None)
         LOG.info('leaving')
         loop = asyncio.get_running_loop()
--- a/sedgering/mesh/_quota_shard.py
+++ b/sedgering/mesh/_quota_shard.py
@@ -27,6 +27,8 @@
 SHORT_LINE_S = 5.0
 #: Workspaces that such a line names.
 SHORT_TOLD = 8
+#: Between two lines of a keeper.
+KEPT_LINE_S = 5.0
 
 
 class ShardDriver:
@@ -59,6 +61,7 @@
         self._sent_s = now_s
         self._short: collections.Counter = collections.Counter()
         self._short_told_s = now_s
+        self._kept_told_s = now_s
         self._was_alone = False
 
     @property
@@ -150,6 +153,7 @@
             await self._ask()
         self._serve_alone()
         self._tell_short()
+        self._tell_kept()
 
     async def _find_keeper(self, candidates: list[base.HostId]) -> None:
         """Turn to the best of the keepers that answer."""
@@ -321,6 +325,40 @@
         )
         self._short.clear()
 
+    def _tell_kept(self) -> None:
+        """Write what this daemon has granted as a keeper, once in a while."""
+        keeper = self.quotas.keeper
+        shard = self.link.shard
+        now_s = self.quotas.now_s()
+        is_due = now_s >= self._kept_told_s + KEPT_LINE_S
+        if not is_due or shard not in keeper.shards:
+            return
+        self._kept_told_s = now_s
+        counts = keeper.take_counts(shard)
+        if not counts:
+            return
+        share_percent = round(100 * keeper.find_share(shard))
+        LOG.info(
+            'quota kept',
+            extra={
+                'detail': f'shard {shard}, {share_percent} % of hosts: '
+                f'{_tell_counts(counts)}',
+            },
+        )
+
+
+def _tell_counts(
+    counts: dict[base.WorkspaceName, tuple[int, int]],
+) -> str:
+    """Tell the workspaces that were refused most, then the largest."""
+    ranked = sorted(
+        counts.items(), key=lambda item: item[1][::-1], reverse=True
+    )
+    return ', '.join(
+        f'{name}: {granted} lent, {refused} refused'
+        for name, (granted, refused) in ranked[:SHORT_TOLD]
+    )
+
 
 def _find_result(future: asyncio.Future) -> quota.Permit | None:
     """Return the token that came just as the wait ended."""
--- a/sedgering/mesh/_quotas.py
+++ b/sedgering/mesh/_quotas.py
@@ -95,6 +95,7 @@
         #: Hosts whose daemons may keep shards, and those with wide links.
         self._eligible: tuple[frozenset, frozenset] = (frozenset(),) * 2
         self._shards = 0
+        self._is_leaving = False
         self._drivers: dict[quota.ShardId, _quota_shard.ShardDriver] = {}
         self._lanes_of: dict[
             base.WorkspaceName, list[_quota_shard.ShardDriver]
@@ -271,6 +272,14 @@
         for driver in self._drivers.values():
             driver.reserve.take_hosts(counted, settled, now_s)
 
+    def leave(self) -> None:
+        """Lend nothing more: others are about to count one host less."""
+        now_s = self.now_s()
+        self._is_leaving = True
+        for driver in self._drivers.values():
+            driver.link.is_leaving = True
+            driver.reserve.end(now_s)
+
     def stop(self) -> None:
         """Ask nobody any more."""
         for task in self._tasks.values():
@@ -338,6 +347,7 @@
         self._tasks = {}
         for shard, driver in self._drivers.items():
             driver.ranked = self._rank(shard)
+            driver.link.is_leaving = self._is_leaving
             self._tasks[shard] = loop.create_task(driver.run())
 
     def _rank(self, shard: quota.ShardId) -> list[base.HostId]:
--- a/sedgering/quota/_book.py
+++ b/sedgering/quota/_book.py
@@ -29,6 +29,9 @@
     #: Requests that were refused a token, less those that it had since.
     refused: float = 0.0
     refused_at_s: float = 0.0
+    #: Since somebody looked.
+    granted_count: int = 0
+    refused_count: int = 0
 
 
 class ShardBook:
@@ -73,6 +76,28 @@
         """Share of all hosts that lend."""
         return min(1.0, len(self._lent_until_s) / self.hosts)
 
+    def list_lenders(self, now_s: float) -> list[base.HostId]:
+        """Return the hosts whose parts are counted."""
+        return [
+            host
+            for host, until_s in self._lent_until_s.items()
+            if until_s > now_s
+        ]
+
+    def find_level(self, workspace: base.WorkspaceName) -> float:
+        """Return how many tokens a bucket holds."""
+        bucket = self._buckets.get(workspace)
+        return bucket.level if bucket else 0.0
+
+    def take_counts(self) -> dict[base.WorkspaceName, tuple[int, int]]:
+        """Return what was granted and refused since the last look."""
+        counts = {}
+        for name, bucket in self._buckets.items():
+            if bucket.granted_count or bucket.refused_count:
+                counts[name] = (bucket.granted_count, bucket.refused_count)
+            bucket.granted_count = bucket.refused_count = 0
+        return counts
+
     def lend(self, host: base.HostId, until_s: float, now_s: float) -> None:
         """Count the part of a host for a while."""
         self.advance(now_s)
@@ -155,6 +180,8 @@
         fetched = min(ahead, int(bucket.level * AHEAD_SHARE))
         bucket.level -= fetched
         refused = waiting - granted
+        bucket.granted_count += granted + fetched
+        bucket.refused_count += refused
         wait_s = 0.0
         if refused:
             wait_s = self._find_wait_s(workspace, bucket, refused, now_s)
--- a/sedgering/quota/_hosts.py
+++ b/sedgering/quota/_hosts.py
@@ -6,9 +6,12 @@
 
 __all__ = ['ALONE_S', 'HostLog']
 
-#: For how long a host that has no row any more is counted: its daemon may be
-#: cut off, and go on alone.
-LINGER_S = 20.0
+#: For how long a host that has no row any more is counted.  Its daemon has
+#: taken the row back, and lends nothing from then on; what it lent before ends
+#: a second later.
+LINGER_S = 3.0
+#: For how long a daemon goes on alone after it last heard a keeper.
+ALONE_S = 15.0
 #: Time after which all daemons that are in touch count a host that has come.
 #: Until then it lends nothing: some divide by one less.
 SETTLE_S = 3.0
--- a/sedgering/quota/_keeper.py
+++ b/sedgering/quota/_keeper.py
@@ -42,6 +42,26 @@
         """Return the share of all hosts that lend for a shard."""
         return self._books[shard].share
 
+    def list_lenders(
+        self, shard: _ranking.ShardId, now_s: float
+    ) -> list[base.HostId]:
+        """Return the hosts whose parts are counted here."""
+        book = self._books.get(shard)
+        return book.list_lenders(now_s) if book else []
+
+    def find_level(
+        self, shard: _ranking.ShardId, workspace: base.WorkspaceName
+    ) -> float:
+        """Return how many tokens of a workspace are there to grant."""
+        book = self._books.get(shard)
+        return book.find_level(workspace) if book else 0.0
+
+    def take_counts(
+        self, shard: _ranking.ShardId
+    ) -> dict[base.WorkspaceName, tuple[int, int]]:
+        """Return what was granted and refused since the last look."""
+        return self._books[shard].take_counts()
+
     def take_plans(
         self,
         plans: dict[base.WorkspaceName, _plan.QuotaPlan],
--- a/sedgering/quota/_link.py
+++ b/sedgering/quota/_link.py
@@ -69,6 +69,8 @@
         self.doubt_until_s = now_s
         self.heard_s = now_s
         self.failures = 0
+        #: Whether this daemon is leaving, and counted no more soon.
+        self.is_leaving = False
         self._shunned: dict[base.HostId, _Shun] = {}
 
     def list_candidates(
@@ -93,7 +95,7 @@
 
     def may_lend(self, now_s: float) -> bool:
         """Whether the keeper can be lent the own part."""
-        if self.stamp is None:
+        if self.stamp is None or self.is_leaving:
             return False
         return self.lent_to == self.keeper or now_s >= self.lent_until_s
 
@@ -101,6 +103,7 @@
         """Whether nobody answers, and nobody counts the own part."""
         return (
             self.stamp is None
+            and not self.is_leaving
             and now_s >= self.lent_until_s
             and now_s < self.find_alone_end_s()
         )
--- a/sedgering/quota/_reserve.py
+++ b/sedgering/quota/_reserve.py
@@ -60,6 +60,14 @@
         """Count the own part no more, and drop what it has filled."""
         self._book.end(self.host, now_s)
 
+    def is_counted(self, now_s: float) -> bool:
+        """Whether the own part is counted here."""
+        return bool(self._book.list_lenders(now_s))
+
+    def find_level(self, workspace: base.WorkspaceName) -> float:
+        """Return how many tokens of a workspace are there."""
+        return self._book.find_level(workspace)
+
     def take(
         self, workspace: base.WorkspaceName, now_s: float
     ) -> tuple[int, int]:
