--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -102,6 +102,7 @@
             source.note_newer,
             self.pause,
             _relay.RelayDesk(source),
+            state.quotas,
         )
         self.follower = _follow.RelayFollower(
             identity, state.fleet, state.peers, source
@@ -243,6 +244,7 @@
             self.state.levels.retain(
                 frozenset(item.name for item in target_sets)
             )
+            self.state.quotas.take_config(config.bundle.workspaces)
         self._note_ready()
 
     def _note_ready(self) -> None:
@@ -265,6 +267,7 @@
         for row in new:
             self.state.note_started(row)
         self.state.budget.daemons = max(1, len(members))
+        self.state.quotas.take_members(self.state.fleet.members)
         self._refresh_permit()
         self.follower.note_members_known()
         self._note_ready()
@@ -400,6 +403,7 @@
                     callers.unacknowledged_bytes
                 ),
                 **self.backlog.find_gauges(),
+                **self.state.quotas.find_gauges(),
             },
             self.state.workspace_counts.list_largest(),
         )
@@ -475,6 +479,7 @@
         end_s = self._plan_end(grace_ms / 1000)
         self.is_leaving = True
         self.outbound.is_closing = True
+        self.state.quotas.leave()
         self.source.publish(None)
         LOG.info('leaving')
         loop = asyncio.get_running_loop()
@@ -524,6 +529,7 @@
     def _stop_tasks(self) -> None:
         self.pause.stop()
         self.source.stop()
+        self.state.quotas.stop()
         for task in self._tasks:
             task.cancel()
 
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -17,6 +17,7 @@
 from sedgering.mesh import _standing
 from sedgering.mesh import _state
 from sedgering import overload
+from sedgering import quota
 from sedgering import transport
 
 __all__ = ['Exchange']
@@ -86,6 +87,8 @@
         self.pause_shares = overload.RETRY_AFTER_SHARES
         #: Whether it ended for want of room at its target set.
         self.found_no_room = False
+        #: Taken from the quota of the workspace.
+        self.token: quota.Permit | None = None
         self.caller_left_ms = 0
         self.search: _search.Search | None = None
         #: Hosts that had no free place, when that was asked.
@@ -150,6 +153,8 @@
             return self._refuse(exceptions.Code.REQUEST_LEAVING)
         if self.standing.is_quarantined:
             return self._refuse(exceptions.Code.REQUEST_QUARANTINED)
+        if not await self._take_token():
+            return self._refuse(exceptions.Code.REQUEST_QUOTA)
         asked = self._make_asked()
         verdict = self.state.levels.judge(asked, self._now_s)
         if not verdict.is_admitted:
@@ -252,6 +257,18 @@
         goal_ms = self.policy.latency_goal_ms or timeout_ms
         self.goal_s = started_s + (goal_ms - origin.waited_ms) / 1000
 
+    async def _take_token(self) -> bool:
+        """Take a token of the workspace; say whether it may go on."""
+        quotas = self.state.quotas
+        workspace = self.identity.workspace
+        if not quotas.is_counted(workspace):
+            return True
+        self.token = quotas.take(workspace)
+        if self.token is None:
+            until_s = min(self.deadline_s, self.state.serving.end_s)
+            self.token = await quotas.wait(workspace, until_s)
+        return self.token is not None
+
     @property
     def _now_s(self) -> float:
         return self.loop.time()
@@ -694,6 +711,8 @@
         return self._make_refusal(code)
 
     def _make_refusal(self, code: exceptions.Code) -> transport.Response:
+        if self.token is not None and not _refusal.may_have_run(code):
+            self.state.quotas.give_back(self.token)
         self.state.workspace_counts.count(
             self.identity.workspace, f'refused {int(code)}'
         )
@@ -725,6 +744,8 @@
             return self.standing.find_wait_s()
         if code is exceptions.Code.REQUEST_KEY_UNSURE:
             return self.state.rng.uniform(*UNSURE_PAUSES_S)
+        if code is exceptions.Code.REQUEST_QUOTA:
+            return self.state.quotas.find_pause_s(self.identity.workspace)
         limits = self.state.mesh_settings
         left_ms = self.caller_left_ms - self._elapsed_ms()
         share = self.state.rng.uniform(*self.pause_shares)
--- a/sedgering/mesh/_refusal.py
+++ b/sedgering/mesh/_refusal.py
@@ -6,8 +6,11 @@
 from sedgering import exceptions
 from sedgering import transport
 
-__all__ = ['make_refusal']
+__all__ = ['make_refusal', 'may_have_run']
 
+NOT_RUN = 503
+UNAUTHORIZED = 401
+BEYOND_QUOTA = 429
 #: All other codes say that the request has not run and never will.
 _STATUS = {
     exceptions.Code.REQUEST_NO_ROUTE: 404,
@@ -15,9 +18,19 @@
     exceptions.Code.REQUEST_KEY_UNKNOWN: 401,
     exceptions.Code.REQUEST_UNKNOWN: 502,
     exceptions.Code.REQUEST_LATE: 504,
+    exceptions.Code.REQUEST_QUOTA: BEYOND_QUOTA,
 }
-NOT_RUN = 503
-UNAUTHORIZED = 401
+#: The outcome of such requests is not known.
+_UNKNOWN = frozenset(
+    (exceptions.Code.REQUEST_UNKNOWN, exceptions.Code.REQUEST_LATE)
+)
+#: That tell when to come back.
+_PAUSED = frozenset((BEYOND_QUOTA, NOT_RUN))
+
+
+def may_have_run(code: exceptions.Code) -> bool:
+    """Say whether a target may have run a request that ends so."""
+    return code in _UNKNOWN
 
 
 def make_refusal(
@@ -46,7 +59,7 @@
     headers = [('Content-Type', 'application/json')]
     if request_id:
         headers.append((id_field, request_id))
-    if status == NOT_RUN:
+    if status in _PAUSED:
         headers.append(('Retry-After', f'{pause_s:.3f}'))
     if status == UNAUTHORIZED:
         headers.append(('WWW-Authenticate', key_scheme))
--- a/sedgering/mesh/_settings.py
+++ b/sedgering/mesh/_settings.py
@@ -87,6 +87,14 @@
         for `revoke_ms` which keys were taken away; else it serves them.
     revoke_ms : int
         Time within which a key that is taken away must be refused.
+    quota_window_ms : int
+        Window in which requests of a workspace are counted against its
+        quota; 0 where quotas are not counted.
+    quota_excess_percent : int
+        Share by which a quota may be passed in a window, over the whole
+        fleet.
+    quota_slack : int
+        Requests by which it may be passed besides.
     success_log_every : int
         One in so many plain successes is logged.
     log_lines_per_s : int
@@ -120,5 +128,8 @@
     exposed_share_percent: settings.Percent = 10
     revoke_strict: bool = False
     revoke_ms: settings.IntervalMs = 5000
+    quota_window_ms: settings.CountOrNone = 0
+    quota_excess_percent: settings.Percent = 0
+    quota_slack: settings.CountOrNone = 0
     success_log_every: settings.Count = 100
     log_lines_per_s: settings.Count = 50
--- a/sedgering/platform/_program.py
+++ b/sedgering/platform/_program.py
@@ -50,6 +50,13 @@
         )
     own_settings = mesh_settings
     mesh_settings = _join_revocation(own_settings, host_settings)
+    if host_settings.quota_window_ms:
+        mesh_settings = msgspec.structs.replace(
+            mesh_settings,
+            quota_window_ms=host_settings.quota_window_ms,
+            quota_excess_percent=host_settings.quota_excess_percent,
+            quota_slack=host_settings.quota_slack,
+        )
     daemon = mesh.make_mesh_daemon(
         host_settings.identity,
         host_settings.addresses,
--- a/sedgering/platform/_settings.py
+++ b/sedgering/platform/_settings.py
@@ -62,6 +62,11 @@
     revoke_ms : int or None
         Time within which a key that is taken away must be refused; None where
         the operator states none.
+    quota_window_ms : int
+        Window in which requests of a workspace are counted; 0 where they
+        are not.
+    quota_excess_percent, quota_slack : int
+        By how much, and by how many requests, a quota may be passed in it.
     """
 
     identity: mesh.MeshIdentity
@@ -75,6 +80,9 @@
     exposed_share: float | None = None
     revoke_strict: bool = False
     revoke_ms: int | None = None
+    quota_window_ms: int = 0
+    quota_excess_percent: int = 0
+    quota_slack: int = 0
 
 
 class _Listen(msgspec.Struct):
@@ -151,6 +159,8 @@
     bounds = dict(item.split('=', 1) for item in file.bounds)
     exposed_share = bounds.get('expose_share')
     revoke = bounds.get('revoke')
+    quota_window = bounds.get('quota_window')
+    quota_excess = float(bounds.get('quota_excess', 0))
     target_address, target_port = _split(file.app)
     store_address, store_port = _split(file.platform.address)
     return HostSettings(
@@ -178,6 +188,11 @@
         exposed_share=float(exposed_share) if exposed_share else None,
         revoke_strict=bounds.get('revoke_strict') == 'true',
         revoke_ms=_wire.parse_duration_ms(revoke) if revoke else None,
+        quota_window_ms=(
+            _wire.parse_duration_ms(quota_window) if quota_window else 0
+        ),
+        quota_excess_percent=int(100 * quota_excess),
+        quota_slack=int(bounds.get('quota_slack', 0)),
     )
 
 
