The soak has keys, and whatever callers write is read as one key or none

Ruled out: keys by default, since a seed would not compare with its earlier rows. Properties over any authorization fields; a daemon that starts while the store is away holds no version and says 503.

--- a/features/access.feature
+++ b/features/access.feature
@@ -73,6 +73,10 @@
       | strict, late | an unknown key   | keyed  | refused 5017   |
       | strict, late | the key of a     | public | nobody's       |
 
+  Scenario: Whatever callers write, one key at most is read
+    Then any fields are read as one whole key of one field, or as none
+    And any claims are taken off, and all other fields stay in their order
+
   Scenario: Counts by workspace are bounded
     Then of 1000 workspaces the 16 largest are counted by name
     And what all are counted sums to all requests
--- a/features/access_daemons.feature
+++ b/features/access_daemons.feature
@@ -98,6 +98,11 @@
     Given a proxy with a route that needs the key of "blue"
     Then it answers 401 without the key, and passes "blue" on with it
 
+  Scenario: A daemon that starts while the store is away does not go back
+    Given no daemon hears the store
+    When the first daemon starts anew and is asked with known and other keys
+    Then it holds no version, and its answers are 503
+
   Scenario: A daemon without a version does not say no
     Given a daemon that knows no version
     When a caller with the key of "nobody" asks "/r0/a" as "id-7"
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -37,6 +37,13 @@
       | deed                                            | finding                    |
       | nothing is wrong                                | nothing is broken          |
       | a request that may run once ran twice           | ran 2 times                |
+      | a request ran with a forged key                 | with a forged key          |
+      | a forged key was answered                       | was answered with a forged |
+      | a forged key was told 401                       | nothing is broken          |
+      | a key that is held was told 401                 | was told 401               |
+      | a request ran for another workspace             | ran for ['quay']           |
+      | a request ran for its workspace                 | nothing is broken          |
+      | a key came along to a target                    | its key came along         |
       | a request ran that nobody sent                  | nobody asked for it        |
       | a success is not the caller's own               | is not its own             |
       | a request was told 503 and ran                  | was told 503, and ran      |
--- a/features/steps/access_daemon_steps.py
+++ b/features/steps/access_daemon_steps.py
@@ -372,6 +372,22 @@
             return stream.read().partition(b'\r\n\r\n')[0]
 
 
+@when('the first daemon starts anew and is asked with known and other keys')
+def step_start_anew(context):
+    keyed = context.keyed
+    keyed.fleet.restart(keyed.first)
+    for name in ('blue', 'nobody'):
+        keyed.ask_as(name, '/r0/a', f'anew-{name}')
+
+
+@then('it holds no version, and its answers are 503')
+def step_holds_none(context):
+    keyed = context.keyed
+    assert keyed.first.daemon.state.config.snapshot is None
+    assert [answer.status for answer in keyed.answers] == [503, 503]
+    assert keyed.list_runs() == []
+
+
 @then('it answers 401 without the key, and passes "{name}" on with it')
 def step_proxy_keys(context, name):
     subject = context.proxy
--- a/features/steps/access_steps.py
+++ b/features/steps/access_steps.py
@@ -11,7 +11,10 @@
 from behave import given
 from behave import then
 from behave import when
+import hypothesis
+from hypothesis import strategies as st
 import msgspec
+from strategies import PROPERTY
 
 from sedgering import access
 from sedgering import base
@@ -293,6 +296,46 @@
     assert len(identity.key_head) in (0, 8)
 
 
+@then('any fields are read as one whole key of one field, or as none')
+def step_any_fields(context):
+    pieces = st.sampled_from(
+        ['Token', 'token', 'Bearer', KEY_A, KEY_B, ' ', '  ', '\t', ',', 'é']
+    )
+    values = st.lists(pieces, max_size=6).map(''.join)
+
+    @PROPERTY
+    @hypothesis.given(st.lists(values, max_size=3))
+    def check(fields):
+        key = access.find_key(fields, SCHEME)
+        if key is None:
+            return
+        (field,) = fields
+        scheme, read = field.strip(' \t').split(' ')
+        assert scheme.lower() == SCHEME.lower()
+        assert read == key
+        assert not set(key) & set(' \t,é'), key
+
+    check()
+
+
+@then('any claims are taken off, and all other fields stay in their order')
+def step_any_claims(context):
+    names = st.sampled_from(
+        ['Authorization', 'aUTHORIZATION', 'X-Workspace', 'x-wORKSPACE', 'A']
+    )
+    fields = st.lists(st.tuples(names, st.text('ab', max_size=2)))
+
+    @PROPERTY
+    @hypothesis.given(fields)
+    def check(headers):
+        values, kept = access.take_claims(headers, 'x-workspace')
+        assert kept == [item for item in headers if item[0] == 'A']
+        taken = [item for item in headers if item[0].lower()[:2] == 'au']
+        assert values == [value for _name, value in taken]
+
+    check()
+
+
 @then('of {count:d} workspaces the {limit:d} largest are counted by name')
 def step_bounded(context, count, limit):
     counts = access.WorkspaceCounts()
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -126,6 +126,58 @@
     subject.add(subject.world.callers[0], 'denied', status=404)
 
 
+def forge(subject, status=503):
+    subject.add(subject.world.callers[0], 'forged', status=status, key='k')
+
+
+def forge_and_run(subject):
+    forge(subject, 500)
+    subject.ran('forged', SENT_S)
+
+
+def forge_and_answer(subject):
+    forge(subject, 200)
+
+
+def forge_and_refuse(subject):
+    forge(subject, 401)
+
+
+def add_known(subject, **fields):
+    subject.add(
+        subject.world.callers[0],
+        'known',
+        key='k',
+        workspace='harbour',
+        **fields,
+    )
+
+
+def deny_known(subject):
+    add_known(subject, status=401)
+
+
+def run_for(subject, *told):
+    add_known(subject)
+    subject.ran('known', SENT_S)
+    fields = [('X-Tenant', workspace) for workspace in told]
+    subject.world.ledger.note_fields('known', fields)
+
+
+def run_for_other(subject):
+    run_for(subject, 'quay')
+
+
+def run_for_own(subject):
+    run_for(subject, 'harbour')
+
+
+def show_key(subject):
+    run_for(subject, 'harbour')
+    fields = [('aUTHORIZATION', 'Token k')]
+    subject.world.ledger.note_fields('known', fields)
+
+
 def hold(subject):
     subject.add(
         subject.world.callers[0], 'held', status=504, done_s=SENT_S + 6
@@ -258,6 +310,13 @@
     'nothing is wrong': lambda subject: None,
     'a request that may run once ran twice': run_twice,
     'a request ran that nobody sent': run_unasked,
+    'a request ran with a forged key': forge_and_run,
+    'a forged key was answered': forge_and_answer,
+    'a forged key was told 401': forge_and_refuse,
+    'a key that is held was told 401': deny_known,
+    'a request ran for another workspace': run_for_other,
+    'a request ran for its workspace': run_for_own,
+    'a key came along to a target': show_key,
     "a success is not the caller's own": mix,
     'a request was told 503 and ran': refuse_and_run,
     'a request with a route was told 404': deny,
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -63,6 +63,9 @@
     long_callers: Annotated[
         int, typer.Option(help='Of each host, with long requests; 0: none.')
     ] = 2,
+    keys: Annotated[
+        bool, typer.Option(help='Callers need keys; some forge them.')
+    ] = False,
     keep: Annotated[
         pathlib.Path | None,
         typer.Option(help='Keep the logs of broken seeds here.'),
@@ -73,7 +76,12 @@
     failed = []
     for number in range(seed, seed + seeds):
         world_settings = _world.WorldSettings(
-            number, hosts, seconds, callers, long_callers=long_callers
+            number,
+            hosts,
+            seconds,
+            callers,
+            long_callers=long_callers,
+            has_keys=keys,
         )
         if plan:
             for fault in _faults.make_plan(
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -10,6 +10,7 @@
 
 from sedgering import platform
 from soak import _daemons
+from soak import _keys
 
 __all__ = ['CallRecord', 'Caller', 'ONCE_PATH', 'REPEATABLE_PATH']
 
@@ -54,6 +55,8 @@
     began_s, reading_s : float
         When an answer began to arrive, its own or the one before it, and
         the time that the caller takes by choice to read those.
+    key, workspace : str
+        Sent, and its holder; a key that nobody holds has none.
     """
 
     request_id: str
@@ -69,6 +72,13 @@
     began_s: float = 0.0
     reading_s: float = 0.0
     end: str = ''
+    key: str = ''
+    workspace: str = ''
+
+    @property
+    def is_forged(self) -> bool:
+        """Whether its key was never given out."""
+        return bool(self.key) and not self.workspace
 
 
 class Caller(threading.Thread):
@@ -95,6 +105,8 @@
         #: Bytes read a second, 0 for as many as come, and time between a
         #: request and one that is sent behind it.
         self.rate, self.behind_s = 0, 0.0
+        #: None where no route needs a key.
+        self.keys: _keys.KeyRing | None = None
         self._rng = random.Random(seed)
         self._socket: socket.socket | None = None
         self._stream = None
@@ -125,7 +137,11 @@
     def _make_record(self, number: int, is_once: bool, path: str):
         name = f'{self.name}-{len(self.records) + number}'
         host, now_s = self.host_daemon.name, time.monotonic()
-        return CallRecord(name, is_once, host, path, now_s)
+        record = CallRecord(name, is_once, host, path, now_s)
+        if self.keys is not None:
+            sent = self.keys.choose()
+            record.key, record.workspace = sent.key, sent.workspace
+        return record
 
     def _exchange(self, records: list[CallRecord]) -> None:
         """Send requests, one behind the other, and read their answers."""
@@ -186,6 +202,12 @@
             self._socket = None
 
 
+def _encode_key(record: CallRecord) -> str:
+    """Encode a key, and a claim that is not to be believed."""
+    key = f'{_keys.SCHEME_FIELD}: {NAMES.key_scheme} {record.key}'
+    return f'{key}\r\n{NAMES.workspace}: claimed-by-caller'
+
+
 def _encode(record: CallRecord) -> bytes:
     """Encode a request."""
     method, body = ('POST', 'notes') if record.is_once else ('GET', '')
@@ -194,6 +216,7 @@
         f'Host: {HOST_HEADER}',
         f'{NAMES.request_id}: {record.request_id}',
         f'{NAMES.deadline_ms}: {record.deadline_ms}',
+        *([_encode_key(record)] if record.key else []),
         *([f'Content-Length: {len(body)}'] if body else []),
         f'\r\n{body}',
     )
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -16,6 +16,8 @@
 #: Statuses that no proper request on a route that is there may get.
 DENIED_STATUSES = frozenset((400, 401, 403, 404, 413, 431))
 STATUS_OK = 200
+#: Told to a caller whose key nobody holds.
+STATUS_UNAUTHORIZED = 401
 #: Told when a request may have run, and no whole answer came.
 STATUS_UNKNOWN = 502
 #: Time beyond a deadline after which a request counts as held: a loaded
@@ -36,6 +38,7 @@
     records = world.list_records()
     return [
         *_check_runs(world, records),
+        *_check_keys(world, records),
         *_check_fatal(world),
         *(line for item in records for line in _check_answer(world, item)),
         *(line for probe in world.probes for line in probe.broken),
@@ -55,6 +58,21 @@
             yield f'{request_id} ran, and nobody asked for it'
 
 
+def _check_keys(world, records) -> Iterator[str]:
+    """Check who asked, as targets were told, and that no key came along."""
+    ledger = world.ledger
+    for request_id in ledger.keys_seen:
+        yield f'{request_id} ran, and its key came along'
+    for record in records:
+        if record.is_forged and record.request_id in ledger.runs:
+            yield f'{record.request_id} ran with a forged key'
+        if record.is_forged and record.status == STATUS_OK:
+            yield f'{record.request_id} was answered with a forged key'
+        told = set(ledger.workspaces.get(record.request_id, ()))
+        if record.workspace and told - {record.workspace}:
+            yield f'{record.request_id} ran for {sorted(told)}'
+
+
 def _check_fatal(world: _world.World) -> Iterator[str]:
     runs_s = [
         run_s
@@ -76,7 +94,10 @@
         yield f'{request_id} got an answer that is not its own'
     if record.is_once and status in NOT_RUN_STATUSES and has_run:
         yield f'{request_id} was told {status}, and ran'
-    if status in DENIED_STATUSES:
+    is_denied = status in DENIED_STATUSES
+    if record.is_forged and status == STATUS_UNAUTHORIZED:
+        is_denied = False
+    if is_denied:
         yield f'{request_id} was told {status}, and has a route'
     waited_s = record.done_s - record.sent_s - record.reading_s
     held_s = waited_s - record.deadline_ms / 1000
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -4,10 +4,12 @@
 from collections.abc import Callable
 import time
 
+from sedgering import platform
 from sedgering import testing
 from sedgering import transport
 from soak import _daemons
 from soak import _fatal
+from soak import _keys
 from soak import _long
 
 __all__ = ['Ledger', 'Target']
@@ -41,6 +43,10 @@
         Requests that reached a target too long after its acknowledgement.
     ends_s : list of float
         When targets ended under a request.
+    workspaces : dict
+        By the id of the request, the workspaces that targets were told.
+    keys_seen : list of str
+        Requests with which a key reached a target.
     """
 
     def __init__(self):
@@ -48,6 +54,19 @@
         self.answers: dict[str, tuple[float, str]] = {}
         self.late_runs: list[str] = []
         self.ends_s: list[float] = []
+        self.workspaces: dict[str, list[str]] = {}
+        self.keys_seen: list[str] = []
+
+    def note_fields(
+        self, request_id: str, fields: list[tuple[str, str]]
+    ) -> None:
+        """Note who asked, as a target was told."""
+        told = self.workspaces.setdefault(request_id, [])
+        for name, value in fields:
+            if name.lower() == platform.HEADERS.workspace.lower():
+                told.append(value)
+            if name.lower() == _keys.SCHEME_FIELD.lower():
+                self.keys_seen.append(request_id)
 
 
 class _Books(testing.TargetBooks):
@@ -68,6 +87,10 @@
         self.work_s, self.sizes_bytes[request_id] = _long.read_work(
             line, WORK_S
         )
+        for fields in self.fields:
+            self.ledger.note_fields(request_id, fields)
+        # A soak runs for long.
+        self.fields.clear()
         now_s = time.monotonic()
         self.ledger.runs.setdefault(request_id, []).append(now_s)
         if self.left_s is not None:
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -17,6 +17,7 @@
 from soak import _daemons
 from soak import _fatal
 from soak import _faults
+from soak import _keys
 from soak import _links
 from soak import _long
 from soak import _probes
@@ -52,6 +53,8 @@
     long_callers : int
         Of each host; without them no link is narrow, no host is suspended,
         and no request ends targets.
+    has_keys : bool
+        Whether callers need keys; some send forged ones.
     """
 
     seed: int
@@ -60,6 +63,7 @@
     callers: int = 2
     relay_from_hosts: int = 4
     long_callers: int = 2
+    has_keys: bool = False
 
 
 class Disturbance(msgspec.Struct):
@@ -138,6 +142,10 @@
             for daemon in self.daemons
             for number in range(world_settings.long_callers)
         ]
+        if world_settings.has_keys:
+            for caller in (*self.callers, *self.long_callers):
+                seed = f'{world_settings.seed} {caller.name}'
+                caller.keys = _keys.KeyRing(seed)
         self._busy: set[tuple] = set()
 
     def list_records(self) -> list[_callers.CallRecord]:
@@ -309,7 +317,9 @@
     async def _write_version(self) -> bool:
         """Write the newest version; say whether the store answered."""
         is_long = self.settings.long_callers > 0
-        document = _make_document(self.version, is_long)
+        document = _make_document(
+            self.version, is_long, self.settings.has_keys
+        )
         path, body = testing.encode_write('op', 'config', document)
         answer = await self._call_store(path, body)
         return answer is not None and answer.status == 200
@@ -325,19 +335,20 @@
         )
 
 
-def _make_document(version: int, is_long: bool) -> bytes:
+def _make_document(version: int, is_long: bool, has_keys: bool) -> bytes:
     """Make a version: its routes, and one for each version so far."""
     common = {'host': _callers.HOST_HEADER, 'timeout': '1200ms'}
     once = {**common, 'prefix': _callers.ONCE_PATH, 'kind': 'non_idempotent'}
     routes = [{**common, 'prefix': _callers.REPEATABLE_PATH}, once]
     if is_long:
-        later = (*_long.ROUTES, _fatal.ROUTE)
+        later = (*_long.ROUTES, {**_fatal.ROUTE, **_PUBLIC})
         routes += [{**common, **fields} for fields in later]
     routes += [
-        {**common, 'prefix': _probes.make_path(number)}
+        {**common, **_PUBLIC, 'prefix': _probes.make_path(number)}
         for number in range(1, version + 1)
     ]
-    return testing.make_document(version, routes)
+    workspaces = _keys.WORKSPACES if has_keys else None
+    return testing.make_document(version, routes, workspaces)
 
 
 async def _break_link(link: _links.Link, fault: _faults.Fault) -> None:
@@ -361,6 +372,8 @@
         await asyncio.sleep(LOOK_S)
 
 
+#: Fields of routes that need no key.
+_PUBLIC = {'public': True}
 _Kind = _faults.FaultKind
 #: Faults of which a daemon bears one at a time.
 _PROCESS_KINDS = frozenset(
