--- a/features/overload.feature
+++ b/features/overload.feature
@@ -62,6 +62,11 @@
     When 200 calls a second of priority 1 come for 12 s
     Then the shares let through in the last 6 seconds differ by 12 % at most
 
+  Scenario: A set that is gone is forgotten, whatever still comes of it
+    Given a daemon that has run for 30 days
+    When a set is forgotten while a call is under way, and tells of its demand
+    Then the call may end as refused, and the next one is let through
+
   Scenario: Shares by max-min give each one what it asks or the level
     Then for any demands and room the shares fit the room and are max-min fair
 
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -222,6 +222,28 @@
     assert max(shares) - min(shares) <= 12, shares
 
 
+@given('a daemon that has run for {days:d} days')
+def step_long(context, days):
+    context.level = LevelSubject(200)
+    context.level.now_s = days * 86_400.0
+
+
+@when('a set is forgotten while a call is under way, and tells of its demand')
+def step_forget(context):
+    level = context.level
+    level.play({'priority 1': (100, {})}, 2)
+    level.table.retain(frozenset())
+    level.table.take_demand(SET, 200, level.now_s)
+
+
+@then('the call may end as refused, and the next one is let through')
+def step_forgotten(context):
+    level = context.level
+    call = overload.AskedCall(SET, base.RequestId('id-1'), WORK_MS, 1)
+    level.table.note_refused(call, level.now_s - 0.1)
+    assert level.table.judge(call, level.now_s).is_admitted
+
+
 @then('for any demands and room the shares fit the room and are max-min fair')
 def step_fair(_context):
     amounts = st.lists(st.floats(0, 1000), min_size=1, max_size=20)
