--- a/sedgering/overload/_returns.py
+++ b/sedgering/overload/_returns.py
@@ -7,7 +7,7 @@
 #: that were refused together from returning together.
 RETRY_AFTER_SHARES = (0.12, 0.32)
 #: The same for who is rejected at the source: its set has just been seen to
-#: have no room for its rank, and the later it returns the sooner it finds some.
+#: have no room for its rank, and who returns later finds some sooner.
 REJECTED_AFTER_SHARES = (0.22, 0.33)
 #: Share of its first time that a caller has waited at the least that came
 #: back as it was told; below the least share, for rounding on its way.
