The speed of the moment is told apart from that of the work

Cause: targets on shared hosts take 2.5 times as long for some hundred ms; nothing read what they tell of it. Learned work times mixed the two, and a call went to, or stayed at, a target where its goal was missed. Change: the daemon beside a target keeps what it tells with its age, divides work times by it and tells both; the choice multiplies them. A call that looks for a free place is given back where the moment costs a tenth of such calls their time; the search bounds how often.

--- a/features/balance.feature
+++ b/features/balance.feature
@@ -54,20 +54,18 @@
     Then it is not known
 
   Scenario Outline: A call leaves its data centre where more end in time
-    Given a call that leaves for 10 more of 100 in time, or 40 ms if it is <kind>
+    Given a call that leaves for 10 more of 100 in time, or 40 ms where none are
     When <near share> of 100 end in time near, after <near ms> ms
     And <far share> of 100 end in time elsewhere, after <far ms> ms
     Then it goes <where>
 
     Examples: sooner is no better than in time
-      | kind | near share | near ms | far share | far ms | where     |
-      | free | 92         | 200     | 100       | 50     | near      |
-      | free | 80         | 200     | 95        | 150    | elsewhere |
-      | free | 80         | 200     | 89        | 150    | near      |
-      | free | 0          | 900     | 2         | 800    | elsewhere |
-      | free | 0          | 900     | 2         | 870    | near      |
-      | held | 98         | 90      | 100       | 40     | elsewhere |
-      | held | 98         | 75      | 100       | 40     | near      |
+      | near share | near ms | far share | far ms | where     |
+      | 92         | 200     | 100       | 50     | near      |
+      | 80         | 200     | 95        | 150    | elsewhere |
+      | 80         | 200     | 89        | 150    | near      |
+      | 0          | 900     | 2         | 800    | elsewhere |
+      | 0          | 900     | 2         | 870    | near      |
 
   Scenario: Large answers must gain more
     Given a call whose answer has 5000 bytes, and 4 more of 100, 1 for each kB
@@ -114,3 +112,44 @@
       | load                   | kind    | in goal | far |
       | wave-over-data-centres | look-up | 88      | 24  |
       | few-targets            | view    | 88      | 34  |
+
+  Scenario Outline: What was told of the speed holds for a moment
+    Given a target that told a slowness of <told> %, and 100 % before
+    Then work that begins <age> ms later is expected to take <least> to <most> %
+
+    Examples: it changes some times a second
+      | told | age  | least | most |
+      | 250  | 0    | 250   | 250  |
+      | 250  | 300  | 174   | 180  |
+      | 250  | 600  | 100   | 105  |
+      | 250  | 9000 | 100   | 105  |
+      | 100  | 300  | 99    | 101  |
+
+  Scenario: Work that was slow for a moment does not seem slow for good
+    Given a target whose work takes 100 ms, and told 100 % for 40 calls
+    When 20 calls take 250 ms while it tells 250 %
+    Then its work is known as 95 to 105 ms
+    And a peer that is told of it expects 240 to 260 ms now, 95 to 135 ms later
+
+  Scenario Outline: A call that looks for a place is given back by a slow target
+    Given a target whose work takes 100 ms, and told 100 % for 40 calls
+    When it tells <told> %
+    Then a call with <left> ms left <result>
+
+    Examples:
+      | told | left | result             |
+      | 250  | 180  | is delayed 130 to 160 ms |
+      | 250  | 2000 | may run            |
+      | 250  | 20   | may run            |
+      | 110  | 180  | may run            |
+      | 100  | 180  | may run            |
+
+  Scenario: A target that tells no speed delays nothing
+    Given a target whose work takes 100 ms, and told no speed for 40 calls
+    Then a call with 120 ms left may run
+
+  Scenario: A slow target gives back what looks for a place, and runs the rest
+    Given a daemon beside a target that told 100 % for 40 calls of 100 ms
+    When it tells 250 %
+    Then a call of 180 ms that looks for a place is told to go on
+    And a call of 180 ms that may wait is not
--- a/features/steps/balance_steps.py
+++ b/features/steps/balance_steps.py
@@ -1,6 +1,7 @@
 """Steps over uneven targets and uneven demand."""
 
 import asyncio
+import pathlib
 import random
 
 from behave import given
@@ -13,6 +14,9 @@
 from sedgering import balance
 from sedgering import mesh
 from sedgering.mesh import _probe
+from sedgering import model
+from sedgering.model import _hosts
+from sedgering.model import _targets
 from sedgering import platform
 from sedgering import testing
 from sedgering import transport
@@ -20,6 +24,9 @@
 SET = 'calendar'
 ADDRESS = '127.0.0.1'
 HEALTH_PATH = '/health'
+LOADS = pathlib.Path(__file__).parents[2] / 'examples' / 'loads'
+#: What was told of the speed of the moment is too old then.
+LATER_S = 1.0
 SEEDS = 20
 #: Calls from which the spread of a route is learned, and by how many of 100
 #: a share may be off then.
@@ -125,12 +132,10 @@
 
 @given(
     'a call that leaves for {gain:d} more of 100 in time, or {quicker:d} ms '
-    'if it is {kind}'
+    'where none are'
 )
-def step_distance(context, gain, quicker, kind):
-    context.distance = balance.make_distance(
-        gain, 0, 0, quicker, kind == 'held'
-    )
+def step_distance(context, gain, quicker):
+    context.distance = balance.make_distance(gain, 0, 0, quicker)
 
 
 @when('{share:d} of 100 end in time near, after {expected:d} ms')
@@ -156,7 +161,7 @@
     '{per_kb:d} for each kB'
 )
 def step_large_answer(context, size, gain, per_kb):
-    context.distance = balance.make_distance(gain, per_kb, size, 40, False)
+    context.distance = balance.make_distance(gain, per_kb, size, 40)
 
 
 @then('it leaves for more than {gain:d} of 100')
@@ -289,3 +294,165 @@
 def step_far_bytes(context, percent):
     share = context.result.far_bytes_share
     assert 0 < share * 100 <= percent, share
+
+
+# The speed of the moment.
+
+
+class SpeedSubject:
+    """What a daemon learns of the speed of its target."""
+
+    def __init__(self):
+        self.now_s = 0.0
+        self.speed = balance.OwnSpeed(lambda: self.now_s)
+
+    def tell(self, percent: int) -> None:
+        """Let the target tell the speed of the moment."""
+        self.speed.note_load(balance.TargetLoad(0, 0, 3, percent))
+
+    def run(self, count: int, elapsed_ms: int, percent: int) -> None:
+        """Let calls be done one after the other."""
+        for _ in range(count):
+            self.now_s += elapsed_ms / 1000
+            self.tell(percent)
+            self.speed.note_work(SET, elapsed_ms, percent or 100)
+
+
+@given('a target that told a slowness of {percent:d} %, and 100 % before')
+def step_told_speed(context, percent):
+    context.moment = balance.MomentSpeed()
+    for _ in range(CALLS):
+        context.moment.note(100, 0.0)
+    context.moment.note(percent, 1.0)
+
+
+@then(
+    'work that begins {age_ms:d} ms later is expected to take {least:d} to '
+    '{most:d} %'
+)
+def step_moment(context, age_ms, least, most):
+    found = context.moment.find_percent(1.0 + age_ms / 1000)
+    assert least <= found <= most, found
+
+
+@given(
+    'a target whose work takes {work_ms:d} ms, and told {percent:d} % for '
+    '{count:d} calls'
+)
+def step_speed(context, work_ms, percent, count):
+    context.speed = SpeedSubject()
+    context.speed.run(count, work_ms, percent)
+
+
+@given(
+    'a target whose work takes {work_ms:d} ms, and told no speed for '
+    '{count:d} calls'
+)
+def step_no_speed(context, work_ms, count):
+    context.speed = SpeedSubject()
+    context.speed.run(count, work_ms, 0)
+
+
+@when('{count:d} calls take {elapsed_ms:d} ms while it tells {percent:d} %')
+def step_slow_calls(context, count, elapsed_ms, percent):
+    context.speed.tell(percent)
+    context.speed.run(count, elapsed_ms, percent)
+
+
+@when('it tells {percent:d} %')
+def step_tells_speed(context, percent):
+    context.speed.tell(percent)
+
+
+@then('its work is known as {least:d} to {most:d} ms')
+def step_usual_work(context, least, most):
+    found = context.speed.speed.work.find_ms(SET)
+    assert least <= found <= most, found
+
+
+@then(
+    'a peer that is told of it expects {least:d} to {most:d} ms now, '
+    '{later_least:d} to {later_most:d} ms later'
+)
+def step_peer_expects(context, least, most, later_least, later_most):
+    speed = context.speed.speed
+    peers = mesh.PeerTable(mesh.MeshSettings())
+    peer = peers.find(testing.make_member_row('near', data_centre='hall'))
+    work_ms = int(speed.work.find_ms(SET))
+    load = mesh.LoadReport(
+        0, 0, 3, work_ms, work_ms, slowness_percent=round(speed.percent)
+    )
+    peers.take_report(peer, load, SET, 0.0)
+    costs = [
+        mesh.CallCosts(peers, 'hall', SET, 0, False, now_s)
+        for now_s in (0.0, LATER_S)
+    ]
+    now_ms, later_ms = [cost.estimate_ms(peer) for cost in costs]
+    assert least <= now_ms <= most, now_ms
+    assert later_least <= later_ms <= later_most, later_ms
+
+
+@then('a call with {left_ms:d} ms left may run')
+def step_may_run(context, left_ms):
+    delay_ms = context.speed.speed.find_delay_ms(SET, left_ms)
+    assert delay_ms == 0, delay_ms
+
+
+@then('a call with {left_ms:d} ms left is delayed {least:d} to {most:d} ms')
+def step_delayed(context, left_ms, least, most):
+    delay_ms = context.speed.speed.find_delay_ms(SET, left_ms)
+    assert least <= delay_ms <= most, delay_ms
+
+
+@given(
+    'a daemon beside a target that told 100 % for {count:d} calls of '
+    '{work_ms:d} ms'
+)
+def step_daemon_speed(context, count, work_ms):
+    context.speed = SpeedSubject()
+    context.speed.run(count, work_ms, 100)
+
+
+def give_back(context, goal_ms, may_wait):
+    """Ask the daemon beside the target whether it gives a call back."""
+
+    async def ask():
+        load = model.load_pattern(LOADS / 'few-targets.yaml')
+        group = load.targets[0]
+        row = testing.make_member_row('near', data_centre='hall')
+        target = _targets.ModelTarget(group, 1.0, random.Random(1))
+        settings = mesh.MeshSettings()
+        budget = mesh.RetryWindow(0.1, 1, 10)
+        host = _hosts.ModelHost(row, target, settings, budget, {}, 1)
+        host.report()
+        host.side.speed = context.speed.speed
+        call = mesh.TargetCall(
+            transport.Request('GET', '/', []),
+            'id',
+            SET,
+            row.target,
+            SET,
+            SET,
+            1,
+            True,
+            mesh.CallUrgency.FIRST,
+            4 * goal_ms,
+            goal_ms,
+            1,
+            may_wait,
+        )
+        return host.side.refuse_if_busy(call)
+
+    return model.run_virtual(ask())
+
+
+@then('a call of {goal_ms:d} ms that looks for a place is told to go on')
+def step_given_back(context, goal_ms):
+    answer = give_back(context, goal_ms, False)
+    assert answer.reason is mesh.RefusalReason.BUSY, answer
+    assert answer.retry_after_ms > 0, answer
+
+
+@then('a call of {goal_ms:d} ms that may wait is not')
+def step_not_given_back(context, goal_ms):
+    assert give_back(context, goal_ms, True) is None
--- a/sedgering/balance/_distance.py
+++ b/sedgering/balance/_distance.py
@@ -38,17 +38,14 @@
         More such calls that must end in time, 0 to 1.
     quicker_ms : float
         Where that says nothing, by how much the call must end sooner.
-    is_held : bool
-        Whether a target holds a place until the call has ended.
     """
 
     gain_share: float
     quicker_ms: float
-    is_held: bool = False
 
     def is_worth_asking(self, near: Offer) -> bool:
         """Say whether any target elsewhere could serve the call better."""
-        return self.is_held or near.in_time_share + self.gain_share < 1
+        return near.in_time_share + self.gain_share < 1
 
     def prefers_far(self, near: Offer, far: Offer) -> bool:
         """Say whether the call goes to the target elsewhere.
@@ -63,8 +60,7 @@
         gain = far.in_time_share - near.in_time_share
         if gain > self.gain_share:
             return True
-        is_hopeless = far.in_time_share < LEAST_HOPE
-        if not (self.is_held or is_hopeless):
+        if far.in_time_share >= LEAST_HOPE:
             return False
         return far.expected_ms + self.quicker_ms < near.expected_ms
 
@@ -74,7 +70,6 @@
     gain_percent_per_kb: float,
     size_bytes: float,
     quicker_ms: float,
-    is_held: bool,
 ) -> Distance:
     """Make the terms on which a call leaves its data centre.
 
@@ -85,8 +80,8 @@
         kilobyte of it and of its answer.
     size_bytes : float
         Of the call and its usual answer.
-    quicker_ms, is_held
+    quicker_ms : float
         See :class:`Distance`.
     """
     gain_percent += gain_percent_per_kb * size_bytes / BYTES_PER_KB
-    return Distance(gain_percent / 100, quicker_ms, is_held)
+    return Distance(gain_percent / 100, quicker_ms)
--- a/sedgering/mesh/_choice.py
+++ b/sedgering/mesh/_choice.py
@@ -136,7 +136,6 @@
             limits.remote_gain_percent_per_kb,
             way_bytes,
             remote_ms,
-            is_nested,
         )
 
     def estimate_ms(self, peer: _peers.Peer) -> float:
@@ -147,8 +146,10 @@
         turns = max(0.0, present + 1 - limit) / limit
         # A busy target is preferred less before it is full.
         spread = 0.1 * present / limit
+        slowness = peer.find_slowness(now_s)
         work_ms = peer.estimate_work_ms(self._route, self._typical_ms, now_s)
-        cost_ms = work_ms + peer.work_ms * (turns + spread)
+        work_ms *= slowness
+        cost_ms = work_ms + peer.work_ms * slowness * (turns + spread)
         if self._is_nested:
             # Each call that it overtakes is delayed by its work.
             overtaken = peer.estimate_present(now_s, False) - present
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -248,6 +248,7 @@
             self.state.peers.retain_routes(names)
             self.state.side.gate.work.retain(names)
             self.state.side.answer_room.retain(names)
+            self.state.side.speed.retain(names)
         self._note_ready()
 
     def _note_ready(self) -> None:
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -94,6 +94,7 @@
         #: Work time of each route, and when it was told.
         self._route_work: dict[base.RouteName, tuple[int, float]] = {}
         self._cold_until_s = 0.0
+        self._moment = balance.MomentSpeed()
         #: Calls of others that were there on average, and those of them that
         #: go before a call of a target.
         self._usual_present = 0.0
@@ -118,6 +119,12 @@
         """Recent mean time at the target."""
         return self.report.work_ms if self.report else UNKNOWN_WORK_MS
 
+    def find_slowness(self, now_s: float) -> float:
+        """Return how many times as long as usual work takes there now."""
+        if not self._moment.is_known:
+            return 1.0
+        return self._moment.find_percent(now_s) / 100
+
     def estimate_work_ms(
         self, route: base.RouteName, typical_ms: float, now_s: float
     ) -> float:
@@ -338,6 +345,8 @@
         self.report_in_flight = self.in_flight
         self.report_in_flight_nested = self.in_flight_nested
         self.reported_s = now_s
+        if report.slowness_percent:
+            self._moment.note(report.slowness_percent, now_s)
         others = report.running + report.waiting - self.in_flight
         self._usual_present += USUAL_WEIGHT * (
             max(0, others) - self._usual_present
--- a/sedgering/mesh/_settings.py
+++ b/sedgering/mesh/_settings.py
@@ -38,7 +38,7 @@
         the request body and of the usual answer of the route.
     remote_penalty_ms : int
         What another data centre must be quicker by to be chosen for a call
-        of a target, which holds a place meanwhile, or one that is late.
+        that is late wherever it goes.
     remote_penalty_us_per_byte : int
         Added for each byte of the request body and of the usual answer
         of the route.  Links between data centres are shared: a body of
--- a/sedgering/mesh/_target_side.py
+++ b/sedgering/mesh/_target_side.py
@@ -4,6 +4,7 @@
 import logging
 import math
 
+from sedgering import balance
 from sedgering import base
 from sedgering.mesh import _answer_room
 from sedgering.mesh import _crash_records
@@ -82,6 +83,7 @@
         self.link = link
         self.room = room
         self.answer_room = answer_room
+        self.speed = balance.OwnSpeed(gate.now_s)
         self.is_leaving = False
         #: What other daemons should know of this one.
         self.row: _messages.MemberRow | None = None
@@ -105,6 +107,7 @@
         self.version_trial = _version_trial.VersionTrial()
         #: Whether the version of the target may get calls.
         self.is_permitted = True
+        self._load_name = names.load.lower()
         self._replaced = transport.HOP_NAMES | frozenset(
             getattr(names, field).lower() for field in _REPLACED
         )
@@ -166,6 +169,7 @@
                 self._tell_end(before)
             LOG.info('target renewed', extra={'target': present.target})
             self.gate.renew()
+            self.speed = balance.OwnSpeed(self.gate.now_s)
             self.pool.close()
         if is_restart:
             self._end_calls(self.target.earlier_heard_s)
@@ -210,8 +214,25 @@
             self.link.find_percent(), self.room.used_percent
         )
         report.answer_wait_ms = int(self.answer_room.wait_ms)
+        if self.speed.is_known:
+            self._tell_speed(report, route)
         return report
 
+    def _tell_speed(
+        self, report: _messages.LoadReport, route: base.RouteName
+    ) -> None:
+        """Tell work at the usual speed, and the speed of the moment."""
+        report.slowness_percent = round(self.speed.percent)
+        report.work_ms = int(self.speed.work.mean_ms) or report.work_ms
+        work_ms = int(self.speed.work.find_ms(route))
+        report.route_work_ms = work_ms or report.route_work_ms
+
+    def note_load(self, field: str | None) -> None:
+        """Take in the load field of an answer of the target, if any."""
+        load = balance.decode_target_load(field) if field else None
+        if load is not None:
+            self.speed.note_load(load)
+
     def answer_room_request(self, body_bytes: int) -> _messages.CallAnswer:
         """Tell whether a large body may be sent here."""
         if self.room.ask(body_bytes):
@@ -242,9 +263,23 @@
         now_s = self.gate.now_s()
         wait_ms = self.gate.find_busy_ms(self._make_ticket(call, now_s))
         if wait_ms is None:
-            return None
+            return self._give_back_if_slow(call)
         return self._refuse(call, _messages.RefusalReason.BUSY, wait_ms)
 
+    def _give_back_if_slow(
+        self, call: _messages.TargetCall
+    ) -> _messages.CallAnswer | None:
+        """Refuse a call that is in time elsewhere, and not here just now.
+
+        Only one that still looks for a place: each is given back by a few
+        hosts at most, and then runs where it is delayed least.
+        """
+        left_ms = call.goal_ms or call.remaining_ms
+        delay_ms = self.speed.find_delay_ms(call.route, left_ms)
+        if call.may_wait or not delay_ms:
+            return None
+        return self._refuse(call, _messages.RefusalReason.BUSY, delay_ms)
+
     async def run_for_peer(
         self, call: _messages.TargetCall
     ) -> _messages.CallAnswer:
@@ -319,6 +354,9 @@
         reason = self._check_target(call)
         if reason is not _messages.RefusalReason.NONE:
             return self._refuse(call, reason)
+        given_back = self._give_back_if_slow(call)
+        if given_back is not None:
+            return given_back
         ticket = self._make_ticket(call, arrived_s)
         try:
             await self.gate.enter(ticket)
@@ -328,6 +366,7 @@
             return self._refuse(call, error.reason, error.retry_after_ms)
         answer = None
         started_s = self.gate.now_s()
+        begin_percent = self.speed.percent
         self.gate_log.note_admitted(call.route, (started_s - arrived_s) * 1000)
         try:
             answer = await self._send_if_there(call, ticket)
@@ -336,6 +375,8 @@
             result = _judge(answer)
             self.gate.leave(ticket, result, elapsed_ms)
             self._note_evidence(call.route, result, elapsed_ms, started_s)
+            if result is _gate.CallResult.DONE:
+                self.speed.note_work(call.route, elapsed_ms, begin_percent)
         if answer.outcome is _messages.CallOutcome.ANSWERED:
             fingerprint = self.crashes.find(call.request)
             if fingerprint is not None:
@@ -482,6 +523,7 @@
         finally:
             del self._busy[connection]
         self.pool.put(connection)
+        self.note_load(response.find(self._load_name))
         return self._classify(response, call)
 
     def _make_sent(
--- a/sedgering/model/_hosts.py
+++ b/sedgering/model/_hosts.py
@@ -96,13 +96,15 @@
         left_s = ticket.deadline_s - self.gate.now_s()
         try:
             async with asyncio.timeout(max(0.0, left_s)):
-                return await self.model_target.run(work, ticket.deadline_s)
+                answer = await self.model_target.run(work, ticket.deadline_s)
         except TimeoutError:
             return mesh.CallAnswer(
                 mesh.CallOutcome.ANSWERED,
                 transport.Response(504, []),
                 reached_target=True,
             )
+        self.note_load(self.model_target.load_field)
+        return answer
 
 
 class _ModelSender(_sender.CallSender):
--- a/sedgering/model/_targets.py
+++ b/sedgering/model/_targets.py
@@ -92,9 +92,13 @@
         self._waiting = 0
 
     @property
-    def slowness_percent(self) -> int:
-        """What it tells of the speed of the moment; 0 when it does not."""
-        return round(100 * self.noise) if self.group.tells_slowness else 0
+    def load_field(self) -> str | None:
+        """What it tells of its load; None when it tells no slowness."""
+        if not self.group.tells_slowness:
+            return None
+        slots = self.group.slots
+        percent = round(100 * self.noise)
+        return f'{len(self._working)},{self._waiting},{slots},{percent}'
 
     def change_noise(self) -> None:
         """Draw anew whether its host is slow."""
