--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -245,6 +245,7 @@
                 frozenset(item.name for item in target_sets)
             )
             self.state.quotas.take_config(config.bundle.workspaces)
+            self.state.side.speed.retain(names)
         self._note_ready()
 
     def _note_ready(self) -> None:
