--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -102,6 +102,7 @@
             source.note_newer,
             self.pause,
             _relay.RelayDesk(source),
+            state.quotas,
         )
         self.follower = _follow.RelayFollower(
             identity, state.fleet, state.peers, source
@@ -123,6 +124,7 @@
         self._early_report: _messages.TargetReport | None = None
         self.is_leaving = False
         state.side.watch.on_end = self._tell_end
+        state.find_currency = source.find_currency
         self._servers: list[asyncio.AbstractServer] = []
         self._tasks: list[asyncio.Task] = []
 
@@ -238,6 +240,12 @@
             self.state.peers.retain_routes(names)
             self.state.side.gate.work.retain(names)
             self.state.side.answer_room.retain(names)
+            target_sets = config.bundle.target_sets
+            self.state.levels.retain(
+                frozenset(item.name for item in target_sets)
+            )
+            self.state.quotas.take_config(config.bundle.workspaces)
+            self.state.side.speed.retain(names)
         self._note_ready()
 
     def _note_ready(self) -> None:
@@ -260,6 +268,7 @@
         for row in new:
             self.state.note_started(row)
         self.state.budget.daemons = max(1, len(members))
+        self.state.quotas.take_members(self.state.fleet.members)
         self._refresh_permit()
         self.follower.note_members_known()
         self._note_ready()
@@ -395,7 +404,9 @@
                     callers.unacknowledged_bytes
                 ),
                 **self.backlog.find_gauges(),
-            }
+                **self.state.quotas.find_gauges(),
+            },
+            self.state.workspace_counts.list_largest(),
         )
 
     def _tell_end(self, record: _crash_records.CrashRecord) -> None:
@@ -469,6 +480,7 @@
         end_s = self._plan_end(grace_ms / 1000)
         self.is_leaving = True
         self.outbound.is_closing = True
+        self.state.quotas.leave()
         self.source.publish(None)
         LOG.info('leaving')
         loop = asyncio.get_running_loop()
@@ -518,6 +530,7 @@
     def _stop_tasks(self) -> None:
         self.pause.stop()
         self.source.stop()
+        self.state.quotas.stop()
         for task in self._tasks:
             task.cancel()
 
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Sequence
 
+from sedgering import access
 from sedgering import base
 from sedgering import bundle as bundles
 from sedgering import exceptions
@@ -15,16 +16,14 @@
 from sedgering.mesh import _search
 from sedgering.mesh import _standing
 from sedgering.mesh import _state
+from sedgering import overload
+from sedgering import quota
 from sedgering import transport
 
 __all__ = ['Exchange']
 
 #: Deadline of a request that states none is that of its route.
 MAX_DEADLINE_MS = 3_600_000
-#: Bounds of the time after which a refused caller returns, as shares of the
-#: time that it has left.  Callers honour a third; the spread keeps those
-#: that were refused together from returning together.
-RETRY_AFTER_SHARES = (0.12, 0.32)
 #: Share of the typical work time that must be left until the goal for a
 #: request to count as one that may still meet it.
 HOPE_SHARE = 0.7
@@ -33,11 +32,21 @@
 #: round trip of 3 ms.  With four of six targets gone a caller was refused
 #: though two could have served it.
 CORRECTIONS_LIMIT = 8
+#: Hosts of the own data centre that are asked for a free place before one
+#: elsewhere is thought of: with one of two full another is free more often
+#: than not.
+NEAR_ASKS = 2
 #: Gates that may refuse a request before it is given up.
 SHEDS_LIMIT = 2
 #: Most attempts under way that a line names; few routes allow more.
 ATTEMPTS_TOLD_LIMIT = 4
 SERVER_ERROR = 500
+#: Kind under which answers of targets are counted by workspace.
+COUNTED_ANSWER = 'answered'
+#: Bounds of the time after which a caller returns whose key may be new: a
+#: daemon that lags behind has the newest version within some 2 s, and the
+#: caller may meet another one before.
+UNSURE_PAUSES_S = (0.3, 1.0)
 
 _Outcome = _messages.CallOutcome
 _Reason = _messages.RefusalReason
@@ -47,6 +56,10 @@
 _CLOSING_REASONS = frozenset(
     (_Reason.WRONG_TARGET, _Reason.TARGET_UNKNOWN, _Reason.LEAVING)
 )
+#: Ends of a request by which its target set had no room for it in time.
+_NO_ROOM_CODES = frozenset(
+    (exceptions.Code.REQUEST_SHED, exceptions.Code.REQUEST_LATE)
+)
 #: Refusals by which a target is well, and has no room.
 _FULL_REASONS = frozenset((_Reason.BUSY, _Reason.LINK_FULL, _Reason.SHED))
 
@@ -69,6 +82,13 @@
         self.deadline_s = 0.0
         self.goal_s = 0.0
         self.urgency = _messages.CallUrgency.FIRST
+        self.is_hasty = False
+        #: Bounds of when it is told to come back, of the time that is left.
+        self.pause_shares = overload.RETRY_AFTER_SHARES
+        #: Whether it ended for want of room at its target set.
+        self.found_no_room = False
+        #: Taken from the quota of the workspace.
+        self.token: quota.Permit | None = None
         self.caller_left_ms = 0
         self.search: _search.Search | None = None
         #: Hosts that had no free place, when that was asked.
@@ -87,7 +107,9 @@
         #: Done when any of them has news.
         self._news: asyncio.Future = self.loop.create_future()
         self.last: _messages.CallAnswer | None = None
-        #: Known from when the daemon is ready.
+        #: Who asks; nobody where the bundle asks for no keys.
+        self.identity = access.NOBODY
+        #: Known from when it is known who asks.
         self.standing: _standing.KnownRequest | None = None
         #: Target of a version on trial, where the request went first.
         self.exposed: _peers.Peer | None = None
@@ -97,9 +119,6 @@
     async def run(self) -> transport.Response:
         """Answer the request."""
         await self.state.start.wait()
-        self.standing = _standing.KnownRequest(
-            self.request, self.state.crashes
-        )
         snapshot = self.state.config.snapshot
         if snapshot is None:
             return self._refuse(exceptions.Code.REQUEST_NOT_READY)
@@ -117,6 +136,13 @@
         if self.route is None:
             return self._refuse(exceptions.Code.REQUEST_NO_ROUTE)
         self.policy = snapshot.policies[self.route.policy]
+        if snapshot.has_workspaces:
+            self._identify(snapshot)
+            if self.identity.code is not None:
+                return self._refuse(self.identity.code)
+        self.standing = _standing.KnownRequest(
+            self.request, self.state.crashes
+        )
         self.target_set = self.state.turns.choose(self.route)
         try:
             self._set_times()
@@ -127,6 +153,20 @@
             return self._refuse(exceptions.Code.REQUEST_LEAVING)
         if self.standing.is_quarantined:
             return self._refuse(exceptions.Code.REQUEST_QUARANTINED)
+        if not await self._take_token():
+            return self._refuse(exceptions.Code.REQUEST_QUOTA)
+        asked = self._make_asked()
+        verdict = self.state.levels.judge(asked, self._now_s)
+        if not verdict.is_admitted:
+            return self._reject(verdict)
+        begun_s = self._now_s
+        response = await self._serve()
+        if self.found_no_room:
+            self.state.levels.note_refused(asked, begun_s)
+        return response
+
+    async def _serve(self) -> transport.Response:
+        """Ask targets for as long as the request has time."""
         self.search = _search.Search(
             self.state.places, self.target_set, len(self.request.body)
         )
@@ -141,14 +181,68 @@
         finally:
             self.state.serving.forget(limit)
 
+    def _make_asked(self) -> overload.AskedCall:
+        """Make what decides whether its target set has room for it."""
+        return overload.AskedCall(
+            self.target_set,
+            self.request_id,
+            self.state.peers.typical_work_ms(self.route.name),
+            self.policy.priority,
+            self.is_hasty,
+            self.identity.workspace,
+            self.identity.priority,
+            self.urgency is _messages.CallUrgency.TARGET,
+        )
+
+    def _reject(self, verdict: overload.Verdict) -> transport.Response:
+        """Refuse at once what its target set cannot serve."""
+        self.pause_shares = overload.REJECTED_AFTER_SHARES
+        code = exceptions.Code.REQUEST_SHED
+        self.state.decisions.log_rejection(
+            self.request_id,
+            int(code),
+            self.route.name,
+            self.target_set,
+            self.identity.workspace,
+            verdict,
+            self.version,
+        )
+        return self._make_refusal(code)
+
+    def _identify(self, snapshot: bundles.Snapshot) -> None:
+        """Find out who asks, and take the key off the request.
+
+        The key ends here: neither other daemons nor targets need it, and what
+        they were to log or keep would hold it.
+        """
+        request = self.request
+        names = self.state.names
+        workspace_field = names.workspace.lower()
+        values, request.headers = access.take_claims(
+            request.headers, workspace_field
+        )
+        if request.fields is not None:
+            request.fields.pop(access.KEY_FIELD, None)
+            request.fields.pop(workspace_field, None)
+        self.identity = access.identify(
+            snapshot,
+            self.route.name,
+            values,
+            names.key_scheme,
+            self.state.find_currency(),
+            self.state.revocation,
+        )
+        request.workspace = self.identity.workspace
+
+    def _find_stated_ms(self) -> int:
+        """Return for how long the caller says that it waits."""
+        text = self.request.find(self.state.names.deadline_ms.lower())
+        return self.policy.timeout_ms if text is None else _parse_ms(text)
+
     def _set_times(self) -> None:
         """Set deadline and goal from the head of the request."""
-        name = self.state.names.deadline_ms.lower()
-        text = self.request.find(name)
         timeout_ms = self.policy.timeout_ms
-        stated_ms = timeout_ms
-        if text is not None:
-            stated_ms = _parse_ms(text)
+        stated_ms = self._find_stated_ms()
         started_s = self.request.received_s
         self.deadline_s = started_s + min(timeout_ms, stated_ms) / 1000
         self.caller_left_ms = stated_ms
@@ -159,9 +253,22 @@
             self.state.side.latest_deadline_s,
         )
         self.urgency = origin.urgency
+        self.is_hasty = origin.is_hasty
         goal_ms = self.policy.latency_goal_ms or timeout_ms
         self.goal_s = started_s + (goal_ms - origin.waited_ms) / 1000
 
+    async def _take_token(self) -> bool:
+        """Take a token of the workspace; say whether it may go on."""
+        quotas = self.state.quotas
+        workspace = self.identity.workspace
+        if not quotas.is_counted(workspace):
+            return True
+        self.token = quotas.take(workspace)
+        if self.token is None:
+            until_s = min(self.deadline_s, self.state.serving.end_s)
+            self.token = await quotas.wait(workspace, until_s)
+        return self.token is not None
+
     @property
     def _now_s(self) -> float:
         return self.loop.time()
@@ -200,10 +307,13 @@
         self.tried.add(peer.row.host)
         self.search.forget(peer.row.host)
         progress = _progress.AttemptProgress(peer.row.host, self._now_s)
+        expected_ms = self._make_costs().make_offer(peer).expected_ms
         sent = self.state.sender.begin(
             peer, self._make_call(peer.row), progress
         )
         attempt = _attempt.Attempt(peer, sent, progress)
+        attempt.started_s = self._now_s
+        attempt.expected_ms = expected_ms
         attempt.task.add_done_callback(self._note_news)
         if self.route.repeatable:
             attempt.watch_silence()
@@ -220,6 +330,7 @@
                 self.attempts.remove(attempt)
                 attempt.forget_silence()
                 answer = attempt.task.result()
+                self._note_end_time(attempt, answer)
                 self._learn(attempt.peer, answer)
                 return answer
         for attempt in self.attempts:
@@ -229,6 +340,16 @@
         self._forget_sheds()
         return None
 
+    def _note_end_time(
+        self, attempt: _attempt.Attempt, answer: _messages.CallAnswer
+    ) -> None:
+        """Learn how far off the estimate of an answered call was."""
+        if answer.outcome is _Outcome.ANSWERED:
+            elapsed_ms = (self._now_s - attempt.started_s) * 1000
+            self.state.peers.end_times.note(
+                self.route.name, attempt.expected_ms, elapsed_ms
+            )
+
     def _forget_sheds(self) -> None:
         """Let gates be asked again that were full before a long silence."""
         self.sheds = 0
@@ -323,31 +444,73 @@
     def _choose_untried(self) -> _peers.Peer | None:
         """Choose among the hosts that were not asked yet."""
         members = self.state.fleet.by_set.get(self.target_set, ())
-        candidates = _choice.draw_candidates(
+        near, far = _choice.split_candidates(
             members, self.state.identity.data_centre, self.state.rng
         )
-        peer = self._choose_of(candidates)
-        if peer is None and candidates is not members:
-            peer = self._choose_of(members)
+        if near and far and not self.was_unreachable:
+            peer = self._choose_near_first(near, far)
+        else:
+            peer = self._choose_drawn(members)
         if peer is None or not self.sheds:
             return peer
         # One that is full has told the truth at once; a suspect would keep
         # the caller waiting for an answer that may never come.
         return None if peer.is_suspect(self._now_s) else peer
 
+    def _choose_near_first(
+        self,
+        near: Sequence[_messages.MemberRow],
+        far: Sequence[_messages.MemberRow],
+    ) -> _peers.Peer | None:
+        """Choose in the own data centre, unless others serve better."""
+        busy = None
+        if self.search.is_on and self.search.asks >= NEAR_ASKS:
+            busy = self._choose_shortest_wait()
+        peer = _choice.choose_near_first(
+            near, far, self.tried, self._make_costs(), self.state.rng, busy
+        )
+        if peer is None and busy is None:
+            members = self.state.fleet.by_set[self.target_set]
+            return self._choose_of(members)
+        return peer
+
+    def _choose_drawn(
+        self, members: Sequence[_messages.MemberRow]
+    ) -> _peers.Peer | None:
+        """Choose among some of a set, wherever they are."""
+        candidates = _choice.draw_candidates(
+            members, self.state.identity.data_centre, self.state.rng
+        )
+        peer = self._choose_of(candidates)
+        if peer is None and candidates is not members:
+            return self._choose_of(members)
+        return peer
+
     def _choose_of(
         self, members: Sequence[_messages.MemberRow]
     ) -> _peers.Peer | None:
-        costs = _choice.CallCosts(
+        return _choice.choose_member(
+            members,
+            self.tried,
+            self._make_costs(),
+            self.state.rng,
+            self.was_unreachable,
+        )
+
+    def _make_costs(self) -> _choice.CallCosts:
+        """Make what the call costs, by the time that it has now."""
+        now_s = self._now_s
+        left_ms = self._find_goal_ms(now_s)
+        if not left_ms:
+            left_ms = (self.deadline_s - now_s) * 1000
+        return _choice.CallCosts(
             self.state.peers,
             self.state.identity.data_centre,
             self.route.name,
             len(self.request.body),
             self.urgency is _messages.CallUrgency.TARGET,
-            self._now_s,
-        )
-        return _choice.choose_member(
-            members, self.tried, costs, self.state.rng, self.was_unreachable
+            now_s,
+            left_ms,
         )
 
     def _make_call(self, row: _messages.MemberRow) -> _messages.TargetCall:
@@ -368,6 +531,8 @@
             goal_ms=self._find_goal_ms(now_s),
             version=self.version,
             may_wait=not self.search.is_on,
+            workspace=self.identity.workspace,
+            workspace_priority=self.identity.priority,
         )
         self.standing.tell(call)
         return call
@@ -380,6 +545,10 @@
 
     def _learn(self, peer: _peers.Peer, answer: _messages.CallAnswer) -> None:
         """Remember what an answer tells of its target."""
+        if answer.load is not None:
+            self.state.levels.take_demand(
+                self.target_set, answer.load.demand_percent, self._now_s
+            )
         if answer.reason is _Reason.BUSY:
             if peer is self.exposed:
                 self.state.exposure.note_exposed(self.target_set, -1)
@@ -493,6 +662,9 @@
 
     def _pass_on(self, answer: _messages.CallAnswer) -> transport.Response:
         response = answer.response
+        self.state.workspace_counts.count(
+            self.identity.workspace, COUNTED_ANSWER
+        )
         self.state.decisions.log_success(
             self.request_id,
             self.route.name,
@@ -522,6 +694,7 @@
         return self._refuse(exceptions.Code.REQUEST_NOT_RUN)
 
     def _refuse(self, code: exceptions.Code) -> transport.Response:
+        self.found_no_room = code in _NO_ROOM_CODES
         self.state.decisions.log_refusal(
             self.request_id,
             int(code),
@@ -532,13 +705,23 @@
             self.last,
             self._elapsed_ms(),
             self.version,
-            self.standing.fingerprint,
+            self.standing.fingerprint if self.standing else None,
+            self.identity.key_head,
+        )
+        return self._make_refusal(code)
+
+    def _make_refusal(self, code: exceptions.Code) -> transport.Response:
+        if self.token is not None and not _refusal.may_have_run(code):
+            self.state.quotas.give_back(self.token)
+        self.state.workspace_counts.count(
+            self.identity.workspace, f'refused {int(code)}'
         )
         return _refusal.make_refusal(
             code,
             self.state.names.request_id,
             self.request_id,
             self._find_pause_s(code),
+            self.state.names.key_scheme,
         )
 
     def describe(self) -> str:
@@ -559,9 +742,13 @@
         if code is exceptions.Code.REQUEST_QUARANTINED:
             # Sooner it would only be refused again.
             return self.standing.find_wait_s()
+        if code is exceptions.Code.REQUEST_KEY_UNSURE:
+            return self.state.rng.uniform(*UNSURE_PAUSES_S)
+        if code is exceptions.Code.REQUEST_QUOTA:
+            return self.state.quotas.find_pause_s(self.identity.workspace)
         limits = self.state.mesh_settings
         left_ms = self.caller_left_ms - self._elapsed_ms()
-        share = self.state.rng.uniform(*RETRY_AFTER_SHARES)
+        share = self.state.rng.uniform(*self.pause_shares)
         pause_ms = max(limits.least_retry_after_ms, share * left_ms)
         return min(pause_ms, limits.longest_retry_after_ms) / 1000
 
--- a/sedgering/mesh/_settings.py
+++ b/sedgering/mesh/_settings.py
@@ -32,8 +32,13 @@
         slow target five times that; the goals are 400 and 500 ms.
     report_half_life_ms : int
         Age at which a load report of a peer counts half.
+    remote_gain_percent, remote_gain_percent_per_kb : int
+        A call leaves its data centre where that lets so many more of 100
+        such calls end in time; the second is added for each kilobyte of
+        the request body and of the usual answer of the route.
     remote_penalty_ms : int
-        What another data centre must be quicker by to be chosen.
+        What another data centre must be quicker by to be chosen for a call
+        that is late wherever it goes.
     remote_penalty_us_per_byte : int
         Added for each byte of the request body and of the usual answer
         of the route.  Links between data centres are shared: a body of
@@ -77,6 +82,19 @@
     exposed_share_percent : int
         Share of the calls to a set that a version on trial may get at most,
         over the whole fleet; what the operator lets a bad version harm.
+    revoke_strict : bool
+        Whether known keys are refused, too, by a daemon that has not heard
+        for `revoke_ms` which keys were taken away; else it serves them.
+    revoke_ms : int
+        Time within which a key that is taken away must be refused.
+    quota_window_ms : int
+        Window in which requests of a workspace are counted against its
+        quota; 0 where quotas are not counted.
+    quota_excess_percent : int
+        Share by which a quota may be passed in a window, over the whole
+        fleet.
+    quota_slack : int
+        Requests by which it may be passed besides.
     success_log_every : int
         One in so many plain successes is logged.
     log_lines_per_s : int
@@ -92,6 +110,8 @@
     suspect_limit_ms: settings.IntervalMs = 4000
     silence_ms: settings.IntervalMs = 800
     report_half_life_ms: settings.IntervalMs = 300
+    remote_gain_percent: settings.CountOrNone = 4
+    remote_gain_percent_per_kb: settings.CountOrNone = 1
     remote_penalty_ms: settings.Count = 40
     remote_penalty_us_per_byte: settings.Count = 5
     shed_margin_percent: settings.Percent = 70
@@ -106,5 +126,10 @@
     quarantine_crashes: settings.CountOrNone = 3
     advertised_port: settings.PortOrNone = 0
     exposed_share_percent: settings.Percent = 10
+    revoke_strict: bool = False
+    revoke_ms: settings.IntervalMs = 5000
+    quota_window_ms: settings.CountOrNone = 0
+    quota_excess_percent: settings.Percent = 0
+    quota_slack: settings.CountOrNone = 0
     success_log_every: settings.Count = 100
     log_lines_per_s: settings.Count = 50
--- a/sedgering/mesh/_state.py
+++ b/sedgering/mesh/_state.py
@@ -1,7 +1,9 @@
 """What all requests of a daemon share."""
 
+from collections.abc import Callable
 import random
 
+from sedgering import access
 from sedgering.mesh import _budget
 from sedgering.mesh import _callers
 from sedgering.mesh import _choice
@@ -10,12 +12,14 @@
 from sedgering.mesh import _fleet
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
+from sedgering.mesh import _quotas
 from sedgering.mesh import _search
 from sedgering.mesh import _sender
 from sedgering.mesh import _serving
 from sedgering.mesh import _settings
 from sedgering.mesh import _start
 from sedgering.mesh import _target_side
+from sedgering import overload
 from sedgering import rollout
 
 __all__ = ['RequestState']
@@ -76,12 +80,33 @@
         self.turns = _choice.WeightedTurns()
         self.callers = _callers.CallerTable()
         self.places = _search.FreePlaces()
+        self.levels = overload.LevelTable()
         self.start = _start.StartWait()
         self.serving = _serving.ServingTime()
+        #: Tells how current the version in force is.
+        self.find_currency: Callable[[], access.Currency] = access.Currency
+        self.workspace_counts = access.WorkspaceCounts()
+        self.revocation = access.Revocation()
+        self.follow_revocation(mesh_settings)
+        self.quotas = _quotas.make_workspace_quotas(
+            identity,
+            mesh_settings,
+            fleet,
+            peers,
+            decisions.counts,
+            rng,
+            side.gate.now_s,
+        )
         self.exposure = rollout.ExposureQuota(
             mesh_settings.exposed_share_percent / 100
         )
 
+    def follow_revocation(self, mesh_settings: _settings.MeshSettings) -> None:
+        """Treat keys that may have been taken away as settings say."""
+        self.revocation = access.Revocation(
+            mesh_settings.revoke_strict, mesh_settings.revoke_ms / 1000
+        )
+
     def take_told(self, row: _messages.MemberRow) -> bool:
         """Believe what a daemon tells of the target beside it.
 
--- a/sedgering/model/_hosts.py
+++ b/sedgering/model/_hosts.py
@@ -18,6 +18,8 @@
 from sedgering.mesh import _sender
 from sedgering.mesh import _state
 from sedgering.mesh import _target_side
+from sedgering.model import _loads
+from sedgering.model import _results
 from sedgering.model import _targets
 from sedgering import transport
 
@@ -94,36 +96,47 @@
         left_s = ticket.deadline_s - self.gate.now_s()
         try:
             async with asyncio.timeout(max(0.0, left_s)):
-                return await self.model_target.run(work, ticket.deadline_s)
+                answer = await self.model_target.run(work, ticket.deadline_s)
         except TimeoutError:
             return mesh.CallAnswer(
                 mesh.CallOutcome.ANSWERED,
                 transport.Response(504, []),
                 reached_target=True,
             )
+        self.note_load(self.model_target.load_field)
+        return answer
 
 
 class _ModelSender(_sender.CallSender):
     """Sends calls to other hosts of the model after the time of the way."""
 
-    def __init__(self, identity, side, peers, sides, hop_s):
+    def __init__(self, identity, side, peers, sides, load):
         super().__init__(identity, side, peers)
         self.sides: dict[base.HostId, ModelSide] = sides
-        self.hop_s: float = hop_s
-        #: Calls that were sent to other hosts.
-        self.calls = 0
+        self.load: _loads.Load = load
+        self.sent = _results.SentCalls()
+
+    async def send(self, peer, call, progress):
+        answer = await super().send(peer, call, progress)
+        is_far = peer.row.data_centre != self.identity.data_centre
+        size_bytes = len(answer.response.body) if answer.response else 0
+        self.sent.note_answer(is_far, size_bytes)
+        return answer
 
     async def _ask(self, peer, call, _progress):
-        self.calls += 1
-        await asyncio.sleep(self.hop_s)
-        lag_ms = int(self.hop_s * 1000)
+        self.sent.calls += 1
+        is_far = peer.row.data_centre != self.identity.data_centre
+        hop_ms = self.load.far_hop_ms if is_far else self.load.hop_ms
+        hop_s = hop_ms / 1000
+        await asyncio.sleep(hop_s)
+        lag_ms = int(hop_ms)
         arrived = msgspec.structs.replace(
             call,
             remaining_ms=max(0, call.remaining_ms - lag_ms),
             goal_ms=max(0, call.goal_ms - lag_ms),
         )
         answer = await self.sides[peer.row.host].run(arrived)
-        await asyncio.sleep(self.hop_s)
+        await asyncio.sleep(hop_s)
         self._take_report(peer, call, answer)
         return answer
 
@@ -181,7 +194,7 @@
             random.Random(seed),
         )
 
-    def join(self, hosts: dict[base.HostId, 'ModelHost'], hop_s: float):
+    def join(self, hosts: dict[base.HostId, 'ModelHost'], load: _loads.Load):
         """Learn of all hosts, and report the own target as ready."""
         self.take_rows({name: host.row for name, host in hosts.items()})
         self.state.start.end()
@@ -190,7 +203,7 @@
             self.side,
             self.state.peers,
             {name: host.side for name, host in hosts.items()},
-            hop_s,
+            load,
         )
         self.report()
 
@@ -235,14 +248,32 @@
         self.state.fleet.replace(rows)
 
     async def ask(
-        self, path: str, request_id: str, deadline_ms: int
+        self,
+        path: str,
+        request_id: str,
+        deadline_ms: int,
+        workspace: str,
     ) -> transport.Response:
-        """Send a request of this host, and wait for its answer."""
+        """Send a request of this host, and wait for its answer.
+
+        Parameters
+        ----------
+        path, request_id : str
+            Of the request.
+        deadline_ms : int
+            Time for which its sender waits.
+        workspace : str
+            That asks; empty for none.
+        """
         headers = [
             ('Host', MESH_NAME),
             (NAMES.request_id, request_id),
             (NAMES.deadline_ms, str(deadline_ms)),
         ]
+        if workspace:
+            headers.append(
+                ('Authorization', f'{NAMES.key_scheme} {workspace}')
+            )
         now_s = asyncio.get_running_loop().time()
         request = transport.Request('GET', path, headers, received_s=now_s)
         return await _exchange.Exchange(request, self.state).run()
--- a/sedgering/model/_play.py
+++ b/sedgering/model/_play.py
@@ -1,10 +1,12 @@
 """Plays a load pattern against hosts that run the daemon's decisions."""
 
 import asyncio
+from collections.abc import Iterable
 import itertools
 import math
 import random
 
+from sedgering import access
 from sedgering import base
 from sedgering import bundle as bundles
 from sedgering import mesh
@@ -20,10 +22,14 @@
 #: Share of a caller's time left for which it waits at most when it is told
 #: when to come back.
 LONGEST_WAIT_SHARE = 1 / 3
+#: After which a caller is back that honours nothing it is told.
+HASTY_PAUSE_S = 0.02
 NESTED_SPREAD = 0.5
 SUCCESS = 200
 REFUSED = 503
 TICK_S = 0.02
+#: Data centre of hosts where a load names none.
+ONLY_PLACE = 'hall'
 #: Retries that the whole fleet may add: a share of the requests, and some.
 RETRY_RATIO = 0.2
 RETRY_EXTRA = 60
@@ -68,7 +74,8 @@
         }
         self.work_book: _hosts.WorkBook = {}
         self.tasks: set[asyncio.Task] = set()
-        self.factor = 1.0
+        #: Of the rates of each kind.
+        self.factors = {kind.name: 1.0 for kind in load.callers}
 
     async def run(self) -> _results.LoadResult:
         """Play, and wait for the last caller."""
@@ -85,8 +92,10 @@
             self._let_arrive()
         await asyncio.gather(*self.tasks)
         ends = sum(host.target.ends for host in self.hosts.values())
-        calls = sum(host.state.sender.calls for host in self.hosts.values())
-        return _results.LoadResult(self.load, self.results, ends, calls)
+        sent = _results.SentCalls()
+        for host in self.hosts.values():
+            sent.add(host.state.sender.sent)
+        return _results.LoadResult(self.load, self.results, ends, sent)
 
     # Hosts and targets.
 
@@ -97,17 +106,17 @@
         for group in self.load.targets:
             for number, speed in enumerate(group.speeds):
                 self._make_host(group, number, speed)
-        hop_s = self.load.hop_ms / 1000
         for host in self.hosts.values():
-            host.join(self.hosts, hop_s)
+            host.join(self.hosts, self.load)
             host.state.config.apply(config)
             host.state.budget.daemons = len(self.hosts)
 
     def _make_host(self, group, number: int, speed: float) -> None:
         name = base.HostId(f'{group.target_set}-{number}')
+        places = self.load.data_centres or [_loads.DataCentre(ONLY_PLACE)]
         row = mesh.MemberRow(
             name,
-            base.DataCentre('hall'),
+            base.DataCentre(places[number % len(places)].name),
             _hosts.ADDRESS,
             len(self.hosts) + 1,
             base.TargetSetName(group.target_set),
@@ -125,6 +134,8 @@
             row, target, self.mesh_settings, budget, self.work_book, seed
         )
         self.hosts[name] = host
+        if group.noise is not None:
+            self._change_noise(host)
 
         async def call(nested, work_ms, deadline_s):
             return await self._call_nested(host, nested, work_ms, deadline_s)
@@ -133,6 +144,13 @@
         target.on_end = lambda: self._plan_return(host)
         host.side.watch.on_end = lambda record: self._tell_end(host, record)
 
+    def _change_noise(self, host: _hosts.ModelHost) -> None:
+        target = host.target
+        target.change_noise()
+        every_s = target.group.noise.every_ms / 1000
+        loop = asyncio.get_running_loop()
+        loop.call_later(every_s, self._change_noise, host)
+
     def _plan_return(self, host: _hosts.ModelHost) -> None:
         loop = asyncio.get_running_loop()
         loop.call_later(self.load.back_after_s, self._bring_back, host)
@@ -206,13 +224,16 @@
             tuple(policies),
             tuple(target_sets),
             tuple(routes),
+            _make_workspaces(self.load.callers),
         )
 
     # What happens.
 
     def _start_event(self, event: _loads.Event, factor: float) -> None:
         if event.kind is _loads.EventKind.BURST:
-            self.factor = factor
+            for name in self.factors:
+                if event.callers in ('', name):
+                    self.factors[name] = factor
             return
         for target in [host.target for host in self._list_hit(event)]:
             if event.kind is _loads.EventKind.SLOW:
@@ -239,12 +260,33 @@
     # Callers.
 
     def _let_arrive(self) -> None:
+        for place in self.load.data_centres:
+            hosts = [
+                host
+                for host in self.hosts.values()
+                if host.row.data_centre == place.name
+            ]
+            self._let_arrive_at(hosts, self._find_demand(place))
+        if not self.load.data_centres:
+            self._let_arrive_at(list(self.hosts.values()), 1.0)
+
+    def _find_demand(self, place: _loads.DataCentre) -> float:
+        """Return the share of all demand that a data centre has now."""
+        total = sum(other.demand for other in self.load.data_centres)
+        share = place.demand / total
+        wave = self.load.wave
+        if wave is None:
+            return share
+        now_s = asyncio.get_running_loop().time()
+        turns = now_s / wave.period_s + place.phase
+        return share * (1 + wave.swing * math.sin(2 * math.pi * turns))
+
+    def _let_arrive_at(self, hosts, share: float) -> None:
         loop = asyncio.get_running_loop()
-        hosts = list(self.hosts.values())
         for kind in self.load.callers:
             if loop.time() < kind.from_s:
                 continue
-            mean = kind.rate_per_s * self.factor * TICK_S
+            mean = kind.rate_per_s * self.factors[kind.name] * TICK_S * share
             for _ in range(_draw_poisson(self.rng, mean)):
                 host = self.rng.choice(hosts)
                 delay_s = self.rng.random() * TICK_S
@@ -264,8 +306,11 @@
         path = f'/{kind.name}/'
         if not kind.is_same:
             path += f'{next(self.ids)}'
+        is_hasty = work.is_hasty
         for number in range(kind.retries + 1):
             status, pause_s = await self._try(kind, host, path, work, end_s)
+            if is_hasty:
+                pause_s = HASTY_PAUSE_S
             now_s = loop.time()
             if status == SUCCESS:
                 if (now_s - first_s) * 1000 <= kind.goal_ms:
@@ -288,7 +333,7 @@
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         left_ms = max(1, int((end_s - started_s) * 1000))
-        response = await self._ask(host, path, work, left_ms)
+        response = await self._ask(host, path, work, left_ms, kind.workspace)
         if response.status == REFUSED:
             found = self.results[kind.name]
             found.refusals += 1
@@ -296,11 +341,13 @@
         told = dict(response.headers).get('Retry-After', '0')
         return response.status, float(told)
 
-    async def _ask(self, host, path, work, left_ms) -> transport.Response:
+    async def _ask(
+        self, host, path, work, left_ms, workspace=base.NO_WORKSPACE
+    ) -> transport.Response:
         request_id = f'{next(self.ids)}'
         self.work_book[request_id] = work
         try:
-            return await host.ask(path, request_id, left_ms)
+            return await host.ask(path, request_id, left_ms, workspace)
         finally:
             del self.work_book[request_id]
 
@@ -310,12 +357,31 @@
         stated_ms = min(nested.deadline_ms, left_ms)
         if stated_ms <= 0:
             return False
-        work = _targets.Work(work_ms)
+        work = _targets.Work(work_ms, answer_bytes=nested.answer_bytes)
         path = f'/{_nested_name(nested.target_set)}/{next(self.ids)}'
         response = await self._ask(host, path, work, stated_ms)
         return response.status == SUCCESS
 
 
+def _make_workspaces(
+    callers: Iterable[_loads.CallerKind],
+) -> tuple[bundles.Workspace, ...]:
+    """Make the workspaces that callers name; their names are their keys."""
+    priorities = {
+        kind.workspace: kind.workspace_priority
+        for kind in callers
+        if kind.workspace
+    }
+    return tuple(
+        bundles.Workspace(
+            base.WorkspaceName(name),
+            (access.compute_key_digest(name),),
+            priority,
+        )
+        for name, priority in priorities.items()
+    )
+
+
 def _nested_name(target_set: str) -> str:
     return f'nested-{target_set}'
 
@@ -339,14 +405,26 @@
 def _draw_work(rng: random.Random, kind: _loads.CallerKind) -> _targets.Work:
     """Draw all work of one caller, so that a seed fixes what is asked."""
     work_ms = _draw_work_ms(rng, kind.work_ms, kind.work_spread)
+    is_hasty = kind.hasty_share > 0 and rng.random() < kind.hasty_share
     nested = kind.nested
     if nested is None or rng.random() >= nested.share:
-        return _targets.Work(work_ms, is_fatal=kind.is_fatal)
+        return _targets.Work(
+            work_ms,
+            is_fatal=kind.is_fatal,
+            is_hasty=is_hasty,
+            answer_bytes=kind.answer_bytes,
+        )
     nested_ms = tuple(
         _draw_work_ms(rng, nested.work_ms, NESTED_SPREAD)
         for _ in range(nested.count)
     )
-    return _targets.Work(work_ms, nested, nested_ms)
+    return _targets.Work(
+        work_ms,
+        nested,
+        nested_ms,
+        is_hasty=is_hasty,
+        answer_bytes=kind.answer_bytes,
+    )
 
 
 def _draw_work_ms(rng: random.Random, mean_ms: float, spread: float) -> float:
