--- a/sedgering/balance/__init__.py
+++ b/sedgering/balance/__init__.py
@@ -8,6 +8,7 @@
 (:class:`Distance`).
 """
 
+from sedgering.balance._centres import CentreDemand
 from sedgering.balance._distance import Distance
 from sedgering.balance._distance import make_distance
 from sedgering.balance._distance import Offer
@@ -21,6 +22,7 @@
 from sedgering.balance._own import OwnSpeed
 
 __all__ = [
+    'CentreDemand',
     'Distance',
     'EndTimes',
     'MOST_SLOTS',
--- a/sedgering/balance/_distance.py
+++ b/sedgering/balance/_distance.py
@@ -5,6 +5,9 @@
 __all__ = ['Distance', 'Offer', 'make_distance']
 
 BYTES_PER_KB = 1000
+#: Most that is asked for, however large an answer is: a caller whose chance
+#: nearly doubles elsewhere is served there.
+MOST_GAIN_PERCENT = 40
 #: Share of calls in time below which a goal is as good as missed: what
 #: counts then is the time alone.
 LEAST_HOPE = 0.05
@@ -84,4 +87,4 @@
         See :class:`Distance`.
     """
     gain_percent += gain_percent_per_kb * size_bytes / BYTES_PER_KB
-    return Distance(gain_percent / 100, quicker_ms)
+    return Distance(min(gain_percent, MOST_GAIN_PERCENT) / 100, quicker_ms)
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -240,10 +240,11 @@
             self.state.peers.retain_routes(names)
             self.state.side.gate.work.retain(names)
             self.state.side.answer_room.retain(names)
-            target_sets = config.bundle.target_sets
-            self.state.levels.retain(
-                frozenset(item.name for item in target_sets)
+            target_sets = frozenset(
+                item.name for item in config.bundle.target_sets
             )
+            self.state.levels.retain(target_sets)
+            self.state.centres.retain(target_sets)
             self.state.quotas.take_config(config.bundle.workspaces)
             self.state.side.speed.retain(names)
         self._note_ready()
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -463,6 +463,9 @@
         far: Sequence[_messages.MemberRow],
     ) -> _peers.Peer | None:
         """Choose in the own data centre, unless others serve better."""
+        far = self._leave_out_short(far)
+        if not far:
+            return self._choose_of(near)
         busy = None
         if self.search.is_on and self.search.asks >= NEAR_ASKS:
             busy = self._choose_shortest_wait()
@@ -474,6 +477,26 @@
             return self._choose_of(members)
         return peer
 
+    def _leave_out_short(
+        self, far: Sequence[_messages.MemberRow]
+    ) -> Sequence[_messages.MemberRow]:
+        """Leave out data centres as short of room as the own one.
+
+        Not for calls of targets: their parents hold places until they end.
+        """
+        if self.urgency is _messages.CallUrgency.TARGET:
+            return far
+        is_short = self.state.centres.is_short
+        now_s = self._now_s
+        own = self.state.identity.data_centre
+        if not is_short(self.target_set, own, now_s):
+            return far
+        return [
+            row
+            for row in far
+            if not is_short(self.target_set, row.data_centre, now_s)
+        ]
+
     def _choose_drawn(
         self, members: Sequence[_messages.MemberRow]
     ) -> _peers.Peer | None:
@@ -546,9 +569,7 @@
     def _learn(self, peer: _peers.Peer, answer: _messages.CallAnswer) -> None:
         """Remember what an answer tells of its target."""
         if answer.load is not None:
-            self.state.levels.take_demand(
-                self.target_set, answer.load.demand_percent, self._now_s
-            )
+            self._learn_demand(peer, answer.load.demand_percent)
         if answer.reason is _Reason.BUSY:
             if peer is self.exposed:
                 self.state.exposure.note_exposed(self.target_set, -1)
@@ -600,6 +621,14 @@
                 self._find_lost(),
             )
 
+    def _learn_demand(self, peer: _peers.Peer, demand_percent: int) -> None:
+        """Remember what a gate tells of the demand on it."""
+        now_s = self._now_s
+        self.state.levels.take_demand(self.target_set, demand_percent, now_s)
+        self.state.centres.note(
+            self.target_set, peer.row.data_centre, demand_percent, now_s
+        )
+
     def _find_lost(self) -> base.Fingerprint | None:
         """Return what tells repeats of a request that may have run."""
         return self.standing.make_fingerprint() if self.may_have_run else None
--- a/sedgering/mesh/_state.py
+++ b/sedgering/mesh/_state.py
@@ -4,6 +4,7 @@
 import random
 
 from sedgering import access
+from sedgering import balance
 from sedgering.mesh import _budget
 from sedgering.mesh import _callers
 from sedgering.mesh import _choice
@@ -81,6 +82,7 @@
         self.callers = _callers.CallerTable()
         self.places = _search.FreePlaces()
         self.levels = overload.LevelTable()
+        self.centres = balance.CentreDemand()
         self.start = _start.StartWait()
         self.serving = _serving.ServingTime()
         #: Tells how current the version in force is.
