--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -72,6 +72,18 @@
     When a host that is no member lends its part
     Then three quarters of the rates are counted
 
+  Scenario: A bucket holds no more than the parts that are lent
+    Given a keeper with four hosts of which three have lent their part
+    When a workspace of it has rested for a second
+    Then its bucket holds three quarters of the capacity of a lane
+    When two of the three end what they lent
+    Then its bucket holds one quarter of the capacity of a lane
+
+  Scenario: A token ends, also one that is given back
+    Given a purse with two tokens that end at 5 s
+    When one is taken at 4.9 s, and given back at 5.1 s
+    Then no token can be taken at 5.1 s
+
   Scenario: A lower quota cuts what daemons hold
     Given 10 daemons and a workspace with 100 requests a second
     When it asks for 60 a second for 2 s, and then its quota falls to 10
@@ -113,6 +125,10 @@
     Then 4 tokens were taken, and targets saw more than 4 requests
 
   Scenario: The keeper of a mesh is killed
+    Begun as soon as all parts were lent, it failed once in 12 runs, with the
+    buckets half full once in 6: 35 answered, 5 refused with 429.  One lane of
+    56 tokens is left, and must hold the 40 that are asked for at once.
     Given a mesh of four hosts with a quota of 200 a second for "crew"
+    And the buckets of both lanes are full
     When a keeper is killed, and callers of another host send 40 requests
     Then at least 36 of them were answered
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -413,6 +413,59 @@
     subject.keeper.answer(ask, subject.now_s)
 
 
+CREW = {'crew': quota.QuotaPlan(100.0, 8.0, 1.0)}
+
+
+@when('a workspace of it has rested for a second')
+def step_rest(context):
+    subject = context.quota
+    subject.keeper.take_plans(CREW, subject.now_s)
+    subject.now_s += 1
+
+
+def _find_level(subject):
+    (shard,) = subject.keeper.shards
+    ask = quota.QuotaAsk('h9', shard, (quota.QuotaNeed('crew', 0, 0),))
+    subject.keeper.answer(ask, subject.now_s)
+    return subject.keeper.find_level(shard, 'crew')
+
+
+@then('its bucket holds three quarters of the capacity of a lane')
+def step_level(context):
+    assert _find_level(context.quota) == 6.0, _find_level(context.quota)
+
+
+@when('two of the three end what they lent')
+def step_end_two(context):
+    subject = context.quota
+    (shard,) = subject.keeper.shards
+    for host in ('h0', 'h1'):
+        ask = quota.QuotaAsk(host, shard, is_last=True)
+        subject.keeper.answer(ask, subject.now_s)
+
+
+@then('its bucket holds one quarter of the capacity of a lane')
+def step_level_after(context):
+    assert _find_level(context.quota) == 2.0, _find_level(context.quota)
+
+
+@given('a purse with two tokens that end at {end_s:g} s')
+def step_purse(context, end_s):
+    context.purse = quota.QuotaPurse()
+    context.purse.put('crew', 2, end_s)
+
+
+@when('one is taken at {taken_s:g} s, and given back at {back_s:g} s')
+def step_give_back(context, taken_s, back_s):
+    permit = context.purse.take('crew', taken_s)
+    context.purse.give_back(permit, back_s)
+
+
+@then('no token can be taken at {now_s:g} s')
+def step_no_more(context, now_s):
+    assert context.purse.take('crew', now_s) is None
+
+
 @when('the fourth lends by a moment that is long past')
 def step_late(context):
     _lend(context.quota, 'h3', 7, 5000)
@@ -490,6 +543,19 @@
         ]
         return shares.count(1.0) >= quota.LANES
 
+    def is_filled(self):
+        """Whether the buckets of both lanes are full."""
+        full = 0
+        for host in self.hosts:
+            quotas = host.daemon.state.quotas
+            least = 0.9 * quotas.plans['crew'].capacity
+            for shard in quotas.keeper.shards:
+                need = quota.QuotaNeed('crew', 0, 0)
+                ask = quota.QuotaAsk('nobody', shard, (need,))
+                quotas.keeper.answer(ask, quotas.now_s())
+                full += quotas.keeper.find_level(shard, 'crew') >= least
+        return full >= quota.LANES
+
     def ask_all(self, workspace, count, host=0, is_together=True):
         """Send requests of a workspace."""
         port = self.hosts[host].addresses.callers_port
@@ -531,6 +597,11 @@
     _make_crew(context, 4, rate)
 
 
+@given('the buckets of both lanes are full')
+def step_filled(context):
+    context.crew.fleet.wait_for(context.crew.is_filled)
+
+
 @when('callers of "{name}" send {count:d} requests at once')
 def step_send(context, name, count):
     context.crew.ask_all(name, count)
