The keeper that is killed: requests in turn, and none refused by the quota

Cause: with full buckets 3 of 10 runs failed, now with 503: 40 requests at once were also more than the targets' gates take. Ruled out: the quota; no answer was 429. Change: the requests come one after the other, at least 36 answered as before, and none refused with 429 besides.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -127,8 +127,10 @@
   Scenario: The keeper of a mesh is killed
     Begun as soon as all parts were lent, it failed once in 12 runs, with the
     buckets half full once in 6: 35 answered, 5 refused with 429.  One lane of
-    56 tokens is left, and must hold the 40 that are asked for at once.
+    56 tokens is left, and must hold the 40 that are asked for.  With 40 at once
+    gates were full, too, and 3 runs in 10 had refusals with 503.
     Given a mesh of four hosts with a quota of 200 a second for "crew"
     And the buckets of both lanes are full
     When a keeper is killed, and callers of another host send 40 requests
     Then at least 36 of them were answered
+    And none was refused with 429
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -689,7 +689,12 @@
     keeper = next(iter(drivers.values())).link.keeper
     crew.fleet.kill(crew.fleet.hosts[keeper])
     other = next(i for i, name in enumerate(crew.names) if name != keeper)
-    crew.ask_all('crew', count, other)
+    crew.ask_all('crew', count, other, is_together=False)
+
+
+@then('none was refused with 429')
+def step_no_quota_refusal(context):
+    assert not context.crew.list_refused(), context.crew.answers
 
 
 @then('at least {count:d} of them were answered')
