--- a/features/balance.feature
+++ b/features/balance.feature
@@ -100,9 +100,9 @@
     Then a call with 600 ms left that can wait near goes nowhere else
 
   Scenario Outline: As demand moves from one data centre to the next
-    Before, calls went to whoever was quickest: on wave-over-data-centres 32 %
-    of the bytes of answers crossed data centres, and on few-targets 36 %, with
-    as many calls in their goal, and one in a hundred more.
+    Before, calls went to whoever was quickest: on wave-over-data-centres 33 %
+    of the bytes of answers crossed data centres, and on few-targets 35 %, with
+    the same worth to within 0.005.
     Given the load "<load>" for 5 s
     When it is played with seed 1
     Then at least <in goal> % of "<kind>" end within their goal
@@ -110,8 +110,8 @@
 
     Examples:
       | load                   | kind    | in goal | far |
-      | wave-over-data-centres | look-up | 88      | 24  |
-      | few-targets            | view    | 88      | 34  |
+      | wave-over-data-centres | look-up | 88      | 18  |
+      | few-targets            | view    | 88      | 28  |
 
   Scenario Outline: What was told of the speed holds for a moment
     Given a target that told a slowness of <told> %, and 100 % before
--- a/sedgering/mesh/_settings.py
+++ b/sedgering/mesh/_settings.py
@@ -102,8 +102,8 @@
     suspect_limit_ms: settings.IntervalMs = 4000
     silence_ms: settings.IntervalMs = 800
     report_half_life_ms: settings.IntervalMs = 300
-    remote_gain_percent: settings.CountOrNone = 4
-    remote_gain_percent_per_kb: settings.CountOrNone = 1
+    remote_gain_percent: settings.CountOrNone = 6
+    remote_gain_percent_per_kb: settings.CountOrNone = 2
     remote_penalty_ms: settings.Count = 40
     remote_penalty_us_per_byte: settings.Count = 5
     shed_margin_percent: settings.Percent = 70
