What chooses targets for a request stands apart from the request

No behaviour changes. Measured: gate, search, model, centres, balance, overload, rollouts, quarantine, crashes and settings, 286 scenarios passed.

--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -13,7 +13,7 @@
 from sedgering import base
 from sedgering import mesh
 from sedgering.mesh import _choice
-from sedgering.mesh import _exchange
+from sedgering.mesh import _chooser
 from sedgering.mesh import _gate
 from sedgering.mesh import _gate_log
 from sedgering.mesh import _hop
@@ -263,7 +263,7 @@
 @then('a caller with a goal of {goal_ms:d} ms may still meet it')
 def step_may_meet(context, goal_ms):
     peers, _peer = make_told(context)
-    assert goal_ms > peers.typical_work_ms(ROUTE) * _exchange.HOPE_SHARE
+    assert goal_ms > peers.typical_work_ms(ROUTE) * _chooser.HOPE_SHARE
 
 
 def end_calls(subject, count, result, elapsed_ms):
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -1,14 +1,13 @@
 """One request of a caller: route, target, attempts, and what is told."""
 
 import asyncio
-from collections.abc import Sequence
 
 from sedgering import access
 from sedgering import base
 from sedgering import bundle as bundles
 from sedgering import exceptions
 from sedgering.mesh import _attempt
-from sedgering.mesh import _choice
+from sedgering.mesh import _chooser
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
 from sedgering.mesh import _progress
@@ -24,18 +23,11 @@
 
 #: Deadline of a request that states none is that of its route.
 MAX_DEADLINE_MS = 3_600_000
-#: Share of the typical work time that must be left until the goal for a
-#: request to count as one that may still meet it.
-HOPE_SHARE = 0.7
 #: Hosts that may name another target, and are asked again with it, or have
 #: none that listens, beyond the usual limit of hosts: such a refusal takes a
 #: round trip of 3 ms.  With four of six targets gone a caller was refused
 #: though two could have served it.
 CORRECTIONS_LIMIT = 8
-#: Hosts of the own data centre that are asked for a free place before one
-#: elsewhere is thought of: with one of two full another is free more often
-#: than not.
-NEAR_ASKS = 2
 #: Gates that may refuse a request before it is given up.
 SHEDS_LIMIT = 2
 #: Most attempts under way that a line names; few routes allow more.
@@ -90,18 +82,9 @@
         #: Taken from the quota of the workspace.
         self.token: quota.Permit | None = None
         self.caller_left_ms = 0
-        self.search: _search.Search | None = None
-        #: Hosts that had no free place, when that was asked.
-        self.busy_answers = 0
-        self.sheds = 0
-        self.corrections = 0
-        #: Whether a host could not be reached: a connection that is open
-        #: spares the caller another wait.
-        self.was_unreachable = False
+        #: From when its target set is asked.
+        self.chooser: _chooser.TargetChooser | None = None
         self.arrivals = 0
-        self.asked: list[base.HostId] = []
-        #: Of these, the ones that are not asked again.
-        self.tried: set[base.HostId] = set()
         self.may_have_run = False
         self.attempts: list[_attempt.Attempt] = []
         #: Done when any of them has news.
@@ -111,8 +94,6 @@
         self.identity = access.NOBODY
         #: Known from when it is known who asks.
         self.standing: _standing.KnownRequest | None = None
-        #: Target of a version on trial, where the request went first.
-        self.exposed: _peers.Peer | None = None
         self.answered: _messages.CallAnswer | None = None
         self.answered_by = base.HostId('')
 
@@ -167,9 +148,7 @@
 
     async def _serve(self) -> transport.Response:
         """Ask targets for as long as the request has time."""
-        self.search = _search.Search(
-            self.state.places, self.target_set, len(self.request.body)
-        )
+        self.chooser = self._make_chooser()
         limit = self.state.serving.limit(self.deadline_s)
         try:
             async with limit:
@@ -181,6 +160,21 @@
         finally:
             self.state.serving.forget(limit)
 
+    def _make_chooser(self) -> _chooser.TargetChooser:
+        """Make what chooses where the request goes."""
+        call = _chooser.ChosenCall(
+            self.target_set,
+            self.route.name,
+            len(self.request.body),
+            self.urgency,
+            self.deadline_s,
+            self.goal_s,
+        )
+        search = _search.Search(
+            self.state.places, call.target_set, call.body_bytes
+        )
+        return _chooser.TargetChooser(self.state, call, self.standing, search)
+
     def _make_asked(self) -> overload.AskedCall:
         """Make what decides whether its target set has room for it."""
         return overload.AskedCall(
@@ -283,7 +277,7 @@
 
     async def _drive(self) -> transport.Response:
         """Start attempts as they are needed, and take their answers in."""
-        peer = self._choose()
+        peer = self.chooser.choose()
         while True:
             if peer is not None:
                 self._start(peer)
@@ -301,13 +295,11 @@
 
     def _start(self, peer: _peers.Peer) -> None:
         """Start an attempt at a target."""
-        if not self.asked:
+        if not self.chooser.asked:
             self.state.budget.note_request(self.target_set, self._now_s)
-        self.asked.append(peer.row.host)
-        self.tried.add(peer.row.host)
-        self.search.forget(peer.row.host)
+        self.chooser.note_asked(peer.row.host)
         progress = _progress.AttemptProgress(peer.row.host, self._now_s)
-        expected_ms = self._make_costs().make_offer(peer).expected_ms
+        expected_ms = self.chooser.make_costs().make_offer(peer).expected_ms
         sent = self.state.sender.begin(
             peer, self._make_call(peer.row), progress
         )
@@ -352,190 +344,16 @@
 
     def _forget_sheds(self) -> None:
         """Let gates be asked again that were full before a long silence."""
-        self.sheds = 0
-        self.tried = {attempt.peer.row.host for attempt in self.attempts}
+        self.chooser.sheds = 0
+        self.chooser.tried = {
+            attempt.peer.row.host for attempt in self.attempts
+        }
 
     def _note_news(self, _future: asyncio.Future) -> None:
         """Wake up: an attempt has ended, or is silent for too long."""
         if not self._news.done():
             self._news.set_result(None)
 
-    def _choose(self) -> _peers.Peer | None:
-        if not self.asked and not self.standing.is_suspect:
-            peer = self._choose_exposed()
-            if peer is not None:
-                return peer
-        hops = len(self.asked) - self.corrections - self.busy_answers
-        if hops >= self.state.mesh_settings.hops_limit:
-            return None
-        if self.standing.is_suspect:
-            self.search.end(False)
-            return self._choose_trial_place()
-        if self.search.is_on:
-            peer = self._choose_maybe_free()
-            if peer is not None:
-                return peer
-            self.search.end(False)
-        return self._choose_shortest_wait() or self._choose_untried()
-
-    def _choose_exposed(self) -> _peers.Peer | None:
-        """Choose a target of a version on trial, if it may get one more call.
-
-        Only for a first attempt: what failed there goes to the version that
-        is known to serve.
-        """
-        state = self.state
-        now_s = self._now_s
-        rows = [
-            row
-            for row in state.fleet.trials.get(self.target_set, ())
-            if not state.peers.find(row).is_cold(now_s)
-        ]
-        if not rows or not state.exposure.may_expose(self.target_set):
-            return None
-        peer = self._choose_of(rows)
-        if peer is None or peer.is_suspect(now_s):
-            return None
-        state.exposure.note_exposed(self.target_set, 1)
-        self.exposed = peer
-        return peer
-
-    def _choose_trial_place(self) -> _peers.Peer | None:
-        """Choose the one target at which a suspect may run now.
-
-        All daemons choose the same one, so that a request which does harm
-        ends one target after the other, and none beside them.
-        """
-        peer = _choice.choose_trial_place(
-            self.state.fleet.by_set.get(self.target_set, ()),
-            self.state.peers,
-            self.standing.fingerprint,
-            self._now_s,
-        )
-        is_tried = peer is not None and peer.row.host in self.tried
-        return None if is_tried else peer
-
-    def _choose_maybe_free(self) -> _peers.Peer | None:
-        """Choose an untried host that may have a free place.
-
-        Whoever is known to be full is not asked: it would say so.
-        """
-        peer = self._choose_untried()
-        while peer is not None and peer.is_known_full(self._now_s):
-            host = peer.row.host
-            self.tried.add(host)
-            self.search.note_busy(host, peer.told_wait_ms)
-            if not self.search.is_on:
-                return None
-            peer = self._choose_untried()
-        return peer
-
-    def _choose_shortest_wait(self) -> _peers.Peer | None:
-        """Choose among the hosts that had no free place."""
-        for host in self.search.list_by_wait():
-            row = self.state.fleet.members.get(host)
-            if row is None or row.state is not _messages.TargetState.READY:
-                continue
-            peer = self.state.peers.find(row)
-            if self._now_s >= peer.closed_until_s:
-                return peer
-        return None
-
-    def _choose_untried(self) -> _peers.Peer | None:
-        """Choose among the hosts that were not asked yet."""
-        members = self.state.fleet.by_set.get(self.target_set, ())
-        near, far = _choice.split_candidates(
-            members, self.state.identity.data_centre, self.state.rng
-        )
-        if near and far and not self.was_unreachable:
-            peer = self._choose_near_first(near, far)
-        else:
-            peer = self._choose_drawn(members)
-        if peer is None or not self.sheds:
-            return peer
-        # One that is full has told the truth at once; a suspect would keep
-        # the caller waiting for an answer that may never come.
-        return None if peer.is_suspect(self._now_s) else peer
-
-    def _choose_near_first(
-        self,
-        near: Sequence[_messages.MemberRow],
-        far: Sequence[_messages.MemberRow],
-    ) -> _peers.Peer | None:
-        """Choose in the own data centre, unless others serve better."""
-        far = self._leave_out_short(far)
-        if not far:
-            return self._choose_of(near)
-        busy = None
-        if self.search.is_on and self.search.asks >= NEAR_ASKS:
-            busy = self._choose_shortest_wait()
-        peer = _choice.choose_near_first(
-            near, far, self.tried, self._make_costs(), self.state.rng, busy
-        )
-        if peer is None and busy is None:
-            members = self.state.fleet.by_set[self.target_set]
-            return self._choose_of(members)
-        return peer
-
-    def _leave_out_short(
-        self, far: Sequence[_messages.MemberRow]
-    ) -> Sequence[_messages.MemberRow]:
-        """Leave out data centres as short of room as the own one.
-
-        Not for calls of targets: their parents hold places until they end.
-        """
-        if self.urgency is _messages.CallUrgency.TARGET:
-            return far
-        is_short = self.state.centres.is_short
-        now_s = self._now_s
-        own = self.state.identity.data_centre
-        if not is_short(self.target_set, own, now_s):
-            return far
-        return [
-            row
-            for row in far
-            if not is_short(self.target_set, row.data_centre, now_s)
-        ]
-
-    def _choose_drawn(
-        self, members: Sequence[_messages.MemberRow]
-    ) -> _peers.Peer | None:
-        """Choose among some of a set, wherever they are."""
-        candidates = _choice.draw_candidates(
-            members, self.state.identity.data_centre, self.state.rng
-        )
-        peer = self._choose_of(candidates)
-        if peer is None and candidates is not members:
-            return self._choose_of(members)
-        return peer
-
-    def _choose_of(
-        self, members: Sequence[_messages.MemberRow]
-    ) -> _peers.Peer | None:
-        return _choice.choose_member(
-            members,
-            self.tried,
-            self._make_costs(),
-            self.state.rng,
-            self.was_unreachable,
-        )
-
-    def _make_costs(self) -> _choice.CallCosts:
-        """Make what the call costs, by the time that it has now."""
-        now_s = self._now_s
-        left_ms = self._find_goal_ms(now_s)
-        if not left_ms:
-            left_ms = (self.deadline_s - now_s) * 1000
-        return _choice.CallCosts(
-            self.state.peers,
-            self.state.identity.data_centre,
-            self.route.name,
-            len(self.request.body),
-            self.urgency is _messages.CallUrgency.TARGET,
-            now_s,
-            left_ms,
-        )
-
     def _make_call(self, row: _messages.MemberRow) -> _messages.TargetCall:
         now_s = self._now_s
         # Work that ends after this daemon would be done for nobody.
@@ -551,42 +369,36 @@
             is_repeatable=self.route.repeatable,
             urgency=self.urgency,
             remaining_ms=max(0, int((deadline_s - now_s) * 1000)),
-            goal_ms=self._find_goal_ms(now_s),
+            goal_ms=self.chooser.find_goal_ms(now_s),
             version=self.version,
-            may_wait=not self.search.is_on,
+            may_wait=not self.chooser.search.is_on,
             workspace=self.identity.workspace,
             workspace_priority=self.identity.priority,
         )
         self.standing.tell(call)
         return call
 
-    def _find_goal_ms(self, now_s: float) -> int:
-        """Return the time left until the goal; 0 when it cannot be met."""
-        goal_ms = int((self.goal_s - now_s) * 1000)
-        typical_ms = self.state.peers.typical_work_ms(self.route.name)
-        return goal_ms if goal_ms > typical_ms * HOPE_SHARE else 0
-
     def _learn(self, peer: _peers.Peer, answer: _messages.CallAnswer) -> None:
         """Remember what an answer tells of its target."""
         if answer.load is not None:
             self._learn_demand(peer, answer.load.demand_percent)
         if answer.reason is _Reason.BUSY:
-            if peer is self.exposed:
+            if peer is self.chooser.exposed:
                 self.state.exposure.note_exposed(self.target_set, -1)
-            self.busy_answers += 1
-            self.search.note_busy(peer.row.host, answer.retry_after_ms)
+            self.chooser.busy_answers += 1
+            self.chooser.search.note_busy(peer.row.host, answer.retry_after_ms)
             self.state.decisions.count_attempt(answer.reason)
             return
         self.standing.note(answer)
         if answer.reached_target:
             self.arrivals += 1
             self.state.exposure.note_arrival(self.target_set)
-        elif peer is self.exposed:
+        elif peer is self.chooser.exposed:
             self.state.exposure.note_exposed(self.target_set, -1)
         if answer.outcome is not _Outcome.NOT_RUN:
             self.may_have_run = True
         if self.arrivals or self.may_have_run:
-            self.search.end(True)
+            self.chooser.search.end(True)
         if answer.outcome is _Outcome.ANSWERED:
             self.state.peers.note_answer(
                 self.route.name, len(answer.response.body)
@@ -594,22 +406,24 @@
             self.answered = answer
             self.answered_by = peer.row.host
         if answer.member is not None and self._may_ask_again(peer, answer):
-            self.corrections += 1
-            self.tried.discard(peer.row.host)
+            self.chooser.corrections += 1
+            self.chooser.tried.discard(peer.row.host)
         elif answer.reason in _CLOSING_REASONS:
             peer.close(self._now_s, answer.reason)
             if answer.reason is _Reason.TARGET_UNKNOWN:
-                self.corrections += self.corrections < CORRECTIONS_LIMIT
+                self.chooser.corrections += (
+                    self.chooser.corrections < CORRECTIONS_LIMIT
+                )
         elif answer.reason is _Reason.SUSPECTED:
             # It may be the place where the request may run.
-            self.tried.discard(peer.row.host)
+            self.chooser.tried.discard(peer.row.host)
         elif answer.reason is _Reason.CONNECTION_LOST and answer.crashes:
             # Its target has ended; its row tells so a moment later.
             peer.close(self._now_s, _Reason.TARGET_UNKNOWN)
         elif answer.reason is _Reason.UNREACHABLE:
-            self.was_unreachable = True
+            self.chooser.was_unreachable = True
         elif answer.reason in _FULL_REASONS:
-            self.sheds += answer.reason is _Reason.SHED
+            self.chooser.sheds += answer.reason is _Reason.SHED
             peer.shed_until_s = self._now_s + answer.retry_after_ms / 2000
         if answer.outcome is not _Outcome.ANSWERED:
             self.state.decisions.log_attempt(
@@ -640,7 +454,7 @@
         told = answer.member
         self.state.take_told(told)
         is_other = told.lifetime != peer.row.lifetime
-        return is_other and self.corrections < CORRECTIONS_LIMIT
+        return is_other and self.chooser.corrections < CORRECTIONS_LIMIT
 
     def _is_final(self, answer: _messages.CallAnswer) -> bool:
         """Whether the answer goes to the caller as it is."""
@@ -659,7 +473,11 @@
         if is_not_run and not answer.reached_target:
             # Nothing arrived at a target: neither attempts nor the
             # retry budget are touched.
-            return self._choose() if self.sheds < SHEDS_LIMIT else None
+            return (
+                self.chooser.choose()
+                if self.chooser.sheds < SHEDS_LIMIT
+                else None
+            )
         if is_not_run or self.route.repeatable:
             return self._choose_repeat(not is_not_run)
         return None
@@ -668,7 +486,7 @@
         """Choose where to send again, if that is allowed, and pay for it."""
         if not self._may_send_again():
             return None
-        peer = self._choose()
+        peer = self.chooser.choose()
         if peer is None or not self._spend(has_run):
             return None
         return peer
@@ -729,7 +547,7 @@
             int(code),
             self.route.name if self.route else _messages.NO_ROUTE,
             self.target_set,
-            tuple(self.asked),
+            tuple(self.chooser.asked) if self.chooser else (),
             self.describe_attempts(),
             self.last,
             self._elapsed_ms(),
