--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -257,10 +257,10 @@
     async def check():
         watch = mesh.PauseWatch()
         now_s = asyncio.get_running_loop().time()
-        watch.note_beat(now_s - pause_s - _pause.BEAT_S)
+        watch.note_tick(now_s - pause_s - _pause.TICK_S)
         # Not yet beaten again, then just beaten again.
         assert abs(watch.find_lag_s() - pause_s) < 0.1
-        watch.note_beat(now_s)
+        watch.note_tick(now_s)
         assert abs(await watch.settle() - pause_s) < 0.1
         assert watch.find_lag_s() == 0
 
@@ -272,7 +272,7 @@
     async def check():
         watch = mesh.PauseWatch()
         now_s = asyncio.get_running_loop().time()
-        watch.note_beat(now_s + _pause.BEAT_S + late_s)
+        watch.note_tick(now_s + _pause.TICK_S + late_s)
         assert watch.find_lag_s() == 0
 
     asyncio.run(check())
--- a/sedgering/mesh/_pause.py
+++ b/sedgering/mesh/_pause.py
@@ -8,9 +8,9 @@
 
 LOG = logging.getLogger(__name__)
 
-#: Between two beats.
-BEAT_S = 0.1
-#: A beat that is later than this was held up: a busy loop is late by some
+#: Between two ticks.
+TICK_S = 0.1
+#: A tick that is later than this was held up: a busy loop is late by some
 #: tens of milliseconds, a stopped process by seconds.
 LATE_S = 0.5
 #: For how long after a pause requests are taken as read late, and how long
@@ -29,39 +29,39 @@
 
     def __init__(self):
         self._loop = asyncio.get_running_loop()
-        self._beat_s = self._loop.time()
+        self._tick_s = self._loop.time()
         self._lag_s = 0.0
         self._until_s = 0.0
         self._longest_lag_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
-    def start(self, on_beat: Callable[[float], None]) -> None:
+    def start(self, on_tick: Callable[[float], None]) -> None:
         """Beat again and again, until :meth:`stop`.
 
         Parameters
         ----------
-        on_beat : callable
-            Called with the time after each beat: what else is looked at so
+        on_tick : callable
+            Called with the time after each tick: what else is looked at so
             often wakes the process up no second time.
         """
-        self._timer = self._loop.call_later(BEAT_S, self._beat, on_beat)
+        self._timer = self._loop.call_later(TICK_S, self._tick, on_tick)
 
     def stop(self) -> None:
         """Beat no more."""
         if self._timer is not None:
             self._timer.cancel()
 
-    def _beat(self, on_beat: Callable[[float], None]) -> None:
-        # First of all, so that no defect of others ends the beat.
-        self.start(on_beat)
+    def _tick(self, on_tick: Callable[[float], None]) -> None:
+        # First of all, so that no defect of others ends the tick.
+        self.start(on_tick)
         now_s = self._loop.time()
-        self.note_beat(now_s)
-        on_beat(now_s)
+        self.note_tick(now_s)
+        on_tick(now_s)
 
-    def note_beat(self, now_s: float) -> None:
-        """Take in one beat."""
-        lag_s = now_s - self._beat_s - BEAT_S
-        self._beat_s = now_s
+    def note_tick(self, now_s: float) -> None:
+        """Take in one tick."""
+        lag_s = now_s - self._tick_s - TICK_S
+        self._tick_s = now_s
         self._longest_lag_s = max(self._longest_lag_s, lag_s)
         if lag_s > LATE_S:
             self._lag_s = lag_s
@@ -71,14 +71,14 @@
     def find_lag_s(self) -> float:
         """Return for how long a request read now may have waited unread."""
         now_s = self._loop.time()
-        lag_s = now_s - self._beat_s - BEAT_S
+        lag_s = now_s - self._tick_s - TICK_S
         if lag_s > LATE_S:
             return lag_s
         return self._lag_s if now_s < self._until_s else 0.0
 
     def take_longest_lag_s(self) -> float:
-        """Return by how much the latest beat since the last call was late."""
-        late_s = self._loop.time() - self._beat_s - BEAT_S
+        """Return by how much the latest tick since the last call was late."""
+        late_s = self._loop.time() - self._tick_s - TICK_S
         longest_s = max(0.0, self._longest_lag_s, late_s)
         self._longest_lag_s = 0.0
         return longest_s
--- a/sedgering/mesh/_quota_shard.py
+++ b/sedgering/mesh/_quota_shard.py
@@ -17,7 +17,7 @@
 ASK_S = 0.35
 #: A daemon that needs nothing lends its part again after so long, which is
 #: twice within `quota.LEASE_S`.
-BEAT_S = 0.5
+RENEW_S = 0.5
 #: Least time between two messages to a keeper: what is needed meanwhile goes
 #: together.
 GAP_S = 0.01
@@ -128,7 +128,7 @@
             LOG.exception('quotas not asked for')
 
     async def _wait_until_due(self) -> None:
-        due_s = self._sent_s + BEAT_S * self.quotas.rng.uniform(0.8, 1.0)
+        due_s = self._sent_s + RENEW_S * self.quotas.rng.uniform(0.8, 1.0)
         try:
             async with asyncio.timeout_at(due_s):
                 await self._woken.wait()
