--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -23,6 +23,8 @@
     ('linter', ['flake8']),
 )
 TIMEOUT_S = 1800
+#: Last lines of what a step said that failed: the assertion and its values.
+CAUSE_LINES = 6
 #: The same verdict every run: no hash seed of the day, no cached examples.
 ENVIRONMENT = {**os.environ, 'PYTHONHASHSEED': '0'}
 
@@ -94,6 +96,7 @@
         seen.update(name for name, _is_passed in results)
         red = [name for name, is_passed in results if not is_passed]
         passed += len(results) - len(red)
+        print_causes(feature)
         for name in red:
             if name in known:
                 excused += 1
@@ -109,6 +112,19 @@
     return passed, failed, excused
 
 
+def print_causes(feature: dict) -> None:
+    """Print the step at which each scenario failed, and what it said."""
+    for element in feature['elements']:
+        for step in element.get('steps', ()):
+            result = step.get('result', {})
+            lines = result.get('error_message') or []
+            if isinstance(lines, str):
+                lines = lines.splitlines()
+            if lines:
+                print(f'{element["location"]}: {step["name"]}')
+                print('    ' + '\n    '.join(lines[-CAUSE_LINES:]))
+
+
 def name_scenario(feature: dict, element: dict) -> str:
     """Return file and name of a scenario, one for all rows of an outline."""
     path = feature['location'].partition(':')[0]
