--- a/sedgering/balance/_distance.py
+++ b/sedgering/balance/_distance.py
@@ -32,7 +32,7 @@
     """By how much a target elsewhere must serve a call better.
 
     An answer that comes sooner than its caller wants it is worth no more,
-    and what crosses data centres is paid for.  So the shares of calls in
+    and the links between data centres are shared.  So the shares of calls in
     time are compared, not times.
 
     Parameters
