Near targets are drawn in one place

Cause: draw_candidates and split_candidates drew those of the own data centre with the same lines. Ruled out: one function for both, since the rest of the draw differs. Change: _draw_near; the same draws from the same seed.

--- a/sedgering/mesh/_choice.py
+++ b/sedgering/mesh/_choice.py
@@ -213,10 +213,20 @@
     """
     if len(members) <= MOST_COMPARED:
         return members
+    near = _draw_near(members, data_centre, rng)
+    return [*near, *rng.sample(members, MOST_COMPARED - len(near))]
+
+
+def _draw_near(
+    members: Sequence[_messages.MemberRow],
+    data_centre: base.DataCentre,
+    rng: random.Random,
+) -> list[_messages.MemberRow]:
+    """Draw targets of the own data centre."""
     near = [row for row in members if row.data_centre == data_centre]
     if len(near) > NEAR_COMPARED:
-        near = rng.sample(near, NEAR_COMPARED)
-    return [*near, *rng.sample(members, MOST_COMPARED - len(near))]
+        return rng.sample(near, NEAR_COMPARED)
+    return near
 
 
 def split_candidates(
@@ -237,10 +247,8 @@
     rng : random.Random
         Source of the draw.
     """
-    near = [row for row in members if row.data_centre == data_centre]
+    near = _draw_near(members, data_centre, rng)
     far = [row for row in members if row.data_centre != data_centre]
-    if len(near) > NEAR_COMPARED:
-        near = rng.sample(near, NEAR_COMPARED)
     if len(far) > MOST_COMPARED - len(near):
         far = rng.sample(far, MOST_COMPARED - len(near))
     return near, far
