Log the rate limit that a target states in its answers

The daemon beside the target now decodes the field, logs 'target rate limit' when it begins, ends or changes by a tenth, and shows sedgering_target_rate_limit_per_s. Nothing is decided by it yet.

An answer without the field ends the limit only if its request was sent after the last answer with it had arrived: answers overtake one another.

--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -402,6 +402,7 @@
                 'gate_running': gate.running,
                 'gate_waiting': gate.waiting,
                 'gate_limit': gate.limit,
+                **self.state.target_client.signals.find_gauges(),
                 'is_ready': int(self.is_ready),
                 'requests_suspected': len(self.state.crashes),
                 'requests_quarantined': self.state.crashes.quarantined,
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -144,6 +144,11 @@
         Running calls, waiting calls and slots, in answers of targets. Some
         targets add how long work currently takes, in percent of the usual
         time.
+    rate_limit : str
+        Requests a second that a target in need takes from all callers
+        together, in each of its answers.
+    leaving : str
+        Set by a target that is leaving in each of its answers.
     workspace : str
         Name of the workspace that sends the request, for the target.
     key_scheme : str
@@ -158,6 +163,8 @@
     not_run: str
     target: str
     load: str
+    rate_limit: str = 'X-Rate-Limit'
+    leaving: str = 'X-Leaving'
     workspace: str = 'X-Workspace'
     key_scheme: str = 'Bearer'
 
--- a/sedgering/mesh/_target_client.py
+++ b/sedgering/mesh/_target_client.py
@@ -14,8 +14,10 @@
 from sedgering.mesh import _gate_log
 from sedgering.mesh import _link
 from sedgering.mesh import _link_reservations
+from sedgering.mesh import _local_signals
 from sedgering.mesh import _messages
 from sedgering.mesh import _settings
+from sedgering.mesh import _signals
 from sedgering.mesh import _target
 from sedgering.mesh import _trials
 from sedgering.mesh import _version_trial
@@ -84,6 +86,7 @@
         self.link_reservations = link_reservations
         self.answer_admission = answer_admission
         self.speed = balance.OwnSpeed(gate.now_s)
+        self.signals = _local_signals.LocalSignals(gate.now_s)
         self.is_leaving = False
         #: The member row of this host, once it is known.
         self.row: _messages.MemberRow | None = None
@@ -547,8 +550,20 @@
             del self._in_flight[connection]
         self.pool.put(connection)
         self.note_load(response.find(self._load_name))
+        self._note_signals(response, sent)
         return self._classify(response, call)
 
+    def _note_signals(
+        self, response: transport.Response, sent: _crash_watch.SentCall
+    ) -> None:
+        """Process what an answer of the current lifetime states about it."""
+        is_current = sent.lifetime == self.target.lifetime
+        if response.status == MISDIRECTED or not is_current:
+            # Another lifetime has answered, or the one that did has ended.
+            return
+        signals = _signals.decode_signals(response, self.names)
+        self.signals.note(signals, sent.lifetime, sent.at_s)
+
     def _make_sent_call(
         self,
         call: _messages.TargetCall,
--- a/sedgering/observability/_logs.py
+++ b/sedgering/observability/_logs.py
@@ -27,6 +27,7 @@
     'fingerprints',
     'key_head',
     'lag_ms',
+    'limit_per_s',
     'load',
     'operation_id',
     'outcome',
--- a/sedgering/platform/_wire.py
+++ b/sedgering/platform/_wire.py
@@ -28,6 +28,8 @@
     not_run='X-Not-Executed',
     target='X-Instance-Id',
     load='X-Server-Load',
+    rate_limit='Server-Limit',
+    leaving='Server-Leaving',
     workspace='X-Tenant',
     key_scheme='Token',
 )
