--- a/sedgering/testing/_mesh_target.py
+++ b/sedgering/testing/_mesh_target.py
@@ -80,7 +80,9 @@
     async def _answer(self, line: str, headers, body: bytes) -> None:
         state = self.state
         request_id = transport.find_header(headers, 'x-request-id')
+        now_s = asyncio.get_running_loop().time()
         if line.startswith('GET /health '):
+            state.health_checks_s.append(now_s)
             status = (
                 '503 Service Unavailable' if state.is_leaving else '200 OK'
             )
@@ -94,6 +96,7 @@
         if expected not in (None, state.target):
             self._write('421 Misdirected Request', [], b'')
             return
+        state.arrivals.append((now_s, request_id))
         if state.habit is TargetHabit.SHED:
             self._write(
                 '503 Service Unavailable', [('X-Not-Executed', '1')], b''
@@ -156,6 +159,7 @@
 
     def _write(self, status, headers, body, is_framed=True, missing=0) -> None:
         lines = [f'HTTP/1.1 {status}']
+        headers = [*headers, *self.state.signal_fields]
         lines += [f'{name}: {value}' for name, value in headers]
         if is_framed:
             lines.append(f'Content-Length: {len(body) + missing}')
@@ -177,6 +181,12 @@
         self.habit = TargetHabit.SOUND
         #: Load report that it sends in `X-Server-Load`.
         self.load_field = '0,0,2'
+        #: Fields that it adds to each answer, such as a rate limit.
+        self.signal_fields: list[tuple[str, str]] = []
+        #: Time and id of each request that reached it, refused ones included;
+        #: times of health checks.
+        self.arrivals: list[tuple[float, str]] = []
+        self.health_checks_s: list[float] = []
         self.work_s = 0.0
         #: Minimum size of response bodies, which are padded with spaces.
         self.body_bytes = 0
