A share of calls in time survives a limit that rounds to nothing

balance.EndTimes.find_share raised 'math domain error' for a limit so small that its quotient by the estimate is 0.

--- a/features/steps/balance_steps.py
+++ b/features/steps/balance_steps.py
@@ -22,6 +22,8 @@
 from sedgering import transport
 
 SET = 'calendar'
+#: Smallest positive number, whose half is rounded to 0.
+SMALLEST_MS = 5e-324
 ADDRESS = '127.0.0.1'
 HEALTH_PATH = '/health'
 LOADS = pathlib.Path(__file__).parents[2] / 'examples' / 'loads'
@@ -196,6 +198,7 @@
     notes = st.lists(st.tuples(times_ms, times_ms), max_size=30)
 
     @strategies.PROPERTY
+    @hypothesis.example([], 2.0, 0.0, SMALLEST_MS)
     @hypothesis.given(notes, times_ms, times_ms, times_ms)
     def check(learned, expected_ms, one_ms, other_ms):
         ends = balance.EndTimes()
--- a/sedgering/balance/_end_times.py
+++ b/sedgering/balance/_end_times.py
@@ -91,6 +91,9 @@
         if limit_ms <= 0:
             return 0.0
         ratio = limit_ms / max(MIN_MS, expected_ms)
+        if not ratio:
+            # A limit so small that the quotient is rounded to 0.
+            return 0.0
         errors = self._routes.get(route)
         mean, spread = 0.0, DEFAULT_SPREAD
         if errors is not None:
