Stop at targets that state that they are leaving

A target that leaves says so in all its answers.

Cause: the field was not read; only reports and rows closed a target. Now the daemon beside the target closes its gate and writes its row as for a draining report, which no later report of that lifetime opens again. Each daemon keeps by lifetime who stated it in an answer to it, apart from the member table, and asks no such target, whatever rows say. At most 2048 targets are kept; those that leave go last. A malformed limit beside it hides nothing.

--- a/features/signals.feature
+++ b/features/signals.feature
@@ -69,6 +69,64 @@
     And 20 calls arrive there whose senders know a limit of 2
     Then its target got at most 2 of them before its first answer
 
+  # Guards against a target that gets calls after its answers said that it is
+  # leaving, because a table or a restarted daemon takes it for ready.
+  Scenario Outline: Who was told that a target is leaving sends nothing more
+    Given a mesh with two calendar hosts and a third one without a target
+    And the targets work 0.1 s
+    When callers of all hosts ask for 1 s
+    And the target of the first host begins to state that it is leaving
+    And callers of each other host ask for 1 s
+    And <event>
+    And its target reports that it is ready
+    And callers of each other host ask for 1 s
+    Then the first target got nothing from hosts that were told
+    And callers were answered in the last second
+
+    Examples:
+      | event                                                    |
+      | the daemon of the first host is killed and started again |
+      | all rows say that its target is ready                    |
+
+  # Guards against a target that is asked by all daemons until its report comes.
+  Scenario: A target that states that it is leaving is closed for all
+    Given a mesh with two calendar hosts and a third one without a target
+    When the target of the first host begins to state that it is leaving
+    And callers of all hosts ask for 1 s
+    And its target reports that it is ready
+    Then the first target got at most 3 requests
+    And all daemons know that the first target is draining
+
+  # Guards against a set whose targets all leave and are asked nevertheless.
+  Scenario: Where all targets leave, callers are told to return
+    Given a mesh with two calendar hosts and a third one without a target
+    When both targets begin to state that they are leaving
+    And callers of all hosts ask for 1 s
+    And all rows say that both targets are ready
+    And callers of each other host ask for 1 s
+    Then both targets got nothing in that time
+    And all callers were told to return
+
+  Scenario Outline: The value of the field that states that a target leaves
+    When a target states "<value>" in the field for leaving targets
+    Then it is <state>, and SDG-6301 is <logged>
+
+    Examples:
+      | value | state   | logged     |
+      | 1     | leaving | not logged |
+      | 0     | staying | not logged |
+      | yes   | staying | logged     |
+
+  # Guards against a target that a malformed limit keeps open.
+  Scenario: A malformed limit hides nothing else
+    When a target states the limit "many" and that it is leaving
+    Then it is leaving, and SDG-6301 is logged
+
+  Scenario: Targets that are leaving are remembered longest
+    When a target states that it is leaving, and 5000 others a limit
+    Then the first one is still known to be leaving
+    And its next lifetime under the same name is not
+
   Scenario Outline: A malformed limit is ignored and logged
     When the target states "<before>", and then "<field>"
     Then its limit is <limit>, and SDG-6301 is <logged>
--- a/features/steps/signal_steps.py
+++ b/features/steps/signal_steps.py
@@ -9,6 +9,7 @@
 import hypothesis
 from hypothesis import strategies as st
 import mesh_steps
+import msgspec
 
 from sedgering import exceptions
 from sedgering import mesh
@@ -47,7 +48,12 @@
         #: When requests were refused, with their ids and answers.
         self.refused: list[tuple[float, str, transport.Response]] = []
         self.answered_s: list[float] = []
+        #: Hosts that passed on an answer of a target that is leaving.
+        self.told_hosts: set[str] = set()
+        #: The same, before the last load.
+        self.told_before: frozenset[str] = frozenset()
         self.first_load_s = 0.0
+        self.last_load_s = 0.0
         self.limit_per_s = 0.0
 
     @property
@@ -69,6 +75,8 @@
     ) -> None:
         """Ask at all hosts, but for one, at the same time."""
         self.first_load_s = self.first_load_s or self.now_s()
+        self.last_load_s = self.now_s()
+        self.told_before = frozenset(self.told_hosts)
         end_s = self.now_s() + seconds
 
         async def ask_all():
@@ -93,6 +101,8 @@
                 X_Request_Deadline='1500',
             )
             self.answers.append(answer)
+            if answer.find(platform.HEADERS.leaving.lower()):
+                self.told_hosts.add(host.name)
             if answer.status == 200:
                 self.answered_s.append(self.now_s())
                 await asyncio.sleep(CALL_PAUSE_S)
@@ -189,6 +199,11 @@
     context.signals.ask_for(seconds, count)
 
 
+@when('callers of each other host ask for {seconds:g} s')
+def step_ask_others(context, seconds):
+    context.signals.ask_for(seconds, skipped=context.mesh.first)
+
+
 @when('{count:d} callers of each other host ask for {seconds:g} s')
 def step_ask_elsewhere(context, count, seconds):
     context.signals.ask_for(seconds, count, context.mesh.first)
@@ -320,6 +335,112 @@
     assert subject.now_s() - last_s < 1.0, subject.now_s() - last_s
 
 
+@when('the target of the first host begins to state that it is leaving')
+def step_leaving(context):
+    context.mesh.first.books.is_leaving = True
+
+
+@when('both targets begin to state that they are leaving')
+def step_both_leaving(context):
+    for books in context.signals.calendar_books:
+        books.is_leaving = True
+
+
+@when('its target reports that it is ready')
+def step_reports_ready(context):
+    subject = context.mesh
+    # A restarted daemon waits for a second report.
+    for _ in range(2):
+        assert subject.fleet.report(subject.first) == 200
+
+
+@when('all rows say that its target is ready')
+def step_rows_ready(context):
+    publish_ready_rows(context, [context.mesh.first])
+
+
+@when('all rows say that both targets are ready')
+def step_both_rows_ready(context):
+    publish_ready_rows(context, [context.mesh.first, context.mesh.second])
+
+
+def publish_ready_rows(context, hosts) -> None:
+    """Let all daemons read rows of ready targets, as of an earlier time."""
+    subject = context.mesh
+
+    async def merge():
+        for host in subject.fleet.hosts.values():
+            daemon = host.daemon
+            members = dict(daemon.state.fleet.members)
+            for stale in hosts:
+                row = members[stale.name]
+                members[stale.name] = msgspec.structs.replace(
+                    row, state=mesh.TargetState.READY
+                )
+            daemon.merge_members(members)
+
+    subject.fleet.run(merge())
+
+
+@then('the first target got nothing from hosts that were told')
+def step_first_nothing(context):
+    subject = context.signals
+    told = subject.told_before
+    origins = [
+        request_id.rpartition('-')[0].rpartition('-')[0]
+        for at_s, request_id in context.mesh.first.books.arrivals
+        if at_s >= subject.last_load_s
+    ]
+    assert told and not told & set(origins), (told, origins)
+
+
+@then('both targets got nothing in that time')
+def step_both_nothing(context):
+    check_nothing(context, context.signals.calendar_books)
+
+
+def check_nothing(context, all_books) -> None:
+    """Check that targets got no request in the last load."""
+    subject = context.signals
+    for books in all_books:
+        times_s = list_arrivals(books, subject.last_load_s)
+        assert not times_s, len(times_s)
+
+
+@then('all callers were told to return')
+def step_told(context):
+    subject = context.signals
+    answers = [
+        answer
+        for at_s, _id, answer in subject.refused
+        if at_s >= subject.last_load_s
+    ]
+    assert len(answers) > 10, len(answers)
+    for answer in answers:
+        assert answer.status == NOT_RUN, answer
+        assert float(answer.find('retry-after')) > 0, answer
+
+
+@then('the first target got at most {count:d} requests')
+def step_few(context, count):
+    arrivals = context.mesh.first.books.arrivals
+    assert len(arrivals) <= count, len(arrivals)
+
+
+@then('all daemons know that the first target is draining')
+def step_known_draining(context):
+    subject = context.mesh
+
+    def is_known():
+        return all(
+            host.daemon.state.fleet.members[subject.first.name].state
+            is mesh.TargetState.DRAINING
+            for host in subject.fleet.hosts.values()
+        )
+
+    subject.fleet.wait_for(is_known)
+
+
 class _LogRecords(logging.Handler):
     """Keeps the log records of one scenario."""
 
@@ -343,8 +464,8 @@
     return None if text == 'none' else float(text)
 
 
-@when('the target states "{before}", and then "{field}"')
-def step_states(context, before, field):
+def keep_log(context) -> None:
+    """Keep the log records about malformed signals."""
     handler = _LogRecords()
     logger = logging.getLogger(_signals.__name__)
     logger.addHandler(handler)
@@ -352,6 +473,11 @@
     logging.disable(logging.NOTSET)
     context.cleanups.append(lambda: logging.disable(logging.CRITICAL))
     context.log_records = handler.records
+
+
+@when('the target states "{before}", and then "{field}"')
+def step_states(context, before, field):
+    keep_log(context)
     context.local = _local_signals.LocalSignals(lambda: 0.0)
     for item in (before, field):
         signals = _signals.decode_signals(
@@ -363,8 +489,13 @@
 @then('its limit is {limit}, and SDG-6301 is {logged}')
 def step_logged(context, limit, logged):
     assert context.local.rate_limit_per_s == parse_limit(limit)
+    check_logged(context, logged)
+
+
+def check_logged(context, logged) -> None:
+    """Check whether a malformed signal was logged, once."""
     codes = [record.code for record in context.log_records]
-    expected = [int(exceptions.Code.ANSWER_RATE_LIMIT)]
+    expected = [int(exceptions.Code.ANSWER_SIGNAL)]
     assert codes == (expected if logged == 'logged' else []), codes
 
 
@@ -516,6 +647,59 @@
     check_examples(check, st.floats(0, 60), BUCKET_STEPS)
 
 
+@when('a target states "{value}" in the field for leaving targets')
+def step_leaving_value(context, value):
+    take_signals(context, [(platform.HEADERS.leaving, value)])
+
+
+@when('a target states the limit "{limit}" and that it is leaving')
+def step_limit_and_leaving(context, limit):
+    leaving = platform.HEADERS.leaving
+    take_signals(context, [(LIMIT_FIELD, limit), (leaving, '1')])
+
+
+def take_signals(context, fields) -> None:
+    """Let a daemon and its table take an answer with some fields."""
+    keep_log(context)
+    answer = transport.Response(200, fields)
+    signals = _signals.decode_signals(answer, platform.HEADERS)
+    _local_signals.LocalSignals(lambda: 0.0).note(signals, LIFETIME, 0.0)
+    context.table_of_signals = _signal_table.SignalTable()
+    context.table_of_signals.note(LIFETIME, signals, 0.0, 1.0)
+
+
+@then('it is {state}, and SDG-6301 is {logged}')
+def step_leaving_state(context, state, logged):
+    row = testing.make_member_row('hall', target='i-1')
+    is_leaving = context.table_of_signals.is_leaving(row)
+    assert is_leaving == (state == 'leaving')
+    check_logged(context, logged)
+
+
+@when('a target states that it is leaving, and {count:d} others a limit')
+def step_leaving_and_others(context, count):
+    context.table_of_signals = _signal_table.SignalTable()
+    context.table_of_signals.note(
+        mesh.Lifetime('i-old', 10), _signals.TargetSignals(None, True), 0, 1
+    )
+    for number in range(count):
+        context.table_of_signals.note(
+            mesh.Lifetime(f'i-{number}'), _signals.TargetSignals(5.0), 0, 1
+        )
+
+
+@then('the first one is still known to be leaving')
+def step_still_leaving(context):
+    row = testing.make_member_row('hall', target='i-old', born_ms=10)
+    assert context.table_of_signals.is_leaving(row)
+
+
+@then('its next lifetime under the same name is not')
+def step_next_lifetime(context):
+    row = testing.make_member_row('hall', target='i-old', born_ms=20)
+    assert not context.table_of_signals.is_leaving(row)
+
+
 @when('{count:d} targets state a limit in turn')
 def step_many_targets(context, count):
     context.table_of_signals = _signal_table.SignalTable()
--- a/sedgering/exceptions.py
+++ b/sedgering/exceptions.py
@@ -104,7 +104,10 @@
     REPORT_LIFETIME = 6004, 'report does not tell its start; nothing changed'
     MEMBER_UNREADABLE = 6101, 'member row cannot be decoded; names no target'
     ROLLOUT_UNREADABLE = 6201, 'order or row of a rollout cannot be decoded'
-    ANSWER_RATE_LIMIT = 6301, 'rate limit of a target is malformed; ignored'
+    ANSWER_SIGNAL = (
+        6301,
+        'field of an answer of a target is malformed; ignored',
+    )
 
 
 class SedgeringError(Exception):
--- a/sedgering/mesh/_choice.py
+++ b/sedgering/mesh/_choice.py
@@ -347,7 +347,7 @@
         if row.host in tried:
             continue
         peer = costs.peers.find(row)
-        if now_s < peer.closed_until_s:
+        if now_s < peer.closed_until_s or costs.peers.signals.is_leaving(row):
             continue
         cost_ms = costs.estimate_ms(peer)
         cost_ms *= 1 + NOISE_SHARE * rng.random()
@@ -385,7 +385,12 @@
     now_s : float
         Time of the event loop.
     """
-    candidates = [row for row in members if _is_usable(peers.find(row), now_s)]
+    candidates = [
+        row
+        for row in members
+        if _is_usable(peers.find(row), now_s)
+        and not peers.signals.is_leaving(row)
+    ]
     if not candidates:
         return None
     best = max(
--- a/sedgering/mesh/_chooser.py
+++ b/sedgering/mesh/_chooser.py
@@ -176,7 +176,8 @@
             if row is None or row.state is not _messages.TargetState.READY:
                 continue
             peer = self.state.peers.find(row)
-            if self._now_s >= peer.closed_until_s:
+            is_leaving = self.state.peers.signals.is_leaving(row)
+            if self._now_s >= peer.closed_until_s and not is_leaving:
                 return peer
         return None
 
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -128,6 +128,7 @@
         self._unconfirmed_report: _messages.TargetReport | None = None
         self.is_leaving = False
         state.target_client.watch.on_crash = self._send_crash_notices
+        state.target_client.on_leaving = self._publish_target
         self.limit_check = _limit_check.LimitCheck(
             state.target_client, self._check_health, self._start_task
         )
--- a/sedgering/mesh/_gate.py
+++ b/sedgering/mesh/_gate.py
@@ -46,7 +46,7 @@
 #: a target that takes next to nothing stays finite.
 MIN_RATE_SLOTS = 0.1
 #: Upper bound of the reported demand.
-MAX_DEMAND_PERCENT = 1000
+MAX_DEMAND_PERCENT = 300
 #: Shortest time until a queued call is reviewed: about the time in which one
 #: of twelve slots becomes free.
 MIN_REVIEW_MS = 10
--- a/sedgering/mesh/_local_signals.py
+++ b/sedgering/mesh/_local_signals.py
@@ -59,10 +59,10 @@
             When the request was sent.
         """
         self._follow(lifetime)
-        if signals.malformed:
-            if not self._has_logged_malformed:
-                _signals.log_malformed(lifetime.target, signals.malformed)
+        if signals.malformed and not self._has_logged_malformed:
             self._has_logged_malformed = True
+            _signals.log_malformed(lifetime.target, signals.malformed)
+        if signals.is_limit_malformed:
             return False
         is_changed = self._limit.note(
             signals.rate_limit_per_s, sent_s, self.now_s()
--- a/sedgering/mesh/_signal_table.py
+++ b/sedgering/mesh/_signal_table.py
@@ -1,5 +1,7 @@
 """What the targets that this daemon calls state about themselves."""
 
+import logging
+
 import msgspec
 
 from sedgering import base
@@ -9,6 +11,8 @@
 
 __all__ = ['SignalTable']
 
+LOG = logging.getLogger(__name__)
+
 #: Largest number of targets with signals that are remembered.
 MAX_TARGETS = 2048
 
@@ -18,6 +22,8 @@
 
     lifetime: _messages.Lifetime
     limit: overload.StatedLimit
+    #: Holds until the end of the lifetime.
+    is_leaving: bool = False
 
 
 class SignalTable:
@@ -57,14 +63,23 @@
         entry = self._find(lifetime)
         if entry is None and signals == _signals.NO_SIGNALS:
             return
-        if signals.malformed:
-            return
         if entry is None:
             entry = self._add(lifetime)
-        entry.limit.note(signals.rate_limit_per_s, sent_s, now_s)
-        if entry.limit.per_s is None:
+        if signals.is_leaving and not entry.is_leaving:
+            entry.is_leaving = True
+            LOG.info('target is leaving', extra={'target': lifetime.target})
+        if not signals.is_limit_malformed:
+            entry.limit.note(signals.rate_limit_per_s, sent_s, now_s)
+        if entry.limit.per_s is None and not entry.is_leaving:
             del self._entries[lifetime.target]
 
+    def is_leaving(self, row: _messages.MemberRow) -> bool:
+        """Whether the target of a row has stated that it is leaving."""
+        if not self._entries:
+            return False
+        entry = self._find(row.lifetime)
+        return entry is not None and entry.is_leaving
+
     def find_rate_limit(self, row: _messages.MemberRow) -> float | None:
         """Return the rate limit that the target of a row has stated."""
         if not self._entries:
@@ -83,5 +98,15 @@
         self._entries.pop(lifetime.target, None)
         self._entries[lifetime.target] = entry
         if len(self._entries) > MAX_TARGETS:
-            del self._entries[next(iter(self._entries))]
+            self._drop_one()
         return entry
+
+    def _drop_one(self) -> None:
+        """Drop the oldest target that stays, or else the oldest one."""
+        oldest = next(iter(self._entries))
+        staying = (
+            target
+            for target, entry in self._entries.items()
+            if not entry.is_leaving
+        )
+        del self._entries[next(staying, oldest)]
--- a/sedgering/mesh/_signals.py
+++ b/sedgering/mesh/_signals.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from sedgering import base
 from sedgering import exceptions
 from sedgering.mesh import _messages
 from sedgering import overload
@@ -13,8 +14,11 @@
 
 LOG = logging.getLogger(__name__)
 
-#: Value with which a target states that it is leaving.
+#: Values of the field in which a target states whether it is leaving.
 LEAVING = '1'
+STAYING = '0'
+#: Shown in logs for an empty value.
+EMPTY = '(empty)'
 #: Longest part of a malformed value in the log.
 LOGGED_CHARACTERS = 40
 
@@ -29,13 +33,16 @@
         None for no limit.
     is_leaving : bool
         Whether the target is leaving.
+    is_limit_malformed : bool
+        Whether the answer states a limit that cannot be decoded: then it
+        neither states a limit nor that there is none.
     malformed : str
-        A rate limit that cannot be decoded: the answer then neither states a
-        limit nor that there is none.
+        A value that cannot be decoded, for logs.
     """
 
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
+    is_limit_malformed: bool = False
     malformed: str = ''
 
 
@@ -59,27 +66,31 @@
     """
     limit_field = names.rate_limit.lower()
     leaving = response.find(names.leaving.lower())
-    if response.find(limit_field) is None:
-        if leaving is None:
-            return NO_SIGNALS
-        return TargetSignals(is_leaving=leaving.strip() == LEAVING)
-    is_leaving = leaving is not None and leaving.strip() == LEAVING
-    limits = []
-    for name, value in response.headers:
-        if name.lower() != limit_field:
-            continue
-        per_s = overload.decode_rate_limit(value)
-        if per_s is None:
-            return TargetSignals(None, is_leaving, value or '(empty)')
-        limits.append(per_s)
-    return TargetSignals(min(limits), is_leaving)
-
-
-def log_malformed(target: str, value: str) -> None:
-    """Log a rate limit that cannot be decoded."""
-    code = exceptions.Code.ANSWER_RATE_LIMIT
+    limit = response.find(limit_field)
+    if leaving is None and limit is None:
+        return NO_SIGNALS
+    leaving = (leaving or STAYING).strip()
+    is_leaving = leaving == LEAVING
+    malformed = '' if leaving in (LEAVING, STAYING) else leaving
+    values = [
+        value
+        for name, value in response.headers
+        if name.lower() == limit_field
+    ]
+    limits = list(map(overload.decode_rate_limit, values))
+    if None in limits:
+        malformed = ', '.join(values) or EMPTY
+        return TargetSignals(None, is_leaving, True, malformed)
+    return TargetSignals(
+        min(limits, default=None), is_leaving, False, malformed
+    )
+
+
+def log_malformed(target: base.TargetName, value: str) -> None:
+    """Log a value that cannot be decoded."""
+    code = exceptions.Code.ANSWER_SIGNAL
     LOG.warning(
-        'malformed rate limit',
+        'malformed signal of a target',
         extra={
             'code': int(code),
             'target': target,
--- a/sedgering/mesh/_target.py
+++ b/sedgering/mesh/_target.py
@@ -191,6 +191,27 @@
         _log('target ended', self.report)
         return True
 
+    def mark_leaving(self, lifetime: _messages.Lifetime) -> bool:
+        """Record that a lifetime has stated in an answer that it is leaving.
+
+        No later report of it opens it again.
+
+        Returns
+        -------
+        bool
+            Whether it was the current lifetime and was open.
+        """
+        current = self.lifetime
+        if current is None or not current.is_same(lifetime):
+            return False
+        if not self.is_open:
+            return False
+        self.report = msgspec.structs.replace(
+            self.report, state=_messages.TargetState.DRAINING, cold_ms=0
+        )
+        _log('target is leaving', self.report)
+        return True
+
     def discard(self) -> None:
         """Discard the target, because another one answered at its address.
 
--- a/sedgering/mesh/_target_client.py
+++ b/sedgering/mesh/_target_client.py
@@ -1,6 +1,7 @@
 """Runs calls at the local target and detects when it crashes."""
 
 import asyncio
+from collections.abc import Callable
 import logging
 import math
 
@@ -111,6 +112,8 @@
         self.version_trial = _version_trial.VersionTrial()
         #: Whether the version of the target may receive calls.
         self.is_permitted = True
+        #: Called when the target has stated that it is leaving.
+        self.on_leaving: Callable[[], None] = _do_nothing
         self._load_name = names.load.lower()
         self._replaced = transport.HOP_NAMES | frozenset(
             getattr(names, field).lower() for field in _REPLACED_FIELDS
@@ -167,6 +170,7 @@
             return
         is_restart = previous.is_before(current)
         if is_restart or previous.target != current.target:
+            self.signals = _local_signals.LocalSignals(self.gate.now_s)
             self.gate.set_rate_limit(None)
             if self._open_lifetime == previous:
                 # The crash went undetected until the next lifetime appeared.
@@ -571,6 +575,9 @@
         signals = _signals.decode_signals(response, self.names)
         self.signals.note(signals, current, sent.at_s)
         self._apply_rate_limit()
+        if signals.is_leaving and self.target.mark_leaving(current):
+            self.refresh_gate()
+            self.on_leaving()
 
     def note_probe(
         self, answer: _probe.ProbeAnswer, has_ended: bool = False
@@ -705,6 +712,10 @@
         return response.find(self.names.proof.lower()) is not None
 
 
+def _do_nothing() -> None:
+    """Default for `TargetClient.on_leaving`."""
+
+
 def _classify_result(answer: _messages.CallAnswer | None) -> _gate.CallResult:
     """Classify the result of a call for the statistics of the gate."""
     if answer is None:
--- a/sedgering/testing/_mesh_target.py
+++ b/sedgering/testing/_mesh_target.py
@@ -170,6 +170,8 @@
         lines = [f'HTTP/1.1 {status}']
         if has_signals:
             headers = [*headers, *self.state.signal_fields]
+        if self.state.is_leaving:
+            headers = [*headers, ('Server-Leaving', '1')]
         lines += [f'{name}: {value}' for name, value in headers]
         if is_framed:
             lines.append(f'Content-Length: {len(body) + missing}')
