The soak has targets that state limits, and that they are leaving

Checked by what callers and targets recorded: 1.5 times a limit and 5 requests in 4 s, from hosts that had passed on such an answer; nothing 2 s after a host passed on that a target is leaving, whatever its reports say.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -52,6 +52,14 @@
       | a request was lost during planned operations      | closed without an answer       |
       | a target that had left ran a request              | s after its draining state     |
       | a target worked on more than its slots            | requests at once               |
+      | a target with a limit of 2 got 18 requests in 4 s | more than its limit allows     |
+      | a target with a limit of 2 got 17 requests in 4 s | no violation                   |
+      | a target with a limit of 0 got 6 requests in 4 s  | more than its limit allows     |
+      | a target got 18 requests before its limit bound   | no violation                   |
+      | a target got 18 requests of a host that was not told | no violation                |
+      | a request reached a leaving target 2.1 s later    | passed on that it is leaving   |
+      | a request reached a leaving target 1.9 s later    | no violation                   |
+      | a host that was not told asked a leaving target   | no violation                   |
       | a daemon went back to an older version            | lacks version                  |
       | a daemon answered nobody after the last fault     | answered no request            |
       | a daemon lacks the newest version                 | in force, expected 2           |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -37,7 +37,10 @@
 )
 #: Kinds in plans that must not cause requests to fail.
 LOSSLESS_PLAN_KINDS = (
-    _faults.PLANNED_KINDS | _faults.STORE_KINDS | {_faults.FaultKind.THROTTLE}
+    _faults.PLANNED_KINDS
+    | _faults.STORE_KINDS
+    | _faults.SIGNAL_KINDS
+    | {_faults.FaultKind.THROTTLE}
 )
 CRASH_AND_SUSPEND_KINDS = frozenset(
     (_faults.FaultKind.SUSPEND, _faults.FaultKind.FATAL_REQUEST)
@@ -75,7 +78,9 @@
         for number, caller in enumerate(self.world.callers):
             self.add_request(caller, f'good-{number}', FINAL_LOAD_START_S + 1)
             target = self.world.targets[number]
-            target.books = _targets._TargetState(f'i-{number}', target.ledger)
+            target.books = _targets._TargetState(
+                f'i-{number}', 1, target.ledger
+            )
             self.world.probes[number].version = 2
 
     def add_request(self, caller, request_id, sent_s=SENT_AT_S, **fields):
@@ -284,6 +289,43 @@
     books.note_run('good-0', '', {}, b'')
 
 
+#: A target that states a limit, and requests that reach it in 4 s.
+LIMITED = 'i-0#1'
+LIMIT_PER_S = 2.0
+
+
+def reach_limited(count, is_told=True, after_s=4.0, per_s=LIMIT_PER_S):
+    """Return a change: requests of one host reach a limited target."""
+
+    def change(results):
+        caller = results.world.callers[0]
+        signals = results.world.ledger.signals
+        signals.state_limit(LIMITED, str(per_s), SENT_AT_S)
+        results.add_request(caller, 'first', SENT_AT_S + 0.1)
+        signals.record_answer('first', LIMITED, is_told, False)
+        times_s = [SENT_AT_S + after_s + 0.1 * item for item in range(count)]
+        for number, at_s in enumerate(times_s):
+            results.add_request(caller, f'limited-{number}', at_s)
+            signals.arrivals[LIMITED].append((at_s, f'limited-{number}'))
+
+    return change
+
+
+def reach_leaving(after_s, is_told=True):
+    """Return a change: a request reaches a target that is leaving."""
+
+    def change(results):
+        caller = results.world.callers[0]
+        signals = results.world.ledger.signals
+        results.add_request(caller, 'first', SENT_AT_S, done_s=SENT_AT_S + 1)
+        signals.record_answer('first', LIMITED, False, is_told)
+        sent_s = SENT_AT_S + 1 + after_s
+        results.add_request(caller, 'late', sent_s)
+        signals.arrivals[LIMITED].append((sent_s + 0.1, 'late'))
+
+    return change
+
+
 def overload(results):
     results.world.targets[0].books.most_running = _targets.SLOTS + 1
 
@@ -345,6 +387,22 @@
     'a long request was read slowly': read_slowly,
     'a target that had left ran a request': run_late,
     'a target worked on more than its slots': overload,
+    'a target with a limit of 2 got 18 requests in 4 s': reach_limited(18),
+    'a target with a limit of 2 got 17 requests in 4 s': reach_limited(17),
+    'a target with a limit of 0 got 6 requests in 4 s': reach_limited(
+        6, per_s=0.0
+    ),
+    'a target got 18 requests before its limit bound': reach_limited(
+        18, after_s=1.1
+    ),
+    'a target got 18 requests of a host that was not told': reach_limited(
+        18, False
+    ),
+    'a request reached a leaving target 2.1 s later': reach_leaving(2.1),
+    'a request reached a leaving target 1.9 s later': reach_leaving(1.9),
+    'a host that was not told asked a leaving target': reach_leaving(
+        2.1, False
+    ),
     'a daemon went back to an older version': revert_version,
     'a daemon answered nobody after the last fault': answer_nobody,
     'a daemon lacks the newest version': miss_version,
@@ -396,7 +454,7 @@
         throttled_plan = tuple(
             item
             for item in full_plan
-            if item.kind not in CRASH_AND_SUSPEND_KINDS
+            if item.kind not in CRASH_AND_SUSPEND_KINDS | _faults.SIGNAL_KINDS
         )
         throttled.update(repr(throttled_plan).encode())
         base = [
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -6,6 +6,7 @@
 from soak import _crash_requests
 from soak import _daemons
 from soak import _faults
+from soak import _signals
 from soak import _targets
 from soak import _world
 
@@ -31,6 +32,8 @@
 #: in this last part of the grace time: the daemon reserves a margin and
 #: sends its last answers.
 GRACE_MARGIN_S = 0.6
+#: Faults of a host after which it need not know what a target stated to it.
+EXCUSING_KINDS = _faults.HALTING_KINDS | {_faults.FaultKind.TERMINATE}
 
 
 def check_guarantees(world: _world.World) -> list[str]:
@@ -40,6 +43,7 @@
         *_check_runs(world, records),
         *_check_keys(world, records),
         *_check_quarantine(world),
+        *_check_signals(world, records),
         *(
             violation
             for record in records
@@ -95,6 +99,25 @@
         yield violation
 
 
+def _check_signals(world: _world.World, records) -> Iterator[str]:
+    """Check that what targets state in their answers is respected."""
+
+    def is_excused(host: str, start_s: float, end_s: float) -> bool:
+        return any(
+            world.daemons[disturbance.fault.host].name == host
+            and disturbance.fault.kind in EXCUSING_KINDS
+            and disturbance.start_s < end_s
+            and start_s < disturbance.end_s
+            for disturbance in world.disturbances
+        )
+
+    signals = world.ledger.signals
+    yield from _signals.check_limits(signals, records, is_excused)
+    yield from _signals.check_leaving(
+        signals, records, _daemons.DRAIN_S, is_excused
+    )
+
+
 def _check_answer(
     world: _world.World, record: _callers.CallRecord
 ) -> Iterator[str]:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -8,6 +8,7 @@
 
 from sedgering import testing
 from soak import _links
+from soak import _signals
 
 __all__ = ['Fault', 'FaultKind', 'make_plan']
 
@@ -19,6 +20,11 @@
 MEAN_THROTTLE_GAP_S = 2.0
 #: Mean time between two suspended hosts.
 MEAN_SUSPEND_GAP_S = 6.0
+#: Mean time between two targets that state something, the range of the time
+#: for which they do, and the share of limits.
+MEAN_SIGNAL_GAP_S = 2.5
+SIGNAL_DURATION_S = (3.0, 9.0)
+LIMIT_SHARE = 0.7
 #: Requests that crash targets start within this share of the plan.
 FATAL_START_SHARE = 0.4
 #: Range of the rate of a throttled link.
@@ -44,6 +50,10 @@
     SUSPEND = 'suspend'
     #: A request that crashes its targets is sent repeatedly.
     FATAL_REQUEST = 'fatal request'
+    #: A target states a rate limit.
+    TARGET_LIMIT = 'target limit'
+    #: A target states in its answers that it is leaving, and reports nothing.
+    UNREPORTED_LEAVE = 'unreported leave'
     #: A target has crashed on such a request; never planned.
     TARGET_ENDS = 'target ends'
 
@@ -52,6 +62,8 @@
 PLANNED_KINDS = frozenset(
     (FaultKind.TERMINATE, FaultKind.VERSION, FaultKind.TARGET_LEAVES)
 )
+#: What targets state in answers, which must not cause a request to fail.
+SIGNAL_KINDS = frozenset((FaultKind.TARGET_LIMIT, FaultKind.UNREPORTED_LEAVE))
 #: Faults of the store, which alone must not cause a request to fail.
 STORE_KINDS = frozenset((FaultKind.STORE, FaultKind.STORE_LINK))
 #: Faults that stop a process without notice.
@@ -65,6 +77,7 @@
     FaultKind.SUSPEND,
     FaultKind.FATAL_REQUEST,
     FaultKind.TARGET_ENDS,
+    *SIGNAL_KINDS,
 }
 #: Store faults are longer by this factor, so that they outlast the shutdown
 #: of a daemon.
@@ -106,8 +119,8 @@
         Duration, for kinds that have one; for the crash of a target, the
         time until its restart.
     detail : str
-        Mode of a link or of the store, behaviour of a target, or rate of a
-        link in bytes per second.
+        Mode of a link or of the store, behaviour of a target, rate of a link
+        in bytes per second, or limits that a target states one after another.
     """
 
     at_s: float
@@ -119,7 +132,7 @@
     @property
     def is_planned(self) -> bool:
         """Whether it is a planned operation."""
-        return self.kind in PLANNED_KINDS
+        return self.kind in PLANNED_KINDS | SIGNAL_KINDS
 
 
 def make_plan(
@@ -148,6 +161,7 @@
         if at_s >= seconds:
             if has_extra_kinds:
                 plan += _make_throttles(seed, hosts, seconds)
+                plan += _make_signals(seed, hosts, seconds)
             if has_extra_kinds and FaultKind.KILL in kinds:
                 # Plans of planned operations must not cause requests to fail.
                 plan += _make_suspensions(seed, hosts, seconds)
@@ -190,6 +204,25 @@
         at_s += rng.expovariate(1 / MEAN_SUSPEND_GAP_S)
 
 
+def _make_signals(seed: int, hosts: int, seconds: float) -> Iterator[Fault]:
+    """Make the limits and departures that targets state.
+
+    They have a generator of their own, and last longer than other faults: a
+    limit binds some seconds after it was stated.
+    """
+    rng = random.Random(f'signals {seed}')
+    at_s = rng.expovariate(1 / MEAN_SIGNAL_GAP_S)
+    while at_s < seconds:
+        host = rng.randrange(hosts)
+        for_s = rng.uniform(*SIGNAL_DURATION_S)
+        if rng.random() < LIMIT_SHARE:
+            detail = _signals.choose_limits(rng)
+            yield Fault(at_s, FaultKind.TARGET_LIMIT, host, for_s, detail)
+        else:
+            yield Fault(at_s, FaultKind.UNREPORTED_LEAVE, host, for_s)
+        at_s += rng.expovariate(1 / MEAN_SIGNAL_GAP_S)
+
+
 def _make_fatal_request(seed: int, seconds: float) -> Fault:
     """Make the period in which a request that crashes targets is sent."""
     rng = random.Random(f'fatal {seed}')
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -11,6 +11,7 @@
 from soak import _daemons
 from soak import _keys
 from soak import _long_requests
+from soak import _signals
 
 __all__ = ['Ledger', 'Target']
 
@@ -45,6 +46,8 @@
         daemon acknowledged that the target is draining.
     ends_s : list of float
         Times at which targets crashed on a request.
+    signals : SignalLedger
+        Limits that targets stated, and departures.
     workspaces : dict
         Workspaces in the headers that targets received, by request id.
     keys_seen : list of str
@@ -56,6 +59,7 @@
         self.answers: dict[str, tuple[float, str]] = {}
         self.late_runs: list[str] = []
         self.ends_s: list[float] = []
+        self.signals = _signals.SignalLedger()
         self.workspaces: dict[str, list[str]] = {}
         self.keys_seen: list[str] = []
 
@@ -74,8 +78,10 @@
 class _TargetState(testing.TargetBooks):
     """State and records of one lifetime of a target."""
 
-    def __init__(self, target: str, ledger: Ledger):
+    def __init__(self, target: str, lifetime: int, ledger: Ledger):
         super().__init__(target)
+        self.label = f'{target}#{lifetime}'
+        self.arrivals = ledger.signals.arrivals.setdefault(self.label, [])
         self.work_s = WORK_S
         self.ledger = ledger
         #: When the daemon acknowledged that the target is draining.
@@ -110,6 +116,13 @@
 
     def _finish(self, request_id: str, habit: testing.TargetHabit) -> None:
         self.state.body_bytes = self.state.sizes_bytes[request_id]
+        state = self.state
+        state.ledger.signals.record_answer(
+            request_id,
+            state.label,
+            _signals.is_limit(state.signal_fields),
+            state.is_leaving,
+        )
         super()._finish(request_id, habit)
         if habit is testing.TargetHabit.SOUND:
             answer = time.monotonic(), self.state.target
@@ -151,7 +164,7 @@
         # Every second start reuses the target id of the previous lifetime.
         number = (self.lifetime + 1) // 2
         self.books = _TargetState(
-            f'i-{self.daemon.name}-{number}', self.ledger
+            f'i-{self.daemon.name}-{number}', self.lifetime, self.ledger
         )
         self.books.fatal_urls = {_crash_requests.FATAL_PATH}
         self.books.end = self._crash
@@ -178,6 +191,28 @@
         await asyncio.sleep(ADDRESS_REUSE_S)
         await self.start()
 
+    async def leave_unreported(self, for_s: float) -> None:
+        """State in answers only that it is leaving, and leave later."""
+        if self.is_leaving or self._restart is not None:
+            return
+        books = self.books
+        books.is_leaving = True
+        await asyncio.sleep(for_s)
+        if self.books is books:
+            await self.replace()
+
+    async def limit_rate(self, fields: list[str], for_s: float) -> None:
+        """State limits one after the other, and then none."""
+        books = self.books
+        for field in fields:
+            self._state_limit(books, field)
+            await asyncio.sleep(for_s / len(fields))
+        self._state_limit(books, None)
+
+    def _state_limit(self, books: _TargetState, field: str | None) -> None:
+        books.signal_fields = _signals.make_limit_fields(field)
+        self.ledger.signals.state_limit(books.label, field, time.monotonic())
+
     def stop(self) -> None:
         """End this lifetime and reset its connections."""
         self.most_running = max(self.most_running, self.books.most_running)
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -337,6 +337,13 @@
         await asyncio.sleep(fault.for_s)
         target.books.habit = testing.TargetHabit.SOUND
 
+    async def _limit_target(self, fault: _faults.Fault) -> None:
+        fields = fault.detail.split('|')
+        await self.targets[fault.host].limit_rate(fields, fault.for_s)
+
+    async def _leave_unreported(self, fault: _faults.Fault) -> None:
+        await self.targets[fault.host].leave_unreported(fault.for_s)
+
     async def _write_version(self) -> bool:
         """Write the newest version; return whether the store accepted it."""
         is_long = self.settings.long_callers > 0
@@ -420,6 +427,8 @@
     _Kind.TARGET_LEAVES: World._replace_target,
     _Kind.TARGET_HABIT: World._change_target_habit,
     _Kind.THROTTLE: World._throttle,
+    _Kind.TARGET_LIMIT: World._limit_target,
+    _Kind.UNREPORTED_LEAVE: World._leave_unreported,
     _Kind.SUSPEND: World._suspend,
     _Kind.FATAL_REQUEST: World._send_crash_requests,
 }
