--- a/sedgering/overload/_rate_bucket.py
+++ b/sedgering/overload/_rate_bucket.py
@@ -1,4 +1,4 @@
-"""Token bucket for the calls that a target with a rate limit takes."""
+"""A bucket of tokens for the calls that a target with a rate limit takes."""
 
 from collections.abc import Callable
 import math
@@ -13,7 +13,7 @@
 
 
 class RateBucket:
-    """Tokens for the calls that a target takes.
+    """A bucket of tokens for the calls that a target takes.
 
     Parameters
     ----------
@@ -22,7 +22,7 @@
     now_s : callable
         Returns the time in seconds.
     tokens : float
-        Tokens at the start.
+        Number of tokens at the start.
     """
 
     def __init__(
