One check of whether a target may be called

Three places asked whether a target is closed or leaving, each in its own words: PeerTable.may_call. Looking up what a target states made a lifetime for each row as soon as any target stated something; it looks for the target's name first. LocalSignals.note returned what nobody read. No behaviour, test or bound changed.

--- a/sedgering/mesh/_choice.py
+++ b/sedgering/mesh/_choice.py
@@ -347,7 +347,7 @@
         if row.host in tried:
             continue
         peer = costs.peers.find(row)
-        if now_s < peer.closed_until_s or costs.peers.signals.is_leaving(row):
+        if not costs.peers.may_call(peer, now_s):
             continue
         cost_ms = costs.estimate_ms(peer)
         cost_ms *= 1 + NOISE_SHARE * rng.random()
@@ -386,10 +386,7 @@
         Time of the event loop.
     """
     candidates = [
-        row
-        for row in members
-        if _is_usable(peers.find(row), now_s)
-        and not peers.signals.is_leaving(row)
+        row for row in members if _is_usable(peers, peers.find(row), now_s)
     ]
     if not candidates:
         return None
@@ -400,5 +397,7 @@
     return peers.find(best)
 
 
-def _is_usable(peer: _peers.Peer, now_s: float) -> bool:
-    return now_s >= peer.closed_until_s and not peer.is_suspect(now_s)
+def _is_usable(
+    peers: _peers.PeerTable, peer: _peers.Peer, now_s: float
+) -> bool:
+    return peers.may_call(peer, now_s) and not peer.is_suspect(now_s)
--- a/sedgering/mesh/_chooser.py
+++ b/sedgering/mesh/_chooser.py
@@ -176,8 +176,7 @@
             if row is None or row.state is not _messages.TargetState.READY:
                 continue
             peer = self.state.peers.find(row)
-            is_leaving = self.state.peers.signals.is_leaving(row)
-            if self._now_s >= peer.closed_until_s and not is_leaving:
+            if self.state.peers.may_call(peer, self._now_s):
                 return peer
         return None
 
--- a/sedgering/mesh/_local_signals.py
+++ b/sedgering/mesh/_local_signals.py
@@ -46,8 +46,8 @@
         signals: _signals.TargetSignals,
         lifetime: _messages.Lifetime,
         sent_s: float,
-    ) -> bool:
-        """Note the signals in an answer; return whether the limit changed.
+    ) -> None:
+        """Note the signals in an answer.
 
         Parameters
         ----------
@@ -63,13 +63,12 @@
             self._has_logged_malformed = True
             _signals.log_malformed(lifetime.target, signals.malformed)
         if signals.is_limit_malformed:
-            return False
+            return
         is_changed = self._limit.note(
             signals.rate_limit_per_s, sent_s, self.now_s()
         )
         if is_changed:
             self._log_change()
-        return is_changed
 
     def find_gauges(self) -> dict[str, float]:
         """Return the limit as a metric, if the target states one."""
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -529,6 +529,11 @@
                 del table[route]
         self.end_times.retain(routes)
 
+    def may_call(self, peer: Peer, now_s: float) -> bool:
+        """Whether the target of a peer is neither closed nor leaving."""
+        is_closed = now_s < peer.closed_until_s
+        return not is_closed and not self.signals.is_leaving(peer.row)
+
     def find(self, row: _messages.MemberRow) -> Peer:
         """Return the peer of a row; a new target has no known load."""
         peer = self._peers.get(row.host)
--- a/sedgering/mesh/_signal_table.py
+++ b/sedgering/mesh/_signal_table.py
@@ -75,14 +75,14 @@
 
     def is_leaving(self, row: _messages.MemberRow) -> bool:
         """Whether the target of a row has stated that it is leaving."""
-        if not self._entries:
+        if row.target not in self._entries:
             return False
         entry = self._find(row.lifetime)
         return entry is not None and entry.is_leaving
 
     def find_rate_limit(self, row: _messages.MemberRow) -> float | None:
         """Return the rate limit that the target of a row has stated."""
-        if not self._entries:
+        if row.target not in self._entries:
             return None
         entry = self._find(row.lifetime)
         return entry.limit.per_s if entry is not None else None
