Queued calls are refused once a new limit makes them too late

A call that waited for a slot when its target stated a lower limit went on waiting: a target's call until its deadline, another one until its next review, though the limit allowed neither in time. Seen by reading, then as a test: with a limit of 0 both still waited (features/gate.feature 'Queued calls are refused once a new limit makes them too late', 2 of 3 rows failed before). A new limit reviews the queue; what can still end in time stays.

--- a/features/gate.feature
+++ b/features/gate.feature
@@ -275,3 +275,18 @@
 
   Scenario: Daemons of the previous version read the load of this one
     Then the load field of an answer holds 6 numbers
+
+  # Guards against calls that wait until their deadline for a target that has
+  # said meanwhile that it takes nothing.
+  Scenario Outline: Queued calls are refused once a new limit makes them too late
+    Given a gate with 1 slots where work takes 100 ms
+    And 1 calls run and 0 first calls wait
+    When a <call> arrives with a goal of 400 ms
+    And the target limits its calls to <limit> a second
+    Then it <outcome>
+
+    Examples:
+      | call          | limit | outcome                 |
+      | target's call | 0     | is refused at once      |
+      | first call    | 0     | is refused at once      |
+      | first call    | 50    | waits                   |
--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -761,3 +761,21 @@
             assert not (target.is_open and target.target in closed), sequence
 
     check()
+
+
+@when('the target limits its calls to {per_s:d} a second')
+def step_rate_limit(context, per_s):
+    context.gate.gate.set_rate_limit(float(per_s))
+    context.gate.settle()
+
+
+@then('it is refused at once')
+def step_refused_at_once(context):
+    assert context.task.done(), context.task
+    reason = context.task.exception().reason
+    assert reason is mesh.RefusalReason.RATE_LIMITED, reason
+
+
+@then('it waits')
+def step_waits(context):
+    assert not context.task.done(), context.task
--- a/sedgering/mesh/_gate.py
+++ b/sedgering/mesh/_gate.py
@@ -231,6 +231,8 @@
         else:
             self._bucket.set_rate(per_s)
         self._admit_waiting()
+        if per_s is not None:
+            self._review_all()
 
     def allow_call(self) -> None:
         """Let the rate limit allow one call more.
@@ -546,6 +548,16 @@
         else:
             self._demote(waiter)
 
+    def _review_all(self) -> None:
+        """Refuse, or demote, queued calls that a new limit makes too late."""
+        for waiter in [entry[-1] for entry in self._queue]:
+            ticket = waiter.ticket
+            wait_ms = self._estimate_wait_ms(ticket, waiter.is_late)
+            if self._can_end_in_time(ticket, waiter.is_late, wait_ms):
+                continue
+            waiter.timer.cancel()
+            self._review(waiter)
+
     def _demote(self, waiter: _Waiter) -> None:
         """Requeue a call that will miss its goal as late, or refuse it."""
         wait_ms = self._estimate_wait_ms(waiter.ticket, True)
