A rate limit lowers the slots of a target for a short time

A sender kept the few slots that a limit leaves until its next call there. A target that seems short of slots gets no call while others are idle, so that no report shows that the limit has ended: it did not get its share back from quiet senders. The slots of such a report hold for 500 ms, as the wait for the limit does. Reports of targets without a limit name their slots, so nothing changes for them.

--- a/features/gate.feature
+++ b/features/gate.feature
@@ -290,3 +290,14 @@
       | target's call | 0     | is refused at once      |
       | first call    | 0     | is refused at once      |
       | first call    | 50    | waits                   |
+
+  # Guards against a target that nobody asks again after its limit has ended.
+  Scenario Outline: A rate limit lowers the slots of a target for a short time
+    Given a sender that was told that 1 of 18 slots can be used
+    When it heard nothing for <pause_ms> ms
+    Then it takes the target to have <slots> slots
+
+    Examples:
+      | pause_ms | slots |
+      | 400      | 1     |
+      | 600      | 18    |
--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -779,3 +779,22 @@
 @then('it waits')
 def step_waits(context):
     assert not context.task.done(), context.task
+
+
+@given('a sender that was told that {usable:d} of {slots:d} slots can be used')
+def step_told_slots(context, usable, slots):
+    row = testing.make_member_row('hall-1', slots=slots)
+    context.peer = mesh.PeerTable(mesh.MeshSettings()).find(row)
+    report = mesh.LoadReport(0, 0, usable, 100)
+    context.peer.record_report(report, ROUTE, 10.0)
+
+
+@when('it heard nothing for {pause_ms:d} ms')
+def step_pause(context, pause_ms):
+    context.now_s = 10.0 + pause_ms / 1000
+
+
+@then('it takes the target to have {slots:d} slots')
+def step_known_slots(context, slots):
+    found = context.peer.find_limit(context.now_s)
+    assert found == slots, found
--- a/sedgering/mesh/_choice.py
+++ b/sedgering/mesh/_choice.py
@@ -143,7 +143,7 @@
     def estimate_ms(self, peer: _peers.Peer) -> float:
         """Estimate the time until a target would finish this call."""
         now_s = self.now_s
-        limit = peer.limit
+        limit = peer.find_limit(now_s)
         present = peer.estimate_present(now_s, self._is_nested)
         turns = max(0.0, present + 1 - limit) / limit
         # Partly loaded targets cost more before they are full.
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -57,8 +57,8 @@
 #: that is short of slots, three of four probes for a free slot went to targets
 #: that had just reported a queue.
 QUEUE_REPORT_VALID_S = 0.04
-#: Longest time for which a target with a rate limit counts as taking no call:
-#: the limit may have changed since it reported.
+#: Longest time for which a target with a rate limit counts as taking no call,
+#: or as having fewer slots: the limit may have ended since it reported.
 MAX_RATE_WAIT_MS = 500
 #: Factor on the work time at a target that has just started.
 COLD_WORK_FACTOR = 2.0
@@ -119,10 +119,19 @@
         self.pool = pool
         self._settings = mesh_settings
 
-    @property
-    def limit(self) -> int:
-        """Concurrency limit of the target."""
-        return self.report.limit if self.report else max(1, self.row.slots)
+    def find_limit(self, now_s: float) -> int:
+        """Return the concurrency limit of the target.
+
+        A rate limit lowers it for a while only.  A target that seems short of
+        slots gets no calls, so that no report would show that it has them.
+        """
+        slots = max(1, self.row.slots)
+        if self.report is None:
+            return slots
+        is_recent = (now_s - self.reported_s) * 1000 < MAX_RATE_WAIT_MS
+        return (
+            self.report.limit if is_recent else max(self.report.limit, slots)
+        )
 
     @property
     def work_ms(self) -> float:
