--- a/review/standins.py
+++ b/review/standins.py
@@ -652,6 +652,8 @@
 class Consumer:
     """Sends requests to the daemon of its machine on a kept connection."""
 
+    #: Header fields that all consumers add to their requests.
+    more_fields: list[tuple[str, str]] = []
     _numbers = itertools.count(1)
 
     def __init__(self, daemon: Daemon, record: Record):
@@ -675,6 +677,7 @@
             ('Host', 'shop.example'),
             ('X-Request-Id', sent.request_id),
             ('X-Request-Deadline', str(limit_ms)),
+            *self.more_fields,
         ]
         sent.sent_s = self.record.note(
             f'consumer at {self.daemon.name} sends {sent.request_id} '
