A restarted daemon takes over the departure in its own row

Which targets have left was known to LocalTarget only, in memory; of the own row only the health check's way (_find_target) looked at the state.

Now every way in which the own row is learnt (member table, read of the writer) passes it to Departures, which closes that lifetime as a report of it would. A target that leaves after it was taken for crashed is published, too: its row said 'down', which the next report reopens. A late draining report that tells a start time not known before extends the departure to it.

--- /dev/null
+++ b/features/steps/departure_steps.py
@@ -0,0 +1,200 @@
+"""Steps for departures of targets that outlive the daemon beside them."""
+
+import threading
+
+from behave import given
+from behave import then
+from behave import when
+
+from sedgering import mesh
+from sedgering import testing
+
+GRACE_MS = 2000
+#: How long a leaving daemon accepts requests; short, to save time.
+LEAVE_SERVING_MS = 100
+CALLS = 20
+STATUS_OK = 200
+BORN_MS = 10
+
+
+class Departing:
+    """A mesh of two hosts, whose second target leaves.
+
+    Attributes
+    ----------
+    host : MeshHost
+        Host of the target that leaves.
+    """
+
+    def __init__(self):
+        settings = mesh.MeshSettings(leave_serving_ms=LEAVE_SERVING_MS)
+        self.fleet = testing.MeshFleet(settings)
+        self.fleet.configure(testing.make_document(1, [{}]))
+        self.first, self.host = (
+            self.fleet.add_host(name) for name in ('h1', 'h2')
+        )
+        self.host.born_ms = BORN_MS
+        self.fleet.report(self.host)
+        self.fleet.wait_ready()
+        #: Ends when the daemon has left.
+        self.leaving: threading.Thread | None = None
+
+    @property
+    def gate(self):
+        """Gate of the daemon beside the target."""
+        return self.host.daemon.state.target_client.gate
+
+    def leave(self, how: str) -> list[int]:
+        """Let the target leave; return the statuses that it got."""
+        host = self.host
+        host.books.is_leaving = True
+        statuses = []
+        if 'crashes' in how:
+            self.fleet.run(self._mark_crashed())
+        if 'draining' in how:
+            statuses.append(self.fleet.report(host, 'draining'))
+        if 'deregisters' in how:
+            statuses.append(self.fleet.deregister(host))
+        return statuses
+
+    async def _mark_crashed(self) -> None:
+        target = self.host.daemon.state.target_client.target
+        assert target.mark_crashed(target.lifetime)
+
+    def end_daemon(self, how: str) -> None:
+        """End the daemon once or more, and start it again each time."""
+        if how == 'begins to leave':
+            self._begin_to_leave()
+            return
+        self._finish_leaving()
+        ends = {
+            'killed': [self._kill],
+            'killed twice': [self._kill, self._kill],
+            'told to leave': [self._terminate],
+            'told to leave twice': [self._terminate, self._terminate],
+            'killed and then told to leave': [self._kill, self._terminate],
+            'told to leave and then killed': [self._terminate, self._kill],
+        }
+        for end in ends[how.removeprefix('is ')]:
+            end()
+            self.fleet.restart(self.host)
+
+    def _kill(self) -> None:
+        self.fleet.kill(self.host)
+
+    def _terminate(self) -> None:
+        self.fleet.terminate(self.host, GRACE_MS)
+
+    def _begin_to_leave(self) -> None:
+        """Tell the daemon to leave, and go on."""
+        self.leaving = threading.Thread(target=self._terminate)
+        self.leaving.start()
+        self.fleet.wait_for(lambda: self.host.daemon.is_leaving)
+
+    def _finish_leaving(self) -> None:
+        if self.leaving is not None:
+            self.leaving.join()
+
+    def read_row(self) -> mesh.MemberRow | None:
+        """Return the row of the host in the store."""
+        return self.fleet.read_member(self.host)
+
+    def call(self) -> None:
+        """Send calls to both hosts; some end at the first target only."""
+        for host in (self.first, self.host):
+            self.fleet.wait_for(lambda host=host: host.daemon.is_ready)
+            for number in range(CALLS):
+                answer = self.fleet.call(
+                    host.addresses.callers_port,
+                    '/r0/',
+                    X_Request_Id=f'{host.name}-{number}',
+                    X_Request_Deadline='2000',
+                )
+                assert answer.status == STATUS_OK, answer
+
+    def wait_available(self, target: str) -> None:
+        """Wait until the gate is open for a target, and calls reach it."""
+        client = self.host.daemon.state.target_client
+        self.fleet.wait_for(
+            lambda: self.gate.is_open and client.target.target == target
+        )
+        fleet_table = self.first.daemon.state.fleet
+        self.fleet.wait_for(
+            lambda: any(
+                row.target == target
+                for row in fleet_table.ready_by_set['calendar']
+            )
+        )
+
+
+@given('a mesh whose second target is about to leave')
+def step_mesh(context):
+    context.departing = Departing()
+    context.cleanups.append(context.departing.fleet.stop)
+
+
+@when('that target {how}, which is acknowledged')
+def step_leaves(context, how):
+    statuses = context.departing.leave(how)
+    assert set(statuses) == {STATUS_OK}, statuses
+
+
+@when('its daemon {how}')
+def step_ends(context, how):
+    context.departing.end_daemon(how)
+
+
+@when('{count:d} delayed reports of that target arrive')
+def step_delayed(context, count):
+    """Send some before the daemon can know its row, and some after that."""
+    departing = context.departing
+    for number in range(count):
+        if number == count // 2:
+            departing.fleet.wait_for(lambda: departing.host.daemon.is_ready)
+        departing.fleet.report(departing.host)
+
+
+@then('no call reaches that target')
+def step_no_call(context):
+    departing = context.departing
+    departing.call()
+    assert not departing.gate.is_open
+    assert not departing.host.books.arrivals, departing.host.books.arrivals
+
+
+@then('its row in the store tells that it has left')
+def step_row(context):
+    departing = context.departing
+    row = departing.read_row()
+    assert row.target == departing.host.books.target, row
+    assert row.state.is_final, row
+
+
+@given('its health check is {health}')
+def step_health(context, health):
+    context.departing.host.books.is_unhealthy = health == 'wrong'
+
+
+@when(
+    'another one takes its place under {identity}, with a health check that '
+    'is {health}'
+)
+def step_next(context, identity, health):
+    host = context.departing.host
+    host.books.is_leaving = False
+    host.books.is_unhealthy = health == 'wrong'
+    host.born_ms += BORN_MS
+    host.sequence = 0
+    if identity == 'another id':
+        host.books.target = 'i-next'
+
+
+@when('it reports that it is ready {count:d} times')
+def step_reports(context, count):
+    for _ in range(count):
+        context.departing.fleet.report(context.departing.host)
+
+
+@then('that target is available')
+def step_available(context):
+    context.departing.wait_available(context.departing.host.books.target)
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -16,6 +16,7 @@
 from sedgering.mesh import _crash_notice
 from sedgering.mesh import _crash_records
 from sedgering.mesh import _decisions
+from sedgering.mesh import _departures
 from sedgering.mesh import _fleet
 from sedgering.mesh import _follow
 from sedgering.mesh import _gate
@@ -67,11 +68,6 @@
 #: of a crash; others learn of it from the member row. A notice costs about
 #: 0.5 ms of processor time on the two hosts together.
 CRASH_NOTICES_LIMIT = 64
-#: States of a row whose target may be running, so that the result of its
-#: health check is accepted.
-_ACTIVE_STATES = frozenset(
-    (_messages.TargetState.READY, _messages.TargetState.DOWN)
-)
 
 
 class MeshDaemon:
@@ -126,6 +122,8 @@
         #: A report that a second one has to confirm; see
         #: `_needs_confirmation`.
         self._unconfirmed_report: _messages.TargetReport | None = None
+        self.departures = _departures.Departures(state.target_client.target)
+        source.on_own_row = self._take_over_departure
         self.is_leaving = False
         state.target_client.watch.on_crash = self._send_crash_notices
         state.target_client.on_leaving = self._publish_target
@@ -201,7 +199,7 @@
             return
         row = self.state.fleet.members.get(self.identity.host)
         if row is not None and row.target == report.target:
-            if row.state not in _ACTIVE_STATES:
+            if row.state.is_final:
                 # A previous process of this daemon acknowledged that the
                 # target is leaving.
                 LOG.info('target is leaving', extra={'target': row.target})
@@ -275,6 +273,7 @@
         self, members: dict[base.HostId, _messages.MemberRow]
     ) -> None:
         """Replace the member table."""
+        self._take_over_departure(members.get(self.identity.host))
         if not self.state.fleet.is_known and self.identity.host in members:
             own = members[self.identity.host]
             self.state.target_client.watch.restore(own.crashes)
@@ -291,6 +290,13 @@
         self.follower.note_members_known()
         self._note_ready()
 
+    def _take_over_departure(self, row: _messages.MemberRow | None) -> None:
+        """Take over a departure from this host's row in the store."""
+        published = self._make_row()
+        self.departures.take_over(row)
+        if self._make_row() != published:
+            self._publish_target()
+
     def merge_rollouts(self) -> None:
         """Apply changed orders and rollouts."""
         rollouts = self.source.rollouts
@@ -466,7 +472,9 @@
 
     def _make_row(self) -> _messages.MemberRow | None:
         report = self.state.target_client.target.report
-        if report is None or self.is_leaving:
+        if report is None:
+            return self.departures.row
+        if self.is_leaving:
             return None
         return _messages.MemberRow(
             host=self.identity.host,
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -61,6 +61,11 @@
     #: decode the row of such a target, and send nothing there.
     DOWN = 'down'
 
+    @property
+    def is_final(self) -> bool:
+        """Whether the lifetime stays unavailable, whatever it reports."""
+        return self in (TargetState.DRAINING, TargetState.GONE)
+
 
 class CallOutcome(enum.Enum):
     """What is known about the execution of a call to a target."""
--- a/sedgering/mesh/_row_writer.py
+++ b/sedgering/mesh/_row_writer.py
@@ -58,6 +58,8 @@
         #: while it is not known.
         self._revision: int | None = None
         self._stored: bytes | None = None
+        #: Called with each row that is read before another is written.
+        self.on_read: Callable[[_messages.MemberRow | None], None] = _ignore
         self._backoff = _watch.RetryBackoff(store_recovery)
         self._backoff.longest_s = LONGEST_PAUSE_S
 
@@ -149,6 +151,10 @@
             (row,) = await self.table.read([self.host])
             self._revision = row.revision
             self._stored = row.value if row.revision else None
+            self.on_read(_decode(self.host, self._stored))
+        if desired != self._desired:
+            # What was read has changed the row; it is written next.
+            return
         if desired == self._stored:
             return
         outcome = await self.table.transact(self._make_transaction(desired))
@@ -171,5 +177,23 @@
         return storage.Transaction(WRITE_OPERATION, conditions, puts)
 
 
+def _ignore(_row: _messages.MemberRow | None) -> None:
+    """Default for `MemberRowWriter.on_read`."""
+
+
+def _decode(
+    host: base.HostId, value: bytes | None
+) -> _messages.MemberRow | None:
+    """Decode a stored row; None where another writer has damaged it."""
+    try:
+        return None if value is None else _members.decode_row(host, value)
+    except exceptions.MemberError as error:
+        LOG.warning(
+            'stored row not decoded',
+            extra={'code': int(error.code), 'detail': error.detail},
+        )
+        return None
+
+
 def _encode(row: _messages.MemberRow | None) -> bytes | None:
     return None if row is None else _ENCODER.encode(row)
--- a/sedgering/mesh/_source.py
+++ b/sedgering/mesh/_source.py
@@ -26,6 +26,8 @@
 #: Called in the event loop with all member rows.
 OnMembers = Callable[[dict[base.HostId, _messages.MemberRow]], None]
 
+#: Called in the event loop with this host's row, as read from the store.
+OnOwnRow = Callable[[_messages.MemberRow | None], None]
 #: Called in the event loop when orders or rollouts have changed.
 OnRollouts = Callable[[], None]
 
@@ -113,6 +115,9 @@
         if rollout_store is not None:
             self._config_watcher.on_clock = self._note_clock
             self._member_watcher.on_clock = self._note_clock
+        #: Called before a row of this host is written over one that is read.
+        self.on_own_row: OnOwnRow | None = None
+        self._row_writer.on_read = self._note_own_row
         self._on_rollouts: OnRollouts | None = None
         self._on_config: OnConfig | None = None
         self._on_members: OnMembers | None = None
@@ -271,6 +276,10 @@
             self._on_config(config)
             self.note_change()
 
+    def _note_own_row(self, row: _messages.MemberRow | None) -> None:
+        if self.on_own_row is not None:
+            self.on_own_row(row)
+
     def merge_members(self, update: _members.MemberUpdate) -> None:
         """Merge member rows from the store or from another daemon."""
         is_first = not self.members.revision
--- a/sedgering/mesh/_target.py
+++ b/sedgering/mesh/_target.py
@@ -65,6 +65,11 @@
         """The current lifetime, if one is known."""
         return self.report.lifetime if self.report else None
 
+    def has_ended(self, lifetime: _messages.Lifetime) -> bool:
+        """Whether a lifetime is known to have ended or left."""
+        born_ms = self._ended.get(lifetime.target)
+        return born_ms is not None and lifetime.born_ms <= born_ms
+
     def take_report(
         self, report: _messages.TargetReport, now_s: float
     ) -> bool:
@@ -75,12 +80,14 @@
         bool
             Whether anything changed that peers must be told.
         """
-        if self._has_ended(report.lifetime):
+        if self.has_ended(report.lifetime):
             return False
         old = self.report
         if old is not None and old.target == report.target:
             if not _replaces(old, report):
-                return False
+                # A target that is leaving may tell its start only now.
+                is_final = old.state.is_final and report.state.is_final
+                return is_final and self.leave(report.lifetime, report.state)
         elif self.is_open and _may_be_delayed(old, report):
             self.conflicting_report = report
             return False
@@ -108,9 +115,11 @@
         conflicting, self.conflicting_report = self.conflicting_report, None
         if conflicting is None or self.report is None or current is None:
             return False
-        if self._has_ended(conflicting.lifetime):
-            # It has deregistered since it reported.
-            return False
+        if self.has_ended(conflicting.lifetime):
+            is_final = conflicting.state.is_final
+            if not is_final or current != conflicting.target:
+                # It has left since it reported.
+                return False
         if conflicting.target == self.report.target:
             # A later report of it was accepted meanwhile.
             return False
@@ -141,19 +150,25 @@
             _log('target reported', report)
         return is_changed
 
-    def leave(self, lifetime: _messages.Lifetime) -> bool:
-        """Record that a lifetime has deregistered.
+    def leave(
+        self,
+        lifetime: _messages.Lifetime,
+        state: _messages.TargetState = _messages.TargetState.GONE,
+    ) -> bool:
+        """Record that a lifetime has left or is leaving.
 
         Parameters
         ----------
         lifetime : Lifetime
             Lifetime that leaves; the current one if the target does not report
             its start time.
+        state : TargetState
+            Its final state.
 
         Returns
         -------
         bool
-            Whether it was the current lifetime and was open.
+            Whether anything changed that peers must be told.
         """
         current = self.report
         if (
@@ -162,16 +177,22 @@
             or lifetime.is_before(current.lifetime)
         ):
             self._record_end(lifetime)
+            self._close_conflict(lifetime, state)
             return False
-        was_open = self.is_open
-        self.report = msgspec.structs.replace(
-            current,
-            state=_messages.TargetState.GONE,
-            cold_ms=0,
-            born_ms=max(current.born_ms, lifetime.born_ms),
+        self.report = _make_final(current, lifetime, state)
+        _log('target has left', self.report)
+        return (
+            not current.state.is_final
+            or self.report.born_ms != current.born_ms
         )
-        _log('target deregistered', self.report)
-        return was_open
+
+    def _close_conflict(
+        self, lifetime: _messages.Lifetime, state: _messages.TargetState
+    ) -> None:
+        """Record that the target of the conflicting report is leaving."""
+        conflicting = self.conflicting_report
+        if conflicting is not None and conflicting.lifetime.is_same(lifetime):
+            self.conflicting_report = _make_final(conflicting, lifetime, state)
 
     def mark_crashed(self, lifetime: _messages.Lifetime) -> bool:
         """Record that a lifetime has crashed.
@@ -229,9 +250,19 @@
         if len(self._ended) > MAX_ENDED_TARGETS:
             del self._ended[next(iter(self._ended))]
 
-    def _has_ended(self, lifetime: _messages.Lifetime) -> bool:
-        born_ms = self._ended.get(lifetime.target)
-        return born_ms is not None and lifetime.born_ms <= born_ms
+
+def _make_final(
+    report: _messages.TargetReport,
+    lifetime: _messages.Lifetime,
+    state: _messages.TargetState,
+) -> _messages.TargetReport:
+    """Return the last report of a lifetime that leaves."""
+    return msgspec.structs.replace(
+        report,
+        state=state,
+        cold_ms=0,
+        born_ms=max(report.born_ms, lifetime.born_ms),
+    )
 
 
 def _may_be_delayed(
--- a/sedgering/platform/__init__.py
+++ b/sedgering/platform/__init__.py
@@ -12,6 +12,7 @@
 from sedgering.platform._document import decode_document
 from sedgering.platform._document import MESH
 from sedgering.platform._factory import make_mesh_source
+from sedgering.platform._factory import MEMBERS_TABLE
 from sedgering.platform._metrics import MetricsService
 from sedgering.platform._program import run_daemon
 from sedgering.platform._readiness import ReadinessService
@@ -33,6 +34,7 @@
     'HEADERS',
     'HostSettings',
     'LoopCarrier',
+    'MEMBERS_TABLE',
     'MESH',
     'MetricsService',
     'PlatformObjectStore',
--- a/sedgering/platform/_factory.py
+++ b/sedgering/platform/_factory.py
@@ -9,7 +9,7 @@
 from sedgering.platform import _store
 from sedgering.platform import _tables
 
-__all__ = ['make_mesh_source']
+__all__ = ['MEMBERS_TABLE', 'make_mesh_source']
 
 #: Row to which the operator writes the configuration document.
 CONFIG_TABLE = 'op'
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -6,6 +6,8 @@
 import threading
 from typing import Any
 
+import msgspec
+
 from sedgering import base
 from sedgering import mesh
 from sedgering import platform
@@ -204,6 +206,22 @@
         self.run(self._kill(host))
         self.run(self._start_daemon(host))
 
+    def terminate(self, host: MeshHost, grace_ms: int) -> None:
+        """Let a daemon leave, and wait until it has left."""
+
+        async def leave() -> None:
+            await host.daemon.leave(grace_ms)
+            await self._kill(host)
+
+        self.run(leave())
+
+    def read_member(self, host: MeshHost) -> mesh.MemberRow | None:
+        """Return the row of a host in the store."""
+        (row,) = self.engine.read((host.name,), platform.MEMBERS_TABLE)
+        if not row.revision:
+            return None
+        return msgspec.json.decode(row.value, type=mesh.MemberRow)
+
     def restart_all(self) -> None:
         """Kill all daemons, then restart them all."""
         for host in self.hosts.values():
--- a/sedgering/testing/_mesh_target.py
+++ b/sedgering/testing/_mesh_target.py
@@ -83,9 +83,8 @@
         now_s = asyncio.get_running_loop().time()
         if line.startswith('GET /health '):
             state.health_checks_s.append(now_s)
-            status = (
-                '503 Service Unavailable' if state.is_leaving else '200 OK'
-            )
+            is_ready = not state.is_leaving and not state.is_unhealthy
+            status = '200 OK' if is_ready else '503 Service Unavailable'
             own_headers = [
                 ('X-Instance-Id', state.target),
                 ('X-Server-Load', state.load_field),
@@ -212,6 +211,8 @@
         self.cancelled = 0
         self.connections = 0
         self.is_leaving = False
+        #: Whether its health check fails although it serves.
+        self.is_unhealthy = False
         self.open_connections: set[TargetStandin] = set()
         #: URLs whose requests crash the target after its processing time.
         self.fatal_urls: set[str] = set()
