A departure outlives a daemon that leaves

Cause: a leaving daemon removed its row, and wrote none for a target that left while the daemon was leaving; _make_row gave None once is_leaving was set. So the next process found no row and took two late reports as proof. The platform stops daemons on their own while their targets run on, so both happen.

Now the row of a target that has left stays, or is written, also while the daemon leaves. Where the target doesn't listen any more the row is removed as before: in the usual order a daemon is told to leave after its target has ended, so that no rows of hosts pile up, and the check is one refused connection on the host itself. Peers and relays treat such a row as that of a killed daemon.

The examples 'is told to leave ...' and 'begins to leave' failed before.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -17,7 +17,29 @@
       | deregisters                        | is killed |
       | reports "draining" and deregisters | is killed |
       | crashes and deregisters            | is killed |
-      | deregisters                        | is killed twice |
+
+    Examples: each way in which a daemon ends
+      | leaves             | ends                               |
+      | deregisters        | is killed twice                    |
+      | deregisters        | is told to leave                   |
+      | reports "draining" | is told to leave                   |
+      | deregisters        | is told to leave twice             |
+      | deregisters        | is killed and then told to leave   |
+      | deregisters        | is told to leave and then killed   |
+
+  Scenario Outline: A target that leaves around the end of its daemon has left
+    Given a mesh whose second target is about to leave
+    When its daemon <ends>
+    And that target <leaves>, which is acknowledged
+    And its daemon is killed
+    And 4 delayed reports of that target arrive
+    Then no call reaches that target
+    And its row in the store tells that it has left
+
+    Examples:
+      | ends                  | leaves             |
+      | begins to leave       | deregisters        |
+      | begins to leave       | reports "draining" |
 
   Scenario Outline: A target that lives is served after a restart as before
     Guards against a departure being seen where there is none, and against a
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -465,6 +465,8 @@
     def _publish_target(self) -> None:
         target_client = self.state.target_client
         target_client.refresh_gate()
+        if target_client.target.report is not None:
+            self.departures.row = None
         target_client.row = self._make_row()
         if target_client.row is not None:
             self.state.apply_reported_row(target_client.row)
@@ -474,7 +476,7 @@
         report = self.state.target_client.target.report
         if report is None:
             return self.departures.row
-        if self.is_leaving:
+        if self.is_leaving and not report.state.is_final:
             return None
         return _messages.MemberRow(
             host=self.identity.host,
@@ -500,7 +502,8 @@
 
         Peers learn from the removed row that this host is leaving; callers
         stop once its readiness check fails. Until then the daemon goes on
-        answering both.
+        answering both. The row of a target that has left, but still runs,
+        remains for the next process of the daemon.
 
         Parameters
         ----------
@@ -512,7 +515,7 @@
         self.is_leaving = True
         self.outbound.is_closing = True
         self.state.quotas.leave()
-        self.source.publish(None)
+        self.source.publish(await self._find_last_row())
         LOG.info('leaving')
         loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(self.shutdown_log.run()))
@@ -531,6 +534,13 @@
         self._stop_tasks()
         self.shutdown_log.note_end()
 
+    async def _find_last_row(self) -> _messages.MemberRow | None:
+        """Return the row that remains in the store, if any."""
+        row = self._make_row()
+        if row is None or await self.state.target_client.is_listening():
+            return row
+        return None
+
     def _plan_end(self, grace_s: float) -> float:
         """Limit all requests to the grace time; return when to end."""
         margin_s = self.state.mesh_settings.leave_margin_ms / 1000
