A departure is acknowledged once another process holds it

Cause: 200 meant that the gate of this process was closed. The row was written afterwards, and a deregistration at a process that had no report yet was written nowhere (LocalTarget.leave recorded an end in memory and said that nothing had changed).

Now hold_departure waits until the store holds the row (0.3 s), or one of three other daemons that are told of it (another 0.5 s; a target waits 1 s). The three are witnesses: for 15 s each keeps a connection to the daemon of that host and tells its next process as soon as it listens, with or without the store. They take the departure as a reported row, and no row of the same lifetime that says 'ready' overrides one that has left. A deregistration at a process without a report makes a row of the stored one, unless that names another target. A target that deregisters while it is not settled which of two lifetimes answers at the address is closed with the outcome.

The live rows need no more reports than before, with the store and without.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -38,6 +38,9 @@
 
     Examples:
       | ends                  | leaves             |
+      | is killed             | deregisters        |
+      | is killed             | reports "draining" |
+      | is told to leave      | deregisters        |
       | begins to leave       | deregisters        |
       | begins to leave       | reports "draining" |
 
@@ -74,3 +77,91 @@
       | another id  | wrong  | 1       |
       | the same id | right  | 1       |
       | the same id | wrong  | 1       |
+
+  Scenario Outline: A departure acknowledged without the store is remembered
+    Guards against a departure that is acknowledged while it stands in the
+    memory of one process only: the row in the store said "ready" until the end
+    of an outage, and so did that process's successor.
+    Given a mesh whose second target is about to leave
+    And a third host that learns of no departure
+    And the store becomes <mode>
+    When that target <leaves>, which is acknowledged
+    And its daemon is killed
+    And the store is <back> before 4 delayed reports of that target arrive
+    Then no call reaches that target
+    And in the end its row in the store tells that it has left
+
+    Examples: each way in which the store fails
+      | mode         | leaves             | back          |
+      | silent       | reports "draining" | back          |
+      | reset        | deregisters        | back          |
+      | busy         | deregisters        | back          |
+      | limited      | reports "draining" | back          |
+      | lose answers | deregisters        | back          |
+      | late         | reports "draining" | back          |
+
+    Examples: the store is away for longer
+      | mode   | leaves             | back          |
+      | silent | deregisters        | still away    |
+      | reset  | reports "draining" | still away    |
+      | busy   | deregisters        | still away    |
+
+  Scenario Outline: A restart without the store opens for no target that has left
+    Guards against calls of a daemon that has not read the row in time, after a
+    departure that the store holds.
+    Given a mesh whose second target is about to leave
+    And a third host that learns of no departure
+    When that target deregisters, which is acknowledged
+    And the store becomes <mode>
+    And its daemon <ends>
+    And 4 delayed reports of that target arrive
+    Then no call reaches that target
+    And in the end its row in the store tells that it has left
+
+    Examples:
+      | mode   | ends             |
+      | reset  | is killed        |
+      | silent | is killed twice  |
+      | reset  | is told to leave |
+
+  Scenario: A departure that nobody else holds is not acknowledged
+    Guards against an acknowledgement that ends with its process.
+    Given a mesh whose second target is about to leave
+    And its daemon reaches no other daemon
+    And the store becomes reset
+    When that target deregisters, which is refused with code 6005
+    Then its gate is closed
+    When the store is back
+    And that target deregisters, which is acknowledged
+    Then its row in the store tells that it has left
+
+  Scenario Outline: A target that lives is served without the store as before
+    Given a mesh whose second target is about to leave
+    And the store becomes <mode>
+    When its daemon is killed
+    And it reports that it is ready 2 times
+    Then its gate is open
+
+    Examples:
+      | mode   |
+      | silent |
+      | reset  |
+
+  Scenario: A witness forgets a departure when the host has another target
+    Guards against departures that pile up in the memory of other daemons.
+    Given a mesh whose second target is about to leave
+    When that target deregisters, which is acknowledged
+    And another one takes its place under another id, with a health check that is right
+    And it reports that it is ready 1 times
+    Then that target is available
+    And no daemon remembers a departure
+
+  Scenario Outline: Only the notice of a departure is taken
+    Then a departure notice <of> is answered <status>
+
+    Examples:
+      | of                      | status |
+      | of a target that leaves | 200    |
+      | of a ready target       | 400    |
+      | that is truncated       | 400    |
+      | of a row without a port | 400    |
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -1,19 +1,25 @@
 """Steps for departures of targets that outlive the daemon beside them."""
 
+import json
 import threading
 
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
 from sedgering import mesh
+from sedgering.mesh import _departure_notice
+from sedgering.mesh import _inbound
 from sedgering import testing
+from sedgering import transport
 
 GRACE_MS = 2000
 #: How long a leaving daemon accepts requests; short, to save time.
 LEAVE_SERVING_MS = 100
 CALLS = 20
 STATUS_OK = 200
+STATUS_UNAVAILABLE = 503
 BORN_MS = 10
 
 
@@ -36,6 +42,7 @@
         self.host.born_ms = BORN_MS
         self.fleet.report(self.host)
         self.fleet.wait_ready()
+        self.blind: testing.MeshHost | None = None
         #: Ends when the daemon has left.
         self.leaving: threading.Thread | None = None
 
@@ -99,10 +106,44 @@
         """Return the row of the host in the store."""
         return self.fleet.read_member(self.host)
 
+    @property
+    def is_store_sound(self) -> bool:
+        """Whether the store answers."""
+        return self.fleet.engine.faults.mode is testing.StoreMode.SOUND
+
+    def wait_known(self) -> None:
+        """Wait until the daemon may know that the target has left."""
+        daemon = self.host.daemon
+        target = daemon.state.target_client.target
+        left = mesh.Lifetime(self.host.books.target, self.host.born_ms)
+        self.fleet.wait_for(
+            lambda: (
+                daemon.is_ready
+                if self.is_store_sound
+                else target.has_ended(left) or target.report is not None
+            )
+        )
+
+    def add_blind_host(self) -> None:
+        """Add a host that goes on sending calls to a target that has left."""
+        self.blind = self.fleet.add_host('h3')
+        self.fleet.wait_ready()
+        daemon = self.blind.daemon
+        daemon.source.merge_members = lambda _update: None
+        daemon.source._member_watcher.post = lambda _update: None
+        daemon.state.apply_reported_row = lambda _row: False
+        daemon.inbound.on_departure = lambda _row: None
+
     def call(self) -> None:
-        """Send calls to both hosts; some end at the first target only."""
-        for host in (self.first, self.host):
-            self.fleet.wait_for(lambda host=host: host.daemon.is_ready)
+        """Send calls at all hosts that are ready."""
+        hosts = [self.first, self.host]
+        if self.blind is not None:
+            hosts.append(self.blind)
+        if self.is_store_sound:
+            self.fleet.wait_for(lambda: self.host.daemon.is_ready)
+        for host in hosts:
+            if not host.daemon.is_ready:
+                continue
             for number in range(CALLS):
                 answer = self.fleet.call(
                     host.addresses.callers_port,
@@ -150,13 +191,14 @@
     departing = context.departing
     for number in range(count):
         if number == count // 2:
-            departing.fleet.wait_for(lambda: departing.host.daemon.is_ready)
+            departing.wait_known()
         departing.fleet.report(departing.host)
 
 
 @then('no call reaches that target')
 def step_no_call(context):
     departing = context.departing
+    departing.fleet.wait_for(lambda: not departing.gate.is_open)
     departing.call()
     assert not departing.gate.is_open
     assert not departing.host.books.arrivals, departing.host.books.arrivals
@@ -198,3 +240,101 @@
 @then('that target is available')
 def step_available(context):
     context.departing.wait_available(context.departing.host.books.target)
+
+
+@given('a third host that learns of no departure')
+def step_blind(context):
+    context.departing.add_blind_host()
+
+
+@given('the store becomes {mode}')
+@when('the store becomes {mode}')
+def step_store_mode(context, mode):
+    faults = context.departing.fleet.engine.faults
+    faults.mode = testing.StoreMode(mode)
+
+
+@when('the store is back')
+def step_store_back(context):
+    faults = context.departing.fleet.engine.faults
+    faults.mode = testing.StoreMode.SOUND
+
+
+@when(
+    'the store is {state} before {count:d} delayed reports of that target '
+    'arrive'
+)
+def step_store_then_reports(context, state, count):
+    if state == 'back':
+        step_store_back(context)
+    step_delayed(context, count)
+
+
+@then('in the end its row in the store tells that it has left')
+def step_row_in_the_end(context):
+    departing = context.departing
+    departing.fleet.engine.faults.mode = testing.StoreMode.SOUND
+
+    def has_left() -> bool:
+        row = departing.read_row()
+        return row is not None and row.state.is_final
+
+    departing.fleet.wait_for(has_left)
+    departing.fleet.wait_for(lambda: departing.host.daemon.is_ready)
+    assert has_left()
+    assert not departing.gate.is_open
+
+
+@given('its daemon reaches no other daemon')
+def step_no_witness(context):
+    """Let all notices fail, as in a cut."""
+    fleet = context.departing.host.daemon.state.fleet
+    fleet.members = {
+        host: row
+        for host, row in fleet.members.items()
+        if host == context.departing.host.name
+    }
+
+
+@when('that target deregisters, which is refused with code {code:d}')
+def step_refused(context, code):
+    departing = context.departing
+    departing.host.books.is_leaving = True
+    answer = departing.fleet.send_report(departing.host, 'deregister')
+    assert answer.status == STATUS_UNAVAILABLE, answer
+    assert answer.find('retry-after'), answer
+    assert json.loads(answer.body)['code'] == code, answer.body
+
+
+@then('its gate is {state}')
+def step_gate(context, state):
+    gate = context.departing.gate
+    context.departing.fleet.wait_for(lambda: gate.is_open == (state == 'open'))
+
+
+@then('no daemon remembers a departure')
+def step_forgotten(context):
+    for host in context.departing.fleet.hosts.values():
+        context.departing.fleet.wait_for(
+            lambda h=host: not len(h.daemon.witness)
+        )
+
+
+@then('a departure notice {of} is answered {status:d}')
+def step_notice(context, of, status):
+    """Pass a notice to the service that other daemons call."""
+    state = mesh.TargetState.GONE
+    if of == 'of a ready target':
+        state = mesh.TargetState.READY
+    row = testing.make_member_row('h1', state=state)
+    if of == 'of a row without a port':
+        row = msgspec.structs.replace(row, port=0)
+    data = _departure_notice.encode_notice(row)
+    body = data.partition(b'\r\n\r\n')[2]
+    if of == 'that is truncated':
+        body = body[:-1]
+    service = _inbound.InboundService(None, None, None, None, None)
+    answer = service._take_departure(
+        transport.Request('POST', '/', [], body, True)
+    )
+    assert answer.status == status, answer
--- a/sedgering/exceptions.py
+++ b/sedgering/exceptions.py
@@ -102,6 +102,10 @@
     REPORT_SET = 6002, 'report is of an unknown target set; nothing changed'
     REPORT_TARGET = 6003, 'report names two targets; nothing changed'
     REPORT_LIFETIME = 6004, 'report does not tell its start; nothing changed'
+    REPORT_NOT_HELD = (
+        6005,
+        'departure recorded, but would not outlive this daemon; report again',
+    )
     MEMBER_UNREADABLE = 6101, 'member row cannot be decoded; names no target'
     ROLLOUT_UNREADABLE = 6201, 'order or row of a rollout cannot be decoded'
     ANSWER_SIGNAL = (
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -16,6 +16,7 @@
 from sedgering.mesh import _crash_notice
 from sedgering.mesh import _crash_records
 from sedgering.mesh import _decisions
+from sedgering.mesh import _departure_witness
 from sedgering.mesh import _departures
 from sedgering.mesh import _fleet
 from sedgering.mesh import _follow
@@ -122,7 +123,20 @@
         #: A report that a second one has to confirm; see
         #: `_needs_confirmation`.
         self._unconfirmed_report: _messages.TargetReport | None = None
-        self.departures = _departures.Departures(state.target_client.target)
+        self.departures = _departures.Departures(
+            identity.host,
+            state.target_client.target,
+            source,
+            state.fleet,
+            state.peers,
+            state.rng,
+            self._make_row_of,
+            self._start_task,
+        )
+        self.witness = _departure_witness.DepartureWitness(
+            state.fleet.has_replaced, self._start_task
+        )
+        self.inbound.on_departure = self._take_departure_notice
         source.on_own_row = self._take_over_departure
         self.is_leaving = False
         state.target_client.watch.on_crash = self._send_crash_notices
@@ -294,9 +308,22 @@
         """Take over a departure from this host's row in the store."""
         published = self._make_row()
         self.departures.take_over(row)
+        self._publish_unless(published)
+
+    def _publish_unless(self, published: _messages.MemberRow | None) -> None:
         if self._make_row() != published:
             self._publish_target()
 
+    def _take_departure_notice(self, row: _messages.MemberRow) -> None:
+        """Process the notice that a target is leaving, here or elsewhere."""
+        if row.host != self.identity.host:
+            self.state.apply_reported_row(row)
+            self.witness.note(row)
+            return
+        published = self._make_row()
+        self.departures.note(row)
+        self._publish_unless(published)
+
     def merge_rollouts(self) -> None:
         """Apply changed orders and rollouts."""
         rollouts = self.source.rollouts
@@ -406,9 +433,22 @@
 
     def take_leave(self, lifetime: _messages.Lifetime) -> None:
         """Record that the local target has deregistered."""
-        if self.state.target_client.target.leave(lifetime):
+        if self.departures.leave(lifetime, self.identity.target_set):
             self._publish_target()
 
+    async def hold_departure(self, lifetime: _messages.Lifetime) -> None:
+        """Wait until the departure of a lifetime may be acknowledged.
+
+        Raises
+        ------
+        ReportError
+            When the next process of this daemon might not know of it.
+        """
+        if not await self.departures.hold(lifetime, self._make_row()):
+            raise exceptions.ReportError(
+                exceptions.Code.REPORT_NOT_HELD, lifetime.target
+            )
+
     def render_metrics(self) -> bytes:
         """Return counters and gauges in the metrics text format."""
         gate = self.state.target_client.gate
@@ -478,6 +518,11 @@
             return self.departures.row
         if self.is_leaving and not report.state.is_final:
             return None
+        return self._make_row_of(report)
+
+    def _make_row_of(
+        self, report: _messages.TargetReport
+    ) -> _messages.MemberRow:
         return _messages.MemberRow(
             host=self.identity.host,
             data_centre=self.identity.data_centre,
--- /dev/null
+++ b/sedgering/mesh/_departure_witness.py
@@ -0,0 +1,143 @@
+"""Reminds restarted daemons of departures that they have acknowledged."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import logging
+
+import msgspec
+
+from sedgering import base
+from sedgering.mesh import _departure_notice
+from sedgering.mesh import _messages
+from sedgering import transport
+
+__all__ = ['DepartureWitness']
+
+LOG = logging.getLogger(__name__)
+
+#: How long a departure is remembered.  Reports arrive seconds late at most.
+MEMORY_S = 15.0
+#: Interval between reminders while the connection to the daemon shows no
+#: restart.  A host that loses power ends no connection.
+REMINDER_INTERVAL_S = 2.0
+#: How soon the end of that connection is noticed.
+CHECK_INTERVAL_S = 0.05
+#: Longest pause between attempts to reach a daemon that does not answer.
+MAX_RETRY_INTERVAL_S = 0.25
+TIMEOUT_S = 0.3
+
+
+class _Departure(msgspec.Struct):
+    row: _messages.MemberRow
+    until_s: float
+
+
+class DepartureWitness:
+    """Departures of other hosts, of which their daemons are reminded.
+
+    A daemon that restarts without the store does not learn from its row that
+    its target is leaving.  The connection to the witness ends with its
+    process, and the next process is told as soon as it listens.
+
+    Parameters
+    ----------
+    has_ended : callable
+        Returns whether a departure is of no importance any more: the host has
+        another target, or has left.
+    start_task : callable
+        Runs a coroutine in the background.
+    """
+
+    def __init__(
+        self,
+        has_ended: Callable[[_messages.MemberRow], bool],
+        start_task: Callable[[Coroutine], None],
+    ):
+        self.has_ended = has_ended
+        self.start_task = start_task
+        self._departures: dict[base.HostId, _Departure] = {}
+
+    def __len__(self) -> int:
+        """Return the number of departures that are remembered."""
+        return len(self._departures)
+
+    def note(self, row: _messages.MemberRow) -> None:
+        """Remember a departure, and remind the daemon of that host of it."""
+        is_new = row.host not in self._departures
+        until_s = asyncio.get_running_loop().time() + MEMORY_S
+        self._departures[row.host] = _Departure(row, until_s)
+        if is_new:
+            self.start_task(self._remind(row.host))
+
+    def _find(self, host: base.HostId) -> _messages.MemberRow | None:
+        """Return a departure; forget it when it has lost its importance."""
+        departure = self._departures[host]
+        now_s = asyncio.get_running_loop().time()
+        if now_s < departure.until_s and not self.has_ended(departure.row):
+            return departure.row
+        del self._departures[host]
+        return None
+
+    async def _remind(self, host: base.HostId) -> None:
+        """Remind a daemon at once, after each restart, and at intervals."""
+        loop = asyncio.get_running_loop()
+        reminder = _Reminder()
+        next_s = loop.time()
+        pause_s = CHECK_INTERVAL_S
+        try:
+            while (row := self._find(host)) is not None:
+                if reminder.has_lost_daemon or loop.time() >= next_s:
+                    if await reminder.send(row):
+                        next_s = loop.time() + REMINDER_INTERVAL_S
+                        pause_s = CHECK_INTERVAL_S
+                    else:
+                        next_s = loop.time()
+                        pause_s = min(2 * pause_s, MAX_RETRY_INTERVAL_S)
+                await asyncio.sleep(pause_s)
+        finally:
+            reminder.close()
+
+
+class _Reminder:
+    """Connection on which one daemon is reminded."""
+
+    def __init__(self):
+        self._connection: transport.ClientConnection | None = None
+
+    @property
+    def has_lost_daemon(self) -> bool:
+        """Whether the connection has ended, as it does with the process."""
+        return self._connection is not None and not self._connection.is_sound
+
+    async def send(self, row: _messages.MemberRow) -> bool:
+        """Send a reminder; return whether it was answered."""
+        was_reached = self._connection is not None
+        data = _departure_notice.encode_notice(row)
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                if not was_reached or self.has_lost_daemon:
+                    self._connection = None
+                    self._connection = await transport.connect(
+                        row.address, row.port, TIMEOUT_S
+                    )
+                await self._connection.exchange(data, lambda _answer: True)
+        except (
+            transport.ConnectFailed,
+            transport.ExchangeFailed,
+            TimeoutError,
+        ) as error:
+            self.close()
+            if was_reached:
+                LOG.info(
+                    'daemon not reminded of a departure',
+                    extra={'peer': row.host, 'detail': repr(error)},
+                )
+            return False
+        return True
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._connection is not None:
+            self._connection.close()
+        self._connection = None
--- a/sedgering/mesh/_fleet.py
+++ b/sedgering/mesh/_fleet.py
@@ -69,7 +69,7 @@
             host: row
             for host, row in self._reported.items()
             if members.get(host) == self._stored[host]
-            or _is_earlier_lifetime(members.get(host), row)
+            or _is_outdated(members.get(host), row)
         }
         self._stored = members
         return self._apply({**members, **self._reported})
@@ -86,12 +86,19 @@
         if self._stored.get(row.host) is None:
             return False
         known = self.members[row.host]
-        if known == row or row.lifetime.is_before(known.lifetime):
+        if known == row or _is_outdated(row, known):
             return False
         self._reported[row.host] = row
         self._apply({**self.members, row.host: row})
         return True
 
+    def has_replaced(self, row: _messages.MemberRow) -> bool:
+        """Whether a host has another target than a row tells, or has left."""
+        if not self.is_known:
+            return False
+        known = self.members.get(row.host)
+        return known is None or not known.lifetime.is_same(row.lifetime)
+
     def _apply(
         self, members: dict[base.HostId, _messages.MemberRow]
     ) -> list[_messages.MemberRow]:
@@ -208,11 +215,16 @@
     return row.host
 
 
-def _is_earlier_lifetime(
-    stored: _messages.MemberRow | None, reported: _messages.MemberRow
+def _is_outdated(
+    row: _messages.MemberRow | None, known: _messages.MemberRow
 ) -> bool:
-    """Whether the stored row is of an earlier lifetime of the target."""
-    return stored is not None and stored.lifetime.is_before(reported.lifetime)
+    """Whether a row is of an earlier lifetime, or of one that is leaving."""
+    if row is None:
+        return False
+    has_left = known.state.is_final and not row.state.is_final
+    return row.lifetime.is_before(known.lifetime) or (
+        has_left and row.lifetime.is_same(known.lifetime)
+    )
 
 
 def _log_change(message: str, row: _messages.MemberRow) -> None:
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -9,6 +9,7 @@
 
 from sedgering import base
 from sedgering.mesh import _crash_notice
+from sedgering.mesh import _departure_notice
 from sedgering.mesh import _evidence_hop
 from sedgering.mesh import _hop
 from sedgering.mesh import _link_reservations
@@ -60,6 +61,8 @@
         self.pause = pause
         self.poll_handler = poll_handler
         self.quotas = quotas
+        #: Called with the row of a host whose target is leaving.
+        self.on_departure: Callable[[_messages.MemberRow], None] = _ignore
 
     def find_limits(self) -> transport.CallerLimits:
         """Return the limits between daemons."""
@@ -102,6 +105,8 @@
             return transport.Response(200, [])
         if _crash_notice.is_notice(request):
             return self._take_notice(request)
+        if _departure_notice.is_notice(request):
+            return self._take_departure(request)
         if _evidence_hop.is_evidence_request(request):
             return self._answer_evidence_query(request)
         body_bytes = _link_reservations.find_reservation_bytes(request)
@@ -167,3 +172,22 @@
             return transport.make_json_response(400, {'error': str(error)})
         self.target_client.crashes.add_record(record)
         return transport.Response(200, [])
+
+    def _take_departure(
+        self, request: transport.Request
+    ) -> transport.Response:
+        """Record that the target of a host is leaving."""
+        try:
+            row = _departure_notice.decode_notice(request)
+        except ValueError as error:
+            LOG.warning(
+                'unreadable departure notice from a peer',
+                extra={'detail': str(error)},
+            )
+            return transport.make_json_response(400, {'error': str(error)})
+        self.on_departure(row)
+        return transport.Response(200, [])
+
+
+def _ignore(_row: _messages.MemberRow) -> None:
+    """Default for `InboundService.on_departure`."""
--- a/sedgering/mesh/_row_writer.py
+++ b/sedgering/mesh/_row_writer.py
@@ -58,11 +58,21 @@
         #: while it is not known.
         self._revision: int | None = None
         self._stored: bytes | None = None
-        #: Called with each row that is read before another is written.
-        self.on_read: Callable[[_messages.MemberRow | None], None] = _ignore
+        #: Called with the stored row after each read and write.
+        self.on_stored: Callable[[_messages.MemberRow | None], None] = _ignore
         self._backoff = _watch.RetryBackoff(store_recovery)
         self._backoff.longest_s = LONGEST_PAUSE_S
 
+    @property
+    def is_stored_known(self) -> bool:
+        """Whether the row in the store is known."""
+        return self._revision is not None
+
+    @property
+    def stored_row(self) -> _messages.MemberRow | None:
+        """Last known row in the store; None if there is none."""
+        return _decode(self.host, self._stored)
+
     def set_row(self, row: _messages.MemberRow | None) -> None:
         """Set the row to be written; it replaces one not yet written."""
         self._desired = _encode(row)
@@ -151,7 +161,7 @@
             (row,) = await self.table.read([self.host])
             self._revision = row.revision
             self._stored = row.value if row.revision else None
-            self.on_read(_decode(self.host, self._stored))
+            self.on_stored(self.stored_row)
         if desired != self._desired:
             # What was read has changed the row; it is written next.
             return
@@ -162,6 +172,7 @@
             raise outcome.make_error()
         self._revision = 0 if desired is None else outcome.revision
         self._stored = desired
+        self.on_stored(self.stored_row)
         LOG.info(
             'row written' if desired is not None else 'row removed',
             extra={'version': outcome.revision},
@@ -178,7 +189,7 @@
 
 
 def _ignore(_row: _messages.MemberRow | None) -> None:
-    """Default for `MemberRowWriter.on_read`."""
+    """Default for `MemberRowWriter.on_stored`."""
 
 
 def _decode(
--- a/sedgering/mesh/_source.py
+++ b/sedgering/mesh/_source.py
@@ -115,9 +115,9 @@
         if rollout_store is not None:
             self._config_watcher.on_clock = self._note_clock
             self._member_watcher.on_clock = self._note_clock
-        #: Called before a row of this host is written over one that is read.
+        #: Called after this host's row was read before a write, or written.
         self.on_own_row: OnOwnRow | None = None
-        self._row_writer.on_read = self._note_own_row
+        self._row_writer.on_stored = self._note_own_row
         self._on_rollouts: OnRollouts | None = None
         self._on_config: OnConfig | None = None
         self._on_members: OnMembers | None = None
@@ -276,6 +276,13 @@
             self._on_config(config)
             self.note_change()
 
+    @property
+    def stored_row(self) -> _messages.MemberRow | None:
+        """Row of this host in the store, as last read or written."""
+        if self._row_writer.is_stored_known:
+            return self._row_writer.stored_row
+        return self.members.find_entry(self.host).row
+
     def _note_own_row(self, row: _messages.MemberRow | None) -> None:
         if self.on_own_row is not None:
             self.on_own_row(row)
--- a/sedgering/mesh/_target.py
+++ b/sedgering/mesh/_target.py
@@ -70,6 +70,19 @@
         born_ms = self._ended.get(lifetime.target)
         return born_ms is not None and lifetime.born_ms <= born_ms
 
+    def is_superseded(self, lifetime: _messages.Lifetime) -> bool:
+        """Whether a later lifetime is known to have taken its place."""
+        current = self.lifetime
+        conflicting = self.conflicting_report
+        if current is None:
+            return False
+        if lifetime.target == current.target:
+            return lifetime.is_before(current)
+        is_open = conflicting is not None and conflicting.lifetime.is_same(
+            lifetime
+        )
+        return self.has_ended(lifetime) and not is_open
+
     def take_report(
         self, report: _messages.TargetReport, now_s: float
     ) -> bool:
@@ -179,7 +192,11 @@
             self._record_end(lifetime)
             self._close_conflict(lifetime, state)
             return False
+        if current.state.is_final and state is _messages.TargetState.DRAINING:
+            state = current.state
         self.report = _make_final(current, lifetime, state)
+        if self.report == current:
+            return False
         _log('target has left', self.report)
         return (
             not current.state.is_final
--- a/sedgering/platform/_reports.py
+++ b/sedgering/platform/_reports.py
@@ -28,6 +28,12 @@
 }
 #: Longest remaining warm-up that a target may report; starts take seconds.
 MAX_COLD_MS = 3_600_000
+#: Status of a refusal after which the message is to be sent again.
+STATUS_UNAVAILABLE = 503
+STATUS_BAD_REQUEST = 400
+RETRY_AFTER_S = 1
+#: Statuses of refusals for another reason than the message itself.
+_STATUSES = {exceptions.Code.REPORT_NOT_HELD: STATUS_UNAVAILABLE}
 #: Length at which the detail of an error response is cut.
 MAX_DETAIL_CHARACTERS = 200
 
@@ -101,7 +107,11 @@
         return transport.CallerLimits()
 
     async def answer(self, request: transport.Request) -> transport.Response:
-        """Process a message, and acknowledge it once it is in effect."""
+        """Process a message, and acknowledge it once it is in effect.
+
+        The departure of a target is acknowledged once it outlives this
+        process.
+        """
         match = _PATH.fullmatch(request.url)
         if match is None or request.method != 'POST':
             return transport.make_json_response(404, {'error': 'no such path'})
@@ -109,14 +119,19 @@
         try:
             target = _check_target(name)
             if action == 'deregister':
-                self._handle_deregistration(target, request.body)
+                await self._handle_deregistration(target, request.body)
             else:
-                self.daemon.take_report(_decode_report(target, request.body))
+                await self._handle_report(_decode_report(target, request.body))
         except exceptions.ReportError as error:
             return self._refuse(name, error)
         return transport.make_json_response(200, {})
 
-    def _handle_deregistration(
+    async def _handle_report(self, report: mesh.TargetReport) -> None:
+        self.daemon.take_report(report)
+        if report.state.is_final:
+            await self.daemon.hold_departure(report.lifetime)
+
+    async def _handle_deregistration(
         self, target: base.TargetName, body: bytes
     ) -> None:
         lifetime = _decode_deregistration(target, body)
@@ -125,6 +140,7 @@
             # a body, and is not checked for one.
             self.daemon.check_lifetime(lifetime)
         self.daemon.take_leave(lifetime)
+        await self.daemon.hold_departure(lifetime)
 
     def _refuse(
         self, name: str, error: exceptions.ReportError
@@ -132,14 +148,17 @@
         self._refusals.note(
             (name, error.code), 'report refused', error, target=name
         )
-        return transport.make_json_response(
-            400,
+        response = transport.make_json_response(
+            _STATUSES.get(error.code, STATUS_BAD_REQUEST),
             {
                 'code': int(error.code),
                 'error': error.code.text,
                 'detail': error.detail[:MAX_DETAIL_CHARACTERS],
             },
         )
+        if response.status == STATUS_UNAVAILABLE:
+            response.headers.append(('Retry-After', str(RETRY_AFTER_S)))
+        return response
 
 
 def _check_target(name: str) -> base.TargetName:
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -234,11 +234,11 @@
     def report(self, host: MeshHost, state: str = 'ready') -> int:
         """Send a heartbeat of a target; return the HTTP status."""
         host.sequence += 1
-        return self._send_report(host, 'heartbeat', state)
+        return self.send_report(host, 'heartbeat', state).status
 
     def deregister(self, host: MeshHost) -> int:
         """Deregister a target; return the HTTP status."""
-        return self._send_report(host, 'deregister', 'draining')
+        return self.send_report(host, 'deregister').status
 
     def configure(self, document: bytes) -> None:
         """Write the operator's configuration document to the store."""
@@ -290,10 +290,13 @@
         finally:
             connection.close()
 
-    def _send_report(self, host: MeshHost, verb: str, state: str) -> int:
+    def send_report(
+        self, host: MeshHost, verb: str, state: str = 'draining'
+    ) -> transport.Response:
+        """Send a message of a target to the daemon beside it."""
         request = self._make_report(host, verb, state)
         port = host.addresses.reports_port
-        return self.call(port, request.url, request.body).status
+        return self.call(port, request.url, request.body)
 
     def _make_report(
         self, host: MeshHost, verb: str, state: str
