The soak lets targets leave around a restart, with reports that come late

A new fault, drawn by itself for plans with long callers: a target drains or deregisters, its three reports from before arrive 0.2 to 4 s late, and the daemon beside it is killed or gets SIGTERM, or both, after the acknowledgement. It serves on for 3 to 6 s and tells nothing in its answers, and its health check fails. The check is the one that was there: nothing reaches it later than 2 s after the acknowledgement. Plans of seeds are as before but for the added faults; the digests in features/soak.feature hold.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -40,11 +40,16 @@
     _faults.PLANNED_KINDS
     | _faults.STORE_KINDS
     | _faults.SIGNAL_KINDS
+    | _faults.DEPARTURE_KINDS
     | {_faults.FaultKind.THROTTLE}
 )
 CRASH_AND_SUSPEND_KINDS = frozenset(
     (_faults.FaultKind.SUSPEND, _faults.FaultKind.FATAL_REQUEST)
 )
+#: Kinds that were added to the plans of seeds after throttled links.
+ADDED_KINDS = (
+    CRASH_AND_SUSPEND_KINDS | _faults.SIGNAL_KINDS | _faults.DEPARTURE_KINDS
+)
 #: SIGTERM handlers of a program that stands for a daemon.  The program prints
 #: a line when its handler is installed.
 SIGTERM_HANDLERS = {
@@ -452,9 +457,7 @@
         digest.update(repr(plan).encode())
         full_plan = _faults.make_plan(seed, 5, 12.0, True)
         throttled_plan = tuple(
-            item
-            for item in full_plan
-            if item.kind not in CRASH_AND_SUSPEND_KINDS | _faults.SIGNAL_KINDS
+            item for item in full_plan if item.kind not in ADDED_KINDS
         )
         throttled.update(repr(throttled_plan).encode())
         base = [
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -25,6 +25,12 @@
 MEAN_SIGNAL_GAP_S = 2.5
 SIGNAL_DURATION_S = (3.0, 9.0)
 LIMIT_SHARE = 0.7
+#: Mean time between two departures around a restart, the range of the time
+#: for which the target goes on serving, and the ends of the daemon beside it.
+MEAN_DEPARTURE_GAP_S = 3.0
+DEPARTURE_DURATION_S = (3.0, 6.0)
+PLANNED_ENDS = ('terminate', 'terminate|terminate')
+UNPLANNED_ENDS = ('kill', 'kill|kill', 'terminate|kill', 'kill|terminate')
 #: Requests that crash targets start within this share of the plan.
 FATAL_START_SHARE = 0.4
 #: Range of the rate of a throttled link.
@@ -54,6 +60,9 @@
     TARGET_LIMIT = 'target limit'
     #: A target states in its answers that it is leaving, and reports nothing.
     UNREPORTED_LEAVE = 'unreported leave'
+    #: A target leaves, the daemon beside it restarts, and reports that the
+    #: target sent before arrive late.
+    LEAVE_AND_RESTART = 'leave and restart'
     #: A target has crashed on such a request; never planned.
     TARGET_ENDS = 'target ends'
 
@@ -64,6 +73,8 @@
 )
 #: What targets state in answers, which must not cause a request to fail.
 SIGNAL_KINDS = frozenset((FaultKind.TARGET_LIMIT, FaultKind.UNREPORTED_LEAVE))
+#: Departures around a restart, which is a fault of its own.
+DEPARTURE_KINDS = frozenset((FaultKind.LEAVE_AND_RESTART,))
 #: Faults of the store, which alone must not cause a request to fail.
 STORE_KINDS = frozenset((FaultKind.STORE, FaultKind.STORE_LINK))
 #: Faults that stop a process without notice.
@@ -78,6 +89,7 @@
     FaultKind.FATAL_REQUEST,
     FaultKind.TARGET_ENDS,
     *SIGNAL_KINDS,
+    *DEPARTURE_KINDS,
 }
 #: Store faults are longer by this factor, so that they outlast the shutdown
 #: of a daemon.
@@ -120,7 +132,8 @@
         time until its restart.
     detail : str
         Mode of a link or of the store, behaviour of a target, rate of a link
-        in bytes per second, or limits that a target states one after another.
+        in bytes per second, limits that a target states one after another, or
+        how a target leaves and how the daemon beside it ends.
     """
 
     at_s: float
@@ -132,7 +145,7 @@
     @property
     def is_planned(self) -> bool:
         """Whether it is a planned operation."""
-        return self.kind in PLANNED_KINDS | SIGNAL_KINDS
+        return self.kind in PLANNED_KINDS | SIGNAL_KINDS | DEPARTURE_KINDS
 
 
 def make_plan(
@@ -162,6 +175,10 @@
             if has_extra_kinds:
                 plan += _make_throttles(seed, hosts, seconds)
                 plan += _make_signals(seed, hosts, seconds)
+                ends = PLANNED_ENDS
+                if FaultKind.KILL in kinds:
+                    ends += UNPLANNED_ENDS
+                plan += _make_departures(seed, hosts, seconds, ends)
             if has_extra_kinds and FaultKind.KILL in kinds:
                 # Plans of planned operations must not cause requests to fail.
                 plan += _make_suspensions(seed, hosts, seconds)
@@ -223,6 +240,21 @@
         at_s += rng.expovariate(1 / MEAN_SIGNAL_GAP_S)
 
 
+def _make_departures(
+    seed: int, hosts: int, seconds: float, ends: tuple[str, ...]
+) -> Iterator[Fault]:
+    """Make departures around a restart, from a generator of their own."""
+    rng = random.Random(f'departures {seed}')
+    at_s = rng.expovariate(1 / MEAN_DEPARTURE_GAP_S)
+    while at_s < seconds:
+        form = rng.choice(('draining', 'deregister'))
+        detail = f'{form}|{rng.choice(ends)}'
+        for_s = rng.uniform(*DEPARTURE_DURATION_S)
+        host = rng.randrange(hosts)
+        yield Fault(at_s, FaultKind.LEAVE_AND_RESTART, host, for_s, detail)
+        at_s += rng.expovariate(1 / MEAN_DEPARTURE_GAP_S)
+
+
 def _make_fatal_request(seed: int, seconds: float) -> Fault:
     """Make the period in which a request that crashes targets is sent."""
     rng = random.Random(f'fatal {seed}')
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 import time
 
 from sedgering import platform
@@ -23,6 +24,12 @@
 #: How long a draining target keeps serving after the daemon acknowledged its
 #: state.
 DRAIN_SERVING_S = _daemons.DRAIN_S + 0.6
+#: Reports that were sent before a departure and arrive after it, and the range
+#: of their delays.  Messages of a target are delayed by seconds at most.
+DELAYED_REPORTS = 3
+REPORT_DELAY_S = (0.2, 4.0)
+#: How long a target tries to have its departure acknowledged.
+LEAVE_ATTEMPTS_S = 4.0
 #: Interval at which a draining target checks whether its work is done.
 POLL_INTERVAL_S = 0.05
 #: Time from the end of a target to the start of the next at its address.
@@ -154,6 +161,8 @@
         self._restart: asyncio.Task | None = None
         #: Called after each crash on a request.
         self.on_crash: Callable[[], None] = _do_nothing
+        #: Called when the target has told its daemon that it is leaving.
+        self.on_departure: Callable[[], None] = _do_nothing
 
     async def start(self) -> None:
         """Start a new lifetime."""
@@ -191,6 +200,67 @@
         await asyncio.sleep(ADDRESS_REUSE_S)
         await self.start()
 
+    async def leave_with_delayed_reports(
+        self, form: str, for_s: float, seed: str
+    ) -> None:
+        """Leave, while reports that were sent before are still to arrive.
+
+        Its answers do not tell that it is leaving.
+
+        Parameters
+        ----------
+        form : str
+            State that it reports, or `deregister`: it then sends no more.
+        for_s : float
+            How long it goes on serving.
+        seed : str
+            Determines the delays of the reports.
+        """
+        if self.is_leaving or self._restart is not None:
+            return
+        rng = random.Random(seed)
+        self.is_leaving = True
+        self.books.is_unhealthy = True
+        self._heartbeats.cancel()
+        delayed = self._delay_reports(
+            sorted(
+                rng.uniform(*REPORT_DELAY_S) for _ in range(DELAYED_REPORTS)
+            )
+        )
+        await self._report_departure(form)
+        self.on_departure()
+        await asyncio.gather(asyncio.sleep(for_s), delayed)
+        end_s = time.monotonic() + LEAVE_ATTEMPTS_S
+        while self.books.running and time.monotonic() < end_s:
+            await asyncio.sleep(POLL_INTERVAL_S)
+        self.stop()
+        await asyncio.sleep(ADDRESS_REUSE_S)
+        await self.start()
+
+    async def _report_departure(self, form: str) -> None:
+        """Report the departure until it is acknowledged."""
+        end_s = time.monotonic() + LEAVE_ATTEMPTS_S
+        verb = 'deregister' if form == 'deregister' else 'heartbeat'
+        while time.monotonic() < end_s:
+            if await self._send_report(verb, 'draining'):
+                self.books.acknowledged_s = time.monotonic()
+                return
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    def _delay_reports(self, delays_s: list[float]) -> asyncio.Future:
+        """Send the next reports that it is ready, to arrive later."""
+
+        async def send(request: transport.Request, delay_s: float) -> None:
+            await asyncio.sleep(delay_s)
+            await self._send(request)
+
+        return asyncio.gather(
+            *(
+                send(self._make_report('heartbeat', 'ready'), delay_s)
+                for delay_s in delays_s
+            )
+        )
+
     async def leave_unreported(self, for_s: float) -> None:
         """State in answers only that it is leaving, and leave later."""
         if self.is_leaving or self._restart is not None:
@@ -246,8 +316,11 @@
 
     async def _send_report(self, verb: str, state: str) -> bool:
         """Send a report; return whether the daemon acknowledged it."""
+        return await self._send(self._make_report(verb, state))
+
+    def _make_report(self, verb: str, state: str) -> transport.Request:
         self._sequence += 1
-        request = testing.make_report(
+        return testing.make_report(
             self.books.target,
             verb,
             self.daemon.target_set,
@@ -256,6 +329,9 @@
             SLOTS,
             self._started_at_ms,
         )
+
+    async def _send(self, request: transport.Request) -> bool:
+        """Send a message; return whether the daemon acknowledged it."""
         try:
             async with asyncio.timeout(REPORT_TIMEOUT_S):
                 connection = await transport.connect(
@@ -280,4 +356,4 @@
 
 
 def _do_nothing() -> None:
-    """Default for `Target.on_crash`."""
+    """Default for callbacks of `Target`."""
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -344,6 +344,28 @@
     async def _leave_unreported(self, fault: _faults.Fault) -> None:
         await self.targets[fault.host].leave_unreported(fault.for_s)
 
+    async def _leave_and_restart(self, fault: _faults.Fault) -> None:
+        """Let a target leave, and end the daemon beside it after that."""
+        form, *ends = fault.detail.split('|')
+        target = self.targets[fault.host]
+        has_left = asyncio.Event()
+        target.on_departure = has_left.set
+        leaving = asyncio.ensure_future(
+            target.leave_with_delayed_reports(
+                form, fault.for_s, f'{self.settings.seed} {fault.at_s}'
+            )
+        )
+        left = asyncio.ensure_future(has_left.wait())
+        await asyncio.wait(
+            (leaving, left), return_when=asyncio.FIRST_COMPLETED
+        )
+        left.cancel()
+        for end in ends if has_left.is_set() else ():
+            await self._inject(
+                _faults.Fault(fault.at_s, _Kind(end), fault.host, 0.0)
+            )
+        await leaving
+
     async def _write_version(self) -> bool:
         """Write the newest version; return whether the store accepted it."""
         is_long = self.settings.long_callers > 0
@@ -429,6 +451,7 @@
     _Kind.THROTTLE: World._throttle,
     _Kind.TARGET_LIMIT: World._limit_target,
     _Kind.UNREPORTED_LEAVE: World._leave_unreported,
+    _Kind.LEAVE_AND_RESTART: World._leave_and_restart,
     _Kind.SUSPEND: World._suspend,
     _Kind.FATAL_REQUEST: World._send_crash_requests,
 }
