Witnesses keep calling; no row is removed by a late deregistration

- A witness took the departure as a reported row.
A daemon that gets no updates of the store then saw no target at that host, never called it, and didn't learn from its answers that the next target is there: two scenarios of start.feature failed.
A witness only reminds now.
- At a process without a report, a late deregistration of an earlier id made it publish 'no row' over the departure that it had recorded, while the store was away: the row would have been removed.
Failing scenario first: 'A late deregistration of another target hides no departure'.
- The stored crashes are restored before a departure is published with them.

A target that leaves before it is asked which of two lifetimes is there has a test in targets.feature now.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -124,6 +124,18 @@
       | silent | is killed twice  |
       | reset  | is told to leave |
 
+  Scenario: A late deregistration of another target hides no departure
+    Guards against the removal of a row that tells a departure, which nothing
+    would tell after that.
+    Given a mesh whose second target is about to leave
+    And its health check is wrong
+    When its daemon is killed
+    And all daemons are ready again
+    And the store becomes reset
+    And that target deregisters, which is acknowledged
+    And a target that was there before it deregisters
+    Then in the end its row in the store tells that it has left
+
   Scenario: A departure that nobody else holds is not acknowledged
     Guards against an acknowledgement that ends with its process.
     Given a mesh whose second target is about to leave
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -132,7 +132,6 @@
         daemon.source.merge_members = lambda _update: None
         daemon.source._member_watcher.post = lambda _update: None
         daemon.state.apply_reported_row = lambda _row: False
-        daemon.inbound.on_departure = lambda _row: None
 
     def call(self) -> None:
         """Send calls at all hosts that are ready."""
@@ -306,6 +305,20 @@
     assert json.loads(answer.body)['code'] == code, answer.body
 
 
+@when('all daemons are ready again')
+def step_ready(context):
+    context.departing.fleet.wait_ready()
+
+
+@when('a target that was there before it deregisters')
+def step_earlier(context):
+    departing = context.departing
+    own = departing.host.books.target
+    departing.host.books.target = 'i-earlier'
+    departing.fleet.deregister(departing.host)
+    departing.host.books.target = own
+
+
 @then('its gate is {state}')
 def step_gate(context, state):
     gate = context.departing.gate
--- a/features/steps/target_steps.py
+++ b/features/steps/target_steps.py
@@ -160,6 +160,37 @@
     target.resolve_conflict(other.target, 0.0)
 
 
+@when('that one {leaves} before it is asked who it is')
+def step_rival_leaves(context, leaves):
+    context.rival = mesh.Lifetime(base.TargetName('i-2'), 10)
+    target = context.subject.target
+    if leaves == 'deregisters':
+        target.leave(context.rival)
+    else:
+        target.take_report(make_report('draining', 8, context.rival), 0.0)
+
+
+@then('the departure of that one waits for the answer')
+def step_rival_waits(context):
+    target = context.subject.target
+    assert target.is_open
+    assert not target.is_superseded(context.rival)
+
+
+@when('the {which} id is there')
+def step_rival_answers(context, which):
+    present = {'same': TARGET, 'other': context.rival.target}[which]
+    context.subject.target.resolve_conflict(present, 0.0)
+
+
+@then('the gate is {state}, and the departure waits no more')
+def step_rival_gone(context, state):
+    target = context.subject.target
+    assert target.is_open is (state == 'open'), target.report
+    assert target.is_superseded(context.rival) is target.is_open
+    assert (target.target == context.rival.target) is not target.is_open
+
+
 @when('another id reports itself for the first time, born at {born:d}')
 def step_other_first(context, born):
     other = mesh.Lifetime(base.TargetName('i-2'), born)
--- a/features/targets.feature
+++ b/features/targets.feature
@@ -57,6 +57,21 @@
     When that one starts again, born at 20, before it is asked who it is
     Then the target is open in the lifetime born at 20
 
+  Scenario Outline: A target that leaves before it is asked who it is has left
+    Guards against a departure that is acknowledged and lost: the row of the
+    host went on naming the other id as ready.
+    Given a target beside which another one, born at 10, reported late
+    When that one <leaves> before it is asked who it is
+    Then the departure of that one waits for the answer
+    When <answers> is there
+    Then <open>, and the departure waits no more
+
+    Examples:
+      | leaves           | answers      | open                    |
+      | deregisters      | the other id | the gate is closed      |
+      | reports draining | the other id | the gate is closed      |
+      | deregisters      | the same id  | the gate is open        |
+
   Scenario Outline: A first report of another id is accepted, unless its start is suspect
     Given a target whose lifetime reported ready 5 born <present>
     When another id reports itself for the first time, born at <other>
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -287,10 +287,10 @@
         self, members: dict[base.HostId, _messages.MemberRow]
     ) -> None:
         """Replace the member table."""
-        self._take_over_departure(members.get(self.identity.host))
         if not self.state.fleet.is_known and self.identity.host in members:
             own = members[self.identity.host]
             self.state.target_client.watch.restore(own.crashes)
+        self._take_over_departure(members.get(self.identity.host))
         for row in members.values():
             if row.crashes:
                 self.state.crashes.add_row(row)
@@ -317,7 +317,8 @@
     def _take_departure_notice(self, row: _messages.MemberRow) -> None:
         """Process the notice that a target is leaving, here or elsewhere."""
         if row.host != self.identity.host:
-            self.state.apply_reported_row(row)
+            # It is not taken as a row of that host: a daemon without the
+            # store would then never call it, and learn of no next target.
             self.witness.note(row)
             return
         published = self._make_row()
--- a/sedgering/mesh/_departures.py
+++ b/sedgering/mesh/_departures.py
@@ -96,7 +96,7 @@
         """
         pending, self._pending = self._pending, None
         if pending is not None and self.target.report is None:
-            self.row = _merge(stored, pending)
+            self.row = _merge(stored, pending) or self.row
         if stored is not None and stored.state.is_final:
             self.target.leave(stored.lifetime, stored.state)
             if self.target.report is None:
