A witness remembers the departure of a target that it did not know

The witnesses' member tables, which the store could not change, named the earlier lifetime of that host, and has_replaced took any other lifetime for a later one: the departure was forgotten at once, and nobody was reminded.

A witness now compares with the row that it knew when it was told: another target than that one and the one that leaves is a later one.

The outline 'A witness remembers a departure for as long as it matters' has the cases.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -168,6 +168,26 @@
     Then that target is available
     And no daemon remembers a departure
 
+  Scenario Outline: A witness remembers a departure for as long as it matters
+    Guards against a departure that a witness forgot at once: without the store
+    it knew of a target only that had been there before.
+    Given a witness that knows <known> beside the daemon
+    When it is told that a target leaves, and knows <later> after that
+    Then the departure is <result>
+
+    Examples:
+      | known                | later                | result     |
+      | that target          | that target          | remembered |
+      | an earlier lifetime  | an earlier lifetime  | remembered |
+      | an earlier lifetime  | that target          | remembered |
+      | an earlier target    | an earlier target    | remembered |
+      | an earlier target    | that target          | remembered |
+      | no target            | no target            | remembered |
+      | that target          | a later lifetime     | forgotten  |
+      | that target          | another target       | forgotten  |
+      | an earlier target    | another target       | forgotten  |
+      | that target          | no target            | forgotten  |
+
   Scenario Outline: Only the notice of a departure is taken
     Then a departure notice <of> is answered <status>
 
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -1,5 +1,6 @@
 """Steps for departures of targets that outlive the daemon beside them."""
 
+import asyncio
 import json
 import threading
 
@@ -10,6 +11,7 @@
 
 from sedgering import mesh
 from sedgering.mesh import _departure_notice
+from sedgering.mesh import _departure_witness
 from sedgering.mesh import _inbound
 from sedgering import testing
 from sedgering import transport
@@ -333,6 +335,62 @@
         )
 
 
+#: Rows of a host, whose target 'i-1' born at 20 leaves.
+KNOWN_ROWS = {
+    'that target': ('i-1', 20),
+    'an earlier lifetime': ('i-1', 10),
+    'a later lifetime': ('i-1', 30),
+    'an earlier target': ('i-0', 10),
+    'another target': ('i-2', 30),
+}
+
+
+def make_known_row(known: str) -> mesh.MemberRow | None:
+    """Make the row that a witness knows; None for no target."""
+    if known not in KNOWN_ROWS:
+        return None
+    target, born_ms = KNOWN_ROWS[known]
+    return testing.make_member_row('h1', target=target, born_ms=born_ms)
+
+
+@given('a witness that knows {known} beside the daemon')
+def step_witness(context, known):
+    context.rows = [make_known_row(known)]
+
+
+@when('it is told that a target leaves, and knows {later} after that')
+def step_told(context, later):
+    context.remembered = asyncio.run(witness_departure(context, later))
+
+
+async def witness_departure(context, later: str) -> int:
+    """Return how many departures are remembered in the end."""
+    tasks = []
+    witness = _departure_witness.DepartureWitness(
+        lambda _host: context.rows[-1],
+        lambda work: tasks.append(asyncio.ensure_future(work)),
+    )
+    row = make_known_row('that target')
+    port = testing.free_ports(1)[0]
+    witness.note(
+        msgspec.structs.replace(
+            row, state=mesh.TargetState.GONE, address='127.0.0.1', port=port
+        )
+    )
+    context.rows.append(make_known_row(later))
+    # The first reminder is under way; the next look comes after it.
+    await asyncio.wait(tasks, timeout=0.5)
+    remembered = len(witness)
+    for task in tasks:
+        task.cancel()
+    return remembered
+
+
+@then('the departure is {result}')
+def step_remembered(context, result):
+    assert context.remembered == (result == 'remembered'), result
+
+
 @then('a departure notice {of} is answered {status:d}')
 def step_notice(context, of, status):
     """Pass a notice to the service that other daemons call."""
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -134,7 +134,7 @@
             self._start_task,
         )
         self.witness = _departure_witness.DepartureWitness(
-            state.fleet.has_replaced, self._start_task
+            lambda host: state.fleet.members.get(host), self._start_task
         )
         self.inbound.on_departure = self._take_departure_notice
         source.on_own_row = self._take_over_departure
--- a/sedgering/mesh/_departure_witness.py
+++ b/sedgering/mesh/_departure_witness.py
@@ -29,9 +29,33 @@
 
 
 class _Departure(msgspec.Struct):
+    """A departure that is remembered.
+
+    Parameters
+    ----------
+    row : MemberRow
+        Row that tells it.
+    known : MemberRow or None
+        Row of that host that this daemon knew at that time.  Without the
+        store, it may name a target from before the one that leaves.
+    until_s : float
+        When it is forgotten, in seconds of event loop time.
+    """
+
     row: _messages.MemberRow
+    known: _messages.MemberRow | None
     until_s: float
 
+    def has_ended(self, current: _messages.MemberRow | None) -> bool:
+        """Whether the host has left, or has a later target."""
+        if current is None:
+            return self.known is not None
+        expected = (self.row, self.known)
+        return not any(
+            row is not None and row.lifetime.is_same(current.lifetime)
+            for row in expected
+        )
+
 
 class DepartureWitness:
     """Departures of other hosts, of which their daemons are reminded.
@@ -42,19 +66,18 @@
 
     Parameters
     ----------
-    has_ended : callable
-        Returns whether a departure is of no importance any more: the host has
-        another target, or has left.
+    find_row : callable
+        Returns the row of a host, as far as this daemon knows, or None.
     start_task : callable
         Runs a coroutine in the background.
     """
 
     def __init__(
         self,
-        has_ended: Callable[[_messages.MemberRow], bool],
+        find_row: Callable[[base.HostId], _messages.MemberRow | None],
         start_task: Callable[[Coroutine], None],
     ):
-        self.has_ended = has_ended
+        self.find_row = find_row
         self.start_task = start_task
         self._departures: dict[base.HostId, _Departure] = {}
 
@@ -66,15 +89,17 @@
         """Remember a departure, and remind the daemon of that host of it."""
         is_new = row.host not in self._departures
         until_s = asyncio.get_running_loop().time() + MEMORY_S
-        self._departures[row.host] = _Departure(row, until_s)
+        known = self.find_row(row.host)
+        self._departures[row.host] = _Departure(row, known, until_s)
         if is_new:
             self.start_task(self._remind(row.host))
 
     def _find(self, host: base.HostId) -> _messages.MemberRow | None:
-        """Return a departure; forget it when it has lost its importance."""
+        """Return a departure; forget it once it cannot be mistaken."""
         departure = self._departures[host]
         now_s = asyncio.get_running_loop().time()
-        if now_s < departure.until_s and not self.has_ended(departure.row):
+        has_ended = departure.has_ended(self.find_row(host))
+        if now_s < departure.until_s and not has_ended:
             return departure.row
         del self._departures[host]
         return None
--- a/sedgering/mesh/_fleet.py
+++ b/sedgering/mesh/_fleet.py
@@ -92,13 +92,6 @@
         self._apply({**self.members, row.host: row})
         return True
 
-    def has_replaced(self, row: _messages.MemberRow) -> bool:
-        """Whether a host has another target than a row tells, or has left."""
-        if not self.is_known:
-            return False
-        known = self.members.get(row.host)
-        return known is None or not known.lifetime.is_same(row.lifetime)
-
     def _apply(
         self, members: dict[base.HostId, _messages.MemberRow]
     ) -> list[_messages.MemberRow]:
