--- a/features/days.feature
+++ b/features/days.feature
@@ -4,7 +4,7 @@
   cannot parse or that contains an unknown name.
 
   Scenario: The expected days exist
-    Then the days are "deadly, releases-without-store, rolling-stops, targets-come-back"
+    Then the days are "deadly, departures-and-restarts, releases-without-store, rolling-stops, targets-come-back"
 
   Scenario: Each day has the required keys and no unknown ones
     Then each day has the name of its file, a seed, a plan, faults and no other key
@@ -18,6 +18,7 @@
 
   Scenario: Each day has the kinds of entries that its name implies
     Then "deadly" has the kinds "poison, scale_in"
+    And "departures-and-restarts" has the kinds "scale_in, release, node_kill, platform_down, roll_term"
     And "rolling-stops" has the kinds "burst, roll_term"
     And "targets-come-back" has the kinds "srv_crash, srv_flap"
     And "releases-without-store" has the kinds "release, platform_down"
