Reports that waited for the start are read after the reminder

The ports for reports and peers open one after the other when all is loaded, and what arrived meanwhile is read at once. Two late reports opened the gate before a witness had connected: it tried each 0.25 s. Calls of peers that had learnt nothing came in between.

A daemon that has not read its row holds such reports for its first 0.1 s, or until it knows its row; a witness tries each 0.05 s. A target that lives is served 0.1 s later at most, and only where two of its reports wait for a start without the store; first reports, health checks and starts with the store are as before. Both sides are scenarios; the first fails with the hold taken out.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -124,6 +124,22 @@
       | silent | is killed twice  |
       | reset  | is told to leave |
 
+  Scenario: Late reports that waited for the start are read after the reminder
+    Guards against calls in the moment between them: all that arrived while a
+    process started is read at once, and opened the gate for some 0.2 s.
+    Given a mesh whose second target is about to leave
+    And the store becomes reset
+    When that target deregisters, which is acknowledged
+    And 2 delayed reports wait for the start of its next daemon
+    Then its gate never opens
+
+  Scenario: Reports that waited for the start of a daemon open its gate
+    Guards against a target that lives and waits for another report.
+    Given a mesh whose second target is about to leave
+    And the store becomes reset
+    When 2 delayed reports wait for the start of its next daemon
+    Then its gate is open
+
   Scenario: A late deregistration of another target hides no departure
     Guards against the removal of a row that tells a departure, which nothing
     would tell after that.
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -20,6 +20,8 @@
 #: How long a leaving daemon accepts requests; short, to save time.
 LEAVE_SERVING_MS = 100
 CALLS = 20
+#: How long a gate is watched.
+WATCH_S = 1.0
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
 BORN_MS = 10
@@ -307,6 +309,47 @@
     assert json.loads(answer.body)['code'] == code, answer.body
 
 
+@when('{count:d} delayed reports wait for the start of its next daemon')
+def step_waiting_reports(context, count):
+    """Let a daemon read reports before anything else."""
+    departing = context.departing
+    host = departing.host
+    departing.fleet.kill(host)
+
+    async def start() -> None:
+        await departing.fleet.start_daemon(host)
+        for _ in range(count):
+            host.sequence += 1
+            host.daemon.take_report(
+                mesh.TargetReport(
+                    target=host.books.target,
+                    target_set=host.target_set,
+                    slots=host.slots,
+                    state=mesh.TargetState.READY,
+                    cold_ms=0,
+                    sequence=host.sequence,
+                    born_ms=host.born_ms,
+                )
+            )
+
+    departing.fleet.run(start())
+
+
+@then('its gate never opens')
+def step_never_opens(context):
+    gate = context.departing.gate
+
+    async def watch() -> bool:
+        end_s = asyncio.get_running_loop().time() + WATCH_S
+        while asyncio.get_running_loop().time() < end_s:
+            if gate.is_open:
+                return True
+            await asyncio.sleep(0.002)
+        return False
+
+    assert not context.departing.fleet.run(watch())
+
+
 @when('all daemons are ready again')
 def step_ready(context):
     context.departing.fleet.wait_ready()
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Coroutine
 import logging
+import math
 import random
 
 import msgspec
@@ -48,6 +49,9 @@
 #: Time to wait for the first report of the local target before its health
 #: check is called.
 FIRST_REPORT_WAIT_S = 0.1
+#: Time after the start within which a witness reminds this daemon of a
+#: departure, unless the store tells it sooner.
+REMINDER_WAIT_S = 0.1
 #: Interval between idle checks while the daemon shuts down.
 IDLE_CHECK_INTERVAL_S = 0.05
 #: Consecutive idle checks, 0.3 s in all, after which a leaving daemon ends. By
@@ -138,6 +142,10 @@
         )
         self.inbound.on_departure = self._take_departure_notice
         source.on_own_row = self._take_over_departure
+        #: Confirmed report that waits for the store or a reminder.
+        self._held_report: _messages.TargetReport | None = None
+        #: When this daemon began to listen, in seconds of event loop time.
+        self._started_s = -math.inf
         self.is_leaving = False
         state.target_client.watch.on_crash = self._send_crash_notices
         state.target_client.on_leaving = self._publish_target
@@ -178,6 +186,7 @@
             )
         ]
         loop = asyncio.get_running_loop()
+        self._started_s = loop.time()
         self.pause.start(self._check_peers)
         self._tasks = [
             loop.create_task(self._find_target()),
@@ -309,6 +318,7 @@
         published = self._make_row()
         self.departures.take_over(row)
         self._publish_unless(published)
+        self._release_report()
 
     def _publish_unless(self, published: _messages.MemberRow | None) -> None:
         if self._make_row() != published:
@@ -361,8 +371,11 @@
         """
         self._check_set(report.target_set)
         self.check_lifetime(report.lifetime)
-        if self._needs_confirmation(report):
+        if self._needs_confirmation(report) or self._hold_report(report):
             return
+        self._accept_report(report)
+
+    def _accept_report(self, report: _messages.TargetReport) -> None:
         now_s = self.state.target_client.gate.now_s()
         target = self.state.target_client.target
         had_conflict = target.conflicting_report is not None
@@ -390,16 +403,39 @@
         recovered with the outdated row. A running target reports again after
         1.5 s, and answers its health check before that.
         """
-        is_first = report.sequence <= _target.FIRST_SEQUENCE
-        is_ready = report.state is _messages.TargetState.READY
         is_present = self.state.target_client.target.report is not None
-        if is_first or is_present or not is_ready:
+        if is_present or not _may_be_delayed(report):
             return False
         earlier, self._unconfirmed_report = self._unconfirmed_report, report
         if earlier is None or earlier.lifetime != report.lifetime:
             return True
         return report.sequence <= earlier.sequence
 
+    def _hold_report(self, report: _messages.TargetReport) -> bool:
+        """Hold a report that may be delayed while a reminder is due.
+
+        Reports that arrive while a process starts are read all at once when
+        it listens.  Two delayed ones of a target that has left would open the
+        gate until a witness has reached this process.
+        """
+        loop = asyncio.get_running_loop()
+        left_s = self._started_s + REMINDER_WAIT_S - loop.time()
+        is_present = self.state.target_client.target.report is not None
+        is_known = is_present or bool(self.source.members.revision)
+        if left_s <= 0 or is_known or not _may_be_delayed(report):
+            return False
+        if self._held_report is None:
+            loop.call_later(left_s, self._release_report)
+        self._held_report = report
+        return True
+
+    def _release_report(self) -> None:
+        """Accept a held report, unless its target is known to have left."""
+        report, self._held_report = self._held_report, None
+        target = self.state.target_client.target
+        if report is not None and target.report is None:
+            self._accept_report(report)
+
     def check_lifetime(
         self, lifetime: _messages.Lifetime
     ) -> _messages.Lifetime:
@@ -641,6 +677,12 @@
         return bool(callers or calls)
 
 
+def _may_be_delayed(report: _messages.TargetReport) -> bool:
+    """Whether a report may be from before the departure of its target."""
+    is_first = report.sequence <= _target.FIRST_SEQUENCE
+    return not is_first and report.state is _messages.TargetState.READY
+
+
 def make_mesh_daemon(
     identity: _messages.MeshIdentity,
     addresses: _messages.Addresses,
--- a/sedgering/mesh/_departure_witness.py
+++ b/sedgering/mesh/_departure_witness.py
@@ -21,10 +21,9 @@
 #: Interval between reminders while the connection to the daemon shows no
 #: restart.  A host that loses power ends no connection.
 REMINDER_INTERVAL_S = 2.0
-#: How soon the end of that connection is noticed.
+#: How soon the end of that connection is noticed, and the next process: it
+#: holds the first reports for twice as long.
 CHECK_INTERVAL_S = 0.05
-#: Longest pause between attempts to reach a daemon that does not answer.
-MAX_RETRY_INTERVAL_S = 0.25
 TIMEOUT_S = 0.3
 
 
@@ -109,17 +108,13 @@
         loop = asyncio.get_running_loop()
         reminder = _Reminder()
         next_s = loop.time()
-        pause_s = CHECK_INTERVAL_S
         try:
             while (row := self._find(host)) is not None:
                 if reminder.has_lost_daemon or loop.time() >= next_s:
-                    if await reminder.send(row):
-                        next_s = loop.time() + REMINDER_INTERVAL_S
-                        pause_s = CHECK_INTERVAL_S
-                    else:
-                        next_s = loop.time()
-                        pause_s = min(2 * pause_s, MAX_RETRY_INTERVAL_S)
-                await asyncio.sleep(pause_s)
+                    is_sent = await reminder.send(row)
+                    interval_s = REMINDER_INTERVAL_S if is_sent else 0.0
+                    next_s = loop.time() + interval_s
+                await asyncio.sleep(CHECK_INTERVAL_S)
         finally:
             reminder.close()
 
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -204,7 +204,7 @@
     def restart(self, host: MeshHost) -> None:
         """Kill a daemon and restart it next to the same target."""
         self.run(self._kill(host))
-        self.run(self._start_daemon(host))
+        self.run(self.start_daemon(host))
 
     def terminate(self, host: MeshHost, grace_ms: int) -> None:
         """Let a daemon leave, and wait until it has left."""
@@ -227,7 +227,7 @@
         for host in self.hosts.values():
             self.kill(host)
         for host in self.hosts.values():
-            self.run(self._start_daemon(host))
+            self.run(self.start_daemon(host))
         for host in self.hosts.values():
             self.report(host)
 
@@ -378,7 +378,7 @@
 
     async def _start_host(self, host: MeshHost) -> None:
         await self._start_target(host)
-        await self._start_daemon(host)
+        await self.start_daemon(host)
 
     async def _start_target(self, host: MeshHost) -> None:
         host.target_server = await self.loop.create_server(
@@ -392,7 +392,8 @@
             server.close()
         await host.daemon.close()
 
-    async def _start_daemon(self, host: MeshHost) -> None:
+    async def start_daemon(self, host: MeshHost) -> None:
+        """Start a daemon; coroutine for the loop."""
         identity = mesh.MeshIdentity(
             base.HostId(host.name),
             base.DataCentre('hall'),
