The version in use is recorded, and does not follow from who is present

Ruled out: late orders or rows (order and row are 7 ms apart in all daemons), the driver's rank (the same result from any).

Now each target set has a row of the version in use in the table of rollouts, a rollout to that version that has succeeded, without an order. It is written once, when the first targets report, and only a rollout changes it. Permits, the base of a trial and `succeeded` read that row; the versions present count only until it is written. A set whose targets have all left can still change to what is there, 10 s after, and `left` is no longer the same as absent: the row of a target whose daemon leaves remains, in the state `away`, until the daemon is back or the target has ended. Daemons of the previous release cannot decode that state and take the row as removed, as before.

--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -1,6 +1,5 @@
 """Steps for rollouts: permits, exposure, verdicts, and whole fleets."""
 
-import asyncio
 import random
 import time
 
@@ -9,6 +8,7 @@
 from behave import when
 import hypothesis
 from hypothesis import strategies as st
+import rollout_subject
 
 from sedgering import base
 from sedgering import exceptions
@@ -373,59 +373,9 @@
 # Whole fleets.
 
 
-class RolloutFleet:
-    """A fleet, and callers that send calls continuously."""
-
-    def __init__(self, count: int):
-        self.fleet = testing.MeshFleet(has_rollouts=True)
-        self.statuses: list[int] = []
-        self.fleet.configure(testing.make_document(1, [{}]))
-        for number in range(count):
-            self.fleet.add_host(f'old-{number}')
-        self.fleet.wait_ready()
-
-    def add(self, count: int, version: str) -> None:
-        """Add targets of another version."""
-        for number in range(count):
-            self.fleet.add_host(f'new-{number}', version=version)
-        self.fleet.wait_ready()
-
-    def list_hosts(self, version: str) -> list:
-        """Return the hosts whose targets have a version."""
-        return [
-            host
-            for host in self.fleet.hosts.values()
-            if host.version == version
-        ]
-
-    def count_runs(self, version: str) -> int:
-        """Return the number of calls that targets of a version ran."""
-        return sum(len(host.books.runs) for host in self.list_hosts(version))
-
-    def ask_until(self, is_over, longest_s: float) -> None:
-        """Send calls, one after the other, until a condition holds."""
-        self.fleet.run(self._ask_until(is_over, longest_s))
-
-    async def _ask_until(self, is_over, longest_s: float) -> None:
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + longest_s
-        number = 0
-        while not is_over() and loop.time() < end_s:
-            for host in self.list_hosts('v1'):
-                number += 1
-                response = await self.fleet.start_call(
-                    host.addresses.callers_port,
-                    '/r0/x',
-                    X_Request_Id=f'q{number}-{len(self.statuses)}',
-                    X_Request_Deadline='1000',
-                )
-                self.statuses.append(response.status)
-            await asyncio.sleep(0.005)
-
-
 @given('a fleet with {count:d} calendar targets of the version v1')
 def step_fleet(context, count):
-    context.subject = RolloutFleet(count)
+    context.subject = rollout_subject.RolloutFleet(count)
     context.cleanups.append(context.subject.fleet.stop)
 
 
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -39,6 +39,8 @@
 from sedgering.mesh import _state
 from sedgering.mesh import _target
 from sedgering.mesh import _target_client
+from sedgering.mesh import _turns
+from sedgering.mesh import _version_record
 from sedgering import ports
 from sedgering import transport
 
@@ -120,7 +122,10 @@
             self.outbound, self.inbound, self.pause, state.decisions.counts
         )
         self.rollouts = _rollout_driver.RolloutDriver(
-            identity, state.fleet, state.peers, source
+            state.fleet, state.peers, source, self._make_turns()
+        )
+        self.version_recorder = _version_record.VersionRecorder(
+            state.fleet, source, self._make_turns()
         )
         if source.rollout_store is not None:
             state.fleet.rollouts = source.rollouts
@@ -147,6 +152,8 @@
         #: When this daemon began to listen, in seconds of event loop time.
         self._started_s = -math.inf
         self.is_leaving = False
+        #: Whether the row that outlives this daemon has been published.
+        self._has_last_row = False
         state.target_client.watch.on_crash = self._send_crash_notices
         state.target_client.on_leaving = self._publish_target
         self.limit_check = _limit_check.LimitCheck(
@@ -156,6 +163,11 @@
         self._servers: list[asyncio.AbstractServer] = []
         self._tasks: list[asyncio.Task] = []
 
+    def _make_turns(self) -> _turns.Turns:
+        return _turns.Turns(
+            self.identity, self.state.fleet, self.state.peers, self.source
+        )
+
     @property
     def is_ready(self) -> bool:
         """Whether callers of this host may send new requests."""
@@ -198,7 +210,10 @@
             loop.create_task(self.follower.run()),
         ]
         if self.source.rollout_store is not None:
-            self._tasks.append(loop.create_task(self.rollouts.run()))
+            self._tasks += [
+                loop.create_task(self.rollouts.run()),
+                loop.create_task(self.version_recorder.run()),
+            ]
         self.source.start(
             self.apply_config, self.merge_members, self.merge_rollouts
         )
@@ -220,7 +235,7 @@
         if report.state is not _messages.TargetState.READY:
             LOG.info('target is not ready', extra={'target': report.target})
             return
-        row = self.state.fleet.members.get(self.identity.host)
+        row = self.source.members.find_entry(self.identity.host).row
         if row is not None and row.target == report.target:
             if row.state.is_final:
                 # A previous process of this daemon acknowledged that the
@@ -303,11 +318,17 @@
         for row in members.values():
             if row.crashes:
                 self.state.crashes.add_row(row)
-        new = self.state.fleet.replace(members)
-        self.state.peers.retain(frozenset(members))
+        present = {
+            host: row
+            for host, row in members.items()
+            if row.state is not _messages.TargetState.AWAY
+        }
+        away = [row for host, row in members.items() if host not in present]
+        new = self.state.fleet.replace(present, away)
+        self.state.peers.retain(frozenset(present))
         for row in new:
             self.state.note_started(row)
-        self.state.budget.daemons = max(1, len(members))
+        self.state.budget.daemons = max(1, len(present))
         self.state.quotas.set_members(self.state.fleet.members)
         self._update_permit()
         self.follower.note_members_known()
@@ -319,6 +340,9 @@
         self.departures.take_over(row)
         self._publish_unless(published)
         self._release_report()
+        if self.is_leaving and not self._has_last_row:
+            # The row of the previous process was not known before.
+            self._start_task(self._publish_last_row())
 
     def _publish_unless(self, published: _messages.MemberRow | None) -> None:
         if self._make_row() != published:
@@ -547,7 +571,22 @@
         target_client.row = self._make_row()
         if target_client.row is not None:
             self.state.apply_reported_row(target_client.row)
-        self.source.publish(target_client.row)
+        self.source.publish(self._make_stored_row())
+
+    def _make_stored_row(self) -> _messages.MemberRow | None:
+        """Return the row for the store.
+
+        It tells of a target that runs on while the daemon beside it leaves.
+        """
+        row = self._make_row()
+        if row is not None or not self.is_leaving:
+            return row
+        report = self.state.target_client.target.report
+        # Without a report, the row of the previous process stands.
+        row = self._make_row_of(report) if report else self.source.stored_row
+        if row is None or row.state.is_final:
+            return None
+        return msgspec.structs.replace(row, state=_messages.TargetState.AWAY)
 
     def _make_row(self) -> _messages.MemberRow | None:
         report = self.state.target_client.target.report
@@ -582,10 +621,10 @@
     async def leave(self, grace_ms: int) -> None:
         """Shut down without aborting a request.
 
-        Peers learn from the removed row that this host is leaving; callers
-        stop once its readiness check fails. Until then the daemon goes on
-        answering both. The row of a target that has left, but still runs,
-        remains for the next process of the daemon.
+        Peers learn from the row that this host is leaving; callers stop once
+        its readiness check fails. Until then the daemon goes on answering
+        both. The row remains for the next process of the daemon while the
+        target runs.
 
         Parameters
         ----------
@@ -597,7 +636,7 @@
         self.is_leaving = True
         self.outbound.is_closing = True
         self.state.quotas.leave()
-        self.source.publish(await self._find_last_row())
+        await self._publish_last_row()
         LOG.info('leaving')
         loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(self.shutdown_log.run()))
@@ -606,7 +645,7 @@
             grace_ms * LEAVE_SERVING_SHARE,
         )
         await asyncio.sleep(serving_ms / 1000)
-        # Peers that have not yet seen the removed row send calls until they
+        # Peers that have not yet seen the last row send calls until they
         # are refused. A call that is accepted now might be aborted at the end.
         self.state.target_client.leave()
         self.state.serving.is_over = True
@@ -616,12 +655,15 @@
         self._stop_tasks()
         self.shutdown_log.note_end()
 
-    async def _find_last_row(self) -> _messages.MemberRow | None:
-        """Return the row that remains in the store, if any."""
-        row = self._make_row()
-        if row is None or await self.state.target_client.is_listening():
-            return row
-        return None
+    async def _publish_last_row(self) -> None:
+        """Publish the row that remains in the store, if the target runs."""
+        row = self._make_stored_row()
+        if row is None:
+            return
+        self._has_last_row = True
+        self.source.publish(row)
+        if not await self.state.target_client.is_listening():
+            self.source.publish(None)
 
     def _plan_end(self, grace_s: float) -> float:
         """Limit all requests to the grace time; return when to end."""
--- a/sedgering/mesh/_fleet.py
+++ b/sedgering/mesh/_fleet.py
@@ -1,5 +1,6 @@
 """Hosts and their targets, as far as this daemon knows."""
 
+from collections.abc import Iterable
 import logging
 
 from sedgering import base
@@ -27,6 +28,8 @@
         #: Newer rows reported by daemons, which override the stored rows.
         self._reported: dict[base.HostId, _messages.MemberRow] = {}
         self.members: dict[base.HostId, _messages.MemberRow] = {}
+        #: Targets that run although the daemon beside them does not.
+        self.away: tuple[_messages.MemberRow, ...] = ()
         self.ready_by_set: dict[
             base.TargetSetName, tuple[_messages.MemberRow, ...]
         ] = {}
@@ -55,11 +58,30 @@
             and row.target_set == target_set
         ]
 
+    def list_versions(
+        self,
+    ) -> dict[base.TargetSetName, list[base.SoftwareVersion]]:
+        """Return the versions of all targets that have not left, by set."""
+        versions: dict[base.TargetSetName, list[base.SoftwareVersion]] = {}
+        for row in (*self.members.values(), *self.away):
+            if not row.state.is_final:
+                versions.setdefault(row.target_set, []).append(row.version)
+        return versions
+
     def replace(
-        self, members: dict[base.HostId, _messages.MemberRow]
+        self,
+        members: dict[base.HostId, _messages.MemberRow],
+        away: Iterable[_messages.MemberRow] = (),
     ) -> list[_messages.MemberRow]:
         """Replace the stored rows.
 
+        Parameters
+        ----------
+        members : dict
+            Rows of the hosts whose daemon runs.
+        away : iterable of MemberRow
+            Rows of the other hosts.
+
         Returns
         -------
         list of MemberRow
@@ -72,6 +94,7 @@
             or _is_outdated(members.get(host), row)
         }
         self._stored = members
+        self.away = tuple(away)
         return self._apply({**members, **self._reported})
 
     def apply_reported_row(self, row: _messages.MemberRow) -> bool:
@@ -168,7 +191,7 @@
         """Decide which versions of the targets of a set may get calls."""
         versions = [
             row.version
-            for row in self.members.values()
+            for row in (*self.members.values(), *self.away)
             if row.target_set == target_set
         ]
         return self.rollouts.make_permits(target_set, versions)
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -60,6 +60,9 @@
     #: report, makes it available again. Daemons of the previous release cannot
     #: decode the row of such a target, and send nothing there.
     DOWN = 'down'
+    #: It runs, but the daemon beside it has left or restarts.  Daemons of the
+    #: previous release cannot decode such a row, and take it as removed.
+    AWAY = 'away'
 
     @property
     def is_final(self) -> bool:
--- a/sedgering/mesh/_rollout_driver.py
+++ b/sedgering/mesh/_rollout_driver.py
@@ -1,9 +1,8 @@
 """Carries out rollout orders: gathers evidence and writes each next stage.
 
-There is no elected leader.  The daemons that watch the store are ranked: the
-first one carries out an order from the start, and each other one joins after a
-delay that grows with its rank.  Every row is written by compare-and-set, so
-that only the first of several writers succeeds.
+There is no elected leader: the daemons that watch the store take turns.  Every
+row is written by compare-and-set, so that only the first of several writers
+succeeds.
 """
 
 import asyncio
@@ -15,11 +14,11 @@
 from sedgering import exceptions
 from sedgering.mesh import _evidence_hop
 from sedgering.mesh import _fleet
-from sedgering.mesh import _follow
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
 from sedgering.mesh import _rollout_log
 from sedgering.mesh import _source
+from sedgering.mesh import _turns
 from sedgering import rollout
 from sedgering import storage
 
@@ -36,12 +35,6 @@
 #: The same for the old version in the settling stage, in which no target may
 #: have work left.
 QUERIED_SETTLING_LIMIT = 512
-#: Delay after which the next daemon by rank works on a stage, too.
-RANK_DELAY_S = 1.2
-#: Most daemons that may work on one order at a time.
-ACTIVE_DAEMONS_LIMIT = 6
-#: Revision that stands for a row that does not exist.
-NO_ROW = 0
 
 _Stage = rollout.Stage
 
@@ -51,36 +44,34 @@
 
     Parameters
     ----------
-    identity : MeshIdentity
-        Identity of this daemon.
     fleet : FleetTable
         Targets and their versions.
     peers : PeerTable
         Connections to the daemons beside the targets.
     source : MeshSource
         Source of orders, rows and the time of the store.
+    turns : Turns
+        Turns of the daemons that watch the store.
     """
 
     def __init__(
         self,
-        identity: _messages.MeshIdentity,
         fleet: _fleet.FleetTable,
         peers: _peers.PeerTable,
         source: _source.MeshSource,
+        turns: _turns.Turns,
     ):
-        self.identity = identity
         self.fleet = fleet
         self.peers = peers
         self.source = source
-        #: When this daemon first saw the current stage of each set.
-        self._first_seen_s: dict[tuple, float] = {}
+        self.turns = turns
 
     async def run(self) -> None:
         """Carry out orders until cancelled."""
         while True:
             names = self.source.rollouts.list_open()
             if not names or not self.source.is_watching:
-                self._first_seen_s.clear()
+                self.turns.clear()
                 await self.source.wait_for_change(_source.POLLED_S)
                 continue
             for name in names:
@@ -103,66 +94,38 @@
         if not is_due or not self._is_own_turn(target_set):
             return
         entry = log.find_entry(target_set)
+        if entry is None:
+            # The version in use is recorded first.
+            return
         order = log.find_new_order(target_set)
         if order is not None:
             await self._start_rollout(order, entry)
-        elif entry is not None:
+        else:
             await self._advance_stage(log.find_order(target_set), entry)
 
     def _is_own_turn(self, target_set: base.TargetSetName) -> bool:
         log = self.source.rollouts
         entry = log.find_entry(target_set)
         order = log.find_order(target_set)
-        stage = (
+        return self.turns.is_own(
             target_set,
             order.revision if order else 0,
             entry.revision if entry else 0,
         )
-        now_s = self.source.loop.time()
-        first_seen_s = self._first_seen_s.setdefault(stage, now_s)
-        rank = self._find_rank(target_set)
-        return (
-            rank < ACTIVE_DAEMONS_LIMIT
-            and now_s >= first_seen_s + rank * RANK_DELAY_S
-        )
-
-    def _find_rank(self, target_set: base.TargetSetName) -> int:
-        """Return this daemon's rank among those that watch the store."""
-        rows = _follow.list_store_watchers(
-            self.fleet.members, self.peers.mesh_settings.relay_from_hosts
-        )
-        hosts = [row.host for row in rows]
-        own = self.identity.host
-        if own not in hosts:
-            hosts.append(own)
-        hosts.sort(key=lambda host: rollout.rank_host(host, f'{target_set} '))
-        return hosts.index(own)
 
     async def _start_rollout(
         self,
         order: rollout.Order,
-        entry: _rollout_log.RolloutEntry | None,
+        entry: _rollout_log.RolloutEntry,
     ) -> None:
         """Write the first row for an order."""
-        old = (
-            entry.rollout.final_version
-            if entry
-            else self._find_old_version(order)
-        )
-        if old == rollout.UNKNOWN_VERSION:
+        if order.target_set in self.source.awaited_rollouts:
+            # All targets of the version in use seem to have left; another one
+            # is about to be recorded.
             return
+        old = entry.rollout.final_version
         row = rollout.make_rollout(order, old, self.source.store_now_ms)
-        await self._write(row, entry.revision if entry else NO_ROW)
-
-    def _find_old_version(self, order: rollout.Order) -> base.SoftwareVersion:
-        """Return the version that gets the calls before any rollout."""
-        versions = [
-            row.version
-            for row in self.fleet.members.values()
-            if row.target_set == order.target_set
-        ]
-        others = [item for item in versions if item != order.version]
-        return rollout.find_majority(others or versions)
+        await self._write(row, entry.revision)
 
     async def _advance_stage(
         self,
--- a/sedgering/mesh/_rollout_log.py
+++ b/sedgering/mesh/_rollout_log.py
@@ -89,13 +89,20 @@
         if known is not None and entry.revision <= known.revision:
             return False
         self._entries[target_set] = entry
+        row = entry.rollout
+        if row.order_revision == rollout.NO_ORDER:
+            LOG.info(
+                'version in use recorded',
+                extra={'target_set': target_set, 'detail': row.new},
+            )
+            return True
         LOG.info(
             'rollout %s',
-            entry.rollout.stage.value,
+            row.stage.value,
             extra={
                 'target_set': target_set,
-                'detail': f'{entry.rollout.old} to {entry.rollout.new}',
-                'version': entry.rollout.order_revision,
+                'detail': f'{row.old} to {row.new}',
+                'version': row.order_revision,
             },
         )
         return True
--- a/sedgering/mesh/_rollout_store.py
+++ b/sedgering/mesh/_rollout_store.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections.abc import Callable
+from collections.abc import Sequence
 import logging
 
 import msgspec
@@ -45,6 +46,19 @@
             verdict.
         """
 
+    @abc.abstractmethod
+    async def record(
+        self, rows: Sequence[tuple[rollout.Rollout, int]]
+    ) -> storage.Outcome:
+        """Write rows of versions in use, all or none; no order causes them.
+
+        Parameters
+        ----------
+        rows : sequence of tuple
+            Each row and the revision of the one that it replaces; see
+            :meth:`write`.
+        """
+
 
 def decode_rollout(row: storage.Row) -> rollout.Rollout:
     """Decode a rollout row.
--- a/sedgering/mesh/_source.py
+++ b/sedgering/mesh/_source.py
@@ -101,6 +101,8 @@
         self.rollouts = _rollout_log.RolloutLog()
         self.rollout_store = rollout_store
         self._rollout_watcher: _rollout_store.RolloutWatcher | None = None
+        #: Target sets whose row is about to be written.
+        self.awaited_rollouts: frozenset[base.TargetSetName] = frozenset()
         if rollout_store is None:
             self.rollouts.is_known = True
         else:
@@ -222,14 +224,26 @@
         """Whether this daemon watches the store itself."""
         return self._is_watching
 
+    def set_awaited_rollouts(
+        self, target_sets: frozenset[base.TargetSetName]
+    ) -> None:
+        """Set the target sets whose row is about to be written."""
+        if target_sets != self.awaited_rollouts:
+            self.awaited_rollouts = target_sets
+            self._watch_rollouts()
+            self.note_change()
+
     def _watch_rollouts(self) -> None:
-        """Watch the rows of rollouts while an order is open."""
+        """Watch the rows until they are known, and while any may change."""
         if self._rollout_watcher is not None:
-            is_followed = bool(self.rollouts.list_open())
-            if not self.rollouts.is_known:
-                is_followed = bool(self.rollouts.list_orders())
-            is_needed = self._is_watching and is_followed
-            self._rollout_watcher.set_enabled(is_needed)
+            is_followed = (
+                not self.rollouts.is_known
+                or bool(self.awaited_rollouts)
+                or bool(self.rollouts.list_open())
+            )
+            self._rollout_watcher.set_enabled(
+                self._is_watching and is_followed
+            )
 
     def _note_clock(self, now_ms: int) -> None:
         self._store_offset_ms = now_ms - int(self.loop.time() * 1000)
@@ -328,9 +342,6 @@
                 for order in self.rollouts.list_orders()
                 if order.target_set not in ordered_sets and order.version
             ]
-        if not self.rollouts.list_orders() and not orders:
-            # Without an order there is no rollout to wait for.
-            self._note_rollouts_known()
         self.merge_rollouts(_rollout_log.RolloutUpdate(tuple(orders)), False)
 
     def _take_rows(self, entries: list[_rollout_log.RolloutEntry]) -> None:
@@ -350,9 +361,9 @@
             not show how far their rollouts have progressed.
         """
         is_changed = self.rollouts.merge(update)
-        self._watch_rollouts()
         if is_all:
             self._note_rollouts_known()
+        self._watch_rollouts()
         if is_changed:
             self._on_rollouts()
             self.note_change()
--- a/sedgering/platform/_rollouts.py
+++ b/sedgering/platform/_rollouts.py
@@ -1,5 +1,6 @@
 """Decodes rollout orders, and stores rollouts and their status."""
 
+from collections.abc import Sequence
 from typing import Annotated
 
 import msgspec
@@ -19,8 +20,8 @@
 #: document, and of the keys of status rows.
 ORDER_PREFIX = 'rollout/'
 STATUS_TABLE = 'status'
-#: Table of this project, with one row for each target set for which a rollout
-#: was ever ordered.
+#: Table of this project, with one row for each target set: the version in use,
+#: or the rollout that was ordered last.
 ROLLOUTS_TABLE = 'sedgering_rollouts'
 
 _Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
@@ -101,15 +102,39 @@
         """Write a row and its status; see :class:`RolloutStore`."""
         key = row.target_set
         status = _Status(key, row.new, _STATUS_BY_STAGE[row.stage])
-        condition = storage.Condition(key, revision)
         status_put = storage.Put(
             f'{ORDER_PREFIX}{key}', msgspec.json.encode(status)
         )
-        put = storage.Put(key, msgspec.json.encode(row))
+        return await self._write_rows(
+            [(row, revision)], [(STATUS_TABLE, status_put)]
+        )
+
+    async def record(
+        self, rows: Sequence[tuple[rollout.Rollout, int]]
+    ) -> storage.Outcome:
+        """Write rows of versions in use; see :class:`RolloutStore`."""
+        return await self._write_rows(rows, [])
+
+    async def _write_rows(
+        self,
+        rows: Sequence[tuple[rollout.Rollout, int]],
+        other_puts: list[tuple[str, storage.Put]],
+    ) -> storage.Outcome:
+        """Write rows, each under the condition of its revision."""
+        conditions = [
+            (ROLLOUTS_TABLE, storage.Condition(row.target_set, revision))
+            for row, revision in rows
+        ]
+        puts = [
+            (
+                ROLLOUTS_TABLE,
+                storage.Put(row.target_set, msgspec.json.encode(row)),
+            )
+            for row, _revision in rows
+        ]
         try:
             written = await self.client.transact_across(
-                [(ROLLOUTS_TABLE, condition)],
-                [(ROLLOUTS_TABLE, put), (STATUS_TABLE, status_put)],
+                conditions, puts + other_puts
             )
         except exceptions.PlatformError as error:
             return _tables.make_failed_outcome(error)
--- a/sedgering/rollout/__init__.py
+++ b/sedgering/rollout/__init__.py
@@ -13,6 +13,8 @@
 from sedgering.rollout._exposure import choose_exposed
 from sedgering.rollout._exposure import ExposureQuota
 from sedgering.rollout._exposure import rank_host
+from sedgering.rollout._model import make_record
+from sedgering.rollout._model import NO_ORDER
 from sedgering.rollout._model import Order
 from sedgering.rollout._model import Rollout
 from sedgering.rollout._model import Stage
@@ -23,27 +25,33 @@
 from sedgering.rollout._plan import make_rollout
 from sedgering.rollout._plan import Observation
 from sedgering.rollout._plan import plan_next
+from sedgering.rollout._record import choose_record
+from sedgering.rollout._record import RecordChoice
 from sedgering.rollout._verdict import choose_verdict
 from sedgering.rollout._verdict import is_clearly_failing
 from sedgering.rollout._verdict import Verdict
 
 __all__ = [
     'Evidence',
+    'NO_ORDER',
     'ExposureQuota',
     'Observation',
     'Order',
     'Permits',
+    'RecordChoice',
     'Rollout',
     'RouteEvidence',
     'Stage',
     'UNKNOWN_VERSION',
     'Verdict',
     'choose_exposed',
+    'choose_record',
     'choose_verdict',
     'compute_latency_bucket',
     'find_majority',
     'is_clearly_failing',
     'make_permits',
+    'make_record',
     'make_rollout',
     'plan_next',
     'rank_host',
--- a/sedgering/rollout/_model.py
+++ b/sedgering/rollout/_model.py
@@ -7,7 +7,10 @@
 
 from sedgering import base
 
-__all__ = ['Order', 'Rollout', 'Stage']
+__all__ = ['NO_ORDER', 'Order', 'Rollout', 'Stage', 'make_record']
+
+#: Order revision of a row that no order of the operator has caused.
+NO_ORDER = 0
 
 _Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
@@ -56,6 +59,9 @@
 class Rollout(msgspec.Struct, frozen=True):
     """Stored state of the rollout of one target set.
 
+    A set without an order has a row, too: it records which version is in use,
+    as a rollout to that version that has succeeded.
+
     Parameters
     ----------
     target_set : str
@@ -63,7 +69,8 @@
     old, new : str
         Versions of its targets.
     order_revision : int
-        Revision of the order that the rollout carries out.
+        Revision of the order that the rollout carries out; ``NO_ORDER`` if
+        there was none.
     stage : Stage
         Current stage.
     began_ms : int
@@ -85,3 +92,26 @@
         """Version that gets the calls once the rollout has ended."""
         has_moved = self.stage is Stage.SUCCEEDED
         return base.SoftwareVersion(self.new if has_moved else self.old)
+
+
+def make_record(
+    target_set: base.TargetSetName,
+    version: base.SoftwareVersion,
+    previous: Rollout | None = None,
+) -> Rollout:
+    """Make the row that records the version in use without an order.
+
+    Parameters
+    ----------
+    target_set : str
+        Target set.
+    version : str
+        Version in use.
+    previous : Rollout or None
+        Row that it replaces.  Its order stays carried out.
+    """
+    if previous is None:
+        return Rollout(target_set, version, version, NO_ORDER, Stage.SUCCEEDED)
+    return msgspec.structs.replace(
+        previous, old=previous.final_version, new=version
+    )
--- a/sedgering/rollout/_permits.py
+++ b/sedgering/rollout/_permits.py
@@ -65,8 +65,8 @@
 ) -> Permits:
     """Decide which versions of one target set may get calls.
 
-    Fails closed: a version gets calls when the rollout allows it.  Without a
-    rollout it gets them only if most targets of the set have it.
+    Fails closed: a version gets calls when the rollout allows it.  Only while
+    the version in use is not recorded yet, most targets of the set tell it.
 
     Parameters
     ----------
@@ -80,16 +80,28 @@
     if rollout is None:
         ordered = order.version if order is not None else None
         return Permits(majority, ordered=ordered)
+    if rollout.stage.is_final:
+        return Permits(
+            rollout.final_version, ordered=_find_ordered(rollout, order)
+        )
     old = base.SoftwareVersion(rollout.old)
     new = base.SoftwareVersion(rollout.new)
     if rollout.stage is _Stage.TRIAL:
         return Permits(old, trial=new)
-    if rollout.stage is _Stage.ROLLED_BACK:
-        return Permits(old)
     is_moving = rollout.stage is _Stage.MOVING
     return Permits(new, draining=old if is_moving else None)
 
 
+def _find_ordered(
+    rollout: _model.Rollout, order: _model.Order | None
+) -> base.SoftwareVersion | None:
+    """Return the version of an order that the rollout does not cover."""
+    if order is None or order.revision <= rollout.order_revision:
+        return None
+    is_in_use = order.version == rollout.final_version
+    return None if is_in_use else order.version
+
+
 def find_majority(
     versions: Iterable[base.SoftwareVersion],
 ) -> base.SoftwareVersion:
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -199,11 +199,11 @@
 
     def kill(self, host: MeshHost) -> None:
         """Kill a daemon without deregistration."""
-        self.run(self._kill(host))
+        self.run(self.close_daemon(host))
 
     def restart(self, host: MeshHost) -> None:
         """Kill a daemon and restart it next to the same target."""
-        self.run(self._kill(host))
+        self.run(self.close_daemon(host))
         self.run(self.start_daemon(host))
 
     def terminate(self, host: MeshHost, grace_ms: int) -> None:
@@ -211,7 +211,7 @@
 
         async def leave() -> None:
             await host.daemon.leave(grace_ms)
-            await self._kill(host)
+            await self.close_daemon(host)
 
         self.run(leave())
 
@@ -387,7 +387,8 @@
             host.addresses.target_port,
         )
 
-    async def _kill(self, host: MeshHost) -> None:
+    async def close_daemon(self, host: MeshHost) -> None:
+        """End a daemon at once; coroutine for the loop."""
         for server in host.servers:
             server.close()
         await host.daemon.close()
@@ -439,7 +440,7 @@
 
     async def _stop(self) -> None:
         for host in self.hosts.values():
-            await self._kill(host)
+            await self.close_daemon(host)
             host.target_server.close()
         tasks = asyncio.all_tasks() - {asyncio.current_task()}
         for task in tasks:
