A version is judged by all evidence, and good only beside the old one

While the daemons beside the old targets restart, a version whose calls take several times as long could get all calls: without evidence of the old version no latency counts as slow, so that 94 slow calls made it good. And a daemon beside a target on trial that restarts begins its counts anew, so that a bad version was judged by the calls since then only.

Calls on a route count in favour of a version only if the old version has run enough calls there to compare; failures count as before. The daemon that carries out the order keeps what daemons have told before they ended. Another one that takes over has what the running daemons know.

features/rollouts.feature: "good only by comparison" failed for 0 and 1 calls at each old target on the code before (the verdict was good), and passes; so does the new scenario of the evidence.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -65,6 +65,27 @@
       | 94       | 3      | good    |
       | 10 10    | 0 0    | open    |
 
+  # Guards against a slow version being moved to while the daemons beside the old
+  # targets restart: without their evidence, no call counted as slow.
+  Scenario Outline: A version is good only by comparison with the old one
+    Given old targets of which each ran <old> calls well
+    And new targets that ran 94 calls, of which 0 were bad
+    Then the new version is <verdict>
+
+    Examples:
+      | old | verdict |
+      | 0   | open    |
+      | 1   | open    |
+      | 2   | good    |
+
+  # Guards against a verdict from the calls since the last restart only.
+  Scenario: Evidence of a daemon that has ended still counts
+    Given the evidence of a daemon with 40 calls, of which 15 were bad
+    When the daemon restarts and runs 5 calls, of which 0 are bad
+    And it restarts and does not know the order yet
+    And it runs 7 calls, of which 1 is bad
+    Then 52 calls count, of which 16 were bad
+
   Scenario Outline: A bad version is rolled back before many calls have failed
     The operator accepts fifty bad calls; beyond that, the time until the
     rollback counts.
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -12,6 +12,7 @@
 
 from sedgering import base
 from sedgering import exceptions
+from sedgering.mesh import _evidence_log
 from sedgering.mesh import _rollout_log
 from sedgering.platform import _rollouts
 from sedgering import rollout
@@ -218,6 +219,42 @@
     ]
 
 
+@given(
+    'the evidence of a daemon with {runs:d} calls, of which {bad:d} were bad'
+)
+def step_evidence_log(context, runs, bad):
+    context.log = _evidence_log.EvidenceLog(7)
+    note_evidence(context.log, make_evidence('v2', runs, bad))
+
+
+@when('the daemon restarts and runs {runs:d} calls, of which {bad:d} are bad')
+@when('it runs {runs:d} calls, of which {bad:d} is bad')
+def step_evidence_after(context, runs, bad):
+    note_evidence(context.log, make_evidence('v2', runs, bad))
+
+
+@when('it restarts and does not know the order yet')
+def step_evidence_unknown(context):
+    evidence = rollout.Evidence(rollout.UNKNOWN_VERSION, 7, running=1)
+    note_evidence(context.log, evidence)
+
+
+def note_evidence(
+    log: _evidence_log.EvidenceLog, evidence: rollout.Evidence
+) -> None:
+    """Record the answer of the daemon beside a target of v2."""
+    log.start_poll()
+    log.note(testing.make_member_row('hall', version='v2'), evidence)
+    (total,) = log.list_version(base.SoftwareVersion('v2'))
+    assert total.running == evidence.running
+
+
+@then('{runs:d} calls count, of which {bad:d} were bad')
+def step_evidence_total(context, runs, bad):
+    (total,) = context.log.list_version(base.SoftwareVersion('v2'))
+    assert (total.runs, total.failures) == (runs, bad), total
+
+
 @then('the new version is {verdict}')
 def step_new_verdict(context, verdict):
     found = rollout.choose_verdict(context.new, context.old)
--- a/sedgering/mesh/_rollout_driver.py
+++ b/sedgering/mesh/_rollout_driver.py
@@ -13,6 +13,7 @@
 from sedgering import base
 from sedgering import exceptions
 from sedgering.mesh import _evidence_hop
+from sedgering.mesh import _evidence_log
 from sedgering.mesh import _fleet
 from sedgering.mesh import _messages
 from sedgering.mesh import _peers
@@ -65,6 +66,9 @@
         self.peers = peers
         self.source = source
         self.turns = turns
+        self._evidence: dict[
+            base.TargetSetName, _evidence_log.EvidenceLog
+        ] = {}
 
     async def run(self) -> None:
         """Carry out orders until cancelled."""
@@ -72,6 +76,7 @@
             names = self.source.rollouts.list_open()
             if not names or not self.source.is_watching:
                 self.turns.clear()
+                self._evidence.clear()
                 await self.source.wait_for_change(_source.POLLED_S)
                 continue
             for name in names:
@@ -135,14 +140,16 @@
         """Gather evidence, and write the next stage if it is due."""
         row = entry.rollout
         new, old = self._choose_queried(row)
-        new_evidence = await self._query_evidence(new, row.order_revision)
-        old_evidence = await self._query_evidence(old, row.order_revision)
+        log = self._find_evidence_log(row)
+        log.start_poll()
+        await self._query_evidence(new, log)
+        old_answers = await self._query_evidence(old, log)
         observation = rollout.Observation(
             order,
             self.source.store_now_ms,
-            [item for item in new_evidence if item.version == row.new],
-            old_evidence,
-            len(old_evidence) == len(old),
+            log.list_version(row.new),
+            log.list_version(row.old),
+            old_answers == len(old),
         )
         stage = rollout.plan_next(row, observation)
         self._log_evaluation(row, observation, stage)
@@ -165,11 +172,22 @@
             : QUERIED_SETTLING_LIMIT if is_settling else QUERIED_LIMIT
         ]
 
+    def _find_evidence_log(
+        self, row: rollout.Rollout
+    ) -> _evidence_log.EvidenceLog:
+        log = self._evidence.get(row.target_set)
+        if log is None or log.order_revision != row.order_revision:
+            log = _evidence_log.EvidenceLog(row.order_revision)
+            self._evidence[row.target_set] = log
+        return log
+
     async def _query_evidence(
-        self, rows: list[_messages.MemberRow], order_revision: int
-    ) -> list[rollout.Evidence]:
-        """Query the evidence of targets; skip those that do not answer."""
-        data = _evidence_hop.encode_evidence_request(order_revision)
+        self,
+        rows: list[_messages.MemberRow],
+        log: _evidence_log.EvidenceLog,
+    ) -> int:
+        """Query the evidence of targets; return how many have answered."""
+        data = _evidence_hop.encode_evidence_request(log.order_revision)
         answers = await asyncio.gather(
             *(
                 self.peers.find(row).ask(
@@ -178,12 +196,13 @@
                 for row in rows
             )
         )
-        evidence = []
+        answered = 0
         for row, answer in zip(rows, answers, strict=True):
             if answer is None:
                 continue
             try:
-                evidence.append(_evidence_hop.decode_evidence(answer))
+                log.note(row, _evidence_hop.decode_evidence(answer))
+                answered += 1
             except exceptions.PeerError as error:
                 LOG.warning(
                     'evidence refused',
@@ -193,7 +212,7 @@
                         'detail': error.detail,
                     },
                 )
-        return evidence
+        return answered
 
     def _log_evaluation(
         self,
--- a/sedgering/rollout/_evidence.py
+++ b/sedgering/rollout/_evidence.py
@@ -109,6 +109,12 @@
             counts = self.routes[route] = RouteEvidence()
         counts.note(is_failure, elapsed_ms)
 
+    def add(self, other: 'Evidence') -> None:
+        """Add the results of another daemon beside the same target."""
+        self.is_stopped |= other.is_stopped
+        for route, counts in other.routes.items():
+            self.routes.setdefault(route, RouteEvidence()).add(counts)
+
     @property
     def runs(self) -> int:
         """Number of calls on all routes."""
--- a/sedgering/rollout/_verdict.py
+++ b/sedgering/rollout/_verdict.py
@@ -102,6 +102,9 @@
 ) -> Verdict:
     """Choose the verdict on a new version by comparing it with the old one.
 
+    A version is good by its calls on routes on which the old version has run
+    enough calls, too: without these, a slow call cannot be told.
+
     With several targets, the worst one is left out: a single target that is
     slow or fails may have a cause unrelated to its version.  If that leaves
     the verdict open and the version is good with the worst target included,
@@ -133,14 +136,22 @@
     accepted_share: float,
 ) -> Verdict:
     """Test the total and each route; one bad route makes the verdict bad."""
-    counts_by_route = _count_by_route(
-        _evidence.merge_routes(evidence), slow_limits
-    )
+    routes = _evidence.merge_routes(evidence)
+    counts_by_route = _count_by_route(routes, slow_limits)
     verdicts = [
         run_sequential_test(item, accepted_share)
         for item in (_sum_counts(counts_by_route), *counts_by_route)
     ]
-    return Verdict.BAD if Verdict.BAD in verdicts else verdicts[0]
+    if Verdict.BAD in verdicts:
+        return Verdict.BAD
+    comparable = {
+        route: counts
+        for route, counts in routes.items()
+        if route in slow_limits
+    }
+    return run_sequential_test(
+        _sum_counts(_count_by_route(comparable, slow_limits)), accepted_share
+    )
 
 
 def _find_slow_limits(
