Calls move only to a version that is present, and back while it is away

When the daemons beside the new targets restart in the move, callers had nobody left: the old version took no calls from "settling" on, and stopped for good at "succeeded", whether or not any target of the new one could be reached. A rollout could also succeed while a leaving daemon beside an old target still ran its last calls, since its row was gone; the targets of the old version stop without notice then, and cut them. Found by reading what else reads the targets present.

The daemon that carries out the order now estimates which share of the new targets is ready and answers, of all that have not left. The trial ends, and the old version stops taking calls, only if half of them are there; while none is, the old one serves again; and if none is by the end of the duration, the rollout is undone instead of succeeding. In "settling" leaving daemons beside old targets are asked, too, and have to be idle if they answer.

features/rollouts.feature: 13 examples of stages with targets away, all new; the earlier ones hold unchanged.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -159,6 +159,22 @@
       | settling | 6800 | leaves work behind | 9200 | succeeded   |
       | settling | 6800 | is silent          | 8000 | settling    |
 
+    Examples: the calls stay with the old version while the new one is away
+      | stage    | age  | shows              | now  | next        |
+      | trial    | 0    | is good, half away | 5000 | moving      |
+      | trial    | 0    | is good, most away | 5000 | trial       |
+      | trial    | 0    | is good, most away | 6700 | rolled back |
+      | trial    | 0    | is good, all away  | 5000 | trial       |
+      | moving   | 5000 | is good, most away | 6800 | moving      |
+      | moving   | 5000 | is good, all away  | 6800 | moving      |
+      | moving   | 5000 | is good, most away | 9200 | settling    |
+      | moving   | 5000 | is good, all away  | 9200 | rolled back |
+      | settling | 6800 | is good, most away | 8000 | settling    |
+      | settling | 6800 | is good, most away | 9200 | succeeded   |
+      | settling | 6800 | is good, all away  | 7000 | moving      |
+      | settling | 6800 | is good, all away  | 9200 | rolled back |
+      | settling | 6800 | is bad, all away   | 7000 | rolled back |
+
     Examples: a final verdict stands
       | stage       | age  | shows        | now  | next        |
       | succeeded   | 8000 | is bad       | 9000 | succeeded   |
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -32,6 +32,13 @@
 #: Relative speeds of the targets of one set.
 SPEEDS = (0.5, 1.0, 1.5)
 SHARE = 0.1
+#: Share of the new targets that are present.
+PRESENT_SHARES = {
+    '': 1.0,
+    'half away': 0.5,
+    'most away': 0.3,
+    'all away': 0.0,
+}
 #: An event loop under load reads the clock late.
 CLOCK_SLACK_MS = 1000
 
@@ -367,6 +374,7 @@
 
 @when('its new version {shows} at {now:d} ms')
 def step_shows(context, shows, now):
+    shows, _comma, away = shows.partition(', ')
     fails = shows == 'is bad'
     new = [rollout.Evidence('v2', 7) for _ in range(3)]
     old = [rollout.Evidence('v1', 7) for _ in range(3)]
@@ -381,7 +389,7 @@
         old[0].running = 1
     order = None if shows == 'is withdrawn' else make_order()
     observation = rollout.Observation(
-        order, now, new, old, shows != 'is silent'
+        order, now, new, old, shows != 'is silent', PRESENT_SHARES[away]
     )
     context.next = rollout.plan_next(context.row, observation)
 
--- a/sedgering/mesh/_rollout_driver.py
+++ b/sedgering/mesh/_rollout_driver.py
@@ -142,14 +142,19 @@
         new, old = self._choose_queried(row)
         log = self._find_evidence_log(row)
         log.start_poll()
-        await self._query_evidence(new, log)
+        new_answers = await self._query_evidence(new, log)
         old_answers = await self._query_evidence(old, log)
+        if row.stage is _Stage.SETTLING:
+            # A daemon that leaves may still run calls; one that has ended has
+            # none.
+            await self._query_evidence(self._list_away(row, row.old), log)
         observation = rollout.Observation(
             order,
             self.source.store_now_ms,
             log.list_version(row.new),
             log.list_version(row.old),
             old_answers == len(old),
+            self._find_present_share(row, new_answers, len(new)),
         )
         stage = rollout.plan_next(row, observation)
         self._log_evaluation(row, observation, stage)
@@ -159,6 +164,31 @@
             )
             await self._write(row, entry.revision)
 
+    def _list_away(
+        self, row: rollout.Rollout, version: str
+    ) -> list[_messages.MemberRow]:
+        """Return the targets of a version whose daemons leave or restart."""
+        return [
+            item
+            for item in self.fleet.away
+            if item.target_set == row.target_set and item.version == version
+        ]
+
+    def _find_present_share(
+        self, row: rollout.Rollout, answers: int, queried: int
+    ) -> float:
+        """Estimate the share of the targets of the new version present."""
+        if not answers:
+            return 0.0
+        ready = [
+            item
+            for item in self.fleet.list_ready(row.target_set)
+            if item.version == row.new
+        ]
+        away = self._list_away(row, row.new)
+        answering = len(ready) * answers / queried
+        return min(1.0, answering / max(1, len(ready) + len(away)))
+
     def _choose_queried(
         self, row: rollout.Rollout
     ) -> tuple[list[_messages.MemberRow], list[_messages.MemberRow]]:
--- a/sedgering/rollout/_plan.py
+++ b/sedgering/rollout/_plan.py
@@ -25,6 +25,9 @@
 #: succeeds and the targets of the old version may stop.  Their daemons learn
 #: of the stage in this time.
 MIN_SETTLING_MS = 1200
+#: Share of the targets of the new version that must be present before the
+#: calls move, and while the old version takes no calls.
+MIN_PRESENT_SHARE = 0.5
 
 _Stage = _model.Stage
 
@@ -42,6 +45,9 @@
         Evidence of the targets of each version that have answered.
     has_all_old : bool
         Whether all targets of the old version that were asked have answered.
+    new_present_share : float
+        Share of the targets of the new version that are ready and whose
+        daemons answer, 0 to 1.  The others are away for a time.
     """
 
     order: _model.Order | None
@@ -49,6 +55,12 @@
     new: list[_evidence.Evidence]
     old: list[_evidence.Evidence]
     has_all_old: bool = True
+    new_present_share: float = 1.0
+
+    @property
+    def is_new_present(self) -> bool:
+        """Whether the new version can take all calls."""
+        return self.new_present_share >= MIN_PRESENT_SHARE
 
 
 def make_rollout(order: _model.Order, old: str, now_ms: int) -> _model.Rollout:
@@ -100,10 +112,23 @@
     if verdict is _verdict.Verdict.BAD:
         return _Stage.ROLLED_BACK
     stage_age_ms = observation.now_ms - rollout.stage_ms
+    has_any_new = observation.new_present_share > 0
+    is_ending = _is_ending(rollout, observation)
+    if is_ending and not has_any_new:
+        return _Stage.ROLLED_BACK
     if rollout.stage is _Stage.MOVING:
-        is_due = stage_age_ms >= MOVING_MS
+        is_ready = is_ending or observation.is_new_present
+        is_due = is_ready and stage_age_ms >= MOVING_MS
         return _Stage.SETTLING if is_due else _Stage.MOVING
-    return _plan_settling(rollout, observation, stage_age_ms)
+    if is_ending:
+        return _Stage.SUCCEEDED
+    return _plan_settling(observation, stage_age_ms)
+
+
+def _is_ending(rollout: _model.Rollout, observation: Observation) -> bool:
+    """Whether too little is left of the duration to wait any longer."""
+    age_ms = observation.now_ms - rollout.began_ms
+    return age_ms >= FORCED_END_SHARE * observation.order.duration_ms
 
 
 def _choose_verdict(observation: Observation) -> _verdict.Verdict:
@@ -124,26 +149,29 @@
     duration_ms = observation.order.duration_ms
     if age_ms < MIN_TRIAL_SHARE * duration_ms:
         return _Stage.TRIAL
+    latest_ms = MAX_TRIAL_SHARE * duration_ms
     if verdict is _verdict.Verdict.GOOD:
-        return _Stage.MOVING
-    if age_ms >= MAX_TRIAL_SHARE * duration_ms:
-        return _Stage.ROLLED_BACK
-    return _Stage.TRIAL
+        if observation.is_new_present:
+            return _Stage.MOVING
+        move_ms = MOVING_MS + MIN_SETTLING_MS
+        latest_ms = max(latest_ms, FORCED_END_SHARE * duration_ms - move_ms)
+    return _Stage.ROLLED_BACK if age_ms >= latest_ms else _Stage.TRIAL
 
 
 def _plan_settling(
-    rollout: _model.Rollout, observation: Observation, stage_age_ms: int
+    observation: Observation, stage_age_ms: int
 ) -> _model.Stage:
     """Wait until the old version is idle.
 
-    Its targets may stop without notice once the rollout has succeeded.
+    Its targets may stop without notice once the rollout has succeeded.  Until
+    then they serve again while no target of the new version is present.
     """
-    age_ms = observation.now_ms - rollout.began_ms
-    if age_ms >= FORCED_END_SHARE * observation.order.duration_ms:
-        return _Stage.SUCCEEDED
+    if not observation.new_present_share:
+        return _Stage.MOVING
     is_idle = observation.has_all_old and not any(
         item.running for item in observation.old
     )
+    is_idle = is_idle and observation.is_new_present
     if is_idle and stage_age_ms >= MIN_SETTLING_MS:
         return _Stage.SUCCEEDED
     return _Stage.SETTLING
