A target gets no calls before its version is known

Once the version in use is recorded, a target of unknown version gets nothing. So that a target that starts again on its host need not wait for its next report, the daemon takes the version that the host's row has told, until the report tells. Sets whose targets report no versions have no record, and all their targets get calls as before.

features/version_in_use.feature: "A target gets no calls before its version is known" failed on the code before and passes.

--- a/features/steps/version_in_use_steps.py
+++ b/features/steps/version_in_use_steps.py
@@ -64,6 +64,16 @@
     assert record.final_version == 'v2'
 
 
+@then('only targets of {version} get calls')
+def step_only(context, version):
+    permits = rollout.make_permits(
+        context.row, context.order, base.SoftwareVersion('v2')
+    )
+    versions = ('v0', 'v1', 'v2', rollout.UNKNOWN_VERSION)
+    assert [item for item in versions if permits.may_send(item)] == [version]
+    assert [item for item in versions if permits.may_run(item)] == [version]
+
+
 # Whole fleets.
 
 
@@ -133,6 +143,29 @@
     subject.start_daemons([item for item in context.ended if item not in new])
 
 
+@when('a target of the version v2 joins that has not reported yet')
+def step_join_unreported(context):
+    fleet = context.subject.fleet
+    fleet.add_host('new-0', version='v2', is_reporting=False)
+    fleet.wait_ready()
+
+
+@when('a host loses power, and its next target has not reported yet')
+def step_lose_power(context):
+    subject = context.subject
+    host = context.host = subject.list_hosts('v1')[0]
+    subject.fleet.kill(host)
+    host.books.target = 'i-next'
+    host.books.runs.clear()
+    subject.fleet.run(subject.fleet.start_daemon(host))
+    subject.fleet.wait_ready()
+
+
+@then('this target got calls')
+def step_target_called(context):
+    assert context.host.books.runs
+
+
 @then('the version v2 got no calls')
 def step_no_calls(context):
     runs = context.subject.count_runs('v2')
--- a/features/version_in_use.feature
+++ b/features/version_in_use.feature
@@ -90,6 +90,33 @@
     And callers send calls for 1 s
     Then the version v2 got no calls
 
+  Scenario Outline: Which versions get calls once the version in use is recorded
+    Given a target set with <row>, and <order>
+    Then only targets of <version> get calls
+
+    Examples:
+      | row             | order          | version |
+      | v1 in use       | no order       | v1      |
+      | v1 in use       | an order of v2 | v1      |
+      | v2 rolled back  | no order       | v1      |
+      | v1 after a move | an order of v2 | v1      |
+
+  # Guards against calls to a version without an order: the health check of a
+  # target that had just joined did not tell its version.
+  Scenario: A target gets no calls before its version is known
+    Given a fleet with 3 calendar targets of the version v1
+    And 2 hosts whose callers send the calls
+    When a target of the version v2 joins that has not reported yet
+    And callers send calls for 1 s
+    Then the version v2 got no calls
+
+  Scenario: A target that starts again on its host is called before it reports
+    Given a fleet with 3 calendar targets of the version v1
+    And 2 hosts whose callers send the calls
+    When a host loses power, and its next target has not reported yet
+    And callers send calls for 1 s
+    Then this target got calls
+
   Scenario: A set whose targets all run the ordered version succeeds at once
     Given a fleet with 3 calendar targets of the version v2
     When v2 is ordered for them
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -243,9 +243,11 @@
                 LOG.info('target is leaving', extra={'target': row.target})
                 return
             # A health check does not return the start time of the target.
-            report = msgspec.structs.replace(
-                report, born_ms=row.born_ms, version=row.version
-            )
+            report = msgspec.structs.replace(report, born_ms=row.born_ms)
+        if row is not None and row.target_set == report.target_set:
+            # A target that starts again on its host mostly has the version
+            # that ran there before; its first report tells.
+            report = msgspec.structs.replace(report, version=row.version)
         self.take_report(report)
         target_client.note_probe(answer)
 
--- a/sedgering/rollout/_permits.py
+++ b/sedgering/rollout/_permits.py
@@ -31,18 +31,21 @@
         as senders learn at different times that it is draining.
     ordered : str or None
         Version that was ordered and gets no calls yet.
+    is_recorded : bool
+        Whether a row tells the stable version, and not the targets present.
     """
 
     stable: base.SoftwareVersion
     trial: base.SoftwareVersion | None = None
     draining: base.SoftwareVersion | None = None
     ordered: base.SoftwareVersion | None = None
+    is_recorded: bool = True
 
     def may_send(self, version: base.SoftwareVersion) -> bool:
         """Whether calls go to a version without the limit of a trial."""
         if version == UNKNOWN_VERSION:
-            # It may be any of the versions in use.
-            return self.ordered is None and not self.is_moving
+            # It may be a version that no order allows.
+            return self.ordered is None and not self.is_recorded
         if self.stable == UNKNOWN_VERSION:
             return version != self.ordered
         return version == self.stable
@@ -52,11 +55,6 @@
         is_extra = version in (self.trial, self.draining)
         return is_extra or self.may_send(version)
 
-    @property
-    def is_moving(self) -> bool:
-        """Whether two versions may run calls."""
-        return self.trial is not None or self.draining is not None
-
 
 def make_permits(
     rollout: _model.Rollout | None,
@@ -79,11 +77,9 @@
     """
     if rollout is None:
         ordered = order.version if order is not None else None
-        return Permits(majority, ordered=ordered)
+        return Permits(majority, ordered=ordered, is_recorded=False)
     if rollout.stage.is_final:
-        return Permits(
-            rollout.final_version, ordered=_find_ordered(rollout, order)
-        )
+        return Permits(rollout.final_version)
     old = base.SoftwareVersion(rollout.old)
     new = base.SoftwareVersion(rollout.new)
     if rollout.stage is _Stage.TRIAL:
@@ -92,16 +88,6 @@
     return Permits(new, draining=old if is_moving else None)
 
 
-def _find_ordered(
-    rollout: _model.Rollout, order: _model.Order | None
-) -> base.SoftwareVersion | None:
-    """Return the version of an order that the rollout does not cover."""
-    if order is None or order.revision <= rollout.order_revision:
-        return None
-    is_in_use = order.version == rollout.final_version
-    return None if is_in_use else order.version
-
-
 def find_majority(
     versions: Iterable[base.SoftwareVersion],
 ) -> base.SoftwareVersion:
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -186,7 +186,11 @@
         return future.result(WAIT_TIMEOUT_S)
 
     def add_host(
-        self, name: str, target_set: str = 'calendar', version: str = 'v1'
+        self,
+        name: str,
+        target_set: str = 'calendar',
+        version: str = 'v1',
+        is_reporting: bool = True,
     ) -> MeshHost:
         """Start a host and let its target report that it is ready."""
         ports = _fleet.free_ports(PORTS_PER_HOST)
@@ -194,7 +198,8 @@
         host.version = version
         self.hosts[name] = host
         self.run(self._start_host(host))
-        self.report(host)
+        if is_reporting:
+            self.report(host)
         return host
 
     def kill(self, host: MeshHost) -> None:
