The soak rolls out a version amid series of restarts

With `--rollouts` three more hosts join with targets of another version, good or bad, which is ordered for 16 s while daemons of the old version, of the new one, or of both are killed or told to leave in up to three series, in turn or at once, from 3 s before the order to 9 s after it and on top of the other faults. Checked: no request reaches the new version before its order; a bad one gets no more than a tenth of all requests and 50, and does not succeed; a good one succeeds in time where all faults are planned. At `succeeded` the old targets end at once, so that every promise about planned work holds there, too.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -67,6 +67,21 @@
       | a request reached 3 targets 3.1 s after 3 crashes | no violation                   |
       | a request reached 9 targets 2.9 s after 3 crashes | no violation                   |
       | a request reached 9 targets 3.1 s after 2 crashes | no violation                   |
+      | a bad version got 61 of 110 requests              | no violation                   |
+      | a bad version got 62 of 110 requests              | a bad version got 62 of 110    |
+      | a bad version succeeded                           | a bad version succeeded        |
+      | a good version was rolled back                    | ended as rolled_back           |
+      | a good version was never begun                    | ended as not begun             |
+      | a version got 1 request before its order          | 1 requests reached the new     |
+
+  Scenario: A killed daemon explains that a good version was rolled back
+    Given soak results in which a good version was rolled back
+    And another daemon was killed at that time
+    Then the soak reports no violation
+
+  Scenario: Rollouts are ordered amid series of restarts
+    Then rollout plans of 50 seeds are reproducible and differ from each other
+    And daemons of each version and of both are restarted in them
 
   Scenario Outline: Failures that a fault explains are not reported
     Given soak results in which a request <end>
@@ -111,6 +126,15 @@
     When seed 1 runs on 3 hosts for 4 s
     Then no guarantee is violated
 
+  Scenario Outline: A short soak of a rollout amid restarts keeps all guarantees
+    When seed <seed> rolls out a version on 3 hosts amid 4 s of faults
+    Then no guarantee is violated
+
+    Examples:
+      | seed |
+      | 13   |
+      | 10   |
+
   Scenario: A short soak with a crashing request and a suspended host keeps them
     When seed 6 runs on 3 hosts for 4 s
     Then no guarantee is violated
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -18,6 +18,7 @@
 from soak import _faults
 from soak import _links
 from soak import _long_requests
+from soak import _rollouts
 from soak import _targets
 from soak import _world
 
@@ -362,7 +363,30 @@
     return change
 
 
+def roll_out(is_good, state, exposed=0, total=0, early=0):
+    """Return a change that records the rollout of a version."""
+
+    def change(results):
+        plan = _rollouts.RolloutPlan(is_good, 0.0, 0.0, ())
+        results.world.rollout = _rollouts.Rollout(plan, SENT_AT_S, state)
+        new_s = [SENT_AT_S + 1] * exposed + [SENT_AT_S - 1] * early
+        results.world.ledger.version_runs_s = {
+            _rollouts.OLD_VERSION: [SENT_AT_S + 1] * (total - exposed),
+            _rollouts.NEW_VERSION: new_s,
+        }
+
+    return change
+
+
 CHANGES = {
+    'a bad version got 61 of 110 requests': roll_out(False, '', 61, 110),
+    'a bad version got 62 of 110 requests': roll_out(False, '', 62, 110),
+    'a bad version succeeded': roll_out(False, 'succeeded'),
+    'a good version was rolled back': roll_out(True, 'rolled_back'),
+    'a good version was never begun': roll_out(True, ''),
+    'a version got 1 request before its order': roll_out(
+        True, 'succeeded', early=1
+    ),
     'all is well': lambda results: None,
     'a request that may run once ran twice': run_twice,
     'a request ran that nobody sent': run_unsent,
@@ -472,6 +496,34 @@
     )
 
 
+@then(
+    'rollout plans of {seeds:d} seeds are reproducible and differ from each '
+    'other'
+)
+def step_rollout_plans(context, seeds):
+    context.plans = [
+        _rollouts.make_rollout_plan(seed, 5) for seed in range(seeds)
+    ]
+    repeated = [_rollouts.make_rollout_plan(seed, 5) for seed in range(seeds)]
+    assert context.plans == repeated
+    assert len(set(context.plans)) == seeds
+
+
+@then('daemons of each version and of both are restarted in them')
+def step_rollout_hosts(context):
+    groups = set()
+    for plan in context.plans:
+        hosts = {fault.host for fault in plan.restarts}
+        groups.add((bool(hosts & set(range(5))), bool(hosts - set(range(5)))))
+    assert groups == {(True, False), (False, True), (True, True)}, groups
+    for kind in (_faults.FaultKind.KILL, _faults.FaultKind.TERMINATE):
+        assert any(
+            fault.kind is kind
+            for plan in context.plans
+            for fault in plan.restarts
+        ), kind
+
+
 @then(
     'plans with unplanned faults also have suspended hosts and a request that '
     'crashes targets'
@@ -599,7 +651,22 @@
 
 @when('seed {seed:d} runs on {hosts:d} hosts for {seconds:d} s')
 def step_run(context, seed, hosts, seconds):
-    settings = _world.WorldSettings(seed, hosts, float(seconds))
+    run(context, _world.WorldSettings(seed, hosts, float(seconds)))
+
+
+@when(
+    'seed {seed:d} rolls out a version on {hosts:d} hosts amid {seconds:d} s '
+    'of faults'
+)
+def step_roll_out(context, seed, hosts, seconds):
+    run(
+        context,
+        _world.WorldSettings(seed, hosts, float(seconds), has_rollouts=True),
+    )
+
+
+def run(context, settings):
+    """Run a soak and keep what it finds."""
     with tempfile.TemporaryDirectory(prefix='soak-') as folder:
         path = pathlib.Path(folder)
         context.violations, summary = soak_main.run_seed(path, settings)
--- a/sedgering/platform/__init__.py
+++ b/sedgering/platform/__init__.py
@@ -22,6 +22,7 @@
 from sedgering.platform._settings import HostSettings
 from sedgering.platform._settings import read_settings
 from sedgering.platform._settings import StoreSettings
+from sedgering.platform._store import decode_rows
 from sedgering.platform._store import StoreClient
 from sedgering.platform._tables import PlatformTable
 from sedgering.platform._wire import HEADERS
@@ -48,6 +49,7 @@
     'StoreClient',
     'StoreSettings',
     'decode_document',
+    'decode_rows',
     'decode_settings',
     'make_mesh_source',
     'make_records_store',
--- a/sedgering/testing/_platform_calls.py
+++ b/sedgering/testing/_platform_calls.py
@@ -15,6 +15,8 @@
     'budget_extra=62',
     'budget_window=10s',
 )
+#: Bounds where the operator uses rollouts.
+ROLLOUT_BOUNDS = ('expose_share=0.1',)
 
 
 def make_report(
@@ -82,6 +84,7 @@
     address: str,
     ports: dict[str, int],
     link_mbps: float,
+    has_rollouts: bool = False,
 ) -> bytes:
     """Make the settings file of one daemon.
 
@@ -94,6 +97,8 @@
         `store`, all on the address of the host.
     link_mbps : float
         Capacity of the link of the host in Mbit/s.
+    has_rollouts : bool
+        Whether the operator uses rollouts.
     """
     fields = {
         'node': host,
@@ -107,7 +112,7 @@
             'control': f'{address}:{ports["reports"]}',
         },
         'internal_ports': [ports['peers'], ports['peers'] + 15],
-        'bounds': BOUNDS,
+        'bounds': BOUNDS + (ROLLOUT_BOUNDS if has_rollouts else ()),
         'platform': {'address': f'{address}:{ports["store"]}'},
         'limits': {'link_mbps': link_mbps},
     }
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 
 from soak import _checks
 from soak import _faults
+from soak import _rollouts
 from soak import _world
 
 __all__ = ['run_seed']
@@ -73,6 +74,12 @@
     keys: Annotated[
         bool, typer.Option(help='Require API keys; some callers forge them.')
     ] = False,
+    rollouts: Annotated[
+        bool,
+        typer.Option(
+            help='Order a version amid restarts, on three more hosts.'
+        ),
+    ] = False,
     keep: Annotated[
         pathlib.Path | None,
         typer.Option(help='Folder for the logs of seeds that fail.'),
@@ -91,12 +98,15 @@
             callers,
             long_callers=long_callers,
             has_keys=keys,
+            has_rollouts=rollouts,
         )
         if plan:
             for fault in _faults.make_plan(
                 number, hosts, seconds, long_callers > 0
             ):
                 print(fault)
+            if rollouts:
+                print(_rollouts.make_rollout_plan(number, hosts))
             continue
         with tempfile.TemporaryDirectory(prefix='soak-') as name:
             folder = pathlib.Path(name)
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -6,6 +6,7 @@
 from soak import _crash_requests
 from soak import _daemons
 from soak import _faults
+from soak import _rollouts
 from soak import _signals
 from soak import _targets
 from soak import _world
@@ -44,6 +45,9 @@
         *_check_keys(world, records),
         *_check_quarantine(world),
         *_check_signals(world, records),
+        *_rollouts.check_rollout(
+            world.rollout, world.ledger.version_runs_s, world.disturbances
+        ),
         *(
             violation
             for record in records
--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -129,6 +129,8 @@
         self.data_centre = data_centre
         #: Link capacity in the settings file of the daemon.
         self.link_mbps = LINK_MBPS
+        #: Whether the operator uses rollouts.
+        self.has_rollouts = False
         #: Number of starts so far.
         self.lifetime = 0
         #: Whether its monotonic clock can leave out suspensions.
@@ -192,5 +194,6 @@
                 self.address,
                 PORTS,
                 self.link_mbps,
+                self.has_rollouts,
             )
         )
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -10,7 +10,7 @@
 from soak import _links
 from soak import _signals
 
-__all__ = ['Fault', 'FaultKind', 'make_plan']
+__all__ = ['Fault', 'FaultKind', 'has_unplanned_faults', 'make_plan']
 
 #: Mean time between faults, and the range of their durations.
 MEAN_GAP_S = 0.7
@@ -189,6 +189,11 @@
             plan.append(_make_fault(rng, kinds, at_s, hosts))
 
 
+def has_unplanned_faults(seed: int) -> bool:
+    """Whether daemons are killed in the plan of a seed."""
+    return FaultKind.KILL in _choose_kinds(random.Random(seed))
+
+
 def _make_throttles(seed: int, hosts: int, seconds: float) -> Iterator[Fault]:
     """Make the faults that throttle links between daemons.
 
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -12,6 +12,7 @@
 from soak import _daemons
 from soak import _keys
 from soak import _long_requests
+from soak import _rollouts
 from soak import _signals
 
 __all__ = ['Ledger', 'Target']
@@ -68,6 +69,8 @@
         self.ends_s: list[float] = []
         self.signals = _signals.SignalLedger()
         self.workspaces: dict[str, list[str]] = {}
+        #: Times at which requests began to run, by the version of the target.
+        self.version_runs_s: dict[str, list[float]] = {}
         self.keys_seen: list[str] = []
 
     def record_identity_headers(
@@ -85,8 +88,15 @@
 class _TargetState(testing.TargetBooks):
     """State and records of one lifetime of a target."""
 
-    def __init__(self, target: str, lifetime: int, ledger: Ledger):
+    def __init__(
+        self,
+        target: str,
+        lifetime: int,
+        ledger: Ledger,
+        version: str = _rollouts.OLD_VERSION,
+    ):
         super().__init__(target)
+        self.version = version
         self.label = f'{target}#{lifetime}'
         self.arrivals = ledger.signals.arrivals.setdefault(self.label, [])
         self.work_s = WORK_S
@@ -109,6 +119,8 @@
         self.fields.clear()
         now_s = time.monotonic()
         self.ledger.runs.setdefault(request_id, []).append(now_s)
+        runs_s = self.ledger.version_runs_s
+        runs_s.setdefault(self.version, []).append(now_s)
         if self.acknowledged_s is not None:
             late_s = now_s - self.acknowledged_s
             if late_s > _daemons.DRAIN_S:
@@ -153,6 +165,11 @@
         self.most_running = 0
         self.lifetime = 0
         self.is_leaving = False
+        self.version = _rollouts.OLD_VERSION
+        #: How each lifetime begins to answer.
+        self.habit = testing.TargetHabit.SOUND
+        #: Whether the operator has stopped the target for good.
+        self.is_over = False
         self.books: _TargetState | None = None
         self._sequence = 0
         self._started_at_ms = 0
@@ -165,7 +182,9 @@
         self.on_departure: Callable[[], None] = _do_nothing
 
     async def start(self) -> None:
-        """Start a new lifetime."""
+        """Start a new lifetime, unless the operator has stopped it."""
+        if self.is_over:
+            return
         self.lifetime += 1
         self._sequence = 0
         self._started_at_ms = time.time_ns() // NS_PER_MS
@@ -173,8 +192,12 @@
         # Every second start reuses the target id of the previous lifetime.
         number = (self.lifetime + 1) // 2
         self.books = _TargetState(
-            f'i-{self.daemon.name}-{number}', self.lifetime, self.ledger
+            f'i-{self.daemon.name}-{number}',
+            self.lifetime,
+            self.ledger,
+            self.version,
         )
+        self.books.habit = self.habit
         self.books.fatal_urls = {_crash_requests.FATAL_PATH}
         self.books.end = self._crash
         self._server = await asyncio.get_running_loop().create_server(
@@ -283,6 +306,11 @@
         books.signal_fields = _signals.make_limit_fields(field)
         self.ledger.signals.state_limit(books.label, field, time.monotonic())
 
+    def end(self) -> None:
+        """End for good, without notice."""
+        self.is_over = self.is_leaving = True
+        self.stop()
+
     def stop(self) -> None:
         """End this lifetime and reset its connections."""
         self.most_running = max(self.most_running, self.books.most_running)
@@ -328,6 +356,7 @@
             self._sequence,
             SLOTS,
             self._started_at_ms,
+            self.version,
         )
 
     async def _send(self, request: transport.Request) -> bool:
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from sedgering import platform
 from sedgering import testing
 from sedgering import transport
 from soak import _callers
@@ -21,6 +22,7 @@
 from soak import _links
 from soak import _long_requests
 from soak import _probes
+from soak import _rollouts
 from soak import _targets
 
 __all__ = ['Disturbance', 'World', 'WorldSettings']
@@ -55,6 +57,8 @@
         throttled, no host is suspended, and no request crashes targets.
     has_keys : bool
         Whether routes require API keys; some callers send forged ones.
+    has_rollouts : bool
+        Whether a version of targets on more hosts is ordered amid restarts.
     """
 
     seed: int
@@ -64,6 +68,7 @@
     relay_from_hosts: int = 4
     long_callers: int = 2
     has_keys: bool = False
+    has_rollouts: bool = False
 
 
 class Disturbance(msgspec.Struct):
@@ -101,8 +106,15 @@
         self.bad_exits: list[str] = []
         self.version = 1
         self.final_load_start_s = 0.0
+        self.rollout: _rollouts.Rollout | None = None
+        hosts = world_settings.hosts
+        if world_settings.has_rollouts:
+            self.rollout = _rollouts.Rollout(
+                _rollouts.make_rollout_plan(world_settings.seed, hosts)
+            )
+            hosts += _rollouts.NEW_HOSTS
         self.store = _daemons.StoreProcess(
-            folder, _daemons.make_address(world_settings.hosts + 1)
+            folder, _daemons.make_address(hosts + 1)
         )
         self.daemons = [
             _daemons.Daemon(
@@ -113,13 +125,21 @@
                 self.store.address,
                 {'relay_from_hosts': world_settings.relay_from_hosts},
             )
-            for number in range(world_settings.hosts)
+            for number in range(hosts)
         ]
         self.targets = [
             _targets.Target(daemon, self.ledger) for daemon in self.daemons
         ]
         for number, target in enumerate(self.targets):
             target.on_crash = functools.partial(self._record_crash, number)
+        #: Targets of the version that is ordered.
+        self.new_targets = self.targets[world_settings.hosts :]
+        for target in self.new_targets:
+            target.version = _rollouts.NEW_VERSION
+            if not self.rollout.plan.is_good:
+                target.habit = testing.TargetHabit.FAILING
+        for daemon in self.daemons:
+            daemon.has_rollouts = world_settings.has_rollouts
         self.crash_caller = _crash_requests.CrashRequestCaller(
             world_settings.seed
         )
@@ -165,13 +185,15 @@
             settings.seconds,
             settings.long_callers > 0,
         )
-        started_s = time.monotonic()
         tasks = []
-        for fault in plan:
-            delay_s = started_s + fault.at_s - time.monotonic()
-            await asyncio.sleep(max(0.0, delay_s))
-            tasks.append(asyncio.ensure_future(self._inject(fault)))
-        await asyncio.gather(*tasks)
+        if self.rollout is not None:
+            tasks += [
+                asyncio.ensure_future(self._roll_out(self.rollout)),
+                asyncio.ensure_future(
+                    self._inject_all(self.rollout.plan.restarts)
+                ),
+            ]
+        await asyncio.gather(self._inject_all(plan), *tasks)
         # Their requests under way end before the final load does.
         for caller in self.long_callers:
             caller.is_stopping = True
@@ -212,7 +234,8 @@
             await daemon.start_links()
             await daemon.start()
         for target in self.targets:
-            await target.start()
+            if target not in self.new_targets:
+                await target.start()
         await _wait_for(
             self._are_all_ready, 'not all daemons are ready after their start'
         )
@@ -225,6 +248,50 @@
         )
         return all(answers)
 
+    async def _inject_all(self, plan: tuple[_faults.Fault, ...]) -> None:
+        """Inject the faults of a plan at their times, and await them."""
+        started_s = time.monotonic()
+        tasks = []
+        for fault in plan:
+            delay_s = started_s + fault.at_s - time.monotonic()
+            await asyncio.sleep(max(0.0, delay_s))
+            tasks.append(asyncio.ensure_future(self._inject(fault)))
+        await asyncio.gather(*tasks)
+
+    async def _roll_out(self, rollout: _rollouts.Rollout) -> None:
+        """Order the new version, and do what the operator does at the end."""
+        plan = rollout.plan
+        await asyncio.sleep(plan.join_s)
+        for target in self.new_targets:
+            await target.start()
+        await asyncio.sleep(plan.order_s - plan.join_s)
+        path, body = testing.encode_write(
+            'op', 'rollout/calendar', _rollouts.encode_order()
+        )
+        await _wait_for(
+            functools.partial(self._write_row, path, body),
+            'the store does not accept an order',
+        )
+        rollout.ordered_s = time.monotonic()
+        end_s = rollout.ordered_s + _rollouts.DURATION_S
+        while time.monotonic() < end_s:
+            rollout.state = await self._read_rollout() or rollout.state
+            if rollout.state == 'succeeded':
+                for target in self.targets:
+                    if target not in self.new_targets:
+                        target.end()
+                return
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def _read_rollout(self) -> str:
+        """Return the state of the rollout; empty if it cannot be read."""
+        query = 'table=status&part=&from=rollout/calendar'
+        answer = await self._call_store(f'/v1/rows-get?{query}')
+        if answer is None or answer.status != 200:
+            return ''
+        rows = platform.decode_rows(answer.body)
+        return _rollouts.read_state(rows[0].value) if rows else ''
+
     async def _inject(self, fault: _faults.Fault) -> None:
         """Inject a fault, unless a conflicting fault is active."""
         key = (fault.kind, fault.host)
@@ -373,6 +440,10 @@
             self.version, is_long, self.settings.has_keys
         )
         path, body = testing.encode_write('op', 'config', document)
+        return await self._write_row(path, body)
+
+    async def _write_row(self, path: str, body: bytes) -> bool:
+        """Write a row; return whether the store accepted it."""
         answer = await self._call_store(path, body)
         return answer is not None and answer.status == 200
 
@@ -380,7 +451,7 @@
         await self._call_store('/standin/faults', json.dumps(faults).encode())
 
     async def _call_store(
-        self, path: str, body: bytes
+        self, path: str, body: bytes | None = None
     ) -> transport.Response | None:
         return await _probes.ask(
             self.store.address, _daemons.STORE_PORT, path, body
