A leaving daemon does not wait for the check whether its target runs

The row of a daemon that leaves is published at once, and removed after that if the target no longer listens. Waiting for the check first would have let a target that accepts no connection hold up the notice that peers act on.

--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -344,7 +344,7 @@
         self._release_report()
         if self.is_leaving and not self._has_last_row:
             # The row of the previous process was not known before.
-            self._start_task(self._publish_last_row())
+            self._publish_last_row()
 
     def _publish_unless(self, published: _messages.MemberRow | None) -> None:
         if self._make_row() != published:
@@ -638,7 +638,7 @@
         self.is_leaving = True
         self.outbound.is_closing = True
         self.state.quotas.leave()
-        await self._publish_last_row()
+        self._publish_last_row()
         LOG.info('leaving')
         loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(self.shutdown_log.run()))
@@ -657,13 +657,15 @@
         self._stop_tasks()
         self.shutdown_log.note_end()
 
-    async def _publish_last_row(self) -> None:
-        """Publish the row that remains in the store, if the target runs."""
+    def _publish_last_row(self) -> None:
+        """Publish the row that remains in the store while the target runs."""
         row = self._make_stored_row()
-        if row is None:
-            return
-        self._has_last_row = True
-        self.source.publish(row)
+        if row is not None:
+            self._has_last_row = True
+            self.source.publish(row)
+            self._start_task(self._remove_row_of_ended_target())
+
+    async def _remove_row_of_ended_target(self) -> None:
         if not await self.state.target_client.is_listening():
             self.source.publish(None)
 
