The soak counts requests before an order from the time when it was sent

The store did writes late then, and had written the order, which the daemons logged ("rollout ordered") 1.4 s before the two requests; the operator repeated the write until one was acknowledged, and the check began there. An order that the store has written is in force, acknowledged or not, so the check is narrowed to what came before it was first sent.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -368,7 +368,9 @@
 
     def change(results):
         plan = _rollouts.RolloutPlan(is_good, 0.0, 0.0, ())
-        results.world.rollout = _rollouts.Rollout(plan, SENT_AT_S, state)
+        results.world.rollout = _rollouts.Rollout(
+            plan, SENT_AT_S, SENT_AT_S, state
+        )
         new_s = [SENT_AT_S + 1] * exposed + [SENT_AT_S - 1] * early
         results.world.ledger.version_runs_s = {
             _rollouts.OLD_VERSION: [SENT_AT_S + 1] * (total - exposed),
--- a/soak/_rollouts.py
+++ b/soak/_rollouts.py
@@ -72,14 +72,16 @@
     ----------
     plan : RolloutPlan
         The plan.
-    ordered_s : float
-        When the store acknowledged the order, on the monotonic clock;
-        infinite before.
+    sent_s, ordered_s : float
+        When the order was first sent, and when the store acknowledged it, on
+        the monotonic clock; infinite before.  Between the two it may have been
+        written.
     state : str
         Last state that the operator read within the duration.
     """
 
     plan: RolloutPlan
+    sent_s: float = float('inf')
     ordered_s: float = float('inf')
     state: str = ''
 
@@ -152,7 +154,7 @@
     if rollout is None:
         return
     new_s = runs_s.get(NEW_VERSION, [])
-    early = sum(run_s < rollout.ordered_s for run_s in new_s)
+    early = sum(run_s < rollout.sent_s for run_s in new_s)
     if early:
         yield f'{early} requests reached the new version before its order'
     if not rollout.plan.is_good:
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -268,6 +268,7 @@
         path, body = testing.encode_write(
             'op', 'rollout/calendar', _rollouts.encode_order()
         )
+        rollout.sent_s = time.monotonic()
         await _wait_for(
             functools.partial(self._write_row, path, body),
             'the store does not accept an order',
