Versions of targets are counted in one pass

Each daemon that watches the store counts the versions of all targets after each change of a member row. The choice is unchanged: features/version_in_use.feature and rollouts.feature pass.

--- a/features/steps/version_in_use_steps.py
+++ b/features/steps/version_in_use_steps.py
@@ -1,5 +1,7 @@
 """Steps for the version in use: its record, and daemons that are away."""
 
+import collections
+
 from behave import given
 from behave import then
 from behave import when
@@ -43,7 +45,9 @@
 @when('its targets have the versions {versions}')
 def step_versions(context, versions):
     context.choice = rollout.choose_record(
-        context.row, context.order, list_versions(versions)
+        context.row,
+        context.order,
+        collections.Counter(list_versions(versions)),
     )
 
 
--- a/sedgering/mesh/_fleet.py
+++ b/sedgering/mesh/_fleet.py
@@ -1,6 +1,8 @@
 """Hosts and their targets, as far as this daemon knows."""
 
+import collections
 from collections.abc import Iterable
+import itertools
 import logging
 
 from sedgering import base
@@ -12,6 +14,10 @@
 
 LOG = logging.getLogger(__name__)
 
+FINAL_STATES = tuple(
+    state for state in _messages.TargetState if state.is_final
+)
+
 
 class FleetTable:
     """Member rows by host, and those that take calls by target set.
@@ -58,15 +64,20 @@
             and row.target_set == target_set
         ]
 
-    def list_versions(
+    def count_versions(
         self,
-    ) -> dict[base.TargetSetName, list[base.SoftwareVersion]]:
-        """Return the versions of all targets that have not left, by set."""
-        versions: dict[base.TargetSetName, list[base.SoftwareVersion]] = {}
-        for row in (*self.members.values(), *self.away):
-            if not row.state.is_final:
-                versions.setdefault(row.target_set, []).append(row.version)
-        return versions
+    ) -> dict[base.TargetSetName, dict[base.SoftwareVersion, int]]:
+        """Count the targets that have not left, by set and version."""
+        rows = itertools.chain(self.members.values(), self.away)
+        counts = collections.Counter(
+            (row.target_set, row.version)
+            for row in rows
+            if row.state not in FINAL_STATES
+        )
+        by_set: dict[base.TargetSetName, dict] = {}
+        for (target_set, version), count in counts.items():
+            by_set.setdefault(target_set, {})[version] = count
+        return by_set
 
     def replace(
         self,
--- a/sedgering/mesh/_version_record.py
+++ b/sedgering/mesh/_version_record.py
@@ -87,7 +87,7 @@
             return {}
         choices = {
             name: self._choose(name, versions)
-            for name, versions in self.fleet.list_versions().items()
+            for name, versions in self.fleet.count_versions().items()
         }
         return {
             name: choice
@@ -98,7 +98,7 @@
     def _choose(
         self,
         target_set: base.TargetSetName,
-        versions: list[base.SoftwareVersion],
+        versions: dict[base.SoftwareVersion, int],
     ) -> rollout.RecordChoice | None:
         log = self.source.rollouts
         entry = log.find_entry(target_set)
--- a/sedgering/rollout/_permits.py
+++ b/sedgering/rollout/_permits.py
@@ -2,13 +2,20 @@
 
 import collections
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 import msgspec
 
 from sedgering import base
 from sedgering.rollout import _model
 
-__all__ = ['UNKNOWN_VERSION', 'Permits', 'find_majority', 'make_permits']
+__all__ = [
+    'UNKNOWN_VERSION',
+    'Permits',
+    'find_majority',
+    'find_most_frequent',
+    'make_permits',
+]
 
 #: Version of a target that has not reported one.
 UNKNOWN_VERSION = base.SoftwareVersion('')
@@ -92,9 +99,14 @@
     versions: Iterable[base.SoftwareVersion],
 ) -> base.SoftwareVersion:
     """Return the most frequent version; the first by name on a tie."""
-    counts = collections.Counter(
-        version for version in versions if version != UNKNOWN_VERSION
-    )
-    if not counts:
+    return find_most_frequent(collections.Counter(versions))
+
+
+def find_most_frequent(
+    counts: Mapping[base.SoftwareVersion, int],
+) -> base.SoftwareVersion:
+    """Return the version with the highest count, like `find_majority`."""
+    known = counts.keys() - {UNKNOWN_VERSION}
+    if not known:
         return UNKNOWN_VERSION
-    return min(counts, key=lambda version: (-counts[version], version))
+    return min(known, key=lambda version: (-counts[version], version))
--- a/sedgering/rollout/_record.py
+++ b/sedgering/rollout/_record.py
@@ -1,6 +1,6 @@
 """Decides which version of a target set is recorded as the one in use."""
 
-from collections.abc import Collection
+from collections.abc import Mapping
 
 import msgspec
 
@@ -30,7 +30,7 @@
 def choose_record(
     rollout: _model.Rollout | None,
     order: _model.Order | None,
-    versions: Collection[base.SoftwareVersion],
+    versions: Mapping[base.SoftwareVersion, int],
 ) -> RecordChoice | None:
     """Choose the version to record; None if nothing is to be recorded.
 
@@ -44,12 +44,16 @@
         Stored row of the set.
     order : Order or None
         Newest order of the operator.
-    versions : collection of str
-        Versions of all targets of the set that have not left.
+    versions : mapping of str to int
+        Number of targets of each version, without those that have left.
     """
     ordered = order.version if order is not None else None
-    others = [version for version in versions if version != ordered]
-    majority = _permits.find_majority(others or versions)
+    others = {
+        version: count
+        for version, count in versions.items()
+        if version != ordered
+    }
+    majority = _permits.find_most_frequent(others or versions)
     if majority == _permits.UNKNOWN_VERSION:
         return None
     if rollout is None:
