--- a/sedgering/testing/__init__.py
+++ b/sedgering/testing/__init__.py
@@ -30,6 +30,7 @@
 from sedgering.testing._naive import make_sample_bundle
 from sedgering.testing._naive import NaivePoller
 from sedgering.testing._passthrough import make_passthrough
+from sedgering.testing._platform_calls import encode_read
 from sedgering.testing._platform_calls import encode_write
 from sedgering.testing._platform_calls import make_daemon_settings
 from sedgering.testing._platform_calls import make_report
@@ -65,6 +66,7 @@
     'TargetSettings',
     'TargetStandin',
     'Verdict',
+    'encode_read',
     'encode_write',
     'free_ports',
     'is_listening',
--- a/sedgering/testing/_platform_calls.py
+++ b/sedgering/testing/_platform_calls.py
@@ -2,10 +2,16 @@
 
 import base64
 import json
+import urllib.parse
 
 from sedgering import transport
 
-__all__ = ['encode_write', 'make_daemon_settings', 'make_report']
+__all__ = [
+    'encode_read',
+    'encode_write',
+    'make_daemon_settings',
+    'make_report',
+]
 
 #: Time bounds and retry budget as configured in production.
 BOUNDS = (
@@ -65,6 +71,12 @@
     )
 
 
+def encode_read(table: str, key: str) -> str:
+    """Return the path of the call that reads one store row."""
+    query = {'table': table, 'part': '', 'from': key, 'to': key + '\0'}
+    return f'/v1/rows-get?{urllib.parse.urlencode(query)}'
+
+
 def encode_write(table: str, key: str, value: bytes) -> tuple[str, bytes]:
     """Return the path and body of the call that writes one store row."""
     row = {
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -286,8 +286,8 @@
 
     async def _read_rollout(self) -> str:
         """Return the state of the rollout; empty if it cannot be read."""
-        query = 'table=status&part=&from=rollout/calendar'
-        answer = await self._call_store(f'/v1/rows-get?{query}')
+        path = testing.encode_read('status', 'rollout/calendar')
+        answer = await self._call_store(path)
         if answer is None or answer.status != 200:
             return ''
         rows = platform.decode_rows(answer.body)
