The scenario of a second attempt has a second attempt in each run

The targets now fail every second of the requests that they get together, so that each request needs a second attempt.

--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -1,6 +1,7 @@
 """Steps that test the quotas of workspaces."""
 
 import asyncio
+import itertools
 import json
 import random
 
@@ -713,8 +714,25 @@
 
 @given('the targets fail every second request')
 def step_fail_second(context):
-    for host in context.quota_mesh.hosts[:1]:
-        host.books.habit = testing.TargetHabit.FAILING
+    numbers = itertools.count()
+    for host in context.quota_mesh.hosts:
+        fail_alternately(host.books, numbers)
+
+
+def fail_alternately(books: testing.TargetBooks, numbers) -> None:
+    """Fail every second of the requests that targets get together."""
+    note_run = books.note_run
+
+    def note_and_choose(*details) -> None:
+        note_run(*details)
+        is_failing = next(numbers) % 2 == 0
+        books.habit = (
+            testing.TargetHabit.FAILING
+            if is_failing
+            else testing.TargetHabit.SOUND
+        )
+
+    books.note_run = note_and_choose
 
 
 @then(
