--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -180,6 +180,24 @@
       | succeeded   | 8000 | is bad       | 9000 | succeeded   |
       | rolled back | 8000 | is good      | 9000 | rolled back |
 
+  # Guards against a good version being rolled back, and calls going back and
+  # forth between the versions.
+  Scenario Outline: A daemon that reaches no target leaves a rollout to others
+    Given a rollout of 10 s in the stage <stage> since <age> ms
+    When a daemon at which <answer> evaluates it at <now> ms
+    Then it writes <written>
+
+    Examples:
+      | stage    | age  | answer          | now  | written     |
+      | trial    | 0    | nobody answers  | 6700 | nothing     |
+      | moving   | 5000 | nobody answers  | 9200 | nothing     |
+      | settling | 6800 | nobody answers  | 8000 | nothing     |
+      | settling | 6800 | nobody answers  | 9200 | nothing     |
+      | trial    | 0    | only v1 answers | 6700 | rolled back |
+      | settling | 6800 | only v1 answers | 8000 | moving      |
+      | settling | 6800 | only v1 answers | 9200 | rolled back |
+      | settling | 6800 | all answer      | 8000 | succeeded   |
+
   Scenario Outline: Malformed orders change nothing
     When the operator's order is <order>
     Then the order is refused as unreadable
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -1,5 +1,6 @@
 """Steps for rollouts: permits, exposure, verdicts, and whole fleets."""
 
+import asyncio
 import random
 import time
 
@@ -12,7 +13,10 @@
 
 from sedgering import base
 from sedgering import exceptions
+from sedgering.mesh import _evidence_hop
 from sedgering.mesh import _evidence_log
+from sedgering.mesh import _fleet
+from sedgering.mesh import _rollout_driver
 from sedgering.mesh import _rollout_log
 from sedgering.platform import _rollouts
 from sedgering import rollout
@@ -553,6 +557,72 @@
     assert not driver.source.rollout_store.written
 
 
+@when('a daemon at which {answer} evaluates it at {now:d} ms')
+def step_evaluate(context, answer, now):
+    answering = {
+        'nobody answers': (),
+        'only v1 answers': ('v1',),
+        'all answer': ('v1', 'v2'),
+    }[answer]
+    table = _fleet.FleetTable()
+    table.replace(
+        {
+            f'{version}-{number}': testing.make_member_row(
+                f'{version}-{number}',
+                address=f'10.0.{version[1]}.{number}',
+                version=version,
+            )
+            for version in ('v1', 'v2')
+            for number in (1, 2)
+        }
+    )
+    context.source = _TimedSource(now)
+    driver = _rollout_driver.RolloutDriver(
+        table, _AnsweringPeers(answering), context.source, None
+    )
+    entry = _rollout_log.RolloutEntry(8, context.row)
+    asyncio.run(driver._advance_stage(make_order(), entry))
+
+
+@then('it writes {written}')
+def step_written(context, written):
+    rows = context.source.rollout_store.written
+    stages = [row.stage.value for row, _revision in rows]
+    assert stages == ([] if written == 'nothing' else [written]), stages
+
+
+class _TimedSource:
+    """A source at one time of the store's clock."""
+
+    def __init__(self, now_ms):
+        self.store_now_ms = now_ms
+        self.rollout_store = _Rows()
+
+
+class _AnsweringPeers:
+    """Daemons of which those beside targets of some versions answer."""
+
+    def __init__(self, versions):
+        self.versions = versions
+
+    def find(self, row):
+        is_answering = row.version in self.versions
+        return _EvidencePeer(row.version if is_answering else None)
+
+
+class _EvidencePeer:
+    """A daemon that answers with good calls, or not at all."""
+
+    def __init__(self, version):
+        self.version = version
+
+    async def ask(self, _data, _problem):
+        if self.version is None:
+            return None
+        evidence = make_evidence(self.version, 60, 0)
+        return _evidence_hop.encode_evidence(evidence)
+
+
 class _ClocklessSource:
     """A source that has had no answer from the store."""
 
--- a/sedgering/mesh/_rollout_driver.py
+++ b/sedgering/mesh/_rollout_driver.py
@@ -144,6 +144,16 @@
         log.start_poll()
         new_answers = await self._query_evidence(new, log)
         old_answers = await self._query_evidence(old, log)
+        if (new or old) and not (new_answers or old_answers):
+            # This daemon may be cut off; the next one by rank decides.
+            LOG.info(
+                'rollout not evaluated',
+                extra={
+                    'target_set': row.target_set,
+                    'detail': f'none of {len(new) + len(old)} targets answers',
+                },
+            )
+            return
         if row.stage is _Stage.SETTLING:
             # A daemon that leaves may still run calls; one that has ended has
             # none.
