Review case 6: a script that chooses no moment for the cut

Cause: the first script waited until the watches of both relays had just begun; the fault does not need that.

--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,8 +1,8 @@
-"""Two machines are cut from the store while a route moves."""
+"""The two machines that watch the store are cut from it, a route moves."""
 
 import asyncio
-import math
 import pathlib
+import random
 import sys
 import time
 
@@ -13,7 +13,12 @@
 
 #: The bounds `apply` of the settings, and the length of a cut.
 APPLY_S = 2.0
-CUT_S = 5.5
+CUT_S = 4.0
+#: Longer than `stable_window`, 3 s.
+CALM_S = 4.5
+#: Somewhat more than the time between two watches of a machine.
+WATCH_S = 2.5
+ROUNDS = 5
 SERVICES = 'lobby', 'vault'
 
 
@@ -26,39 +31,26 @@
     return feeds
 
 
-def choose_store_readers(rig):
-    """Return the two machines that have called the store most in 4 s."""
-    since_s = time.monotonic() - 4.0
-    counts = {
-        machine.name: sum(at_s > since_s for at_s, _call in machine.door.reads)
-        for machine in rig.machines
-    }
-    rig.record.note(f'calls to the store in 4 s: {counts}')
-    ranked = sorted(rig.machines, key=lambda item: -counts[item.name])
-    return ranked[:2]
-
+async def find_store_readers(rig):
+    """Wait until just two machines watch the store, and return them.
 
-async def wait_for_moment(machines):
-    """Wait until the watches of the machines have begun recently.
-
-    They are renewed every two seconds, each at a moment of its own.
+    The moment is not chosen: their watches are renewed every two seconds.
     """
-    youngest_s = math.inf
-    end_s = time.monotonic() + 4.2
-    while True:
-        now_s = time.monotonic()
-        begun_s = [
-            at_s
-            for machine in machines
-            for at_s in list_feeds(machine).values()
+    await asyncio.sleep(CALM_S + random.uniform(0, WATCH_S))
+    end_s = time.monotonic() + 12.0
+    while time.monotonic() < end_s:
+        since_s = time.monotonic() - WATCH_S
+        readers = [
+            machine
+            for machine in rig.machines
+            if max(list_feeds(machine).values(), default=0.0) > since_s
         ]
-        oldest_s = now_s - min(begun_s)
-        if now_s > end_s and oldest_s < youngest_s + 0.05:
-            return
-        youngest_s = min(youngest_s, oldest_s)
-        if now_s > end_s + 10.0:
-            raise rigs.NotReadyError('no moment for the cut')
-        await asyncio.sleep(0.01)
+        if len(readers) == 2:
+            names = ', '.join(machine.name for machine in readers)
+            rig.record.note(f'watch the store: {names}')
+            return readers
+        await asyncio.sleep(0.1)
+    raise rigs.NotReadyError('there are not two that watch the store')
 
 
 async def send_requests(rig, machine, until_s, results):
@@ -69,24 +61,20 @@
         await asyncio.sleep(0.1)
 
 
-async def play(rig):
-    """Move a route just after two machines were cut from the store."""
-    for number in range(8):
-        rig.add(('hall-a', 'hall-b')[number % 2], SERVICES[number // 2 % 2])
-    route = rigs.make_route('/moved/', SERVICES[0])
-    await rig.start(rigs.make_document(1, [('r-moved', route)], SERVICES))
-    cut = choose_store_readers(rig)
-    await wait_for_moment(cut)
+async def play_round(rig, number):
+    """Move the route just after two machines were cut from the store."""
+    version = number + 2
+    old, new = SERVICES[number % 2], SERVICES[1 - number % 2]
+    cut = await find_store_readers(rig)
     if rigs.WITH_TROUBLE:
         for machine in cut:
             rig.record.note(f'cut from the store: {machine.name}')
             machine.door.open.clear()
-    await asyncio.sleep(0.1)
-    route = rigs.make_route('/moved/', SERVICES[1])
-    document = rigs.make_document(2, [('r-moved', route)], SERVICES)
+    route = rigs.make_route('/moved/', new)
+    document = rigs.make_document(version, [('r-moved', route)], SERVICES)
     rig.store.write_operator('config', document)
     acknowledged_s = time.monotonic()
-    rig.record.note('version 2 acknowledged: /moved/ goes to vault')
+    rig.record.note(f'version {version} acknowledged: /moved/ goes to {new}')
     results = []
     calm = [machine for machine in rig.machines if machine not in cut]
     senders = [
@@ -96,20 +84,34 @@
     await asyncio.gather(*senders)
     for machine in cut:
         machine.door.open.set()
-    old = {
+    ran_old = {
         request_id: machine
         for machine in rig.machines
-        if machine.service == SERVICES[0]
+        if machine.service == old
         for _at_s, request_id, _message in machine.server.runs
     }
-    return [
+    late = [
         f'CONFIG: request {request_id} sent to {machine.name}'
         f' {sent_s - acknowledged_s:.2f} s after the acknowledgement of'
-        f' version 2 was run by {old[request_id].server.id} of'
-        f' {SERVICES[0]}, as only version 1 says'
+        f' version {version} was run by {ran_old[request_id].server.id} of'
+        f' {old}, as only an older version says'
         for machine, request_id, sent_s, _status, _message in results
-        if sent_s - acknowledged_s > APPLY_S and request_id in old
+        if sent_s - acknowledged_s > APPLY_S and request_id in ran_old
     ]
+    rig.record.note(f'round {number + 1}: {len(late)} requests too late')
+    return late
+
+
+async def play(rig):
+    """Cut the two machines that watch the store, several times."""
+    for number in range(8):
+        rig.add(('hall-a', 'hall-b')[number % 2], SERVICES[number // 2 % 2])
+    route = rigs.make_route('/moved/', SERVICES[0])
+    await rig.start(rigs.make_document(1, [('r-moved', route)], SERVICES))
+    late = []
+    for number in range(ROUNDS):
+        late += await play_round(rig, number)
+    return late
 
 
 if __name__ == '__main__':
