A new version is good only when failures and each route show it

Cause: failures were tested together with slow calls, with the tolerance that slow targets need (0.08, and 0.2 more to be harmful), so that a share of 0.12 drifted to "good". And "good" was decided by the sum over all routes: a route with too few calls for a verdict counted as good, whatever they showed.

Now failures have a test of their own, and a version is good when all tests show it, in total and on each route. Within the same exposure, routes with the fewest exposed calls come first, up to half of their calls. When the trial must end, the total needs odds of 20 to 1; a route with too few calls stops the rollout only by odds of 20 to 1 against it. Two targets at least are on trial, and where only one of them has been called, it is no evidence alone: a good version with one of two targets slow was undone.

The scenario that one of five targets is on trial says two now, as one slow host could not be told from a slow version; beside it stands that of one target one is on trial.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -33,7 +33,8 @@
 
   Scenario: All daemons choose the same few targets for the trial
     Then of 32 new targets beside 32 old ones 3 are on trial, in any order
-    And of 5 new targets beside 5 old ones 1 is on trial, in any order
+    And of 5 new targets beside 5 old ones 2 are on trial, in any order
+    And of 1 new targets beside 5 old ones 1 is on trial, in any order
 
   Scenario Outline: A good version is not rolled back
     The test is designed to reject one good version in 4,000.
@@ -106,6 +107,79 @@
     When its verdict is computed 200 times
     Then each verdict is bad
 
+  # Guards against a version that fails one in eight calls, or half of those on
+  # a seldom used route, being found good: the tolerance for slow targets held
+  # for failures, too, and a route with few calls counted as good.  The error
+  # probabilities are 1 in 400 while calls come, and 1 in 10 as the trial ends.
+  Scenario Outline: Too little evidence does not make a bad version good
+    Given a set with <usual> usual and <seldom> seldom calls a second
+    And an old version that fails 0.004 of its calls
+    And a new one that fails <often> of the usual and <rarely> of the rest
+    When its trial is played 40 times
+    Then <wrong> of them at most end with the calls moved
+
+    Examples:
+      | usual | seldom | often | rarely | wrong |
+      | 120   | 6      | 0     | 0.5    | 1     |
+      | 120   | 6      | 0.12  | 0.12   | 4     |
+      | 480   | 24     | 0.12  | 0.12   | 1     |
+      | 480   | 24     | 0.004 | 0.3    | 1     |
+
+  # Guards against a good version being undone by a rule that asks for more
+  # evidence than its calls can give.  The error probabilities are 1 in 4,000
+  # while calls come, and 1 in 20 as the trial ends.
+  Scenario Outline: A good version takes over with little evidence
+    Given a set with <usual> usual and <seldom> seldom calls a second
+    And an old version that fails <share> of its calls
+    And a new one that fails <share> of the usual and <share> of the rest
+    When its trial is played 40 times
+    Then 2 of them at most end with the calls left where they were
+
+    Examples:
+      | usual | seldom | share |
+      | 120   | 6      | 0     |
+      | 120   | 6      | 0.02  |
+      | 120   | 6      | 0.1   |
+      | 120   | 0.2    | 0.004 |
+      | 120   | 0.2    | 0.1   |
+      | 55    | 3      | 0.004 |
+
+  # Guards against a good version being undone because its only target on trial
+  # runs on a slow host.
+  Scenario: A good version takes over though one of two targets is slow
+    Given a set with 120 usual and 6 seldom calls a second
+    And an old version that fails 0.004 of its calls
+    And a new one that fails 0.004 of the usual and 0.004 of the rest
+    And one of two targets of the new version is slow
+    When its trial is played 40 times
+    Then 2 of them at most end with the calls left where they were
+
+  Scenario: Seldom used routes put a larger part of their calls on trial
+    Given a set with 120 usual and 6 seldom calls a second
+    And an old version that fails 0 of its calls
+    And a new one that fails 0 of the usual and 0 of the rest
+    When its trial is played 20 times
+    Then between 0.25 and 0.6 of the seldom calls were exposed, and a tenth of all at most
+
+  Scenario Outline: Few calls on a route are no proof
+    Given old targets of which each ran 60 calls well
+    And a new version that ran <runs> more calls on another route
+    And of these <bad> were bad
+    Then it is <verdict>, and <late> when the trial ends
+
+    Examples: without enough calls, only strong evidence is against a version
+      | runs | bad | verdict | late |
+      | 0    | 0   | open    | good |
+      | 4    | 0   | open    | good |
+      | 4    | 1   | open    | good |
+      | 4    | 3   | open    | bad  |
+      | 16   | 8   | bad     | bad  |
+
+    Examples: with enough calls, the route must be more likely good than bad
+      | runs | bad | verdict | late |
+      | 60   | 0   | good    | good |
+      | 60   | 12  | open    | bad  |
+
   Scenario: Updates of orders and rollouts arrive in any order
     Then the newest of each set is kept, whatever the order of updates
 
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -1,6 +1,7 @@
 """Steps for rollouts: permits, exposure, verdicts, and whole fleets."""
 
 import asyncio
+import collections
 import random
 import time
 
@@ -10,6 +11,7 @@
 import hypothesis
 from hypothesis import strategies as st
 import rollout_subject
+import rollout_trial
 
 from sedgering import base
 from sedgering import exceptions
@@ -106,26 +108,34 @@
     @hypothesis.settings(
         max_examples=EXAMPLES, deadline=None, derandomize=True, database=None
     )
-    @hypothesis.given(st.lists(st.sampled_from('aer'), max_size=200))
+    @hypothesis.given(
+        st.lists(
+            st.tuples(
+                st.sampled_from('aer'), st.sampled_from((ROUTE, OTHER_ROUTE))
+            ),
+            max_size=200,
+        )
+    )
     def check(moves):
         quota = rollout.ExposureQuota(SHARE)
         quota.retain([(SET, 7)])
-        sent = exposed = 0
-        for move in moves:
+        sent, exposed = 0, collections.Counter()
+        for move, route in moves:
             if move == 'a':
-                quota.note_arrival(SET)
+                quota.note_arrival(SET, route)
                 sent += 1
-            elif move == 'e' and quota.may_expose(SET):
-                quota.note_exposed(SET, 1)
-                exposed += 1
-            elif move == 'r' and exposed:
-                quota.note_exposed(SET, -1)
-                exposed -= 1
+            elif move == 'e' and quota.may_expose(SET, route):
+                quota.note_exposed(SET, route, 1)
+                exposed[route] += 1
+            elif move == 'r' and exposed[route]:
+                quota.note_exposed(SET, route, -1)
+                exposed[route] -= 1
             quota.retain([(SET, 7)])
-            assert exposed <= SHARE * (sent + exposed), moves
+            total = exposed.total()
+            assert total <= SHARE * (sent + total), moves
 
     check()
-    assert not rollout.ExposureQuota(SHARE).may_expose(SET)
+    assert not rollout.ExposureQuota(SHARE).may_expose(SET, ROUTE)
 
 
 @then(
@@ -295,6 +305,104 @@
     assert counts[len(counts) // 2] <= bad, counts[len(counts) // 2]
 
 
+# Trials.
+
+
+@given('a set with {usual:g} usual and {seldom:g} seldom calls a second')
+def step_trial_set(context, usual, seldom):
+    context.rates_per_s = {
+        rollout_trial.USUAL: usual,
+        rollout_trial.SELDOM: seldom,
+    }
+    context.has_slow_target = False
+
+
+@given('an old version that fails {share:g} of its calls')
+def step_trial_old(context, share):
+    context.old_version = make_version(share, share)
+
+
+@given(
+    'a new one that fails {usual:g} of the usual and {seldom:g} of the rest'
+)
+def step_trial_new(context, usual, seldom):
+    context.new_version = make_version(usual, seldom)
+
+
+@given('one of two targets of the new version is slow')
+def step_trial_slow_target(context):
+    context.new_version.has_slow_target = True
+
+
+def make_version(usual: float, seldom: float) -> rollout_trial.Version:
+    """Make a version that fails a share of its calls on each route."""
+    return rollout_trial.Version(
+        {rollout_trial.USUAL: usual, rollout_trial.SELDOM: seldom}
+    )
+
+
+@when('its trial is played {times:d} times')
+def step_play_trials(context, times):
+    context.trials = [
+        rollout_trial.Trial(
+            context.rates_per_s, context.old_version, context.new_version, seed
+        )
+        for seed in range(times)
+    ]
+    context.stages = [trial.play() for trial in context.trials]
+
+
+@then('{count:d} of them at most end with the calls {moved}')
+def step_trials_ended(context, count, moved):
+    wrong = {
+        'moved': rollout.Stage.MOVING,
+        'left where they were': rollout.Stage.ROLLED_BACK,
+    }[moved]
+    seeds = [
+        seed for seed, stage in enumerate(context.stages) if stage is wrong
+    ]
+    assert len(seeds) <= count, seeds
+
+
+@then(
+    'between {least:g} and {most:g} of the seldom calls were exposed, and a '
+    'tenth of all at most'
+)
+def step_trials_exposed(context, least, most):
+    for trial in context.trials:
+        shares = {}
+        for route in (rollout_trial.USUAL, rollout_trial.SELDOM):
+            new = trial.count_runs(trial.new_evidence, route)
+            shares[route] = new, trial.count_runs(trial.old_evidence, route)
+        new, old = shares[rollout_trial.SELDOM]
+        assert least <= new / (new + old) <= most, shares
+        new, old = (sum(counts) for counts in zip(*shares.values()))
+        assert new <= SHARE * (new + old), shares
+
+
+@given('a new version that ran {runs:d} more calls on another route')
+def step_new_other_route(context, runs):
+    context.new = [make_evidence('v2', 60, 0) for _number in range(2)]
+    context.other_runs = runs
+
+
+@given('of these {bad:d} were bad')
+def step_new_other_bad(context, bad):
+    for number in range(context.other_runs):
+        context.new[number % 2].note(OTHER_ROUTE, number < bad, WORK_MS)
+    for evidence in context.old:
+        for _number in range(5):
+            evidence.note(OTHER_ROUTE, False, WORK_MS)
+
+
+@then('it is {verdict}, and {late} when the trial ends')
+def step_late_verdict(context, verdict, late):
+    found = rollout.choose_verdict(context.new, context.old)
+    assert found is rollout.Verdict(verdict), found
+    found = rollout.choose_late_verdict(context.new, context.old)
+    assert found is rollout.Verdict(late), found
+
+
 # Updates, stages, orders.
 
 
--- a/sedgering/mesh/_chooser.py
+++ b/sedgering/mesh/_chooser.py
@@ -130,12 +130,13 @@
             for row in state.fleet.trials.get(self.call.target_set, ())
             if not state.peers.find(row).is_cold(now_s)
         ]
-        if not rows or not state.exposure.may_expose(self.call.target_set):
+        target_set, route = self.call.target_set, self.call.route
+        if not rows or not state.exposure.may_expose(target_set, route):
             return None
         peer = self._choose_among(rows)
         if peer is None or peer.is_suspect(now_s):
             return None
-        state.exposure.note_exposed(self.call.target_set, 1)
+        state.exposure.note_exposed(target_set, route, 1)
         self.exposed = peer
         return peer
 
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -416,13 +416,16 @@
         self.request_status.add_evidence(call)
         return call
 
+    def _take_exposure_back(self) -> None:
+        self.state.exposure.note_exposed(self.target_set, self.route.name, -1)
+
     def _learn(self, peer: _peers.Peer, answer: _messages.CallAnswer) -> None:
         """Update the state of the target and the request from an answer."""
         if answer.load is not None:
             self._learn_demand(peer, answer.load.demand_percent)
         if answer.reason is _Reason.BUSY:
             if peer is self.chooser.exposed:
-                self.state.exposure.note_exposed(self.target_set, -1)
+                self._take_exposure_back()
             self.chooser.busy_refusals += 1
             self.chooser.search.note_busy(peer.row.host, answer.retry_after_ms)
             self.state.decisions.count_attempt(answer.reason)
@@ -430,9 +433,9 @@
         self.request_status.update(answer)
         if answer.reached_target:
             self.arrivals += 1
-            self.state.exposure.note_arrival(self.target_set)
+            self.state.exposure.note_arrival(self.target_set, self.route.name)
         elif peer is self.chooser.exposed:
-            self.state.exposure.note_exposed(self.target_set, -1)
+            self._take_exposure_back()
         if answer.outcome is not _Outcome.NOT_RUN:
             self.may_have_run = True
         if self.arrivals or self.may_have_run:
--- a/sedgering/mesh/_rollout_driver.py
+++ b/sedgering/mesh/_rollout_driver.py
@@ -264,6 +264,9 @@
         new_failures = sum(item.failures for item in observation.new)
         old_runs = sum(item.runs for item in observation.old)
         old_failures = sum(item.failures for item in observation.old)
+        open_tests = rollout.describe_open_tests(
+            observation.new, observation.old
+        )
         LOG.info(
             'rollout evaluated',
             extra={
@@ -273,7 +276,8 @@
                 'detail': (
                     f'{row.new}: {new_failures} of {new_runs} failed at '
                     f'{len(observation.new)}; {row.old}: {old_failures} of '
-                    f'{old_runs} at {len(observation.old)}'
+                    f'{old_runs} at {len(observation.old)}; not shown: '
+                    f'{open_tests or "nothing"}'
                 ),
             },
         )
--- a/sedgering/mesh/_state.py
+++ b/sedgering/mesh/_state.py
@@ -100,7 +100,7 @@
             target_client.gate.now_s,
         )
         self.exposure = rollout.ExposureQuota(
-            mesh_settings.exposed_share_percent / 100
+            mesh_settings.exposed_share_percent / 100, identity.host
         )
 
     def follow_revocation(self, mesh_settings: _settings.MeshSettings) -> None:
--- a/sedgering/rollout/__init__.py
+++ b/sedgering/rollout/__init__.py
@@ -27,9 +27,12 @@
 from sedgering.rollout._plan import plan_next
 from sedgering.rollout._record import choose_record
 from sedgering.rollout._record import RecordChoice
+from sedgering.rollout._sequential import Verdict
+from sedgering.rollout._verdict import choose_late_verdict
+from sedgering.rollout._verdict import choose_move_verdict
 from sedgering.rollout._verdict import choose_verdict
+from sedgering.rollout._verdict import describe_open_tests
 from sedgering.rollout._verdict import is_clearly_failing
-from sedgering.rollout._verdict import Verdict
 
 __all__ = [
     'Evidence',
@@ -45,9 +48,12 @@
     'UNKNOWN_VERSION',
     'Verdict',
     'choose_exposed',
+    'choose_late_verdict',
+    'choose_move_verdict',
     'choose_record',
     'choose_verdict',
     'compute_latency_bucket',
+    'describe_open_tests',
     'find_majority',
     'is_clearly_failing',
     'make_permits',
--- a/sedgering/rollout/_plan.py
+++ b/sedgering/rollout/_plan.py
@@ -4,15 +4,15 @@
 
 from sedgering.rollout import _evidence
 from sedgering.rollout import _model
+from sedgering.rollout import _sequential
 from sedgering.rollout import _verdict
 
 __all__ = ['Observation', 'make_rollout', 'plan_next']
 
 #: Bounds of the trial, as shares of the duration in the order.  A good version
 #: gets all calls no earlier than the first bound: some versions turn bad
-#: seconds after their start, and after the trial every call is exposed.  A
-#: version without a verdict at the second bound is rolled back, as the move
-#: needs the remaining time.
+#: seconds after their start, and after the trial every call is exposed.  At
+#: the second bound the evidence must do, as the move needs the remaining time.
 MIN_TRIAL_SHARE = 0.5
 MAX_TRIAL_SHARE = 0.66
 #: Share of the duration in the order at which the rollout succeeds even if
@@ -30,6 +30,7 @@
 MIN_PRESENT_SHARE = 0.5
 
 _Stage = _model.Stage
+_Verdict = _sequential.Verdict
 
 
 class Observation(msgspec.Struct):
@@ -108,8 +109,10 @@
         return _Stage.ROLLED_BACK
     if rollout.stage is _Stage.TRIAL:
         return _plan_trial(rollout, observation)
-    verdict = _choose_verdict(observation)
-    if verdict is _verdict.Verdict.BAD:
+    if _is_mostly_stopped(observation):
+        return _Stage.ROLLED_BACK
+    verdict = _verdict.choose_move_verdict(observation.new, observation.old)
+    if verdict is _Verdict.BAD:
         return _Stage.ROLLED_BACK
     stage_age_ms = observation.now_ms - rollout.stage_ms
     has_any_new = observation.new_present_share > 0
@@ -131,26 +134,28 @@
     return age_ms >= FORCED_END_SHARE * observation.order.duration_ms
 
 
-def _choose_verdict(observation: Observation) -> _verdict.Verdict:
+def _is_mostly_stopped(observation: Observation) -> bool:
+    """Whether half of the called targets have stopped the trial."""
     called = [item for item in observation.new if item.runs or item.is_stopped]
     stopped = sum(item.is_stopped for item in called)
-    if stopped and 2 * stopped >= len(called):
-        return _verdict.Verdict.BAD
-    return _verdict.choose_verdict(observation.new, observation.old)
+    return stopped > 0 and 2 * stopped >= len(called)
 
 
 def _plan_trial(
     rollout: _model.Rollout, observation: Observation
 ) -> _model.Stage:
-    verdict = _choose_verdict(observation)
-    if verdict is _verdict.Verdict.BAD:
+    evidence = observation.new, observation.old
+    verdict = _verdict.choose_verdict(*evidence)
+    if verdict is _Verdict.BAD or _is_mostly_stopped(observation):
         return _Stage.ROLLED_BACK
     age_ms = observation.now_ms - rollout.began_ms
     duration_ms = observation.order.duration_ms
     if age_ms < MIN_TRIAL_SHARE * duration_ms:
         return _Stage.TRIAL
     latest_ms = MAX_TRIAL_SHARE * duration_ms
-    if verdict is _verdict.Verdict.GOOD:
+    if verdict is _Verdict.OPEN and age_ms >= latest_ms:
+        verdict = _verdict.choose_late_verdict(*evidence)
+    if verdict is _Verdict.GOOD:
         if observation.is_new_present:
             return _Stage.MOVING
         move_ms = MOVING_MS + MIN_SETTLING_MS
--- a/sedgering/rollout/_verdict.py
+++ b/sedgering/rollout/_verdict.py
@@ -1,22 +1,28 @@
 """Decides whether a new version is as good as the old one.
 
-A call is bad when it fails, or takes several times the median latency of its
-route at the old version.  Both versions are under the same load from the same
-callers at the same time, so that a lossy link or a burst, which affects both,
-counts against neither.
+Two criteria are tested, for all calls and for each route: the share of calls
+that fail, and that of calls that fail or take several times the median latency
+of their route at the old version.  Both versions are under the same load from
+the same callers at the same time, so that a lossy link or a burst, which
+affects both, counts against neither.
+
+While calls still come, each test errs with the probabilities of
+`_sequential`.  When no more time is left, see :func:`choose_late_verdict`.
 """
 
-import enum
-import math
+from collections.abc import Iterable
 
 import msgspec
 
 from sedgering import base
 from sedgering.rollout import _evidence
+from sedgering.rollout import _sequential
 
 __all__ = [
-    'Verdict',
+    'choose_late_verdict',
+    'choose_move_verdict',
     'choose_verdict',
+    'describe_open_tests',
     'is_clearly_failing',
 ]
 
@@ -28,66 +34,78 @@
 SLOW_BUCKETS = 8
 #: Number of calls of the old version on a route before its median is used.
 MIN_OLD_RUNS = 16
-#: Excess share of bad calls that is accepted in the new version compared with
-#: the old one: the new version has few targets, and some targets are slower
-#: than others.
-TOLERATED_SHARE = 0.08
-#: Upper bound of the share of bad calls that is accepted.
-MAX_ACCEPTED_SHARE = 0.7
-#: Smallest excess over the accepted share of bad calls at which a version is
-#: to be found bad.
-MIN_HARM_SHARE = 0.2
-#: Error probabilities of the test: that a good version is found bad, and that
-#: a bad version is found good.
-FALSE_BAD_PROBABILITY = 1 / 4000
-FALSE_GOOD_PROBABILITY = 1 / 400
+#: Failures do not depend on the speed of a target.  On a single route, fewer
+#: calls must suffice.
+FAILURES = _sequential.Tolerance(0.03, 0.08, 2.0)
+ROUTE_FAILURES = _sequential.Tolerance(0.03, 0.18, 2.0)
+#: The new version has few targets, and some targets are slower than others.
+SLOW_OR_FAILED = _sequential.Tolerance(0.08, 0.2)
 #: Failures at one target, and their share of its calls, at which its daemon
 #: stops the trial on its own.  The row with the verdict would reach the daemon
 #: only a second later.
 LOCAL_STOP_FAILURES = 8
 LOCAL_STOP_SHARE = 0.3
+#: Tests that are described in a log line.
+DESCRIBED_TESTS_LIMIT = 3
 
+_Verdict = _sequential.Verdict
 
-class Verdict(enum.Enum):
-    """What the evidence shows about a new version."""
 
-    OPEN = 'open'
-    GOOD = 'good'
-    BAD = 'bad'
+class _Tally(msgspec.Struct, frozen=True):
+    """Calls of one version by route, and those that are bad."""
 
+    failed: dict[base.RouteName, _sequential.CallCounts]
+    #: Includes calls that are slow; see `SLOW_BUCKETS`.
+    slow_or_failed: dict[base.RouteName, _sequential.CallCounts]
 
-class CallCounts(msgspec.Struct, frozen=True):
-    """Number of calls of a version, and of the bad ones among them."""
 
-    runs: int
-    bad: int
-
-
-def run_sequential_test(counts: CallCounts, accepted_share: float) -> Verdict:
-    """Test the calls of the new version against the accepted share.
-
-    Wald's sequential probability ratio test (1945).  It ends as soon as the
-    evidence suffices for either verdict.  A version that fails half of its
-    calls harmed 34 callers in the median with this test, and 54 with a test on
-    windows of 60 calls.  A version that is twice as slow was rolled back in 2
-    of 200 runs.
+class _Test(msgspec.Struct, frozen=True):
+    """One criterion, for one route or for all calls.
 
     Parameters
     ----------
-    counts : CallCounts
-        Calls of the new version.
-    accepted_share : float
-        Share of bad calls that does not count against a version, 0 to 1.
+    name : str
+        Name of the test in logs.
+    whole : SequentialTest
+        Test of the calls of all targets.
+    rest : SequentialTest
+        The same without the target with the largest share of bad calls.
+    needs_evidence : bool
+        Whether the version is not good without evidence from this test.
     """
-    harmful_share = min(0.95, accepted_share + MIN_HARM_SHARE)
-    good = counts.runs - counts.bad
-    log_ratio = counts.bad * math.log(harmful_share / accepted_share)
-    log_ratio += good * math.log((1 - harmful_share) / (1 - accepted_share))
-    if log_ratio >= -math.log(FALSE_BAD_PROBABILITY):
-        return Verdict.BAD
-    if log_ratio <= math.log(FALSE_GOOD_PROBABILITY):
-        return Verdict.GOOD
-    return Verdict.OPEN
+
+    name: str
+    whole: _sequential.SequentialTest
+    rest: _sequential.SequentialTest
+    needs_evidence: bool
+
+    @property
+    def verdict(self) -> _Verdict:
+        """Verdict without the worst target, if that has one.
+
+        Otherwise that of all targets counts, for a bad version only if the
+        others are likely bad, too.
+        """
+        if self.rest.verdict is not _Verdict.OPEN:
+            return self.rest.verdict
+        is_bad = self.whole.verdict is _Verdict.BAD
+        if is_bad and not self.rest.is_bad_by_odds:
+            return _Verdict.OPEN
+        return self.whole.verdict
+
+    @property
+    def is_good_late(self) -> bool:
+        """Whether the test speaks for the version as the trial ends."""
+        if self.whole.is_good_by_odds or self.rest.is_good_by_odds:
+            return True
+        if self.needs_evidence:
+            return False
+        if self.rest.is_good_by_route_odds:
+            # What speaks against the version comes from one target only.
+            return True
+        if self.whole.has_enough_calls:
+            return self.whole.log_ratio <= 0
+        return not self.whole.is_bad_by_odds
 
 
 def is_clearly_failing(evidence: _evidence.Evidence) -> bool:
@@ -99,11 +117,12 @@
 
 def choose_verdict(
     new: list[_evidence.Evidence], old: list[_evidence.Evidence]
-) -> Verdict:
+) -> _Verdict:
     """Choose the verdict on a new version by comparing it with the old one.
 
-    A version is good by its calls on routes on which the old version has run
-    enough calls, too: without these, a slow call cannot be told.
+    A version is good when all tests show it: in total and on each route that
+    either version has run.  In total, only routes count on which the old
+    version has run enough calls: without these, a slow call cannot be told.
 
     With several targets, the worst one is left out: a single target that is
     slow or fails may have a cause unrelated to its version.  If that leaves
@@ -115,43 +134,169 @@
     new, old : list of Evidence
         One item for each target of the version.
     """
+    verdicts = {test.verdict for test in _make_tests(new, old)}
+    for verdict in (_Verdict.BAD, _Verdict.OPEN):
+        if verdict in verdicts:
+            return verdict
+    return _Verdict.GOOD
+
+
+def choose_late_verdict(
+    new: list[_evidence.Evidence], old: list[_evidence.Evidence]
+) -> _Verdict:
+    """Choose the verdict when there is no time for more calls.
+
+    The version as a whole is good only by odds of 20 to 1 for the accepted
+    share.  A route with enough calls to show a good version must be more
+    likely good than bad.  Routes with fewer calls leave the verdict to the
+    total, unless the odds are 20 to 1 against them; the calls that follow
+    during the move still count.  A route on which only one target is bad does
+    not speak against the version if the odds without it are 5 to 1.
+
+    Parameters
+    ----------
+    new, old : list of Evidence
+        One item for each target of the version.
+
+    Returns
+    -------
+    Verdict
+        Good or bad.
+    """
+    verdict = choose_verdict(new, old)
+    if verdict is not _Verdict.OPEN:
+        return verdict
+    tests = _make_tests(new, old)
+    is_good = all(test.is_good_late for test in tests)
+    return _Verdict.GOOD if is_good else _Verdict.BAD
+
+
+def choose_move_verdict(
+    new: list[_evidence.Evidence], old: list[_evidence.Evidence]
+) -> _Verdict:
+    """Choose the verdict while all calls go to the new version.
+
+    The old version has no calls of the same time any more, so that only the
+    wider tolerance applies.
+
+    Parameters
+    ----------
+    new, old : list of Evidence
+        One item for each target of the version.
+    """
+    tests = _make_tests(new, old, is_moving=True)
+    if any(test.verdict is _Verdict.BAD for test in tests):
+        return _Verdict.BAD
+    return _Verdict.OPEN
+
+
+def describe_open_tests(
+    new: list[_evidence.Evidence], old: list[_evidence.Evidence]
+) -> str:
+    """Describe for logs which tests speak for a version least.
+
+    Of each one, the log ratio of all targets is told, and that without the
+    worst target.
+    """
+    tests = [
+        test
+        for test in _make_tests(new, old)
+        if test.verdict is not _Verdict.GOOD
+    ]
+    tests.sort(key=lambda test: -test.whole.log_ratio)
+    return ', '.join(
+        f'{test.name} {test.whole.log_ratio:.1f}/{test.rest.log_ratio:.1f}'
+        for test in tests[:DESCRIBED_TESTS_LIMIT]
+    )
+
+
+def _make_tests(
+    new: list[_evidence.Evidence],
+    old: list[_evidence.Evidence],
+    is_moving: bool = False,
+) -> list[_Test]:
     old_routes = _evidence.merge_routes(old)
     slow_limits = _find_slow_limits(old_routes)
-    old_counts = _sum_counts(_count_by_route(old_routes, slow_limits))
-    accepted_share = TOLERATED_SHARE + old_counts.bad / max(1, old_counts.runs)
-    accepted_share = min(MAX_ACCEPTED_SHARE, accepted_share)
-    verdict = _test_all_routes(
-        _leave_out_worst_target(new, slow_limits), slow_limits, accepted_share
+    old_tally = _tally(old_routes, slow_limits)
+    whole = _tally(_evidence.merge_routes(new), slow_limits)
+    rest_targets = _leave_out_worst_target(new, slow_limits)
+    rest = _tally(_evidence.merge_routes(rest_targets), slow_limits)
+    tests = _make_criterion_tests(
+        'slow or failed',
+        old_tally.slow_or_failed,
+        whole.slow_or_failed,
+        rest.slow_or_failed,
+        (SLOW_OR_FAILED, SLOW_OR_FAILED),
+        slow_limits,
     )
-    if verdict is Verdict.OPEN:
-        with_worst = _test_all_routes(new, slow_limits, accepted_share)
-        if with_worst is Verdict.GOOD:
-            return with_worst
-    return verdict
-
+    if not is_moving:
+        tests += _make_criterion_tests(
+            'failed',
+            old_tally.failed,
+            whole.failed,
+            rest.failed,
+            (FAILURES, ROUTE_FAILURES),
+            slow_limits,
+        )
+    return tests
+
+
+def _make_criterion_tests(
+    name: str,
+    old: dict[base.RouteName, _sequential.CallCounts],
+    whole: dict[base.RouteName, _sequential.CallCounts],
+    rest: dict[base.RouteName, _sequential.CallCounts],
+    tolerances: tuple[_sequential.Tolerance, _sequential.Tolerance],
+    comparable: Iterable[base.RouteName],
+) -> list[_Test]:
+    """Make the tests of one criterion, in total and for each route.
 
-def _test_all_routes(
-    evidence: list[_evidence.Evidence],
-    slow_limits: dict[base.RouteName, int],
-    accepted_share: float,
-) -> Verdict:
-    """Test the total and each route; one bad route makes the verdict bad."""
-    routes = _evidence.merge_routes(evidence)
-    counts_by_route = _count_by_route(routes, slow_limits)
-    verdicts = [
-        run_sequential_test(item, accepted_share)
-        for item in (_sum_counts(counts_by_route), *counts_by_route)
+    Parameters
+    ----------
+    name : str
+        Name of the criterion.
+    old, whole, rest : dict
+        Calls by route: of the old version, of the new one, and of the new one
+        without its worst target.
+    tolerances : tuple of Tolerance
+        Tolerance in total, and that on a route.
+    comparable : iterable of str
+        Routes that count in total for a version to be good.
+    """
+    none = _sequential.CallCounts()
+    old_total = _sum_counts(old.values())
+    set_share = old_total.bad / max(1, old_total.runs)
+    total_share = _sequential.estimate_share(old_total, set_share)
+    routes = sorted(old.keys() | whole.keys())
+
+    def make_total(names: Iterable[base.RouteName], title: str) -> _Test:
+        return _Test(
+            f'{name} {title}',
+            *(
+                _sequential.run_sequential_test(
+                    _sum_counts(counts.get(route, none) for route in names),
+                    total_share,
+                    tolerances[0],
+                )
+                for counts in (whole, rest)
+            ),
+            needs_evidence=True,
+        )
+
+    tests = [
+        make_total(routes, 'in total'),
+        make_total(list(comparable), 'where comparable'),
     ]
-    if Verdict.BAD in verdicts:
-        return Verdict.BAD
-    comparable = {
-        route: counts
-        for route, counts in routes.items()
-        if route in slow_limits
-    }
-    return run_sequential_test(
-        _sum_counts(_count_by_route(comparable, slow_limits)), accepted_share
-    )
+    for route in routes:
+        share = _sequential.estimate_share(old.get(route, none), set_share)
+        results = (
+            _sequential.run_sequential_test(
+                counts.get(route, none), share, tolerances[1], len(routes)
+            )
+            for counts in (whole, rest)
+        )
+        tests.append(_Test(f'{name} on {route}', *results, False))
+    return tests
 
 
 def _find_slow_limits(
@@ -166,31 +311,35 @@
     return slow_limits
 
 
-def _count_by_route(
+def _tally(
     routes: dict[base.RouteName, _evidence.RouteEvidence],
     slow_limits: dict[base.RouteName, int],
-) -> list[CallCounts]:
-    """Count all and the bad calls of each route."""
-    counts_by_route = []
-    for route, route_evidence in routes.items():
+) -> _Tally:
+    """Count the calls and the bad calls of each route."""
+    tally = _Tally({}, {})
+    for route, evidence in routes.items():
         slow_limit = slow_limits.get(route, _evidence.LAST_BUCKET)
-        bad = route_evidence.failures + route_evidence.count_slower(slow_limit)
-        counts_by_route.append(CallCounts(route_evidence.runs, bad))
-    return counts_by_route
+        slow = evidence.count_slower(slow_limit)
+        tally.failed[route] = _sequential.CallCounts(
+            evidence.runs, evidence.failures
+        )
+        tally.slow_or_failed[route] = _sequential.CallCounts(
+            evidence.runs, evidence.failures + slow
+        )
+    return tally
 
 
-def _sum_counts(counts_by_route: list[CallCounts]) -> CallCounts:
-    return CallCounts(
-        sum(item.runs for item in counts_by_route),
-        sum(item.bad for item in counts_by_route),
-    )
+def _sum_counts(
+    counts: Iterable[_sequential.CallCounts],
+) -> _sequential.CallCounts:
+    return sum(counts, start=_sequential.CallCounts())
 
 
 def _leave_out_worst_target(
     evidence: list[_evidence.Evidence], slow_limits: dict[base.RouteName, int]
 ) -> list[_evidence.Evidence]:
     called = [item for item in evidence if item.runs]
-    if len(called) < 2:
+    if len(evidence) < 2 or not called:
         return called
     worst = max(called, key=lambda item: _find_bad_share(item, slow_limits))
     return [item for item in called if item is not worst]
@@ -199,5 +348,6 @@
 def _find_bad_share(
     evidence: _evidence.Evidence, slow_limits: dict[base.RouteName, int]
 ) -> float:
-    total = _sum_counts(_count_by_route(evidence.routes, slow_limits))
+    tally = _tally(evidence.routes, slow_limits)
+    total = _sum_counts(tally.slow_or_failed.values())
     return total.bad / max(1, total.runs)
