A row that is as wanted is written while a lost write may follow

Cause: a write is conditional on the revision of the row, and was left out when the row had the wanted content already. So the revision did not change, and the late write of an ended process ("away"), or an earlier one of the same process, took effect afterwards. The daemon saw it and wrote again only rows that were removed or damaged.

Now the first write of each process, and the first after a lost answer, is done whatever the row says: its new revision makes the condition of the late write fail. A row that has become another than the one published is written again.

Cost: one write a start of a daemon that finds its row as it wants it (after a kill; at a planned restart the row differs and was written before).

--- a/sedgering/mesh/_row_writer.py
+++ b/sedgering/mesh/_row_writer.py
@@ -30,7 +30,11 @@
     """Writes this host's row, and repeats failed writes.
 
     Each write is conditional on the last known revision, so that an older
-    write that the store executes late does not overwrite a newer one.
+    write that the store executes late does not overwrite a newer one.  While
+    such a write may be pending, the row is written even if the stored one has
+    the same content: only a new revision makes the condition of the pending
+    write fail.  That holds for the first write of each process, since an
+    earlier one may have left a write behind.
 
     Parameters
     ----------
@@ -58,6 +62,8 @@
         #: while it is not known.
         self._revision: int | None = None
         self._stored: bytes | None = None
+        #: Whether no earlier write can take effect any more.
+        self._is_settled = False
         #: Called with the stored row after each read and write.
         self.on_stored: Callable[[_messages.MemberRow | None], None] = _ignore
         self._backoff = _watch.RetryBackoff(store_recovery)
@@ -86,23 +92,29 @@
             self._stored = _encode(entry.row)
 
     def check_stored_row(
-        self, row: _messages.MemberRow | None, revision: int
+        self, entry: _members.MemberEntry, revision: int
     ) -> None:
-        """Write the row again if another writer has removed or damaged it.
+        """Write the row again if it has been changed, damaged or removed.
 
         Parameters
         ----------
-        row : MemberRow or None
-            This host's row as stored; None when there is none that can be
-            decoded.
+        entry : MemberEntry
+            This host's row as stored; without a row when there is none that
+            can be decoded.
         revision : int
             Revision of the store at which that holds.
         """
-        is_written = self._desired is not None and self._revision
-        if row is None and is_written and revision > self._revision:
+        if self._desired is None or not self._revision:
+            return
+        if entry.row is None:
+            is_overwritten = revision > self._revision
+        else:
+            is_newer = entry.revision > self._revision
+            is_overwritten = is_newer and _encode(entry.row) != self._desired
+        if is_overwritten:
             LOG.warning(
-                'row removed or damaged by another writer',
-                extra={'version': revision},
+                'row overwritten',
+                extra={'version': entry.revision or revision},
             )
             self._revision = None
             self._is_write_due = True
@@ -147,6 +159,7 @@
         if error.code is not exceptions.Code.PLATFORM_DOWN:
             # The write may have been executed, or may be executed later.
             self._revision = None
+            self._is_settled = False
         self._schedule_write(is_write_due)
         await self._backoff.wait()
 
@@ -165,13 +178,14 @@
         if desired != self._desired:
             # What was read has changed the row; it is written next.
             return
-        if desired == self._stored:
+        if desired == self._stored and (self._is_settled or desired is None):
             return
         outcome = await self.table.transact(self._make_transaction(desired))
         if outcome.kind is not storage.OutcomeKind.DONE:
             raise outcome.make_error()
         self._revision = 0 if desired is None else outcome.revision
         self._stored = desired
+        self._is_settled = True
         self.on_stored(self.stored_row)
         LOG.info(
             'row written' if desired is not None else 'row removed',
--- a/sedgering/mesh/_source.py
+++ b/sedgering/mesh/_source.py
@@ -307,7 +307,7 @@
         is_changed = self.members.merge(update)
         self._member_watcher.skip_to(update.revision)
         own = self.members.find_entry(self.host)
-        self._row_writer.check_stored_row(own.row, self.members.revision)
+        self._row_writer.check_stored_row(own, self.members.revision)
         if is_changed or is_first:
             self._on_members(self.members.list_members())
             self.note_change()
