An earlier witness does not hold a later departure

A departure was acknowledged while the store was away when any witness had once answered, though it may have restarted or forgotten since. Now a witness counts that was told for this acknowledgement.

--- a/sedgering/mesh/_departures.py
+++ b/sedgering/mesh/_departures.py
@@ -163,6 +163,8 @@
         """
         if self._is_held(lifetime):
             return True
+        # An earlier witness may have restarted, or forgotten the departure.
+        self._witnessed = None
         if row is not None and row.state.is_final:
             self._tell_witnesses(row)
         if await self._wait(lambda: self._is_held(lifetime), STORE_WAIT_S):
