Followers ask the store when their relays have no recent proof

Cause: followers relied on a relay until it had noticed the loss and some time more, 3.8 s in all: the wait of its watch (2 s), the margin (1 s) and the grace for its followers (0.8 s). Nothing tied these to the time in which a version must be in force.

Now each answer to a poll tells the age of the relay's last proof, an answer of the store that shows no newer revision. mesh/_proof.py derives from `apply` (of the platform's settings) when a relay asks for a new proof (0.6) and when a follower asks the store itself (0.7); 0.3 are left for that. The age holds for versions with their keys and quotas, and for members. What a proof is worth is measured by the store's clock, so that an answer read late is old.

Where the store is slow, followers rely on their relays as before.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -58,6 +58,51 @@
     And version 2 is written
     Then all remaining hosts have version 2
 
+  # Guards against versions and members being late on all followers when both
+  # relays lose the store without notice: they were relied on until they
+  # noticed, longer than a version may take.
+  Scenario: Followers ask the store when their relays have no recent proof
+    Given a mesh of 6 hosts with relays
+    When both relays lose the store without notice
+    And version 2 is written
+    And another host starts
+    Then all remaining hosts have version 2 and know 7 members
+    And both relays take themselves to be in contact with the store
+    When the relays reach the store again
+    Then 2 hosts watch the store
+
+  Scenario Outline: The steps until a version is in force fit into its time
+    Given versions that must be in force within <apply> ms
+    Then relays get proofs more often than they ask for one
+    And they ask before their followers turn to the store
+    And followers have <left> ms left for that
+
+    Examples:
+      | apply | left |
+      | 2000  | 600  |
+      | 2500  | 750  |
+      | 8000  | 2400 |
+
+  # Guards against an answer that was read late, such as after a pause of the
+  # process, counting as a proof of that moment.
+  Scenario Outline: A proof is as old as the answer that gives it
+    Given answers of the store that arrive at <arrivals> s
+    And tell <clocks> s on its clock
+    Then the last one was sent at <sent> s
+
+    Examples:
+      | arrivals | clocks | sent |
+      | 10 11    | 50 51  | 11   |
+      | 10 14    | 50 51  | 11   |
+      | 14 15    | 50 55  | 15   |
+      | 10 100   | 50 20  | 100  |
+
+  Scenario: Watches of two tables end by turns
+    Given two watches of 2000 ms that begin together
+    When each is repeated 10 times
+    Then they end 1000 ms after each other
+    And each was called 10 times in 19 s at least
+
   Scenario: Relays are kept when the store drops its history
     Guards against relays that report a loss of the store while they read it
     again.  Their followers then read the whole document themselves: 88 hosts
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -1,6 +1,8 @@
 """Steps for relays, and for the logs of members and versions."""
 
 import asyncio
+import itertools
+import math
 import threading
 import time
 
@@ -15,6 +17,7 @@
 from sedgering import exceptions
 from sedgering import mesh
 from sedgering.mesh import _members
+from sedgering.mesh import _proof
 from sedgering.mesh import _relay
 from sedgering.mesh import _versions
 from sedgering import platform
@@ -410,6 +413,173 @@
         subject.remaining.remove(host)
 
 
+class SilentTable:
+    """A table whose answers are held back while the store is cut off."""
+
+    def __init__(self, table):
+        self.table = table
+        self.open = asyncio.Event()
+        self.open.set()
+
+    async def list_rows(self, start='', end=''):
+        return await self._pass_on(self.table.list_rows(start, end))
+
+    async def watch(self, after, wait_ms):
+        return await self._pass_on(self.table.watch(after, wait_ms))
+
+    async def _pass_on(self, call):
+        await self.open.wait()
+        answer = await call
+        await self.open.wait()
+        return answer
+
+
+@when('both relays lose the store without notice')
+def step_silent_store(context):
+    subject = context.relays
+    context.cut = subject.wait_relays(2)
+    watchers = [
+        watcher
+        for host in context.cut
+        for watcher in host.daemon.source._table_watchers
+    ]
+    for watcher in watchers:
+        watcher.table = SilentTable(watcher.table)
+        watcher.cut_proof_s = watcher.proof_s
+    # The calls under way end first.
+    subject.fleet.wait_for(
+        lambda: all(item.proof_s > item.cut_proof_s + 2 for item in watchers)
+    )
+    context.silent_tables = [watcher.table for watcher in watchers]
+    for table in context.silent_tables:
+        table.open.clear()
+    for host in context.cut:
+        subject.remaining.remove(host)
+
+
+@when('the relays reach the store again')
+def step_store_back(context):
+    context.relays.remaining.extend(context.cut)
+    loop = context.relays.fleet.loop
+    for table in context.silent_tables:
+        loop.call_soon_threadsafe(table.open.set)
+
+
+@then(
+    'all remaining hosts have version {version:d} and know {count:d} members'
+)
+def step_remaining_know(context, version, count):
+    step_version(context, version)
+    subject = context.relays
+    subject.fleet.wait_for(
+        lambda: all(
+            len(host.daemon.state.fleet.members) == count
+            for host in subject.remaining
+        )
+    )
+
+
+@then('both relays take themselves to be in contact with the store')
+def step_unnoticed(context):
+    for host in context.cut:
+        assert host.daemon.source.is_fresh
+
+
+# Proofs.
+
+
+@given('versions that must be in force within {apply_ms:d} ms')
+def step_plan(context, apply_ms):
+    context.plan = _proof.make_proof_plan(apply_ms)
+
+
+@then('relays get proofs more often than they ask for one')
+def step_plan_renew(context):
+    assert context.plan.watch_ms / 2000 < context.plan.renew_s
+
+
+@then('they ask before their followers turn to the store')
+def step_plan_follow(context):
+    assert context.plan.renew_s < context.plan.follow_s
+
+
+@then('followers have {left_ms:d} ms left for that')
+def step_plan_left(context, left_ms):
+    left_s = context.plan.apply_s - context.plan.follow_s
+    assert math.isclose(left_s, left_ms / 1000), left_s
+
+
+class SetLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time is set by a test."""
+
+    now_s = 0.0
+
+    def time(self):
+        return self.now_s
+
+    def call(self, function, *values):
+        """Call a function that asks the running loop for the time."""
+
+        async def call():
+            return function(*values)
+
+        return self.run_until_complete(call())
+
+
+@given('answers of the store that arrive at {arrivals} s')
+def step_arrivals(context, arrivals):
+    context.arrivals_s = [float(text) for text in arrivals.split()]
+
+
+@given('tell {clocks} s on its clock')
+def step_clocks(context, clocks):
+    loop = SetLoop()
+    context.add_cleanup(loop.close)
+    clock = _proof.StoreClock()
+    pairs = zip(context.arrivals_s, clocks.split(), strict=True)
+    for loop.now_s, text in pairs:
+        now_ms = int(float(text) * 1000)
+        context.sent_s = loop.call(clock.find_answer_time_s, now_ms)
+
+
+@then('the last one was sent at {sent:g} s')
+def step_sent(context, sent):
+    assert math.isclose(context.sent_s, sent), context.sent_s
+
+
+@given('two watches of {wait_ms:d} ms that begin together')
+def step_two_watches(context, wait_ms):
+    context.wait_ms = wait_ms
+
+
+@when('each is repeated {times:d} times')
+def step_repeat_watches(context, times):
+    loop = SetLoop()
+    context.add_cleanup(loop.close)
+    schedule = _proof.WatchSchedule()
+    ends_s = {'one': 0.0, 'other': 0.0}
+    context.ends_s = []
+    for _call in range(2 * times):
+        name = min(ends_s, key=ends_s.get)
+        loop.now_s = ends_s[name]
+        wait_ms = loop.call(schedule.plan_wait_ms, name, context.wait_ms)
+        ends_s[name] += wait_ms / 1000
+        context.ends_s.append(ends_s[name])
+
+
+@then('they end {gap_ms:d} ms after each other')
+def step_turns(context, gap_ms):
+    last_s = sorted(context.ends_s)[-6:]
+    for earlier_s, later_s in itertools.pairwise(last_s):
+        assert math.isclose(later_s - earlier_s, gap_ms / 1000), last_s
+
+
+@then('each was called {times:d} times in {seconds:g} s at least')
+def step_watch_calls(context, times, seconds):
+    assert len(context.ends_s) == 2 * times
+    assert min(context.ends_s[-2:]) >= seconds, context.ends_s
+
+
 class UnavailableTable:
     """A table of a store that is down."""
 
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -31,6 +31,7 @@
 from sedgering.mesh import _pause
 from sedgering.mesh import _peers
 from sedgering.mesh import _probe
+from sedgering.mesh import _proof
 from sedgering.mesh import _relay
 from sedgering.mesh import _rollout_driver
 from sedgering.mesh import _settings
@@ -101,6 +102,9 @@
         self.addresses = addresses
         self.state = state
         self.source = source
+        source.proof_plan = _proof.make_proof_plan(
+            state.mesh_settings.apply_ms
+        )
         self.pause = _pause.PauseDetector()
         self.outbound = _outbound.OutboundService(state, self.pause)
         self.inbound = _inbound.InboundService(
--- a/sedgering/mesh/_follow.py
+++ b/sedgering/mesh/_follow.py
@@ -29,6 +29,8 @@
 LONGEST_BACKOFF_S = 8.0
 #: Interval between checks of whether this daemon needs relays.
 CHECK_INTERVAL_S = 0.25
+#: Delay of a check after the moment that it waits for.
+CHECK_MARGIN_S = 0.005
 #: Fleet size from which each data centre has its own relays. In smaller fleets
 #: two relays serve all: a poll between data centres costs 1.2 kB/s for each
 #: daemon, and one call to the store costs more than a second of polls.
@@ -195,9 +197,27 @@
         until_s = self._start_until_s
         return until_s is not None and self.source.loop.time() < until_s
 
+    def _is_recent(self, proof_s: float) -> bool:
+        """Whether data with this proof may be used without asking the store.
+
+        If the store answers slowly, asking it would not help.
+        """
+        age_s = self.source.loop.time() - proof_s
+        limit_s = self.source.proof_plan.follow_s
+        return age_s <= limit_s or self.source.is_store_slow
+
+    def _find_check_pause_s(self) -> float:
+        """Return the time until the next check, at most until a proof ends."""
+        plan = self.source.proof_plan
+        age_s = self.source.loop.time() - self.source.proof_s
+        left_s = plan.follow_s - age_s
+        if left_s <= 0:
+            return CHECK_INTERVAL_S
+        return min(CHECK_INTERVAL_S, left_s + CHECK_MARGIN_S)
+
     async def _check_periodically(self) -> None:
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            await asyncio.sleep(self._find_check_pause_s())
             self._note_store_recovery()
             self._choose_source()
 
@@ -216,8 +236,9 @@
 
     def _choose_source(self) -> None:
         """Choose between watching the store and following relays."""
-        has_relay = self._is_starting or any(
-            slot.is_healthy for slot in self._slots
+        has_relay = self._is_starting or (
+            any(slot.is_healthy for slot in self._slots)
+            and self._is_recent(self.source.proof_s)
         )
         is_watching = (
             self.source.is_polled or not has_relay or not self.needs_relays
@@ -324,7 +345,12 @@
             return
         if update.version is None:
             self.source.apply_version(None, update.version_revision)
-        self.source.note_relay_contact()
+        proof_s = self.source.loop.time() - (update.proof_age_ms or 0) / 1000
+        self.source.note_relay_proof(proof_s)
+        if not self._is_recent(proof_s):
+            if not _relay.has_content(update):
+                self._back_off(slot, row, 'relay has no recent proof')
+            return
         self._backoffs_s.pop(row.host, None)
         self._set_healthy(slot, True)
 
--- a/sedgering/mesh/_relay.py
+++ b/sedgering/mesh/_relay.py
@@ -32,16 +32,20 @@
     'decode_relay_update',
     'encode_poll',
     'encode_relay_update',
+    'has_content',
     'hash_text',
     'is_poll',
 ]
 
 LOG = logging.getLogger(__name__)
 
-#: Longest time for which a poll is held. A daemon that stops answering is
-#: detected a little later, well within the 2 s in which a version must be in
-#: force.
-POLL_WAIT_S = 1.0
+#: Longest time for which a poll is held: a little longer than the usual time
+#: between two proofs, so that each answer tells the latest one.
+POLL_WAIT_S = 1.15
+#: A poll is answered when the proof is newer by this much than at its arrival.
+PROOF_STEP_S = 0.4
+#: Largest age of a proof that is told.
+LONGEST_AGE_S = 3600.0
 #: Interval between checks of whether this daemon is still in contact with the
 #: store.
 CHECK_INTERVAL_S = 0.2
@@ -97,6 +101,9 @@
     rollouts : RolloutUpdate or None
         None when the sender of the poll knows all of them, or the relay does
         not.
+    proof_age_ms : int or None
+        How long ago the store was last known to have nothing newer; None from
+        a daemon of an earlier release.
     """
 
     is_fresh: bool
@@ -104,6 +111,7 @@
     version: _versions.VersionUpdate | None
     members: _members.MemberUpdate | None
     rollouts: _rollout_log.RolloutUpdate | None = None
+    proof_age_ms: int | None = None
 
 
 class _RawMembers(msgspec.Struct, array_like=True):
@@ -122,6 +130,7 @@
     version: _versions.VersionUpdate | None
     members: _RawMembers | None
     rollouts: _rollout_log.RolloutUpdate | None = None
+    proof_age_ms: int | None = None
 
 
 class _EntryKey(msgspec.Struct, array_like=True):
@@ -217,6 +226,7 @@
         update.version,
         members,
         update.rollouts,
+        update.proof_age_ms,
     )
 
 
@@ -270,11 +280,14 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + POLL_WAIT_S
         was_fresh = self.source.is_trusted
+        proof_s = self.source.proof_s
         while True:
             update = self._make_update(poll)
             remaining_s = end_s - loop.time()
             has_lost_store = was_fresh and not update.is_fresh
-            if _has_content(update) or has_lost_store or remaining_s <= 0:
+            has_proof = self.source.proof_s >= proof_s + PROOF_STEP_S
+            is_due = has_lost_store or has_proof or remaining_s <= 0
+            if is_due or has_content(update):
                 return update
             was_fresh = update.is_fresh
             await self.source.wait_for_change(remaining_s)
@@ -310,10 +323,15 @@
             source.versions.make_update(poll.version),
             members,
             source.rollouts.make_update(poll.rollouts),
+            self._find_proof_age_ms(),
         )
 
+    def _find_proof_age_ms(self) -> int:
+        age_s = asyncio.get_running_loop().time() - self.source.proof_s
+        return math.ceil(min(age_s, LONGEST_AGE_S) * 1000)
 
-def _has_content(update: RelayUpdate) -> bool:
+
+def has_content(update: RelayUpdate) -> bool:
     """Return whether an update is worth an answer before the timeout."""
     members = update.members
     has_members = members is not None and (
--- a/sedgering/mesh/_settings.py
+++ b/sedgering/mesh/_settings.py
@@ -68,6 +68,9 @@
         watching daemon makes 40 to 70 calls a minute. When 74 daemons watched,
         versions filled links of 10 Mbit/s, and 46 % of the requests under
         normal load were served; with relays it was 94 %.
+    apply_ms : int
+        Time within which a version must be in force everywhere, once the store
+        has acknowledged it.
     caller_fields : list of str
         Header fields, in lower case, that identify the caller. Two requests
         that differ in one of them are not the same request.
@@ -124,6 +127,7 @@
     leave_serving_ms: settings.IntervalMs = 2500
     leave_margin_ms: settings.IntervalMs = 400
     relay_from_hosts: settings.Count = 6
+    apply_ms: settings.IntervalMs = 2000
     caller_fields: tuple[str, ...] = ('authorization', 'cookie', 'x-api-key')
     quarantine_crashes: settings.CountOrNone = 3
     advertised_port: settings.PortOrNone = 0
--- a/sedgering/mesh/_source.py
+++ b/sedgering/mesh/_source.py
@@ -2,15 +2,18 @@
 
 import asyncio
 from collections.abc import Callable
+import logging
 import math
 
 import msgspec
 
 from sedgering import access
 from sedgering import base
+from sedgering import exceptions
 from sedgering.mesh import _config
 from sedgering.mesh import _members
 from sedgering.mesh import _messages
+from sedgering.mesh import _proof
 from sedgering.mesh import _rollout_log
 from sedgering.mesh import _rollout_store
 from sedgering.mesh import _row_writer
@@ -21,6 +24,8 @@
 
 __all__ = ['MeshSource']
 
+LOG = logging.getLogger(__name__)
+
 #: Called in the event loop with a new configuration version.
 OnConfig = Callable[[_config.AcceptedConfig], None]
 #: Called in the event loop with all member rows.
@@ -42,17 +47,14 @@
 #: them earlier sees a small fleet and watches the store itself. At 195 hosts
 #: that caused about 1,500 calls.
 FIRST_START_PAUSE_S = 1.5
-#: Longest wait of one watch in a daemon that others poll: they must learn soon
-#: that it has lost contact with the store.
-POLLED_WATCH_WAIT_MS = 2000
-#: Time for which the version of this daemon counts as current after a relay
-#: that is in contact with the store has reported no newer one. A poll takes
-#: 1.4 s at most, and after a failure another relay is polled.
-RELAY_CONTACT_VALID_S = 2.0
-#: Largest age of data that a relay reports as current: its own watch waits up
-#: to `POLLED_WATCH_WAIT_MS`, and followers rely on it for `LOST_GRACE_S` after
-#: it has lost contact with the store.
-RELAY_DELAY_S = POLLED_WATCH_WAIT_MS / 1000 + _watch.LOST_GRACE_S
+#: Interval between checks of whether a relay needs a new proof.
+PROOF_CHECK_S = 0.05
+#: Pause after a failure.
+PROOF_RETRY_S = 0.5
+#: How long relays are relied on, whatever the age of their proofs, after the
+#: store has answered slowly: a call of each follower would not be answered
+#: sooner, and make it slower still.
+SLOW_STORE_S = 15.0
 
 
 class MeshSource:
@@ -125,8 +127,12 @@
         self._on_members: OnMembers | None = None
         self._is_watching = False
         self._polled_s = -POLLED_S
-        #: When a relay last reported that it is in contact with the store.
-        self._relay_contact_s = -math.inf
+        self.proof_plan = _proof.ProofPlan()
+        #: Last proof of a relay whose data this daemon has.
+        self._relay_proof_s = -math.inf
+        self._slow_until_s = -math.inf
+        self._schedule = _proof.WatchSchedule()
+        self._share_proofs()
         #: Highest version that another daemon used to route a call.
         self._highest_peer_version = base.NO_VERSION
         self._is_check_scheduled = False
@@ -154,29 +160,83 @@
 
     def find_freshness(self) -> access.Freshness:
         """Return how up to date the version of this daemon is."""
-        now_s = self.loop.time()
-        is_relay_current = (
-            now_s - self._relay_contact_s <= RELAY_CONTACT_VALID_S
-        )
+        proof_s = max(self._config_watcher.proof_s, self._relay_proof_s)
+        age_s = self.loop.time() - proof_s
+        is_proven = age_s <= self.proof_plan.apply_s
         is_behind = self._highest_peer_version > self.versions.version
-        heard_s = max(
-            self._config_watcher.heard_s, self._relay_contact_s - RELAY_DELAY_S
-        )
         return access.Freshness(
-            (self._config_watcher.is_fresh or is_relay_current)
-            and not is_behind,
-            now_s - heard_s,
+            (self._config_watcher.is_fresh or is_proven) and not is_behind,
+            age_s,
         )
 
-    def note_relay_contact(self) -> None:
-        """Record that a relay in contact with the store sent its version."""
-        self._relay_contact_s = self.loop.time()
+    @property
+    def proof_s(self) -> float:
+        """Time of the last proof that versions and members were current."""
+        own_s = min(self._config_watcher.proof_s, self._member_watcher.proof_s)
+        return max(own_s, self._relay_proof_s)
+
+    def note_relay_proof(self, proof_s: float) -> None:
+        """Record the last proof of a relay whose update was applied."""
+        self._relay_proof_s = max(self._relay_proof_s, proof_s)
+
+    @property
+    def is_store_slow(self) -> bool:
+        """Whether the store has recently answered too slowly to ask it."""
+        return self.loop.time() < self._slow_until_s
+
+    def _share_proofs(self) -> None:
+        """Let the answers to one watch prove the other table, too."""
+        clock = _proof.StoreClock()
+        for watcher in self._table_watchers:
+            watcher.clock = clock
+            watcher.on_answer = self._note_answer
+
+    @property
+    def _table_watchers(self) -> tuple[_watch.TableWatcher, ...]:
+        return self._config_watcher, self._member_watcher
+
+    def _note_answer(self, revision: int, at_s: float) -> None:
+        now_s = self.loop.time()
+        for watcher in self._table_watchers:
+            watcher.prove(revision, at_s)
+            if watcher.delay_s > self.proof_plan.slow_s:
+                self._slow_until_s = now_s + SLOW_STORE_S
+        if self.is_polled:
+            self.note_change()
+
+    async def _renew_proofs(self, watcher: _watch.TableWatcher) -> None:
+        """Ask the store when followers would soon do so themselves."""
+        while True:
+            await asyncio.sleep(PROOF_CHECK_S)
+            # The answer takes as long as the previous one.
+            proof_end_s = watcher.proof_s + self.proof_plan.renew_s
+            is_due = self.loop.time() + watcher.delay_s >= proof_end_s
+            is_relied_on = self.is_polled and self._is_watching
+            if is_due and is_relied_on and watcher.is_fresh:
+                await self._renew_proof(watcher)
+
+    async def _renew_proof(self, watcher: _watch.TableWatcher) -> None:
+        try:
+            await watcher.confirm()
+        except exceptions.PlatformError as error:
+            LOG.info(
+                'proof not renewed',
+                extra={
+                    'code': int(error.code),
+                    'detail': f'{watcher.name}: {error.detail}',
+                },
+            )
+            await asyncio.sleep(PROOF_RETRY_S)
+        except Exception:
+            # An unexpected exception must not end the task: followers would
+            # turn to the store again and again.
+            LOG.exception('proof not renewed')
+            await asyncio.sleep(PROOF_RETRY_S)
 
     @property
     def is_trusted(self) -> bool:
         """Whether other daemons may follow this one instead of the store."""
-        watchers = (self._config_watcher, self._member_watcher)
-        return all(watcher.is_trusted for watcher in watchers)
+        return all(watcher.is_trusted for watcher in self._table_watchers)
 
     def start(
         self,
@@ -197,21 +257,27 @@
             workers.append(self._rollout_watcher)
         for worker in workers:
             self._tasks.append(self.loop.create_task(worker.run()))
+        for watcher in self._table_watchers:
+            renewal = self._renew_proofs(watcher)
+            self._tasks.append(self.loop.create_task(renewal))
 
     def set_watching(self, is_watching: bool) -> None:
         """Enable or disable the watches of the store."""
         wait_ms, batch_delay_s = _watch.WATCH_WAIT_MS, _watch.BATCH_DELAY_S
         longest_pause_s = _watch.LONGEST_PAUSE_S
         reread_pause_s = _watch.REREAD_PAUSE_S
+        schedule = None
         if self.is_polled:
+            schedule = self._schedule
             reread_pause_s = _watch.POLLED_REREAD_PAUSE_S
             wait_ms, batch_delay_s = (
-                POLLED_WATCH_WAIT_MS,
+                self.proof_plan.watch_ms,
                 _watch.POLLED_BATCH_DELAY_S,
             )
             longest_pause_s = _watch.POLLED_LONGEST_PAUSE_S
-        for watcher in (self._config_watcher, self._member_watcher):
+        for watcher in self._table_watchers:
             watcher.wait_ms = wait_ms
+            watcher.schedule = schedule
             watcher.batch_delay_s = batch_delay_s
             watcher.reread_pause_s = reread_pause_s
             watcher.backoff.longest_s = longest_pause_s
--- a/sedgering/mesh/_watch.py
+++ b/sedgering/mesh/_watch.py
@@ -14,6 +14,7 @@
 from sedgering.mesh import _config
 from sedgering.mesh import _members
 from sedgering.mesh import _messages
+from sedgering.mesh import _proof
 from sedgering import observability
 from sedgering import rollout
 from sedgering import storage
@@ -47,12 +48,13 @@
 #: that this does not delay versions any further.
 LOST_GRACE_S = 0.8
 #: Pause before the whole table is read because the store has dropped its
-#: history. By then relays have read it, and their updates make the call
-#: unnecessary. A daemon that others poll pauses for less time, but does pause:
-#: while the store keeps no history at all, it would otherwise read again and
-#: again.
-REREAD_PAUSE_S = 1.0
+#: history. By then relays, which pause for less time, have read it, and their
+#: updates make the call unnecessary. They do pause: while the store keeps no
+#: history at all, they would otherwise read again and again. At least this
+#: share of a pause is waited.
+REREAD_PAUSE_S = 1.5
 POLLED_REREAD_PAUSE_S = 0.3
+LEAST_REREAD_PAUSE_SHARE = 0.6
 #: Wait of the first watch after a pause or a failure; it only checks that the
 #: store answers.
 CONFIRM_WAIT_MS = 20
@@ -198,8 +200,15 @@
         self.reread_pause_s = REREAD_PAUSE_S
         #: Whether the last call was answered and changes are being watched.
         self.is_fresh = False
-        #: Time of the last answer of the store.
-        self.heard_s = -math.inf
+        #: Until when the known rows are known to be current.
+        self.proof_s = -math.inf
+        #: Shared by the watches of a daemon; see `MeshSource`.
+        self.clock = _proof.StoreClock()
+        self.schedule: _proof.WatchSchedule | None = None
+        #: Called with the revision and the time of each answer to a watch.
+        self.on_answer: Callable[[int, float], None] | None = None
+        #: Duration of the last call beyond its wait.
+        self.delay_s = 0.0
         self._revision: int | None = None
         #: Time of the last failure that followed a success.
         self._last_loss_s = -math.inf
@@ -264,25 +273,71 @@
                 self._revision = None
                 await asyncio.sleep(LONGEST_PAUSE_S)
 
+    def prove(self, revision: int, at_s: float) -> None:
+        """Record that the store was at a revision at some time.
+
+        If this watch knows all changes up to that revision, what it knows was
+        current then.
+        """
+        if self._revision is not None and self._revision >= revision:
+            self.proof_s = max(self.proof_s, at_s)
+
+    async def confirm(self) -> None:
+        """Ask the store at once whether there are changes.
+
+        Raises
+        ------
+        PlatformError
+            When the call fails.
+        """
+        if self._revision is None:
+            return
+        try:
+            await self._call_watch(CONFIRM_WAIT_MS)
+        except exceptions.PlatformError as error:
+            if error.code is not exceptions.Code.PLATFORM_HISTORY:
+                raise
+            # The watch under way reads the table again.
+            self._note_contact()
+
     async def _watch_changes(self) -> None:
         if self._revision is None:
+            began_s = asyncio.get_running_loop().time()
             self._revision = await self.read_all()
             self._note_success()
+            self.prove(self._revision, began_s)
         while self._is_enabled.is_set():
-            wait_ms = self.wait_ms if self.is_fresh else CONFIRM_WAIT_MS
-            page = await self.table.watch(self._revision, wait_ms)
-            self._note_success()
-            self.skip_to(page.revision)
-            if self.on_clock is not None and page.now_ms:
-                self.on_clock(page.now_ms)
-            self.take_changes(page)
+            page = await self._call_watch(self._choose_wait_ms())
             if page.rows:
                 await asyncio.sleep(self.batch_delay_s)
 
+    def _choose_wait_ms(self) -> int:
+        if not self.is_fresh:
+            return CONFIRM_WAIT_MS
+        if self.schedule is None:
+            return self.wait_ms
+        return self.schedule.plan_wait_ms(self.name, self.wait_ms)
+
+    async def _call_watch(self, wait_ms: int) -> storage.RowsPage:
+        """Wait for changes, and process them."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        page = await self.table.watch(self._revision, wait_ms)
+        self.delay_s = loop.time() - began_s - wait_ms / 1000
+        self._note_success()
+        self.skip_to(page.revision)
+        if self.on_clock is not None and page.now_ms:
+            self.on_clock(page.now_ms)
+        self.take_changes(page)
+        at_s = self.clock.find_answer_time_s(page.now_ms)
+        self.prove(page.revision, at_s)
+        if self.on_answer is not None:
+            self.on_answer(page.revision, at_s)
+        return page
+
     def _note_success(self) -> None:
         self.backoff.reset()
         self.is_fresh = True
-        self.heard_s = asyncio.get_running_loop().time()
         if self._is_lost:
             self._is_lost = False
             LOG.info('store available again', extra={'detail': self.name})
@@ -297,7 +352,16 @@
         """
         LOG.info('store has dropped its history', extra={'detail': self.name})
         self._revision = None
-        await asyncio.sleep(self.reread_pause_s * random.uniform(0.3, 1.0))
+        self._note_contact()
+        share = random.uniform(LEAST_REREAD_PAUSE_SHARE, 1.0)
+        await asyncio.sleep(self.reread_pause_s * share)
+
+    def _note_contact(self) -> None:
+        """Count an answer without rows as a proof.
+
+        While the store drops its history, versions have longer to be in force.
+        """
+        self.proof_s = asyncio.get_running_loop().time()
 
     async def _note_failure(self, error: exceptions.PlatformError) -> None:
         if not self._is_lost:
--- a/sedgering/platform/_program.py
+++ b/sedgering/platform/_program.py
@@ -49,7 +49,7 @@
             exposed_share_percent=int(100 * host_settings.exposed_share),
         )
     own_settings = mesh_settings
-    mesh_settings = _merge_revocation(own_settings, host_settings)
+    mesh_settings = _merge_bounds(own_settings, host_settings)
     if host_settings.quota_window_ms:
         mesh_settings = msgspec.structs.replace(
             mesh_settings,
@@ -73,9 +73,7 @@
     def apply_settings(changed: _settings.HostSettings) -> None:
         budget.ratio = changed.retry_ratio * budget_share
         budget.extra = changed.retry_extra * budget_share
-        daemon.state.follow_revocation(
-            _merge_revocation(own_settings, changed)
-        )
+        daemon.state.follow_revocation(_merge_bounds(own_settings, changed))
         if changed.store != http_client.store_settings:
             http_client.change_store(changed.store)
 
@@ -102,10 +100,10 @@
     await daemon.leave(settings_watcher.host_settings.grace_ms)
 
 
-def _merge_revocation(
+def _merge_bounds(
     own_settings: mesh.MeshSettings, host_settings: _settings.HostSettings
 ) -> mesh.MeshSettings:
-    """Add the platform's settings for the revocation of API keys."""
+    """Add the platform's settings for versions and for revoked API keys."""
     revoke_ms = host_settings.revoke_ms
     if revoke_ms is None:
         revoke_ms = own_settings.revoke_ms
@@ -115,6 +113,7 @@
             own_settings.revoke_strict or host_settings.revoke_strict
         ),
         revoke_ms=revoke_ms,
+        apply_ms=host_settings.apply_ms or own_settings.apply_ms,
     )
 
 
--- a/sedgering/platform/_settings.py
+++ b/sedgering/platform/_settings.py
@@ -72,6 +72,9 @@
     quota_excess_percent, quota_slack : int
         Percentage, and additional number of requests, by which a quota may
         be exceeded in a window.
+    apply_ms : int or None
+        Time within which a version must be in force everywhere; None when the
+        operator states none.
     """
 
     identity: mesh.MeshIdentity
@@ -88,6 +91,7 @@
     quota_window_ms: int = 0
     quota_excess_percent: int = 0
     quota_slack: int = 0
+    apply_ms: int | None = None
 
 
 class _Listen(msgspec.Struct):
@@ -164,6 +168,7 @@
     bounds = dict(item.split('=', 1) for item in file.bounds)
     exposed_share = bounds.get('expose_share')
     revoke = bounds.get('revoke')
+    apply = bounds.get('apply')
     quota_window = bounds.get('quota_window')
     quota_excess = float(bounds.get('quota_excess', 0))
     target_address, target_port = _split_address(file.app)
@@ -198,6 +203,7 @@
         ),
         quota_excess_percent=int(100 * quota_excess),
         quota_slack=int(bounds.get('quota_slack', 0)),
+        apply_ms=_wire.parse_duration_ms(apply) if apply else None,
     )
 
 
