What a peer sends besides a body is bounded while it arrives

Cause: the parser tells of a status line, a field, a chunk size line or a trailer only once it is complete, and keeps it until then; nothing counted the bytes. A caller could do the same with a field, a chunk extension or a trailer field.

Now a connection to a peer (targets, other daemons, the store) fails as soon as 64 kB and 16 bytes for each byte of body have come besides the body; a request is refused (431 in its head, 400 behind it) at twice the limit of a head. The attempt counts as failed, and a request that may be repeated goes to another target at once.

--- a/sedgering/transport/_client.py
+++ b/sedgering/transport/_client.py
@@ -26,6 +26,11 @@
 KEEPALIVE_INTERVAL_S = 1
 #: Largest response body; the exchange fails when it is exceeded.
 BODY_LIMIT_BYTES = 16 * 1024 * 1024
+#: Largest size of what is not body: status lines, fields, interim responses,
+#: chunk size lines, and trailers.  A body of tiny chunks has several bytes of
+#: framing for each of its own.
+FRAMING_LIMIT_BYTES = 64 * 1024
+FRAMING_BYTES_PER_BODY_BYTE = 16
 #: Share of the keep-alive timeout announced by the peer for which an idle
 #: connection is reused.  The rest covers the time on the network, so that a
 #: request does not cross the close by the peer.
@@ -100,6 +105,8 @@
         self._response: _messages.Response | None = None
         self._chunks: list[bytes] = []
         self._body_size = 0
+        #: Size of the bodies of all responses of the current exchange.
+        self._bodies_bytes = 0
         self._skipped_responses = 0
         self._is_close_delimited = False
         self._is_head = False
@@ -173,6 +180,7 @@
         self._is_close_delimited = False
         self._skipped_responses = 0
         self.received_bytes = 0
+        self._bodies_bytes = 0
         self.transport.write(data)
 
     def _notify_end(self) -> None:
@@ -260,8 +268,22 @@
             self.is_sound = False
             if not self._is_answered():
                 self._fail(f'malformed answer: {e}')
+        self._check_framing()
         self._notify_end()
 
+    def _check_framing(self) -> None:
+        """Fail an exchange whose response has too much besides its body.
+
+        Such bytes may come without an end.  The parser keeps those of a line
+        until the line is complete.
+        """
+        limit_bytes = FRAMING_LIMIT_BYTES
+        limit_bytes += FRAMING_BYTES_PER_BODY_BYTE * self._bodies_bytes
+        framing_bytes = self.received_bytes - self._bodies_bytes
+        if framing_bytes > limit_bytes and not self._is_answered():
+            self.is_sound = False
+            self._fail(f'{framing_bytes} bytes besides the body')
+
     def eof_received(self):
         """Complete a response that is delimited by the close.
 
@@ -328,6 +350,7 @@
         if self._response is None:
             return
         self._body_size += len(body)
+        self._bodies_bytes += len(body)
         if self._body_size > BODY_LIMIT_BYTES:
             self.is_sound = False
             self._fail('answer too large')
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -42,6 +42,12 @@
 #: interval at which unsent data is checked while lingering.
 LINGER_S = 1.0
 
+#: Bounds of what arrives besides a body: a multiple of the limit of a head,
+#: which counts no separators, and of the bytes of the body, as each chunk has
+#: a size line.
+FRAMING_BYTES_PER_HEAD_BYTE = 2
+FRAMING_BYTES_PER_BODY_BYTE = 16
+
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -225,6 +231,10 @@
         self._chunks: list[bytes] = []
         self._body_size = 0
         self._fields_bytes = 0
+        #: Requests begun, and what has arrived of the current one besides its
+        #: body, without the piece in which it began.
+        self._requests = 0
+        self._framing_bytes = 0
         #: Size limit for the head of the request that is being read.
         self._head_limit_bytes = 0
         self._url = b''
@@ -275,8 +285,11 @@
         if self._is_discarding_input:
             return
         self.last_activity_s = self.loop.time()
+        requests, body_size = self._requests, self._body_size
         try:
             self._parser.feed_data(data)
+            if self._request is not None and self._requests == requests:
+                self._limit_framing(len(data) - self._body_size + body_size)
         except httptools.HttpParserUpgrade:
             self._refuse(400)
         except _RefusedRequest as error:
@@ -294,6 +307,18 @@
             self._is_paused = True
             self.transport.pause_reading()
 
+    def _limit_framing(self, added_bytes: int) -> None:
+        """Refuse a request with too much besides its body.
+
+        The parser tells of a field or a chunk size line only once it is
+        complete, and such bytes may come without an end.
+        """
+        self._framing_bytes += added_bytes
+        limit_bytes = FRAMING_BYTES_PER_HEAD_BYTE * self._head_limit_bytes
+        limit_bytes += FRAMING_BYTES_PER_BODY_BYTE * self._body_size
+        if self._framing_bytes > limit_bytes:
+            raise _RefusedRequest(431 if self._is_reading_head else 400)
+
     def eof_received(self):
         """Close the connection, also if the caller has closed only one side.
 
@@ -306,6 +331,8 @@
     def on_message_begin(self):
         """Start a request and record when its head begins."""
         self._is_reading_head = True
+        self._requests += 1
+        self._framing_bytes = 0
         self._head_limit_bytes = self.service.find_limits().header_bytes
         self._fields_bytes = 0
         self._url = b''
