Proofs are renewed by timers that wait until they are due

The check of whether a relay needs a new proof woke every daemon 40 times a second (two tasks, 50 ms), followers too. It now sleeps until the proof ends, and half a second where nobody polls. An answer that took long makes the next renewal sooner by half of its time at most, so that a slow store is not called without a pause.

A row that was published while the previous one was being written is not taken for overwritten when the watch tells the previous one first: that cost a read.

--- a/sedgering/mesh/_row_writer.py
+++ b/sedgering/mesh/_row_writer.py
@@ -62,6 +62,8 @@
         #: while it is not known.
         self._revision: int | None = None
         self._stored: bytes | None = None
+        #: Value that is being written.
+        self._in_flight: bytes | None = None
         #: Whether no earlier write can take effect any more.
         self._is_settled = False
         #: Called with the stored row after each read and write.
@@ -109,8 +111,9 @@
         if entry.row is None:
             is_overwritten = revision > self._revision
         else:
+            expected = self._desired, self._in_flight
             is_newer = entry.revision > self._revision
-            is_overwritten = is_newer and _encode(entry.row) != self._desired
+            is_overwritten = is_newer and _encode(entry.row) not in expected
         if is_overwritten:
             LOG.warning(
                 'row overwritten',
@@ -180,7 +183,9 @@
             return
         if desired == self._stored and (self._is_settled or desired is None):
             return
+        self._in_flight = desired
         outcome = await self.table.transact(self._make_transaction(desired))
+        self._in_flight = None
         if outcome.kind is not storage.OutcomeKind.DONE:
             raise outcome.make_error()
         self._revision = 0 if desired is None else outcome.revision
--- a/sedgering/mesh/_source.py
+++ b/sedgering/mesh/_source.py
@@ -47,7 +47,9 @@
 #: them earlier sees a small fleet and watches the store itself. At 195 hosts
 #: that caused about 1,500 calls.
 FIRST_START_PAUSE_S = 1.5
-#: Interval between checks of whether a relay needs a new proof.
+#: Interval between checks of whether this daemon is a relay, and the shortest
+#: one between checks of whether a relay needs a new proof.
+RELAY_CHECK_S = 0.5
 PROOF_CHECK_S = 0.05
 #: Pause after a failure.
 PROOF_RETRY_S = 0.5
@@ -207,13 +209,23 @@
     async def _renew_proofs(self, watcher: _watch.TableWatcher) -> None:
         """Ask the store when followers would soon do so themselves."""
         while True:
-            await asyncio.sleep(PROOF_CHECK_S)
-            # The answer takes as long as the previous one.
-            proof_end_s = watcher.proof_s + self.proof_plan.renew_s
-            is_due = self.loop.time() + watcher.delay_s >= proof_end_s
             is_relied_on = self.is_polled and self._is_watching
-            if is_due and is_relied_on and watcher.is_fresh:
+            if not (is_relied_on and watcher.is_fresh):
+                await asyncio.sleep(RELAY_CHECK_S)
+                continue
+            left_s = self._find_renewal_s(watcher) - self.loop.time()
+            if left_s <= 0:
                 await self._renew_proof(watcher)
+            await asyncio.sleep(max(PROOF_CHECK_S, left_s))
+
+    def _find_renewal_s(self, watcher: _watch.TableWatcher) -> float:
+        """Return when the store must be asked for a new proof.
+
+        The answer is expected to take as long as the previous one.
+        """
+        renew_s = self.proof_plan.renew_s
+        delay_s = min(max(0.0, watcher.delay_s), renew_s / 2)
+        return watcher.proof_s + renew_s - delay_s
 
     async def _renew_proof(self, watcher: _watch.TableWatcher) -> None:
         try:
