Followers rely on their relays while the store drops its history

Followers then asked the store, were told that the history is gone, gave their relay up for each other, and read the document as relays.

Now a relay looks at its renewal every 0.25 s at least, and a full read counts as a delay. A follower relies on its relays for 15 s after the store has told it that the history is dropped, as after a slow answer: versions have longer then. And a relay with an old proof is given up only if the follower has a recent one.

A slow answer counts by its own delay, not by that of a full read.

--- a/sedgering/mesh/_follow.py
+++ b/sedgering/mesh/_follow.py
@@ -200,11 +200,11 @@
     def _is_recent(self, proof_s: float) -> bool:
         """Whether data with this proof may be used without asking the store.
 
-        If the store answers slowly, asking it would not help.
+        If the store is impaired, asking it would not help.
         """
         age_s = self.source.loop.time() - proof_s
         limit_s = self.source.proof_plan.follow_s
-        return age_s <= limit_s or self.source.is_store_slow
+        return age_s <= limit_s or self.source.is_store_impaired
 
     def _find_check_pause_s(self) -> float:
         """Return the time until the next check, at most until a proof ends."""
@@ -348,7 +348,10 @@
         proof_s = self.source.loop.time() - (update.proof_age_ms or 0) / 1000
         self.source.note_relay_proof(proof_s)
         if not self._is_recent(proof_s):
-            if not _relay.has_content(update):
+            # If the store does not answer this daemon either, another relay
+            # would not help.
+            is_store_reached = self._is_recent(self.source.proof_s)
+            if is_store_reached and not _relay.has_content(update):
                 self._back_off(slot, row, 'relay has no recent proof')
             return
         self._backoffs_s.pop(row.host, None)
--- a/sedgering/mesh/_source.py
+++ b/sedgering/mesh/_source.py
@@ -47,16 +47,18 @@
 #: them earlier sees a small fleet and watches the store itself. At 195 hosts
 #: that caused about 1,500 calls.
 FIRST_START_PAUSE_S = 1.5
-#: Interval between checks of whether this daemon is a relay, and the shortest
-#: one between checks of whether a relay needs a new proof.
+#: Interval between checks of whether this daemon is a relay, and the range of
+#: those of whether a relay needs a new proof: the store may become slow.
 RELAY_CHECK_S = 0.5
-PROOF_CHECK_S = 0.05
+SHORTEST_PROOF_CHECK_S = 0.05
+LONGEST_PROOF_CHECK_S = 0.25
 #: Pause after a failure.
 PROOF_RETRY_S = 0.5
 #: How long relays are relied on, whatever the age of their proofs, after the
-#: store has answered slowly: a call of each follower would not be answered
-#: sooner, and make it slower still.
-SLOW_STORE_S = 15.0
+#: store has answered slowly, or that it has dropped its history.  A call of
+#: each follower would not be answered sooner, and make the store slower still;
+#: or each would read the whole document.
+IMPAIRED_STORE_S = 15.0
 
 
 class MeshSource:
@@ -132,7 +134,7 @@
         self.proof_plan = _proof.ProofPlan()
         #: Last proof of a relay whose data this daemon has.
         self._relay_proof_s = -math.inf
-        self._slow_until_s = -math.inf
+        self._impaired_until_s = -math.inf
         self._schedule = _proof.WatchSchedule()
         self._share_proofs()
         #: Highest version that another daemon used to route a call.
@@ -182,9 +184,12 @@
         self._relay_proof_s = max(self._relay_proof_s, proof_s)
 
     @property
-    def is_store_slow(self) -> bool:
-        """Whether the store has recently answered too slowly to ask it."""
-        return self.loop.time() < self._slow_until_s
+    def is_store_impaired(self) -> bool:
+        """Whether asking the store has recently shown not to help."""
+        return self.loop.time() < self._impaired_until_s
+
+    def _note_impaired_store(self) -> None:
+        self._impaired_until_s = self.loop.time() + IMPAIRED_STORE_S
 
     def _share_proofs(self) -> None:
         """Let the answers to one watch prove the other table, too."""
@@ -192,17 +197,17 @@
         for watcher in self._table_watchers:
             watcher.clock = clock
             watcher.on_answer = self._note_answer
+            watcher.on_dropped_history = self._note_impaired_store
 
     @property
     def _table_watchers(self) -> tuple[_watch.TableWatcher, ...]:
         return self._config_watcher, self._member_watcher
 
-    def _note_answer(self, revision: int, at_s: float) -> None:
-        now_s = self.loop.time()
+    def _note_answer(self, revision: int, at_s: float, delay_s: float) -> None:
         for watcher in self._table_watchers:
             watcher.prove(revision, at_s)
-            if watcher.delay_s > self.proof_plan.slow_s:
-                self._slow_until_s = now_s + SLOW_STORE_S
+        if delay_s > self.proof_plan.slow_s:
+            self._note_impaired_store()
         if self.is_polled:
             self.note_change()
 
@@ -216,7 +221,8 @@
             left_s = self._find_renewal_s(watcher) - self.loop.time()
             if left_s <= 0:
                 await self._renew_proof(watcher)
-            await asyncio.sleep(max(PROOF_CHECK_S, left_s))
+            pause_s = max(SHORTEST_PROOF_CHECK_S, left_s)
+            await asyncio.sleep(min(pause_s, LONGEST_PROOF_CHECK_S))
 
     def _find_renewal_s(self, watcher: _watch.TableWatcher) -> float:
         """Return when the store must be asked for a new proof.
--- a/sedgering/mesh/_watch.py
+++ b/sedgering/mesh/_watch.py
@@ -205,9 +205,12 @@
         #: Shared by the watches of a daemon; see `MeshSource`.
         self.clock = _proof.StoreClock()
         self.schedule: _proof.WatchSchedule | None = None
-        #: Called with the revision and the time of each answer to a watch.
-        self.on_answer: Callable[[int, float], None] | None = None
-        #: Duration of the last call beyond its wait.
+        #: Called when the store has dropped its history.
+        self.on_dropped_history: Callable[[], None] | None = None
+        #: Called with the revision and the time of each answer to a watch, and
+        #: with how much longer than its wait the call took, in seconds.
+        self.on_answer: Callable[[int, float, float], None] | None = None
+        #: Duration of the last call beyond its wait; of a full read, in whole.
         self.delay_s = 0.0
         self._revision: int | None = None
         #: Time of the last failure that followed a success.
@@ -302,8 +305,10 @@
 
     async def _watch_changes(self) -> None:
         if self._revision is None:
-            began_s = asyncio.get_running_loop().time()
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
             self._revision = await self.read_all()
+            self.delay_s = loop.time() - began_s
             self._note_success()
             self.prove(self._revision, began_s)
         while self._is_enabled.is_set():
@@ -332,7 +337,7 @@
         at_s = self.clock.find_answer_time_s(page.now_ms)
         self.prove(page.revision, at_s)
         if self.on_answer is not None:
-            self.on_answer(page.revision, at_s)
+            self.on_answer(page.revision, at_s, self.delay_s)
         return page
 
     def _note_success(self) -> None:
@@ -353,6 +358,8 @@
         LOG.info('store has dropped its history', extra={'detail': self.name})
         self._revision = None
         self._note_contact()
+        if self.on_dropped_history is not None:
+            self.on_dropped_history()
         share = random.uniform(LEAST_REREAD_PAUSE_SHARE, 1.0)
         await asyncio.sleep(self.reread_pause_s * share)
 
