Log lines never hold up the event loop

A daemon whose standard output is a pipe that nobody reads stops in a write once the pipe is full, with all its requests, and is killed at the end of its grace.

Cause: the log handler writes to a blocking descriptor from the event loop.

--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -42,6 +42,7 @@
 from sedgering.mesh import _target_client
 from sedgering.mesh import _turns
 from sedgering.mesh import _version_record
+from sedgering import observability
 from sedgering import ports
 from sedgering import transport
 
@@ -529,6 +530,7 @@
                 'gate_limit': gate.limit,
                 **self.state.target_client.signals.find_gauges(),
                 'is_ready': int(self.is_ready),
+                'log_lines_dropped': observability.count_dropped_lines(),
                 'requests_suspected': len(self.state.crashes),
                 'requests_quarantined': self.state.crashes.quarantined,
                 'caller_answers_waiting': callers.answers,
--- a/sedgering/observability/__init__.py
+++ b/sedgering/observability/__init__.py
@@ -4,6 +4,7 @@
 
 from sedgering.observability._counts import RequestCounts
 from sedgering.observability._logs import configure_logging
+from sedgering.observability._logs import count_dropped_lines
 from sedgering.observability._logs import JsonFormatter
 from sedgering.observability._refusals import RefusalLog
 
@@ -13,6 +14,7 @@
     'RefusalLog',
     'RequestCounts',
     'configure_logging',
+    'count_dropped_lines',
     'make_metrics',
 ]
 
--- a/sedgering/observability/_logs.py
+++ b/sedgering/observability/_logs.py
@@ -2,11 +2,15 @@
 
 import datetime
 import logging
+import os
+import sys
 from typing import TextIO
 
 import msgspec
 
-__all__ = ['JsonFormatter', 'configure_logging']
+from sedgering.observability import _line_writer
+
+__all__ = ['JsonFormatter', 'configure_logging', 'count_dropped_lines']
 
 #: Fields of `extra` that are written to the log line.
 FIELDS = (
@@ -81,6 +85,70 @@
         return msgspec.json.encode(line).decode()
 
 
+class LineHandler(logging.Handler):
+    """Writes records as lines, and drops them while nobody reads.
+
+    Parameters
+    ----------
+    writer : LineWriter
+        Where the lines go.
+    """
+
+    def __init__(self, writer: _line_writer.LineWriter):
+        super().__init__()
+        self.writer = writer
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record; tell of dropped ones once there is room again."""
+        try:
+            self.writer.write(f'{self.format(record)}\n'.encode())
+            dropped = self.writer.take_dropped()
+            if dropped:
+                line = self.format(_make_dropped_record(dropped))
+                self.writer.write(f'{line}\n'.encode())
+        except Exception:
+            self.handleError(record)
+
+    def flush(self) -> None:
+        """Write what can be written at once."""
+        self.writer.flush()
+
+
+def _make_dropped_record(dropped: int) -> logging.LogRecord:
+    """Make the record that tells how many lines were dropped."""
+    return logging.makeLogRecord(
+        {
+            'name': __name__,
+            'levelno': logging.WARNING,
+            'levelname': 'WARNING',
+            'msg': 'log lines dropped, as nobody read them',
+            'dropped_lines': dropped,
+        }
+    )
+
+
+def _make_handler(stream: TextIO | None) -> logging.Handler:
+    """Make the handler of a stream, which is None if it was never open."""
+    if stream is None:
+        return logging.NullHandler()
+    try:
+        descriptor = stream.fileno()
+        os.fstat(descriptor)
+    except OSError:
+        # Not a file, such as a stream in memory.
+        return logging.StreamHandler(stream)
+    return LineHandler(_line_writer.make_line_writer(descriptor))
+
+
+def count_dropped_lines() -> int:
+    """Count the log lines dropped since the start."""
+    return sum(
+        handler.writer.dropped
+        for handler in logging.getLogger().handlers
+        if isinstance(handler, LineHandler)
+    )
+
+
 def configure_logging(
     level: str, stream: TextIO | None = None, **constants: str
 ) -> None:
@@ -95,7 +163,7 @@
     **constants : str
         Fields that are added to every line.
     """
-    handler = logging.StreamHandler(stream)
+    handler = _make_handler(stream or sys.stderr)
     handler.setFormatter(JsonFormatter(constants))
     root = logging.getLogger()
     root.handlers[:] = [handler]
