Judges of lost requests and of ended processes, one for each clause

The soak counted requests that ran and got no answer; it did not see a request that a daemon had read and cut before it was passed on, an own answer while a target was at work, cuts around SIGHUP or a configuration, nor a process that ended between two signals of ours.

soak/_lost.py takes typed records of requests, runs, disruptions, planned work and ends of processes, and returns findings that name clause, request, host and times. Store outages alone excuse nothing in any of them. The checks beside them stay as they were; callers, targets and daemons record what the judges need.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -63,6 +63,7 @@
       | a daemon went back to an older version            | lacks version                  |
       | a daemon answered nobody after the last fault     | answered no request            |
       | a daemon lacks the newest version                 | in force, expected 2           |
+      | a daemon ended by itself                          | FAULT, a process ended by      |
       | a request reached 4 targets 3.1 s after 3 crashes | targets 4 more times           |
       | a request reached 3 targets 3.1 s after 3 crashes | no violation                   |
       | a request reached 9 targets 2.9 s after 3 crashes | no violation                   |
@@ -100,6 +101,17 @@
       | was lost during planned operations | a link was throttled      | closed without an answer |
       | got 502 during planned operations  | a link was throttled      | got 502 instead of       |
 
+  Scenario Outline: A request that waits at a daemon is not cut off around planned work
+    Given soak results in which a waiting request was cut off
+    And <fault> at that time
+    Then the soak reports <finding>
+
+    Examples:
+      | fault                                                    | finding                   |
+      | its daemon was terminated                                | LOST, around planned work |
+      | its daemon was terminated, and another daemon was killed | no violation              |
+      | another daemon was terminated                            | no violation              |
+
   Scenario Outline: A draining daemon answers the requests it accepted
     Given soak results in which a <request>
     And <fault> at that time
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -18,6 +18,7 @@
 from soak import _faults
 from soak import _links
 from soak import _long_requests
+from soak import _lost
 from soak import _rollouts
 from soak import _targets
 from soak import _world
@@ -225,6 +226,21 @@
     results.record_runs(record.request_id, sent_s)
 
 
+def cut_waiting_request(results):
+    results.add_request(
+        results.world.callers[0],
+        'waiting',
+        status=0,
+        last_byte_s=SENT_AT_S,
+        done_s=SENT_AT_S + 0.5,
+    )
+
+
+def end_by_itself(results):
+    end = _lost.ProcessEnd('host-0', SENT_AT_S, SENT_AT_S + 1, -1)
+    results.world.daemons[0].ends.append(end)
+
+
 def cut_off_sent_before(results):
     add_cut_off_request(results, -0.5)
 
@@ -416,6 +432,8 @@
     'a long request got 502, answered on another host': lose_other_answer,
     'a long request was overdue': answer_long_late,
     'a long request was read slowly': read_slowly,
+    'a waiting request was cut off': cut_waiting_request,
+    'a daemon ended by itself': end_by_itself,
     'a target that had left ran a request': run_late,
     'a target worked on more than its slots': overload,
     'a target with a limit of 2 got 18 requests in 4 s': reach_limited(18),
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -19,6 +19,8 @@
 ONCE_PATH = '/once/'
 HOST_HEADER = 'soak.example'
 DEADLINE_MS = 1500
+#: Timeout of the routes of the usual callers.
+ROUTE_TIMEOUT_S = 1.2
 #: Share of requests that must run at most once.
 ONCE_SHARE = 0.4
 REQUEST_PAUSE_S = 0.02
@@ -60,6 +62,13 @@
     key, workspace : str
         Key that was sent, and the workspace that owns it; empty for a forged
         key.
+    last_byte_s : float
+        When its last byte was sent; 0 if it was not sent whole.
+    is_kept, is_behind : bool
+        Whether its connection had carried an answer before, and whether it
+        was sent behind an unanswered request.
+    has_left : bool
+        Whether the caller left before the answer, on purpose.
     """
 
     request_id: str
@@ -77,6 +86,10 @@
     end: str = ''
     key: str = ''
     workspace: str = ''
+    last_byte_s: float = 0.0
+    is_kept: bool = False
+    is_behind: bool = False
+    has_left: bool = False
 
     @property
     def is_forged(self) -> bool:
@@ -113,6 +126,8 @@
         self._rng = random.Random(seed)
         self._socket: socket.socket | None = None
         self._stream = None
+        #: Whether the connection has carried an answer.
+        self._has_answers = False
 
     def run(self) -> None:
         """Send requests until the caller is stopped."""
@@ -156,13 +171,20 @@
         for record in records:
             time.sleep(0 if record is records[0] else self.pipeline_delay_s)
             record.sent_s = time.monotonic()
-            self._socket.sendall(_encode_request(record))
+            record.is_kept = self._has_answers
+            record.is_behind = record is not records[0]
+            self._send(_encode_request(record))
+            record.last_byte_s = time.monotonic()
         for record in records:
             record.began_s = records[0].began_s
             if self._socket is not None and not self._read(record):
                 self._disconnect()
 
+    def _send(self, data: bytes) -> None:
+        self._socket.sendall(data)
+
     def _connect(self) -> None:
+        self._has_answers = False
         self._socket = socket.socket()
         self._stream = self._socket.makefile('rb')
         self._socket.settimeout(self.receive_timeout_s)
@@ -196,6 +218,7 @@
             )
         record.status = int(status_line.split()[1])
         record.done_s = time.monotonic()
+        self._has_answers = True
         expected = f'answer to {record.request_id}'.encode()
         record.is_own = (
             headers[HEADERS.proof] is not None
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -6,9 +6,11 @@
 from soak import _crash_requests
 from soak import _daemons
 from soak import _faults
+from soak import _lost
 from soak import _rollouts
 from soak import _signals
 from soak import _targets
+from soak import _trial
 from soak import _world
 
 __all__ = ['check_guarantees']
@@ -60,6 +62,7 @@
         ),
         *_check_targets(world),
         *world.bad_exits,
+        *map(str, _lost.judge_trial(_trial.make_trial(world, records))),
         *_check_recovery(world, records),
     ]
 
--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -1,16 +1,19 @@
 """Daemons and the stand-in store as child processes."""
 
 import asyncio
+import math
 import os
 import pathlib
 import signal
 import sys
+import time
 
 import yaml
 
 from sedgering import platform
 from sedgering import testing
 from soak import _links
+from soak import _lost
 
 __all__ = ['Daemon', 'StoreProcess', 'make_address']
 
@@ -50,6 +53,11 @@
         #: Folder with the code to run; None for the working directory.
         self.code_folder: pathlib.Path | None = None
         self.process: asyncio.subprocess.Process | None = None
+        #: Ends of the processes so far.
+        self.ends: list[_lost.ProcessEnd] = []
+        self._watchers: set[asyncio.Task] = set()
+        #: When signals that may end the process were first sent to it.
+        self._signalled_s: dict[signal.Signals, float] = {}
 
     async def _start(self, arguments: list[str], **environment: str) -> None:
         with (self.folder / f'{self.name}.log').open('ab') as output:
@@ -62,6 +70,26 @@
                 env={**os.environ, **environment},
                 cwd=self.code_folder,
             )
+        self._signalled_s = {}
+        watcher = asyncio.ensure_future(
+            self._watch(self.process, self._signalled_s, time.monotonic())
+        )
+        self._watchers.add(watcher)
+        watcher.add_done_callback(self._watchers.discard)
+
+    async def _watch(self, process, signalled_s, started_s: float) -> None:
+        """Record the end of a process."""
+        status = await process.wait()
+        self.ends.append(
+            _lost.ProcessEnd(
+                self.name,
+                started_s,
+                time.monotonic(),
+                status,
+                signalled_s.get(signal.SIGTERM, math.inf),
+                signalled_s.get(signal.SIGKILL, math.inf),
+            )
+        )
 
     @property
     def is_running(self) -> bool:
@@ -71,12 +99,13 @@
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
         if self.is_running:
+            self._signalled_s.setdefault(number, time.monotonic())
             self.process.send_signal(number)
 
     async def kill(self) -> None:
         """Kill the process and wait until it has exited."""
         if self.is_running:
-            self.process.kill()
+            self.signal(signal.SIGKILL)
             await self.process.wait()
 
 
--- a/soak/_long_requests.py
+++ b/soak/_long_requests.py
@@ -13,9 +13,14 @@
 ONCE_PATH = '/long-once/'
 #: Longer than the grace time of a daemon, so that work can outlast it.
 DEADLINE_MS = 8000
+TIMEOUT_S = 9.0
 ROUTES = (
-    {'prefix': REPEATABLE_PATH, 'timeout': '9000ms'},
-    {'prefix': ONCE_PATH, 'timeout': '9000ms', 'kind': 'non_idempotent'},
+    {'prefix': REPEATABLE_PATH, 'timeout': f'{TIMEOUT_S}s'},
+    {
+        'prefix': ONCE_PATH,
+        'timeout': f'{TIMEOUT_S}s',
+        'kind': 'non_idempotent',
+    },
 )
 #: Link capacities in the settings of daemons; below 200 Mbit/s they pace
 #: large answers.
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -12,6 +12,7 @@
 from soak import _daemons
 from soak import _keys
 from soak import _long_requests
+from soak import _lost
 from soak import _rollouts
 from soak import _signals
 
@@ -60,6 +61,8 @@
         Workspaces in the headers that targets received, by request id.
     keys_seen : list of str
         Ids of requests that reached a target with their API key.
+    work : dict
+        Runs of a request, by its id.
     """
 
     def __init__(self):
@@ -72,6 +75,7 @@
         #: Times at which requests began to run, by the version of the target.
         self.version_runs_s: dict[str, list[float]] = {}
         self.keys_seen: list[str] = []
+        self.work: dict[str, list[_lost.Work]] = {}
 
     def record_identity_headers(
         self, request_id: str, fields: list[tuple[str, str]]
@@ -94,9 +98,13 @@
         lifetime: int,
         ledger: Ledger,
         version: str = _rollouts.OLD_VERSION,
+        host: str = '',
     ):
         super().__init__(target)
         self.version = version
+        self.host = host
+        #: Runs that have not ended, by request id.
+        self.open_work: dict[str, _lost.Work] = {}
         self.label = f'{target}#{lifetime}'
         self.arrivals = ledger.signals.arrivals.setdefault(self.label, [])
         self.work_s = WORK_S
@@ -119,6 +127,9 @@
         self.fields.clear()
         now_s = time.monotonic()
         self.ledger.runs.setdefault(request_id, []).append(now_s)
+        work = _lost.Work(self.target, self.host, now_s)
+        self.open_work[request_id] = work
+        self.ledger.work.setdefault(request_id, []).append(work)
         runs_s = self.ledger.version_runs_s
         runs_s.setdefault(self.version, []).append(now_s)
         if self.acknowledged_s is not None:
@@ -129,11 +140,31 @@
                     'its draining state was acknowledged'
                 )
 
+    def end_work(self, request_id: str | None, is_sound: bool = True) -> None:
+        """Record that a run has ended."""
+        work = self.open_work.pop(request_id, None)
+        if work is not None:
+            work.ended_s = time.monotonic()
+            work.is_sound = is_sound
+
+    def break_off(self) -> None:
+        """Record that the target ends, and all runs with it."""
+        for request_id in list(self.open_work):
+            self.end_work(request_id, is_sound=False)
+
 
 class _Connection(testing.TargetStandin):
     """Answers each request with the size that it asks for."""
 
+    async def _answer(self, line: str, headers, body: bytes) -> None:
+        request_id = transport.find_header(headers, 'x-request-id')
+        try:
+            await super()._answer(line, headers, body)
+        finally:
+            self.state.end_work(request_id)
+
     def _finish(self, request_id: str, habit: testing.TargetHabit) -> None:
+        self.state.end_work(request_id, habit is testing.TargetHabit.SOUND)
         self.state.body_bytes = self.state.sizes_bytes[request_id]
         state = self.state
         state.ledger.signals.record_answer(
@@ -196,6 +227,7 @@
             self.lifetime,
             self.ledger,
             self.version,
+            self.daemon.name,
         )
         self.books.habit = self.habit
         self.books.fatal_urls = {_crash_requests.FATAL_PATH}
@@ -316,6 +348,7 @@
         self.most_running = max(self.most_running, self.books.most_running)
         self._heartbeats.cancel()
         self._server.close()
+        self.books.break_off()
         self.books.reset_connections()
         if self._restart is not None:
             self._restart.cancel()
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -461,7 +461,10 @@
 
 def _make_document(version: int, is_long: bool, has_keys: bool) -> bytes:
     """Make a version with the common routes and one per version so far."""
-    common = {'host': _callers.HOST_HEADER, 'timeout': '1200ms'}
+    common = {
+        'host': _callers.HOST_HEADER,
+        'timeout': f'{_callers.ROUTE_TIMEOUT_S}s',
+    }
     once_route = {
         **common,
         'prefix': _callers.ONCE_PATH,
