A good version is found good soon after the trial may end

What operators saw: a good version took 13.8 of the ordered 16 s, where it had taken 11.4 s before failures and routes were tested apart.

Cause: a route with 6 calls a second shows a good version at 1/400 only after some 10 s, so that the trial lasted until its latest end, where odds of 20 to 1 are enough for it.

Change: these odds are enough for a single route from the earliest end of the trial on; the total still needs 1/400. By Wald's bound a harmful version passes a route in this phase once in 20 times; what is promised for the end of a trial (once in 10) holds.

The new scenario failed on the code before (2 of 2 examples).

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -154,6 +154,20 @@
     When its trial is played 40 times
     Then 2 of them at most end with the calls left where they were
 
+  # Guards against a trial that lasts until its latest end although the version
+  # is good, because a seldom used route shows a little less than the others.
+  Scenario Outline: A good version is found good soon after the trial may end
+    Given a set with 120 usual and 6 seldom calls a second
+    And an old version that fails <share> of its calls
+    And a new one that fails <share> of the usual and <share> of the rest
+    When its trial is played 40 times
+    Then half of the trials end within 8800 ms
+
+    Examples:
+      | share |
+      | 0     |
+      | 0.02  |
+
   Scenario: Seldom used routes put a larger part of their calls on trial
     Given a set with 120 usual and 6 seldom calls a second
     And an old version that fails 0 of its calls
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -364,6 +364,12 @@
     assert len(seeds) <= count, seeds
 
 
+@then('half of the trials end within {limit_ms:d} ms')
+def step_trials_soon(context, limit_ms):
+    ends_ms = sorted(trial.ended_ms for trial in context.trials)
+    assert ends_ms[len(ends_ms) // 2] <= limit_ms, ends_ms
+
+
 @then(
     'between {least:g} and {most:g} of the seldom calls were exposed, and a '
     'tenth of all at most'
--- a/features/steps/rollout_trial.py
+++ b/features/steps/rollout_trial.py
@@ -77,6 +77,7 @@
             SET, 'v1', 'v2', ORDER, rollout.Stage.TRIAL, 0, 0
         )
         self.order = rollout.Order(SET, 'v2', DURATION_MS, ORDER)
+        self.ended_ms = 0
 
     def play(self) -> rollout.Stage:
         """Play calls and polls until the trial ends; return what follows."""
@@ -87,6 +88,7 @@
             while now_ms >= next_poll_ms:
                 stage = self._evaluate(next_poll_ms)
                 if stage is not rollout.Stage.TRIAL:
+                    self.ended_ms = next_poll_ms
                     return stage
                 next_poll_ms += POLL_MS
             self._send_call()
--- a/sedgering/rollout/_plan.py
+++ b/sedgering/rollout/_plan.py
@@ -153,6 +153,7 @@
     if age_ms < MIN_TRIAL_SHARE * duration_ms:
         return _Stage.TRIAL
     latest_ms = MAX_TRIAL_SHARE * duration_ms
+    verdict = _verdict.choose_due_verdict(*evidence)
     if verdict is _Verdict.OPEN and age_ms >= latest_ms:
         verdict = _verdict.choose_late_verdict(*evidence)
     if verdict is _Verdict.GOOD:
--- a/sedgering/rollout/_verdict.py
+++ b/sedgering/rollout/_verdict.py
@@ -19,6 +19,7 @@
 from sedgering.rollout import _sequential
 
 __all__ = [
+    'choose_due_verdict',
     'choose_late_verdict',
     'choose_move_verdict',
     'choose_verdict',
@@ -93,6 +94,13 @@
             return _Verdict.OPEN
         return self.whole.verdict
 
+    @property
+    def is_good_when_due(self) -> bool:
+        """Whether the trial may end as far as this test is concerned."""
+        if self.verdict is not _Verdict.OPEN or self.needs_evidence:
+            return self.verdict is _Verdict.GOOD
+        return self.whole.is_good_by_odds
+
     @property
     def is_good_late(self) -> bool:
         """Whether the test speaks for the version as the trial ends."""
@@ -141,6 +149,27 @@
     return _Verdict.GOOD
 
 
+def choose_due_verdict(
+    new: list[_evidence.Evidence], old: list[_evidence.Evidence]
+) -> _Verdict:
+    """Choose the verdict once the trial may end.
+
+    As :func:`choose_verdict`, but on a single route odds of 20 to 1 for the
+    accepted share suffice.  Calls on a seldom used route come slowly, and
+    those that follow during the move still count.
+
+    Parameters
+    ----------
+    new, old : list of Evidence
+        One item for each target of the version.
+    """
+    tests = _make_tests(new, old)
+    if any(test.verdict is _Verdict.BAD for test in tests):
+        return _Verdict.BAD
+    is_good = all(test.is_good_when_due for test in tests)
+    return _Verdict.GOOD if is_good else _Verdict.OPEN
+
+
 def choose_late_verdict(
     new: list[_evidence.Evidence], old: list[_evidence.Evidence]
 ) -> _Verdict:
