Signals are received from a program's first instruction on

What callers saw: a restart or a changed settings file within some 0.14 s of a daemon's start reset the whole requests in its listen queues, and the platform saw a process that ended by itself (status -1 after SIGHUP, -15 after SIGTERM).

Cause: the ports are opened first, the handlers were installed last, in the event loop. Closing that loop restored the default actions as well, so that a second signal ended a daemon that had already left, with -1, -2 or -15.

A proxy told to reload ended with -1 (features/processes.feature).

Why the fix works: SignalReceiver installs its handlers before anything else is imported, keeps them for the life of the process, and hands what it noted to the event loop once that runs; a wake-up descriptor closes the gap before a poll. At the end the signals are ignored, which the interpreter leaves alone as it ends. A signal to stop that came while modules load leads to an ordinary leave, whose grace time counts from the signal.

--- /dev/null
+++ b/features/process_signals.feature
@@ -0,0 +1,53 @@
+Feature: Signals to a daemon at any moment
+  A daemon opens its ports before it loads the rest, so that whole requests wait
+  in its listen queues from then on. The end of the process resets them.
+
+  # Guards against the default action of a signal that meets no handler yet.
+  Scenario Outline: A signal to end while a daemon loads cuts no request
+    Given a loading daemon process with a request in its listen queue
+    When the process gets <signal>
+    Then the waiting request is answered with status 503
+    And the process ends with status 0 within its grace time
+
+    Examples:
+      | signal  |
+      | SIGTERM |
+      | SIGINT  |
+
+  # Guards against the default action of a signal that meets no handler yet.
+  Scenario: A signal to reload while a daemon loads does not end it
+    Given a loading daemon process with a request in its listen queue
+    When the process gets SIGHUP
+    Then the waiting request is answered with status 503
+    And the process logs "settings reloaded"
+    When the process gets SIGTERM
+    Then the process ends with status 0 within its grace time
+
+  # Guards against a grace time that begins only when the event loop runs.
+  Scenario: The time in which a daemon loads counts towards its grace time
+    Given a loading daemon process with a request in its listen queue
+    And a caller that never completes its request
+    When the process gets SIGTERM and is stopped for 2.5 s while it loads
+    Then the process ends with status 0 within its grace time
+
+  Scenario Outline: A program receives signals before it loads the rest
+    Then importing "<program>" loads neither "enum", "socket" nor "typer"
+
+    Examples:
+      | program              |
+      | sedgering.cli.daemon |
+      | sedgering.cli.mesh   |
+      | sedgering.cli.proxy  |
+
+  # Guards against default actions that are restored as the event loop closes.
+  Scenario Outline: Signals to a daemon that has left do not change its status
+    Given a daemon process that has started
+    When the process gets SIGTERM
+    And the process gets <signal> every millisecond until it has ended
+    Then the process ends with status 0 within its grace time
+
+    Examples:
+      | signal  |
+      | SIGTERM |
+      | SIGINT  |
+      | SIGHUP  |
--- a/features/processes.feature
+++ b/features/processes.feature
@@ -20,7 +20,7 @@
   Scenario: A proxy that leaves gracefully cuts no request
     Given a platform and 3 proxies in 2 data centres
     And targets, a bundle in force and callers
-    When a proxy is told to leave
+    When a proxy is told to reload, which it does not support, and to leave
     Then it ends by itself with status 0
     And no call was lost, doubled, cut or told wrongly
 
--- /dev/null
+++ b/features/steps/process_signal_steps.py
@@ -0,0 +1,104 @@
+"""Steps for signals to a daemon that is starting or ending."""
+
+import os
+import subprocess
+import sys
+import time
+
+from behave import given
+from behave import then
+from behave import when
+import daemon_process
+
+from soak import _daemons
+
+SIGNAL_INTERVAL_S = 0.001
+INCOMPLETE_REQUEST = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n'
+
+
+@given('a loading daemon process with a request in its listen queue')
+def step_loading(context):
+    context.daemon = daemon_process.make_daemon_process(context)
+    context.daemon.start()
+    context.connection = context.daemon.connect()
+    context.cleanups.append(context.connection.close)
+    context.connection.sendall(daemon_process.REQUEST)
+
+
+@given('a daemon process that has started')
+def step_started(context):
+    context.daemon = daemon_process.make_daemon_process(context)
+    context.daemon.start()
+    context.daemon.wait_log('"started"')
+
+
+def send_signal(context, name):
+    context.signalled_s = time.monotonic()
+    context.daemon.send_signal(name)
+
+
+@when('the process gets {name:w}')
+def step_signal(context, name):
+    send_signal(context, name)
+
+
+@given('a caller that never completes its request')
+def step_incomplete(context):
+    connection = context.daemon.connect(_daemons.CALLERS_PORT)
+    context.cleanups.append(connection.close)
+    connection.sendall(INCOMPLETE_REQUEST)
+
+
+@when('the process gets SIGTERM and is stopped for {pause:f} s while it loads')
+def step_stopped(context, pause):
+    send_signal(context, 'SIGTERM')
+    # The handler runs before the next instruction of the program.
+    time.sleep(0.02)
+    context.daemon.send_signal('SIGSTOP')
+    time.sleep(pause)
+    context.daemon.send_signal('SIGCONT')
+
+
+@when('the process gets {name:w} every millisecond until it has ended')
+def step_signals(context, name):
+    context.daemon.wait_log('"leaving"')
+    end_s = context.signalled_s + _daemons.GRACE_S
+    while time.monotonic() < end_s:
+        context.daemon.send_signal(name)
+        try:
+            context.daemon.wait(SIGNAL_INTERVAL_S)
+        except subprocess.TimeoutExpired:
+            continue
+        return
+
+
+@then('the waiting request is answered with status {status:d}')
+def step_answered(context, status):
+    found = daemon_process.read_status(context.connection)
+    assert found == status, found
+
+
+@then('the process logs "{message}"')
+def step_logs(context, message):
+    context.daemon.wait_log(f'"{message}"')
+
+
+@then('the process ends with status 0 within its grace time')
+def step_ends(context):
+    left_s = context.signalled_s + _daemons.GRACE_S - time.monotonic()
+    status = context.daemon.wait(left_s)
+    assert status == 0, (status, context.daemon.read_log())
+
+
+@then('importing "{program}" loads neither "enum", "socket" nor "typer"')
+def step_loads_little(context, program):
+    script = f'import sys, {program}; print(*sys.modules)'
+    loaded = subprocess.run(
+        [sys.executable, '-S', '-P', '-c', script],
+        check=True,
+        capture_output=True,
+        env={'PYTHONPATH': os.pathsep.join(sys.path)},
+        text=True,
+    ).stdout.split()
+    assert program in loaded
+    assert not {'enum', 'socket', 'typer'} & set(loaded), loaded
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -126,10 +126,12 @@
     subject.wait_calls(60)
 
 
-@when('a proxy is told to leave')
+@when('a proxy is told to reload, which it does not support, and to leave')
 def step_leave(context):
     subject = context.process
     context.leaving = subject.fleet.proxies[2].process
+    context.leaving.send_signal(signal.SIGHUP)
+    subject.wait_calls(60)
     context.leaving.send_signal(signal.SIGTERM)
     subject.wait_calls(60)
 
--- a/sedgering/cli/_host.py
+++ b/sedgering/cli/_host.py
@@ -8,12 +8,14 @@
 from sedgering import platform
 from sedgering import ports
 from sedgering import settings
+from sedgering import signals
 
 __all__ = ['run_host']
 
 
 def run_host(
-    config: str = '',
+    config: str,
+    receiver: signals.SignalReceiver,
     log_level: str = 'INFO',
     open_ports: ports.OpenPorts | None = None,
 ) -> None:
@@ -24,6 +26,8 @@
     config : str
         Path of a YAML file with the settings of the request path; empty for
         the defaults.
+    receiver : SignalReceiver
+        Receives the signals to this process.
     log_level : str
         Lowest level that is logged.
     open_ports : OpenPorts or None
@@ -47,5 +51,8 @@
         data_centre=host_settings.identity.data_centre,
     )
     platform.run_daemon(
-        host_settings, mesh_settings, open_ports or ports.OpenPorts()
+        host_settings,
+        mesh_settings,
+        receiver,
+        open_ports or ports.OpenPorts(),
     )
--- a/sedgering/cli/daemon.py
+++ b/sedgering/cli/daemon.py
@@ -11,7 +11,7 @@
 import gc
 import sys
 
-from sedgering import ports
+from sedgering import signals
 
 __all__ = ['main']
 
@@ -31,11 +31,15 @@
         ``--config=FILE`` with the YAML settings of the request path, which
         have their defaults without it.
     """
+    # Before the imports below, which take most of the time of a start.
+    receiver = signals.SignalReceiver()
     addresses = [item for item in arguments if not item.startswith('-')]
     options = [item for item in arguments if item.startswith('-')]
     if any(not item.startswith(CONFIG_OPTION) for item in options):
         print(USAGE, file=sys.stderr)
         raise SystemExit(EXIT_USAGE)
+    from sedgering import ports
+
     try:
         open_ports = ports.OpenPorts(addresses)
     except (OSError, ValueError) as error:
@@ -54,7 +58,9 @@
     gc.freeze()
     gc.enable()
     path = options[-1].removeprefix(CONFIG_OPTION) if options else ''
-    _common.run_program(lambda: _host.run_host(path, open_ports=open_ports))
+    _common.run_program(
+        lambda: _host.run_host(path, receiver, open_ports=open_ports)
+    )
 
 
 if __name__ == '__main__':
--- a/sedgering/cli/mesh.py
+++ b/sedgering/cli/mesh.py
@@ -1,40 +1,18 @@
 """sedgering-mesh: the mesh daemon of one host."""
 
-import pathlib
-import sys
-from typing import Annotated
-
-import typer
-
-from sedgering.cli import _common
+from sedgering import signals
 
 __all__ = ['main']
 
-app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
-
-
-@app.command()
-def run(
-    config: Annotated[
-        pathlib.Path | None,
-        typer.Option(help='YAML file with the settings of the request path.'),
-    ] = None,
-    log_level: Annotated[
-        str, typer.Option(help='Lowest level logged.')
-    ] = 'INFO',
-) -> None:
-    """Run the daemon until SIGTERM or SIGINT, then leave gracefully."""
-    # Prevents the import of `ssl`: the daemon does not use TLS, and takes 4 MB
-    # less memory without it.
-    sys.modules.setdefault('ssl', None)
-    from sedgering.cli import _host
-
-    _host.run_host(str(config) if config else '', log_level)
-
 
 def main() -> None:
     """Run the program; the entry point of the installed script."""
-    _common.run_program(app)
+    # Before the imports below, which take most of the time of a start.
+    receiver = signals.SignalReceiver()
+    from sedgering.cli import _common
+    from sedgering.cli import _mesh_app
+
+    _common.run_program(lambda: _mesh_app.app(obj=receiver))
 
 
 if __name__ == '__main__':
--- a/sedgering/cli/proxy.py
+++ b/sedgering/cli/proxy.py
@@ -1,73 +1,18 @@
 """sedgering-proxy: the proxy daemon of one host."""
 
-import gc
-import pathlib
-import random
-import signal
-import sys
-import threading
-from typing import Annotated
-
-import typer
-
-from sedgering.cli import _common
-from sedgering import observability
-from sedgering import platform
-from sedgering import proxy
-from sedgering import settings
+from sedgering import signals
 
 __all__ = ['main']
 
-SWITCH_INTERVAL_S = 0.0002
-
-app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
-
-
-@app.command()
-def run(
-    config: Annotated[
-        pathlib.Path,
-        typer.Option(help='YAML file with the settings of this proxy.'),
-    ],
-) -> None:
-    """Run the proxy until SIGTERM or SIGINT, then leave gracefully."""
-    proxy_settings = settings.load_settings(config, settings.ProxySettings)
-    observability.configure_logging(
-        proxy_settings.log_level,
-        host=proxy_settings.host,
-        data_centre=proxy_settings.data_centre,
-    )
-    stopping = threading.Event()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, lambda *_arguments: stopping.set())
-    daemon = proxy.make_daemon(
-        proxy_settings,
-        lambda: platform.make_records_store(
-            proxy_settings.platform, random.Random()
-        ),
-    )
-    _tune_interpreter()
-    daemon.start()
-    stopping.wait()
-    daemon.leave()
-
-
-def _tune_interpreter() -> None:
-    """Shorten the thread switch interval and freeze loaded modules.
-
-    A thread that handles a request releases the global interpreter lock at
-    each system call.  With the default interval it could wait 5 ms for a
-    busy thread, which is ten times the time budget of a request.  Frozen
-    objects are not scanned by garbage collections.
-    """
-    sys.setswitchinterval(SWITCH_INTERVAL_S)
-    gc.collect()
-    gc.freeze()
-
 
 def main() -> None:
     """Run the program; the entry point of the installed script."""
-    _common.run_program(app)
+    # Before the imports below, which take most of the time of a start.
+    receiver = signals.SignalReceiver()
+    from sedgering.cli import _common
+    from sedgering.cli import _proxy_app
+
+    _common.run_program(lambda: _proxy_app.app(obj=receiver))
 
 
 if __name__ == '__main__':
--- a/sedgering/platform/_program.py
+++ b/sedgering/platform/_program.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import gc
-import signal
 
 import msgspec
 
@@ -18,6 +17,7 @@
 from sedgering.platform import _store
 from sedgering.platform import _wire
 from sedgering import ports
+from sedgering import signals
 from sedgering import transport
 
 __all__ = ['run_daemon']
@@ -26,6 +26,7 @@
 async def _serve(
     host_settings: _settings.HostSettings,
     mesh_settings: mesh.MeshSettings,
+    receiver: signals.SignalReceiver,
     opened: ports.OpenPorts,
 ) -> None:
     loop = asyncio.get_running_loop()
@@ -67,8 +68,6 @@
         _document.MESH,
     )
     stopping = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
 
     def apply_settings(changed: _settings.HostSettings) -> None:
         budget.ratio = changed.retry_ratio * budget_share
@@ -78,7 +77,14 @@
             http_client.change_store(changed.store)
 
     settings_watcher = _reload.SettingsWatcher(host_settings, apply_settings)
-    loop.add_signal_handler(signal.SIGHUP, settings_watcher.reload)
+
+    def handle_signal(number: int) -> None:
+        if number in signals.STOP_SIGNALS:
+            stopping.set()
+        else:
+            settings_watcher.reload()
+
+    receiver.listen(loop, handle_signal)
     addresses = host_settings.addresses
     readiness = _readiness.ReadinessService(lambda: daemon.is_ready)
     reports = _reports.ReportsService(daemon)
@@ -97,7 +103,10 @@
     watch_task = loop.create_task(settings_watcher.run())
     await stopping.wait()
     watch_task.cancel()
-    await daemon.leave(settings_watcher.host_settings.grace_ms)
+    # The signal may be older than the event loop.
+    elapsed_s = loop.time() - receiver.stop_requested_s
+    grace_ms = settings_watcher.host_settings.grace_ms - 1000 * elapsed_s
+    await daemon.leave(max(0, int(grace_ms)))
 
 
 def _merge_bounds(
@@ -120,6 +129,7 @@
 def run_daemon(
     host_settings: _settings.HostSettings,
     mesh_settings: mesh.MeshSettings,
+    receiver: signals.SignalReceiver,
     opened: ports.OpenPorts,
 ) -> None:
     """Run until SIGTERM or SIGINT, then shut down gracefully.
@@ -130,8 +140,14 @@
         Settings from the platform's file.
     mesh_settings : MeshSettings
         Settings of this project.
+    receiver : SignalReceiver
+        Receives the signals to this process.
     opened : OpenPorts
         Ports that are already listening.
     """
-    with asyncio.Runner(loop_factory=transport.BootTimeLoop) as runner:
-        runner.run(_serve(host_settings, mesh_settings, opened))
+    serving = _serve(host_settings, mesh_settings, receiver, opened)
+    try:
+        with asyncio.Runner(loop_factory=transport.BootTimeLoop) as runner:
+            runner.run(serving)
+    finally:
+        receiver.ignore()
