Attempts take their silence watch along when a request ends

Cause: each attempt of a repeatable request left a future in the peer's `_silence_waiters`, whose callback referred to the whole exchange. Only an attempt that had answered took it back; the caller's departure, the deadline and an overtaking attempt cancelled the tasks and left the futures until the peer was silent or replaced.

Fix: `AttemptGroup` owns the attempts of a request as a context manager. An attempt registers itself with its peer in `begin` and leaves it in `end`, and the group ends every attempt that it does not hand out, on any way out. There is no future any more: the peer notifies the attempt directly, and the same registration lasts over several silences. A sent call drops its callback once it has run.

Evidence: features/memory.feature plays 60 and then 150 requests, a third of which end early, and compares a census of all tables that the daemon refers to, with the tasks and futures of the process.

--- /dev/null
+++ b/features/memory.feature
@@ -0,0 +1,22 @@
+Feature: Memory of a daemon that lives long
+  Whatever a request enters, it leaves when it ends, however it ends.
+
+  # Waiters of requests that ended early stayed with the peer and kept the
+  # requests in memory, until the daemon exceeded its limit.
+  Scenario Outline: Requests that end early leave nothing behind
+    Given a front host, a sound peer, and a peer that <answers>
+    And 60 requests came of which a third ended early: <end>
+    When 150 more requests come of which a third ends early: <end>
+    Then nothing is left of them in any table of the front host
+
+    Examples:
+      | answers   | end                   |
+      | works     | the caller leaves     |
+      | works     | the deadline passes   |
+      | works     | the peer is replaced  |
+      | hangs     | the caller leaves     |
+      | hangs     | the deadline passes   |
+      | hangs     | another answers first |
+      | is silent | the caller leaves     |
+      | is silent | another answers first |
+      | is silent | the peer is replaced  |
--- /dev/null
+++ b/features/steps/memory_steps.py
@@ -0,0 +1,168 @@
+"""Steps for the memory of a daemon that lives long."""
+
+import asyncio
+import collections
+import gc
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from sedgering import mesh
+from sedgering import testing
+
+SILENCE_MS = 100
+SLOTS = 20
+AT_ONCE = 15
+WORK_S = 0.02
+LEAVE_S = 0.01
+BRIEF_MS = 10
+PATIENT_MS = 600
+FOREVER_S = 3600
+#: Time within which pings of silent peers and the tasks of a start end.
+SETTLE_S = 1.5
+#: Collections that follow the time, or the kinds of answers seen so far.
+BOUNDED = ('_Counts.buckets', 'GateLog._counts', 'RequestCounts.counts')
+
+
+class MemorySubject:
+    """A host without a target of the route, and two peers that have one."""
+
+    def __init__(self, answers: str):
+        settings = mesh.MeshSettings(silence_ms=SILENCE_MS)
+        self.fleet = testing.MeshFleet(settings)
+        self.front = self.fleet.add_host('front', 'ledger')
+        self.odd = self.fleet.add_host('odd')
+        self.sound = self.fleet.add_host('sound')
+        for host in self.fleet.hosts.values():
+            host.slots = SLOTS
+            host.born_ms = 1
+            host.books.work_s = WORK_S
+            self.fleet.report(host)
+        self.fleet.configure(testing.make_document(1, [{}]))
+        self.fleet.wait_ready()
+        # Each silent attempt is overtaken by another one.
+        self.front.daemon.state.budget.extra = 10_000
+        if answers == 'hangs':
+            target_client = self.odd.daemon.state.target_client
+            target_client.run = _wait_forever
+        elif answers == 'is silent':
+            self.odd.daemon.inbound.begin = _wait_forever
+        self.before = collections.Counter()
+        self.ended = 0
+
+    async def send(self, number: int, end: str) -> None:
+        """Send one request; a third of them ends early."""
+        is_early = not number % 3
+        is_left = is_early and end in (
+            'the caller leaves',
+            'the peer is replaced',
+        )
+        is_brief = is_early and end == 'the deadline passes'
+        call = asyncio.ensure_future(
+            self.fleet.start_call(
+                self.front.addresses.callers_port,
+                '/r0/',
+                X_Request_Id=f'{number}',
+                X_Request_Deadline=str(BRIEF_MS if is_brief else PATIENT_MS),
+            )
+        )
+        await asyncio.wait((call,), timeout=LEAVE_S if is_left else None)
+        self.ended += not call.done()
+        call.cancel()
+
+    async def send_all(self, count: int, end: str) -> None:
+        """Send requests, some at a time."""
+        for first in range(0, count, AT_ONCE):
+            numbers = range(first, first + AT_ONCE)
+            calls = asyncio.gather(*(self.send(item, end) for item in numbers))
+            if end == 'the peer is replaced':
+                await asyncio.sleep(LEAVE_S / 2)
+                await self.replace_peer()
+            await calls
+
+    async def replace_peer(self) -> None:
+        """Let the target of the odd host report another lifetime."""
+        self.odd.born_ms += 1
+        row = self.front.daemon.state.fleet.members['odd']
+        self.front.daemon.state.apply_reported_row(
+            mesh.MemberRow(
+                **{
+                    name: getattr(row, name)
+                    for name in row.__struct_fields__
+                    if name != 'born_ms'
+                },
+                born_ms=self.odd.born_ms,
+            )
+        )
+
+    def count(self) -> collections.Counter:
+        """Count all entries, tasks and futures once no request is left."""
+        self.fleet.run(self._close_idle())
+        self.fleet.wait_for(
+            lambda: (
+                not any(
+                    service.connections
+                    for host in self.fleet.hosts.values()
+                    for service in (host.daemon.outbound, host.daemon.inbound)
+                )
+            )
+        )
+        return self.fleet.run(self._count())
+
+    def find_grown(self) -> dict[str, tuple[int, int]]:
+        """Return the counts before and after of what has grown."""
+        return {
+            name: (self.before[name], count)
+            for name, count in self.count().items()
+            if count > self.before[name]
+        }
+
+    async def _close_idle(self) -> None:
+        for peer in self.front.daemon.state.peers._peers.values():
+            peer.pool.close()
+
+    async def _count(self) -> collections.Counter:
+        gc.collect()
+        counts = testing.count_entries(self.front.daemon)
+        for name in BOUNDED:
+            counts.pop(name, None)
+        counts['task'] = len(asyncio.all_tasks())
+        objects = gc.get_objects()
+        counts['future'] = sum(type(i) is asyncio.Future for i in objects)
+        return counts
+
+
+async def _wait_forever(_call) -> None:
+    await asyncio.sleep(FOREVER_S)
+
+
+@given('a front host, a sound peer, and a peer that {answers}')
+def step_hosts(context, answers):
+    context.memory = MemorySubject(answers)
+    context.cleanups.append(context.memory.fleet.stop)
+
+
+@given('{count:d} requests came of which a third ended early: {end}')
+def step_came(context, count, end):
+    memory = context.memory
+    memory.fleet.run(memory.send_all(count, end))
+    # The daemons of the other hosts may still be starting their watches.
+    time.sleep(SETTLE_S)
+    memory.before = memory.count()
+
+
+@when('{count:d} more requests come of which a third ends early: {end}')
+def step_come(context, count, end):
+    memory = context.memory
+    memory.fleet.run(memory.send_all(count, end))
+
+
+@then('nothing is left of them in any table of the front host')
+def step_nothing_left(context):
+    memory = context.memory
+    until_s = time.monotonic() + SETTLE_S
+    while (grown := memory.find_grown()) and time.monotonic() < until_s:
+        time.sleep(LEAVE_S)
+    assert not grown, grown
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -1,6 +1,7 @@
 """Handles one request of a caller: routing, attempts and the answer."""
 
 import asyncio
+import itertools
 
 from sedgering import access
 from sedgering import base
@@ -103,9 +104,7 @@
         self.chooser: _chooser.TargetChooser | None = None
         self.arrivals = 0
         self.may_have_run = False
-        self.attempts: list[_attempt.Attempt] = []
-        #: Done when any attempt has ended or is silent.
-        self._update: asyncio.Future = self.loop.create_future()
+        self.attempts = _attempt.AttemptGroup(self.loop)
         self.last: _messages.CallAnswer | None = None
         #: Identity of the caller; `ANONYMOUS` when the bundle requires no
         #: keys.
@@ -172,7 +171,8 @@
         limit = self.state.serving.limit(self.deadline_s)
         try:
             async with limit:
-                return await self._attempt_all()
+                with self.attempts:
+                    return await self._run_attempts()
         except TimeoutError:
             if self.attempts:
                 return self._refuse(exceptions.Code.REQUEST_LATE)
@@ -291,14 +291,6 @@
     def _now_s(self) -> float:
         return self.loop.time()
 
-    async def _attempt_all(self) -> transport.Response:
-        """Make attempts, and cancel those in flight at the end."""
-        try:
-            return await self._run_attempts()
-        finally:
-            for attempt in self.attempts:
-                attempt.task.cancel()
-
     async def _run_attempts(self) -> transport.Response:
         """Start attempts and process their answers until one is final."""
         peer = self.chooser.choose()
@@ -327,35 +319,22 @@
         sent = self.state.sender.begin(
             peer, self._make_call(peer.row), progress
         )
-        attempt = _attempt.Attempt(peer, sent, progress)
-        attempt.started_s = self._now_s
-        attempt.expected_ms = expected_ms
-        attempt.task.add_done_callback(self._note_update)
-        if self.route.repeatable:
-            attempt.watch_silence()
-            attempt.silence.add_done_callback(self._note_update)
-        self.attempts.append(attempt)
+        attempt = _attempt.Attempt(
+            peer, sent, progress, self._now_s, expected_ms
+        )
+        self.attempts.add(attempt, self.route.repeatable)
 
     async def _wait(self) -> _messages.CallAnswer | None:
         """Wait for an answer; None when a target or daemon is silent."""
-        while not any(attempt.has_update for attempt in self.attempts):
-            self._update = self.loop.create_future()
-            await self._update
-        for attempt in self.attempts:
-            if attempt.task.done():
-                self.attempts.remove(attempt)
-                attempt.forget_silence()
-                answer = attempt.task.result()
-                self._note_end_time(attempt, answer)
-                self._note_signals(attempt, answer)
-                self._learn(attempt.peer, answer)
-                return answer
-        for attempt in self.attempts:
-            if attempt.is_silent:
-                attempt.watch_silence()
-                attempt.silence.add_done_callback(self._note_update)
-        self._reset_sheds()
-        return None
+        attempt = await self.attempts.wait()
+        if attempt is None:
+            self._reset_sheds()
+            return None
+        answer = attempt.task.result()
+        self._note_end_time(attempt, answer)
+        self._note_signals(attempt, answer)
+        self._learn(attempt.peer, answer)
+        return answer
 
     def _note_end_time(
         self, attempt: _attempt.Attempt, answer: _messages.CallAnswer
@@ -386,11 +365,6 @@
             attempt.peer.row.host for attempt in self.attempts
         }
 
-    def _note_update(self, _future: asyncio.Future) -> None:
-        """Wake the waiting request: an attempt has ended or is silent."""
-        if not self._update.done():
-            self._update.set_result(None)
-
     def _make_call(self, row: _messages.MemberRow) -> _messages.TargetCall:
         now_s = self._now_s
         # A result cannot be delivered after this daemon has ended.
@@ -637,7 +611,9 @@
         now_s = self._now_s
         return [
             attempt.progress.describe(now_s)
-            for attempt in self.attempts[:LOGGED_ATTEMPTS_LIMIT]
+            for attempt in itertools.islice(
+                self.attempts, LOGGED_ATTEMPTS_LIMIT
+            )
         ]
 
     def _find_retry_after_s(self, code: exceptions.Code) -> float:
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -1,5 +1,6 @@
 """Tracks the load, failures and connections of other daemons."""
 
+import abc
 import asyncio
 from collections.abc import Collection
 from collections.abc import Iterable
@@ -69,6 +70,14 @@
 USUAL_WEIGHT = 0.2
 
 
+class SilenceWatcher(abc.ABC):
+    """Is notified when a peer that it waits for is silent."""
+
+    @abc.abstractmethod
+    def note_silence(self) -> None:
+        """Process that the target or its daemon is silent for too long."""
+
+
 class Peer:
     """Load, failures and connections of one peer.
 
@@ -97,7 +106,7 @@
         self.answered_s = 0.0
         self.busy_since_s = 0.0
         self.is_ping_pending = False
-        self._silence_waiters: set[asyncio.Future] = set()
+        self._silence_watchers: set[SilenceWatcher] = set()
         self.report: _messages.LoadReport | None = None
         #: Reported work time by route, and when it was reported.
         self._route_work: dict[base.RouteName, tuple[int, float]] = {}
@@ -303,26 +312,22 @@
         )
 
     def abandon(self, now_s: float) -> None:
-        """Mark a silent daemon as failed and wake the calls waiting for it."""
+        """Mark a silent daemon as failed and notify those that wait for it."""
         self.fail(now_s, f'silent, {self.in_flight} calls under way')
-        self.release_silence_waiters()
+        self.notify_silence()
 
-    def release_silence_waiters(self) -> None:
+    def notify_silence(self) -> None:
         """Notify the calls in flight that the target is silent."""
-        futures, self._silence_waiters = self._silence_waiters, set()
-        for future in futures:
-            if not future.done():
-                future.set_result(None)
+        for watcher in tuple(self._silence_watchers):
+            watcher.note_silence()
 
-    def watch_silence(self) -> asyncio.Future:
-        """Return a future that is done when the target or daemon is silent."""
-        future = asyncio.get_running_loop().create_future()
-        self._silence_waiters.add(future)
-        return future
+    def watch_silence(self, watcher: SilenceWatcher) -> None:
+        """Notify a watcher whenever the target or its daemon is silent."""
+        self._silence_watchers.add(watcher)
 
-    def forget_silence(self, future: asyncio.Future) -> None:
-        """Discard a future returned by :meth:`watch_silence`."""
-        self._silence_waiters.discard(future)
+    def forget_silence(self, watcher: SilenceWatcher) -> None:
+        """Notify a watcher no longer, if it was notified at all."""
+        self._silence_watchers.discard(watcher)
 
     async def ping(self) -> None:
         """Ping the daemon."""
@@ -583,7 +588,7 @@
                 limit_ms, HUNG_WORK_TIMES * peer.longest_work_ms
             )
             if peer.find_target_silence_ms(now_s) > target_limit_ms:
-                peer.release_silence_waiters()
+                peer.notify_silence()
 
     def _list_busy(self) -> list[Peer]:
         """Return the peers with calls in flight.
--- a/sedgering/mesh/_sender.py
+++ b/sedgering/mesh/_sender.py
@@ -52,8 +52,9 @@
     def end(self, answer: _messages.CallAnswer) -> None:
         """Set the answer and run the callback."""
         self._answer = answer
-        if self._on_done is not None:
-            self._on_done(self)
+        on_done, self._on_done = self._on_done, None
+        if on_done is not None:
+            on_done(self)
 
     def done(self) -> bool:
         """Whether the answer has arrived."""
--- a/sedgering/testing/__init__.py
+++ b/sedgering/testing/__init__.py
@@ -9,6 +9,7 @@
 from sedgering.testing._callers import CallRecord
 from sedgering.testing._callers import judge_calls
 from sedgering.testing._callers import Verdict
+from sedgering.testing._census import count_entries
 from sedgering.testing._engine import Faults
 from sedgering.testing._engine import InMemoryPlatform
 from sedgering.testing._engine import PlatformEngine
@@ -66,6 +67,7 @@
     'TargetSettings',
     'TargetStandin',
     'Verdict',
+    'count_entries',
     'encode_read',
     'encode_write',
     'free_ports',
