Odd messages of other daemons are answered, not left open

A daemon that met an odd message on its port for other daemons left the connection open without an answer, or answered 502 with a stack trace in the log: a notice nested 100,000 deep, an evidence query or a call with a number of 31 or 401 digits, an unknown urgency, a reservation of "²" bytes.

Cause: the fields were read with int(), which has no bound, and the bodies with a decoder whose RecursionError is no DecodeError. The message is read in a callback of the HTTP parser, after the request was queued for its answer; an exception there ends the callback, and the queued answer never comes. A number beyond 64 bits passed, and failed where it met a float or was encoded.

Now all such fields are read by one function (18 ASCII digits at most), all bodies by one other, and each refusal is PeerError 4003, answered 400 and logged once.

The scenario of departure notices now enters where daemons do, not behind the check for the kind of message.

--- /dev/null
+++ b/features/odd_bytes.feature
@@ -0,0 +1,36 @@
+Feature: Odd bytes from outside end no task and hide nothing beside them
+  Rows, messages between daemons and documents may come from another writer, or
+  from a process in trouble: deeply nested, with numbers that no field holds, or
+  with names of another host.
+
+  # Guards against an exception while a message is read: the connection was left
+  # open without an answer.
+  Scenario Outline: An odd message of another daemon is refused
+    Given a mesh with two calendar hosts
+    When another daemon sends the first host a <message>
+    Then that message is answered 400
+    And 10 requests are all answered 200
+
+    Examples:
+      | message                            |
+      | relay poll that is nested          |
+      | quota request that is nested       |
+      | crash notice that is nested        |
+      | departure notice that is nested    |
+      | evidence query of 10^30            |
+      | evidence query of a word           |
+      | reservation of ²                   |
+      | reservation of 5000 digits         |
+      | call of urgency 9                  |
+      | call of urgency 10^400             |
+      | call of remaining_ms 10^400        |
+      | call of goal_ms 10^400             |
+      | call of priority 10^30             |
+      | call of version 10^30              |
+      | call of remaining_ms 5000 digits   |
+      | call of workspace 10^400           |
+
+  Scenario: Any message of another daemon is answered or refused
+    Given a mesh with two calendar hosts
+    Then any message to the first host is answered, and none with 502
+    And 10 requests are all answered 200
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -448,7 +448,9 @@
     if of == 'that is truncated':
         body = body[:-1]
     service = _inbound.InboundService(None, None, None, None, None)
-    answer = service._take_departure(
-        transport.Request('POST', '/', [], body, True)
+    answer = service.begin(
+        transport.Request(
+            'POST', '/', [(_departure_notice.HEADER, '1')], body, True
+        )
     )
     assert answer.status == status, answer
--- /dev/null
+++ b/features/steps/odd_bytes_steps.py
@@ -0,0 +1,185 @@
+"""Steps for odd bytes from other writers, daemons and operators."""
+
+import asyncio
+import itertools
+
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
+
+from sedgering import transport
+
+EXAMPLES = 300
+NESTED = b'{"new":' + b'[' * 100_000
+ANSWER_TIMEOUT_S = 2.0
+NUMBERS = {
+    '10^30': str(10**30),
+    '10^400': str(10**400),
+    '400 digits': '9' * 400,
+    '5000 digits': '9' * 5000,
+}
+CALL_FIELDS = (
+    'priority',
+    'repeatable',
+    'urgency',
+    'remaining_ms',
+    'goal_ms',
+    'version',
+)
+ODD_NUMBERS = st.one_of(
+    st.integers().map(str),
+    st.sampled_from([*NUMBERS.values(), '-1', '²', '', '1_0', 'nan', '1e999']),
+)
+#: Mostly sound, so that what is decoded after a number is reached too.
+NUMBERS_OR_ODD = st.tuples(st.integers(0, 5), ODD_NUMBERS).map(
+    lambda it: '1' if it[0] else it[1]
+)
+ODD_BODIES = st.one_of(
+    st.binary(max_size=40),
+    st.sampled_from([NESTED, b'\x91' * 100_000, b'\xdd\xff\xff\xff\xff']),
+    st.recursive(
+        st.none() | st.integers(-(2**63), 2**64 - 1) | st.text(max_size=4),
+        lambda items: st.lists(items, max_size=6),
+        max_leaves=10,
+    ).map(msgspec.msgpack.encode),
+)
+MARKS = (
+    'sedgering-relay',
+    'sedgering-quota',
+    'sedgering-crash',
+    'sedgering-departure',
+    'sedgering-evidence',
+    'sedgering-room',
+)
+CALL_MARKS = (
+    'sedgering-crashes',
+    'sedgering-forgiven',
+    'sedgering-rate-limit',
+    'sedgering-workspace',
+    'sedgering-free-place',
+    'sedgering-trial',
+)
+
+
+def fuzz(*strategies):
+    """Run a check on examples that are the same in each run."""
+
+    def decorate(check):
+        hypothesis.settings(
+            max_examples=EXAMPLES,
+            deadline=None,
+            derandomize=True,
+            database=None,
+            suppress_health_check=list(hypothesis.HealthCheck),
+        )(hypothesis.given(*strategies)(check))()
+
+    return decorate
+
+
+def make_number(text: str) -> str:
+    """Return the digits of a number that is named in a scenario."""
+    return NUMBERS.get(text, text)
+
+
+# Messages of other daemons.
+
+
+def make_call(target: str, **fields: str) -> list[tuple[str, str]]:
+    """Make the header fields of a call with odd numbers."""
+    numbers = {
+        'priority': '1',
+        'repeatable': '1',
+        'urgency': '1',
+        'remaining_ms': '400',
+        'goal_ms': '300',
+        'version': '1',
+    }
+    numbers.update(fields)
+    names = ('id-1', 'calendar', target, 'route-0', 'calendar')
+    value = '|'.join((*names, *(numbers[name] for name in CALL_FIELDS)))
+    return [('sedgering-call', value), ('X-Request-Id', 'id-1')]
+
+
+def make_message(text: str) -> tuple[list[tuple[str, str]], bytes]:
+    """Make the header fields and the body of a message."""
+    kind, _word, detail = text.partition(' of ')
+    if kind.endswith('that is nested'):
+        mark = kind.split()[0]
+        body = NESTED
+        if mark in ('relay', 'quota'):
+            body = b'\x91' * 100_000
+        return [(f'sedgering-{mark}', '1')], body
+    if kind == 'evidence query':
+        return [('sedgering-evidence', make_number(detail))], b''
+    if kind == 'reservation':
+        return [('sedgering-room', make_number(detail))], b''
+    name, _space, number = detail.partition(' ')
+    if name == 'workspace':
+        value = f'{make_number(number)}|desk'
+        return [*make_call('i-hall-1'), ('sedgering-workspace', value)], b''
+    return make_call('i-hall-1', **{name: make_number(number)}), b''
+
+
+async def send(context, fields, body) -> transport.Response:
+    """Send a message to the peer port of the first host."""
+    addresses = context.mesh.first.addresses
+    connection = await transport.connect(
+        addresses.address, addresses.peers_port, ANSWER_TIMEOUT_S
+    )
+    request = transport.Request(
+        'POST' if body else 'GET',
+        '/r0/odd',
+        [('Host', 'calendar.example'), *fields],
+        body,
+        bool(body),
+    )
+    try:
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            return await connection.exchange(
+                transport.encode_request(request), lambda _answer: True
+            )
+    finally:
+        connection.close()
+
+
+@when('another daemon sends the first host a {message}')
+def step_send(context, message):
+    fields, body = make_message(message)
+    context.answer = context.mesh.fleet.run(send(context, fields, body))
+
+
+@then('that message is answered {status:d}')
+def step_status(context, status):
+    assert context.answer.status == status, context.answer
+
+
+@then('any message to the first host is answered, and none with 502')
+def step_any_message(context):
+    service = context.mesh.first.daemon.inbound
+    calls = st.builds(
+        lambda numbers, extra: (
+            make_call(
+                'i-another', **dict(zip(CALL_FIELDS, numbers, strict=True))
+            )
+            + extra,
+            b'',
+        ),
+        st.tuples(*itertools.repeat(NUMBERS_OR_ODD, 6)),
+        st.lists(st.tuples(st.sampled_from(CALL_MARKS), ODD_NUMBERS)),
+    )
+    others = st.tuples(
+        st.tuples(st.sampled_from(MARKS), ODD_NUMBERS).map(lambda it: [it]),
+        ODD_BODIES,
+    )
+
+    async def answer(fields, body):
+        request = transport.Request('POST', '/r0/odd', fields, body, True)
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            return await service.answer(request)
+
+    @fuzz(calls | others)
+    def check(message):
+        response = context.mesh.fleet.run(answer(*message))
+        assert response.status != 502, response
--- a/sedgering/mesh/_crash_notice.py
+++ b/sedgering/mesh/_crash_notice.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sedgering.mesh import _crash_records
+from sedgering.mesh import _peer_responses
 from sedgering import transport
 
 __all__ = ['decode_notice', 'encode_notice', 'is_notice']
@@ -36,7 +37,7 @@
 
     Raises
     ------
-    msgspec.DecodeError
+    PeerError
         When the body is not a valid record.
     """
-    return _DECODER.decode(request.body)
+    return _peer_responses.decode_peer_request(request, _DECODER.decode)
--- a/sedgering/mesh/_departure_notice.py
+++ b/sedgering/mesh/_departure_notice.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
+from sedgering import exceptions
 from sedgering.mesh import _messages
+from sedgering.mesh import _peer_responses
 from sedgering import transport
 
 __all__ = ['decode_notice', 'encode_notice', 'is_notice']
@@ -36,10 +38,13 @@
 
     Raises
     ------
-    ValueError
+    PeerError
         When the body is not a valid row, or tells no departure.
     """
-    row = _DECODER.decode(request.body)
+    row = _peer_responses.decode_peer_request(request, _DECODER.decode)
     if not row.state.is_final:
-        raise ValueError(f'no departure: {row.state.value}')
+        raise exceptions.PeerError(
+            exceptions.Code.PEER_DAMAGED,
+            f'no departure: {row.state.value}',
+        )
     return row
--- a/sedgering/mesh/_evidence_hop.py
+++ b/sedgering/mesh/_evidence_hop.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from sedgering import exceptions
 from sedgering.mesh import _peer_responses
 from sedgering import rollout
 from sedgering import transport
@@ -38,10 +39,15 @@
 
     Raises
     ------
-    ValueError
-        If the field is not an integer.
+    PeerError
+        If the field is not a number.
     """
-    return int(request.find(ORDER_REVISION_FIELD))
+    try:
+        return _peer_responses.parse_count(request.find(ORDER_REVISION_FIELD))
+    except ValueError as error:
+        raise exceptions.PeerError(
+            exceptions.Code.PEER_DAMAGED, str(error)
+        ) from error
 
 
 def encode_evidence(evidence: rollout.Evidence) -> transport.Response:
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -9,8 +9,10 @@
 import msgspec
 
 from sedgering import base
+from sedgering import exceptions
 from sedgering.mesh import _crash_records
 from sedgering.mesh import _messages
+from sedgering.mesh import _peer_responses
 from sedgering import overload
 from sedgering import transport
 
@@ -64,6 +66,8 @@
 ID_SEPARATOR = ' '
 #: Prefix of the id of a crash during a trial run of a suspect request.
 TRIAL_PREFIX = 'trial:'
+#: Characters of a malformed field that are shown in an error.
+SHOWN_CHARACTERS = 200
 #: Number of values of the load field.
 LOAD_FIELDS = 6
 #: Reasons unknown to daemons of the previous version. They are sent as SHED,
@@ -78,8 +82,17 @@
 )
 
 
-class HopError(Exception):
-    """A message between daemons cannot be decoded."""
+class HopError(exceptions.PeerError):
+    """A call between daemons, or the answer to one, cannot be decoded.
+
+    Parameters
+    ----------
+    detail : str
+        What cannot be decoded.
+    """
+
+    def __init__(self, detail: str):
+        super().__init__(exceptions.Code.PEER_DAMAGED, detail)
 
 
 def strip_internal(headers: transport.Headers) -> transport.Headers:
@@ -138,13 +151,14 @@
     fields = (value or '').split(SEPARATOR)
     try:
         (request_id, target_set, target, route, origin) = fields[:5]
-        numbers = [int(field) for field in fields[5:]]
+        numbers = map(_peer_responses.parse_count, fields[5:])
         (priority, repeatable, urgency, remaining_ms, goal_ms, version) = (
             numbers
         )
+        urgency = _messages.CallUrgency(urgency)
         workspace, workspace_priority = _decode_workspace(request)
     except ValueError as error:
-        raise HopError(f'call: {value!r}') from error
+        raise HopError(f'call: {_shorten(value)!r}') from error
     may_wait = request.find(FREE_PLACE) is None
     is_trial = request.find(TRIAL) is not None
     crashes = _decode_crashes(request.find(CRASHES))
@@ -161,7 +175,7 @@
         origin=base.TargetSetName(origin),
         priority=priority,
         is_repeatable=bool(repeatable),
-        urgency=_messages.CallUrgency(urgency),
+        urgency=urgency,
         remaining_ms=remaining_ms,
         goal_ms=goal_ms,
         version=base.Version(version),
@@ -184,7 +198,7 @@
     if value is None:
         return base.NO_WORKSPACE, 0
     priority, _separator, name = value.partition(SEPARATOR)
-    return base.WorkspaceName(name), int(priority)
+    return base.WorkspaceName(name), _peer_responses.parse_count(priority)
 
 
 def _split_ids(value: str | None) -> tuple[_crash_records.CrashId, ...]:
@@ -210,6 +224,10 @@
     )
 
 
+def _shorten(value: str | None) -> str | None:
+    return value if value is None else value[:SHOWN_CHARACTERS]
+
+
 def encode_ping() -> bytes:
     """Encode a request that only checks that a daemon is alive."""
     headers = [('Host', 'peer'), (PING, '1')]
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -5,9 +5,8 @@
 from collections.abc import Coroutine
 import logging
 
-import msgspec
-
 from sedgering import base
+from sedgering import exceptions
 from sedgering.mesh import _crash_notice
 from sedgering.mesh import _departure_notice
 from sedgering.mesh import _evidence_hop
@@ -19,6 +18,7 @@
 from sedgering.mesh import _quotas
 from sedgering.mesh import _relay
 from sedgering.mesh import _target_client
+from sedgering import observability
 from sedgering import transport
 
 __all__ = ['InboundService']
@@ -61,6 +61,7 @@
         self.pause = pause
         self.poll_handler = poll_handler
         self.quotas = quotas
+        self._refusals = observability.RefusalLog(LOG, logging.WARNING)
         #: Called with the row of a host whose target is leaving.
         self.on_departure: Callable[[_messages.MemberRow], None] = _ignore
 
@@ -74,11 +75,11 @@
         """Return an immediate response, or a coroutine that answers."""
         if _relay.is_poll(request):
             return self.poll_handler.answer(request)
-        if not _hop.is_call(request):
-            return self._answer_directly(request)
         try:
+            if not _hop.is_call(request):
+                return self._answer_directly(request)
             call = _hop.decode_call(request)
-        except _hop.HopError as error:
+        except exceptions.PeerError as error:
             return self._refuse_unreadable(error)
         if call.may_wait or self.pause.find_lag_s():
             return self._run(call)
@@ -98,7 +99,13 @@
     def _answer_directly(
         self, request: transport.Request
     ) -> transport.Response:
-        """Answer requests other than calls and polls."""
+        """Answer requests other than calls and polls.
+
+        Raises
+        ------
+        PeerError
+            When the request cannot be decoded.
+        """
         if _quota_hop.is_quota_request(request):
             return self.quotas.answer(request)
         if _hop.is_ping(request):
@@ -114,12 +121,13 @@
             return _hop.encode_answer(
                 self.target_client.answer_reservation_request(body_bytes)
             )
-        return self._refuse_unreadable(_hop.HopError('neither call nor poll'))
+        raise _hop.HopError('neither call nor poll')
 
-    @staticmethod
-    def _refuse_unreadable(error: _hop.HopError) -> transport.Response:
-        LOG.warning(
-            'unreadable message from a peer', extra={'detail': str(error)}
+    def _refuse_unreadable(
+        self, error: exceptions.PeerError
+    ) -> transport.Response:
+        self._refusals.note(
+            error.detail, 'unreadable message from a peer', error
         )
         return transport.make_json_response(400, {'error': str(error)})
 
@@ -146,14 +154,7 @@
         self, request: transport.Request
     ) -> transport.Response:
         """Return the trial evidence on the version of the local target."""
-        try:
-            order_revision = _evidence_hop.decode_evidence_request(request)
-        except ValueError as error:
-            LOG.warning(
-                'unreadable evidence query from a peer',
-                extra={'detail': str(error)},
-            )
-            return transport.make_json_response(400, {'error': str(error)})
+        order_revision = _evidence_hop.decode_evidence_request(request)
         return _evidence_hop.encode_evidence(
             self.target_client.version_trial.find_evidence(
                 order_revision, self.target_client.gate
@@ -162,14 +163,7 @@
 
     def _take_notice(self, request: transport.Request) -> transport.Response:
         """Record the crash of the target of another daemon."""
-        try:
-            record = _crash_notice.decode_notice(request)
-        except msgspec.DecodeError as error:
-            LOG.warning(
-                'unreadable crash notice from a peer',
-                extra={'detail': str(error)},
-            )
-            return transport.make_json_response(400, {'error': str(error)})
+        record = _crash_notice.decode_notice(request)
         self.target_client.crashes.add_record(record)
         return transport.Response(200, [])
 
@@ -177,15 +171,7 @@
         self, request: transport.Request
     ) -> transport.Response:
         """Record that the target of a host is leaving."""
-        try:
-            row = _departure_notice.decode_notice(request)
-        except ValueError as error:
-            LOG.warning(
-                'unreadable departure notice from a peer',
-                extra={'detail': str(error)},
-            )
-            return transport.make_json_response(400, {'error': str(error)})
-        self.on_departure(row)
+        self.on_departure(_departure_notice.decode_notice(request))
         return transport.Response(200, [])
 
 
--- a/sedgering/mesh/_link_reservations.py
+++ b/sedgering/mesh/_link_reservations.py
@@ -7,7 +7,9 @@
 
 from collections.abc import Callable
 
+from sedgering import exceptions
 from sedgering.mesh import _messages
+from sedgering.mesh import _peer_responses
 from sedgering import transport
 
 __all__ = [
@@ -46,9 +48,22 @@
 
 
 def find_reservation_bytes(request: transport.Request) -> int | None:
-    """Return the requested size in bytes; None for any other request."""
+    """Return the requested size in bytes; None for any other request.
+
+    Raises
+    ------
+    PeerError
+        When the size is not a number.
+    """
     value = request.find(HEADER)
-    return int(value) if value is not None and value.isdigit() else None
+    if value is None:
+        return None
+    try:
+        return _peer_responses.parse_count(value)
+    except ValueError as error:
+        raise exceptions.PeerError(
+            exceptions.Code.PEER_DAMAGED, str(error)
+        ) from error
 
 
 class LinkReservations:
--- a/sedgering/mesh/_peer_responses.py
+++ b/sedgering/mesh/_peer_responses.py
@@ -1,4 +1,4 @@
-"""Decodes responses of other daemons that are not answers to calls."""
+"""Decodes what other daemons send, apart from the fields of calls."""
 
 from collections.abc import Callable
 from typing import TypeVar
@@ -8,9 +8,16 @@
 from sedgering import exceptions
 from sedgering import transport
 
-__all__ = ['STATUS_OK', 'decode_peer_answer']
+__all__ = [
+    'STATUS_OK',
+    'decode_peer_answer',
+    'decode_peer_request',
+    'parse_count',
+]
 
 STATUS_OK = 200
+#: Digits of the largest number in a field, which fits into 64 bits.
+MAX_DIGITS = 18
 
 _Content = TypeVar('_Content')
 
@@ -32,11 +39,47 @@
     PeerError
         When it is a refusal, or its body cannot be decoded.
     """
+    if response.status != STATUS_OK:
+        raise exceptions.PeerError(
+            exceptions.Code.PEER_DAMAGED, f'status {response.status}'
+        )
+    return _decode(response.body, decode)
+
+
+def decode_peer_request(
+    request: transport.Request, decode: Callable[[bytes], _Content]
+) -> _Content:
+    """Decode the body of a request of another daemon.
+
+    Raises
+    ------
+    PeerError
+        When it cannot be decoded.
+    """
+    return _decode(request.body, decode)
+
+
+def _decode(body: bytes, decode: Callable[[bytes], _Content]) -> _Content:
     try:
-        if response.status != STATUS_OK:
-            raise msgspec.DecodeError(f'status {response.status}')
-        return decode(response.body)
+        return decode(body)
     except (msgspec.DecodeError, RecursionError) as error:
+        # A body that is nested too deeply is no error of the decoder.
         raise exceptions.PeerError(
             exceptions.Code.PEER_DAMAGED, str(error)
         ) from error
+
+
+def parse_count(text: str) -> int:
+    """Parse a number in a header field of another daemon.
+
+    Only ASCII digits are accepted, and not more than fit into 64 bits: a
+    larger integer fails wherever it meets a float or is encoded.
+
+    Raises
+    ------
+    ValueError
+        When it is anything else.
+    """
+    if len(text) > MAX_DIGITS or not (text.isascii() and text.isdigit()):
+        raise ValueError(f'no count: {text[:MAX_DIGITS]!r}')
+    return int(text)
