A start awaits a settings file that is still being written

What callers saw: the requests in the listen queues of a daemon that started while its settings file was empty, half written or missing for a moment were reset, and the platform saw a start that ended with status 2.

Why the fix works: the start reads the file again every 20 ms for 1 s, with its ports open, logs what it met, and then ends with the same numbered error and status as before. Without the variable that names the file it ends at once.

Measured: the scenarios, 3 of 3 with an answer; a file that stays half written ends the start with status 2 and one line.

--- /dev/null
+++ b/features/early_start.feature
@@ -0,0 +1,21 @@
+Feature: A daemon starts while something around it is not ready yet
+
+  # Guards against a start that ends because the platform is still writing the
+  # settings file, which resets the requests in the listen queues.
+  Scenario Outline: A settings file that is complete a moment later is awaited
+    Given a settings file that is <state>
+    And a loading daemon process with a request in its listen queue
+    When the settings file is complete 0.5 s later
+    Then the waiting request is answered with status 503
+    And the process logs "settings were unreadable at first"
+
+    Examples:
+      | state        |
+      | empty        |
+      | half written |
+      | missing      |
+
+  Scenario: A settings file that stays half written ends the start
+    Given a settings file that is half written
+    And a loading daemon process with a request in its listen queue
+    Then the process ends within 5 s with status 2 and code "SDG-1002"
--- /dev/null
+++ b/features/steps/early_start_steps.py
@@ -0,0 +1,32 @@
+"""Steps for a daemon that starts before all around it is ready."""
+
+import time
+
+from behave import given
+from behave import then
+from behave import when
+import daemon_process
+
+
+@given('a settings file that is {state}')
+def step_settings(context, state):
+    context.daemon = daemon_process.make_daemon_process(context)
+    complete = context.daemon.make_settings()
+    if state == 'missing':
+        context.daemon.settings_path.unlink()
+    else:
+        size = len(complete) // 2 if state == 'half written' else 0
+        context.daemon.write_settings(complete[:size])
+
+
+@when('the settings file is complete {pause:f} s later')
+def step_complete(context, pause):
+    time.sleep(pause)
+    context.daemon.write_settings(context.daemon.make_settings())
+
+
+@then('the process ends within {limit:d} s with status 2 and code "{code}"')
+def step_ends(context, limit, code):
+    assert context.daemon.wait(limit) == 2
+    lines = context.daemon.read_log().splitlines()
+    assert len(lines) == 1 and code in lines[0], lines
--- a/features/steps/process_signal_steps.py
+++ b/features/steps/process_signal_steps.py
@@ -18,7 +18,8 @@
 
 @given('a loading daemon process with a request in its listen queue')
 def step_loading(context):
-    context.daemon = daemon_process.make_daemon_process(context)
+    if 'daemon' not in context:
+        context.daemon = daemon_process.make_daemon_process(context)
     context.daemon.start()
     context.connection = context.daemon.connect()
     context.cleanups.append(context.connection.close)
--- a/sedgering/cli/_host.py
+++ b/sedgering/cli/_host.py
@@ -1,5 +1,6 @@
 """Startup of the daemon of a host, shared by its two programs."""
 
+import logging
 import pathlib
 import sys
 
@@ -12,6 +13,8 @@
 
 __all__ = ['run_host']
 
+LOG = logging.getLogger(__name__)
+
 
 def run_host(
     config: str,
@@ -43,13 +46,17 @@
         mesh_settings = settings.load_settings(
             pathlib.Path(config), mesh.MeshSettings
         )
-    host_settings = platform.read_settings()
+    host_settings, first_error = platform.wait_for_settings()
     observability.configure_logging(
         log_level,
         sys.stdout,
         host=host_settings.identity.host,
         data_centre=host_settings.identity.data_centre,
     )
+    if first_error:
+        LOG.warning(
+            'settings were unreadable at first', extra={'detail': first_error}
+        )
     platform.run_daemon(
         host_settings,
         mesh_settings,
--- a/sedgering/platform/__init__.py
+++ b/sedgering/platform/__init__.py
@@ -22,6 +22,7 @@
 from sedgering.platform._settings import HostSettings
 from sedgering.platform._settings import read_settings
 from sedgering.platform._settings import StoreSettings
+from sedgering.platform._settings import wait_for_settings
 from sedgering.platform._store import decode_rows
 from sedgering.platform._store import StoreClient
 from sedgering.platform._tables import PlatformTable
@@ -57,6 +58,7 @@
     'parse_version',
     'read_settings',
     'run_daemon',
+    'wait_for_settings',
 ]
 
 #: Names that only tools use, with their modules.  They are imported on first
--- a/sedgering/platform/_settings.py
+++ b/sedgering/platform/_settings.py
@@ -3,6 +3,7 @@
 import functools
 import os
 import pathlib
+import time
 from typing import Any
 
 import msgspec
@@ -17,8 +18,14 @@
     'StoreSettings',
     'decode_settings',
     'read_settings',
+    'wait_for_settings',
 ]
 
+#: Longest wait at the start for a settings file that is being written.
+#: Requests wait in the listen queue meanwhile; callers give up after a second.
+START_WAIT_S = 1.0
+RETRY_INTERVAL_S = 0.02
+
 
 class StoreSettings(msgspec.Struct, frozen=True):
     """Address of the platform's metadata store, and its timeout.
@@ -147,6 +154,34 @@
     return decode_settings(data)
 
 
+def wait_for_settings() -> tuple[HostSettings, str]:
+    """Read the settings file, which may still be written at the start.
+
+    Returns
+    -------
+    HostSettings
+        The settings.
+    str
+        Why they could not be read at first; empty if they could.
+
+    Raises
+    ------
+    SettingsError
+        When the file still cannot be read or decoded after some time.
+    """
+    may_wait = bool(os.environ.get(_wire.SETTINGS_VARIABLE))
+    end_s = time.monotonic() + START_WAIT_S
+    first_error = ''
+    while True:
+        try:
+            return read_settings(), first_error
+        except exceptions.SettingsError as error:
+            if not may_wait or time.monotonic() >= end_s:
+                raise
+            first_error = first_error or str(error)
+        time.sleep(RETRY_INTERVAL_S)
+
+
 @functools.lru_cache(maxsize=1)
 def decode_settings(data: bytes) -> HostSettings:
     """Decode a settings file; the last result is cached.
