A start awaits a port that is in use for a moment

What callers saw: a daemon that started while one of its ports was still held, by the process before it for example, ended with status 2 and reset what waited on the ports that it had opened already.

Cause: each port was tried once.

Evidence: features/early_start.feature on the code before: "Address already in use", status 2, in the scenario with a port that is free 0.5 s later.

Why the fix works: a port in use is tried again every 20 ms until 1 s after the start, and the log tells of it; then the start ends with the same line and status 2 as before (features/start.feature). Other errors end it at once.

Measured: the scenario answers; a port that stays in use still ends the start with status 2. The ports that are opened after the load (peers, metrics) are tried once, as before.

--- a/features/early_start.feature
+++ b/features/early_start.feature
@@ -19,3 +19,11 @@
     Given a settings file that is half written
     And a loading daemon process with a request in its listen queue
     Then the process ends within 5 s with status 2 and code "SDG-1002"
+
+  # Guards against a start that ends because the process before it still holds
+  # a port.
+  Scenario: A port that is free a moment later is awaited
+    Given a port of a host that another process holds
+    When a daemon process starts, and the port is free 0.5 s later
+    Then the daemon process answers its readiness check
+    And the process logs "port was in use at first"
--- a/sedgering/cli/_host.py
+++ b/sedgering/cli/_host.py
@@ -46,20 +46,27 @@
         mesh_settings = settings.load_settings(
             pathlib.Path(config), mesh.MeshSettings
         )
-    host_settings, first_error = platform.wait_for_settings()
+    host_settings, settings_error = platform.wait_for_settings()
     observability.configure_logging(
         log_level,
         sys.stdout,
         host=host_settings.identity.host,
         data_centre=host_settings.identity.data_centre,
     )
-    if first_error:
+    open_ports = open_ports or ports.OpenPorts()
+    if open_ports.first_error:
         LOG.warning(
-            'settings were unreadable at first', extra={'detail': first_error}
+            'port was in use at first',
+            extra={'detail': open_ports.first_error},
+        )
+    if settings_error:
+        LOG.warning(
+            'settings were unreadable at first',
+            extra={'detail': settings_error},
         )
     platform.run_daemon(
         host_settings,
         mesh_settings,
         receiver,
-        open_ports or ports.OpenPorts(),
+        open_ports,
     )
--- a/sedgering/ports.py
+++ b/sedgering/ports.py
@@ -6,12 +6,17 @@
 """
 
 from collections.abc import Iterable
+import errno
 import socket
+import time
 
 __all__ = ['BACKLOG', 'OpenPorts', 'open_port']
 
 #: Length of the listen queue: the new connections of a host in one second.
 BACKLOG = 1024
+#: Longest wait for ports that another process, such as the one before, holds.
+WAIT_S = 1.0
+RETRY_INTERVAL_S = 0.02
 
 
 def open_port(address: str, port: int) -> socket.socket:
@@ -42,20 +47,38 @@
     addresses : iterable of str
         Ports as ``ADDRESS:PORT``, opened immediately.
 
+    Attributes
+    ----------
+    first_error : str
+        Why a port had to be waited for; empty if none had to.
+
     Raises
     ------
     OSError
-        If a port cannot be bound.
+        If a port cannot be bound, or is in use for longer than `WAIT_S`.
     ValueError
         If an item is not of the form ``ADDRESS:PORT``.
     """
 
     def __init__(self, addresses: Iterable[str] = ()):
+        self.first_error = ''
+        self._wait_until_s = time.monotonic() + WAIT_S
         self._listeners: dict[tuple[str, int], socket.socket] = {}
         for text in addresses:
             address, _colon, port = text.rpartition(':')
             key = (address, int(port))
-            self._listeners[key] = open_port(*key)
+            self._listeners[key] = self._open_when_free(*key)
+
+    def _open_when_free(self, address: str, port: int) -> socket.socket:
+        while True:
+            try:
+                return open_port(address, port)
+            except OSError as error:
+                is_late = time.monotonic() >= self._wait_until_s
+                if error.errno != errno.EADDRINUSE or is_late:
+                    raise
+                self.first_error = self.first_error or f'{port}: {error}'
+            time.sleep(RETRY_INTERVAL_S)
 
     def take(self, address: str, port: int) -> socket.socket:
         """Remove and return the socket of a port; open it if missing."""
