--- a/sedgering/cli/_host.py
+++ b/sedgering/cli/_host.py
@@ -1,5 +1,6 @@
 """Startup of the daemon of a host, shared by its two programs."""
 
+import logging
 import pathlib
 import sys
 
@@ -12,6 +13,8 @@
 
 __all__ = ['run_host']
 
+LOG = logging.getLogger(__name__)
+
 
 def run_host(
     config: str,
@@ -43,16 +46,27 @@
         mesh_settings = settings.load_settings(
             pathlib.Path(config), mesh.MeshSettings
         )
-    host_settings = platform.read_settings()
+    host_settings, settings_error = platform.wait_for_settings()
     observability.configure_logging(
         log_level,
         sys.stdout,
         host=host_settings.identity.host,
         data_centre=host_settings.identity.data_centre,
     )
+    open_ports = open_ports or ports.OpenPorts()
+    if open_ports.first_error:
+        LOG.warning(
+            'port was in use at first',
+            extra={'detail': open_ports.first_error},
+        )
+    if settings_error:
+        LOG.warning(
+            'settings were unreadable at first',
+            extra={'detail': settings_error},
+        )
     platform.run_daemon(
         host_settings,
         mesh_settings,
         receiver,
-        open_ports or ports.OpenPorts(),
+        open_ports,
     )
