Statistics of routes and target sets go with the version that named them

Callers saw nothing yet: each version that renames a route or a service left a work time with every peer, the results of searches and a retry window for good, on a daemon that lives as long as its host.

Cause: `SearchStats`, `RetryWindow` and the work times of a `Peer` had no `retain`, unlike the tables beside them.

Fix: `apply_config` retains the names in force in all three. The retry window of a target set that is no longer configured goes only once nothing counts in it, so that a service that is dropped and named again gets no second allowance.

Evidence: features/memory.feature, 3 and then 12 versions that rename the route and one of its services, 15 requests each. The retry window was found by reading; its scenario failed for lack of `retain`.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -20,3 +20,17 @@
       | is silent | the caller leaves     |
       | is silent | another answers first |
       | is silent | the peer is replaced  |
+
+  # Work times, searches and retry budgets of routes and target sets stayed
+  # after the version that named them.
+  Scenario: Versions that rename everything leave nothing behind
+    Given a front host, a sound peer, and a peer that works
+    And 3 versions came that renamed the route and its service
+    When 12 more versions come that rename the route and its service
+    Then nothing is left of them in any table of the front host
+
+  # The retries of target sets that no version names any more were kept.
+  Scenario: A retry budget drops an unused target set only after its window
+    Given a retry window of 10 s that counted requests to "gone"
+    Then it still counts them after 5 s without that target set
+    And it has dropped them after 16 s without that target set
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -51,6 +51,7 @@
             self.odd.daemon.inbound.begin = _wait_forever
         self.before = collections.Counter()
         self.ended = 0
+        self.version = 1
 
     async def send(self, number: int, end: str) -> None:
         """Send one request; a third of them ends early."""
@@ -82,6 +83,26 @@
                 await self.replace_peer()
             await calls
 
+    def rename_all(self, count: int) -> None:
+        """Serve requests under versions that name nothing as before."""
+        for _ in range(count):
+            self.version += 1
+            route = {
+                'name': f'route-{self.version}',
+                'split': [
+                    {'service': 'calendar', 'weight': 1},
+                    {'service': f'none-{self.version}', 'weight': 1},
+                ],
+            }
+            self.fleet.configure(testing.make_document(self.version, [route]))
+            self.fleet.wait_for(
+                lambda: all(
+                    host.daemon.state.config.version == self.version
+                    for host in self.fleet.hosts.values()
+                )
+            )
+            self.fleet.run(self.send_all(AT_ONCE, 'all are answered'))
+
     async def replace_peer(self) -> None:
         """Let the target of the odd host report another lifetime."""
         self.odd.born_ms += 1
@@ -159,6 +180,19 @@
     memory.fleet.run(memory.send_all(count, end))
 
 
+@given('{count:d} versions came that renamed the route and its service')
+def step_renamed(context, count):
+    memory = context.memory
+    memory.rename_all(count)
+    time.sleep(SETTLE_S)
+    memory.before = memory.count()
+
+
+@when('{count:d} more versions come that rename the route and its service')
+def step_rename(context, count):
+    context.memory.rename_all(count)
+
+
 @then('nothing is left of them in any table of the front host')
 def step_nothing_left(context):
     memory = context.memory
@@ -166,3 +200,25 @@
     while (grown := memory.find_grown()) and time.monotonic() < until_s:
         time.sleep(LEAVE_S)
     assert not grown, grown
+
+
+@given('a retry window of {window_s:d} s that counted requests to "{name}"')
+def step_window(context, window_s, name):
+    context.window = mesh.RetryWindow(0.2, 0, window_s)
+    for _ in range(10):
+        context.window.note_request(name, 0.0)
+    context.name = name
+
+
+@then('it still counts them after {now_s:d} s without that target set')
+def step_still_counts(context, now_s):
+    context.window.retain((), now_s)
+    # A fifth of ten requests allows two retries.
+    allowed = [context.window.take(context.name, now_s) for _ in range(3)]
+    assert allowed == [True, True, False], allowed
+
+
+@then('it has dropped them after {now_s:d} s without that target set')
+def step_dropped(context, now_s):
+    context.window.retain((), now_s)
+    assert not testing.count_entries(context.window)['RetryWindow._counts']
--- a/sedgering/mesh/_budget.py
+++ b/sedgering/mesh/_budget.py
@@ -1,6 +1,7 @@
 """Limits the retries that this daemon adds to the load of a target set."""
 
 import collections
+from collections.abc import Collection
 
 from sedgering import base
 
@@ -84,6 +85,19 @@
         counts.retries += 1
         return True
 
+    def retain(
+        self, target_sets: Collection[base.TargetSetName], now_s: float
+    ) -> None:
+        """Drop unused target sets that are no longer configured.
+
+        What counts in the present window stays: a later version may name the
+        target set again.
+        """
+        for name in self._counts.keys() - set(target_sets):
+            counts, _bucket = self._find(name, now_s)
+            if not counts.requests and not counts.retries:
+                del self._counts[name]
+
     def _find(self, target_set, now_s) -> tuple[_Counts, list[int]]:
         counts = self._counts.setdefault(target_set, _Counts())
         return counts, counts.advance(int(now_s * BUCKETS / self.window_s))
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -305,6 +305,10 @@
             )
             self.state.admission.retain(target_sets)
             self.state.centres.retain(target_sets)
+            self.state.search_stats.retain(target_sets)
+            self.state.budget.retain(
+                target_sets, self.state.target_client.gate.now_s()
+            )
             self.state.quotas.set_workspaces(config.bundle.workspaces)
             self.state.target_client.speed.retain(names)
         self._note_ready()
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -303,6 +303,11 @@
             return 0.0
         return (now_s - max(heard_s, self.busy_since_s)) * 1000
 
+    def retain_routes(self, routes: Collection[base.RouteName]) -> None:
+        """Drop work times of routes that are no longer in force."""
+        for route in self._route_work.keys() - set(routes):
+            del self._route_work[route]
+
     @property
     def longest_work_ms(self) -> int:
         """Work time of the slowest route at the target."""
@@ -542,6 +547,8 @@
             for route in table.keys() - set(routes):
                 del table[route]
         self.end_times.retain(routes)
+        for peer in self._peers.values():
+            peer.retain_routes(routes)
 
     def may_call(self, peer: Peer, now_s: float) -> bool:
         """Whether the target of a peer is neither closed nor leaving."""
--- a/sedgering/mesh/_search.py
+++ b/sedgering/mesh/_search.py
@@ -7,6 +7,8 @@
 few refusals the call queues at the target with the shortest wait.
 """
 
+from collections.abc import Collection
+
 import msgspec
 
 from sedgering import base
@@ -61,6 +63,11 @@
         set_stats.skipped = 0
         return True
 
+    def retain(self, target_sets: Collection[base.TargetSetName]) -> None:
+        """Drop target sets that are no longer configured."""
+        for name in self._sets.keys() - set(target_sets):
+            del self._sets[name]
+
     def note(self, target_set: base.TargetSetName, is_found: bool) -> None:
         """Record the result of a search."""
         set_stats = self._sets.setdefault(target_set, _SetStats())
