Odd answers of other daemons fail one attempt, not the request

One odd answer of another daemon ended a caller's request with an exception, though other targets were sound, or left a number behind that each later choice of a target met: a load of 401 digits or below 0, a wait of 401 digits, a row nested 50,000 deep.

Cause: numbers in header fields were read with int(), and the RecursionError of a nested row is no MsgspecError.

Now these fields are read by the functions that read the messages of daemons; what they refuse fails that attempt as a damaged answer.

--- a/features/odd_bytes.feature
+++ b/features/odd_bytes.feature
@@ -34,3 +34,22 @@
     Given a mesh with two calendar hosts
     Then any message to the first host is answered, and none with 502
     And 10 requests are all answered 200
+
+  # Guards against an exception that is no error of the decoder: it ended the
+  # request of the caller, though other targets were sound.
+  Scenario Outline: An odd answer of another daemon is refused
+    Then an answer of another daemon with <field> is refused
+
+    Examples:
+      | field                           |
+      | a member that is nested         |
+      | a member of 400 digits          |
+      | a load of 10^400                |
+      | a load of -1                    |
+      | a work time of 10^30            |
+      | a demand of 10^400              |
+      | a wait of 10^400                |
+      | a wait of 5000 digits           |
+
+  Scenario: Any answer of another daemon is decoded within bounds or refused
+    Then any answer of another daemon is decoded within bounds or refused
--- a/features/steps/odd_bytes_steps.py
+++ b/features/steps/odd_bytes_steps.py
@@ -9,10 +9,14 @@
 from hypothesis import strategies as st
 import msgspec
 
+from sedgering.mesh import _hop
 from sedgering import transport
 
 EXAMPLES = 300
 NESTED = b'{"new":' + b'[' * 100_000
+#: Nesting that fits into the head of a message, beyond any recursion limit.
+NESTED_FIELD = '{"new":' + '[' * 50_000
+LARGEST = 10**18 - 1
 ANSWER_TIMEOUT_S = 2.0
 NUMBERS = {
     '10^30': str(10**30),
@@ -183,3 +187,83 @@
     def check(message):
         response = context.mesh.fleet.run(answer(*message))
         assert response.status != 502, response
+
+
+# Answers of other daemons.
+
+
+def make_answer(**fields: str) -> transport.Response:
+    """Make an answer with odd fields."""
+    headers = {
+        'sedgering-outcome': 'answered||0|1|',
+        'sedgering-load': '1|0|2|50|50|0',
+    }
+    headers.update(
+        (name.replace('_', '-'), value) for name, value in fields.items()
+    )
+    return transport.Response(200, list(headers.items()), b'whole')
+
+
+ODD_ANSWERS = {
+    'a member that is nested': {'sedgering_member': NESTED_FIELD},
+    'a member of 400 digits': {'sedgering_member': '9' * 400},
+    'a load of 10^400': {'sedgering_load': f'{10**400}|0|2|50|50|0'},
+    'a load of -1': {'sedgering_load': '-1|0|2|50|50|0'},
+    'a work time of 10^30': {'sedgering_load': f'1|0|2|50|{10**30}|0'},
+    'a demand of 10^400': {'sedgering_demand': str(10**400)},
+    'a wait of 10^400': {'sedgering_outcome': f'not run|busy|{10**400}|0|'},
+    'a wait of 5000 digits': {
+        'sedgering_outcome': f'not run|busy|{"9" * 5000}|0|'
+    },
+}
+
+
+@then('an answer of another daemon with {field} is refused')
+def step_odd_answer(context, field):
+    try:
+        answer = _hop.decode_answer(make_answer(**ODD_ANSWERS[field]))
+    except _hop.HopError:
+        return
+    raise AssertionError(answer)
+
+
+@then('any answer of another daemon is decoded within bounds or refused')
+def step_any_answer(context):
+    names = (
+        'sedgering_nested',
+        'sedgering_answer_wait',
+        'sedgering_failed',
+        'sedgering_slowness',
+        'sedgering_demand',
+        'sedgering_rate_wait',
+        'sedgering_crashes',
+        'sedgering_member',
+        'sedgering_reason',
+    )
+    numbers = NUMBERS_OR_ODD
+    loads = st.lists(numbers, min_size=5, max_size=7).map('|'.join)
+    outcomes = st.tuples(
+        st.sampled_from(['answered', 'not run', 'unknown', 'odd']),
+        st.sampled_from(['', 'busy', 'odd']),
+        numbers,
+        numbers,
+        st.just('detail'),
+    ).map('|'.join)
+
+    @fuzz(
+        st.dictionaries(st.sampled_from(names), numbers, max_size=3),
+        loads,
+        outcomes | st.text('ab|1', max_size=6),
+    )
+    def check(fields, load, outcome):
+        response = make_answer(
+            **fields, sedgering_load=load, sedgering_outcome=outcome
+        )
+        try:
+            answer = _hop.decode_answer(response)
+        except _hop.HopError:
+            return
+        numbers = [answer.retry_after_ms]
+        if answer.load is not None:
+            numbers += msgspec.structs.astuple(answer.load)
+        assert all(0 <= number <= LARGEST for number in numbers), answer
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -70,6 +70,15 @@
 SHOWN_CHARACTERS = 200
 #: Number of values of the load field.
 LOAD_FIELDS = 6
+#: Fields of the further values of a load, in their order.
+_LOAD_FIELD_NAMES = (
+    NESTED,
+    ANSWER_WAIT,
+    FAILED,
+    SLOWNESS,
+    DEMAND,
+    RATE_WAIT,
+)
 #: Reasons unknown to daemons of the previous version. They are sent as SHED,
 #: so that those daemons know that the call has not run and may be sent to
 #: another host.
@@ -81,6 +90,9 @@
     )
 )
 
+_MEMBER_DECODER = msgspec.json.Decoder(_messages.MemberRow)
+_parse_count = _peer_responses.parse_count
+
 
 class HopError(exceptions.PeerError):
     """A call between daemons, or the answer to one, cannot be decoded.
@@ -151,7 +163,7 @@
     fields = (value or '').split(SEPARATOR)
     try:
         (request_id, target_set, target, route, origin) = fields[:5]
-        numbers = map(_peer_responses.parse_count, fields[5:])
+        numbers = map(_parse_count, fields[5:])
         (priority, repeatable, urgency, remaining_ms, goal_ms, version) = (
             numbers
         )
@@ -198,7 +210,7 @@
     if value is None:
         return base.NO_WORKSPACE, 0
     priority, _separator, name = value.partition(SEPARATOR)
-    return base.WorkspaceName(name), _peer_responses.parse_count(priority)
+    return base.WorkspaceName(name), _parse_count(priority)
 
 
 def _split_ids(value: str | None) -> tuple[_crash_records.CrashId, ...]:
@@ -299,19 +311,19 @@
     try:
         outcome = _messages.CallOutcome(fields[0])
         reason = _messages.RefusalReason(response.find(REASON) or fields[1])
-        retry_after_ms, reached = int(fields[2]), bool(int(fields[3]))
+        retry_after_ms, reached = map(_parse_count, fields[2:4])
         detail = fields[4]
         load = _decode_load(response)
         member = _decode_member(response)
-    except (ValueError, IndexError, msgspec.MsgspecError) as error:
-        raise HopError(f'invalid answer: {value!r}') from error
+    except (ValueError, IndexError, exceptions.PeerError) as error:
+        raise HopError(f'invalid answer: {_shorten(value)!r}') from error
     answer = _messages.CallAnswer(
         outcome,
         None,
         reason,
         retry_after_ms,
         load,
-        reached,
+        bool(reached),
         member,
         detail,
         _decode_crashes(response.find(CRASHES)),
@@ -328,8 +340,8 @@
     value = response.find(MEMBER)
     if value is None:
         return None
-    return msgspec.json.decode(
-        value.encode('latin-1'), type=_messages.MemberRow
+    return _peer_responses.decode_body(
+        value.encode('latin-1'), _MEMBER_DECODER.decode
     )
 
 
@@ -337,26 +349,11 @@
     value = response.find(LOAD)
     if value is None:
         return None
-    running, waiting, limit, work_ms, route_work_ms, link_percent = map(
-        int, value.split(SEPARATOR)
-    )
-    waiting_nested = response.find(NESTED) or '0'
-    answer_wait_ms = response.find(ANSWER_WAIT) or '0'
-    failed_percent = response.find(FAILED) or '0'
-    slowness_percent = response.find(SLOWNESS) or '0'
-    demand_percent = response.find(DEMAND) or '0'
-    rate_wait_ms = response.find(RATE_WAIT) or '0'
+    numbers = value.split(SEPARATOR)
+    if len(numbers) != LOAD_FIELDS:
+        raise ValueError(f'no load: {_shorten(value)!r}')
+    further = map(response.find, _LOAD_FIELD_NAMES)
     return _messages.LoadReport(
-        running,
-        waiting,
-        limit,
-        work_ms,
-        route_work_ms,
-        link_percent,
-        int(waiting_nested),
-        int(answer_wait_ms),
-        int(failed_percent),
-        int(slowness_percent),
-        int(demand_percent),
-        int(rate_wait_ms),
+        *map(_parse_count, numbers),
+        *[_parse_count(item) if item else 0 for item in further],
     )
--- a/sedgering/mesh/_peer_responses.py
+++ b/sedgering/mesh/_peer_responses.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     'STATUS_OK',
+    'decode_body',
     'decode_peer_answer',
     'decode_peer_request',
     'parse_count',
@@ -43,7 +44,7 @@
         raise exceptions.PeerError(
             exceptions.Code.PEER_DAMAGED, f'status {response.status}'
         )
-    return _decode(response.body, decode)
+    return decode_body(response.body, decode)
 
 
 def decode_peer_request(
@@ -56,10 +57,17 @@
     PeerError
         When it cannot be decoded.
     """
-    return _decode(request.body, decode)
+    return decode_body(request.body, decode)
 
 
-def _decode(body: bytes, decode: Callable[[bytes], _Content]) -> _Content:
+def decode_body(body: bytes, decode: Callable[[bytes], _Content]) -> _Content:
+    """Decode bytes of another daemon.
+
+    Raises
+    ------
+    PeerError
+        When they cannot be decoded.
+    """
     try:
         return decode(body)
     except (msgspec.DecodeError, RecursionError) as error:
