A document with a number beyond 64 bits is refused whole

A document with such a number (a priority of 10^30) was refused by each daemon, and the next version never came into force on a relay; until then each poll of its followers failed.

Cause: a relay keeps a version, and the difference to the version before, in the form in which it passes both on, before the ranges are checked. A number beyond 64 bits cannot be encoded, so that the exception came between keeping the sound version and putting it in force.

Now the integers of a document are bounded where it is decoded, and it is refused with 1101 like any other document that cannot be read.

features/odd_bytes.feature: the seven fields and "A version after a document with an odd number is in force" failed before. The property over rows of members, rollouts and orders (300 examples each) passes before and after.

--- a/features/odd_bytes.feature
+++ b/features/odd_bytes.feature
@@ -53,3 +53,28 @@
 
   Scenario: Any answer of another daemon is decoded within bounds or refused
     Then any answer of another daemon is decoded within bounds or refused
+
+  Scenario: Any row that is decoded can be passed on to other daemons
+    Then any member row is refused with 6101, or taken and passed on
+    And any row of a rollout or order is refused with 6201, or passed on
+
+  # Guards against a document that no relay could encode: it was refused, but
+  # the next version was never in force on the relays, and no follower got any.
+  Scenario Outline: A document with an odd number is refused whole
+    Then a document with the <kind> field <field> of <number> is refused
+
+    Examples:
+      | kind    | field           | number |
+      | route   | priority        | 10^30  |
+      | route   | attempts        | 10^30  |
+      | route   | weight          | 10^30  |
+      | service | max_connections | 10^30  |
+      | tenant  | priority        | 10^30  |
+      | tenant  | rate_per_s      | 10^30  |
+      | tenant  | burst           | 10^30  |
+
+  Scenario: A version after a document with an odd number is in force
+    Given a relay with followers that holds version 1
+    When a document of version 2 with a priority of 10^30 is written
+    And a sound document of version 3 is written
+    Then version 3 is in force, and followers get it
--- a/features/steps/odd_bytes_steps.py
+++ b/features/steps/odd_bytes_steps.py
@@ -2,14 +2,31 @@
 
 import asyncio
 import itertools
+import json
+import logging
+import math
+import zlib
 
+from behave import given
 from behave import then
 from behave import when
 import hypothesis
 from hypothesis import strategies as st
 import msgspec
 
+from sedgering import bundle
+from sedgering import exceptions
+from sedgering import mesh
+from sedgering.mesh import _follow
 from sedgering.mesh import _hop
+from sedgering.mesh import _members
+from sedgering.mesh import _relay
+from sedgering.mesh import _rollout_store
+from sedgering.mesh import _versions
+from sedgering import platform
+from sedgering.platform import _rollouts
+from sedgering import storage
+from sedgering import testing
 from sedgering import transport
 
 EXAMPLES = 300
@@ -267,3 +284,213 @@
         if answer.load is not None:
             numbers += msgspec.structs.astuple(answer.load)
         assert all(0 <= number <= LARGEST for number in numbers), answer
+
+
+# Rows and documents.
+
+#: Values of fields in JSON: numbers beyond any field, odd texts, other types.
+ODD_JSON = st.one_of(
+    st.integers().map(str),
+    st.floats().map(str),
+    st.text(max_size=6).map(json.dumps),
+    st.sampled_from(
+        [
+            *NUMBERS.values(),
+            '1e999',
+            '65536',
+            '9007199254740991',
+            'null',
+            '[]',
+            '{}',
+            '"127.0.0.1"',
+            '"nowhere.example"',
+            '"\\u0000"',
+            '"\\ud800"',
+            '"hall-1"',
+            '"away"',
+            '"gone"',
+        ]
+    ),
+)
+
+
+def encode_fields(fields: dict[str, str], changes: dict[str, str]) -> bytes:
+    """Encode an object with some of its values replaced by literal JSON."""
+    values = {name: json.dumps(value) for name, value in fields.items()}
+    values.update(changes)
+    items = (f'{json.dumps(name)}:{value}' for name, value in values.items())
+    return f'{{{",".join(items)}}}'.encode()
+
+
+@then('any member row is refused with 6101, or taken and passed on')
+def step_any_member(context):
+    row = testing.make_member_row('x')
+    crash = {'crash': 'i@1', 'ended_ms': 1, 'suspects': [], 'trials': []}
+    fields = {
+        **msgspec.to_builtins(row),
+        'crashes': [crash],
+        'link_mbps': 5,
+        'version': 'v1',
+    }
+    fleet = mesh.FleetTable()
+    peers = mesh.PeerTable(mesh.MeshSettings())
+    crashes = st.dictionaries(
+        st.sampled_from(list(crash)), ODD_JSON, max_size=2
+    ).map(lambda changes: f'[{encode_fields(crash, changes).decode()}]')
+
+    @fuzz(
+        st.dictionaries(st.sampled_from(list(fields)), ODD_JSON, max_size=3),
+        st.just('[]') | crashes,
+    )
+    def check(changes, crashes):
+        value = encode_fields(fields, {'crashes': crashes, **changes})
+        try:
+            row = _members.decode_row('x', value)
+        except exceptions.MemberError as error:
+            assert error.code == 6101, error
+            return
+        entry = _members.MemberEntry('x', 7, row)
+        encoded = msgspec.msgpack.encode(entry)
+        assert msgspec.msgpack.decode(encoded, type=type(entry)) == entry
+        fleet.replace({'x': row, 'own': testing.make_member_row('own')})
+        _follow.list_store_watchers(fleet.members, 1)
+        _relay.choose_relays(list(fleet.members.values()))
+        peer = peers.find(row)
+        peer.note_cold(1.0 + row.cold_ms / 1000)
+        assert math.isfinite(peer.find_limit(1.0))
+
+
+@then('any row of a rollout or order is refused with 6201, or passed on')
+def step_any_rollout(context):
+    fields = {
+        'target_set': 'x',
+        'old': 'v1',
+        'new': 'v2',
+        'order_revision': 3,
+        'stage': 'trial',
+        'began_ms': 1,
+        'stage_ms': 2,
+    }
+    order = {'service': 'x', 'to': 'v2', 'duration': '5s'}
+    durations = st.sampled_from(['"1e9s"', f'"{"9" * 15}s"', '"٣s"'])
+    names = [*fields, *order]
+
+    @fuzz(
+        st.dictionaries(
+            st.sampled_from(names), ODD_JSON | durations, max_size=3
+        )
+    )
+    def check(changes):
+        value = encode_fields(fields, changes)
+        order_value = encode_fields(order, changes)
+        try:
+            found = [
+                _rollout_store.decode_rollout(storage.Row('x', 5, value)),
+                _rollouts.decode_order(
+                    storage.Row('rollout/x', 5, order_value)
+                ),
+            ]
+        except exceptions.RolloutError as error:
+            assert error.code == 6201, error
+            return
+        assert msgspec.msgpack.encode(found)
+
+
+def make_odd_document(kind: str, field: str, number: str) -> bytes:
+    """Make a document with one odd number."""
+    share = {'service': 'calendar', 'weight': 1}
+    document = json.loads(
+        testing.make_document(
+            2, [{'split': [share]}], {'desk': {'api_keys': ['k']}}
+        )
+    )
+    (spec,) = [
+        item['spec']
+        for item in document['resources']
+        if item['resource_type'] == f'{kind}s'
+    ]
+    if field == 'weight':
+        spec = spec['split'][0]
+    spec[field] = '@'
+    return json.dumps(document).replace('"@"', make_number(number)).encode()
+
+
+@then('a document with the {kind} field {field} of {number} is refused')
+def step_odd_document(context, kind, field, number):
+    try:
+        config = platform.decode_document(
+            make_odd_document(kind, field, number)
+        )
+    except exceptions.BundleError as error:
+        assert error.code == 1101, error
+        return
+    raise AssertionError(config)
+
+
+@given('a relay with followers that holds version 1')
+def step_relay(context):
+    context.versions = _versions.VersionLog()
+    context.holder = mesh.ConfigHolder(platform.MESH)
+    apply_document(context, testing.make_document(1, [{}]))
+
+
+def apply_document(context, data: bytes) -> None:
+    """Apply a document as a relay does."""
+    try:
+        config = platform.decode_document(data)
+    except exceptions.BundleError:
+        return
+    if context.versions.add(config, True):
+        context.holder.apply(config)
+
+
+@when('a document of version 2 with a priority of 10^30 is written')
+def step_write_odd(context):
+    try:
+        apply_document(
+            context, make_odd_document('route', 'priority', '10^30')
+        )
+    except Exception:
+        # The watch goes on after any exception.
+        logging.exception('odd document')
+
+
+@when('a sound document of version 3 is written')
+def step_write_sound(context):
+    apply_document(context, testing.make_document(3, [{}, {}]))
+
+
+@then('version 3 is in force, and followers get it')
+def step_in_force(context):
+    assert context.holder.version == 3
+    for held in (0, 1):
+        assert context.versions.make_update(held).version == 3
+
+
+@then('any version in an update of a relay is decoded or refused as a bundle')
+def step_any_update(context):
+    held = platform.decode_document(testing.make_document(1, [{}]))
+    step = bundle.encode_delta(
+        bundle.make_delta(held.bundle, b'a', held.bundle, b'b')
+    )
+    whole = zlib.compress(bundle.encode_bundle(held.bundle))
+    digest = bundle.compute_digest(bundle.encode_bundle(held.bundle))
+    steps = st.lists(
+        st.sampled_from([step, whole, step[:-1], b'', zlib.compress(NESTED)])
+        | st.binary(max_size=8),
+        max_size=3,
+    )
+
+    @fuzz(
+        steps.map(tuple),
+        st.sampled_from([0, 1, 2, 2**63]),
+        st.sampled_from([b'', b'b', digest]),
+    )
+    def check(steps, base_version, update_digest):
+        update = _versions.VersionUpdate(
+            2, base_version, steps, update_digest, held.limits, {}
+        )
+        try:
+            _versions.decode_update(update, held)
+        except exceptions.BundleError:
+            return
--- a/sedgering/platform/_document.py
+++ b/sedgering/platform/_document.py
@@ -26,6 +26,9 @@
 
 #: At least 1: a limit of 0 would refuse every caller.
 _SizeBytes = Annotated[int, msgspec.Meta(ge=1, le=2**53 - 1)]
+#: An integer that daemons can encode for one another: a version is passed on
+#: before its ranges are checked.
+_Integer = Annotated[int, msgspec.Meta(ge=-(2**53) + 1, le=2**53 - 1)]
 
 
 class _Metadata(msgspec.Struct):
@@ -46,7 +49,7 @@
 
 class _Share(msgspec.Struct):
     service: str
-    weight: int
+    weight: _Integer
 
 
 class _Route(msgspec.Struct):
@@ -57,9 +60,9 @@
     timeout: str
     #: Time within which callers want a response.
     target_latency: str = '0ms'
-    priority: int = 0
+    priority: _Integer = 0
     #: Most targets to which one request of a caller may be sent.
-    attempts: int = 1
+    attempts: _Integer = 1
     #: Target set of the route; unused when `split` names several.
     service: str = ''
     split: list[_Share] = []
@@ -69,15 +72,15 @@
 
 class _Tenant(msgspec.Struct):
     api_keys: list[str] = []
-    priority: int = 0
+    priority: _Integer = 0
     #: Requests per second; 0 for no limit.
-    rate_per_s: int = 0
-    burst: int = 0
+    rate_per_s: _Integer = 0
+    burst: _Integer = 0
 
 
 class _Service(msgspec.Struct):
     health_path: str = ''
-    max_connections: int = 130
+    max_connections: _Integer = 130
 
 
 class _Limits(msgspec.Struct):
