An update of a relay without any step is refused as a bundle

An update of a version without steps ended the poll with an IndexError or a TypeError; the follower logged a stack trace and paused, but did not ask for the whole version as it does after other damage.

features/odd_bytes.feature: the property over any version in an update of a relay (300 examples) failed before with both exceptions.

--- a/features/odd_bytes.feature
+++ b/features/odd_bytes.feature
@@ -78,3 +78,8 @@
     When a document of version 2 with a priority of 10^30 is written
     And a sound document of version 3 is written
     Then version 3 is in force, and followers get it
+
+  # Guards against an update without any step, which ended the poll with an
+  # exception that is no error of bundles.
+  Scenario: Any version in an update of a relay is decoded or refused
+    Then any version in an update of a relay is decoded or refused as a bundle
--- a/sedgering/mesh/_versions.py
+++ b/sedgering/mesh/_versions.py
@@ -161,6 +161,11 @@
     BundleError
         If the update is damaged, or its base version is not held.
     """
+    if not update.steps:
+        raise exceptions.BundleError(
+            exceptions.Code.BUNDLE_UNREADABLE,
+            f'version {update.version} without any step',
+        )
     if not update.base_version:
         encoded = bundles.decompress(update.steps[0], BUNDLE_LIMIT_BYTES)
         bundle = bundles.decode_bundle(encoded, base.Digest(update.digest))
