A daemon that stops listening accepts the connections that wait

What callers saw: connections made within the last moment before a leaving daemon stopped listening, 2.5 s after SIGTERM, were reset with a whole request sent. A peer whose call is reset cannot tell that it was not run.

Cause: closing a listening socket resets the connections in its queue, and the event loop had not accepted those made since its last poll.

Why the fix works: the queue is kept by a duplicate of the socket, emptied without a return to the event loop, and closed; the connections are served like all others. The first idle check comes 50 ms later, so that a connection whose request is still on its way is not taken for idle.

What remains: a connection established between the last accept and the close some microseconds later, and on a network one whose handshake ends then.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -92,3 +92,14 @@
     Given answers of 20000 bytes
     When a slow reader of a leaving daemon pipelines too many requests
     Then its connection is not reset
+
+  # Guards against the reset of connections that wait to be accepted.
+  Scenario Outline: A connection made as a daemon stops listening gets an answer
+    When the first host stops listening just after <count> <callers> connected
+    Then each of them gets an answer
+
+    Examples:
+      | count | callers |
+      | 1     | callers |
+      | 200   | callers |
+      | 20    | peers   |
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -1,6 +1,7 @@
 """Steps for a daemon that shuts down while requests are under way."""
 
 import asyncio
+import socket
 import time
 
 from behave import given
@@ -14,6 +15,9 @@
 #: Grace time where its length does not matter.
 GRACE_MS = 8000
 BODY = b'body'
+GET = (
+    b'GET /long/ HTTP/1.1\r\nHost: calendar.example\r\nX-Request-Id: x\r\n\r\n'
+)
 POST = (
     'POST /long/ HTTP/1.1\r\nHost: calendar.example\r\nX-Request-Id: {}\r\n'
     f'X-Request-Deadline: {{}}\r\nContent-Length: {len(BODY)}\r\n\r\n'
@@ -323,3 +327,37 @@
 @then('its connection is not reset')
 def step_not_reset(context):
     assert context.ended == 'end of the stream', context.ended
+
+
+@when(
+    'the first host stops listening just after {count:d} {callers} connected'
+)
+def step_connect_late(context, count, callers):
+    daemon = context.mesh.first.daemon
+    port = getattr(daemon.addresses, f'{callers}_port')
+    target_client = daemon.state.target_client
+    refuse_calls = target_client.leave
+    context.late_callers = []
+
+    def connect():
+        for _ in range(count):
+            caller = socket.create_connection((daemon.addresses.address, port))
+            context.cleanups.append(caller.close)
+            caller.sendall(GET)
+            context.late_callers.append(caller)
+
+    def connect_and_leave():
+        refuse_calls()
+        connect()
+
+    # The last call before the daemon stops listening.
+    target_client.leave = connect_and_leave
+    context.mesh.fleet.run(_end(daemon, GRACE_MS))
+
+
+@then('each of them gets an answer')
+def step_late_answered(context):
+    assert context.late_callers
+    for caller in context.late_callers:
+        caller.settimeout(PAUSE_S)
+        assert caller.recv(4096).startswith(b'HTTP/1.1 ')
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -657,8 +657,10 @@
         # are refused. A call that is accepted now might be aborted at the end.
         self.state.target_client.leave()
         self.state.serving.is_over = True
-        for server in self._servers:
-            server.close()
+        for server, service in zip(
+            self._servers, (self.outbound, self.inbound)
+        ):
+            await transport.stop_listening(server, service)
         await self._wait_until_idle(end_s)
         self._stop_tasks()
         self.shutdown_log.note_end()
@@ -690,8 +692,10 @@
         loop = asyncio.get_running_loop()
         idle_checks = 0
         while loop.time() < end_s and idle_checks < LEAVE_IDLE_CHECKS:
-            idle_checks = 0 if self._is_busy() else idle_checks + 1
+            # First the pause: the request of a connection that was accepted
+            # last may still be on its way.
             await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
+            idle_checks = 0 if self._is_busy() else idle_checks + 1
 
     async def close(self) -> None:
         """End at once, without a graceful shutdown."""
--- a/sedgering/transport/__init__.py
+++ b/sedgering/transport/__init__.py
@@ -8,6 +8,7 @@
 from sedgering.transport._headers import Headers
 from sedgering.transport._headers import HOP_NAMES
 from sedgering.transport._headers import strip_hop_headers
+from sedgering.transport._listening import stop_listening
 from sedgering.transport._load import ServiceLoad
 from sedgering.transport._loop import BootTimeLoop
 from sedgering.transport._messages import encode_request
@@ -45,5 +46,6 @@
     'make_json_response',
     'make_pacer',
     'serve',
+    'stop_listening',
     'strip_hop_headers',
 ]
