A change between two pages of a table is read by the watch behind it

A table of more than 500 rows is read page by page. A row of the first page that changed, left or came while the next one was read stayed unknown, until its next change, to each daemon that had read the table then.

Cause: the pages are as of several moments, and the watch went on from the version of the last one.

Now it goes on from the version of the first page. What changed since may be read twice, which the tables merge by revision.

--- a/features/odd_bytes.feature
+++ b/features/odd_bytes.feature
@@ -83,3 +83,17 @@
   # exception that is no error of bundles.
   Scenario: Any version in an update of a relay is decoded or refused
     Then any version in an update of a relay is decoded or refused as a bundle
+
+  # Guards against a change between two pages of a table that is not read: the
+  # watch went on from the version of the last page.
+  Scenario Outline: A change between two pages of a large table is read
+    Given a table of <rows> rows
+    When a row of the first page is <change> while the second one is read
+    Then a watch of the table has <change> it
+
+    Examples:
+      | rows | change  |
+      | 600  | written |
+      | 600  | removed |
+      | 600  | added   |
+      | 1200 | written |
--- a/features/steps/odd_bytes_steps.py
+++ b/features/steps/odd_bytes_steps.py
@@ -23,6 +23,7 @@
 from sedgering.mesh import _relay
 from sedgering.mesh import _rollout_store
 from sedgering.mesh import _versions
+from sedgering.mesh import _watch
 from sedgering import platform
 from sedgering.platform import _rollouts
 from sedgering import storage
@@ -35,6 +36,9 @@
 NESTED_FIELD = '{"new":' + '[' * 50_000
 LARGEST = 10**18 - 1
 ANSWER_TIMEOUT_S = 2.0
+#: Largest count in a row, and the time in which daemons process a change.
+LARGEST_COUNT = 2**53 - 1
+SETTLE_S = 2.0
 NUMBERS = {
     '10^30': str(10**30),
     '10^400': str(10**400),
@@ -494,3 +498,141 @@
             _versions.decode_update(update, held)
         except exceptions.BundleError:
             return
+
+
+# Pages.
+
+
+class _PagedStore(testing.StoreService):
+    """A store that changes a row of the first page before the second one."""
+
+    def __init__(self, engine):
+        super().__init__(engine)
+        self.change = None
+        self.pages = 0
+
+    async def answer(self, request):
+        is_page = request.url.startswith('/v1/rows-get')
+        self.pages += is_page
+        if is_page and self.pages == 2:
+            self.change()
+        return await super().answer(request)
+
+
+class PagesSubject:
+    """A watch of a table with more rows than a page has."""
+
+    def __init__(self, rows: int):
+        self.engine = testing.PlatformEngine()
+        for number in range(rows):
+            self.write(f'host-{number:04}')
+        self.known = _members.MemberLog()
+
+    def write(self, host: str, is_removed: bool = False, port: int = 1):
+        row = testing.make_member_row(host, port=port)
+        value = None if is_removed else msgspec.json.encode(row)
+        self.engine.write(platform.MEMBERS_TABLE, host, value)
+
+    async def watch(self, change):
+        """Read the table while it changes, and watch it for a while."""
+        (port,) = testing.free_ports(1)
+        service = _PagedStore(self.engine)
+        service.change = change
+        server = await transport.serve(service, '127.0.0.1', port)
+        client = platform.StoreClient(
+            platform.LoopCarrier(
+                platform.StoreSettings('127.0.0.1', port, 1000)
+            )
+        )
+        watcher = _watch.MemberWatcher(
+            platform.PlatformTable(client, platform.MEMBERS_TABLE),
+            self.known.merge,
+            _watch.StoreRecovery(),
+        )
+        watcher.wait_ms = 100
+        task = asyncio.ensure_future(watcher.run())
+        await asyncio.sleep(WATCH_S)
+        task.cancel()
+        server.close()
+        assert service.pages > 1, service.pages
+        for connection in list(service.connections):
+            connection.transport.abort()
+
+
+WATCH_S = 1.5
+CHANGED_PORT = 7
+CHANGED_HOST = 'host-0005'
+ADDED_HOST = 'host-0005-added'
+
+
+@given('a table of {rows:d} rows')
+def step_table(context, rows):
+    context.pages = PagesSubject(rows)
+
+
+@when('a row of the first page is {change} while the second one is read')
+def step_change(context, change):
+    subject = context.pages
+    changes = {
+        'written': lambda: subject.write(CHANGED_HOST, port=CHANGED_PORT),
+        'removed': lambda: subject.write(CHANGED_HOST, is_removed=True),
+        'added': lambda: subject.write(ADDED_HOST),
+    }
+    asyncio.run(subject.watch(changes[change]))
+
+
+@then('a watch of the table has {change} it')
+def step_changed(context, change):
+    members = context.pages.known.list_members()
+    if change == 'written':
+        assert members[CHANGED_HOST].port == CHANGED_PORT
+    elif change == 'removed':
+        assert CHANGED_HOST not in members
+    else:
+        assert ADDED_HOST in members
+
+
+# Addresses.
+
+
+@when('another writer puts a row with the address of the first host, {how}')
+def step_claim(context, how):
+    subject = context.mesh
+    addresses = subject.first.addresses
+    fields = {'address': addresses.address, 'port': addresses.peers_port}
+    fields |= {
+        'of set "nobody"': {'target_set': 'nobody'},
+        'of state "draining"': {'state': mesh.TargetState.DRAINING},
+        'of state "gone"': {'state': mesh.TargetState.GONE},
+        'of its target': {'target': 'i-hall-1', 'slots': LARGEST_COUNT},
+    }[how]
+    row = testing.make_member_row('claim', **fields)
+    engine = subject.fleet.engine
+    engine.write(platform.MEMBERS_TABLE, 'claim', msgspec.json.encode(row))
+    context.claimed_at = engine.revision
+    subject.fleet.run(asyncio.sleep(SETTLE_S))
+
+
+@then('all daemons send calls to both hosts again')
+def step_both(context):
+    hosts = context.mesh.fleet.hosts.values()
+
+    def is_known():
+        return all(
+            {
+                row.host
+                for row in host.daemon.state.fleet.ready_by_set['calendar']
+            }
+            == {'hall-1', 'hall-2'}
+            for host in hosts
+        )
+
+    context.mesh.fleet.wait_for(is_known)
+
+
+@then('the first host has written its row once for it')
+def step_once(context):
+    engine = context.mesh.fleet.engine
+    context.mesh.fleet.run(asyncio.sleep(SETTLE_S))
+    rows = engine.find_changes(platform.MEMBERS_TABLE, context.claimed_at)
+    assert [row.key for row in rows] == ['hall-1'], rows
--- a/sedgering/platform/_store.py
+++ b/sedgering/platform/_store.py
@@ -77,6 +77,10 @@
     ) -> storage.RowsPage:
         """Read the rows in a range of keys.
 
+        Several pages are as of several moments.  Their revision is that of
+        the first one, so that a watch from there on reads what has changed
+        since.
+
         Parameters
         ----------
         table : str
@@ -93,6 +97,7 @@
             When the request fails.
         """
         rows: list[storage.Row] = []
+        revision: int | None = None
         while True:
             fields = {'table': table, 'part': ''}
             if start:
@@ -103,9 +108,11 @@
                 fields['limit'] = str(min(PAGE_ROWS, limit - len(rows)))
             page = _decode_page(await self._read('/v1/rows-get', fields))
             rows.extend(_make_rows(page))
+            if revision is None:
+                revision = page.schema_version
             is_full = limit and len(rows) >= limit
             if is_full or not page.has_more or not page.rows:
-                return _make_page(page, tuple(rows))
+                return _make_page(page, tuple(rows), revision)
             start = page.rows[-1].key + '\0'
 
     async def read_rows(
@@ -165,7 +172,7 @@
             'wait_ms': str(wait_ms),
         }
         page = _decode_page(await self._read('/v1/rows-feed', fields, wait_ms))
-        return _make_page(page, _make_rows(page))
+        return _make_page(page, _make_rows(page), page.schema_version)
 
     async def transact(
         self, table: str, transaction: storage.Transaction
@@ -364,9 +371,9 @@
 
 
 def _make_page(
-    page: _WirePage, rows: tuple[storage.Row, ...]
+    page: _WirePage, rows: tuple[storage.Row, ...], revision: int
 ) -> storage.RowsPage:
-    return storage.RowsPage(rows, page.schema_version, _parse_now_ms(page.now))
+    return storage.RowsPage(rows, revision, _parse_now_ms(page.now))
 
 
 def _parse_now_ms(text: str) -> int:
