The soak plays SIGHUP, dead connections, slow logs and unusual callers

The soak never sent SIGHUP, no connection went silent for good, no target crashed while its daemon left, logs went to files, and all callers sent whole requests, waited for answers, and never idled.

All are drawn by themselves, so a seed keeps its plan.

--- a/features/lost.feature
+++ b/features/lost.feature
@@ -82,6 +82,8 @@
       | an outage of the store | 2.9   | is not |
       | an outage of the store | 3.1   | is     |
       | no path to the store  | 2.9    | is not |
+      | connections that go silent | 2.9 | is not |
+      | connections that go silent | 3.1 | is    |
       | a SIGTERM             | 2.9    | is not |
       | a SIGTERM             | 3.1    | is     |
       | a faulty target       | 0.1    | is     |
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -3,6 +3,7 @@
 
   Scenario: A seed always gives the same plan
     Then plans of 50 seeds are reproducible and differ from each other
+    And so are the plans of faults around starts and ends
     And the plans of earlier releases are unchanged but for added faults
     And plans with unplanned faults also have suspended hosts and a request that crashes targets
 
@@ -13,6 +14,11 @@
   Scenario: A throttled link limits its rate
     Then a throttled link forwards answers at its rate
 
+  # Guards against dead connections that a link closes, which peers notice.
+  Scenario: Open connections go silent for good while new ones work
+    When the open connection of a link to an echo server goes silent
+    Then it echoes no more, is not closed, and a new connection echoes
+
   # Guards against a target that counts requests whose callers have gone.
   Scenario Outline: A target counts a request until its connection is closed
     Given a target of the soak with 4 requests at work
@@ -163,3 +169,8 @@
   Scenario: A short soak with a crashing request and a suspended host keeps them
     When seed 6 runs on 3 hosts for 4 s
     Then no guarantee is violated
+
+  # Guards against cuts around starts, ends, settings and dead connections.
+  Scenario: A short soak with faults around starts and ends keeps all guarantees
+    When seed 2 with faults around starts and ends runs on 3 hosts for 4 s
+    Then no guarantee is violated
--- a/features/steps/lost_steps.py
+++ b/features/steps/lost_steps.py
@@ -274,6 +274,7 @@
         'a kill elsewhere': ('MACHINE', OTHER_HOST),
         'an outage of the store': ('STORE', OTHER_HOST),
         'no path to the store': ('STORE_PATH', HOST),
+        'connections that go silent': ('CONNECTIONS', OTHER_HOST),
         'a faulty target': ('TARGET', HOST),
     }[event]
     trial.disruptions.append(make_disruption(scope, host, start_s, end_s))
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -80,6 +80,26 @@
             help='Order a version amid restarts, on three more hosts.'
         ),
     ] = False,
+    host_faults: Annotated[
+        bool,
+        typer.Option(
+            help='Add SIGHUP, series of restarts and dead connections, and '
+            'callers that use connections in unusual ways.'
+        ),
+    ] = False,
+    early_signals: Annotated[
+        bool, typer.Option(help='With these, signals right after a start.')
+    ] = False,
+    half_closers: Annotated[
+        bool,
+        typer.Option(help='With these, callers that close one direction.'),
+    ] = False,
+    slow_logs: Annotated[
+        bool, typer.Option(help='Read the log output of daemons slowly.')
+    ] = False,
+    sets: Annotated[
+        bool, typer.Option(help='Use three sets of targets, 6 to 4 to 3.')
+    ] = False,
     keep: Annotated[
         pathlib.Path | None,
         typer.Option(help='Folder for the logs of seeds that fail.'),
@@ -99,6 +119,11 @@
             long_callers=long_callers,
             has_keys=keys,
             has_rollouts=rollouts,
+            has_host_faults=host_faults,
+            has_early_signals=early_signals,
+            has_half_closers=half_closers,
+            has_slow_logs=slow_logs,
+            has_sets=sets,
         )
         if plan:
             for fault in _faults.make_plan(
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -112,6 +112,8 @@
 
     #: Socket timeout: how long the daemon may send nothing.
     receive_timeout_s = 8.0
+    #: Pause after an answered request.
+    pause_s = REQUEST_PAUSE_S
 
     def __init__(self, name: str, daemon: _daemons.Daemon, seed: int):
         super().__init__(name=name, daemon=True)
@@ -144,7 +146,7 @@
                 record.done_s = record.done_s or time.monotonic()
             self.records += records
             has_succeeded = all(record.status == 200 for record in records)
-            time.sleep(REQUEST_PAUSE_S if has_succeeded else FAILURE_PAUSE_S)
+            time.sleep(self.pause_s if has_succeeded else FAILURE_PAUSE_S)
 
     def _choose_requests(self) -> list[CallRecord]:
         """Choose the requests of the next exchange, in pipeline order."""
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -149,6 +149,8 @@
         has_run = _was_answered(world, request_id)
     if status not in (0, STATUS_BAD_GATEWAY) or not has_run:
         return
+    if record.has_left:
+        return
     cut_delay_s = None if status else _find_cut_delay_s(world, record)
     if cut_delay_s:
         detail = f'{cut_delay_s:.2f} s after SIGTERM: {record.end}'
--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import time
+from typing import BinaryIO
 
 import yaml
 
@@ -14,6 +15,7 @@
 from sedgering import testing
 from soak import _links
 from soak import _lost
+from soak import _slow_logs
 
 __all__ = ['Daemon', 'StoreProcess', 'make_address']
 
@@ -26,6 +28,7 @@
 STORE_PORT = 7800
 STORE_LINK_PORT = 7801
 GRACE_S = 6.0
+NS_PER_S = 1_000_000_000
 PORTS = {
     'callers': CALLERS_PORT,
     'readiness': READINESS_PORT,
@@ -35,6 +38,8 @@
     'store': STORE_LINK_PORT,
 }
 LINK_MBPS = 1000.0
+#: Difference in link capacity between two settings files of one length.
+OTHER_LINK_MBPS = 0.5
 DRAIN_S = 2.0
 
 
@@ -53,6 +58,10 @@
         #: Folder with the code to run; None for the working directory.
         self.code_folder: pathlib.Path | None = None
         self.process: asyncio.subprocess.Process | None = None
+        #: Whether its log output goes to a pipe that is read slowly.
+        self.has_slow_log = False
+        #: When it was last started.
+        self.started_s = 0.0
         #: Ends of the processes so far.
         self.ends: list[_lost.ProcessEnd] = []
         self._watchers: set[asyncio.Task] = set()
@@ -60,7 +69,8 @@
         self._signalled_s: dict[signal.Signals, float] = {}
 
     async def _start(self, arguments: list[str], **environment: str) -> None:
-        with (self.folder / f'{self.name}.log').open('ab') as output:
+        with self._open_log() as output:
+            self.started_s = time.monotonic()
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
@@ -72,11 +82,17 @@
             )
         self._signalled_s = {}
         watcher = asyncio.ensure_future(
-            self._watch(self.process, self._signalled_s, time.monotonic())
+            self._watch(self.process, self._signalled_s, self.started_s)
         )
         self._watchers.add(watcher)
         watcher.add_done_callback(self._watchers.discard)
 
+    def _open_log(self) -> BinaryIO:
+        path = self.folder / f'{self.name}.log'
+        if self.has_slow_log:
+            return open(_slow_logs.start_slow_reader(path), 'wb')
+        return path.open('ab')
+
     async def _watch(self, process, signalled_s, started_s: float) -> None:
         """Record the end of a process."""
         status = await process.wait()
@@ -96,6 +112,14 @@
         """Whether the process is running."""
         return self.process is not None and self.process.returncode is None
 
+    def read_run_delay_s(self) -> float:
+        """Return how long the main thread has waited for a processor."""
+        try:
+            path = pathlib.Path(f'/proc/{self.process.pid}/schedstat')
+            return int(path.read_text().split()[1]) / NS_PER_S
+        except (OSError, IndexError):
+            return 0.0
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
         if self.is_running:
@@ -160,6 +184,8 @@
         self.link_mbps = LINK_MBPS
         #: Whether the operator uses rollouts.
         self.has_rollouts = False
+        #: Whether the settings state a slightly higher link capacity.
+        self.has_other_link_rate = False
         #: Number of starts so far.
         self.lifetime = 0
         #: Whether its monotonic clock can leave out suspensions.
@@ -172,7 +198,7 @@
         self.store_link = _links.Link(
             self.address, STORE_LINK_PORT, store_address, STORE_PORT
         )
-        self._settings_path = folder / f'{self.name}.json'
+        self.settings_path = folder / f'{self.name}.json'
         self._config_path = folder / f'{self.name}.yaml'
         self._config_path.write_text(
             yaml.safe_dump(
@@ -188,7 +214,7 @@
     async def start(self) -> None:
         """Start the daemon."""
         self.lifetime += 1
-        self._write_settings()
+        self.settings_path.write_bytes(self.encode_settings())
         launcher = ['soak._suspendable'] if self.is_suspendable else []
         await self._start(
             [
@@ -200,7 +226,7 @@
                     for port in (CALLERS_PORT, REPORTS_PORT, READINESS_PORT)
                 ),
             ],
-            **{platform.SETTINGS_VARIABLE: str(self._settings_path)},
+            **{platform.SETTINGS_VARIABLE: str(self.settings_path)},
         )
 
     async def suspend(self, for_s: float) -> None:
@@ -214,15 +240,14 @@
         await asyncio.sleep(for_s)
         self.signal(signal.SIGCONT)
 
-    def _write_settings(self) -> None:
-        self._settings_path.write_bytes(
-            testing.make_daemon_settings(
-                self.name,
-                self.data_centre,
-                self.target_set,
-                self.address,
-                PORTS,
-                self.link_mbps,
-                self.has_rollouts,
-            )
+    def encode_settings(self) -> bytes:
+        """Return the settings file of the platform."""
+        return testing.make_daemon_settings(
+            self.name,
+            self.data_centre,
+            self.target_set,
+            self.address,
+            PORTS,
+            self.link_mbps + OTHER_LINK_MBPS * self.has_other_link_rate,
+            self.has_rollouts,
         )
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -63,6 +63,15 @@
     #: A target leaves, the daemon beside it restarts, and reports that the
     #: target sent before arrive late.
     LEAVE_AND_RESTART = 'leave and restart'
+    #: The settings change, with SIGHUP.
+    RELOAD = 'reload'
+    RELOAD_AT_START = 'reload at start'
+    #: SIGTERM again and again, before the daemon is ready.
+    RESTART_SERIES = 'restart series'
+    #: A target crashes while its daemon leaves.
+    CRASH_WHILE_LEAVING = 'crash while leaving'
+    #: Open connections go silent for good, while new ones work.
+    DEAD_CONNECTIONS = 'dead connections'
     #: A target has crashed on such a request; never planned.
     TARGET_ENDS = 'target ends'
 
@@ -75,6 +84,17 @@
 SIGNAL_KINDS = frozenset((FaultKind.TARGET_LIMIT, FaultKind.UNREPORTED_LEAVE))
 #: Departures around a restart, which is a fault of its own.
 DEPARTURE_KINDS = frozenset((FaultKind.LEAVE_AND_RESTART,))
+#: Faults around starts, ends and settings; their parts are recorded, too.
+HOST_KINDS = frozenset(
+    (
+        FaultKind.RELOAD,
+        FaultKind.RELOAD_AT_START,
+        FaultKind.RESTART_SERIES,
+        FaultKind.CRASH_WHILE_LEAVING,
+    )
+)
+#: Kinds of plans in `_host_faults`.
+HOST_PLAN_KINDS = HOST_KINDS | {FaultKind.DEAD_CONNECTIONS}
 #: Faults of the store, which alone must not cause a request to fail.
 STORE_KINDS = frozenset((FaultKind.STORE, FaultKind.STORE_LINK))
 #: Faults that stop a process without notice.
@@ -90,6 +110,7 @@
     FaultKind.TARGET_ENDS,
     *SIGNAL_KINDS,
     *DEPARTURE_KINDS,
+    *HOST_PLAN_KINDS,
 }
 #: Store faults are longer by this factor, so that they outlast the shutdown
 #: of a daemon.
@@ -132,8 +153,9 @@
         time until its restart.
     detail : str
         Mode of a link or of the store, behaviour of a target, rate of a link
-        in bytes per second, limits that a target states one after another, or
-        how a target leaves and how the daemon beside it ends.
+        in bytes per second, limits that a target states one after another,
+        how a target leaves and how the daemon beside it ends, or delays in
+        seconds.
     """
 
     at_s: float
@@ -145,7 +167,9 @@
     @property
     def is_planned(self) -> bool:
         """Whether it is a planned operation."""
-        return self.kind in PLANNED_KINDS | SIGNAL_KINDS | DEPARTURE_KINDS
+        return self.kind in (
+            PLANNED_KINDS | SIGNAL_KINDS | DEPARTURE_KINDS | HOST_KINDS
+        )
 
 
 def make_plan(
--- a/soak/_links.py
+++ b/soak/_links.py
@@ -53,6 +53,9 @@
         #: the key says whether it is the direction of answers.
         self._idle_at_s = {False: 0.0, True: 0.0}
         self._writers: set[asyncio.StreamWriter] = set()
+        #: Connections from before the last change are silent for good.
+        self._epoch = 0
+        self._closed = asyncio.Event()
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -67,9 +70,14 @@
         if mode is LinkMode.RESET:
             self._reset_all()
 
+    def silence_open(self) -> None:
+        """Silence the open connections for good; new ones work."""
+        self._epoch += 1
+
     def close(self) -> None:
         """Stop listening and reset all connections."""
         self._server.close()
+        self._closed.set()
         self._reset_all()
 
     def _reset_all(self) -> None:
@@ -108,9 +116,13 @@
             asyncio.ensure_future(self._forward(reader, remote_writer, False)),
             asyncio.ensure_future(self._forward(remote_reader, writer, True)),
         ]
+        epoch = self._epoch
         _done, pending = await asyncio.wait(
             forwarders, return_when=asyncio.FIRST_COMPLETED
         )
+        if epoch != self._epoch:
+            # Neither end learns that the other has closed.
+            await self._closed.wait()
         # Bytes that were already read are still delivered.
         if pending:
             await asyncio.wait(pending, timeout=2 * DELAY_S)
@@ -119,11 +131,14 @@
         await asyncio.gather(*forwarders, return_exceptions=True)
 
     async def _forward(self, reader, writer, is_answer: bool) -> None:
+        epoch = self._epoch
         with contextlib.suppress(OSError):
             while data := await reader.read(READ_BYTES):
                 if self.mode is LinkMode.DELAYED:
                     await asyncio.sleep(DELAY_S)
                 await self._wait_until_open(is_answer)
+                if epoch != self._epoch:
+                    continue
                 for start in range(0, len(data), PACED_CHUNK_BYTES):
                     chunk = data[start : start + PACED_CHUNK_BYTES]
                     await self._wait_for_rate(is_answer, len(chunk))
--- a/soak/_lost.py
+++ b/soak/_lost.py
@@ -58,6 +58,8 @@
     """What an unplanned disruption affects."""
 
     MACHINE = 'machine'
+    #: Connections of all hosts, which counts as a reset.
+    CONNECTIONS = 'connections'
     #: The path of one host to the store.
     STORE_PATH = 'path to the store'
     STORE = 'store'
@@ -224,13 +226,15 @@
         Whether disruption of the store counts.
     """
     since_s = at_s - trial.bounds.stable_window_s
-    scopes = {Scope.MACHINE}
+    scopes = {Scope.MACHINE, Scope.CONNECTIONS}
     if needs_store:
         scopes |= {Scope.STORE, Scope.STORE_PATH}
     return not any(
         item.start_s <= at_s
         and item.end_s > since_s
-        and (item.scope is Scope.STORE or item.host == host)
+        and (
+            item.scope in (Scope.STORE, Scope.CONNECTIONS) or item.host == host
+        )
         for item in trial.disruptions
         if item.scope in scopes
     ) and not any(
@@ -407,7 +411,7 @@
     return any(
         item.start_s <= request.ended_s and item.end_s > since_s
         for item in trial.disruptions
-        if item.scope in (Scope.MACHINE, Scope.TARGET)
+        if item.scope in (Scope.MACHINE, Scope.CONNECTIONS, Scope.TARGET)
     )
 
 
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -248,7 +248,7 @@
         )
         self.books.habit = self.habit
         self.books.fatal_urls = {_crash_requests.FATAL_PATH}
-        self.books.end = self._crash
+        self.books.end = self._crash_on_request
         self._server = await asyncio.get_running_loop().create_server(
             self._make_connection,
             self.daemon.address,
@@ -370,9 +370,14 @@
         if self._restart is not None:
             self._restart.cancel()
 
-    def _crash(self) -> None:
-        """End this lifetime without deregistering."""
+    def _crash_on_request(self) -> None:
         self.ledger.ends_s.append(time.monotonic())
+        self.crash()
+
+    def crash(self) -> None:
+        """End this lifetime without deregistering, unless it has ended."""
+        if self._restart is not None or not self._server.is_serving():
+            return
         self.on_crash()
         self.stop()
         if not self.is_leaving:
--- a/soak/_trial.py
+++ b/soak/_trial.py
@@ -16,6 +16,7 @@
     _Kind.PAUSE: _Scope.MACHINE,
     _Kind.SUSPEND: _Scope.MACHINE,
     _Kind.PEER_LINK: _Scope.MACHINE,
+    _Kind.DEAD_CONNECTIONS: _Scope.CONNECTIONS,
     _Kind.THROTTLE: _Scope.MACHINE,
     _Kind.STORE_LINK: _Scope.STORE_PATH,
     _Kind.STORE: _Scope.STORE,
@@ -25,6 +26,7 @@
 _PLANNED = {
     _Kind.TERMINATE: _lost.WorkKind.TERMINATE,
     _Kind.VERSION: _lost.WorkKind.CONFIGURATION,
+    _Kind.RELOAD: _lost.WorkKind.RELOAD,
 }
 
 
