A scenario shows that a time of day that jumps hides no crash

The scenario holds it: rows from a host whose clock is 10 s ahead or behind count, and a daemon whose clock jumps keeps its records. It passes on the code as it is; no fault was found.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -82,6 +82,19 @@
     Given a request for which a row reports 3 crashes of 0 hours ago
     Then it is quarantined
 
+  # Guards against crashes that are forgotten because a clock is set.
+  Scenario Outline: A time of day that jumps does not hide crashes
+    Given a request for which a row reports 3 crashes, its clock <offset_s> s ahead
+    Then it is quarantined
+    Given a daemon that recorded a crash before its clock jumped by <offset_s> s
+    When it records another crash
+    Then both crashes are in its row
+
+    Examples:
+      | offset_s |
+      | 10       |
+      | -10      |
+
   Scenario Outline: What makes two requests the same
     Given two requests that differ in <difference>
     Then they are <result> request
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -1,6 +1,7 @@
 """Steps for the status of requests during which targets crashed."""
 
 import random
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -253,6 +254,51 @@
     context.subject.table.add_row(row)
 
 
+@given(
+    'a request for which a row reports {count:d} crashes, its clock '
+    '{offset_s:d} s ahead'
+)
+def step_clock_ahead(context, count, offset_s):
+    context.subject = TableSubject()
+    ended_ms = clock.wall_ms() + offset_s * 1000
+    records = tuple(
+        mesh.CrashRecord(f'{number}', ended_ms, (FINGERPRINT,), (FINGERPRINT,))
+        for number in range(count)
+    )
+    row = testing.make_member_row('hall-1', crashes=records)
+    context.subject.table.add_row(row)
+
+
+@given(
+    'a daemon that recorded a crash before its clock jumped by {offset_s:d} s'
+)
+def step_clock_jump(context, offset_s):
+    table = TableSubject().table
+    context.watch = _crash_watch.CrashWatch(table, None, table.now_s)
+    record_crash(context.watch, 'i-1', 0)
+    context.offset_s = offset_s
+
+
+@when('it records another crash')
+def step_record_another(context):
+    record_crash(context.watch, 'i-2', context.offset_s)
+
+
+@then('both crashes are in its row')
+def step_both_crashes(context):
+    crashes = [record.crash for record in context.watch.records]
+    assert crashes == ['i-1@0', 'i-2@0'], crashes
+
+
+def record_crash(watch, target, offset_s):
+    """Record the crash of a target, with the wall clock ahead."""
+    lifetime = mesh.Lifetime(target)
+    sent = _crash_watch.SentCall(make_request(), lifetime, 0.0, 1.0, True)
+    now_ms = clock.wall_ms() + offset_s * 1000
+    with mock.patch.object(clock, 'wall_ms', lambda: now_ms):
+        watch.record_crash(lifetime, [sent])
+
+
 @given('two requests that differ in {difference}')
 def step_two(context, difference):
     table = TableSubject().table
