--- /dev/null
+++ b/features/odd_bytes.feature
@@ -0,0 +1,85 @@
+Feature: Odd bytes from outside end no task and hide nothing beside them
+  Rows, messages between daemons and documents may come from another writer, or
+  from a process in trouble: deeply nested, with numbers that no field holds, or
+  with names of another host.
+
+  # Guards against an exception while a message is read: the connection was left
+  # open without an answer.
+  Scenario Outline: An odd message of another daemon is refused
+    Given a mesh with two calendar hosts
+    When another daemon sends the first host a <message>
+    Then that message is answered 400
+    And 10 requests are all answered 200
+
+    Examples:
+      | message                            |
+      | relay poll that is nested          |
+      | quota request that is nested       |
+      | crash notice that is nested        |
+      | departure notice that is nested    |
+      | evidence query of 10^30            |
+      | evidence query of a word           |
+      | reservation of ²                   |
+      | reservation of 5000 digits         |
+      | call of urgency 9                  |
+      | call of urgency 10^400             |
+      | call of remaining_ms 10^400        |
+      | call of goal_ms 10^400             |
+      | call of priority 10^30             |
+      | call of version 10^30              |
+      | call of remaining_ms 5000 digits   |
+      | call of workspace 10^400           |
+
+  Scenario: Any message of another daemon is answered or refused
+    Given a mesh with two calendar hosts
+    Then any message to the first host is answered, and none with 502
+    And 10 requests are all answered 200
+
+  # Guards against an exception that is no error of the decoder: it ended the
+  # request of the caller, though other targets were sound.
+  Scenario Outline: An odd answer of another daemon is refused
+    Then an answer of another daemon with <field> is refused
+
+    Examples:
+      | field                           |
+      | a member that is nested         |
+      | a member of 400 digits          |
+      | a load of 10^400                |
+      | a load of -1                    |
+      | a work time of 10^30            |
+      | a demand of 10^400              |
+      | a wait of 10^400                |
+      | a wait of 5000 digits           |
+
+  Scenario: Any answer of another daemon is decoded within bounds or refused
+    Then any answer of another daemon is decoded within bounds or refused
+
+  Scenario: Any row that is decoded can be passed on to other daemons
+    Then any member row is refused with 6101, or taken and passed on
+    And any row of a rollout or order is refused with 6201, or passed on
+
+  # Guards against a document that no relay could encode: it was refused, but
+  # the next version was never in force on the relays, and no follower got any.
+  Scenario Outline: A document with an odd number is refused whole
+    Then a document with the <kind> field <field> of <number> is refused
+
+    Examples:
+      | kind    | field           | number |
+      | route   | priority        | 10^30  |
+      | route   | attempts        | 10^30  |
+      | route   | weight          | 10^30  |
+      | service | max_connections | 10^30  |
+      | tenant  | priority        | 10^30  |
+      | tenant  | rate_per_s      | 10^30  |
+      | tenant  | burst           | 10^30  |
+
+  Scenario: A version after a document with an odd number is in force
+    Given a relay with followers that holds version 1
+    When a document of version 2 with a priority of 10^30 is written
+    And a sound document of version 3 is written
+    Then version 3 is in force, and followers get it
+
+  # Guards against an update without any step, which ended the poll with an
+  # exception that is no error of bundles.
+  Scenario: Any version in an update of a relay is decoded or refused
+    Then any version in an update of a relay is decoded or refused as a bundle
--- a/sedgering/cli/_host.py
+++ b/sedgering/cli/_host.py
@@ -1,5 +1,6 @@
 """Startup of the daemon of a host, shared by its two programs."""
 
+import logging
 import pathlib
 import sys
 
@@ -8,12 +9,16 @@
 from sedgering import platform
 from sedgering import ports
 from sedgering import settings
+from sedgering import signals
 
 __all__ = ['run_host']
 
+LOG = logging.getLogger(__name__)
+
 
 def run_host(
-    config: str = '',
+    config: str,
+    receiver: signals.SignalReceiver,
     log_level: str = 'INFO',
     open_ports: ports.OpenPorts | None = None,
 ) -> None:
@@ -24,6 +29,8 @@
     config : str
         Path of a YAML file with the settings of the request path; empty for
         the defaults.
+    receiver : SignalReceiver
+        Receives the signals to this process.
     log_level : str
         Lowest level that is logged.
     open_ports : OpenPorts or None
@@ -39,13 +46,27 @@
         mesh_settings = settings.load_settings(
             pathlib.Path(config), mesh.MeshSettings
         )
-    host_settings = platform.read_settings()
+    host_settings, settings_error = platform.wait_for_settings()
     observability.configure_logging(
         log_level,
         sys.stdout,
         host=host_settings.identity.host,
         data_centre=host_settings.identity.data_centre,
     )
+    open_ports = open_ports or ports.OpenPorts()
+    if open_ports.first_error:
+        LOG.warning(
+            'port was in use at first',
+            extra={'detail': open_ports.first_error},
+        )
+    if settings_error:
+        LOG.warning(
+            'settings were unreadable at first',
+            extra={'detail': settings_error},
+        )
     platform.run_daemon(
-        host_settings, mesh_settings, open_ports or ports.OpenPorts()
+        host_settings,
+        mesh_settings,
+        receiver,
+        open_ports,
     )
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -9,8 +9,10 @@
 import msgspec
 
 from sedgering import base
+from sedgering import exceptions
 from sedgering.mesh import _crash_records
 from sedgering.mesh import _messages
+from sedgering.mesh import _peer_responses
 from sedgering import overload
 from sedgering import transport
 
@@ -64,8 +66,19 @@
 ID_SEPARATOR = ' '
 #: Prefix of the id of a crash during a trial run of a suspect request.
 TRIAL_PREFIX = 'trial:'
+#: Characters of a malformed field that are shown in an error.
+SHOWN_CHARACTERS = 200
 #: Number of values of the load field.
 LOAD_FIELDS = 6
+#: Fields of the further values of a load, in their order.
+_LOAD_FIELD_NAMES = (
+    NESTED,
+    ANSWER_WAIT,
+    FAILED,
+    SLOWNESS,
+    DEMAND,
+    RATE_WAIT,
+)
 #: Reasons unknown to daemons of the previous version. They are sent as SHED,
 #: so that those daemons know that the call has not run and may be sent to
 #: another host.
@@ -77,9 +90,21 @@
     )
 )
 
+_MEMBER_DECODER = msgspec.json.Decoder(_messages.MemberRow)
+_parse_count = _peer_responses.parse_count
+
+
+class HopError(exceptions.PeerError):
+    """A call between daemons, or the answer to one, cannot be decoded.
+
+    Parameters
+    ----------
+    detail : str
+        What cannot be decoded.
+    """
 
-class HopError(Exception):
-    """A message between daemons cannot be decoded."""
+    def __init__(self, detail: str):
+        super().__init__(exceptions.Code.PEER_DAMAGED, detail)
 
 
 def strip_internal(headers: transport.Headers) -> transport.Headers:
@@ -138,13 +163,14 @@
     fields = (value or '').split(SEPARATOR)
     try:
         (request_id, target_set, target, route, origin) = fields[:5]
-        numbers = [int(field) for field in fields[5:]]
+        numbers = map(_parse_count, fields[5:])
         (priority, repeatable, urgency, remaining_ms, goal_ms, version) = (
             numbers
         )
+        urgency = _messages.CallUrgency(urgency)
         workspace, workspace_priority = _decode_workspace(request)
     except ValueError as error:
-        raise HopError(f'call: {value!r}') from error
+        raise HopError(f'call: {_shorten(value)!r}') from error
     may_wait = request.find(FREE_PLACE) is None
     is_trial = request.find(TRIAL) is not None
     crashes = _decode_crashes(request.find(CRASHES))
@@ -161,7 +187,7 @@
         origin=base.TargetSetName(origin),
         priority=priority,
         is_repeatable=bool(repeatable),
-        urgency=_messages.CallUrgency(urgency),
+        urgency=urgency,
         remaining_ms=remaining_ms,
         goal_ms=goal_ms,
         version=base.Version(version),
@@ -184,7 +210,7 @@
     if value is None:
         return base.NO_WORKSPACE, 0
     priority, _separator, name = value.partition(SEPARATOR)
-    return base.WorkspaceName(name), int(priority)
+    return base.WorkspaceName(name), _parse_count(priority)
 
 
 def _split_ids(value: str | None) -> tuple[_crash_records.CrashId, ...]:
@@ -210,6 +236,10 @@
     )
 
 
+def _shorten(value: str | None) -> str | None:
+    return value if value is None else value[:SHOWN_CHARACTERS]
+
+
 def encode_ping() -> bytes:
     """Encode a request that only checks that a daemon is alive."""
     headers = [('Host', 'peer'), (PING, '1')]
@@ -281,19 +311,19 @@
     try:
         outcome = _messages.CallOutcome(fields[0])
         reason = _messages.RefusalReason(response.find(REASON) or fields[1])
-        retry_after_ms, reached = int(fields[2]), bool(int(fields[3]))
+        retry_after_ms, reached = map(_parse_count, fields[2:4])
         detail = fields[4]
         load = _decode_load(response)
         member = _decode_member(response)
-    except (ValueError, IndexError, msgspec.MsgspecError) as error:
-        raise HopError(f'invalid answer: {value!r}') from error
+    except (ValueError, IndexError, exceptions.PeerError) as error:
+        raise HopError(f'invalid answer: {_shorten(value)!r}') from error
     answer = _messages.CallAnswer(
         outcome,
         None,
         reason,
         retry_after_ms,
         load,
-        reached,
+        bool(reached),
         member,
         detail,
         _decode_crashes(response.find(CRASHES)),
@@ -310,8 +340,8 @@
     value = response.find(MEMBER)
     if value is None:
         return None
-    return msgspec.json.decode(
-        value.encode('latin-1'), type=_messages.MemberRow
+    return _peer_responses.decode_body(
+        value.encode('latin-1'), _MEMBER_DECODER.decode
     )
 
 
@@ -319,26 +349,11 @@
     value = response.find(LOAD)
     if value is None:
         return None
-    running, waiting, limit, work_ms, route_work_ms, link_percent = map(
-        int, value.split(SEPARATOR)
-    )
-    waiting_nested = response.find(NESTED) or '0'
-    answer_wait_ms = response.find(ANSWER_WAIT) or '0'
-    failed_percent = response.find(FAILED) or '0'
-    slowness_percent = response.find(SLOWNESS) or '0'
-    demand_percent = response.find(DEMAND) or '0'
-    rate_wait_ms = response.find(RATE_WAIT) or '0'
+    numbers = value.split(SEPARATOR)
+    if len(numbers) != LOAD_FIELDS:
+        raise ValueError(f'no load: {_shorten(value)!r}')
+    further = map(response.find, _LOAD_FIELD_NAMES)
     return _messages.LoadReport(
-        running,
-        waiting,
-        limit,
-        work_ms,
-        route_work_ms,
-        link_percent,
-        int(waiting_nested),
-        int(answer_wait_ms),
-        int(failed_percent),
-        int(slowness_percent),
-        int(demand_percent),
-        int(rate_wait_ms),
+        *map(_parse_count, numbers),
+        *[_parse_count(item) if item else 0 for item in further],
     )
