A start waits 2 s for its settings and ports

The message was not kept; by its times, the file came 0.5 s after the start's first look and the daemon waited 1 s, which a loaded machine can use up between two steps.

--- a/sedgering/platform/_settings.py
+++ b/sedgering/platform/_settings.py
@@ -22,8 +22,8 @@
 ]
 
 #: Longest wait at the start for a settings file that is being written.
-#: Requests wait in the listen queue meanwhile; callers give up after a second.
-START_WAIT_S = 1.0
+#: Requests wait in the listen queue meanwhile instead of being reset.
+START_WAIT_S = 2.0
 RETRY_INTERVAL_S = 0.02
 
 
--- a/sedgering/ports.py
+++ b/sedgering/ports.py
@@ -15,7 +15,7 @@
 #: Length of the listen queue: the new connections of a host in one second.
 BACKLOG = 1024
 #: Longest wait for ports that another process, such as the one before, holds.
-WAIT_S = 1.0
+WAIT_S = 2.0
 RETRY_INTERVAL_S = 0.02
 
 
