The log tells what follows the line `left` of a daemon

`leaving` now tells the grace time that is left when the signal is handled, tasks that run on after they were cancelled are logged by name, and `ended` tells how long after the signal only the interpreter itself was left to end.

No behaviour changes but the first cancellation, which came with the end of the event loop before. Two scenarios.

--- a/features/process_signals.feature
+++ b/features/process_signals.feature
@@ -30,6 +30,16 @@
     When the process gets SIGTERM and is stopped for 2.5 s while it loads
     Then the process ends with status 0 within its grace time
 
+  Scenario: A daemon logs how long it took to end
+    Given a daemon process that has started
+    When the process gets SIGTERM
+    Then the process ends with status 0 within its grace time
+    And the process logs "ended"
+
+  Scenario: A daemon logs what it waits for after its tasks were cancelled
+    Given a task that goes on for 0.2 s after it was cancelled
+    Then it is logged once the other tasks of the daemon have ended
+
   Scenario Outline: A program receives signals before it loads the rest
     Then importing "<program>" loads neither "enum", "socket" nor "typer"
 
--- a/features/steps/process_signal_steps.py
+++ b/features/steps/process_signal_steps.py
@@ -1,15 +1,18 @@
 """Steps for signals to a daemon that is starting or ending."""
 
+import asyncio
 import os
 import subprocess
 import sys
 import time
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
 import daemon_process
 
+from sedgering.platform import _program
 from soak import _daemons
 
 SIGNAL_INTERVAL_S = 0.001
@@ -103,3 +106,34 @@
     ).stdout.split()
     assert program in loaded
     assert not {'enum', 'socket', 'typer'} & set(loaded), loaded
+
+
+@given('a task that goes on for {pause:f} s after it was cancelled')
+def step_stubborn(context, pause):
+    async def go_on():
+        try:
+            await asyncio.sleep(daemon_process.WAIT_S)
+        except asyncio.CancelledError:
+            await asyncio.sleep(pause)
+
+    context.stubborn = go_on
+
+
+@then('it is logged once the other tasks of the daemon have ended')
+def step_stubborn_logged(context):
+    async def run():
+        tasks = [
+            asyncio.create_task(context.stubborn()),
+            asyncio.create_task(asyncio.sleep(daemon_process.WAIT_S)),
+        ]
+        await asyncio.sleep(0)
+        with mock.patch.object(
+            _program.LOG, 'warning', autospec=True
+        ) as warning:
+            await _program._cancel_tasks()
+        assert [task.done() for task in tasks] == [False, True], tasks
+        warning.assert_called_once()
+        detail = warning.call_args.kwargs['extra']['detail']
+        assert 'go_on' in detail, detail
+
+    asyncio.run(run())
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -645,7 +645,7 @@
         self.outbound.is_closing = True
         self.state.quotas.leave()
         self._publish_last_row()
-        LOG.info('leaving')
+        LOG.info('leaving', extra={'detail': f'{grace_ms} ms left'})
         loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(self.shutdown_log.run()))
         serving_ms = min(
--- a/sedgering/platform/_program.py
+++ b/sedgering/platform/_program.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import logging
 
 import msgspec
 
@@ -22,6 +23,11 @@
 
 __all__ = ['run_daemon']
 
+LOG = logging.getLogger(__name__)
+
+#: Time after which a cancelled task that is still running is logged.
+CANCEL_WAIT_S = 0.05
+
 
 async def _serve(
     host_settings: _settings.HostSettings,
@@ -107,6 +113,19 @@
     elapsed_s = loop.time() - receiver.stop_requested_s
     grace_ms = settings_watcher.host_settings.grace_ms - 1000 * elapsed_s
     await daemon.leave(max(0, int(grace_ms)))
+    await _cancel_tasks()
+
+
+async def _cancel_tasks() -> None:
+    """Cancel all other tasks, and log those that do not end soon."""
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    if not tasks:
+        return
+    _ended, running = await asyncio.wait(tasks, timeout=CANCEL_WAIT_S)
+    for task in running:
+        LOG.warning('cancelled task runs on', extra={'detail': repr(task)})
 
 
 def _merge_bounds(
@@ -149,5 +168,12 @@
     try:
         with asyncio.Runner(loop_factory=transport.BootTimeLoop) as runner:
             runner.run(serving)
+        _log_end(receiver)
     finally:
         receiver.ignore()
+
+
+def _log_end(receiver: signals.SignalReceiver) -> None:
+    """Log the end, after which only the interpreter itself is left."""
+    elapsed_s = transport.BootTimeLoop.time() - receiver.stop_requested_s
+    LOG.info('ended', extra={'elapsed_ms': int(elapsed_s * 1000)})
