Callers that read nothing no longer fill the memory of a daemon

What callers saw: those of a daemon that was killed for its memory, once a few others had sent requests ahead and read no answer.

Cause: a connection began all requests of one piece of input at once (the limit of 16 only paused further input), and an answer counted as delivered once it was in the write buffer, so that a caller that read nothing got on with its next requests. Nothing bounded what all callers together had unread.

Fix: requests behind the first 16 wait in their connection, unbegun, and none is begun while over 256 kB of answers are unsent.

Evidence: features/memory.feature.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -34,3 +34,19 @@
     Given a retry window of 10 s that counted requests to "gone"
     Then it still counts them after 5 s without that target set
     And it has dropped them after 16 s without that target set
+
+  # A piece of input with many heads began all its requests at once, and a
+  # caller that read nothing got on with the next ones.
+  Scenario: A caller that reads nothing begins few requests
+    Given a target with large answers
+    When 1 callers send 60 requests ahead, and read nothing for 1.5 s
+    Then no more than 16 requests are begun at a time
+    And the answers held for them fit into the memory of the daemon
+    And the first caller gets all 60 answers when it reads
+
+  # Each of many callers may hold answers, all of them together may not.
+  Scenario: Many callers that read nothing leave room for others
+    Given a target with large answers
+    When 60 callers send 30 requests ahead, and read nothing for 3 s
+    Then the answers held for them fit into the memory of the daemon
+    And another caller is answered
--- a/features/steps/slow_reader.py
+++ b/features/steps/slow_reader.py
@@ -28,11 +28,26 @@
 
     async def ask(self, request_id):
         """Send a request, on a new connection if there is none."""
+        await self.send(REQUEST.format(request_id).encode())
+
+    async def send(self, data):
+        """Send encoded requests, on a new connection if there is none."""
         if not self.socket.getsockname()[1]:
             await self.loop.sock_connect(self.socket, (ADDRESS, self.port))
-        data = REQUEST.format(request_id).encode()
         await self.loop.sock_sendall(self.socket, data)
 
+    async def read_until(self, mark, count):
+        """Read until a mark has come several times, or until the end."""
+        pieces, seen, tail = [], 0, b''
+        while seen < count:
+            piece = await self.loop.sock_recv(self.socket, PIECE_BYTES)
+            if not piece:
+                break
+            pieces.append(piece)
+            seen += (tail + piece).count(mark)
+            tail = (tail + piece)[1 - len(mark) :]
+        return b''.join(pieces)
+
     async def read(self):
         """Read until the end of the stream or a reset."""
         data = b''
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -29,6 +29,9 @@
 #: Pipelined requests of one connection that are answered concurrently.
 #: Reading pauses at this number; callers rarely pipeline more than a few.
 PIPELINE_DEPTH = 16
+#: Unsent response data of one connection from which on no further request of
+#: it is begun, until its caller has read most of that.
+UNREAD_BYTES = 256 * 1024
 #: TCP_USER_TIMEOUT: the connection fails when sent data stays
 #: unacknowledged for longer.
 TCP_USER_TIMEOUT_MS = 4000
@@ -80,9 +83,14 @@
     is_closing = False
     #: Paces large responses on the link; None if that is not needed.
     pacer: _pacing.LinkPacer | None = None
+    #: Response data held for all callers together above which the connection
+    #: that holds the most is closed.
+    held_limit_bytes = math.inf
 
     def __init__(self):
         self.connections: set[ServerConnection] = set()
+        #: Connections that may hold response data.
+        self.holding: set[ServerConnection] = set()
         #: Bytes received on all connections since the start.
         self.received_bytes = 0
         self._check_timer: asyncio.TimerHandle | None = None
@@ -152,6 +160,22 @@
             connection.add_load(load)
         return load
 
+    @property
+    def held_bytes(self) -> int:
+        """Response data that all callers together have not taken yet."""
+        return sum(connection.held_bytes for connection in self.holding)
+
+    def limit_held(self) -> None:
+        """Close the connections that hold the most while it is too much."""
+        while self.held_bytes > self.held_limit_bytes:
+            largest = max(self.holding, key=lambda item: item.held_bytes)
+            LOG.warning(
+                'caller does not read',
+                extra={'detail': f'{largest.held_bytes} bytes held'},
+            )
+            self.holding.discard(largest)
+            largest.transport.abort()
+
     def make_error_response(self, status: int) -> _messages.Response:
         """Make the response to a request that failed or cannot be read."""
         return _messages.make_json_response(status, {'error': status})
@@ -167,6 +191,7 @@
         'is_head',
         'must_close',
         'received_s',
+        'request',
         'task',
     )
 
@@ -175,6 +200,8 @@
         self.is_head = False
         self.must_close = False
         self.received_s = math.inf
+        #: The request, until it is begun.
+        self.request: _messages.Request | None = None
         #: Size of the body while it counts towards `BodyMemory`.
         self.body_bytes = 0
         #: Coroutine that answers the request, and the task that runs it.
@@ -224,6 +251,12 @@
         self.loop = loop
         self.transport: asyncio.Transport | None = None
         self.pending: collections.deque[_Pending] = collections.deque()
+        #: Those at the end of `pending` that have not been begun.
+        self._waiting: collections.deque[_Pending] = collections.deque()
+        #: Size of the responses that wait for an earlier one.
+        self._ready_bytes = 0
+        self._is_beginning = False
+        self._is_write_paused = False
         self.last_activity_s = loop.time()
         self._parser = httptools.HttpRequestParser(self)
         self._timer: asyncio.TimerHandle | None = None
@@ -263,12 +296,24 @@
             TCP_USER_TIMEOUT_MS,
             KEEPALIVE_INTERVAL_S,
         )
+        transport.set_write_buffer_limits(UNREAD_BYTES)
         self.service.add_connection(self)
 
+    def pause_writing(self):
+        """Begin no further request: the caller does not read."""
+        self._is_write_paused = True
+
+    def resume_writing(self):
+        """Begin the requests that wait: the caller has read."""
+        self._is_write_paused = False
+        self._note_held()
+        self._begin_waiting()
+
     def connection_lost(self, exc):
         """Cancel all requests in progress: the caller has disconnected."""
         self._is_closing = True
         self.service.connections.discard(self)
+        self.service.holding.discard(self)
         if self._timer is not None:
             self._timer.cancel()
         self._release_body()
@@ -277,7 +322,7 @@
         self._paced_writes.clear()
         for item in self.pending:
             item.cancel()
-        self.pending.clear()
+        self._forget_pending()
 
     def data_received(self, data):
         """Feed the parser, which starts each request once it is complete."""
@@ -402,6 +447,31 @@
         item.must_close = not self._parser.should_keep_alive()
         self.pending.append(item)
         item.body_bytes = len(request.body)
+        item.request = request
+        self._waiting.append(item)
+        self._begin_waiting()
+
+    # Responses.
+
+    def _begin_waiting(self):
+        """Begin requests as long as the pipeline and the caller allow it."""
+        if self._is_beginning:
+            return
+        self._is_beginning = True
+        try:
+            while self._waiting and self._may_begin:
+                self._begin(self._waiting.popleft())
+        finally:
+            self._is_beginning = False
+
+    @property
+    def _may_begin(self) -> bool:
+        """Whether another request may be begun."""
+        begun = len(self.pending) - len(self._waiting)
+        return begun < PIPELINE_DEPTH and not self._is_write_paused
+
+    def _begin(self, item: _Pending):
+        request, item.request = item.request, None
         result = self.service.begin(request)
         if isinstance(result, _messages.Response):
             self._finish(item, result)
@@ -409,8 +479,6 @@
         item.coroutine = result
         item.task = self.loop.create_task(self._answer(item))
 
-    # Responses.
-
     async def _answer(self, item: _Pending):
         try:
             response = await item.coroutine
@@ -431,6 +499,9 @@
             self.transport.abort()
             return
         must_close = item.must_close or response.must_close
+        if response.must_close:
+            # What waits behind it would get no response.
+            self._waiting.clear()
         if self.service.is_closing and item is self.pending[-1]:
             # Pipelined requests are answered before the connection closes.
             must_close = True
@@ -447,12 +518,28 @@
         item.data = _messages.encode_response(
             response, connection, item.is_head
         )
+        self._ready_bytes += len(item.data)
         self._flush()
+        self._note_held()
+
+    @property
+    def held_bytes(self) -> int:
+        """Size of the responses that are ready and not sent."""
+        return self._ready_bytes + self.transport.get_write_buffer_size()
+
+    def _note_held(self):
+        """Tell the service whether this connection holds response data."""
+        if not self.held_bytes:
+            self.service.holding.discard(self)
+        elif not self._is_closing:
+            self.service.holding.add(self)
+            self.service.limit_held()
 
     def _flush(self):
         """Write the responses that are ready, in the order of the requests."""
         while self.pending and self.pending[0].data is not None:
             item = self.pending.popleft()
+            self._ready_bytes -= len(item.data)
             self._write(item.data)
             if item.must_close:
                 self._close()
@@ -461,6 +548,7 @@
         if self._is_paused and len(self.pending) < PIPELINE_DEPTH // 2:
             self._is_paused = False
             self.transport.resume_reading()
+        self._begin_waiting()
 
     def _write(self, data: bytes):
         """Write a response behind those that are still being written."""
@@ -495,7 +583,7 @@
         """Close after a response and cancel the requests behind it."""
         for item in self.pending:
             item.cancel()
-        self.pending.clear()
+        self._forget_pending()
         self._is_closing = True
         # Further input is read and discarded.
         self._is_discarding_input = True
@@ -521,6 +609,11 @@
             return
         self._timer = self.loop.call_later(LINGER_S, self._linger)
 
+    def _forget_pending(self):
+        self.pending.clear()
+        self._waiting.clear()
+        self._ready_bytes = 0
+
     @property
     def _has_unsent(self) -> bool:
         """Whether the write buffer still holds response data."""
