Callers that half-close get the answers to their whole requests

Callers that closed only their sending side after a whole request got no answer: of 12 on, 11 requests were dropped unread or cancelled before they ran, one was run and its answer thrown away.

Cause: `eof_received` took the end of the input for a departure, and `connection_lost` cancelled what was pending. A FIN is all that a full close shows at first as well, so both look the same.

The end of the input now keeps the connection open while answers are due, and an interim response is sent. The host of a caller that has closed fully answers it with a reset; the error is read from the socket, as the event loop no longer watches one whose input has ended. The answer to the first probe is looked for after 0, 1, 3, 7, 15 ms and so on; a probe every 0.15 s finds callers that close later. Weighed and not taken: TCP_INFO (CLOSE_WAIT in both cases); 503 before the request is passed on (does not help those that are at work, and refuses what can be served). The probe is 100 and not 102: RFC 9110, 15.2.1 lets a caller discard an unexpected 100, and some client libraries skip no other interim status. It is never sent to HTTP/1.0, nor inside another answer, nor while data is unsent. An incomplete request at the end of the input is dropped as before. Connections between daemons keep the immediate cancellation. The cost of an ordinary call is one comparison.

--- a/sedgering/mesh/_outbound.py
+++ b/sedgering/mesh/_outbound.py
@@ -19,6 +19,8 @@
         Measures by how much the reading of requests lags.
     """
 
+    keeps_half_closed = True
+
     def __init__(
         self, state: _state.RequestState, pause: _pause.PauseDetector
     ):
--- a/sedgering/platform/_reports.py
+++ b/sedgering/platform/_reports.py
@@ -97,6 +97,8 @@
         Daemon that processes them.
     """
 
+    keeps_half_closed = True
+
     def __init__(self, daemon: mesh.MeshDaemon):
         super().__init__()
         self.daemon = daemon
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from sedgering import ports
+from sedgering.transport import _half_close
 from sedgering.transport import _headers
 from sedgering.transport import _load
 from sedgering.transport import _messages
@@ -78,6 +79,8 @@
 
     #: Whether responses carry ``Connection: close``.
     is_closing = False
+    #: Whether a caller that has closed only its sending side is answered.
+    keeps_half_closed = False
     #: Paces large responses on the link; None if that is not needed.
     pacer: _pacing.LinkPacer | None = None
 
@@ -244,6 +247,11 @@
         self._is_closing = False
         #: Whether the output is closed and the caller is expected to close.
         self._is_lingering = False
+        #: Whether all requests were of HTTP/1.1 or later: callers of HTTP/1.0
+        #: take an interim response for the final one.
+        self._accepts_interim = True
+        #: Present once the caller has closed its sending side.
+        self._half_close_probe: _half_close.HalfCloseProbe | None = None
         #: Time until which a large response may be unacknowledged.  Finding
         #: out takes a system call, which connections with only small
         #: responses avoid.
@@ -271,6 +279,8 @@
         self.service.connections.discard(self)
         if self._timer is not None:
             self._timer.cancel()
+        if self._half_close_probe is not None:
+            self._half_close_probe.cancel()
         self._release_body()
         for paced in self._paced_writes:
             paced.cancel()
@@ -320,11 +330,29 @@
             raise _RefusedRequest(431 if self._is_reading_head else 400)
 
     def eof_received(self):
-        """Close the connection, also if the caller has closed only one side.
+        """Return whether the connection stays open for its responses.
 
-        A half-closed caller counts as disconnected.
+        The caller may have closed only its sending side, and still read.
         """
-        return False
+        if not self.service.keeps_half_closed:
+            return False
+        if self.pending and not self._accepts_interim:
+            return False
+        if not self.pending and not self._paced_writes:
+            return False
+        # The rest of an incomplete request can no longer arrive.
+        self._is_discarding_input = True
+        self._release_body()
+        self._request = None
+        self._half_close_probe = _half_close.HalfCloseProbe(
+            self.transport, self.loop, self._awaits_response
+        )
+        self._half_close_probe.run()
+        return True
+
+    def _awaits_response(self) -> bool:
+        """Whether the next data to write is the start of a response."""
+        return bool(self.pending) and not self._paced_writes
 
     # Callbacks of the parser.
 
@@ -369,7 +397,10 @@
         request.method = self._parser.get_method().decode('ascii')
         request.url = self._url.decode('latin-1')
         request.fields = _headers.index_headers(request.headers)
-        _check_framing(request, self._parser.get_http_version())
+        version = self._parser.get_http_version()
+        if version < '1.1':
+            self._accepts_interim = False
+        _check_framing(request, version)
         length = request.find('content-length')
         is_chunked = request.find('transfer-encoding') is not None
         request.has_body = is_chunked or length is not None
@@ -431,7 +462,8 @@
             self.transport.abort()
             return
         must_close = item.must_close or response.must_close
-        if self.service.is_closing and item is self.pending[-1]:
+        is_last = self.service.is_closing or self._half_close_probe is not None
+        if is_last and item is self.pending[-1]:
             # Pipelined requests are answered before the connection closes.
             must_close = True
         item.must_close = must_close
@@ -458,6 +490,9 @@
                 self._close()
                 return
         self.last_activity_s = self.loop.time()
+        if self._half_close_probe is not None and not self.pending:
+            self._close()
+            return
         if self._is_paused and len(self.pending) < PIPELINE_DEPTH // 2:
             self._is_paused = False
             self.transport.resume_reading()
@@ -488,8 +523,12 @@
         """Remove the first paced response, which is completely written."""
         self._paced_writes.popleft()
         self.last_activity_s = self.loop.time()
-        if self._is_closing and not self._paced_writes:
+        if self._paced_writes:
+            return
+        if self._is_closing:
             self._linger()
+        elif self._half_close_probe is not None and not self.pending:
+            self._close()
 
     def _close(self):
         """Close after a response and cancel the requests behind it."""
@@ -513,6 +552,10 @@
         refused one.  A caller that reads slowly then loses the rest of the
         response (12 kB of 300 kB arrived).
         """
+        if self._half_close_probe is not None:
+            # No more data can arrive.
+            self.transport.close()
+            return
         if not self._is_lingering:
             self._is_lingering = True
             self.transport.write_eof()
