sedgering-proxy: an answer that ends in its head or in a chunk's size fails

Callers of sedgering-proxy got a 200 with an empty body, framed as whole, when the target closed within the head of its answer: at 62 of 62 bytes behind the status code of an answer with a length, and at 73 of 73 of one in chunks. One cut within a size with leading zeros gave half of the body, and one cut in the trailers passed as complete.

Cause: for http.client the end of the stream ends the head, the size line of a chunk and the trailers as an empty line does. A head without its Content-Length then has a body that ends with the connection.

`responses.WholeResponse` reads through a reader whose lines must end with a line feed. The attempt then fails as any lost connection: outcome unknown. Daemons of the mesh read through httptools and are not affected.

--- a/features/steps/scripted_target.py
+++ b/features/steps/scripted_target.py
@@ -91,6 +91,9 @@
         return True
 
     def _answer(self, connection, name):
+        if self.behaviour[0] == 'ends':
+            connection.sendall(self.behaviour[1])
+            return False
         size = len(name)
         start = b'HTTP/1.1 200 OK\r\n'
         whole = start + b'Content-Length: %d\r\n\r\n' % size + name
--- a/sedgering/proxy/_upstream.py
+++ b/sedgering/proxy/_upstream.py
@@ -19,6 +19,7 @@
 
 from sedgering import exceptions
 from sedgering import membership
+from sedgering import responses
 from sedgering import traffic
 
 __all__ = ['Attempt', 'CallerGone', 'Flight', 'Upstream', 'UpstreamRequest']
@@ -173,6 +174,7 @@
                 endpoint.port,
                 timeout=min(CONNECT_TIMEOUT_S, timeout_s),
             )
+            connection.response_class = responses.WholeResponse
             try:
                 connection.connect()
             except _FAILURES as error:
