Tools fail a call whose answer from the store ends in its head

A tool that reads the store took an answer cut within its head for a whole one: status 200 and an empty body, from byte 12 on. A read would find nothing where there is something, and a write counts as done.

Cause: as in sedgering-proxy, http.client ends a head at the end of the stream. The connections of the tools' client now have the same strict responses; the call is lost, its outcome unknown. Daemons use the client of `transport`, which is not affected.

An answer with a length, without body, in chunks and with trailers is cut at every byte.

--- a/features/early_ends.feature
+++ b/features/early_ends.feature
@@ -51,7 +51,21 @@
       | reset |
 
   # Guards against http.client taking the end of the stream for the end of the
-  # head or of a chunk's size: callers of the proxy got a success with an
+  # head or of a chunk's size.
+  Scenario Outline: An answer of the store to a tool that ends at any byte
+    Given a store that answers with <shape>
+    When its answer to a tool ends at each byte, by <end>
+    Then each of these calls is lost, but for a whole answer
+
+    Examples:
+      | shape               | end   |
+      | a length            | FIN   |
+      | a length            | reset |
+      | no body             | FIN   |
+      | chunks              | FIN   |
+      | chunks and trailers | FIN   |
+
+  # Guards against the same in the proxy: its callers got a success with an
   # empty body and a length of its own.
   Scenario Outline: A target of a proxy that ends its answer at any byte
     Given a proxy whose target ends an answer with <shape> early
--- a/sedgering/platform/_blocking_http.py
+++ b/sedgering/platform/_blocking_http.py
@@ -4,9 +4,11 @@
 from typing import Any
 
 import urllib3
+from urllib3 import connection as urllib3_connection
 
 from sedgering.platform import _carrier
 from sedgering.platform import _settings
+from sedgering import responses
 
 __all__ = ['BlockingHttpClient', 'run_blocking']
 
@@ -19,6 +21,18 @@
 )
 
 
+class _Connection(urllib3_connection.HTTPConnection):
+    """A connection on which a response that ends early fails."""
+
+    response_class = responses.WholeResponse
+
+
+class _ConnectionPool(urllib3.HTTPConnectionPool):
+    """A pool of such connections."""
+
+    ConnectionCls = _Connection
+
+
 class BlockingHttpClient(_carrier.StoreCarrier):
     """HTTP client that uses urllib3; threads may share an instance.
 
@@ -81,7 +95,7 @@
 def _make_pool(
     store_settings: _settings.StoreSettings,
 ) -> urllib3.HTTPConnectionPool:
-    return urllib3.HTTPConnectionPool(
+    return _ConnectionPool(
         store_settings.address,
         store_settings.port,
         maxsize=MAX_IDLE_CONNECTIONS,
