--- a/sedgering/mesh/_outbound.py
+++ b/sedgering/mesh/_outbound.py
@@ -30,6 +30,7 @@
         Measures by how much the reading of requests lags.
     """
 
+    keeps_half_closed = True
     held_limit_bytes = CLOSE_HELD_BYTES
 
     def __init__(
