A leaving daemon ends when its margin begins, not up to 50 ms later

With requests under way at the end of its grace time, a daemon ended 5.65 s after SIGTERM where 6 s of grace and a margin of 0.4 s leave 5.60 s: the pause between two idle checks went beyond the end. It is cut at the end now.

--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -694,7 +694,8 @@
         while loop.time() < end_s and idle_checks < LEAVE_IDLE_CHECKS:
             # First the pause: the request of a connection that was accepted
             # last may still be on its way.
-            await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
+            left_s = end_s - loop.time()
+            await asyncio.sleep(min(IDLE_CHECK_INTERVAL_S, left_s))
             idle_checks = 0 if self._is_busy() else idle_checks + 1
 
     async def close(self) -> None:
