A call closes its connection when its peer is gone meanwhile

What callers saw: nothing; a daemon kept a descriptor and a connection for up to a minute per call that was under way when its peer moved or left, as long as the other daemon kept its side open.

Cause: the pool of such a peer was emptied and dropped, and the call put its connection back into it afterwards, where nobody took or closed it.

Fix: the pool is retired, and closes what is put back.

Evidence: features/memory.feature, both ways a peer goes; both failed before.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -50,3 +50,15 @@
     When 60 callers send 30 requests ahead, and read nothing for 3 s
     Then the answers held for them fit into the memory of the daemon
     And another caller is answered
+
+  # A call that ended after its peer had moved put its connection into a pool
+  # that nobody took from any more.
+  Scenario Outline: A connection to a peer that is gone is closed
+    Given a connection taken from the pool of a peer
+    When the peer <goes> before the call on that connection ends
+    Then the connection is closed once the call has ended
+
+    Examples:
+      | goes                  |
+      | moves to another port |
+      | leaves the fleet      |
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -222,3 +222,49 @@
 def step_dropped(context, now_s):
     context.window.retain((), now_s)
     assert not testing.count_entries(context.window)['RetryWindow._counts']
+
+
+class IdleServer(asyncio.Protocol):
+    """Accepts connections and answers nothing."""
+
+
+@given('a connection taken from the pool of a peer')
+def step_taken(context):
+    context.peers = mesh.PeerTable(mesh.MeshSettings())
+
+    async def take():
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(IdleServer, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        row = testing.make_member_row('odd', address='127.0.0.1', port=port)
+        connection = await context.peers.find(row).pool.take()
+        return server, row, connection
+
+    context.loop = asyncio.new_event_loop()
+    context.cleanups.append(context.loop.close)
+    taken = context.loop.run_until_complete(take())
+    context.server, context.row, context.connection = taken
+
+
+@when('the peer {goes} before the call on that connection ends')
+def step_goes(context, goes):
+    context.pool = context.peers.find(context.row).pool
+    if goes == 'leaves the fleet':
+        context.peers.retain(frozenset())
+        return
+    fields = {'port': context.row.port + 1}
+    context.peers.find(testing.make_member_row('odd', **fields))
+
+
+@then('the connection is closed once the call has ended')
+def step_closed(context):
+    async def end():
+        context.pool.put(context.connection)
+        await asyncio.sleep(0.01)
+        is_closed = context.connection.transport.is_closing()
+        context.connection.close()
+        context.server.close()
+        await asyncio.sleep(0.01)
+        return is_closed
+
+    assert context.loop.run_until_complete(end())
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -564,7 +564,7 @@
             if old is row:
                 return peer
             if (old.address, old.port) != (row.address, row.port):
-                peer.pool.close()
+                peer.pool.retire()
             elif old.lifetime == row.lifetime:
                 return peer
             else:
@@ -619,7 +619,7 @@
     def retain(self, hosts: frozenset[base.HostId]) -> None:
         """Drop peers that are no longer members."""
         for host in [host for host in self._peers if host not in hosts]:
-            self._peers.pop(host).pool.close()
+            self._peers.pop(host).pool.retire()
 
 
 def _note_typical(
--- a/sedgering/transport/_pool.py
+++ b/sedgering/transport/_pool.py
@@ -37,6 +37,7 @@
         self.idle_limit = idle_limit
         self.idle_s = idle_s
         self._idle: list[tuple[float, _client.ClientConnection]] = []
+        self._is_retired = False
 
     @property
     def has_idle(self) -> bool:
@@ -84,13 +85,19 @@
         )
 
     def put(self, connection: _client.ClientConnection) -> None:
-        """Return a connection; close it if unusable or if the pool is full."""
-        if not connection.is_sound or len(self._idle) >= self.idle_limit:
+        """Return a connection; close it if it cannot be used again."""
+        is_full = len(self._idle) >= self.idle_limit
+        if not connection.is_sound or is_full or self._is_retired:
             connection.close()
             return
         now_s = asyncio.get_running_loop().time()
         self._idle.append((now_s, connection))
 
+    def retire(self) -> None:
+        """Close all connections, those in use once they are returned."""
+        self._is_retired = True
+        self.close()
+
     def close(self) -> None:
         """Close all idle connections."""
         idle, self._idle = self._idle, []
