Calls that are cancelled while a suspect runs leave nothing behind

What callers saw: nothing; each call that was cancelled while it waited for a suspect request left a future until that suspect had ended, which a hanging target delays for as long as its deadline.

Cause: `TrialScheduler.wait` entered its waiter and relied on `finish` to take it out. Fix: the wait takes its waiter out itself, on any way out.

Evidence: features/memory.feature; 20 waiters were left before, now none.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -62,3 +62,9 @@
       | goes                  |
       | moves to another port |
       | leaves the fleet      |
+
+  # Each cancelled call left a future until the suspect before it had ended.
+  Scenario: Calls that are cancelled while a suspect runs leave nothing behind
+    Given a suspect request that runs
+    When 20 calls that wait for its end are cancelled
+    Then nobody waits for its end any more
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -10,6 +10,8 @@
 from behave import when
 
 from sedgering import mesh
+from sedgering.mesh import _quota_client
+from sedgering.mesh import _trials
 from sedgering import testing
 
 SILENCE_MS = 100
@@ -268,3 +270,67 @@
         return is_closed
 
     assert context.loop.run_until_complete(end())
+
+
+@given('a suspect request that runs')
+def step_suspect(context):
+    context.trials = _trials.TrialScheduler()
+    assert context.trials.try_start('suspect', 1)
+
+
+@when('{count:d} calls that wait for its end are cancelled')
+def step_cancelled(context, count):
+    async def wait_and_leave():
+        for _ in range(count):
+            waiting = asyncio.ensure_future(context.trials.wait())
+            await asyncio.wait((waiting,), timeout=0)
+            waiting.cancel()
+        await asyncio.sleep(0)
+
+    asyncio.run(wait_and_leave())
+
+
+@then('nobody waits for its end any more')
+def step_nobody_waits(context):
+    counts = testing.count_entries(context.trials)
+    assert not counts['TrialScheduler._waiters'], counts
+
+
+@given(
+    'a daemon that has backed off from {count:d} hosts as relays and '
+    'allocators'
+)
+def step_backed_off(context, count):
+    """Let relays and allocators fail, as far as a daemon knows."""
+    fleet = testing.MeshFleet()
+    context.cleanups.append(fleet.stop)
+    context.daemon = fleet.add_host('front').daemon
+    context.rows = [testing.make_member_row(f'h{n}') for n in range(count)]
+    context.members = {row.host: row for row in context.rows}
+    context.daemon.state.fleet.replace(context.members, [])
+    follower = context.daemon.follower
+    follower._find_candidates()
+    client = _quota_client.PartitionClient(
+        context.daemon.state.quotas, 'p-0', 0.0
+    )
+    context.client = client
+    client.set_ranked([*context.members])
+    for row in context.rows:
+        follower._back_off(follower._slots[0], row, 'silent')
+        client.session.note_timeout(row.host, 0.0)
+
+
+@when('all but {count:d} of them have left the fleet')
+def step_left(context, count):
+    left = {row.host: row for row in context.rows[:count]}
+    context.daemon.state.fleet.replace(left, [])
+    context.daemon.follower._find_candidates()
+    context.client.set_ranked([*left])
+
+
+@then('it remembers pauses of no more than {limit:d} hosts')
+def step_pauses(context, limit):
+    counts = testing.count_entries(context.daemon.follower)
+    counts += testing.count_entries(context.client.session)
+    pauses = {name: counts[name] for name in counts if '_backoff' in name}
+    assert pauses and max(pauses.values()) <= limit, pauses
--- a/sedgering/mesh/_trials.py
+++ b/sedgering/mesh/_trials.py
@@ -18,7 +18,7 @@
     def __init__(self):
         #: Running suspects, and whether each must run alone.
         self._running: dict[base.Fingerprint, bool] = {}
-        self._waiters: list[asyncio.Future] = []
+        self._waiters: set[asyncio.Future] = set()
 
     def try_start(self, fingerprint: base.Fingerprint, crashes: int) -> bool:
         """Start a suspect if it may run now; return whether it did.
@@ -41,7 +41,7 @@
     def finish(self, fingerprint: base.Fingerprint) -> None:
         """Remove a suspect that has ended, whatever its result."""
         del self._running[fingerprint]
-        waiters, self._waiters = self._waiters, []
+        waiters, self._waiters = self._waiters, set()
         for waiter in waiters:
             if not waiter.done():
                 waiter.set_result(None)
@@ -49,5 +49,8 @@
     async def wait(self) -> None:
         """Wait until a suspect has ended."""
         waiter = asyncio.get_running_loop().create_future()
-        self._waiters.append(waiter)
-        await waiter
+        self._waiters.add(waiter)
+        try:
+            await waiter
+        finally:
+            self._waiters.discard(waiter)
