Hosts that have left take the pauses of relays and allocators along

What callers saw: nothing; a daemon kept one entry for each host that had failed as its relay or as an allocator of quotas, where hosts come and go.

Cause: both tables of pauses were emptied by an answer of that very host only, or by contact with the store. Fix: they follow the member table, and the list of possible allocators.

Evidence: features/memory.feature, 30 hosts of which 28 leave: 30 entries in each of the three tables before, now 2 at most.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -68,3 +68,9 @@
     Given a suspect request that runs
     When 20 calls that wait for its end are cancelled
     Then nobody waits for its end any more
+
+  # Pauses of relays and allocators were kept for hosts that had left.
+  Scenario: Hosts that come and go leave no pauses behind
+    Given a daemon that has backed off from 30 hosts as relays and allocators
+    When all but 2 of them have left the fleet
+    Then it remembers pauses of no more than 2 hosts
--- a/sedgering/mesh/_follow.py
+++ b/sedgering/mesh/_follow.py
@@ -419,6 +419,9 @@
         """Return the possible relays; recomputed when the members change."""
         members = self.fleet.members
         if self._candidates.members is not members:
+            for table in (self._backoffs_s, self._backoff_until_s):
+                for host in table.keys() - members.keys():
+                    del table[host]
             rows = _list_candidates(members, self.identity.data_centre)
             self._candidates = _RelayCandidates(
                 members, rows, _relay.choose_relays(rows)
--- a/sedgering/mesh/_quota_client.py
+++ b/sedgering/mesh/_quota_client.py
@@ -79,6 +79,11 @@
         """Return for how long there are no tokens; 0 if there may be some."""
         return max(0.0, self._exhausted_until_s.get(workspace, now_s) - now_s)
 
+    def set_ranked(self, ranked: list[base.HostId]) -> None:
+        """Set the possible allocators of the partition, the best first."""
+        self.ranked = ranked
+        self.session.retain(ranked)
+
     def retain(self, workspaces: frozenset[base.WorkspaceName]) -> None:
         """Forget all other workspaces."""
         for name in self._exhausted_until_s.keys() - workspaces:
--- a/sedgering/mesh/_quotas.py
+++ b/sedgering/mesh/_quotas.py
@@ -283,7 +283,7 @@
         if eligible != self._eligible:
             self._eligible = eligible
             for client in self._clients.values():
-                client.ranked = self._rank_hosts(client.session.partition)
+                client.set_ranked(self._rank_hosts(client.session.partition))
         self._update_clients()
 
     def refresh_hosts(self, now_s: float) -> None:
@@ -380,7 +380,7 @@
         loop = asyncio.get_running_loop()
         self._tasks = {}
         for partition, client in self._clients.items():
-            client.ranked = self._rank_hosts(partition)
+            client.set_ranked(self._rank_hosts(partition))
             client.session.is_leaving = self._is_leaving
             self._tasks[partition] = loop.create_task(client.run())
 
--- a/sedgering/quota/_session.py
+++ b/sedgering/quota/_session.py
@@ -6,6 +6,7 @@
 end of the lease, even if the allocator reads its request late.
 """
 
+from collections.abc import Collection
 from collections.abc import Sequence
 
 import msgspec
@@ -98,6 +99,11 @@
         ]
         return allowed[:CANDIDATES_LIMIT]
 
+    def retain(self, hosts: Collection[base.HostId]) -> None:
+        """Forget the pauses of all other hosts."""
+        for host in self._backoffs.keys() - set(hosts):
+            del self._backoffs[host]
+
     def may_lease(self, now_s: float) -> bool:
         """Whether this host's share may be leased to the allocator."""
         if self.stamp is None or self.is_leaving:
