--- a/features/memory.feature
+++ b/features/memory.feature
@@ -50,3 +50,27 @@
     When 60 callers send 30 requests ahead, and read nothing for 3 s
     Then the answers held for them fit into the memory of the daemon
     And another caller is answered
+
+  # A call that ended after its peer had moved put its connection into a pool
+  # that nobody took from any more.
+  Scenario Outline: A connection to a peer that is gone is closed
+    Given a connection taken from the pool of a peer
+    When the peer <goes> before the call on that connection ends
+    Then the connection is closed once the call has ended
+
+    Examples:
+      | goes                  |
+      | moves to another port |
+      | leaves the fleet      |
+
+  # Each cancelled call left a future until the suspect before it had ended.
+  Scenario: Calls that are cancelled while a suspect runs leave nothing behind
+    Given a suspect request that runs
+    When 20 calls that wait for its end are cancelled
+    Then nobody waits for its end any more
+
+  # Pauses of relays and allocators were kept for hosts that had left.
+  Scenario: Hosts that come and go leave no pauses behind
+    Given a daemon that has backed off from 30 hosts as relays and allocators
+    When all but 2 of them have left the fleet
+    Then it remembers pauses of no more than 2 hosts
