A row that claims the address of a running daemon hides no target

One row of another writer with the address of a daemon, of any target set and state, took all calls from the target beside it for good: of two rows with one address the later one counts, since addresses are used again.

By reading, a late write of a host that has ended has the same effect.

Now a daemon that sees a later row of another host with its own address writes its row again: two processes cannot listen there, and it is the one that does. It writes once for each such row.

features/odd_bytes.feature: all four examples timed out before.

--- a/features/odd_bytes.feature
+++ b/features/odd_bytes.feature
@@ -97,3 +97,19 @@
       | 600  | removed |
       | 600  | added   |
       | 1200 | written |
+
+  # Guards against a row of another writer with the address of a daemon: of two
+  # rows with one address the later one counts, so that a sound target got no
+  # more calls.
+  Scenario Outline: A row with the address of a running daemon hides no target
+    Given a mesh with two calendar hosts
+    When another writer puts a row with the address of the first host, <how>
+    Then all daemons send calls to both hosts again
+    And the first host has written its row once for it
+
+    Examples:
+      | how                 |
+      | of set "nobody"     |
+      | of state "draining" |
+      | of state "gone"     |
+      | of its target       |
--- a/sedgering/mesh/_members.py
+++ b/sedgering/mesh/_members.py
@@ -127,6 +127,25 @@
             return MemberEntry(host, 0, None)
         return entry
 
+    def find_claim(self, host: base.HostId) -> MemberEntry | None:
+        """Return a later entry of another host with the address of a host.
+
+        Two daemons cannot listen at one address, and the later row counts.
+        """
+        own = self._entries.get(host)
+        if own is None or own.row is None:
+            return None
+        for entry in self._entries.values():
+            row = entry.row
+            if (
+                row is not None
+                and entry.revision > own.revision
+                and row.port == own.row.port
+                and row.address == own.row.address
+            ):
+                return entry
+        return None
+
     def list_members(self) -> dict[base.HostId, _messages.MemberRow]:
         """Return the present rows, the most recently written last."""
         entries = sorted(
--- a/sedgering/mesh/_row_writer.py
+++ b/sedgering/mesh/_row_writer.py
@@ -123,6 +123,28 @@
             self._is_write_due = True
             self._has_work.set()
 
+    def outdate(self, claim: _members.MemberEntry) -> None:
+        """Write the row again, after one that claims the address of its host.
+
+        Parameters
+        ----------
+        claim : MemberEntry
+            Row of another host with the address of this one.
+        """
+        if (
+            self._desired is None
+            or not self._revision
+            or self._revision > claim.revision
+        ):
+            return
+        LOG.warning(
+            'address claimed by another row',
+            extra={'peer': claim.host, 'version': claim.revision},
+        )
+        self._is_settled = False
+        self._is_write_due = True
+        self._has_work.set()
+
     def read_once(self, read: Callable[[], Awaitable]) -> None:
         """Call `read` once in this task, with the task's retry pauses."""
         self._pending_read = read
--- a/sedgering/mesh/_source.py
+++ b/sedgering/mesh/_source.py
@@ -392,6 +392,9 @@
         self._member_watcher.skip_to(update.revision)
         own = self.members.find_entry(self.host)
         self._row_writer.check_stored_row(own, self.members.revision)
+        claim = self.members.find_claim(self.host) if is_changed else None
+        if claim is not None:
+            self._row_writer.outdate(claim)
         if is_changed or is_first:
             self._on_members(self.members.list_members())
             self.note_change()
