A request that offers an upgrade runs whole, and gets one answer

A caller whose client offers h2c on each first request ("Connection: Upgrade", "Upgrade: h2c", as some HTTP clients do by default) got its answer and then an unasked 400, and the connection was closed: the 400 answered the next request on it, or that one was lost. A POST with such an offer ran with an empty body. CONNECT was passed on, answered, and then answered 400.

Cause: httptools ends a message with an offer at its head and raises HttpParserUpgrade, after `on_message_complete` has started the request. What follows, the body first of all, counts as another protocol; it was refused as malformed.

A request with an offer is not started at its head. It is parsed again without the Upgrade field, followed by what came behind the head, with a new parser, as RFC 9110, 7.8 lets a server ignore the offer. The body keeps its framing and its limits. CONNECT is refused with its head. An ordinary request costs one look into the index of its fields.

--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -22,6 +22,7 @@
 from sedgering.transport import _messages
 from sedgering.transport import _pacing
 from sedgering.transport import _sockets
+from sedgering.transport import _upgrade
 
 __all__ = ['CallerLimits', 'Service', 'serve']
 
@@ -297,11 +298,9 @@
         self.last_activity_s = self.loop.time()
         requests, body_size = self._requests, self._body_size
         try:
-            self._parser.feed_data(data)
+            self._feed(data)
             if self._request is not None and self._requests == requests:
                 self._limit_framing(len(data) - self._body_size + body_size)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
         except _RefusedRequest as error:
             self._refuse(error.status)
         except httptools.HttpParserCallbackError as error:
@@ -317,6 +316,21 @@
             self._is_paused = True
             self.transport.pause_reading()
 
+    def _feed(self, data: bytes) -> None:
+        """Feed the parser, again without an offer to upgrade if it has one."""
+        while True:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                (consumed_bytes,) = upgrade.args
+                head = _upgrade.encode_head(
+                    self._request, self._parser.get_http_version()
+                )
+                data = head + data[consumed_bytes:]
+                self._parser = httptools.HttpRequestParser(self)
+            else:
+                return
+
     def _limit_framing(self, added_bytes: int) -> None:
         """Refuse a request with too much besides its body.
 
@@ -395,6 +409,8 @@
         self._is_reading_head = False
         request = self._request
         request.method = self._parser.get_method().decode('ascii')
+        if request.method == 'CONNECT':
+            raise _RefusedRequest(400)
         request.url = self._url.decode('latin-1')
         request.fields = _headers.index_headers(request.headers)
         version = self._parser.get_http_version()
@@ -409,7 +425,8 @@
             raise _RefusedRequest(413)
         expects = request.find('expect')
         if expects and expects.lower() == '100-continue' and not self.pending:
-            self.transport.write(_CONTINUE)
+            if not self._parser.should_upgrade():
+                self.transport.write(_CONTINUE)
 
     def on_body(self, body):
         """Add a part of the body."""
@@ -424,6 +441,12 @@
     def on_message_complete(self):
         """Start answering a complete request."""
         request = self._request
+        if (
+            _upgrade.UPGRADE in request.fields
+            and self._parser.should_upgrade()
+        ):
+            # Its body has not been read; see `_feed`.
+            return
         request.body = b''.join(self._chunks)
         self._chunks = []
         self._request = None
