Callers of HTTP/1.0 get no 100 Continue

A caller of HTTP/1.0 that sends "Expect: 100-continue" got an interim response, which HTTP/1.0 does not know: it counts as the answer, and the real one as that of nobody. RFC 9110, 10.1.1 says that the field is ignored there.

Evidence: the scenario failed before (100, then 200), passes now.

--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -31,3 +31,10 @@
     Given a service that answers
     When a caller sends it CONNECT, then a plain request
     Then it gets 400, and the connection ends
+
+  # Guards against an interim response to a caller that takes it for the final
+  # one (RFC 9110, section 10.1.1).
+  Scenario: A caller of HTTP/1.0 gets no interim response
+    Given a service that answers
+    When a caller sends it an expecting post of HTTP/1.0, then a plain request
+    Then it gets 200, and the connection ends
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -425,7 +425,7 @@
             raise _RefusedRequest(413)
         expects = request.find('expect')
         if expects and expects.lower() == '100-continue' and not self.pending:
-            if not self._parser.should_upgrade():
+            if self._accepts_interim and not self._parser.should_upgrade():
                 self.transport.write(_CONTINUE)
 
     def on_body(self, body):
