A defect of a service is answered wherever it raises

A request whose service raised in `begin`, or whose answer had a field that cannot be encoded, was never answered: it stayed first in line, so that all answers behind it waited, and the connection stayed open. Only a service that raised in its coroutine was answered 502.

Cause: an exception in a callback of the parser is reported as a malformed request, and its 400 waited behind the request without an answer; an exception while encoding ended the task.

Both now lead to the same 502 (outcome unknown). No way to reach them from outside is known: found by reading.

--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -38,3 +38,15 @@
     Given a service that answers
     When a caller sends it an expecting post of HTTP/1.0, then a plain request
     Then it gets 200, and the connection ends
+
+  # Guards against a defect that leaves the connection open without an answer.
+  Scenario Outline: A defect of a service is answered
+    Given a service that <fault>
+    When a caller sends it a plain request, then a plain request
+    Then it gets 502 and 502, and nothing else
+
+    Examples:
+      | fault                                       |
+      | raises                                      |
+      | raises at once                              |
+      | answers with a field that cannot be encoded |
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -456,7 +456,10 @@
         item.must_close = not self._parser.should_keep_alive()
         self.pending.append(item)
         item.body_bytes = len(request.body)
-        result = self.service.begin(request)
+        try:
+            result = self.service.begin(request)
+        except Exception:
+            result = self._make_defect_response()
         if isinstance(result, _messages.Response):
             self._finish(item, result)
             return
@@ -471,12 +474,18 @@
         except asyncio.CancelledError:
             raise
         except Exception:
-            # A defect must not leave the caller without a response.  Whether
-            # the request was executed is unknown.
-            LOG.exception('request failed')
-            response = self.service.make_error_response(502)
+            response = self._make_defect_response()
         self._finish(item, response)
 
+    def _make_defect_response(self) -> _messages.Response:
+        """Make the response to a request that met a defect.
+
+        A defect must not leave the caller without a response.  Whether the
+        request was executed is unknown.
+        """
+        LOG.exception('request failed')
+        return self.service.make_error_response(502)
+
     def _finish(self, item: _Pending, response: _messages.Response | None):
         item.release_body()
         if self._is_closing:
@@ -499,9 +508,14 @@
         else:
             idle_ms = self.service.find_limits().idle_timeout_ms
             connection = f'Keep-Alive: timeout={max(1, idle_ms // 1000)}'
-        item.data = _messages.encode_response(
-            response, connection, item.is_head
-        )
+        try:
+            item.data = _messages.encode_response(
+                response, connection, item.is_head
+            )
+        except UnicodeEncodeError:
+            item.data = _messages.encode_response(
+                self._make_defect_response(), connection, item.is_head
+            )
         self._flush()
 
     def _flush(self):
