--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -178,6 +178,7 @@
         self.store_port = _fleet.free_ports(1)[0]
         self.hosts: dict[str, MeshHost] = {}
         self.engine = _engine.PlatformEngine()
+        self.store_service: _store_server.StoreService | None = None
         self.run(self._start_store())
 
     def run(self, work: Coroutine) -> Any:
@@ -378,8 +379,8 @@
         _loops.finish_loop(self.loop)
 
     async def _start_store(self) -> None:
-        service = _store_server.StoreService(self.engine)
-        await transport.serve(service, ADDRESS, self.store_port)
+        self.store_service = _store_server.StoreService(self.engine)
+        await transport.serve(self.store_service, ADDRESS, self.store_port)
 
     async def _start_host(self, host: MeshHost) -> None:
         await self._start_target(host)
