--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -22,6 +22,7 @@
 from sedgering.transport import _messages
 from sedgering.transport import _pacing
 from sedgering.transport import _sockets
+from sedgering.transport import _upgrade
 
 __all__ = ['CallerLimits', 'Service', 'serve']
 
@@ -342,11 +343,9 @@
         self.last_activity_s = self.loop.time()
         requests, body_size = self._requests, self._body_size
         try:
-            self._parser.feed_data(data)
+            self._feed(data)
             if self._request is not None and self._requests == requests:
                 self._limit_framing(len(data) - self._body_size + body_size)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
         except _RefusedRequest as error:
             self._refuse(error.status)
         except httptools.HttpParserCallbackError as error:
@@ -362,6 +361,21 @@
             self._is_paused = True
             self.transport.pause_reading()
 
+    def _feed(self, data: bytes) -> None:
+        """Feed the parser, again without an offer to upgrade if it has one."""
+        while True:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                (consumed_bytes,) = upgrade.args
+                head = _upgrade.encode_head(
+                    self._request, self._parser.get_http_version()
+                )
+                data = head + data[consumed_bytes:]
+                self._parser = httptools.HttpRequestParser(self)
+            else:
+                return
+
     def _limit_framing(self, added_bytes: int) -> None:
         """Refuse a request with too much besides its body.
 
@@ -440,6 +454,8 @@
         self._is_reading_head = False
         request = self._request
         request.method = self._parser.get_method().decode('ascii')
+        if request.method == 'CONNECT':
+            raise _RefusedRequest(400)
         request.url = self._url.decode('latin-1')
         request.fields = _headers.index_headers(request.headers)
         version = self._parser.get_http_version()
@@ -454,7 +470,8 @@
             raise _RefusedRequest(413)
         expects = request.find('expect')
         if expects and expects.lower() == '100-continue' and not self.pending:
-            self.transport.write(_CONTINUE)
+            if self._accepts_interim and not self._parser.should_upgrade():
+                self.transport.write(_CONTINUE)
 
     def on_body(self, body):
         """Add a part of the body."""
@@ -469,6 +486,12 @@
     def on_message_complete(self):
         """Start answering a complete request."""
         request = self._request
+        if (
+            _upgrade.UPGRADE in request.fields
+            and self._parser.should_upgrade()
+        ):
+            # Its body has not been read; see `_feed`.
+            return
         request.body = b''.join(self._chunks)
         self._chunks = []
         self._request = None
@@ -503,7 +526,10 @@
 
     def _begin(self, item: _Pending):
         request, item.request = item.request, None
-        result = self.service.begin(request)
+        try:
+            result = self.service.begin(request)
+        except Exception:
+            result = self._make_defect_response()
         if isinstance(result, _messages.Response):
             self._finish(item, result)
             return
@@ -516,12 +542,18 @@
         except asyncio.CancelledError:
             raise
         except Exception:
-            # A defect must not leave the caller without a response.  Whether
-            # the request was executed is unknown.
-            LOG.exception('request failed')
-            response = self.service.make_error_response(502)
+            response = self._make_defect_response()
         self._finish(item, response)
 
+    def _make_defect_response(self) -> _messages.Response:
+        """Make the response to a request that met a defect.
+
+        A defect must not leave the caller without a response.  Whether the
+        request was executed is unknown.
+        """
+        LOG.exception('request failed')
+        return self.service.make_error_response(502)
+
     def _finish(self, item: _Pending, response: _messages.Response | None):
         item.release_body()
         if self._is_closing:
@@ -547,9 +579,14 @@
         else:
             idle_ms = self.service.find_limits().idle_timeout_ms
             connection = f'Keep-Alive: timeout={max(1, idle_ms // 1000)}'
-        item.data = _messages.encode_response(
-            response, connection, item.is_head
-        )
+        try:
+            item.data = _messages.encode_response(
+                response, connection, item.is_head
+            )
+        except UnicodeEncodeError:
+            item.data = _messages.encode_response(
+                self._make_defect_response(), connection, item.is_head
+            )
         self._ready_bytes += len(item.data)
         self._flush()
         self._note_held()
