--- a/features/soak.feature
+++ b/features/soak.feature
@@ -4,6 +4,7 @@
   Scenario: A seed always gives the same plan
     Then plans of 50 seeds are reproducible and differ from each other
     And so are the plans of faults around starts and ends
+    And losses of power follow each kind of acknowledgement
     And the plans of earlier releases are unchanged but for added faults
     And plans with unplanned faults also have suspended hosts and a request that crashes targets
 
@@ -174,3 +175,8 @@
   Scenario: A short soak with faults around starts and ends keeps all guarantees
     When seed 2 with faults around starts and ends runs on 3 hosts for 4 s
     Then no guarantee is violated
+
+  # Guards against acknowledgements that are known to one process only.
+  Scenario: What was acknowledged before a loss of power still holds
+    When seed 1 with 3 losses of power runs on 3 hosts for 1 s
+    Then no guarantee is violated
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -22,6 +22,7 @@
 from soak import _links
 from soak import _long_requests
 from soak import _lost
+from soak import _power_loss
 from soak import _rollouts
 from soak import _targets
 from soak import _world
@@ -520,6 +521,17 @@
         ), seed
 
 
+@then('losses of power follow each kind of acknowledgement')
+def step_power_losses(context):
+    def make_losses(seed):
+        return list(_power_loss.make_power_losses(seed, 5, 3))
+
+    assert make_losses(1) == make_losses(1) != make_losses(2)
+    for seed in range(SEEDS):
+        events = {loss.event for loss in make_losses(seed)}
+        assert events == set(_power_loss.EVENTS), (seed, events)
+
+
 @then('the plans of earlier releases are unchanged but for added faults')
 def step_base_plans(context):
     digest, throttled = hashlib.sha256(), hashlib.sha256()
@@ -823,6 +835,17 @@
     )
 
 
+@when(
+    'seed {seed:d} with {losses:d} losses of power runs on {hosts:d} hosts '
+    'for {seconds:d} s'
+)
+def step_run_power_losses(context, seed, losses, hosts, seconds):
+    run(
+        context,
+        _world.WorldSettings(seed, hosts, float(seconds), power_losses=losses),
+    )
+
+
 def run(context, settings):
     """Run a soak and keep what it finds."""
     with tempfile.TemporaryDirectory(prefix='soak-') as folder:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -100,6 +100,13 @@
     sets: Annotated[
         bool, typer.Option(help='Use three sets of targets, 6 to 4 to 3.')
     ] = False,
+    power_losses: Annotated[
+        int,
+        typer.Option(
+            help='Losses of power of all hosts after the faults, each right '
+            'after the acknowledgement of a version or of a departure.'
+        ),
+    ] = 0,
     keep: Annotated[
         pathlib.Path | None,
         typer.Option(help='Folder for the logs of seeds that fail.'),
@@ -124,6 +131,7 @@
             has_half_closers=half_closers,
             has_slow_logs=slow_logs,
             has_sets=sets,
+            power_losses=power_losses,
         )
         if plan:
             for fault in _faults.make_plan(
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -29,6 +29,8 @@
 #: Receive buffer of a slow reader, much smaller than a large answer.
 RECEIVE_BUFFER_BYTES = 8 * 1024
 READ_BYTES = 16 * 1024
+#: An interim response, which callers skip.
+CONTINUE_STATUS = b'HTTP/1.1 100 '
 
 
 class CallRecord(msgspec.Struct):
@@ -199,6 +201,9 @@
     def _read(self, record: CallRecord) -> bool:
         """Read an answer; return whether the connection stays open."""
         status_line = self._stream.readline()
+        while status_line.startswith(CONTINUE_STATUS):
+            http.client.parse_headers(self._stream)
+            status_line = self._stream.readline()
         if not status_line.endswith(b'\r\n'):
             raise http.client.RemoteDisconnected(
                 f'incomplete status line {status_line!r}'
--- a/soak/_odd_callers.py
+++ b/soak/_odd_callers.py
@@ -63,6 +63,9 @@
         return False
 
 
+KINDS = {'piece': PieceCaller, 'idle': IdleCaller, 'early': EarlyLeaver}
+
+
 def make_odd_callers(
     seed: int, daemons: list, has_half_closers: bool
 ) -> list[_callers.Caller]:
@@ -71,18 +74,18 @@
     Parameters
     ----------
     seed : int
-        Seed of their own generator.
+        Seed of their own generators.
     daemons : list of Daemon
         Daemons of the hosts.
     has_half_closers : bool
         Whether some callers close their sending direction early.
     """
-    rng = random.Random(f'odd callers {seed}')
-    kinds = {'piece': PieceCaller, 'idle': IdleCaller, 'early': EarlyLeaver}
-    if has_half_closers:
-        kinds['half'] = HalfCloser
-    return [
-        make(f'{daemon.name}-{name}', daemon, rng.randrange(1 << 30))
-        for daemon in daemons
-        for name, make in kinds.items()
-    ]
+    kinds = {**KINDS, 'half': HalfCloser} if has_half_closers else KINDS
+    callers = []
+    for daemon in daemons:
+        for name, make in kinds.items():
+            rng = random.Random(f'{name} {daemon.name} {seed}')
+            callers.append(
+                make(f'{daemon.name}-{name}', daemon, rng.randrange(1 << 30))
+            )
+    return callers
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -25,6 +25,7 @@
 from soak import _links
 from soak import _long_requests
 from soak import _odd_callers
+from soak import _power_loss
 from soak import _probes
 from soak import _rollouts
 from soak import _targets
@@ -77,6 +78,8 @@
         Whether the log output of daemons is read slowly.
     has_sets : bool
         Whether hosts have targets of three sets, 6 to 4 to 3.
+    power_losses : int
+        Number of losses of power of all hosts after the plan.
     """
 
     seed: int
@@ -92,6 +95,7 @@
     has_half_closers: bool = False
     has_slow_logs: bool = False
     has_sets: bool = False
+    power_losses: int = 0
 
 
 class Disturbance(msgspec.Struct):
@@ -164,6 +168,11 @@
         for daemon in self.daemons:
             daemon.has_rollouts = world_settings.has_rollouts
             daemon.has_slow_log = world_settings.has_slow_logs
+            # The launcher of suspendable programs takes signals later.
+            daemon.is_suspendable = (
+                not world_settings.has_early_signals
+                or _faults.has_unplanned_faults(world_settings.seed)
+            )
         self.crash_caller = _crash_requests.CrashRequestCaller(
             world_settings.seed
         )
@@ -239,6 +248,10 @@
             )
             tasks.append(asyncio.ensure_future(self._inject_all(host_plan)))
         await asyncio.gather(self._inject_all(plan), *tasks)
+        for loss in _power_loss.make_power_losses(
+            settings.seed, settings.hosts, settings.power_losses
+        ):
+            await _power_loss.lose_power(self, loss)
         # Their requests under way end before the final load does.
         for caller in self.long_callers:
             caller.is_stopping = True
@@ -417,11 +430,14 @@
         await self.wait_until_responding(host)
 
     async def wait_until_responding(self, host: int) -> None:
-        """Wait until a daemon answers."""
-        await _wait_for(
-            self.probes[host].is_responding,
-            'a restarted daemon does not answer',
-        )
+        """Wait until a daemon answers; start it again if it has ended."""
+
+        async def is_responding() -> bool:
+            if not self.daemons[host].is_running:
+                await self.daemons[host].start()
+            return await self.probes[host].is_responding()
+
+        await _wait_for(is_responding, 'a restarted daemon does not answer')
 
     async def _pause(self, fault: _faults.Fault) -> None:
         daemon = self.daemons[fault.host]
@@ -460,6 +476,10 @@
         await self._control_store({})
 
     async def _change_version(self, _fault: _faults.Fault) -> None:
+        await self.change_version()
+
+    async def change_version(self) -> None:
+        """Write the next version until the store has acknowledged it."""
         self.version += 1
         await _wait_for(
             self._write_version, 'the store does not accept a new version'
