The soak's callers see at once that a connection ends

What callers saw: nothing.

Cause: the caller's connection was made at the moment at which the leaving daemon closed its listener (2.5 s after `leaving`); it was never accepted, no daemon logged the request, and the reset came at once. The caller slept until it was to send the next request behind the first, and took that for the end.

While it waits it now watches the connection.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -12,6 +12,11 @@
     Given soak results in which all is well
     Then each caller waits until after a request is overdue
 
+  # Guards against requests that seem held because their caller looks late.
+  Scenario: Callers see at once that a connection ends
+    When a caller waits 5 s to pipeline a request, and its connection is closed
+    Then its first request ended before it would have sent the second
+
   Scenario: A throttled link limits its rate
     Then a throttled link forwards answers at its rate
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 import tempfile
+import threading
 import time
 
 from behave import given
@@ -720,6 +721,47 @@
         )
 
 
+@when(
+    'a caller waits {delay_s:d} s to pipeline a request, and its connection '
+    'is closed'
+)
+def step_close_while_waiting(context, delay_s):
+    class ListedDaemon:
+        name = 'host-0'
+        address = '127.0.0.1'
+
+    caller = _long_requests.LongCaller('caller', ListedDaemon, 1)
+    records = [
+        caller._make_record(number, False, '/long/30/0/')
+        for number in range(2)
+    ]
+    records[0].sent_s = time.monotonic()
+    caller._choose_requests = lambda: records
+    caller.pipeline_delay_s = float(delay_s)
+    ours, theirs = socket.socketpair()
+    caller._socket, caller._stream = ours, ours.makefile('rb')
+    caller.is_stopping = False
+
+    def close():
+        theirs.recv(1)
+        caller.is_stopping = True
+        theirs.close()
+
+    thread = threading.Thread(target=close)
+    thread.start()
+    caller.run()
+    thread.join()
+    context.records, context.delay_s = records, delay_s
+
+
+@then('its first request ended before it would have sent the second')
+def step_ended_early(context):
+    first, second = context.records
+    assert first.status == 0 and first.end, first
+    assert first.done_s - first.sent_s < context.delay_s, first
+    assert not second.last_byte_s, second
+
+
 @then('a throttled link forwards answers at its rate')
 def step_throttled(context):
     async def run():
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -2,6 +2,7 @@
 
 import http.client
 import random
+import select
 import socket
 import threading
 import time
@@ -173,7 +174,8 @@
         if self._socket is None:
             self._connect()
         for record in records:
-            time.sleep(0 if record is records[0] else self.pipeline_delay_s)
+            if record is not records[0]:
+                self._wait_to_pipeline()
             record.sent_s = time.monotonic()
             record.is_kept = self._has_answers
             record.is_behind = record is not records[0]
@@ -184,6 +186,16 @@
             if self._socket is not None and not self._read(record):
                 self._disconnect()
 
+    def _wait_to_pipeline(self) -> None:
+        """Wait before the next request, unless the connection ends."""
+        end_s = time.monotonic() + self.pipeline_delay_s
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        is_readable = poll.poll(1000 * self.pipeline_delay_s)
+        if is_readable and not self._socket.recv(1, socket.MSG_PEEK):
+            raise http.client.RemoteDisconnected('closed without an answer')
+        time.sleep(max(0.0, end_s - time.monotonic()))
+
     def _send(self, data: bytes) -> None:
         self._socket.sendall(data)
 
