--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from sedgering import ports
+from sedgering.transport import _half_close
 from sedgering.transport import _headers
 from sedgering.transport import _load
 from sedgering.transport import _messages
@@ -29,6 +30,9 @@
 #: Pipelined requests of one connection that are answered concurrently.
 #: Reading pauses at this number; callers rarely pipeline more than a few.
 PIPELINE_DEPTH = 16
+#: Unsent response data of one connection from which on no further request of
+#: it is begun, until its caller has read most of that.
+UNREAD_BYTES = 256 * 1024
 #: TCP_USER_TIMEOUT: the connection fails when sent data stays
 #: unacknowledged for longer.
 TCP_USER_TIMEOUT_MS = 4000
@@ -78,11 +82,18 @@
 
     #: Whether responses carry ``Connection: close``.
     is_closing = False
+    #: Whether a caller that has closed only its sending side is answered.
+    keeps_half_closed = False
     #: Paces large responses on the link; None if that is not needed.
     pacer: _pacing.LinkPacer | None = None
+    #: Response data held for all callers together above which the connection
+    #: that holds the most is closed.
+    held_limit_bytes = math.inf
 
     def __init__(self):
         self.connections: set[ServerConnection] = set()
+        #: Connections that may hold response data.
+        self.holding: set[ServerConnection] = set()
         #: Bytes received on all connections since the start.
         self.received_bytes = 0
         self._check_timer: asyncio.TimerHandle | None = None
@@ -152,6 +163,22 @@
             connection.add_load(load)
         return load
 
+    @property
+    def held_bytes(self) -> int:
+        """Response data that all callers together have not taken yet."""
+        return sum(connection.held_bytes for connection in self.holding)
+
+    def limit_held(self) -> None:
+        """Close the connections that hold the most while it is too much."""
+        while self.held_bytes > self.held_limit_bytes:
+            largest = max(self.holding, key=lambda item: item.held_bytes)
+            LOG.warning(
+                'caller does not read',
+                extra={'detail': f'{largest.held_bytes} bytes held'},
+            )
+            self.holding.discard(largest)
+            largest.transport.abort()
+
     def make_error_response(self, status: int) -> _messages.Response:
         """Make the response to a request that failed or cannot be read."""
         return _messages.make_json_response(status, {'error': status})
@@ -167,6 +194,7 @@
         'is_head',
         'must_close',
         'received_s',
+        'request',
         'task',
     )
 
@@ -175,6 +203,8 @@
         self.is_head = False
         self.must_close = False
         self.received_s = math.inf
+        #: The request, until it is begun.
+        self.request: _messages.Request | None = None
         #: Size of the body while it counts towards `BodyMemory`.
         self.body_bytes = 0
         #: Coroutine that answers the request, and the task that runs it.
@@ -224,6 +254,12 @@
         self.loop = loop
         self.transport: asyncio.Transport | None = None
         self.pending: collections.deque[_Pending] = collections.deque()
+        #: Those at the end of `pending` that have not been begun.
+        self._waiting: collections.deque[_Pending] = collections.deque()
+        #: Size of the responses that wait for an earlier one.
+        self._ready_bytes = 0
+        self._is_beginning = False
+        self._is_write_paused = False
         self.last_activity_s = loop.time()
         self._parser = httptools.HttpRequestParser(self)
         self._timer: asyncio.TimerHandle | None = None
@@ -244,6 +280,11 @@
         self._is_closing = False
         #: Whether the output is closed and the caller is expected to close.
         self._is_lingering = False
+        #: Whether all requests were of HTTP/1.1 or later: callers of HTTP/1.0
+        #: take an interim response for the final one.
+        self._accepts_interim = True
+        #: Present once the caller has closed its sending side.
+        self._half_close_probe: _half_close.HalfCloseProbe | None = None
         #: Time until which a large response may be unacknowledged.  Finding
         #: out takes a system call, which connections with only small
         #: responses avoid.
@@ -263,21 +304,35 @@
             TCP_USER_TIMEOUT_MS,
             KEEPALIVE_INTERVAL_S,
         )
+        transport.set_write_buffer_limits(UNREAD_BYTES)
         self.service.add_connection(self)
 
+    def pause_writing(self):
+        """Begin no further request: the caller does not read."""
+        self._is_write_paused = True
+
+    def resume_writing(self):
+        """Begin the requests that wait: the caller has read."""
+        self._is_write_paused = False
+        self._note_held()
+        self._begin_waiting()
+
     def connection_lost(self, exc):
         """Cancel all requests in progress: the caller has disconnected."""
         self._is_closing = True
         self.service.connections.discard(self)
+        self.service.holding.discard(self)
         if self._timer is not None:
             self._timer.cancel()
+        if self._half_close_probe is not None:
+            self._half_close_probe.cancel()
         self._release_body()
         for paced in self._paced_writes:
             paced.cancel()
         self._paced_writes.clear()
         for item in self.pending:
             item.cancel()
-        self.pending.clear()
+        self._forget_pending()
 
     def data_received(self, data):
         """Feed the parser, which starts each request once it is complete."""
@@ -320,11 +375,29 @@
             raise _RefusedRequest(431 if self._is_reading_head else 400)
 
     def eof_received(self):
-        """Close the connection, also if the caller has closed only one side.
+        """Return whether the connection stays open for its responses.
 
-        A half-closed caller counts as disconnected.
+        The caller may have closed only its sending side, and still read.
         """
-        return False
+        if not self.service.keeps_half_closed:
+            return False
+        if self.pending and not self._accepts_interim:
+            return False
+        if not self.pending and not self._paced_writes:
+            return False
+        # The rest of an incomplete request can no longer arrive.
+        self._is_discarding_input = True
+        self._release_body()
+        self._request = None
+        self._half_close_probe = _half_close.HalfCloseProbe(
+            self.transport, self.loop, self._awaits_response
+        )
+        self._half_close_probe.run()
+        return True
+
+    def _awaits_response(self) -> bool:
+        """Whether the next data to write is the start of a response."""
+        return bool(self.pending) and not self._paced_writes
 
     # Callbacks of the parser.
 
@@ -369,7 +442,10 @@
         request.method = self._parser.get_method().decode('ascii')
         request.url = self._url.decode('latin-1')
         request.fields = _headers.index_headers(request.headers)
-        _check_framing(request, self._parser.get_http_version())
+        version = self._parser.get_http_version()
+        if version < '1.1':
+            self._accepts_interim = False
+        _check_framing(request, version)
         length = request.find('content-length')
         is_chunked = request.find('transfer-encoding') is not None
         request.has_body = is_chunked or length is not None
@@ -402,6 +478,31 @@
         item.must_close = not self._parser.should_keep_alive()
         self.pending.append(item)
         item.body_bytes = len(request.body)
+        item.request = request
+        self._waiting.append(item)
+        self._begin_waiting()
+
+    # Responses.
+
+    def _begin_waiting(self):
+        """Begin requests as long as the pipeline and the caller allow it."""
+        if self._is_beginning:
+            return
+        self._is_beginning = True
+        try:
+            while self._waiting and self._may_begin:
+                self._begin(self._waiting.popleft())
+        finally:
+            self._is_beginning = False
+
+    @property
+    def _may_begin(self) -> bool:
+        """Whether another request may be begun."""
+        begun = len(self.pending) - len(self._waiting)
+        return begun < PIPELINE_DEPTH and not self._is_write_paused
+
+    def _begin(self, item: _Pending):
+        request, item.request = item.request, None
         result = self.service.begin(request)
         if isinstance(result, _messages.Response):
             self._finish(item, result)
@@ -409,8 +510,6 @@
         item.coroutine = result
         item.task = self.loop.create_task(self._answer(item))
 
-    # Responses.
-
     async def _answer(self, item: _Pending):
         try:
             response = await item.coroutine
@@ -431,7 +530,11 @@
             self.transport.abort()
             return
         must_close = item.must_close or response.must_close
-        if self.service.is_closing and item is self.pending[-1]:
+        if response.must_close:
+            # What waits behind it would get no response.
+            self._waiting.clear()
+        is_last = self.service.is_closing or self._half_close_probe is not None
+        if is_last and item is self.pending[-1]:
             # Pipelined requests are answered before the connection closes.
             must_close = True
         item.must_close = must_close
@@ -447,20 +550,40 @@
         item.data = _messages.encode_response(
             response, connection, item.is_head
         )
+        self._ready_bytes += len(item.data)
         self._flush()
+        self._note_held()
+
+    @property
+    def held_bytes(self) -> int:
+        """Size of the responses that are ready and not sent."""
+        return self._ready_bytes + self.transport.get_write_buffer_size()
+
+    def _note_held(self):
+        """Tell the service whether this connection holds response data."""
+        if not self.held_bytes:
+            self.service.holding.discard(self)
+        elif not self._is_closing:
+            self.service.holding.add(self)
+            self.service.limit_held()
 
     def _flush(self):
         """Write the responses that are ready, in the order of the requests."""
         while self.pending and self.pending[0].data is not None:
             item = self.pending.popleft()
+            self._ready_bytes -= len(item.data)
             self._write(item.data)
             if item.must_close:
                 self._close()
                 return
         self.last_activity_s = self.loop.time()
+        if self._half_close_probe is not None and not self.pending:
+            self._close()
+            return
         if self._is_paused and len(self.pending) < PIPELINE_DEPTH // 2:
             self._is_paused = False
             self.transport.resume_reading()
+        self._begin_waiting()
 
     def _write(self, data: bytes):
         """Write a response behind those that are still being written."""
@@ -488,14 +611,18 @@
         """Remove the first paced response, which is completely written."""
         self._paced_writes.popleft()
         self.last_activity_s = self.loop.time()
-        if self._is_closing and not self._paced_writes:
+        if self._paced_writes:
+            return
+        if self._is_closing:
             self._linger()
+        elif self._half_close_probe is not None and not self.pending:
+            self._close()
 
     def _close(self):
         """Close after a response and cancel the requests behind it."""
         for item in self.pending:
             item.cancel()
-        self.pending.clear()
+        self._forget_pending()
         self._is_closing = True
         # Further input is read and discarded.
         self._is_discarding_input = True
@@ -513,6 +640,10 @@
         refused one.  A caller that reads slowly then loses the rest of the
         response (12 kB of 300 kB arrived).
         """
+        if self._half_close_probe is not None:
+            # No more data can arrive.
+            self.transport.close()
+            return
         if not self._is_lingering:
             self._is_lingering = True
             self.transport.write_eof()
@@ -521,6 +652,11 @@
             return
         self._timer = self.loop.call_later(LINGER_S, self._linger)
 
+    def _forget_pending(self):
+        self.pending.clear()
+        self._waiting.clear()
+        self._ready_bytes = 0
+
     @property
     def _has_unsent(self) -> bool:
         """Whether the write buffer still holds response data."""
