--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 import tempfile
+import threading
 import time
 
 from behave import given
@@ -22,6 +23,7 @@
 from soak import _links
 from soak import _long_requests
 from soak import _lost
+from soak import _power_loss
 from soak import _rollouts
 from soak import _targets
 from soak import _world
@@ -520,6 +522,17 @@
         ), seed
 
 
+@then('losses of power follow each kind of acknowledgement')
+def step_power_losses(context):
+    def make_losses(seed):
+        return list(_power_loss.make_power_losses(seed, 5, 3))
+
+    assert make_losses(1) == make_losses(1) != make_losses(2)
+    for seed in range(SEEDS):
+        events = {loss.event for loss in make_losses(seed)}
+        assert events == set(_power_loss.EVENTS), (seed, events)
+
+
 @then('the plans of earlier releases are unchanged but for added faults')
 def step_base_plans(context):
     digest, throttled = hashlib.sha256(), hashlib.sha256()
@@ -708,6 +721,47 @@
         )
 
 
+@when(
+    'a caller waits {delay_s:d} s to pipeline a request, and its connection '
+    'is closed'
+)
+def step_close_while_waiting(context, delay_s):
+    class ListedDaemon:
+        name = 'host-0'
+        address = '127.0.0.1'
+
+    caller = _long_requests.LongCaller('caller', ListedDaemon, 1)
+    records = [
+        caller._make_record(number, False, '/long/30/0/')
+        for number in range(2)
+    ]
+    records[0].sent_s = time.monotonic()
+    caller._choose_requests = lambda: records
+    caller.pipeline_delay_s = float(delay_s)
+    ours, theirs = socket.socketpair()
+    caller._socket, caller._stream = ours, ours.makefile('rb')
+    caller.is_stopping = False
+
+    def close():
+        theirs.recv(1)
+        caller.is_stopping = True
+        theirs.close()
+
+    thread = threading.Thread(target=close)
+    thread.start()
+    caller.run()
+    thread.join()
+    context.records, context.delay_s = records, delay_s
+
+
+@then('its first request ended before it would have sent the second')
+def step_ended_early(context):
+    first, second = context.records
+    assert first.status == 0 and first.end, first
+    assert first.done_s - first.sent_s < context.delay_s, first
+    assert not second.last_byte_s, second
+
+
 @then('a throttled link forwards answers at its rate')
 def step_throttled(context):
     async def run():
@@ -823,6 +877,17 @@
     )
 
 
+@when(
+    'seed {seed:d} with {losses:d} losses of power runs on {hosts:d} hosts '
+    'for {seconds:d} s'
+)
+def step_run_power_losses(context, seed, losses, hosts, seconds):
+    run(
+        context,
+        _world.WorldSettings(seed, hosts, float(seconds), power_losses=losses),
+    )
+
+
 def run(context, settings):
     """Run a soak and keep what it finds."""
     with tempfile.TemporaryDirectory(prefix='soak-') as folder:
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -2,6 +2,7 @@
 
 import http.client
 import random
+import select
 import socket
 import threading
 import time
@@ -29,6 +30,8 @@
 #: Receive buffer of a slow reader, much smaller than a large answer.
 RECEIVE_BUFFER_BYTES = 8 * 1024
 READ_BYTES = 16 * 1024
+#: An interim response, which callers skip.
+CONTINUE_STATUS = b'HTTP/1.1 100 '
 
 
 class CallRecord(msgspec.Struct):
@@ -171,7 +174,8 @@
         if self._socket is None:
             self._connect()
         for record in records:
-            time.sleep(0 if record is records[0] else self.pipeline_delay_s)
+            if record is not records[0]:
+                self._wait_to_pipeline()
             record.sent_s = time.monotonic()
             record.is_kept = self._has_answers
             record.is_behind = record is not records[0]
@@ -182,6 +186,16 @@
             if self._socket is not None and not self._read(record):
                 self._disconnect()
 
+    def _wait_to_pipeline(self) -> None:
+        """Wait before the next request, unless the connection ends."""
+        end_s = time.monotonic() + self.pipeline_delay_s
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        is_readable = poll.poll(1000 * self.pipeline_delay_s)
+        if is_readable and not self._socket.recv(1, socket.MSG_PEEK):
+            raise http.client.RemoteDisconnected('closed without an answer')
+        time.sleep(max(0.0, end_s - time.monotonic()))
+
     def _send(self, data: bytes) -> None:
         self._socket.sendall(data)
 
@@ -199,6 +213,9 @@
     def _read(self, record: CallRecord) -> bool:
         """Read an answer; return whether the connection stays open."""
         status_line = self._stream.readline()
+        while status_line.startswith(CONTINUE_STATUS):
+            http.client.parse_headers(self._stream)
+            status_line = self._stream.readline()
         if not status_line.endswith(b'\r\n'):
             raise http.client.RemoteDisconnected(
                 f'incomplete status line {status_line!r}'
