--- a/features/memory.feature
+++ b/features/memory.feature
@@ -74,3 +74,10 @@
     Given a daemon that has backed off from 30 hosts as relays and allocators
     When all but 2 of them have left the fleet
     Then it remembers pauses of no more than 2 hosts
+
+  # A daemon that grew was killed, and nothing had told which table grew.
+  Scenario: The metrics tell what a request enters and leaves
+    Given a front host, a sound peer, and a peer that works
+    When 5 callers wait for a slow answer
+    Then the gauges of the front host show 5 attempts and what they entered
+    And all of these are 0 once the callers have left
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -334,3 +334,113 @@
     counts += testing.count_entries(context.client.session)
     pauses = {name: counts[name] for name in counts if '_backoff' in name}
     assert pauses and max(pauses.values()) <= limit, pauses
+
+
+#: Gauges of what a request enters.
+ENTERED = (
+    'attempts_in_flight',
+    'caller_connections',
+    'request_body_bytes',
+    'silence_watchers',
+)
+
+
+def _read_gauges(memory: MemorySubject) -> dict[str, float]:
+    """Read the gauges in the metrics of the front host."""
+
+    async def render():
+        return memory.front.daemon.render_metrics().decode()
+
+    lines = memory.fleet.run(render()).splitlines()
+    return {
+        name.removeprefix('sedgering_'): float(value)
+        for name, _space, value in (line.partition(' ') for line in lines)
+        if '{' not in name and name != '#'
+    }
+
+
+@when('{count:d} callers wait for a slow answer')
+def step_callers_wait(context, count):
+    memory = context.memory
+    memory.before_gauges = _read_gauges(memory)
+    for host in (memory.odd, memory.sound):
+        host.books.work_s = FOREVER_S
+
+    async def start():
+        port = memory.front.addresses.callers_port
+        memory.calls = [
+            asyncio.ensure_future(
+                memory.fleet.start_call(
+                    port,
+                    '/r0/',
+                    b'body',
+                    X_Request_Id=f'slow-{number}',
+                    X_Request_Deadline='1000',
+                )
+            )
+            for number in range(count)
+        ]
+
+    memory.fleet.run(start())
+    memory.fleet.wait_for(
+        lambda: memory.odd.books.running + memory.sound.books.running >= count
+    )
+
+
+@then(
+    'the gauges of the front host show {count:d} attempts and what they '
+    'entered'
+)
+def step_gauges(context, count):
+    gauges = _read_gauges(context.memory)
+    assert gauges['attempts_in_flight'] >= count, gauges
+    assert gauges['silence_watchers'] == gauges['attempts_in_flight'], gauges
+    assert gauges['caller_connections'] == count, gauges
+    assert gauges['request_body_bytes'] >= count * len(b'body'), gauges
+    assert gauges['tasks'] > context.memory.before_gauges['tasks'], gauges
+    assert gauges['peers'] >= 2, gauges
+    assert gauges['resident_bytes'] > 1e6, gauges
+
+
+@then('all of these are 0 once the callers have left')
+def step_gauges_after(context):
+    memory = context.memory
+
+    async def leave():
+        for call in memory.calls:
+            call.cancel()
+
+    memory.fleet.run(leave())
+
+    def find_left() -> dict[str, float]:
+        gauges = _read_gauges(memory)
+        return {name: gauges[name] for name in ENTERED if gauges[name]}
+
+    until_s = time.monotonic() + SETTLE_S
+    while (left := find_left()) and time.monotonic() < until_s:
+        time.sleep(LEAVE_S)
+    assert not left, left
+
+
+@given('a daemon that fetches quota tokens')
+def step_quota_client(context):
+    fleet = context.fleet = testing.MeshFleet()
+    context.cleanups.append(fleet.stop)
+    quotas = fleet.add_host('front').daemon.state.quotas
+    context.client = _quota_client.PartitionClient(quotas, 'p-0', 0.0)
+
+
+@when('a request of each of {count:d} workspaces waits for a token in vain')
+def step_tokens(context, count):
+    async def wait_all():
+        until_s = asyncio.get_running_loop().time() + LEAVE_S
+        return await asyncio.gather(
+            *(context.client.wait(f'w-{n}', until_s) for n in range(count))
+        )
+
+    assert not any(context.fleet.run(wait_all()))
+
+
+@then('no queue of any workspace is left')
+def step_no_queue(context):
+    assert not context.client._waiting, context.client._waiting
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -22,6 +22,7 @@
 from sedgering.mesh import _fleet
 from sedgering.mesh import _follow
 from sedgering.mesh import _gate
+from sedgering.mesh import _growth
 from sedgering.mesh import _inbound
 from sedgering.mesh import _limit_check
 from sedgering.mesh import _link
@@ -543,6 +544,9 @@
                     callers.unacknowledged_bytes
                 ),
                 **self.backlog.find_gauges(),
+                **_growth.find_growth_gauges(
+                    self.state, self.outbound, self.inbound, self.source.loop
+                ),
                 **self.state.quotas.find_gauges(),
             },
             self.state.workspace_counts.list_largest(),
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -326,6 +326,11 @@
         for watcher in tuple(self._silence_watchers):
             watcher.note_silence()
 
+    @property
+    def silence_watchers(self) -> int:
+        """Number of calls that are notified when it is silent."""
+        return len(self._silence_watchers)
+
     def watch_silence(self, watcher: SilenceWatcher) -> None:
         """Notify a watcher whenever the target or its daemon is silent."""
         self._silence_watchers.add(watcher)
@@ -501,6 +506,18 @@
         self._typical_ms: dict[base.RouteName, float] = {}
         self._answer_bytes: dict[base.RouteName, float] = {}
 
+    def count_entries(self) -> dict[str, int]:
+        """Count what attempts and hosts have entered, for the metrics."""
+        peers = self._peers.values()
+        return {
+            'peers': len(peers),
+            'attempts_in_flight': sum(peer.in_flight for peer in peers),
+            'silence_watchers': sum(peer.silence_watchers for peer in peers),
+            'peer_connections_idle': sum(
+                peer.pool.idle_connections for peer in peers
+            ),
+        }
+
     def typical_work_ms(self, route: base.RouteName) -> float:
         """Return the mean work time of a route over all targets."""
         return self._typical_ms.get(route, DEFAULT_WORK_MS)
--- a/sedgering/mesh/_target_client.py
+++ b/sedgering/mesh/_target_client.py
@@ -119,6 +119,11 @@
             getattr(names, field).lower() for field in _REPLACED_FIELDS
         )
 
+    @property
+    def calls_in_flight(self) -> int:
+        """Number of calls at the target."""
+        return len(self._in_flight)
+
     @property
     def latest_deadline_s(self) -> float:
         """Latest deadline of the calls at the target; -inf if none run."""
--- a/sedgering/transport/__init__.py
+++ b/sedgering/transport/__init__.py
@@ -19,11 +19,13 @@
 from sedgering.transport._pacing import make_pacer
 from sedgering.transport._pacing import PacedWrite
 from sedgering.transport._pool import ConnectionPool
+from sedgering.transport._server import BodyMemory
 from sedgering.transport._server import CallerLimits
 from sedgering.transport._server import serve
 from sedgering.transport._server import Service
 
 __all__ = [
+    'BodyMemory',
     'BootTimeLoop',
     'CallerLimits',
     'ClientConnection',
--- a/sedgering/transport/_pool.py
+++ b/sedgering/transport/_pool.py
@@ -44,6 +44,11 @@
         """Whether a reusable idle connection exists."""
         return any(item.is_sound for _since_s, item in self._idle)
 
+    @property
+    def idle_connections(self) -> int:
+        """Number of idle connections, reusable or not."""
+        return len(self._idle)
+
     async def take(self) -> _client.ClientConnection:
         """Take a reusable idle connection, or open a new one.
 
