Workspaces that waited for tokens leave no empty queue behind

What callers saw: nothing; a daemon kept an empty queue for each workspace of which a request had waited for a token and got none or was cancelled, also after the version that named it.

Cause: the wait took its future out of the queue, and left the queue. Fix: the last one takes the queue along.

Evidence: features/memory.feature, 20 workspaces: 20 queues before, now none.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -81,3 +81,10 @@
     When 5 callers wait for a slow answer
     Then the gauges of the front host show 5 attempts and what they entered
     And all of these are 0 once the callers have left
+
+  # Each workspace that ever waited for a token kept an empty queue, also after
+  # the version that named it.
+  Scenario: Workspaces that waited for tokens leave nothing behind
+    Given a daemon that fetches quota tokens
+    When a request of each of 20 workspaces waits for a token in vain
+    Then no queue of any workspace is left
--- a/sedgering/mesh/_quota_client.py
+++ b/sedgering/mesh/_quota_client.py
@@ -114,6 +114,8 @@
         finally:
             if future in waiting:
                 waiting.remove(future)
+            if not waiting and self._waiting.get(workspace) is waiting:
+                del self._waiting[workspace]
 
     def refuse_all(self) -> None:
         """Refuse all waiting requests."""
