Each refused order and rollout row is logged, not one of a transaction

Of several odd rows that one transaction had written, only the first one refused left a line: what has been logged was remembered by revision, which all rows of a transaction share. Now by key and revision, and the line names the key.

features/odd_bytes.feature: both examples gave one line instead of three before.

--- a/features/odd_bytes.feature
+++ b/features/odd_bytes.feature
@@ -113,3 +113,13 @@
       | of state "draining" |
       | of state "gone"     |
       | of its target       |
+
+  # Guards against refused rows that leave no line: one line was written for all
+  # rows of a transaction.
+  Scenario Outline: Each odd row of a rollout or order is logged once
+    Then 3 odd <rows> of one transaction that are read twice give 3 lines
+
+    Examples:
+      | rows     |
+      | rollouts |
+      | orders   |
--- a/features/steps/odd_bytes_steps.py
+++ b/features/steps/odd_bytes_steps.py
@@ -13,6 +13,7 @@
 import hypothesis
 from hypothesis import strategies as st
 import msgspec
+import writer_steps
 
 from sedgering import bundle
 from sedgering import exceptions
@@ -636,3 +637,21 @@
     context.mesh.fleet.run(asyncio.sleep(SETTLE_S))
     rows = engine.find_changes(platform.MEMBERS_TABLE, context.claimed_at)
     assert [row.key for row in rows] == ['hall-1'], rows
+
+
+@then('3 odd {rows} of one transaction that are read twice give 3 lines')
+def step_logged_once(context, rows):
+    writer_steps.collect_log(context)
+    odd = tuple(storage.Row(f'rollout/{name}', 9, b'\xff') for name in 'abc')
+    page = storage.RowsPage(odd, 9, 1)
+    recovery = _watch.StoreRecovery()
+    watcher = _rollout_store.RolloutWatcher(None, lambda _rows: None, recovery)
+    if rows == 'orders':
+        row = _watch.ConfigRow(
+            None, 'config', platform.decode_document, _rollouts.decode_order
+        )
+        watcher = _watch.ConfigWatcher(row, lambda *_args: None, recovery)
+        watcher.post_orders = lambda *_args: None
+    for _ in range(2):
+        watcher.take_changes(page)
+    assert context.logged.list_codes() == [6201] * 3, context.logged.records
--- a/sedgering/mesh/_rollout_store.py
+++ b/sedgering/mesh/_rollout_store.py
@@ -123,9 +123,10 @@
             decoded = decode_rollout(row)
         except exceptions.RolloutError as error:
             self._refusals.note(
-                row.revision,
+                (row.key, row.revision),
                 'rollout refused',
                 error,
+                target_set=row.key,
                 version=row.revision,
             )
             return None
--- a/sedgering/mesh/_watch.py
+++ b/sedgering/mesh/_watch.py
@@ -440,7 +440,11 @@
             return self.row.decode_order(row)
         except exceptions.RolloutError as error:
             self._refusals.note(
-                row.revision, 'order rejected', error, version=row.revision
+                (row.key, row.revision),
+                'order rejected',
+                error,
+                target_set=row.key,
+                version=row.revision,
             )
         return None
 
