Retries at two levels of calls fit into the platform's budget together

A call that a target refuses is sent again (55 % of the budget). Its run comes after a first arrival, so the calls that it makes count as repeats at the next target set, which repeats as much again when its own targets refuse: 110 %.

Change: 48 % at each level.

--- a/features/settings.feature
+++ b/features/settings.feature
@@ -36,3 +36,8 @@
 
   Scenario: Packages import only lower layers
     Then every package imports only what docs/architecture.md lists below it
+
+  # Guards against retries that keep to the budget at each target set, and pass
+  # it at one that the targets of another call.
+  Scenario: Retries at two levels of calls fit into the budget together
+    Then twice the default share of the retry budget is less than all of it
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -15,6 +15,7 @@
 import yaml
 
 from sedgering import exceptions
+from sedgering import mesh
 from sedgering import platform
 from sedgering import settings
 
@@ -185,3 +186,10 @@
             yield node.names[0].name
         elif module.startswith('sedgering.'):
             yield module.split('.')[1]
+
+
+@then('twice the default share of the retry budget is less than all of it')
+def step_retry_share(context):
+    defaults = mesh.MeshSettings()
+    assert 2 * defaults.retry_share_percent < 100
+    assert defaults.rerun_share_percent <= defaults.retry_share_percent
--- a/sedgering/mesh/_settings.py
+++ b/sedgering/mesh/_settings.py
@@ -46,12 +46,12 @@
     shed_margin_percent : int
         Share of the mean processing time that must fit before the deadline.
     retry_share_percent : int
-        Share of the platform's retry budget that is used.
+        Share of the platform's retry budget that is used. The calls of a run
+        that follows a refusal count as repeated, too: at a call depth of two
+        this share counts twice.
     rerun_share_percent : int
         Share of that budget that retries of requests which have run, or may
-        have run, may use. These repeat the calls that their targets make, so
-        that at a call depth of two this share and `retry_share_percent` add
-        up. A call that was refused before any work repeats nothing.
+        have run, may use. These repeat work, and not only calls.
     least_retry_after_ms, longest_retry_after_ms : int
         Bounds of the time after which a refused caller is told to return.
         Targets that have just started are slow for 3 s. Callers with 10 s left
@@ -120,7 +120,7 @@
     remote_penalty_ms: settings.Count = 40
     remote_penalty_us_per_byte: settings.Count = 5
     shed_margin_percent: settings.Percent = 70
-    retry_share_percent: settings.Percent = 55
+    retry_share_percent: settings.Percent = 48
     rerun_share_percent: settings.Percent = 30
     least_retry_after_ms: settings.IntervalMs = 100
     longest_retry_after_ms: settings.IntervalMs = 2000
