Odd settings do not end the task that reads them

A settings file with quota_excess=inf, or a field nested 100,000 deep, ended the task that reads the file twice a second: no later settings were applied. A store at port 99999 or a ratio of nan was put in force.

Cause: the decoder caught some exceptions of its parts and not OverflowError and RecursionError; a port is refused only when a socket is opened, as OverflowError and not as OSError, and float() takes nan and inf.

Now ports are in range and numbers finite where the file is decoded, and all else is refused with 1002, after which the settings in force remain.

--- a/features/odd_bytes.feature
+++ b/features/odd_bytes.feature
@@ -123,3 +123,22 @@
       | rows     |
       | rollouts |
       | orders   |
+
+  # Guards against a settings file that ended the task which reads it, so that no
+  # later settings were applied.
+  Scenario Outline: Settings with <value> are refused, and later ones applied
+    Given a watcher of the settings file
+    When the file is read with <value>
+    Then the watcher goes on, and applies the next settings
+
+    Examples:
+      | value                         |
+      | a field that is nested        |
+      | quota_excess=inf              |
+      | quota_excess=nan              |
+      | budget_ratio=nan              |
+      | budget_extra=1e999            |
+      | expose_share=inf              |
+      | quota_slack=5000 digits       |
+      | a store at port 99999         |
+      | a store at port -1            |
--- a/features/steps/odd_bytes_steps.py
+++ b/features/steps/odd_bytes_steps.py
@@ -1,6 +1,7 @@
 """Steps for odd bytes from other writers, daemons and operators."""
 
 import asyncio
+import copy
 import itertools
 import json
 import logging
@@ -26,6 +27,7 @@
 from sedgering.mesh import _versions
 from sedgering.mesh import _watch
 from sedgering import platform
+from sedgering.platform import _reload
 from sedgering.platform import _rollouts
 from sedgering import storage
 from sedgering import testing
@@ -655,3 +657,46 @@
     for _ in range(2):
         watcher.take_changes(page)
     assert context.logged.list_codes() == [6201] * 3, context.logged.records
+
+
+# Settings.
+
+
+@when('the file is read with {value}')
+def step_odd_settings(context, value):
+    subject = context.subject
+    settings = json.loads(subject.data)
+    context.sound = copy.deepcopy(settings)
+    context.sound['platform']['address'] = '10.200.1.8:8627'
+    if value == 'a field that is nested':
+        data = json.dumps(settings)[:-1].encode()
+        subject.data = data + b',"new":' + b'[' * 100_000
+    elif value.startswith('a store at port'):
+        port = value.rpartition(' ')[2]
+        settings['platform']['address'] = f'10.200.1.7:{port}'
+        subject.data = json.dumps(settings).encode()
+    else:
+        name, _equals, number = value.partition('=')
+        settings['bounds'] = [
+            item
+            for item in settings['bounds']
+            if not item.startswith(f'{name}=')
+        ] + [f'{name}={make_number(number)}']
+        subject.data = json.dumps(settings).encode()
+
+
+@then('the watcher goes on, and applies the next settings')
+def step_goes_on(context):
+    subject = context.subject
+
+    async def watch():
+        task = asyncio.ensure_future(subject.watcher.run())
+        await asyncio.sleep(2 * _reload.POLL_INTERVAL_S)
+        assert not subject.applied, subject.applied
+        subject.data = json.dumps(context.sound).encode()
+        await asyncio.sleep(2 * _reload.POLL_INTERVAL_S)
+        task.cancel()
+
+    asyncio.run(watch())
+    (found,) = subject.applied
+    assert found.store.address == '10.200.1.8'
--- a/sedgering/platform/_settings.py
+++ b/sedgering/platform/_settings.py
@@ -1,6 +1,7 @@
 """Decodes the platform's settings file of a host."""
 
 import functools
+import math
 import os
 import pathlib
 from typing import Any
@@ -19,6 +20,9 @@
     'read_settings',
 ]
 
+#: Port 0 stands for any free one.
+PORTS = range(65_536)
+
 
 class StoreSettings(msgspec.Struct, frozen=True):
     """Address of the platform's metadata store, and its timeout.
@@ -158,7 +162,12 @@
     """
     try:
         return _convert(msgspec.json.decode(data, type=_SettingsFile))
-    except (msgspec.MsgspecError, ValueError, KeyError) as error:
+    except (
+        msgspec.MsgspecError,
+        ValueError,
+        KeyError,
+        RecursionError,
+    ) as error:
         raise exceptions.SettingsError(
             exceptions.Code.SETTINGS_INVALID, str(error)
         ) from error
@@ -170,7 +179,7 @@
     revoke = bounds.get('revoke')
     apply = bounds.get('apply')
     quota_window = bounds.get('quota_window')
-    quota_excess = float(bounds.get('quota_excess', 0))
+    quota_excess = _parse_number(bounds.get('quota_excess', '0'))
     target_address, target_port = _split_address(file.app)
     store_address, store_port = _split_address(file.platform.address)
     return HostSettings(
@@ -191,11 +200,11 @@
         ),
         store=StoreSettings(store_address, store_port),
         grace_ms=_wire.parse_duration_ms(bounds['grace']),
-        retry_ratio=float(bounds['budget_ratio']),
-        retry_extra=float(bounds['budget_extra']),
+        retry_ratio=_parse_number(bounds['budget_ratio']),
+        retry_extra=_parse_number(bounds['budget_extra']),
         retry_window_s=_wire.parse_duration_ms(bounds['budget_window']) / 1000,
         is_first_start=file.bootstrap,
-        exposed_share=float(exposed_share) if exposed_share else None,
+        exposed_share=_parse_number(exposed_share) if exposed_share else None,
         revoke_strict=bounds.get('revoke_strict') == 'true',
         revoke_ms=_wire.parse_duration_ms(revoke) if revoke else None,
         quota_window_ms=(
@@ -209,4 +218,13 @@
 
 def _split_address(address: str) -> tuple[Any, int]:
     host, _colon, port = address.rpartition(':')
+    if int(port) not in PORTS:
+        raise ValueError(f'port out of range: {address!r}')
     return host, int(port)
+
+
+def _parse_number(text: str) -> float:
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError(f'not a finite number: {text!r}')
+    return number
