A caller that leaves while its pipelined requests hold up reading is noticed

With 16 pipelined requests or more under way on a connection, neither a close nor a reset of its caller was noticed: the targets worked on, and the daemon kept the connection, until the first answer was written.

Cause: reading is paused at that depth. The event loop then watches the socket for nothing at all.

While reading is paused, the probe for half-closed callers runs: it reads the error of the socket, and sends an interim response only once the state of TCP shows that the caller has closed its sending side (CLOSE_WAIT), which it does even behind unread requests. One that still reads gets all answers.

Evidence: features/half_close.feature, 24 requests to targets that work 5 s.

--- a/features/half_close.feature
+++ b/features/half_close.feature
@@ -44,6 +44,11 @@
     When a caller asks it for the large answer and half-closes
     Then it gets the whole answer, and the end of the stream
 
+  Scenario: More pipelined requests than are answered at the same time
+    Given a paced service with an answer of 20 bytes
+    When a caller asks it 200 times at once and half-closes
+    Then it gets 200 whole answers with status 200, then the end of the stream
+
   # Guards against work for callers that have left (kept open after a FIN).
   Scenario Outline: The work for a caller that has left is cancelled
     Given the targets work 5 s
@@ -59,6 +64,8 @@
       | one request of HTTP/1.0  | closes                           |
       | three pipelined requests | closes                           |
       | three pipelined requests | closes 1 s after half-closing    |
+      | many pipelined requests  | closes                           |
+      | many pipelined requests  | resets                           |
 
   Scenario Outline: Without a whole request a half-close ends the connection
     When a caller sends <requests> and half-closes
--- a/features/steps/half_close_steps.py
+++ b/features/steps/half_close_steps.py
@@ -53,6 +53,9 @@
     'three pipelined requests': [
         make_get('a') + make_get('b') + make_get('c')
     ],
+    'many pipelined requests': [
+        b''.join(make_get(f'm{number}') for number in range(24))
+    ],
     'a request after an earlier one': [make_get('a'), make_get('b')],
     'a request and a part of a post': [
         make_get('a') + make_post('b', b'body', 9)
@@ -278,8 +281,9 @@
         return transport.CallerLimits()
 
 
-@when('a caller asks it for the large answer and half-closes')
-def step_paced(context):
+def ask_service(context, data):
+    """Return what a caller gets that half-closes after some requests."""
+
     async def run():
         port = testing.free_ports(1)[0]
         pacer = transport.make_pacer(50, asyncio.get_running_loop())
@@ -291,15 +295,25 @@
         )
         caller = Caller(port)
         try:
-            await caller.send(REQUESTS['a request and "close"'])
+            await caller.send([data])
             await asyncio.sleep(0)
             caller.half_close()
-            context.raw = await caller.read()
+            return await caller.read()
         finally:
             caller.socket.close()
             server.close()
 
-    asyncio.run(run())
+    return asyncio.run(run())
+
+
+@when('a caller asks it for the large answer and half-closes')
+def step_paced(context):
+    context.raw = ask_service(context, REQUESTS['a request and "close"'][0])
+
+
+@when('a caller asks it {count:d} times at once and half-closes')
+def step_many(context, count):
+    context.data = ask_service(context, make_get('a') * count)
 
 
 class WaitingService(_inbound.InboundService):
--- a/sedgering/transport/_half_close.py
+++ b/sedgering/transport/_half_close.py
@@ -16,13 +16,17 @@
 _INTERIM_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
+#: State of a TCP socket whose peer has closed its sending side.
+_CLOSE_WAIT = 8
+
+
 class HalfCloseProbe:
     """Sends interim responses until the connection ends.
 
     The end of the input is the same for a half-close and a full close.  The
     host of a caller that has closed fully answers further data with a reset.
     The event loop no longer watches a connection for that once its input has
-    ended.
+    ended, nor while reading is paused.
 
     Parameters
     ----------
@@ -33,6 +37,9 @@
     awaits_response : callable
         Returns whether the next data of the connection is the start of a
         response, so that an interim response may precede it.
+    is_paused : bool
+        Whether the input is not read at present, so that its end may still
+        be to come, or wait behind other data.
     """
 
     def __init__(
@@ -40,10 +47,12 @@
         transport: asyncio.Transport,
         loop: asyncio.AbstractEventLoop,
         awaits_response: Callable[[], bool],
+        is_paused: bool = False,
     ):
         self.transport = transport
         self.loop = loop
         self.awaits_response = awaits_response
+        self.is_paused = is_paused
         self._timer: asyncio.TimerHandle | None = None
         self._check_after_s = FIRST_CHECK_S
         self._next_probe_s = 0.0
@@ -58,6 +67,7 @@
             now_s >= self._next_probe_s
             and not self.transport.get_write_buffer_size()
             and self.awaits_response()
+            and self._has_input_ended()
         ):
             self._next_probe_s = now_s + PROBE_INTERVAL_S
             self.transport.write(_INTERIM_RESPONSE)
@@ -73,6 +83,13 @@
             self._timer.cancel()
             self._timer = None
 
+    def _has_input_ended(self) -> bool:
+        if not self.is_paused:
+            return True
+        sock = self.transport.get_extra_info('socket')
+        (state,) = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return state == _CLOSE_WAIT
+
     def _abort_if_reset(self) -> bool:
         """Abort the connection after an error; return whether it is over."""
         if not self.transport.is_closing():
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -253,6 +253,8 @@
         self._accepts_interim = True
         #: Present once the caller has closed its sending side.
         self._half_close_probe: _half_close.HalfCloseProbe | None = None
+        #: Present while reading is paused.
+        self._pause_probe: _half_close.HalfCloseProbe | None = None
         #: Time until which a large response may be unacknowledged.  Finding
         #: out takes a system call, which connections with only small
         #: responses avoid.
@@ -282,6 +284,8 @@
             self._timer.cancel()
         if self._half_close_probe is not None:
             self._half_close_probe.cancel()
+        if self._pause_probe is not None:
+            self._pause_probe.cancel()
         self._release_body()
         for paced in self._paced_writes:
             paced.cancel()
@@ -313,8 +317,27 @@
             LOG.info('request refused: %s', error)
             self._refuse(400)
         if len(self.pending) >= PIPELINE_DEPTH and not self._is_paused:
-            self._is_paused = True
-            self.transport.pause_reading()
+            self._pause()
+
+    def _pause(self) -> None:
+        """Pause reading, and watch for the departure of the caller."""
+        self._is_paused = True
+        self.transport.pause_reading()
+        if self.service.keeps_half_closed and self._accepts_interim:
+            self._pause_probe = _half_close.HalfCloseProbe(
+                self.transport, self.loop, self._awaits_response, True
+            )
+            self._pause_probe.run()
+
+    def _resume(self) -> None:
+        """Resume reading if it is paused."""
+        if not self._is_paused:
+            return
+        self._is_paused = False
+        self.transport.resume_reading()
+        if self._pause_probe is not None:
+            self._pause_probe.cancel()
+            self._pause_probe = None
 
     def _feed(self, data: bytes) -> None:
         """Feed the parser, again without an offer to upgrade if it has one."""
@@ -530,9 +553,8 @@
         if self._half_close_probe is not None and not self.pending:
             self._close()
             return
-        if self._is_paused and len(self.pending) < PIPELINE_DEPTH // 2:
-            self._is_paused = False
-            self.transport.resume_reading()
+        if len(self.pending) < PIPELINE_DEPTH // 2:
+            self._resume()
 
     def _write(self, data: bytes):
         """Write a response behind those that are still being written."""
@@ -575,9 +597,7 @@
         self._is_closing = True
         # Further input is read and discarded.
         self._is_discarding_input = True
-        if self._is_paused:
-            self._is_paused = False
-            self.transport.resume_reading()
+        self._resume()
         if not self._paced_writes:
             self._linger()
 
