--- a/benchmarks/bench_restart.py
+++ b/benchmarks/bench_restart.py
@@ -25,6 +25,7 @@
 from sedgering import testing
 from sedgering import transport
 from soak import _daemons
+from soak import _settings
 from soak import _world
 
 #: Routes of the version; a large deployment has 1,200.
@@ -111,7 +112,7 @@
 
 async def measure(folder: pathlib.Path, hosts: int) -> dict:
     """Start a fleet, kill it, and measure its restart."""
-    world = _world.World(folder, _world.WorldSettings(1, hosts, callers=0))
+    world = _world.World(folder, _settings.WorldSettings(1, hosts, callers=0))
     for daemon in world.daemons:
         daemon.is_suspendable = False
     try:
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -25,6 +25,7 @@
 from soak import _lost
 from soak import _power_loss
 from soak import _rollouts
+from soak import _settings
 from soak import _targets
 from soak import _world
 
@@ -82,7 +83,7 @@
     def __init__(self):
         folder = tempfile.TemporaryDirectory(prefix='soak-results-')
         self.folder = folder
-        settings = _world.WorldSettings(1, hosts=2, callers=1)
+        settings = _settings.WorldSettings(1, hosts=2, callers=1)
         self.world = _world.World(pathlib.Path(folder.name), settings)
         self.world.final_load_start_s = FINAL_LOAD_START_S
         self.world.version = 2
@@ -850,7 +851,7 @@
 
 @when('seed {seed:d} runs on {hosts:d} hosts for {seconds:d} s')
 def step_run(context, seed, hosts, seconds):
-    run(context, _world.WorldSettings(seed, hosts, float(seconds)))
+    run(context, _settings.WorldSettings(seed, hosts, float(seconds)))
 
 
 @when(
@@ -860,7 +861,9 @@
 def step_roll_out(context, seed, hosts, seconds):
     run(
         context,
-        _world.WorldSettings(seed, hosts, float(seconds), has_rollouts=True),
+        _settings.WorldSettings(
+            seed, hosts, float(seconds), has_rollouts=True
+        ),
     )
 
 
@@ -871,7 +874,7 @@
 def step_run_host_faults(context, seed, hosts, seconds):
     run(
         context,
-        _world.WorldSettings(
+        _settings.WorldSettings(
             seed, hosts, float(seconds), has_host_faults=True
         ),
     )
@@ -884,7 +887,9 @@
 def step_run_power_losses(context, seed, losses, hosts, seconds):
     run(
         context,
-        _world.WorldSettings(seed, hosts, float(seconds), power_losses=losses),
+        _settings.WorldSettings(
+            seed, hosts, float(seconds), power_losses=losses
+        ),
     )
 
 
--- a/features/steps/suspend_steps.py
+++ b/features/steps/suspend_steps.py
@@ -13,6 +13,7 @@
 from soak import _callers
 from soak import _daemons
 from soak import _probes
+from soak import _settings
 from soak import _world
 
 TIMEOUT_S = 20.0
@@ -58,7 +59,7 @@
     request = transport.Request('GET', context.path, fields)
 
     async def run(folder):
-        settings = _world.WorldSettings(1, 1, callers=0, long_callers=1)
+        settings = _settings.WorldSettings(1, 1, callers=0, long_callers=1)
         world = _world.World(pathlib.Path(folder), settings)
         # These callers are only configured to create the routes of long
         # requests.
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
 from soak import _checks
 from soak import _faults
 from soak import _rollouts
+from soak import _settings
 from soak import _world
 
 __all__ = ['run_seed']
@@ -19,7 +20,7 @@
 
 
 async def _run(
-    folder: pathlib.Path, world_settings: _world.WorldSettings
+    folder: pathlib.Path, world_settings: _settings.WorldSettings
 ) -> tuple[list[str], str]:
     world = _world.World(folder, world_settings)
     try:
@@ -42,7 +43,7 @@
 
 
 def run_seed(
-    folder: pathlib.Path, world_settings: _world.WorldSettings
+    folder: pathlib.Path, world_settings: _settings.WorldSettings
 ) -> tuple[list[str], str]:
     """Run the soak of one seed.
 
@@ -90,10 +91,6 @@
     early_signals: Annotated[
         bool, typer.Option(help='With these, signals right after a start.')
     ] = False,
-    half_closers: Annotated[
-        bool,
-        typer.Option(help='With these, callers that close one direction.'),
-    ] = False,
     slow_logs: Annotated[
         bool, typer.Option(help='Read the log output of daemons slowly.')
     ] = False,
@@ -118,7 +115,7 @@
     """Run seeds in sequence; exit status 1 if any guarantee is violated."""
     failed = []
     for number in range(seed, seed + seeds):
-        world_settings = _world.WorldSettings(
+        world_settings = _settings.WorldSettings(
             number,
             hosts,
             seconds,
@@ -128,7 +125,6 @@
             has_rollouts=rollouts,
             has_host_faults=host_faults,
             has_early_signals=early_signals,
-            has_half_closers=half_closers,
             has_slow_logs=slow_logs,
             has_sets=sets,
             power_losses=power_losses,
--- a/soak/_odd_callers.py
+++ b/soak/_odd_callers.py
@@ -63,12 +63,15 @@
         return False
 
 
-KINDS = {'piece': PieceCaller, 'idle': IdleCaller, 'early': EarlyLeaver}
+KINDS = {
+    'piece': PieceCaller,
+    'idle': IdleCaller,
+    'early': EarlyLeaver,
+    'half': HalfCloser,
+}
 
 
-def make_odd_callers(
-    seed: int, daemons: list, has_half_closers: bool
-) -> list[_callers.Caller]:
+def make_odd_callers(seed: int, daemons: list) -> list[_callers.Caller]:
     """Make one caller of each kind for each host.
 
     Parameters
@@ -77,13 +80,10 @@
         Seed of their own generators.
     daemons : list of Daemon
         Daemons of the hosts.
-    has_half_closers : bool
-        Whether some callers close their sending direction early.
     """
-    kinds = {**KINDS, 'half': HalfCloser} if has_half_closers else KINDS
     callers = []
     for daemon in daemons:
-        for name, make in kinds.items():
+        for name, make in KINDS.items():
             rng = random.Random(f'{name} {daemon.name} {seed}')
             callers.append(
                 make(f'{daemon.name}-{name}', daemon, rng.randrange(1 << 30))
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -1,10 +1,8 @@
 """Processes, targets and callers of one soak, and fault injection."""
 
 import asyncio
-import bisect
 import contextlib
 import functools
-import itertools
 import json
 import pathlib
 import random
@@ -19,6 +17,7 @@
 from soak import _callers
 from soak import _crash_requests
 from soak import _daemons
+from soak import _documents
 from soak import _faults
 from soak import _host_faults
 from soak import _keys
@@ -28,14 +27,12 @@
 from soak import _power_loss
 from soak import _probes
 from soak import _rollouts
+from soak import _settings
 from soak import _targets
 
-__all__ = ['Disturbance', 'World', 'WorldSettings']
+__all__ = ['Disturbance', 'World']
 
 DATA_CENTRES = ('north', 'south')
-TARGET_SETS = ('calendar', 'notes', 'archive')
-#: Shares of the sets if there are several.
-SET_SHARES = (6, 4, 3)
 WAIT_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.1
 #: Time after the last fault in which the mesh must recover: a killed daemon
@@ -45,59 +42,6 @@
 RESTART_DELAY_S = 0.2
 
 
-class WorldSettings(msgspec.Struct, frozen=True):
-    """Size and options of a soak.
-
-    Parameters
-    ----------
-    seed : int
-        Seed of the plan and of all random choices.
-    hosts : int
-        Number of hosts, each with a daemon and a target.
-    seconds : float
-        Period in which faults start.
-    callers : int
-        Number of callers per host.
-    relay_from_hosts : int
-        Number of hosts from which on relays are used.
-    long_callers : int
-        Number of callers with long requests per host.  With 0, no link is
-        throttled, no host is suspended, and no request crashes targets.
-    has_keys : bool
-        Whether routes require API keys; some callers send forged ones.
-    has_rollouts : bool
-        Whether a version of targets on more hosts is ordered amid restarts.
-    has_host_faults : bool
-        Whether daemons get SIGHUP, restart in series, and lose connections,
-        beside callers that use their connections in unusual ways.
-    has_early_signals : bool
-        Whether these faults include signals in the first second of a start.
-    has_half_closers : bool
-        Whether these callers include some that close one direction early.
-    has_slow_logs : bool
-        Whether the log output of daemons is read slowly.
-    has_sets : bool
-        Whether hosts have targets of three sets, 6 to 4 to 3.
-    power_losses : int
-        Number of losses of power of all hosts after the plan.
-    """
-
-    seed: int
-    hosts: int = 5
-    seconds: float = 12.0
-    callers: int = 2
-    relay_from_hosts: int = 4
-    long_callers: int = 2
-    has_keys: bool = False
-    has_rollouts: bool = False
-    has_host_faults: bool = False
-    has_early_signals: bool = False
-    has_half_closers: bool = False
-    has_slow_logs: bool = False
-    has_sets: bool = False
-    power_losses: int = 0
-
-
 class Disturbance(msgspec.Struct):
     """Period in which a fault is active.
 
@@ -125,7 +69,9 @@
         Size and options.
     """
 
-    def __init__(self, folder: pathlib.Path, world_settings: WorldSettings):
+    def __init__(
+        self, folder: pathlib.Path, world_settings: _settings.WorldSettings
+    ):
         self.settings = world_settings
         self.ledger = _targets.Ledger()
         self.disturbances: list[Disturbance] = []
@@ -147,7 +93,7 @@
             _daemons.Daemon(
                 folder,
                 number,
-                _choose_set(number, world_settings),
+                _documents.choose_set(number, world_settings),
                 DATA_CENTRES[number % len(DATA_CENTRES)],
                 self.store.address,
                 {'relay_from_hosts': world_settings.relay_from_hosts},
@@ -200,9 +146,7 @@
         self.odd_callers = []
         if world_settings.has_host_faults:
             self.odd_callers = _odd_callers.make_odd_callers(
-                world_settings.seed,
-                self.daemons,
-                world_settings.has_half_closers,
+                world_settings.seed, self.daemons
             )
         if world_settings.has_keys:
             for caller in self._list_callers():
@@ -525,7 +469,7 @@
 
     async def _write_version(self) -> bool:
         """Write the newest version; return whether the store accepted it."""
-        document = _make_document(self.version, self.settings)
+        document = _documents.make_document(self.version, self.settings)
         path, body = testing.encode_write('op', 'config', document)
         return await self._write_row(path, body)
 
@@ -545,49 +489,6 @@
         )
 
 
-def _choose_set(number: int, settings: WorldSettings) -> str:
-    """Return the target set of a host."""
-    if not settings.has_sets:
-        return TARGET_SETS[0]
-    shares = itertools.accumulate(SET_SHARES)
-    share = (number % settings.hosts + 0.5) / settings.hosts * sum(SET_SHARES)
-    return TARGET_SETS[bisect.bisect(list(shares), share)]
-
-
-def _make_document(version: int, settings: WorldSettings) -> bytes:
-    """Make a version with the common routes and one per version so far."""
-    common = {
-        'host': _callers.HOST_HEADER,
-        'timeout': f'{_callers.ROUTE_TIMEOUT_S}s',
-    }
-    once_route = {
-        **common,
-        'prefix': _callers.ONCE_PATH,
-        'kind': 'non_idempotent',
-    }
-    routes = [{**common, 'prefix': _callers.REPEATABLE_PATH}, once_route]
-    if settings.long_callers:
-        extra_routes = (
-            *_long_requests.ROUTES,
-            {**_crash_requests.ROUTE, **_PUBLIC},
-        )
-        routes += [{**common, **fields} for fields in extra_routes]
-    routes += [
-        {**common, **_PUBLIC, 'prefix': _probes.make_path(number)}
-        for number in range(1, version + 1)
-    ]
-    if settings.has_sets:
-        once_route['service'] = TARGET_SETS[1]
-        for route in routes:
-            if route['prefix'].startswith('/long'):
-                route['service'] = TARGET_SETS[2]
-    workspaces = _keys.WORKSPACES if settings.has_keys else None
-    limits = {}
-    if settings.has_host_faults:
-        limits['idle_timeout'] = f'{_odd_callers.IDLE_LIMIT_S}s'
-    return testing.make_document(version, routes, workspaces, **limits)
-
-
 async def _break_link(link: _links.Link, fault: _faults.Fault) -> None:
     link.set_mode(_links.LinkMode(fault.detail))
     await asyncio.sleep(fault.for_s)
@@ -609,8 +510,6 @@
         await asyncio.sleep(POLL_INTERVAL_S)
 
 
-#: Fields of routes that require no key.
-_PUBLIC = {'public': True}
 _Kind = _faults.FaultKind
 #: Faults of a daemon process, of which only one may be active at a time.
 _PROCESS_KINDS = frozenset(
