--- a/features/early_start.feature
+++ b/features/early_start.feature
@@ -27,3 +27,26 @@
     When a daemon process starts, and the port is free 0.2 s later
     Then the daemon process answers its readiness check
     And the process logs "port was in use at first"
+
+  # Guards against a start that tries the ports opened after the load only once.
+  Scenario Outline: A port opened after the load that is free a moment later is awaited
+    Given the <port> port of a host that another process holds
+    When a daemon process starts, and the port is free 0.9 s later
+    Then the daemon process answers its readiness check
+
+    Examples:
+      | port    |
+      | peers   |
+      | metrics |
+
+  # Guards against errors of the decoder that are no SettingsError.
+  Scenario Outline: A settings file with odd values is awaited like a damaged one
+    Given a settings file that is <state>
+    And a loading daemon process with a request in its listen queue
+    When the settings file is complete 0.9 s later
+    Then the waiting request is answered with status 503
+
+    Examples:
+      | state                  |
+      | nested too deep        |
+      | without a finite quota |
--- a/features/process_signals.feature
+++ b/features/process_signals.feature
@@ -61,3 +61,38 @@
       | SIGTERM |
       | SIGINT  |
       | SIGHUP  |
+
+  # Guards against a watch of the settings file that ends with an exception.
+  Scenario Outline: The settings file is followed after it held odd values
+    Given a daemon process that has started
+    When the settings file is <state> for a moment
+    And the settings file changes
+    Then the process logs "settings reloaded"
+
+    Examples:
+      | state                  |
+      | nested too deep        |
+      | without a finite quota |
+
+  # Guards against signals that are lost when the handler of another one fails.
+  Scenario Outline: A signal to end is handled beside one to read odd settings
+    Given a daemon process that has started
+    When the settings file is <state> for a moment
+    And the process gets SIGHUP and SIGTERM at once
+    Then the process ends with status 0 within its grace time
+
+    Examples:
+      | state                  |
+      | nested too deep        |
+      | without a finite quota |
+
+  # Guards against a leave that fails, and cuts what is under way, because it
+  # needs a descriptor of its own.
+  Scenario: A daemon leaves gracefully while it has no descriptor left
+    Given a daemon process that has started
+    And a caller that has sent the first half of a request
+    And idle callers that use up the descriptors of the daemon
+    When the process gets SIGTERM
+    And the caller sends the rest 3 s later
+    Then the waiting request is answered with status 503
+    And the process ends with status 0 within its grace time
--- a/features/steps/early_start_steps.py
+++ b/features/steps/early_start_steps.py
@@ -1,5 +1,6 @@
 """Steps for a daemon that starts before all around it is ready."""
 
+import json
 import socket
 import time
 
@@ -10,6 +11,20 @@
 
 from soak import _daemons
 
+METRICS_PORT = 9464
+NESTED_LEVELS = 100_000
+
+
+def make_odd_settings(complete, state):
+    """Return settings that are valid JSON, but for one odd value."""
+    if state == 'nested too deep':
+        value = b'[' * NESTED_LEVELS + b']' * NESTED_LEVELS
+        return complete[:-1] + b', "later": ' + value + b'}'
+    assert state == 'without a finite quota', state
+    fields = json.loads(complete)
+    fields['bounds'].append('quota_excess=1e999')
+    return json.dumps(fields).encode()
+
 
 @given('a settings file that is {state}')
 def step_settings(context, state):
@@ -17,6 +32,9 @@
     complete = context.daemon.make_settings()
     if state == 'missing':
         context.daemon.settings_path.unlink()
+    elif state not in ('empty', 'half written'):
+        odd = make_odd_settings(complete, state)
+        context.daemon.write_settings(odd)
     else:
         size = len(complete) // 2 if state == 'half written' else 0
         context.daemon.write_settings(complete[:size])
@@ -44,6 +62,28 @@
     context.cleanups.append(context.holder.close)
 
 
+@given('the {name:w} port of a host that another process holds')
+def step_held_named_port(context, name):
+    context.daemon = daemon_process.make_daemon_process(context)
+    port = {'peers': _daemons.PEERS_PORT, 'metrics': METRICS_PORT}[name]
+    context.holder = socket.create_server((context.daemon.address, port))
+    context.cleanups.append(context.holder.close)
+
+
+@when('the settings file is {state} for a moment')
+def step_odd_for_a_moment(context, state):
+    complete = context.daemon.make_settings()
+    context.daemon.write_settings(make_odd_settings(complete, state))
+    time.sleep(1.2)
+
+
+@when('the settings file changes')
+def step_changes(context):
+    fields = json.loads(context.daemon.make_settings())
+    fields['bounds'].append('quota_slack=7')
+    context.daemon.write_settings(json.dumps(fields).encode())
+
+
 @when('a daemon process starts, and the port is free {pause:f} s later')
 def step_freed(context, pause):
     context.daemon.start()
--- a/features/steps/process_signal_steps.py
+++ b/features/steps/process_signal_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import resource
 import subprocess
 import sys
 import time
@@ -16,6 +17,8 @@
 from soak import _daemons
 
 SIGNAL_INTERVAL_S = 0.001
+DESCRIPTOR_LIMIT = 60
+IDLE_CALLERS = 100
 INCOMPLETE_REQUEST = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n'
 
 
@@ -53,6 +56,30 @@
     connection.sendall(INCOMPLETE_REQUEST)
 
 
+@given('a caller that has sent the first half of a request')
+def step_half_sent(context):
+    context.connection = context.daemon.connect(_daemons.CALLERS_PORT)
+    context.cleanups.append(context.connection.close)
+    context.connection.sendall(INCOMPLETE_REQUEST + b'1234')
+
+
+@given('idle callers that use up the descriptors of the daemon')
+def step_idle_callers(context):
+    limits = DESCRIPTOR_LIMIT, DESCRIPTOR_LIMIT
+    resource.prlimit(
+        context.daemon.process.pid, resource.RLIMIT_NOFILE, limits
+    )
+    for _ in range(IDLE_CALLERS):
+        connection = context.daemon.connect(_daemons.CALLERS_PORT)
+        context.cleanups.append(connection.close)
+
+
+@when('the caller sends the rest {pause:d} s later')
+def step_rest(context, pause):
+    time.sleep(pause)
+    context.connection.sendall(b'56789')
+
+
 @when('the process gets SIGTERM and is stopped for {pause:f} s while it loads')
 def step_stopped(context, pause):
     send_signal(context, 'SIGTERM')
@@ -63,6 +90,15 @@
     context.daemon.send_signal('SIGCONT')
 
 
+@when('the process gets SIGHUP and SIGTERM at once')
+def step_both(context):
+    # Both wait until the process goes on.
+    context.daemon.send_signal('SIGSTOP')
+    context.daemon.send_signal('SIGHUP')
+    send_signal(context, 'SIGTERM')
+    context.daemon.send_signal('SIGCONT')
+
+
 @when('the process gets {name:w} every millisecond until it has ended')
 def step_signals(context, name):
     context.daemon.wait_log('"leaving"')
