A leave without a free descriptor goes on

Cause: emptying the listen queue duplicates the listening sockets, which raised EMFILE and ended the leave. Without a descriptor nothing in the queue could be accepted either, so the server is closed as before, with a log line.

--- a/sedgering/transport/_listening.py
+++ b/sedgering/transport/_listening.py
@@ -1,12 +1,15 @@
 """Stops a server without resetting connections that wait to be accepted."""
 
 import asyncio
+import logging
 import socket
 
 from sedgering.transport import _server
 
 __all__ = ['stop_listening']
 
+LOG = logging.getLogger(__name__)
+
 
 async def stop_listening(
     server: asyncio.AbstractServer, service: _server.Service
@@ -23,8 +26,7 @@
     service : Service
         Answers the requests of its connections.
     """
-    # Duplicates keep the queues when the server closes its sockets.
-    listeners = [item.dup() for item in server.sockets]
+    listeners = _duplicate(server)
     server.close()
     loop = asyncio.get_running_loop()
     for listener in listeners:
@@ -34,6 +36,16 @@
             )
 
 
+def _duplicate(server: asyncio.AbstractServer) -> list[socket.socket]:
+    """Duplicate the sockets of a server, which keeps their queues open."""
+    try:
+        return [item.dup() for item in server.sockets]
+    except OSError as error:
+        # Without a free descriptor, no connection could be accepted either.
+        LOG.warning('listen queue is reset', extra={'detail': str(error)})
+        return []
+
+
 def _accept_all(listener: socket.socket) -> list[socket.socket]:
     """Accept what is in the queue of a listening socket, and close it.
 
