A signal to stop is handled before others that wait

Cause: the list of received signals is emptied before the handlers run, and the handler of SIGHUP raised first. Those to stop come first now, so that no other handler can hold them up.

--- a/sedgering/signals.py
+++ b/sedgering/signals.py
@@ -78,7 +78,8 @@
 
     def _handle_received(self, handle) -> None:
         received, self._received = self._received, []
-        for number in set(received):
+        # Those to stop come first: the handler of another one may fail.
+        for number in sorted(set(received), key=_is_other):
             handle(number)
 
     def wait_stop(self) -> None:
@@ -99,3 +100,8 @@
         for item in self._sockets:
             item.close()
         self._sockets = ()
+
+
+def _is_other(number: int) -> bool:
+    """Whether a signal is not one to stop."""
+    return number not in STOP_SIGNALS
