A start awaits the peers' port, and serves without metrics if it must

The peers' port is now awaited like the others; the metrics are served as soon as their port is free, since no request needs them.

The change for check-ins has no scenario of its own yet.

--- a/features/early_start.feature
+++ b/features/early_start.feature
@@ -5,7 +5,7 @@
   Scenario Outline: A settings file that is complete a moment later is awaited
     Given a settings file that is <state>
     And a loading daemon process with a request in its listen queue
-    When the settings file is complete 0.2 s later
+    When the settings file is complete 1.5 s later
     Then the waiting request is answered with status 503
     And the process logs "settings were unreadable at first"
 
@@ -18,13 +18,13 @@
   Scenario: A settings file that stays half written ends the start
     Given a settings file that is half written
     And a loading daemon process with a request in its listen queue
-    Then the process ends within 5 s with status 2 and code "SDG-1002"
+    Then the process ends within 15 s with status 2 and code "SDG-1002"
 
   # Guards against a start that ends because the process before it still holds
   # a port.
   Scenario: A port that is free a moment later is awaited
     Given a port of a host that another process holds
-    When a daemon process starts, and the port is free 0.2 s later
+    When a daemon process starts, and the port is free 1.5 s later
     Then the daemon process answers its readiness check
     And the process logs "port was in use at first"
 
--- a/sedgering/cli/_host.py
+++ b/sedgering/cli/_host.py
@@ -54,6 +54,8 @@
         data_centre=host_settings.identity.data_centre,
     )
     open_ports = open_ports or ports.OpenPorts()
+    addresses = host_settings.addresses
+    open_ports.open(addresses.address, addresses.peers_port)
     if open_ports.first_error:
         LOG.warning(
             'port was in use at first',
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -166,6 +166,8 @@
             state.target_client, self._check_health, self._start_task
         )
         state.find_freshness = source.find_freshness
+        #: Further services whose requests a leaving daemon ends.
+        self.other_services: tuple[transport.Service, ...] = ()
         self._servers: list[asyncio.AbstractServer] = []
         self._tasks: list[asyncio.Task] = []
 
@@ -736,7 +738,8 @@
         ]
         calls = [
             connection
-            for connection in self.inbound.connections
+            for service in (self.inbound, *self.other_services)
+            for connection in service.connections
             if not connection.is_idle
         ]
         return bool(callers or calls)
--- a/sedgering/platform/_program.py
+++ b/sedgering/platform/_program.py
@@ -97,18 +97,22 @@
     for service, port in (
         (readiness, addresses.readiness_port),
         (reports, addresses.reports_port),
-        (_metrics.MetricsService(daemon), _metrics.METRICS_PORT),
     ):
         sock = opened.take(addresses.address, port)
         await transport.serve(service, addresses.address, port, sock)
     await daemon.start(opened)
+    daemon.other_services += (readiness, reports)
     opened.close()
+    metrics_task = loop.create_task(
+        _metrics.serve_metrics(daemon, addresses.address)
+    )
     # Exclude the modules and tables created so far from garbage collection.
     gc.collect()
     gc.freeze()
     watch_task = loop.create_task(settings_watcher.run())
     await stopping.wait()
     watch_task.cancel()
+    metrics_task.cancel()
     # The signal may be older than the event loop.
     elapsed_s = loop.time() - receiver.stop_requested_s
     grace_ms = settings_watcher.host_settings.grace_ms - 1000 * elapsed_s
--- a/sedgering/ports.py
+++ b/sedgering/ports.py
@@ -15,7 +15,7 @@
 #: Length of the listen queue: the new connections of a host in one second.
 BACKLOG = 1024
 #: Longest wait for ports that another process, such as the one before, holds.
-WAIT_S = 2.0
+WAIT_S = 5.0
 RETRY_INTERVAL_S = 0.02
 
 
@@ -66,8 +66,19 @@
         self._listeners: dict[tuple[str, int], socket.socket] = {}
         for text in addresses:
             address, _colon, port = text.rpartition(':')
-            key = (address, int(port))
-            self._listeners[key] = self._open_when_free(*key)
+            self.open(address, int(port))
+
+    def open(self, address: str, port: int) -> None:
+        """Open another port, unless it is open already.
+
+        Raises
+        ------
+        OSError
+            As for the constructor.
+        """
+        if (address, port) not in self._listeners:
+            listener = self._open_when_free(address, port)
+            self._listeners[address, port] = listener
 
     def _open_when_free(self, address: str, port: int) -> socket.socket:
         while True:
