What comes in one piece behind a closing answer is not run

What callers saw: a request behind one whose immediate answer closes the connection ran and was not answered, so that its caller may send it again (review, by a refusal during a leave).

Cause: the end of a message did not look at whether the connection is closing. It is dropped there now, as input that comes later is.

--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -508,6 +508,12 @@
 
     def on_message_complete(self):
         """Start answering a complete request."""
+        if self._is_discarding_input:
+            # It came in one piece with a request whose answer closes the
+            # connection.
+            self._release_body()
+            self._request = None
+            return
         request = self._request
         if (
             _upgrade.UPGRADE in request.fields
