A log record that cannot be formatted does not block either

The inherited handler of such errors writes to standard error, which stands still if nobody reads it (review, by a record with wrong arguments). A line of the module's own replaces the record.

--- a/sedgering/observability/_logs.py
+++ b/sedgering/observability/_logs.py
@@ -104,25 +104,38 @@
             self.writer.write(f'{self.format(record)}\n'.encode())
             dropped = self.writer.take_dropped()
             if dropped:
-                line = self.format(_make_dropped_record(dropped))
+                line = self.format(
+                    _make_record(
+                        'log lines dropped, as nobody read them',
+                        dropped_lines=dropped,
+                    )
+                )
                 self.writer.write(f'{line}\n'.encode())
         except Exception:
             self.handleError(record)
 
+    def handleError(self, record: logging.LogRecord) -> None:
+        """Write a line in place of a record that cannot be formatted.
+
+        The inherited method writes to standard error, which may block.
+        """
+        line = self.format(_make_record('log record cannot be formatted'))
+        self.writer.write(f'{line}\n'.encode())
+
     def flush(self) -> None:
         """Write what can be written at once."""
         self.writer.flush()
 
 
-def _make_dropped_record(dropped: int) -> logging.LogRecord:
-    """Make the record that tells how many lines were dropped."""
+def _make_record(message: str, **fields: int) -> logging.LogRecord:
+    """Make a record of this module."""
     return logging.makeLogRecord(
         {
             'name': __name__,
             'levelno': logging.WARNING,
             'levelname': 'WARNING',
-            'msg': 'log lines dropped, as nobody read them',
-            'dropped_lines': dropped,
+            'msg': message,
+            **fields,
         }
     )
 
