A whole answer stays whole with an odd Keep-Alive field

An answer of a target with "Keep-Alive: timeout=²" failed as malformed once it was complete. By reading, a safe call then runs again elsewhere, and any other is answered 502 though it had its answer.

Cause: '²' is a digit for str.isdigit() and not for float(); the exception came in the parser's callback for the end of the message.

--- a/features/odd_bytes.feature
+++ b/features/odd_bytes.feature
@@ -142,3 +142,16 @@
       | quota_slack=5000 digits       |
       | a store at port 99999         |
       | a store at port -1            |
+
+  # Guards against a whole answer that counts as damaged for one of its fields.
+  Scenario Outline: An answer with an odd Keep-Alive field is whole
+    Then an answer with "Keep-Alive: <value>" arrives whole
+
+    Examples:
+      | value                |
+      | timeout=²            |
+      | timeout=5000 digits  |
+      | timeout=400 digits   |
+      | timeout=-1           |
+      | timeout=1e999        |
+      | timeout              |
--- a/features/steps/odd_bytes_steps.py
+++ b/features/steps/odd_bytes_steps.py
@@ -700,3 +700,35 @@
     asyncio.run(watch())
     (found,) = subject.applied
     assert found.store.address == '10.200.1.8'
+
+
+# Answers of targets.
+
+
+@then('an answer with "Keep-Alive: {value}" arrives whole')
+def step_keep_alive(context, value):
+    name, _equals, number = value.partition('=')
+    field = f'{name}={make_number(number)}'.encode('latin-1')
+
+    async def exchange():
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        connection = await transport.connect('127.0.0.1', port, 1.0)
+        request = transport.Request('GET', '/', [('Host', 'a')])
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            answer = await connection.exchange(
+                transport.encode_request(request), lambda _answer: True
+            )
+        connection.close()
+        server.close()
+        return answer
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\nKeep-Alive: ' + field)
+        writer.write(b'\r\nContent-Length: 5\r\n\r\nwhole')
+        await writer.drain()
+        writer.close()
+
+    answer = asyncio.run(exchange())
+    assert (answer.status, answer.body) == (200, b'whole'), answer
--- a/sedgering/transport/_client.py
+++ b/sedgering/transport/_client.py
@@ -420,7 +420,8 @@
     """Return the timeout of a ``Keep-Alive`` field; infinite without one."""
     for part in field_value.split(','):
         name, _equals, value = part.strip().partition('=')
-        if name.lower() == 'timeout' and value.isdigit():
+        is_number = value.isascii() and value.isdigit()
+        if is_number and name.lower() == 'timeout':
             return float(value)
     return math.inf
 
