The judges count a request's time from its first byte

What callers saw: nothing.

Cause: the judge took the time of a request from its last byte. Its budget runs from the first one: the daemons answered 504 when 1.200 to 1.203 s of the route's 1.2 s had passed (elapsed_ms in their log, code 5007). Whether a request was cut later than the loss slack counts from the last byte, as before.

An end of the store's stand-in is a finding, too.

Evidence: four rows of features/lost.feature, on each side of the bound.

--- a/features/lost.feature
+++ b/features/lost.feature
@@ -32,6 +32,8 @@
       | an unread request was cut 0.21 s after its last byte       | nothing          |
       | a passed on request was cut when its time was over         | nothing          |
       | a passed on request was cut just before its time was over  | 1 x PLANNED_WORK |
+      | a passed on request was cut when its time was over from its first byte | nothing |
+      | a passed on request was cut just before its time was over from its first byte | 1 x PLANNED_WORK |
       | a request was cut whose target broke off                   | nothing          |
       | its caller left 1 s after SIGTERM                          | nothing          |
       | a request sent 2.9 s after SIGTERM was cut with its target at work in the last sixth | nothing |
@@ -56,6 +58,8 @@
       | a target was at work at an own answer without SIGTERM   | nothing             |
       | a target had broken off at an own answer after SIGTERM  | nothing             |
       | no target was at work at an own answer after SIGTERM    | nothing             |
+      | a target was at work at an own answer when its time was over from its first byte | nothing |
+      | a target was at work at an own answer just before its time was over from its first byte | 1 x REPLACED_ANSWER |
 
     Examples: processes
       | record                                                | findings            |
--- a/features/steps/lost_steps.py
+++ b/features/steps/lost_steps.py
@@ -168,6 +168,18 @@
     'a passed on request was cut just before its time was over': partial(
         make_cut, lasted_s=BUDGET_S - 0.1
     ),
+    'a passed on request was cut when its time was over from its first '
+    'byte': partial(make_cut, lasted_s=BUDGET_S - 0.1, sending_s=0.11),
+    'a passed on request was cut just before its time was over from its '
+    'first byte': partial(make_cut, lasted_s=BUDGET_S - 0.1, sending_s=0.09),
+    'a target was at work at an own answer when its time was over from its '
+    'first byte': partial(
+        make_own_answer, lasted_s=BUDGET_S - 0.1, sending_s=0.11
+    ),
+    'a target was at work at an own answer just before its time was over '
+    'from its first byte': partial(
+        make_own_answer, lasted_s=BUDGET_S - 0.1, sending_s=0.09
+    ),
     'a request was cut whose target broke off': partial(
         make_cut, work=make_unsound()
     ),
--- a/soak/_lost.py
+++ b/soak/_lost.py
@@ -133,6 +133,8 @@
         Whether a process may have read all of it.
     work : tuple of Work
         Its runs at targets.
+    sending_s : float
+        Time from its first byte to its last one, which is part of its budget.
     """
 
     request_id: str
@@ -145,6 +147,12 @@
     is_behind: bool = False
     is_read: bool = True
     work: tuple[Work, ...] = ()
+    sending_s: float = 0.0
+
+    @property
+    def age_s(self) -> float:
+        """Time from its first byte to its end."""
+        return self.lasted_s + self.sending_s
 
     @property
     def lasted_s(self) -> float:
@@ -323,7 +331,7 @@
             if len(beside) <= CONFIG_CUT_FACTOR * other_rate * total:
                 continue
             for request in beside:
-                if request.lasted_s < CONFIG_TIME_SHARE * request.budget_s:
+                if request.age_s < CONFIG_TIME_SHARE * request.budget_s:
                     yield _make_finding(
                         Clause.PLANNED_WORK, request, 'beside a configuration'
                     )
@@ -390,7 +398,7 @@
     is_counted = (
         request.end is End.CUT
         and request.is_read
-        and request.lasted_s < request.budget_s
+        and request.age_s < request.budget_s
     )
     if request.work:
         # A target that broke off explains the end of the answer.
@@ -432,7 +440,7 @@
         request.sent_s <= planned.start_s + ACCEPTED_AFTER_SIGTERM_S
         and any(work.ended_s >= last_s for work in request.work)
     )
-    is_over = request.lasted_s >= request.budget_s
+    is_over = request.age_s >= request.budget_s
     return request.ended_s <= end_s and not (may_be_cut or is_over)
 
 
--- a/soak/_trial.py
+++ b/soak/_trial.py
@@ -49,7 +49,11 @@
             for record in records
             if record.last_byte_s
         ],
-        ends=[end for daemon in world.daemons for end in daemon.ends],
+        ends=[
+            end
+            for process in (*world.daemons, world.store)
+            for end in process.ends
+        ],
     )
     for item in world.disturbances:
         kind, times_s = item.fault.kind, (item.start_s, item.end_s)
@@ -82,6 +86,7 @@
         record.is_kept,
         record.is_behind,
         work=tuple(world.ledger.work.get(record.request_id, ())),
+        sending_s=record.last_byte_s - record.sent_s,
     )
 
 
