Callers that read keep their connections, however much is held

Cause: the bound on unread answers closed the connection that holds the most, whether or not its caller reads. Answers that are all ready at the same moment pass the bound before anybody had time to read.

Now only a connection is closed whose caller has taken nothing for 0.25 s; while too much is held by others, that is looked at again.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -88,3 +88,9 @@
     Given a daemon that fetches quota tokens
     When a request of each of 20 workspaces waits for a token in vain
     Then no queue of any workspace is left
+
+  # Guards against a bound that closes the connections of callers that read.
+  Scenario: Callers that read keep their connections, however much is held
+    Given 64 MB as the most that a service holds for its callers
+    When 6 callers ask it for 15.9 MB at once, and read at full speed
+    Then each of them gets a whole answer
--- a/features/steps/unread_steps.py
+++ b/features/steps/unread_steps.py
@@ -6,7 +6,9 @@
 from behave import then
 from behave import when
 
+from sedgering import ports
 from sedgering import testing
+from sedgering import transport
 import slow_reader
 
 ANSWER_BYTES = 512 * 1024
@@ -117,3 +119,71 @@
     numbers = [f'answer to 0-{number}'.encode() for number in range(requests)]
     places = [data.find(number + b' ') for number in numbers]
     assert min(places) >= 0 and places == sorted(places), places
+
+
+class LargeService(transport.Service):
+    """Gives the answers to all its callers at the same moment."""
+
+    def __init__(self, limit_bytes: int):
+        super().__init__()
+        self.held_limit_bytes = limit_bytes
+        self.body = b''
+        self.is_open = asyncio.Event()
+
+    def find_limits(self):
+        """Return the default limits."""
+        return transport.CallerLimits()
+
+    async def answer(self, request):
+        """Answer once all callers have asked."""
+        await self.is_open.wait()
+        return transport.Response(200, [], self.body)
+
+
+@given('{size:d} MB as the most that a service holds for its callers')
+def step_held_limit(context, size):
+    context.held_limit_bytes = size * 1024 * 1024
+
+
+@when(
+    '{count:d} callers ask it for {size:g} MB at once, and read at full speed'
+)
+def step_read_at_once(context, count, size):
+    async def ask(port):
+        reader, writer = await asyncio.open_connection(
+            slow_reader.ADDRESS, port
+        )
+        writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+        try:
+            head = await reader.readuntil(b'\r\n\r\n')
+            length = int(
+                head.lower().partition(b'content-length: ')[2].split()[0]
+            )
+            return len(await reader.readexactly(length))
+        except (OSError, asyncio.IncompleteReadError) as error:
+            return repr(error)
+        finally:
+            writer.close()
+
+    async def run():
+        service = LargeService(context.held_limit_bytes)
+        service.body = bytes(int(size * 1024 * 1024))
+        listener = ports.open_port(slow_reader.ADDRESS, 0)
+        port = listener.getsockname()[1]
+        server = await transport.serve(
+            service, slow_reader.ADDRESS, port, listener
+        )
+        asking = [asyncio.ensure_future(ask(port)) for _ in range(count)]
+        while len(service.connections) < count:
+            await asyncio.sleep(0.01)
+        service.is_open.set()
+        found = await asyncio.gather(*asking)
+        server.close()
+        return found, len(service.body)
+
+    context.sizes, context.whole_bytes = asyncio.run(run())
+
+
+@then('each of them gets a whole answer')
+def step_whole_answers(context):
+    assert set(context.sizes) == {context.whole_bytes}, context.sizes
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -34,6 +34,8 @@
 #: Unsent response data of one connection from which on no further request of
 #: it is begun, until its caller has read most of that.
 UNREAD_BYTES = 256 * 1024
+#: A caller that takes no response data for so long does not read.
+STALL_S = 0.25
 #: TCP_USER_TIMEOUT: the connection fails when sent data stays
 #: unacknowledged for longer.
 TCP_USER_TIMEOUT_MS = 4000
@@ -87,8 +89,8 @@
     keeps_half_closed = False
     #: Paces large responses on the link; None if that is not needed.
     pacer: _pacing.LinkPacer | None = None
-    #: Response data held for all callers together above which the connection
-    #: that holds the most is closed.
+    #: Response data held for all callers together above which connections
+    #: whose callers do not read are closed.
     held_limit_bytes = math.inf
 
     def __init__(self):
@@ -98,6 +100,7 @@
         #: Bytes received on all connections since the start.
         self.received_bytes = 0
         self._check_timer: asyncio.TimerHandle | None = None
+        self._held_timer: asyncio.TimerHandle | None = None
 
     @abc.abstractmethod
     async def answer(
@@ -170,15 +173,31 @@
         return sum(connection.held_bytes for connection in self.holding)
 
     def limit_held(self) -> None:
-        """Close the connections that hold the most while it is too much."""
-        while self.held_bytes > self.held_limit_bytes:
-            largest = max(self.holding, key=lambda item: item.held_bytes)
+        """Close connections whose callers do not read while it is too much.
+
+        The largest goes first.  A caller that reads, however slowly, keeps its
+        connection.
+        """
+        if self.held_bytes <= self.held_limit_bytes:
+            return
+        stalled = [item for item in self.holding if item.is_stalled()]
+        stalled.sort(key=lambda item: item.held_bytes)
+        while stalled and self.held_bytes > self.held_limit_bytes:
+            largest = stalled.pop()
             LOG.warning(
                 'caller does not read',
                 extra={'detail': f'{largest.held_bytes} bytes held'},
             )
             self.holding.discard(largest)
             largest.transport.abort()
+        if self._held_timer is None and self.held_bytes:
+            self._held_timer = asyncio.get_running_loop().call_later(
+                STALL_S, self._check_held
+            )
+
+    def _check_held(self) -> None:
+        self._held_timer = None
+        self.limit_held()
 
     def make_error_response(self, status: int) -> _messages.Response:
         """Make the response to a request that failed or cannot be read."""
@@ -261,6 +280,11 @@
         self._ready_bytes = 0
         self._is_beginning = False
         self._is_write_paused = False
+        #: Response data written so far, how much of it the kernel had taken
+        #: at the last look, and since when.
+        self._written_bytes = 0
+        self._taken_bytes = 0
+        self._taken_since_s = loop.time()
         self.last_activity_s = loop.time()
         self._parser = httptools.HttpRequestParser(self)
         self._timer: asyncio.TimerHandle | None = None
@@ -625,12 +649,23 @@
         """Size of the responses that are ready and not sent."""
         return self._ready_bytes + self.transport.get_write_buffer_size()
 
+    def is_stalled(self) -> bool:
+        """Whether the caller has taken no response data for some time."""
+        now_s = self.loop.time()
+        unsent_bytes = self.transport.get_write_buffer_size()
+        taken_bytes = self._written_bytes - unsent_bytes
+        if taken_bytes != self._taken_bytes:
+            self._taken_bytes = taken_bytes
+            self._taken_since_s = now_s
+        return unsent_bytes > 0 and now_s - self._taken_since_s >= STALL_S
+
     def _note_held(self):
         """Tell the service whether this connection holds response data."""
         if not self.held_bytes:
             self.service.holding.discard(self)
         elif not self._is_closing:
             self.service.holding.add(self)
+            self.is_stalled()
             self.service.limit_held()
 
     def _flush(self):
@@ -656,6 +691,7 @@
             # The connection fails if data is unacknowledged for longer.
             limit_s = TCP_USER_TIMEOUT_MS / 1000
             self._large_unacknowledged_until_s = self.loop.time() + limit_s
+        self._written_bytes += len(data)
         pacer = self.service.pacer
         if pacer is None:
             self.transport.write(data)
