An answer that is sent at once looks at no queue and no table

The end of each request looked for waiting requests and left the set of connections with unread answers, both of them empty as a rule.

--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -530,7 +530,8 @@
     def _note_held(self):
         """Tell the service whether this connection holds response data."""
         if not self.held_bytes:
-            self.service.holding.discard(self)
+            if self.service.holding:
+                self.service.holding.discard(self)
         elif not self._is_closing:
             self.service.holding.add(self)
             self.service.limit_held()
@@ -548,7 +549,8 @@
         if self._is_paused and len(self.pending) < PIPELINE_DEPTH // 2:
             self._is_paused = False
             self.transport.resume_reading()
-        self._begin_waiting()
+        if self._waiting:
+            self._begin_waiting()
 
     def _write(self, data: bytes):
         """Write a response behind those that are still being written."""
