--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -662,7 +662,8 @@
     def _note_held(self):
         """Tell the service whether this connection holds response data."""
         if not self.held_bytes:
-            self.service.holding.discard(self)
+            if self.service.holding:
+                self.service.holding.discard(self)
         elif not self._is_closing:
             self.service.holding.add(self)
             self.is_stalled()
@@ -683,7 +684,8 @@
             return
         if len(self.pending) < PIPELINE_DEPTH // 2:
             self._resume()
-        self._begin_waiting()
+        if self._waiting:
+            self._begin_waiting()
 
     def _write(self, data: bytes):
         """Write a response behind those that are still being written."""
