--- a/features/steps/daemon_process.py
+++ b/features/steps/daemon_process.py
@@ -50,8 +50,14 @@
         path.write_bytes(data)
         path.replace(self.settings_path)
 
-    def start(self) -> None:
-        """Start the process."""
+    def start(self, **streams) -> None:
+        """Start the process; its output goes to the log file by default.
+
+        Parameters
+        ----------
+        **streams
+            Arguments of `subprocess.Popen` in place of the log file.
+        """
         ports = (
             _daemons.CALLERS_PORT,
             _daemons.REPORTS_PORT,
@@ -66,8 +72,7 @@
                 ],
                 cwd=ROOT,
                 env={**os.environ, **environment, 'PYTHONPATH': str(ROOT)},
-                stdout=output,
-                stderr=output,
+                **(streams or {'stdout': output, 'stderr': output}),
             )
 
     def connect(self, port: int = _daemons.READINESS_PORT) -> socket.socket:
--- a/features/steps/log_output_steps.py
+++ b/features/steps/log_output_steps.py
@@ -5,59 +5,25 @@
 import json
 import logging
 import os
-import pathlib
-import signal
-import subprocess
-import sys
-import tempfile
-import time
-import urllib.error
-import urllib.request
 
 from behave import given
 from behave import then
 from behave import when
+import daemon_process
 
 from sedgering import observability
 from sedgering.observability import _logs
-from sedgering import platform
-from sedgering import testing
 from soak import _daemons
 
-ROOT = pathlib.Path(__file__).parent.parent.parent
-#: Apart from the addresses of soaks in the same process.
-HOST_NUMBER = 200
 #: Smallest pipe, one page.
 PIPE_BYTES = 4096
-START_TIMEOUT_S = 10.0
 READ_BYTES = 1 << 16
 
 
 def start_daemon(context, **streams):
-    """Start the daemon of a host whose store does not answer."""
-    context.address = _daemons.make_address(HOST_NUMBER)
-    folder = pathlib.Path(
-        context.stack.enter_context(tempfile.TemporaryDirectory())
-    )
-    path = folder / 'settings.json'
-    path.write_bytes(
-        testing.make_daemon_settings(
-            'h0',
-            'north',
-            'calendar',
-            context.address,
-            _daemons.PORTS,
-            _daemons.LINK_MBPS,
-        )
-    )
-    context.process = subprocess.Popen(
-        [sys.executable, '-m', 'sedgering.cli.daemon'],
-        cwd=ROOT,
-        env={**os.environ, platform.SETTINGS_VARIABLE: str(path)},
-        **streams,
-    )
-    context.stack.callback(context.process.wait)
-    context.stack.callback(context.process.kill)
+    """Start a daemon process with other output than its log file."""
+    context.daemon = daemon_process.make_daemon_process(context)
+    context.daemon.start(**streams)
 
 
 def open_pipe(context):
@@ -109,25 +75,17 @@
 
 @then('it answers a readiness check')
 def step_answers(context):
-    url = f'http://{context.address}:{_daemons.READINESS_PORT}/v1/ready'
-    end_s = time.monotonic() + START_TIMEOUT_S
-    status = None
-    while status is None and time.monotonic() < end_s:
-        try:
-            with urllib.request.urlopen(url, timeout=1) as answer:
-                status = answer.status
-        except urllib.error.HTTPError as error:
-            status = error.code
-        except OSError:
-            time.sleep(0.05)
+    with context.daemon.connect() as connection:
+        connection.sendall(daemon_process.REQUEST)
+        status = daemon_process.read_status(connection)
     # Without the store no version is in force, so that it is not ready.
     assert status == 503, status
 
 
 @then('after SIGTERM it ends with status 0')
 def step_ends(context):
-    context.process.send_signal(signal.SIGTERM)
-    status = context.process.wait(_daemons.GRACE_S + 1.0)
+    context.daemon.send_signal('SIGTERM')
+    status = context.daemon.wait(_daemons.GRACE_S + 1.0)
     assert status == 0, status
 
 
