The server's framing checks and pending requests are modules of their own

What checks the framing of a head and what keeps a request until it is answered move as they are; looking how much a caller has taken is told from whether it stalls.

--- a/sedgering/transport/__init__.py
+++ b/sedgering/transport/__init__.py
@@ -19,8 +19,8 @@
 from sedgering.transport._pacing import LinkPacer
 from sedgering.transport._pacing import make_pacer
 from sedgering.transport._pacing import PacedWrite
+from sedgering.transport._pending import BodyMemory
 from sedgering.transport._pool import ConnectionPool
-from sedgering.transport._server import BodyMemory
 from sedgering.transport._server import CallerLimits
 from sedgering.transport._server import serve
 from sedgering.transport._server import Service
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -16,11 +16,13 @@
 import msgspec
 
 from sedgering import ports
+from sedgering.transport import _framing
 from sedgering.transport import _half_close
 from sedgering.transport import _headers
 from sedgering.transport import _load
 from sedgering.transport import _messages
 from sedgering.transport import _pacing
+from sedgering.transport import _pending
 from sedgering.transport import _sockets
 from sedgering.transport import _upgrade
 
@@ -180,7 +182,9 @@
         """
         if self.held_bytes <= self.held_limit_bytes:
             return
-        stalled = [item for item in self.holding if item.is_stalled()]
+        for connection in self.holding:
+            connection.note_taken()
+        stalled = [item for item in self.holding if item.is_stalled]
         stalled.sort(key=lambda item: item.held_bytes)
         while stalled and self.held_bytes > self.held_limit_bytes:
             largest = stalled.pop()
@@ -204,60 +208,6 @@
         return _messages.make_json_response(status, {'error': status})
 
 
-class _Pending:
-    """A request of a connection that has not been answered yet."""
-
-    __slots__ = (
-        'coroutine',
-        'body_bytes',
-        'data',
-        'is_head',
-        'must_close',
-        'received_s',
-        'request',
-        'task',
-    )
-
-    def __init__(self):
-        self.data: bytes | None = None
-        self.is_head = False
-        self.must_close = False
-        self.received_s = math.inf
-        #: The request, until it is begun.
-        self.request: _messages.Request | None = None
-        #: Size of the body while it counts towards `BodyMemory`.
-        self.body_bytes = 0
-        #: Coroutine that answers the request, and the task that runs it.
-        self.coroutine: Coroutine | None = None
-        self.task: asyncio.Task | None = None
-
-    def release_body(self) -> None:
-        """Subtract the body from `BodyMemory`."""
-        BodyMemory.used_bytes -= self.body_bytes
-        self.body_bytes = 0
-
-    def cancel(self) -> None:
-        """Cancel the task: the caller no longer waits for the response."""
-        self.release_body()
-        if self.task is not None:
-            self.task.add_done_callback(self._close_unstarted)
-            self.task.cancel()
-
-    def _close_unstarted(self, _task: asyncio.Task) -> None:
-        """Close the coroutine of a task cancelled before its first step."""
-        self.coroutine.close()
-
-
-class BodyMemory:
-    """Total size of the request bodies that this process holds."""
-
-    used_bytes = 0
-
-
-def _release_body_memory(size: int) -> None:
-    BodyMemory.used_bytes -= size
-
-
 class ServerConnection(asyncio.Protocol):
     """One connection of a caller.
 
@@ -273,9 +223,13 @@
         self.service = service
         self.loop = loop
         self.transport: asyncio.Transport | None = None
-        self.pending: collections.deque[_Pending] = collections.deque()
+        self.pending: collections.deque[_pending.PendingRequest] = (
+            collections.deque()
+        )
         #: Those at the end of `pending` that have not been begun.
-        self._waiting: collections.deque[_Pending] = collections.deque()
+        self._waiting: collections.deque[_pending.PendingRequest] = (
+            collections.deque()
+        )
         #: Size of the responses that wait for an earlier one.
         self._ready_bytes = 0
         self._is_beginning = False
@@ -374,12 +328,14 @@
             self._feed(data)
             if self._request is not None and self._requests == requests:
                 self._limit_framing(len(data) - self._body_size + body_size)
-        except _RefusedRequest as error:
+        except _framing.RefusedRequest as error:
             self._refuse(error.status)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             status = (
-                cause.status if isinstance(cause, _RefusedRequest) else 400
+                cause.status
+                if isinstance(cause, _framing.RefusedRequest)
+                else 400
             )
             self._refuse(status)
         except httptools.HttpParserError as error:
@@ -433,7 +389,9 @@
         limit_bytes = FRAMING_BYTES_PER_HEAD_BYTE * self._head_limit_bytes
         limit_bytes += FRAMING_BYTES_PER_BODY_BYTE * self._body_size
         if self._framing_bytes > limit_bytes:
-            raise _RefusedRequest(431 if self._is_reading_head else 400)
+            raise _framing.RefusedRequest(
+                431 if self._is_reading_head else 400
+            )
 
     def eof_received(self):
         """Return whether the connection stays open for its responses.
@@ -480,7 +438,7 @@
         """Append to the request target."""
         self._url += url
         if len(self._url) > self._head_limit_bytes:
-            raise _RefusedRequest(431)
+            raise _framing.RefusedRequest(431)
 
     def on_header(self, name, value):
         """Add one header field; trailer fields are dropped.
@@ -490,7 +448,7 @@
         """
         self._fields_bytes += len(name) + len(value)
         if self._fields_bytes > self._head_limit_bytes:
-            raise _RefusedRequest(431)
+            raise _framing.RefusedRequest(431)
         if self._is_reading_head:
             self._request.headers.append(
                 (name.decode('latin-1'), value.decode('latin-1'))
@@ -502,19 +460,19 @@
         request = self._request
         request.method = self._parser.get_method().decode('ascii')
         if request.method == 'CONNECT':
-            raise _RefusedRequest(400)
+            raise _framing.RefusedRequest(400)
         request.url = self._url.decode('latin-1')
         request.fields = _headers.index_headers(request.headers)
         version = self._parser.get_http_version()
         if version < '1.1':
             self._accepts_interim = False
-        _check_framing(request, version)
+        _framing.check_framing(request, version)
         length = request.find('content-length')
         is_chunked = request.find('transfer-encoding') is not None
         request.has_body = is_chunked or length is not None
         limit = self.service.find_limits().body_bytes
         if length is not None and int(length) > limit:
-            raise _RefusedRequest(413)
+            raise _framing.RefusedRequest(413)
         expects = request.find('expect')
         if expects and expects.lower() == '100-continue' and not self.pending:
             if self._accepts_interim and not self._parser.should_upgrade():
@@ -524,10 +482,13 @@
         """Add a part of the body."""
         self._body_size += len(body)
         if self._body_size > self.service.find_limits().body_bytes:
-            raise _RefusedRequest(413)
-        if BodyMemory.used_bytes + len(body) > BODY_MEMORY_LIMIT_BYTES:
-            raise _RefusedRequest(503)
-        BodyMemory.used_bytes += len(body)
+            raise _framing.RefusedRequest(413)
+        if (
+            _pending.BodyMemory.used_bytes + len(body)
+            > BODY_MEMORY_LIMIT_BYTES
+        ):
+            raise _framing.RefusedRequest(503)
+        _pending.BodyMemory.used_bytes += len(body)
         self._chunks.append(body)
 
     def on_message_complete(self):
@@ -548,7 +509,7 @@
         request.body = b''.join(self._chunks)
         self._chunks = []
         self._request = None
-        item = _Pending()
+        item = _pending.PendingRequest()
         item.is_head = request.method == 'HEAD'
         item.received_s = request.received_s
         item.must_close = not self._parser.should_keep_alive()
@@ -577,7 +538,7 @@
         begun = len(self.pending) - len(self._waiting)
         return begun < PIPELINE_DEPTH and not self._is_write_paused
 
-    def _begin(self, item: _Pending):
+    def _begin(self, item: _pending.PendingRequest):
         request, item.request = item.request, None
         try:
             result = self.service.begin(request)
@@ -589,7 +550,7 @@
         item.coroutine = result
         item.task = self.loop.create_task(self._answer(item))
 
-    async def _answer(self, item: _Pending):
+    async def _answer(self, item: _pending.PendingRequest):
         try:
             response = await item.coroutine
         except asyncio.CancelledError:
@@ -607,7 +568,11 @@
         LOG.exception('request failed')
         return self.service.make_error_response(502)
 
-    def _finish(self, item: _Pending, response: _messages.Response | None):
+    def _finish(
+        self,
+        item: _pending.PendingRequest,
+        response: _messages.Response | None,
+    ):
         item.release_body()
         if self._is_closing:
             return
@@ -649,15 +614,19 @@
         """Size of the responses that are ready and not sent."""
         return self._ready_bytes + self.transport.get_write_buffer_size()
 
-    def is_stalled(self) -> bool:
-        """Whether the caller has taken no response data for some time."""
-        now_s = self.loop.time()
+    def note_taken(self) -> None:
+        """Look how much of the response data the caller's side has taken."""
         unsent_bytes = self.transport.get_write_buffer_size()
         taken_bytes = self._written_bytes - unsent_bytes
         if taken_bytes != self._taken_bytes:
             self._taken_bytes = taken_bytes
-            self._taken_since_s = now_s
-        return unsent_bytes > 0 and now_s - self._taken_since_s >= STALL_S
+            self._taken_since_s = self.loop.time()
+
+    @property
+    def is_stalled(self) -> bool:
+        """Whether nothing was taken for some time, as of the last look."""
+        stalled_s = self.loop.time() - self._taken_since_s
+        return self._has_unsent and stalled_s >= STALL_S
 
     def _note_held(self):
         """Tell the service whether this connection holds response data."""
@@ -666,7 +635,7 @@
                 self.service.holding.discard(self)
         elif not self._is_closing:
             self.service.holding.add(self)
-            self.is_stalled()
+            self.note_taken()
             self.service.limit_held()
 
     def _flush(self):
@@ -783,13 +752,15 @@
         self._is_discarding_input = True
         self._release_body()
         self._request = None
-        item = _Pending()
+        item = _pending.PendingRequest()
         item.must_close = True
         self.pending.append(item)
         self._finish(item, self.service.make_error_response(status))
 
     def _release_body(self):
-        _release_body_memory(sum(len(chunk) for chunk in self._chunks))
+        _pending.BodyMemory.used_bytes -= sum(
+            len(chunk) for chunk in self._chunks
+        )
         self._chunks = []
 
     # Load.
@@ -840,50 +811,6 @@
             self._refuse(408)
 
 
-class _RefusedRequest(Exception):
-    """The request is answered with an error status by the connection.
-
-    Parameters
-    ----------
-    status : int
-        Status code of the response.
-    """
-
-    def __init__(self, status: int):
-        super().__init__(status)
-        self.status = status
-
-
-#: Fields that must not be repeated: two recipients may interpret the
-#: repetition differently, which allows request smuggling.
-_SINGLETON_FIELDS = frozenset(('content-length', 'transfer-encoding', 'host'))
-
-
-def _check_framing(request: _messages.Request, version: str) -> None:
-    """Refuse heads that two recipients may frame differently (RFC 9112)."""
-    fields = request.fields
-    if '' in fields or '\0' in ''.join([item[1] for item in request.headers]):
-        raise _RefusedRequest(400)
-    if len(fields) < len(request.headers):
-        _check_repeats(request.headers)
-    if version == '1.1' and 'host' not in fields:
-        raise _RefusedRequest(400)
-    transfer_coding = fields.get('transfer-encoding')
-    if transfer_coding is not None:
-        if (
-            transfer_coding.strip().lower() != 'chunked'
-            or 'content-length' in fields
-        ):
-            raise _RefusedRequest(400)
-
-
-def _check_repeats(headers: _headers.Headers) -> None:
-    """Refuse heads that repeat a field of `_SINGLETON_FIELDS`."""
-    names = [name.lower() for name, _value in headers]
-    if any(names.count(name) > 1 for name in _SINGLETON_FIELDS):
-        raise _RefusedRequest(400)
-
-
 async def serve(
     service: Service,
     address: str,
