A comment says whose connection is closed above the bound of unread answers

It still said the one that holds the most, which changed to those whose callers do not read. Comment only: the compiled modules are the same.

--- a/sedgering/mesh/_outbound.py
+++ b/sedgering/mesh/_outbound.py
@@ -13,8 +13,8 @@
 __all__ = ['OutboundService']
 
 #: Response data held for callers above which new requests are refused, and
-#: above which the connection that holds the most is closed.  With the bodies
-#: of requests that is half of the smallest memory limit, 200 MB.
+#: above which connections whose callers do not read are closed.  With the
+#: bodies of requests that is half of the smallest memory limit, 200 MB.
 REFUSE_HELD_BYTES = 32 * 1024 * 1024
 CLOSE_HELD_BYTES = 64 * 1024 * 1024
 
