--- a/features/steps/connection_end_steps.py
+++ b/features/steps/connection_end_steps.py
@@ -73,14 +73,19 @@
     context.service = TryingService(fault)
 
 
+async def connect(service):
+    """Serve a service; return the server and a caller's two streams."""
+    port = testing.free_ports(1)[0]
+    server = await transport.serve(
+        service, ADDRESS, port, ports.open_port(ADDRESS, port)
+    )
+    return server, *await asyncio.open_connection(ADDRESS, port)
+
+
 @when('a caller sends it {first}, then {second}')
 def step_sends(context, first, second):
     async def run():
-        port = testing.free_ports(1)[0]
-        server = await transport.serve(
-            context.service, ADDRESS, port, ports.open_port(ADDRESS, port)
-        )
-        reader, writer = await asyncio.open_connection(ADDRESS, port)
+        server, reader, writer = await connect(context.service)
         context.statuses = []
         try:
             async with asyncio.timeout(WAIT_S):
@@ -139,11 +144,7 @@
     data = SENT['a chunked post that offers an upgrade'].encode() * count
 
     async def run():
-        port = testing.free_ports(1)[0]
-        server = await transport.serve(
-            context.service, ADDRESS, port, ports.open_port(ADDRESS, port)
-        )
-        reader, writer = await asyncio.open_connection(ADDRESS, port)
+        server, reader, writer = await connect(context.service)
         context.statuses = []
         try:
             async with asyncio.timeout(WAIT_S):
