The end of a daemon tells what its open connections were used for

'leave waits' and 'left' now count connections by use, and a gauge counts those closed at the idle timeout. No decision changes.

features/sight.feature passes, with one more line checked.

--- a/features/sight.feature
+++ b/features/sight.feature
@@ -59,6 +59,7 @@
     And its daemon answers nothing
     When the first host leaves while a caller asks "/slow/" with id "x"
     Then the line "leave waits" has callers "1 without answer, 0 answers unread"
+    And the line "leave waits" has caller_connections "0 new, 0 kept, 1 active"
     And the line "leave waits" has requests "\d+ ms, hall-2: sent \d+ ms ago, no byte came$"
     And the explanation of "x" has the line "leave waits"
 
--- a/sedgering/mesh/_growth.py
+++ b/sedgering/mesh/_growth.py
@@ -37,6 +37,8 @@
         'tasks': len(asyncio.all_tasks(loop)),
         'caller_connections': len(callers.connections),
         'peer_connections': len(peers.connections),
+        'caller_connections_expired': callers.expired_connections,
+        'peer_connections_expired': peers.expired_connections,
         'request_body_bytes': transport.BodyMemory.used_bytes,
         **state.peers.count_entries(),
         'targets_with_signals': len(state.peers.signals),
--- a/sedgering/mesh/_shutdown_log.py
+++ b/sedgering/mesh/_shutdown_log.py
@@ -87,6 +87,8 @@
             extra={
                 'callers': _describe(self.outbound.find_load(), now_s, 0),
                 'peers': _describe(self.inbound.find_load(), now_s, polls),
+                'caller_connections': _describe_uses(self.outbound),
+                'peer_connections': _describe_uses(self.inbound),
                 'requests': [item.describe() for item in oldest],
                 'request_ids': [item.request_id for item in oldest],
                 'lag_ms': int(self.pause.take_longest_lag_s() * 1000),
@@ -107,3 +109,11 @@
         f' oldest {load.find_age_ms(now_s)} ms'
     )
     return f'{text}, {polls} polls' if polls else text
+
+
+def _describe_uses(service: transport.Service) -> str:
+    """Count the open connections by what they are used for."""
+    uses = service.count_uses()
+    return ', '.join(
+        f'{uses[use]} {use.value}' for use in transport.ConnectionUse
+    )
--- a/sedgering/transport/__init__.py
+++ b/sedgering/transport/__init__.py
@@ -4,6 +4,7 @@
 from sedgering.transport._client import connect
 from sedgering.transport._client import ConnectFailed
 from sedgering.transport._client import ExchangeFailed
+from sedgering.transport._connection_use import ConnectionUse
 from sedgering.transport._headers import find_header
 from sedgering.transport._headers import Headers
 from sedgering.transport._headers import HOP_NAMES
@@ -32,6 +33,7 @@
     'ClientConnection',
     'ConnectFailed',
     'ConnectionPool',
+    'ConnectionUse',
     'ExchangeFailed',
     'HOP_NAMES',
     'Headers',
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from sedgering import ports
+from sedgering.transport import _connection_use
 from sedgering.transport import _framing
 from sedgering.transport import _half_close
 from sedgering.transport import _headers
@@ -101,6 +102,8 @@
         self.holding: set[ServerConnection] = set()
         #: Bytes received on all connections since the start.
         self.received_bytes = 0
+        #: Connections closed at the idle timeout since the start.
+        self.expired_connections = 0
         self._check_timer: asyncio.TimerHandle | None = None
         self._held_timer: asyncio.TimerHandle | None = None
 
@@ -162,6 +165,10 @@
         for connection in list(self.connections):
             connection.check_timeouts(limits)
 
+    def count_uses(self) -> collections.Counter:
+        """Return the number of connections by their use."""
+        return collections.Counter(item.use for item in self.connections)
+
     def find_load(self) -> _load.ServiceLoad:
         """Return the pending requests and responses of all connections."""
         load = _load.ServiceLoad()
@@ -739,6 +746,15 @@
         is_sent = not self._is_lingering and not self._has_unsent
         return is_done and is_sent and self._request is None
 
+    @property
+    def use(self) -> _connection_use.ConnectionUse:
+        """What the caller has used the connection for so far."""
+        if not self.is_idle:
+            return _connection_use.ConnectionUse.ACTIVE
+        if self._requests:
+            return _connection_use.ConnectionUse.KEPT
+        return _connection_use.ConnectionUse.NEW
+
     def close_idle(self) -> bool:
         """Close the connection if it is idle; return whether it was."""
         if not self.is_idle:
@@ -800,6 +816,7 @@
             is_done = not self.pending and not self._paced_writes
             is_expired = is_done and inactive_ms > limits.idle_timeout_ms
             if is_expired:
+                self.service.expired_connections += 1
                 self._is_closing = True
                 self.transport.close()
                 return
