A connection without a request is not one whose caller will send none

They had not run, but a caller cannot know that, and may not repeat a POST.

Cause: "no request is under way" was taken for "nobody will send". The look for idle connections 50 ms after the end of listening closed each connection without a request, also those whose callers were never told "Connection: close". The process then ended beside further ones: peers, check-ins, readiness checks. The idle timeout acted alike: a lowered one applied to callers that had been told a longer one, one below a second was told as one second, and input that had arrived unread did not count.

Why this works: a leaving daemon goes on while a request may come. A new connection counts for the time of a head; a kept one until no caller has sent anything for 1 s (those that do are told to close); both at most until four fifths of the grace time. What arrives is served if it ends in time, or refused as not run. Peers are told to close once no more calls are taken. All ports, also of check-ins and readiness, stop listening without a reset of their queue, and what is left is closed at once, unless input waits unread. The idle timeout that counts is the one that the caller was told last, with 1 s for what is on its way.

--- a/features/steps/idle_connection_steps.py
+++ b/features/steps/idle_connection_steps.py
@@ -1,6 +1,7 @@
 """Steps for connections on which a request may still come."""
 
 import asyncio
+import re
 import socket
 import threading
 import time
@@ -50,19 +51,19 @@
 
 
 async def read_answer(reader):
-    """Return the status line of one answer; empty at the end of input."""
+    """Read one answer; return its head, or what happened instead."""
     try:
         async with asyncio.timeout(WAIT_S):
-            line = await reader.readline()
-            while (await reader.readline()).strip():
-                pass
-    except (ConnectionError, TimeoutError) as error:
+            head = (await reader.readuntil(b'\r\n\r\n')).decode()
+            length = re.search(r'(?i)\ncontent-length: (\d+)', head)
+            await reader.readexactly(int(length[1]))
+    except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
         return repr(error)
-    return line.decode()
+    return head
 
 
 async def ask(reader, writer):
-    """Send one request; return the status line of its answer."""
+    """Send one request; return the head of its answer."""
     try:
         writer.write(GET)
         await writer.drain()
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -36,6 +36,7 @@
 from sedgering.mesh import _relay
 from sedgering.mesh import _rollout_driver
 from sedgering.mesh import _settings
+from sedgering.mesh import _shutdown
 from sedgering.mesh import _shutdown_log
 from sedgering.mesh import _source
 from sedgering.mesh import _state
@@ -57,13 +58,6 @@
 #: Time after the start within which a witness reminds this daemon of a
 #: departure, unless the store tells it sooner.
 REMINDER_WAIT_S = 0.1
-#: Interval between idle checks while the daemon shuts down.
-IDLE_CHECK_INTERVAL_S = 0.05
-#: Consecutive idle checks, 0.3 s in all, after which a leaving daemon ends. By
-#: then, peers that would send more calls have been refused and skip this
-#: daemon for 2 s. Checks are counted instead of time, because time also passes
-#: while the process is stopped.
-LEAVE_IDLE_CHECKS = 6
 #: Largest share of the grace time during which a leaving daemon accepts new
 #: requests; the rest is for requests under way.
 LEAVE_SERVING_SHARE = 0.5
@@ -74,6 +68,11 @@
 #: Largest share of the grace time that FINAL_ANSWERS_S and the leave margin
 #: take together: work may be aborted only in the last sixth of the grace time.
 FINAL_SHARE = 0.15
+#: Shares of the grace time until which requests that have not begun to arrive
+#: are awaited, of callers and peers, and of all services. The rest is for the
+#: last of them.
+AWAITING_SHARE = 0.75
+LAST_AWAITING_SHARE = 0.8
 #: Largest number of daemons of the same target set that are notified directly
 #: of a crash; others learn of it from the member row. A notice costs about
 #: 0.5 ms of processor time on the two hosts together.
@@ -166,9 +165,11 @@
             state.target_client, self._check_health, self._start_task
         )
         state.find_freshness = source.find_freshness
-        #: Further services whose requests a leaving daemon ends.
-        self.other_services: tuple[transport.Service, ...] = ()
-        self._servers: list[asyncio.AbstractServer] = []
+        self._servers: dict[transport.Service, asyncio.AbstractServer] = {}
+        #: Those of services that are used until the daemon ends.
+        self._other_servers: dict[
+            transport.Service, asyncio.AbstractServer
+        ] = {}
         self._tasks: list[asyncio.Task] = []
 
     def _make_turns(self) -> _turns.Turns:
@@ -196,15 +197,13 @@
         """
         own = self.addresses
         opened = opened or ports.OpenPorts()
-        self._servers = [
-            await transport.serve(
+        for service, port in (
+            (self.outbound, own.callers_port),
+            (self.inbound, own.peers_port),
+        ):
+            self._servers[service] = await transport.serve(
                 service, own.address, port, opened.take(own.address, port)
             )
-            for service, port in (
-                (self.outbound, own.callers_port),
-                (self.inbound, own.peers_port),
-            )
-        ]
         loop = asyncio.get_running_loop()
         self._started_s = loop.time()
         self.pause.start(self._check_peers)
@@ -650,9 +649,10 @@
             Time after which the process is killed from outside, in
             milliseconds.
         """
-        end_s = self._plan_end(grace_ms / 1000)
+        wait, last_wait = self._plan_end(grace_ms / 1000)
         self.is_leaving = True
-        self.outbound.is_closing = True
+        for service in (self.outbound, *self._other_servers):
+            service.is_closing = True
         self.state.quotas.leave()
         self._publish_last_row()
         LOG.info('leaving', extra={'detail': f'{grace_ms} ms left'})
@@ -667,14 +667,30 @@
         # are refused. A call that is accepted now might be aborted at the end.
         self.state.target_client.leave()
         self.state.serving.is_over = True
-        for server, service in zip(
-            self._servers, (self.outbound, self.inbound)
-        ):
-            await transport.stop_listening(server, service)
-        await self._wait_until_idle(end_s)
+        self.inbound.is_closing = True
+        await _stop_listening(self._servers)
+        await wait.run()
+        await _stop_listening(self._other_servers)
+        await last_wait.run(_shutdown.LAST_IDLE_CHECKS)
+        self.shutdown_log.note_close()
+        await last_wait.close_connections()
         self._stop_tasks()
         self.shutdown_log.note_end()
 
+    def add_server(
+        self, service: transport.Service, server: asyncio.AbstractServer
+    ) -> None:
+        """Add a service that is used until the daemon ends.
+
+        Parameters
+        ----------
+        service : Service
+            Answers until all callers and peers have been answered.
+        server : AbstractServer
+            Listens for it.
+        """
+        self._other_servers[service] = server
+
     def _publish_last_row(self) -> None:
         """Publish the row that remains in the store while the target runs."""
         row = self._make_stored_row()
@@ -687,33 +703,40 @@
         if not await self.state.target_client.is_listening():
             self.source.publish(None)
 
-    def _plan_end(self, grace_s: float) -> float:
-        """Limit all requests to the grace time; return when to end."""
+    def _plan_end(
+        self, grace_s: float
+    ) -> tuple[_shutdown.RequestWait, _shutdown.RequestWait]:
+        """Limit all requests to the grace time.
+
+        Returns
+        -------
+        tuple of RequestWait
+            Waits for the requests of callers and peers, and for those of all
+            services.
+        """
         margin_s = self.state.mesh_settings.leave_margin_ms / 1000
         reserved_s = margin_s + FINAL_ANSWERS_S
         scale = min(1.0, FINAL_SHARE * grace_s / reserved_s)
-        end_s = asyncio.get_running_loop().time() + grace_s
-        end_s -= margin_s * scale
+        now_s = asyncio.get_running_loop().time()
+        end_s = now_s + grace_s - margin_s * scale
         self.state.serving.end_at(end_s - FINAL_ANSWERS_S * scale)
-        return end_s
-
-    async def _wait_until_idle(self, end_s: float) -> None:
-        """Wait until no request is under way, or until `end_s`."""
-        loop = asyncio.get_running_loop()
-        idle_checks = 0
-        while loop.time() < end_s and idle_checks < LEAVE_IDLE_CHECKS:
-            # First the pause: the request of a connection that was accepted
-            # last may still be on its way.
-            left_s = end_s - loop.time()
-            await asyncio.sleep(min(IDLE_CHECK_INTERVAL_S, left_s))
-            idle_checks = 0 if self._is_busy() else idle_checks + 1
+        services = tuple(self._servers)
+        return (
+            _shutdown.RequestWait(
+                services, now_s + AWAITING_SHARE * grace_s, end_s
+            ),
+            _shutdown.RequestWait(
+                (*services, *self._other_servers),
+                now_s + LAST_AWAITING_SHARE * grace_s,
+                end_s,
+            ),
+        )
 
     async def close(self) -> None:
         """End at once, without a graceful shutdown."""
         self._stop_tasks()
-        for server in self._servers:
+        for service, server in self._servers.items():
             server.close()
-        for service in (self.outbound, self.inbound):
             for connection in list(service.connections):
                 connection.transport.abort()
 
@@ -724,25 +747,12 @@
         for task in self._tasks:
             task.cancel()
 
-    def _is_busy(self) -> bool:
-        """Return whether any request is under way; close idle callers.
 
-        Idle connections of peers stay open: a call sent while its connection
-        is closed would be lost, whereas a call that arrives is refused as not
-        run.
-        """
-        callers = [
-            connection
-            for connection in list(self.outbound.connections)
-            if not connection.close_idle()
-        ]
-        calls = [
-            connection
-            for service in (self.inbound, *self.other_services)
-            for connection in service.connections
-            if not connection.is_idle
-        ]
-        return bool(callers or calls)
+async def _stop_listening(
+    servers: dict[transport.Service, asyncio.AbstractServer],
+) -> None:
+    for service, server in servers.items():
+        await transport.stop_listening(server, service)
 
 
 def _may_be_delayed(report: _messages.TargetReport) -> bool:
--- a/sedgering/mesh/_shutdown_log.py
+++ b/sedgering/mesh/_shutdown_log.py
@@ -57,6 +57,10 @@
             await asyncio.sleep(INTERVAL_S)
             self._write('leave waits')
 
+    def note_close(self) -> None:
+        """Log which connections are closed although they could be used."""
+        self._write('closing connections')
+
     def note_end(self) -> None:
         """Log and count what the end of the daemon aborts."""
         callers = self.outbound.find_load()
--- a/sedgering/platform/_program.py
+++ b/sedgering/platform/_program.py
@@ -99,9 +99,9 @@
         (reports, addresses.reports_port),
     ):
         sock = opened.take(addresses.address, port)
-        await transport.serve(service, addresses.address, port, sock)
+        server = await transport.serve(service, addresses.address, port, sock)
+        daemon.add_server(service, server)
     await daemon.start(opened)
-    daemon.other_services += (readiness, reports)
     opened.close()
     metrics_task = loop.create_task(
         _metrics.serve_metrics(daemon, addresses.address)
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -48,6 +48,8 @@
 #: requests with a body are refused.  It is a fifth of the smallest memory
 #: limit, 200 MB.
 BODY_MEMORY_LIMIT_BYTES = 40 * 1024 * 1024
+#: Time beyond the idle timeout for a request that was sent within it.
+IDLE_SLACK_MS = 1000
 #: How long a caller may take to close after its last response; also the
 #: interval at which unsent data is checked while lingering.
 LINGER_S = 1.0
@@ -73,7 +75,8 @@
     body_timeout_ms : int
         Longest time without received data within a body.
     idle_timeout_ms : int
-        Longest time without a request on a persistent connection.
+        Longest time without a request on a persistent connection.  A lower
+        value applies to a caller once a response has told it.
     """
 
     header_bytes: int = 64 * 1024
@@ -102,6 +105,8 @@
         self.holding: set[ServerConnection] = set()
         #: Bytes received on all connections since the start.
         self.received_bytes = 0
+        #: When the last request of any connection began to arrive.
+        self.last_request_s = -math.inf
         #: Connections closed at the idle timeout since the start.
         self.expired_connections = 0
         self._check_timer: asyncio.TimerHandle | None = None
@@ -169,6 +174,31 @@
         """Return the number of connections by their use."""
         return collections.Counter(item.use for item in self.connections)
 
+    def awaits_request(self, now_s: float, quiet_s: float) -> bool:
+        """Whether the caller of an idle connection is likely to use it.
+
+        A caller connects in order to send a request, and may take the time
+        of a head to begin.  One that has been answered counts until no caller
+        has sent a request for some time.
+
+        Parameters
+        ----------
+        now_s : float
+            Time of the event loop.
+        quiet_s : float
+            Time without requests after which kept connections do not count.
+        """
+        header_s = self.find_limits().header_timeout_ms / 1000
+        is_quiet = now_s - self.last_request_s >= quiet_s
+        for connection in self.connections:
+            use = connection.use
+            if use is _connection_use.ConnectionUse.KEPT and not is_quiet:
+                return True
+            is_young = now_s - connection.opened_s < header_s
+            if use is _connection_use.ConnectionUse.NEW and is_young:
+                return True
+        return False
+
     def find_load(self) -> _load.ServiceLoad:
         """Return the pending requests and responses of all connections."""
         load = _load.ServiceLoad()
@@ -246,7 +276,10 @@
         self._written_bytes = 0
         self._taken_bytes = 0
         self._taken_since_s = loop.time()
-        self.last_activity_s = loop.time()
+        self.opened_s = loop.time()
+        self.last_activity_s = self.opened_s
+        #: The idle timeout that the caller may rely on.
+        self._told_idle_ms = service.find_limits().idle_timeout_ms
         self._parser = httptools.HttpRequestParser(self)
         self._timer: asyncio.TimerHandle | None = None
         self._request: _messages.Request | None = None
@@ -430,6 +463,7 @@
     def on_message_begin(self):
         """Start a request and record when its head begins."""
         self._is_reading_head = True
+        self.service.last_request_s = self.loop.time()
         self._requests += 1
         self._framing_bytes = 0
         self._head_limit_bytes = self.service.find_limits().header_bytes
@@ -603,7 +637,9 @@
             connection = 'Connection: close'
         else:
             idle_ms = self.service.find_limits().idle_timeout_ms
-            connection = f'Keep-Alive: timeout={max(1, idle_ms // 1000)}'
+            idle_s = max(1, idle_ms // 1000)
+            self._told_idle_ms = 1000 * idle_s
+            connection = f'Keep-Alive: timeout={idle_s}'
         try:
             item.data = _messages.encode_response(
                 response, connection, item.is_head
@@ -756,8 +792,11 @@
         return _connection_use.ConnectionUse.NEW
 
     def close_idle(self) -> bool:
-        """Close the connection if it is idle; return whether it was."""
-        if not self.is_idle:
+        """Close the connection if it is idle; return whether it was.
+
+        A request that has arrived and is still to be read counts.
+        """
+        if not self.is_idle or _sockets.has_unread(self.transport):
             return False
         self._is_closing = True
         self.transport.close()
@@ -813,13 +852,9 @@
         now_s = self.loop.time()
         inactive_ms = (now_s - self.last_activity_s) * 1000
         if self._request is None:
-            is_done = not self.pending and not self._paced_writes
-            is_expired = is_done and inactive_ms > limits.idle_timeout_ms
-            if is_expired:
+            told_ms = max(limits.idle_timeout_ms, self._told_idle_ms)
+            if inactive_ms > told_ms + IDLE_SLACK_MS and self.close_idle():
                 self.service.expired_connections += 1
-                self._is_closing = True
-                self.transport.close()
-                return
         elif self._is_reading_head:
             age_ms = (now_s - self._request.received_s) * 1000
             if age_ms > limits.header_timeout_ms:
--- a/sedgering/transport/_sockets.py
+++ b/sedgering/transport/_sockets.py
@@ -1,4 +1,4 @@
-"""Options and send queues of connected sockets."""
+"""Options and queues of connected sockets."""
 
 import asyncio
 import fcntl
@@ -7,7 +7,7 @@
 import struct
 import termios
 
-__all__ = ['find_unacknowledged_bytes', 'configure_socket']
+__all__ = ['configure_socket', 'find_unacknowledged_bytes', 'has_unread']
 
 LOG = logging.getLogger(__name__)
 
@@ -53,16 +53,32 @@
     transport : Transport
         Transport of a TCP connection.
     """
+    return _find_queued_bytes(transport, termios.TIOCOUTQ)
+
+
+def has_unread(transport: asyncio.Transport) -> bool:
+    """Whether data has arrived that the event loop has not read yet.
+
+    Parameters
+    ----------
+    transport : Transport
+        Transport of a TCP connection.
+    """
+    return _find_queued_bytes(transport, termios.FIONREAD) > 0
+
+
+def _find_queued_bytes(transport: asyncio.Transport, queue: int) -> int:
+    """Return the size of the send or the receive queue of the kernel."""
     descriptor = transport.get_extra_info('socket').fileno()
     if descriptor < 0:
-        # The socket is closed and has no send queue.
+        # The socket is closed and has no queues.
         return 0
     try:
-        encoded_bytes = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4))
+        encoded_bytes = fcntl.ioctl(descriptor, queue, bytes(4))
     except OSError as error:
-        # Not every kernel supports the request.  The amount in the buffer
-        # of this process is known anyway.
-        LOG.debug('cannot read the send queue of a socket: %s', error)
+        # Not every kernel supports the request.  For the send queue, the
+        # amount in the buffer of this process is known anyway.
+        LOG.debug('cannot read the queue of a socket: %s', error)
         return 0
     (queued_bytes,) = struct.unpack('i', encoded_bytes)
     return queued_bytes
