A version that fails only under all calls is undone in the move

Cause: on trial it failed 5 of 84 calls (the old one 26 of 1,245), under all calls 76 of 392. The move judged by the tolerance that slow targets need, and left out the tests of failures, although these stood at a log ratio of 49 where 8.3 is enough; the old version's shares of the trial were thought too old to compare with.

Why this works: the move makes the same tests as the trial. Failures do not depend on the speed of a target, and the shares of the old version are some seconds old. A target that fails alone is still left out.

Evidence: verdicts of the code before on the three examples of the new scenario: open, open, open.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -87,6 +87,19 @@
     And it runs 7 calls, of which 1 is bad
     Then 52 calls count, of which 16 were bad
 
+  # Guards against a version that fails under all calls, and not on trial: only
+  # the tolerance for slow calls was applied during the move.
+  Scenario Outline: Failures count while the calls move
+    Given old targets of which each ran 150 calls, of which 3 were bad
+    And new targets that ran <runs> calls, of which <bad> were bad
+    Then the verdict on the move is <verdict>
+
+    Examples:
+      | runs    | bad   | verdict |
+      | 120 120 | 24 24 | bad     |
+      | 120 120 | 5 6   | open    |
+      | 120 120 | 1 60  | open    |
+
   Scenario Outline: A bad version is rolled back before many calls have failed
     The operator accepts fifty bad calls; beyond that, the time until the
     rollback counts.
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -232,6 +232,13 @@
     context.old = [make_evidence('v1', runs, 0) for _number in range(8)]
 
 
+@given(
+    'old targets of which each ran {runs:d} calls, of which {bad:d} were bad'
+)
+def step_old_failures(context, runs, bad):
+    context.old = [make_evidence('v1', runs, bad) for _number in range(8)]
+
+
 @given('new targets that ran {runs} calls, of which {bad} were bad')
 def step_new_targets(context, runs, bad):
     pairs = zip(runs.split(), bad.split(), strict=True)
@@ -282,6 +289,12 @@
     assert found is rollout.Verdict(verdict), found
 
 
+@then('the verdict on the move is {verdict}')
+def step_move_verdict(context, verdict):
+    found = rollout.choose_move_verdict(context.new, context.old)
+    assert found is rollout.Verdict(verdict), found
+
+
 @when('its verdict is computed {times:d} times')
 def step_compute_verdicts(context, times):
     context.found = [
--- a/sedgering/rollout/_verdict.py
+++ b/sedgering/rollout/_verdict.py
@@ -205,15 +205,16 @@
 ) -> _Verdict:
     """Choose the verdict while all calls go to the new version.
 
-    The old version has no calls of the same time any more, so that only the
-    wider tolerance applies.
+    The old version has no calls of the same time any more; the shares that it
+    had until then are the ones to compare with.  A version may show harm only
+    under all calls.
 
     Parameters
     ----------
     new, old : list of Evidence
         One item for each target of the version.
     """
-    tests = _make_tests(new, old, is_moving=True)
+    tests = _make_tests(new, old)
     if any(test.verdict is _Verdict.BAD for test in tests):
         return _Verdict.BAD
     return _Verdict.OPEN
@@ -240,9 +241,7 @@
 
 
 def _make_tests(
-    new: list[_evidence.Evidence],
-    old: list[_evidence.Evidence],
-    is_moving: bool = False,
+    new: list[_evidence.Evidence], old: list[_evidence.Evidence]
 ) -> list[_Test]:
     old_routes = _evidence.merge_routes(old)
     slow_limits = _find_slow_limits(old_routes)
@@ -250,24 +249,24 @@
     whole = _tally(_evidence.merge_routes(new), slow_limits)
     rest_targets = _leave_out_worst_target(new, slow_limits)
     rest = _tally(_evidence.merge_routes(rest_targets), slow_limits)
-    tests = _make_criterion_tests(
-        'slow or failed',
-        old_tally.slow_or_failed,
-        whole.slow_or_failed,
-        rest.slow_or_failed,
-        (SLOW_OR_FAILED, SLOW_OR_FAILED),
-        slow_limits,
-    )
-    if not is_moving:
-        tests += _make_criterion_tests(
+    return [
+        *_make_criterion_tests(
+            'slow or failed',
+            old_tally.slow_or_failed,
+            whole.slow_or_failed,
+            rest.slow_or_failed,
+            (SLOW_OR_FAILED, SLOW_OR_FAILED),
+            slow_limits,
+        ),
+        *_make_criterion_tests(
             'failed',
             old_tally.failed,
             whole.failed,
             rest.failed,
             (FAILURES, ROUTE_FAILURES),
             slow_limits,
-        )
-    return tests
+        ),
+    ]
 
 
 def _make_criterion_tests(
