A caller that has left does not stop the paced answers of others

What callers saw: on a host with a slow link, an answer that waited behind another caller's stopped until the next large answer was submitted.

Cause: closing the output after the last piece raised ENOTCONN when that piece had met a reset, as it does at once on the loopback interface. The error left the pacer without a timer, with answers still queued; in other places it ended the task of the answer ("Task exception was never retrieved").

Why this works: a connection whose output cannot be closed has ended, so it is aborted, and the error does not reach the pacer.

--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -759,7 +759,13 @@
             return
         if not self._is_lingering:
             self._is_lingering = True
-            self.transport.write_eof()
+            try:
+                self.transport.write_eof()
+            except OSError as error:
+                # The last write has met a reset.
+                LOG.debug('caller has left: %s', error)
+                self.transport.abort()
+                return
         elif not self._has_unsent:
             self.transport.close()
             return
