A daemon without a free descriptor is not busy with its queue

What callers saw: a daemon whose descriptors were used up answered late, and one outstayed its grace time at its end (6.18 s of 6 s, so it would have been killed).

Cause: the event loop accepts up to the length of the listen queue at a time, does not stop at the first failure for want of a descriptor, and logs and reschedules each of them: 1,024 log lines with tracebacks, and as many timers, each of which may start the same again.

Why this works: one connection is accepted in an iteration, so a failure leaves one timer. The listen queue keeps its length.

Connections that wait in the queue when no descriptor is free are still reset at the end.

--- a/features/process_signals.feature
+++ b/features/process_signals.feature
@@ -96,3 +96,10 @@
     And the caller sends the rest 3 s later
     Then the waiting request is answered with status 503
     And the process ends with status 0 within its grace time
+
+  # Guards against an event loop that stands still while it logs, and tries
+  # again, each connection of a full listen queue.
+  Scenario: A daemon without a free descriptor is not busy with its queue
+    Given a daemon process that has started
+    And idle callers that use up the descriptors of the daemon
+    Then it writes at most 100 lines a second for 3 s
--- a/features/steps/process_signal_steps.py
+++ b/features/steps/process_signal_steps.py
@@ -74,6 +74,18 @@
         context.cleanups.append(connection.close)
 
 
+@then('it writes at most {count:d} lines a second for {span:d} s')
+def step_lines(context, count, span):
+    before = count_lines(context)
+    time.sleep(span)
+    lines = count_lines(context) - before
+    assert lines <= count * span, lines
+
+
+def count_lines(context):
+    return context.daemon.log_path.read_bytes().count(b'\n')
+
+
 @when('the caller sends the rest {pause:d} s later')
 def step_rest(context, pause):
     time.sleep(pause)
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -48,6 +48,10 @@
 #: requests with a body are refused.  It is a fifth of the smallest memory
 #: limit, 200 MB.
 BODY_MEMORY_LIMIT_BYTES = 40 * 1024 * 1024
+#: Connections accepted in one iteration of the event loop.  Without a free
+#: descriptor, each failed attempt is logged and repeated on its own, so that
+#: several would multiply.
+ACCEPTS = 1
 #: Time beyond the idle timeout for a request that was sent within it.
 IDLE_SLACK_MS = 1000
 #: How long a caller may take to close after its last response; also the
@@ -892,8 +896,12 @@
         If the port cannot be bound.
     """
     loop = asyncio.get_running_loop()
-    return await loop.create_server(
+    listener = listener or ports.open_port(address, port)
+    server = await loop.create_server(
         lambda: ServerConnection(service, loop),
-        sock=listener or ports.open_port(address, port),
-        backlog=ports.BACKLOG,
+        sock=listener,
+        backlog=ACCEPTS,
     )
+    # The event loop has set the length of the queue to its own limit.
+    listener.listen(ports.BACKLOG)
+    return server
