The waits of a start end at a signal to stop, and answer what waits

A start waits up to 5 s for a port that is in use, and 5 s more for a settings file that is being written. A signal to stop was noted and looked at only after the wait, so that a process outstayed its grace time; the request in its listen queue was reset, and its status was 2. A port opened after the load that stayed in use ended the start with a traceback. A start that failed for good reset what waited, too.

Both waits are one object now, which a signal to stop ends at once. Whatever ends a start early, `mesh.refuse_waiting` accepts what is in the queues of the open ports, refuses it as not run, and closes. All ports of a host are opened before its services are made, and one that stays in use is one line with a code of its own.

--- a/features/early_start.feature
+++ b/features/early_start.feature
@@ -39,6 +39,35 @@
       | peers   |
       | metrics |
 
+  # Guards against a wait that outstays the grace time of a signal to stop, and
+  # against requests that are reset as a start ends.
+  Scenario Outline: A signal to stop ends the wait of a start
+    Given <obstacle>
+    And a daemon process that waits, and a request in its listen queue
+    When the process gets <signal>
+    Then the waiting request is answered with status 503
+    And the process ends with status 0 within 3 s
+
+    Examples:
+      | obstacle                                                | signal  |
+      | a settings file that is half written                    | SIGTERM |
+      | a settings file that is half written                    | SIGINT  |
+      | the readiness port of a host that another process holds | SIGTERM |
+      | the peers port of a host that another process holds     | SIGTERM |
+
+  # Guards against a traceback, and against requests that are reset.
+  Scenario Outline: A start that fails answers what waits, and tells why
+    Given <obstacle>
+    And a daemon process that waits, and a request in its listen queue
+    Then the process ends within 15 s with status 2 and code "<text>"
+    And the waiting request is answered with status 503
+
+    Examples:
+      | obstacle                                                | text     |
+      | a settings file that is half written                    | SDG-1002 |
+      | the readiness port of a host that another process holds | usage    |
+      | the peers port of a host that another process holds     | SDG-1006 |
+
   # Guards against errors of the decoder that are no SettingsError.
   Scenario Outline: A settings file with odd values is awaited like a damaged one
     Given a settings file that is <state>
--- a/features/steps/early_start_steps.py
+++ b/features/steps/early_start_steps.py
@@ -13,6 +13,8 @@
 
 METRICS_PORT = 9464
 NESTED_LEVELS = 100_000
+#: Time in which a daemon has loaded its modules.
+LOADED_S = 1.0
 
 
 def make_odd_settings(complete, state):
@@ -40,6 +42,22 @@
         context.daemon.write_settings(complete[:size])
 
 
+@given('a daemon process that waits, and a request in its listen queue')
+def step_waits(context):
+    context.daemon.start()
+    context.connection = context.daemon.connect(_daemons.CALLERS_PORT)
+    context.cleanups.append(context.connection.close)
+    context.connection.sendall(daemon_process.REQUEST)
+    time.sleep(LOADED_S)
+
+
+@then('the process ends with status {status:d} within {limit:d} s')
+def step_ends_with(context, status, limit):
+    assert context.daemon.wait(limit) == status, context.daemon.read_log()
+    lines = context.daemon.read_log().splitlines()
+    assert len(lines) == 1, lines
+
+
 @when('the settings file is complete {pause:f} s later')
 def step_complete(context, pause):
     time.sleep(pause)
@@ -65,7 +83,11 @@
 @given('the {name:w} port of a host that another process holds')
 def step_held_named_port(context, name):
     context.daemon = daemon_process.make_daemon_process(context)
-    port = {'peers': _daemons.PEERS_PORT, 'metrics': METRICS_PORT}[name]
+    port = {
+        'readiness': _daemons.READINESS_PORT,
+        'peers': _daemons.PEERS_PORT,
+        'metrics': METRICS_PORT,
+    }[name]
     context.holder = socket.create_server((context.daemon.address, port))
     context.cleanups.append(context.holder.close)
 
--- a/sedgering/cli/daemon.py
+++ b/sedgering/cli/daemon.py
@@ -40,11 +40,12 @@
         raise SystemExit(EXIT_USAGE)
     from sedgering import ports
 
+    open_ports = ports.OpenPorts(receiver=receiver)
+    failure = None
     try:
-        open_ports = ports.OpenPorts(addresses)
-    except (OSError, ValueError) as error:
-        print(f'{error}; {USAGE}', file=sys.stderr)
-        raise SystemExit(EXIT_USAGE) from error
+        open_ports.open_all(addresses)
+    except (OSError, ValueError, signals.StopRequested) as error:
+        failure = error
     # Prevents the import of `ssl`: the daemon does not use TLS, and takes 4 MB
     # less memory without it.
     sys.modules.setdefault('ssl', None)
@@ -57,6 +58,12 @@
 
     gc.freeze()
     gc.enable()
+    if failure is not None:
+        is_stopped = isinstance(failure, signals.StopRequested)
+        text = str(failure) if is_stopped else f'{failure}; {USAGE}'
+        print(text, file=sys.stderr)
+        _host.end_start(open_ports, receiver)
+        raise SystemExit(0 if is_stopped else EXIT_USAGE) from failure
     path = options[-1].removeprefix(CONFIG_OPTION) if options else ''
     _common.run_program(
         lambda: _host.run_host(path, receiver, open_ports=open_ports)
--- a/sedgering/exceptions.py
+++ b/sedgering/exceptions.py
@@ -38,6 +38,7 @@
     SETTINGS_MISSING = 1003, 'a required setting is missing'
     SETTINGS_ADDRESS = 1004, 'an address is not an IP number'
     SETTINGS_RANGE = 1005, 'a setting is outside its range'
+    SETTINGS_PORT = 1006, 'a port that is set cannot be opened'
 
     BUNDLE_UNREADABLE = 1101, 'bundle cannot be decoded'
     BUNDLE_DUPLICATE = 1102, 'two objects of one kind have the same name'
--- a/sedgering/mesh/__init__.py
+++ b/sedgering/mesh/__init__.py
@@ -20,6 +20,7 @@
 from sedgering.mesh._crashes import CrashTable
 from sedgering.mesh._daemon import make_mesh_daemon
 from sedgering.mesh._daemon import MeshDaemon
+from sedgering.mesh._early_end import refuse_waiting
 from sedgering.mesh._fleet import FleetTable
 from sedgering.mesh._gate import Gate
 from sedgering.mesh._gate import GateRefused
@@ -87,4 +88,5 @@
     'choose_local_first',
     'choose_member',
     'make_mesh_daemon',
+    'refuse_waiting',
 ]
--- a/sedgering/platform/_settings.py
+++ b/sedgering/platform/_settings.py
@@ -4,7 +4,6 @@
 import math
 import os
 import pathlib
-import time
 from typing import Any
 
 import msgspec
@@ -13,6 +12,8 @@
 from sedgering import exceptions
 from sedgering import mesh
 from sedgering.platform import _wire
+from sedgering import signals
+from sedgering import waits
 
 __all__ = [
     'HostSettings',
@@ -22,10 +23,6 @@
     'wait_for_settings',
 ]
 
-#: Longest wait at the start for a settings file that is being written.
-#: Requests wait in the listen queue meanwhile instead of being reset.
-START_WAIT_S = 5.0
-RETRY_INTERVAL_S = 0.02
 #: Port 0 stands for any free one.
 PORTS = range(65_536)
 
@@ -157,9 +154,16 @@
     return decode_settings(data)
 
 
-def wait_for_settings() -> tuple[HostSettings, str]:
+def wait_for_settings(
+    receiver: signals.SignalReceiver | None = None,
+) -> tuple[HostSettings, str]:
     """Read the settings file, which may still be written at the start.
 
+    Parameters
+    ----------
+    receiver : SignalReceiver or None
+        Ends the wait.
+
     Returns
     -------
     HostSettings
@@ -171,18 +175,17 @@
     ------
     SettingsError
         When the file still cannot be read or decoded after some time.
+    StopRequested
+        When a signal to stop arrives before.
     """
-    may_wait = bool(os.environ.get(_wire.SETTINGS_VARIABLE))
-    end_s = time.monotonic() + START_WAIT_S
-    first_error = ''
+    wait = waits.StartWait(receiver)
     while True:
         try:
-            return read_settings(), first_error
+            return read_settings(), wait.first_error
         except exceptions.SettingsError as error:
-            if not may_wait or time.monotonic() >= end_s:
+            if not os.environ.get(_wire.SETTINGS_VARIABLE):
                 raise
-            first_error = first_error or str(error)
-        time.sleep(RETRY_INTERVAL_S)
+            wait.pause(error)
 
 
 @functools.lru_cache(maxsize=1)
--- a/sedgering/ports.py
+++ b/sedgering/ports.py
@@ -8,15 +8,14 @@
 from collections.abc import Iterable
 import errno
 import socket
-import time
+
+from sedgering import signals
+from sedgering import waits
 
 __all__ = ['BACKLOG', 'OpenPorts', 'open_port']
 
 #: Length of the listen queue: the new connections of a host in one second.
 BACKLOG = 1024
-#: Longest wait for ports that another process, such as the one before, holds.
-WAIT_S = 5.0
-RETRY_INTERVAL_S = 0.02
 
 
 def open_port(address: str, port: int) -> socket.socket:
@@ -46,24 +45,46 @@
     ----------
     addresses : iterable of str
         Ports as ``ADDRESS:PORT``, opened immediately.
-
-    Attributes
-    ----------
-    first_error : str
-        Why a port had to be waited for; empty if none had to.
+    receiver : SignalReceiver or None
+        Ends the wait for a port that is in use.
 
     Raises
     ------
-    OSError
-        If a port cannot be bound, or is in use for longer than `WAIT_S`.
-    ValueError
-        If an item is not of the form ``ADDRESS:PORT``.
+    OSError, ValueError, StopRequested
+        As for :meth:`open_all`.
     """
 
-    def __init__(self, addresses: Iterable[str] = ()):
-        self.first_error = ''
-        self._wait_until_s = time.monotonic() + WAIT_S
+    def __init__(
+        self,
+        addresses: Iterable[str] = (),
+        receiver: signals.SignalReceiver | None = None,
+    ):
+        self._wait = waits.StartWait(receiver)
         self._listeners: dict[tuple[str, int], socket.socket] = {}
+        self.open_all(addresses)
+
+    @property
+    def first_error(self) -> str:
+        """Why a port had to be waited for; empty if none had to."""
+        return self._wait.first_error
+
+    def open_all(self, addresses: Iterable[str]) -> None:
+        """Open several ports; those before one that fails stay open.
+
+        Parameters
+        ----------
+        addresses : iterable of str
+            Ports as ``ADDRESS:PORT``.
+
+        Raises
+        ------
+        OSError
+            If a port cannot be bound, or stays in use.
+        ValueError
+            If an item is not of the form ``ADDRESS:PORT``.
+        StopRequested
+            If a signal to stop arrives while a port is in use.
+        """
         for text in addresses:
             address, _colon, port = text.rpartition(':')
             self.open(address, int(port))
@@ -73,8 +94,8 @@
 
         Raises
         ------
-        OSError
-            As for the constructor.
+        OSError, StopRequested
+            As for :meth:`open_all`.
         """
         if (address, port) not in self._listeners:
             listener = self._open_when_free(address, port)
@@ -85,19 +106,23 @@
             try:
                 return open_port(address, port)
             except OSError as error:
-                is_late = time.monotonic() >= self._wait_until_s
-                if error.errno != errno.EADDRINUSE or is_late:
+                if error.errno != errno.EADDRINUSE:
                     raise
-                self.first_error = self.first_error or f'{port}: {error}'
-            time.sleep(RETRY_INTERVAL_S)
+                text = f'{address}:{port}: {error.strerror}'
+                self._wait.pause(OSError(error.errno, text))
 
     def take(self, address: str, port: int) -> socket.socket:
         """Remove and return the socket of a port; open it if missing."""
         listener = self._listeners.pop((address, port), None)
         return listener or open_port(address, port)
 
+    def take_all(self) -> list[tuple[str, int, socket.socket]]:
+        """Remove and return all sockets, each with its address and port."""
+        taken = [(*key, item) for key, item in self._listeners.items()]
+        self._listeners.clear()
+        return taken
+
     def close(self) -> None:
         """Close the sockets that have not been taken."""
-        while self._listeners:
-            _key, listener = self._listeners.popitem()
+        for _address, _port, listener in self.take_all():
             listener.close()
--- a/sedgering/signals.py
+++ b/sedgering/signals.py
@@ -9,7 +9,7 @@
 import _signal
 import time
 
-__all__ = ['STOP_SIGNALS', 'SignalReceiver']
+__all__ = ['STOP_SIGNALS', 'SignalReceiver', 'StopRequested']
 
 STOP_SIGNALS = (_signal.SIGTERM, _signal.SIGINT)
 SIGNALS = (*STOP_SIGNALS, _signal.SIGHUP)
@@ -17,6 +17,10 @@
 WAKEUP_BYTES = 4096
 
 
+class StopRequested(Exception):
+    """A signal to stop, received before the program was ready."""
+
+
 class SignalReceiver:
     """Notes signals until the program is ready to handle them.
 
