An end that is late answers first what is due

Requests that outlast their daemon are answered with 504 a moment (0.2 s) before its wait ends. An event loop that stands still over both moments, as the process is stopped or waits for a processor, passed them in one turn: the wait was over, and the tasks of all requests were cancelled before they could answer. What had arrived and was not read was not refused either.

After the wait the loop now has up to twenty turns of 10 ms for whole requests without an answer, and for data that is not read. They are counted, like the checks before, as time passes while a process is stopped. All requests of callers end before, so that an end that is on time has none and is not longer. Connections are closed in one pass at least, also when the time is over.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -35,6 +35,20 @@
     When the first host has 8 s to shut down, and is stopped for 0.5 s
     Then the request that it had accepted before is answered 200
 
+  # Guards against an end that is late itself, and so cuts requests in the moment
+  # in which they were to be answered.
+  Scenario Outline: A daemon that was stopped as its time ended answers first
+    Given a route "/long/" with a timeout of 10000 ms
+    And the targets work 8 s
+    When the first host has <grace> s to shut down, and is stopped until <left> s before its end
+    Then the caller gets status 504 in the last third of that time
+
+    Examples:
+      | grace | left |
+      | 2     | 0.15 |
+      | 6     | 0.3  |
+      | 6     | 0.1  |
+
   Scenario: An answer that its caller reads slowly is not cut
     Given answers of 12000000 bytes
     When a slow reader calls a daemon that then shuts down within 8 s
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -12,6 +12,8 @@
 #: Time in which a request or an answer arrives.
 PAUSE_S = 0.1
 DEADLINE_MS = 9000
+#: Share of the grace time for which a daemon is stopped at its end.
+STOPPED_SHARE = 0.15
 #: Grace time where its length does not matter.
 GRACE_MS = 8000
 BODY = b'body'
@@ -101,11 +103,28 @@
     '{pause_s:g} s'
 )
 def step_stopped(context, grace_s, pause_s):
+    serving_ms = context.mesh.first.daemon.state.mesh_settings.leave_serving_ms
+    _leave_stopped(context, grace_s, serving_ms / 1000 + PAUSE_S, pause_s)
+
+
+@when(
+    'the first host has {grace_s:d} s to shut down, and is stopped until '
+    '{left_s:g} s before its end'
+)
+def step_stopped_until(context, grace_s, left_s):
+    pause_s = grace_s * STOPPED_SHARE
+    _leave_stopped(context, grace_s, grace_s - left_s - pause_s, pause_s)
+
+
+def _leave_stopped(context, grace_s, after_s, pause_s):
+    """Shut the first host down while a caller asks, and stop all meanwhile."""
     mesh = context.mesh
     port = mesh.first.addresses.callers_port
+    context.grace_s = grace_s
 
     async def run():
-        asking = asyncio.ensure_future(
+        loop = asyncio.get_running_loop()
+        asking = loop.create_task(
             mesh.fleet.start_call(
                 port,
                 '/long/',
@@ -114,14 +133,13 @@
             )
         )
         await _wait_running(mesh)
-        leaving = asyncio.ensure_future(
-            _end(mesh.first.daemon, grace_s * 1000)
-        )
-        serving_ms = mesh.first.daemon.state.mesh_settings.leave_serving_ms
-        await asyncio.sleep(serving_ms / 1000 + PAUSE_S)
+        started_s = loop.time()
+        leaving = loop.create_task(_end(mesh.first.daemon, grace_s * 1000))
+        await asyncio.sleep(after_s)
         # Stops everything that runs in this event loop.
-        time.sleep(pause_s)
+        time.sleep(max(0, started_s + after_s + pause_s - loop.time()))
         context.answer = await asking
+        context.answered_s = loop.time() - started_s
         await leaving
 
     mesh.fleet.run(run())
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -672,6 +672,7 @@
         await wait.run()
         await _stop_listening(self._other_servers)
         await last_wait.run(_shutdown.LAST_IDLE_CHECKS)
+        await _shutdown.answer_overdue((self.outbound, *self._other_servers))
         self.shutdown_log.note_close()
         await last_wait.close_connections()
         self._stop_tasks()
--- a/sedgering/mesh/_shutdown.py
+++ b/sedgering/mesh/_shutdown.py
@@ -5,7 +5,7 @@
 
 from sedgering import transport
 
-__all__ = ['RequestWait']
+__all__ = ['RequestWait', 'answer_overdue']
 
 #: Interval between checks while the daemon shuts down.
 CHECK_INTERVAL_S = 0.05
@@ -16,6 +16,11 @@
 IDLE_CHECKS = 6
 #: The same once the services that are used until the end do not listen either.
 LAST_IDLE_CHECKS = 1
+#: Checks for answers that are due once the time is over, and the interval
+#: between two.  An event loop that is late passes the ends of the requests and
+#: its own end at once.
+OVERDUE_CHECKS = 20
+OVERDUE_INTERVAL_S = 0.01
 #: Time without requests of any caller after which kept connections are closed.
 #: Callers that go on sending are told to close with their next response.
 QUIET_S = 1.0
@@ -65,9 +70,9 @@
 
     async def close_connections(self) -> None:
         """Close all connections, each once its requests are answered."""
-        while self._now_s < self.end_s:
+        while True:
             closed = [item.close_idle() for item in self._list_connections()]
-            if all(closed):
+            if all(closed) or self._now_s >= self.end_s:
                 return
             await self._pause()
 
@@ -90,3 +95,21 @@
     def _list_connections(self) -> Iterator:
         for service in self.services:
             yield from list(service.connections)
+
+
+async def answer_overdue(services: tuple[transport.Service, ...]) -> None:
+    """Let the event loop answer what has arrived and is due.
+
+    Parameters
+    ----------
+    services : tuple of Service
+        Those whose requests all end before the daemon does.
+    """
+    for _ in range(OVERDUE_CHECKS):
+        if not any(
+            connection.owes_answer
+            for service in services
+            for connection in service.connections
+        ):
+            return
+        await asyncio.sleep(OVERDUE_INTERVAL_S)
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -791,6 +791,17 @@
             return _connection_use.ConnectionUse.KEPT
         return _connection_use.ConnectionUse.NEW
 
+    @property
+    def owes_answer(self) -> bool:
+        """Whether something that has arrived waits for the event loop.
+
+        That is a whole request without its answer, or data still to be read.
+        """
+        if any(not item.data for item in self.pending):
+            return True
+        is_reading = not self._is_paused and not self._is_closing
+        return is_reading and _sockets.has_unread(self.transport)
+
     def close_idle(self) -> bool:
         """Close the connection if it is idle; return whether it was.
 
