The soak draws times and asks daemons in one place

Four kinds of faults drew their times with the same loop, and targets and probes had a copy each of an exchange on a new connection.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -224,15 +224,10 @@
     They have a generator of their own and leave the base plan unchanged.
     """
     rng = random.Random(f'throttles {seed}')
-    at_s = rng.expovariate(1 / MEAN_THROTTLE_GAP_S)
-    while at_s < seconds:
-        host, for_s = (
-            rng.randrange(hosts),
-            rng.uniform(MIN_DURATION_S, MAX_DURATION_S),
-        )
+    for at_s in _draw_times(rng, MEAN_THROTTLE_GAP_S, seconds):
+        host, for_s = _draw_host_and_duration(rng, hosts)
         bytes_per_s = str(rng.randint(*THROTTLE_BYTES_PER_S))
         yield Fault(at_s, FaultKind.THROTTLE, host, for_s, bytes_per_s)
-        at_s += rng.expovariate(1 / MEAN_THROTTLE_GAP_S)
 
 
 def _make_suspensions(
@@ -240,14 +235,28 @@
 ) -> Iterator[Fault]:
     """Make the suspensions of hosts, from a generator of their own."""
     rng = random.Random(f'suspensions {seed}')
-    at_s = rng.expovariate(1 / MEAN_SUSPEND_GAP_S)
-    while at_s < seconds:
-        host, for_s = (
-            rng.randrange(hosts),
-            rng.uniform(MIN_DURATION_S, MAX_DURATION_S),
-        )
+    for at_s in _draw_times(rng, MEAN_SUSPEND_GAP_S, seconds):
+        host, for_s = _draw_host_and_duration(rng, hosts)
         yield Fault(at_s, FaultKind.SUSPEND, host, for_s)
-        at_s += rng.expovariate(1 / MEAN_SUSPEND_GAP_S)
+
+
+def _draw_times(
+    rng: random.Random, mean_gap_s: float, seconds: float
+) -> Iterator[float]:
+    """Draw times; each one only after what its consumer drew before it."""
+    at_s = rng.expovariate(1 / mean_gap_s)
+    while at_s < seconds:
+        yield at_s
+        at_s += rng.expovariate(1 / mean_gap_s)
+
+
+def _draw_host_and_duration(
+    rng: random.Random, hosts: int
+) -> tuple[int, float]:
+    return (
+        rng.randrange(hosts),
+        rng.uniform(MIN_DURATION_S, MAX_DURATION_S),
+    )
 
 
 def _make_signals(seed: int, hosts: int, seconds: float) -> Iterator[Fault]:
@@ -257,8 +266,7 @@
     limit binds some seconds after it was stated.
     """
     rng = random.Random(f'signals {seed}')
-    at_s = rng.expovariate(1 / MEAN_SIGNAL_GAP_S)
-    while at_s < seconds:
+    for at_s in _draw_times(rng, MEAN_SIGNAL_GAP_S, seconds):
         host = rng.randrange(hosts)
         for_s = rng.uniform(*SIGNAL_DURATION_S)
         if rng.random() < LIMIT_SHARE:
@@ -266,7 +274,6 @@
             yield Fault(at_s, FaultKind.TARGET_LIMIT, host, for_s, detail)
         else:
             yield Fault(at_s, FaultKind.UNREPORTED_LEAVE, host, for_s)
-        at_s += rng.expovariate(1 / MEAN_SIGNAL_GAP_S)
 
 
 def _make_departures(
@@ -274,14 +281,12 @@
 ) -> Iterator[Fault]:
     """Make departures around a restart, from a generator of their own."""
     rng = random.Random(f'departures {seed}')
-    at_s = rng.expovariate(1 / MEAN_DEPARTURE_GAP_S)
-    while at_s < seconds:
+    for at_s in _draw_times(rng, MEAN_DEPARTURE_GAP_S, seconds):
         form = rng.choice(('draining', 'deregister'))
         detail = f'{form}|{rng.choice(ends)}'
         for_s = rng.uniform(*DEPARTURE_DURATION_S)
         host = rng.randrange(hosts)
         yield Fault(at_s, FaultKind.LEAVE_AND_RESTART, host, for_s, detail)
-        at_s += rng.expovariate(1 / MEAN_DEPARTURE_GAP_S)
 
 
 def _make_fatal_request(seed: int, seconds: float) -> Fault:
--- a/soak/_probes.py
+++ b/soak/_probes.py
@@ -6,7 +6,7 @@
 from soak import _callers
 from soak import _daemons
 
-__all__ = ['Probe', 'ask', 'make_path']
+__all__ = ['Probe', 'ask', 'exchange', 'make_path']
 
 INTERVAL_S = 0.3
 TIMEOUT_S = 2.0
@@ -29,7 +29,7 @@
     body: bytes | None = None,
     headers: tuple[tuple[str, str], ...] = (),
 ) -> transport.Response | None:
-    """Send a request on a new connection; return None without an answer."""
+    """Send a request for a path; return None without an answer."""
     request = transport.Request(
         'GET' if body is None else 'POST',
         path,
@@ -37,9 +37,16 @@
         body or b'',
         body is not None,
     )
+    return await exchange(address, port, request, TIMEOUT_S)
+
+
+async def exchange(
+    address: str, port: int, request: transport.Request, timeout_s: float
+) -> transport.Response | None:
+    """Send a request on a new connection; return None without an answer."""
     try:
-        async with asyncio.timeout(TIMEOUT_S):
-            connection = await transport.connect(address, port, TIMEOUT_S)
+        async with asyncio.timeout(timeout_s):
+            connection = await transport.connect(address, port, timeout_s)
             try:
                 return await connection.exchange(
                     transport.encode_request(request), lambda _answer: True
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -15,6 +15,7 @@
 from soak import _keys
 from soak import _long_requests
 from soak import _lost
+from soak import _probes
 from soak import _rollouts
 from soak import _signals
 
@@ -416,27 +417,14 @@
 
     async def _send(self, request: transport.Request) -> bool:
         """Send a message; return whether the daemon acknowledged it."""
-        try:
-            async with asyncio.timeout(REPORT_TIMEOUT_S):
-                connection = await transport.connect(
-                    self.daemon.address,
-                    _daemons.REPORTS_PORT,
-                    REPORT_TIMEOUT_S,
-                )
-                try:
-                    response = await connection.exchange(
-                        transport.encode_request(request), lambda _answer: True
-                    )
-                finally:
-                    connection.close()
-        except (
-            transport.ConnectFailed,
-            transport.ExchangeFailed,
-            TimeoutError,
-        ):
-            # The daemon is down or paused; the next heartbeat tries again.
-            return False
-        return response.status == 200
+        answer = await _probes.exchange(
+            self.daemon.address,
+            _daemons.REPORTS_PORT,
+            request,
+            REPORT_TIMEOUT_S,
+        )
+        # Without an answer the next heartbeat tries again.
+        return answer is not None and answer.status == 200
 
 
 def _is_closed_by_peer(stream: asyncio.Transport) -> bool:
