--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -15,6 +15,7 @@
 from behave import then
 from behave import when
 
+from sedgering import testing
 from soak import __main__ as soak_main
 from soak import _callers
 from soak import _checks
@@ -45,10 +46,10 @@
 )
 #: Kinds in plans that must not cause requests to fail.
 LOSSLESS_PLAN_KINDS = (
-    _faults.PLANNED_KINDS
-    | _faults.STORE_KINDS
-    | _faults.SIGNAL_KINDS
-    | _faults.DEPARTURE_KINDS
+    testing.PLANNED_KINDS
+    | testing.STORE_KINDS
+    | testing.SIGNAL_KINDS
+    | testing.DEPARTURE_KINDS
     | {_faults.FaultKind.THROTTLE}
 )
 CRASH_AND_SUSPEND_KINDS = frozenset(
@@ -56,7 +57,7 @@
 )
 #: Kinds that were added to the plans of seeds after throttled links.
 ADDED_KINDS = (
-    CRASH_AND_SUSPEND_KINDS | _faults.SIGNAL_KINDS | _faults.DEPARTURE_KINDS
+    CRASH_AND_SUSPEND_KINDS | testing.SIGNAL_KINDS | testing.DEPARTURE_KINDS
 )
 #: SIGTERM handlers of a program that stands for a daemon.  The program prints
 #: a line when its handler is installed.
@@ -498,7 +499,8 @@
     # The crash of a target follows from a request and is never planned.
     assert kinds == (
         set(_faults.FaultKind)
-        - _faults.HOST_PLAN_KINDS
+        - testing.HOST_PLAN_KINDS
+        - testing.DAY_KINDS
         - {_faults.FaultKind.TARGET_ENDS}
     )
 
@@ -516,7 +518,7 @@
     assert len(set(plans)) == SEEDS
     kinds = {fault.kind for plan in plans for fault in plan}
     planned = {_faults.FaultKind.TERMINATE}
-    assert kinds == _faults.HOST_PLAN_KINDS | planned
+    assert kinds == testing.HOST_PLAN_KINDS | planned
     for seed, plan in enumerate(plans):
         assert _faults.has_unplanned_faults(seed) or not any(
             fault.kind in _host_faults.UNPLANNED_KINDS for fault in plan
--- a/sedgering/exceptions.py
+++ b/sedgering/exceptions.py
@@ -2,8 +2,9 @@
 
 The thousands digit gives the subject: 1 settings and bundles, 2 release,
 3 platform, 4 peers and distribution, 5 requests, 6 targets, members and
-rollouts.  A number is never reused with another meaning.  The codes are
-documented in docs/errors.md, and a test compares the two.
+rollouts, 7 days of sites that the soak plays.  A number is never reused with
+another meaning.  The codes are documented in docs/errors.md, and a test
+compares the two.
 """
 
 import enum
@@ -114,6 +115,9 @@
         'field of an answer of a target is malformed; ignored',
     )
 
+    SITE_UNREADABLE = 7001, 'site file cannot be read; nothing was played'
+    SITE_EVENT = 7002, 'part of a day that cannot be played on processes'
+
 
 class SedgeringError(Exception):
     """An error with a numbered code.
--- a/sedgering/testing/__init__.py
+++ b/sedgering/testing/__init__.py
@@ -16,6 +16,16 @@
 from sedgering.testing._engine import StoreMode
 from sedgering.testing._exchange import Exchange
 from sedgering.testing._exchange import Node
+from sedgering.testing._fault_kinds import DAY_KINDS
+from sedgering.testing._fault_kinds import DEPARTURE_KINDS
+from sedgering.testing._fault_kinds import Fault
+from sedgering.testing._fault_kinds import FaultKind
+from sedgering.testing._fault_kinds import HALTING_KINDS
+from sedgering.testing._fault_kinds import HOST_PLAN_KINDS
+from sedgering.testing._fault_kinds import LOSSLESS_KINDS
+from sedgering.testing._fault_kinds import PLANNED_KINDS
+from sedgering.testing._fault_kinds import SIGNAL_KINDS
+from sedgering.testing._fault_kinds import STORE_KINDS
 from sedgering.testing._fleet import Fleet
 from sedgering.testing._fleet import free_ports
 from sedgering.testing._fleet import is_listening
@@ -37,6 +47,19 @@
 from sedgering.testing._platform_calls import make_report
 from sedgering.testing._replay import OutcomeDiffers
 from sedgering.testing._replay import replay_trace
+from sedgering.testing._site_days import DayPlan
+from sedgering.testing._site_days import make_day_plan
+from sedgering.testing._site_days import make_mixed_day
+from sedgering.testing._site_days import make_single_day
+from sedgering.testing._site_days import PLAYED_WORDS
+from sedgering.testing._sites import DayEvent
+from sedgering.testing._sites import EventKind
+from sedgering.testing._sites import make_site_routes
+from sedgering.testing._sites import read_site
+from sedgering.testing._sites import Site
+from sedgering.testing._sites import SiteClass
+from sedgering.testing._sites import SiteDay
+from sedgering.testing._sites import SiteHost
 from sedgering.testing._store_server import StoreServer
 from sedgering.testing._store_server import StoreService
 from sedgering.testing._targets import make_target
@@ -47,17 +70,35 @@
     'CallKind',
     'CallRecord',
     'Caller',
+    'DAY_KINDS',
+    'DEPARTURE_KINDS',
+    'DayEvent',
+    'DayPlan',
+    'EventKind',
     'Exchange',
+    'Fault',
+    'FaultKind',
     'Faults',
     'Fleet',
+    'HALTING_KINDS',
+    'HOST_PLAN_KINDS',
     'InMemoryPlatform',
+    'LOSSLESS_KINDS',
     'MeshFleet',
     'MeshHost',
     'NaivePoller',
     'Node',
     'OutcomeDiffers',
+    'PLANNED_KINDS',
+    'PLAYED_WORDS',
     'PlatformEngine',
     'ProxyProcess',
+    'SIGNAL_KINDS',
+    'STORE_KINDS',
+    'Site',
+    'SiteClass',
+    'SiteDay',
+    'SiteHost',
     'StandinTarget',
     'StoreMode',
     'StoreServer',
@@ -74,12 +115,17 @@
     'is_listening',
     'judge_calls',
     'make_daemon_settings',
+    'make_day_plan',
     'make_document',
     'make_fleet',
     'make_member_row',
+    'make_mixed_day',
     'make_passthrough',
     'make_report',
     'make_sample_bundle',
+    'make_single_day',
+    'make_site_routes',
     'make_target',
+    'read_site',
     'replay_trace',
 ]
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,7 +14,7 @@
 from soak import _settings
 from soak import _world
 
-__all__ = ['run_seed']
+__all__ = ['run_and_keep', 'run_seed']
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
@@ -55,6 +55,40 @@
     return asyncio.run(_run(folder, world_settings))
 
 
+def run_and_keep(
+    world_settings: _settings.WorldSettings,
+    keep: pathlib.Path | None,
+    name: str,
+) -> bool:
+    """Run the soak of one seed and print what it finds.
+
+    Parameters
+    ----------
+    world_settings : WorldSettings
+        Seed and options.
+    keep : Path or None
+        Folder for the logs of runs that fail.
+    name : str
+        Name of the run.
+
+    Returns
+    -------
+    bool
+        Whether all guarantees held.
+    """
+    with tempfile.TemporaryDirectory(prefix='soak-') as folder_name:
+        folder = pathlib.Path(folder_name)
+        violations, summary = run_seed(folder, world_settings)
+        print(f'{name}: {summary}, {len(violations)} broken')
+        for line in violations:
+            print(f'    {line}', flush=True)
+        if violations and keep is not None:
+            keep.mkdir(parents=True, exist_ok=True)
+            folder.rename(keep / name.replace(' ', '-'))
+            folder.mkdir()
+    return not violations
+
+
 @app.command()
 def main(
     seed: Annotated[int, typer.Option(help='First seed.')] = 1,
@@ -137,18 +171,8 @@
             if rollouts:
                 print(_rollouts.make_rollout_plan(number, hosts))
             continue
-        with tempfile.TemporaryDirectory(prefix='soak-') as name:
-            folder = pathlib.Path(name)
-            violations, summary = run_seed(folder, world_settings)
-            print(f'seed {number}: {summary}, {len(violations)} broken')
-            for line in violations:
-                print(f'    {line}', flush=True)
-            if violations:
-                failed.append(number)
-                if keep is not None:
-                    keep.mkdir(parents=True, exist_ok=True)
-                    folder.rename(keep / f'seed-{number}')
-                    folder.mkdir()
+        if not run_and_keep(world_settings, keep, f'seed {number}'):
+            failed.append(number)
     if not plan:
         print(f'{seeds - len(failed)} passed, {len(failed)} failed {failed}')
     raise typer.Exit(1 if failed else 0)
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -18,6 +18,7 @@
 HEADERS = platform.HEADERS
 REPEATABLE_PATH = '/read/'
 ONCE_PATH = '/once/'
+BODY = 'notes'
 HOST_HEADER = 'soak.example'
 DEADLINE_MS = 1500
 #: Timeout of the routes of the usual callers.
@@ -72,6 +73,10 @@
         was sent behind an unanswered request.
     has_left : bool
         Whether the caller left before the answer, on purpose.
+    timeout_s : float
+        Timeout of its route.
+    body_bytes : int
+        Size of the body of a request that must run at most once.
     """
 
     request_id: str
@@ -93,6 +98,8 @@
     is_kept: bool = False
     is_behind: bool = False
     has_left: bool = False
+    timeout_s: float = ROUTE_TIMEOUT_S
+    body_bytes: int = len(BODY)
 
     @property
     def is_forged(self) -> bool:
@@ -261,7 +268,9 @@
 
 def _encode_request(record: CallRecord) -> bytes:
     """Encode the request of a record."""
-    method, body = ('POST', 'notes') if record.is_once else ('GET', '')
+    method, body = 'GET', ''
+    if record.is_once:
+        method, body = 'POST', BODY.ljust(record.body_bytes)
     lines = (
         f'{method} {record.path} HTTP/1.1',
         f'Host: {HOST_HEADER}',
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from sedgering import testing
 from soak import _callers
 from soak import _crash_requests
 from soak import _daemons
@@ -9,7 +10,6 @@
 from soak import _lost
 from soak import _rollouts
 from soak import _signals
-from soak import _targets
 from soak import _trial
 from soak import _world
 
@@ -36,7 +36,7 @@
 #: sends its last answers.
 GRACE_MARGIN_S = 0.6
 #: Faults of a host after which it need not know what a target stated to it.
-EXCUSING_KINDS = _faults.HALTING_KINDS | {_faults.FaultKind.TERMINATE}
+EXCUSING_KINDS = testing.HALTING_KINDS | {_faults.FaultKind.TERMINATE}
 
 
 def check_guarantees(world: _world.World) -> list[str]:
@@ -197,7 +197,7 @@
         and record.sent_s < disturbance.end_s
     }
     sigterm_s = own_starts_s.get(_faults.FaultKind.TERMINATE)
-    if sigterm_s is None or own_starts_s.keys() & _faults.HALTING_KINDS:
+    if sigterm_s is None or own_starts_s.keys() & testing.HALTING_KINDS:
         return None
     end_s = sigterm_s + _daemons.GRACE_S - GRACE_MARGIN_S
     if record.began_s and record.began_s + record.reading_s > end_s:
@@ -217,7 +217,7 @@
     return any(
         not disturbance.fault.is_planned
         and not (
-            on_any_host and disturbance.fault.kind in _faults.LOSSLESS_KINDS
+            on_any_host and disturbance.fault.kind in testing.LOSSLESS_KINDS
         )
         and disturbance.start_s < record.done_s
         and record.sent_s < disturbance.end_s + AFTEREFFECT_S
@@ -233,10 +233,10 @@
     yield from world.ledger.late_runs
     for target in world.targets:
         running = max(target.most_running, target.books.most_running)
-        if running > _targets.SLOTS:
+        if running > target.slots:
             yield (
                 f'the target of {target.daemon.name} ran {running} requests '
-                f'at once, slots: {_targets.SLOTS}'
+                f'at once, slots: {target.slots}'
             )
 
 
--- a/soak/_documents.py
+++ b/soak/_documents.py
@@ -17,12 +17,18 @@
 TARGET_SETS = ('calendar', 'notes', 'archive')
 #: Shares of the sets if there are several.
 SET_SHARES = (6, 4, 3)
+#: Idle limits between which versions of a site change, and the factor by
+#: which their timeouts do.
+IDLE_LIMITS_S = (5, 2)
+OTHER_TIMEOUT_FACTOR = 1.2
 #: Fields of routes that require no key.
 _PUBLIC = {'public': True}
 
 
 def choose_set(number: int, settings: _settings.WorldSettings) -> str:
     """Return the target set of a host."""
+    if settings.site is not None:
+        return settings.site.hosts[number].target_set
     if not settings.has_sets:
         return TARGET_SETS[0]
     shares = itertools.accumulate(SET_SHARES)
@@ -30,8 +36,24 @@
     return TARGET_SETS[bisect.bisect(list(shares), share)]
 
 
-def make_document(version: int, settings: _settings.WorldSettings) -> bytes:
-    """Make a version with the common routes and one per version so far."""
+def make_document(
+    version: int,
+    settings: _settings.WorldSettings,
+    changes: dict[str, int] | None = None,
+) -> bytes:
+    """Make a version with the common routes and one per version so far.
+
+    Parameters
+    ----------
+    version : int
+        Number of the version.
+    settings : WorldSettings
+        Options of the soak.
+    changes : dict
+        How often the timeouts and the idle limit of a site have changed.
+    """
+    if settings.site is not None:
+        return _make_site_document(version, settings.site, changes or {})
     common = {
         'host': _callers.HOST_HEADER,
         'timeout': f'{_callers.ROUTE_TIMEOUT_S}s',
@@ -62,3 +84,21 @@
     if settings.has_host_faults:
         limits['idle_timeout'] = f'{_odd_callers.IDLE_LIMIT_S}s'
     return testing.make_document(version, routes, workspaces, **limits)
+
+
+def _make_site_document(
+    version: int, site: testing.Site, changes: dict[str, int]
+) -> bytes:
+    """Make a version with a route for each class of requests."""
+    is_other = changes.get('timeout', 0) % 2
+    routes = testing.make_site_routes(
+        site, OTHER_TIMEOUT_FACTOR if is_other else 1.0
+    )
+    target_set = site.classes[0].target_set
+    routes += [
+        {'prefix': _probes.make_path(number), 'service': target_set}
+        for number in range(1, version + 1)
+    ]
+    routes = [{'host': _callers.HOST_HEADER, **fields} for fields in routes]
+    idle_s = IDLE_LIMITS_S[changes.get('idle', 0) % 2]
+    return testing.make_document(version, routes, idle_timeout=f'{idle_s}s')
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -1,11 +1,8 @@
 """Plans of faults and their times, determined by a seed."""
 
 from collections.abc import Iterator
-import enum
 import random
 
-import msgspec
-
 from sedgering import testing
 from soak import _links
 from soak import _signals
@@ -39,68 +36,8 @@
 SERIES_SHARE = 0.25
 FAULTS_PER_SERIES = 3
 
-
-class FaultKind(enum.Enum):
-    """Kind of a fault."""
-
-    KILL = 'kill'
-    TERMINATE = 'terminate'
-    PAUSE = 'pause'
-    PEER_LINK = 'peer link'
-    STORE_LINK = 'store link'
-    STORE = 'store'
-    VERSION = 'version'
-    TARGET_LEAVES = 'target leaves'
-    TARGET_HABIT = 'target habit'
-    THROTTLE = 'throttle'
-    SUSPEND = 'suspend'
-    #: A request that crashes its targets is sent repeatedly.
-    FATAL_REQUEST = 'fatal request'
-    #: A target states a rate limit.
-    TARGET_LIMIT = 'target limit'
-    #: A target states in its answers that it is leaving, and reports nothing.
-    UNREPORTED_LEAVE = 'unreported leave'
-    #: A target leaves, the daemon beside it restarts, and reports that the
-    #: target sent before arrive late.
-    LEAVE_AND_RESTART = 'leave and restart'
-    #: The settings change, with SIGHUP.
-    RELOAD = 'reload'
-    RELOAD_AT_START = 'reload at start'
-    #: SIGTERM again and again, before the daemon is ready.
-    RESTART_SERIES = 'restart series'
-    #: A target crashes while its daemon leaves.
-    CRASH_WHILE_LEAVING = 'crash while leaving'
-    #: Open connections go silent for good, while new ones work.
-    DEAD_CONNECTIONS = 'dead connections'
-    #: A target has crashed on such a request; never planned.
-    TARGET_ENDS = 'target ends'
-
-
-#: Planned operations, which must not cause any request to fail.
-PLANNED_KINDS = frozenset(
-    (FaultKind.TERMINATE, FaultKind.VERSION, FaultKind.TARGET_LEAVES)
-)
-#: What targets state in answers, which must not cause a request to fail.
-SIGNAL_KINDS = frozenset((FaultKind.TARGET_LIMIT, FaultKind.UNREPORTED_LEAVE))
-#: Departures around a restart, which is a fault of its own.
-DEPARTURE_KINDS = frozenset((FaultKind.LEAVE_AND_RESTART,))
-#: Faults around starts, ends and settings; their parts are recorded, too.
-HOST_KINDS = frozenset(
-    (
-        FaultKind.RELOAD,
-        FaultKind.RELOAD_AT_START,
-        FaultKind.RESTART_SERIES,
-        FaultKind.CRASH_WHILE_LEAVING,
-    )
-)
-#: Kinds of plans in `_host_faults`.
-HOST_PLAN_KINDS = HOST_KINDS | {FaultKind.DEAD_CONNECTIONS}
-#: Faults of the store, which alone must not cause a request to fail.
-STORE_KINDS = frozenset((FaultKind.STORE, FaultKind.STORE_LINK))
-#: Faults that stop a process without notice.
-HALTING_KINDS = frozenset((FaultKind.KILL, FaultKind.PAUSE, FaultKind.SUSPEND))
-#: Faults that do not explain a lost request.
-LOSSLESS_KINDS = STORE_KINDS | {FaultKind.THROTTLE, FaultKind.FATAL_REQUEST}
+Fault = testing.Fault
+FaultKind = testing.FaultKind
 #: Kinds drawn in the base plan.  The others use generators of their own, so
 #: that they do not change the base plan of a seed.
 _BASE_KINDS = frozenset(FaultKind) - {
@@ -108,9 +45,10 @@
     FaultKind.SUSPEND,
     FaultKind.FATAL_REQUEST,
     FaultKind.TARGET_ENDS,
-    *SIGNAL_KINDS,
-    *DEPARTURE_KINDS,
-    *HOST_PLAN_KINDS,
+    *testing.SIGNAL_KINDS,
+    *testing.DEPARTURE_KINDS,
+    *testing.HOST_PLAN_KINDS,
+    *testing.DAY_KINDS,
 }
 #: Store faults are longer by this factor, so that they outlast the shutdown
 #: of a daemon.
@@ -137,41 +75,6 @@
 }
 
 
-class Fault(msgspec.Struct, frozen=True):
-    """One planned fault.
-
-    Parameters
-    ----------
-    at_s : float
-        Start time, from the start of the plan.
-    kind : FaultKind
-        Kind of the fault.
-    host : int
-        Number of the affected host.
-    for_s : float
-        Duration, for kinds that have one; for the crash of a target, the
-        time until its restart.
-    detail : str
-        Mode of a link or of the store, behaviour of a target, rate of a link
-        in bytes per second, limits that a target states one after another,
-        how a target leaves and how the daemon beside it ends, or delays in
-        seconds.
-    """
-
-    at_s: float
-    kind: FaultKind
-    host: int
-    for_s: float
-    detail: str = ''
-
-    @property
-    def is_planned(self) -> bool:
-        """Whether it is a planned operation."""
-        return self.kind in (
-            PLANNED_KINDS | SIGNAL_KINDS | DEPARTURE_KINDS | HOST_KINDS
-        )
-
-
 def make_plan(
     seed: int, hosts: int, seconds: float, has_extra_kinds: bool = False
 ) -> tuple[Fault, ...]:
@@ -305,9 +208,9 @@
     fraction = rng.random()
     kinds = _BASE_KINDS
     if fraction < PLANNED_PLAN_SHARE:
-        kinds = PLANNED_KINDS
+        kinds = testing.PLANNED_KINDS
     elif fraction < 2 * PLANNED_PLAN_SHARE:
-        kinds = PLANNED_KINDS | STORE_KINDS
+        kinds = testing.PLANNED_KINDS | testing.STORE_KINDS
     return sorted(kinds, key=lambda kind: kind.value)
 
 
@@ -317,7 +220,7 @@
     kind = rng.choice(kinds)
     details = _DETAILS_BY_KIND.get(kind)
     for_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
-    if kind in STORE_KINDS:
+    if kind in testing.STORE_KINDS:
         for_s *= STORE_DURATION_FACTOR
     return Fault(
         at_s,
--- a/soak/_long_requests.py
+++ b/soak/_long_requests.py
@@ -35,7 +35,7 @@
 #: delay of the second one.
 PIPELINED_SHARE, MAX_PIPELINE_DELAY_S = 0.3, 0.4
 
-_WORK = re.compile(r'\S+ /long(?:-once)?/(\d+)/(\d+)/ ')
+_WORK = re.compile(r'\S+ /[\w-]+/(\d+)/(\d+)/ ')
 
 
 def decode_work(request_line: str, default_s: float) -> tuple[float, int]:
@@ -71,6 +71,7 @@
             record = self._make_record(number, is_once, path)
             record.deadline_ms, record.size_bytes = DEADLINE_MS, size_bytes
             record.reading_s = reading_s
+            record.timeout_s = TIMEOUT_S
             records.append(record)
         return records
 
--- a/soak/_odd_callers.py
+++ b/soak/_odd_callers.py
@@ -6,7 +6,7 @@
 
 from soak import _callers
 
-__all__ = ['IDLE_LIMIT_S', 'make_odd_callers']
+__all__ = ['EarlyLeaver', 'IDLE_LIMIT_S', 'make_odd_callers']
 
 #: Idle limit of the configuration, and the share of it for which a caller
 #: leaves its connection idle.
@@ -41,7 +41,10 @@
     """Caller that closes its connection before most answers."""
 
     def _read(self, record: _callers.CallRecord) -> bool:
-        self._socket.settimeout(self._rng.uniform(*LEAVE_AFTER_S))
+        patience_s = self._draw_patience_s()
+        if patience_s is None:
+            return super()._read(record)
+        self._socket.settimeout(patience_s)
         try:
             self._socket.recv(1, socket.MSG_PEEK)
         except (TimeoutError, BlockingIOError):
@@ -50,6 +53,10 @@
         self._socket.settimeout(self.receive_timeout_s)
         return super()._read(record)
 
+    def _draw_patience_s(self) -> float | None:
+        """Return how long it waits for an answer to begin; None for ever."""
+        return self._rng.uniform(*LEAVE_AFTER_S)
+
 
 class HalfCloser(_callers.Caller):
     """Caller that closes its sending direction after each request."""
--- a/soak/_power_loss.py
+++ b/soak/_power_loss.py
@@ -9,7 +9,7 @@
 
 from soak import _faults
 
-__all__ = ['PowerLoss', 'lose_power', 'make_power_losses']
+__all__ = ['PowerLoss', 'lose_power', 'make_closing', 'make_power_losses']
 
 #: What is acknowledged before: a version, or the departure of a target in
 #: either form.
@@ -55,6 +55,12 @@
         )
 
 
+def make_closing(seed: int, off_s: float) -> Iterator[PowerLoss]:
+    """Draw the loss of power at the end of a day."""
+    rng = random.Random(f'closing {seed}')
+    yield PowerLoss(EVENTS[0], 0, rng.uniform(*DELAY_S), off_s)
+
+
 async def lose_power(world, loss: PowerLoss) -> None:
     """Wait for an acknowledgement, kill all daemons, and start them again."""
     target = world.targets[loss.host]
--- a/soak/_settings.py
+++ b/soak/_settings.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from sedgering import testing
+
 __all__ = ['WorldSettings']
 
 
@@ -38,6 +40,10 @@
         Whether hosts have targets of three sets, 6 to 4 to 3.
     power_losses : int
         Number of losses of power of all hosts after the plan.
+    site, day : Site and SiteDay or None
+        Day of a site that is played in place of the plan.
+    rate_share : float
+        Share of the requests of the site that callers send.
     """
 
     seed: int
@@ -53,3 +59,6 @@
     has_slow_logs: bool = False
     has_sets: bool = False
     power_losses: int = 0
+    site: testing.Site | None = None
+    day: testing.SiteDay | None = None
+    rate_share: float = 0.25
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -102,10 +102,18 @@
         ledger: Ledger,
         version: str = _rollouts.OLD_VERSION,
         host: str = '',
+        slots: int = SLOTS,
     ):
+        #: Share of the answers that its habit concerns.
+        self.habit_share = 1.0
         super().__init__(target)
         self.version = version
         self.host = host
+        self.slots = slots
+        #: Factor by which work lasts longer.
+        self.work_factor = 1.0
+        #: Whether it receives and sends nothing.
+        self.is_silent = False
         #: Runs that have not ended, by request id.
         self.open_work: dict[str, _lost.Work] = {}
         #: Connections whose request is running.
@@ -119,6 +127,16 @@
         #: Sizes of answers by request id.
         self.sizes_bytes: dict[str, int] = {}
 
+    @property
+    def habit(self) -> testing.TargetHabit:
+        """How it treats the next request."""
+        is_concerned = random.random() < self.habit_share
+        return self._habit if is_concerned else testing.TargetHabit.SOUND
+
+    @habit.setter
+    def habit(self, habit: testing.TargetHabit) -> None:
+        self._habit = habit
+
     def note_run(self, request_id, line, headers, body) -> None:
         """Record when a request began to run."""
         super().note_run(request_id, line, headers, body)
@@ -126,6 +144,7 @@
         self.work_s, self.sizes_bytes[request_id] = _long_requests.decode_work(
             line, WORK_S
         )
+        self.work_s *= self.work_factor
         for fields in self.fields:
             self.ledger.record_identity_headers(request_id, fields)
         # A long soak would otherwise accumulate the headers of all requests.
@@ -152,7 +171,7 @@
         loop has not yet seen it.
         """
         running = self.running
-        if running > max(SLOTS, self.most_running):
+        if running > max(self.slots, self.most_running):
             running -= sum(map(_is_closed_by_peer, self.busy_transports))
         self.most_running = max(self.most_running, running)
 
@@ -172,6 +191,15 @@
 class _Connection(testing.TargetStandin):
     """Answers each request with the size that it asks for."""
 
+    def data_received(self, data):
+        """Handle what arrives, unless the target is silent."""
+        if not self.state.is_silent:
+            super().data_received(data)
+
+    def _write(self, *arguments, **options) -> None:
+        if not self.state.is_silent:
+            super()._write(*arguments, **options)
+
     async def _answer(self, line: str, headers, body: bytes) -> None:
         request_id = transport.find_header(headers, 'x-request-id')
         self.state.busy_transports.add(self.transport)
@@ -206,10 +234,15 @@
         Daemon of the same host.
     ledger : Ledger
         Record shared by all targets.
+    slots : int
+        Requests that it runs at once.
     """
 
-    def __init__(self, daemon: _daemons.Daemon, ledger: Ledger):
+    def __init__(
+        self, daemon: _daemons.Daemon, ledger: Ledger, slots: int = SLOTS
+    ):
         self.daemon = daemon
+        self.slots = slots
         self.ledger = ledger
         self.most_running = 0
         self.lifetime = 0
@@ -246,6 +279,7 @@
             self.ledger,
             self.version,
             self.daemon.name,
+            self.slots,
         )
         self.books.habit = self.habit
         self.books.fatal_urls = {_crash_requests.FATAL_PATH}
@@ -261,6 +295,12 @@
         """Drain, deregister and start a new lifetime."""
         if self.is_leaving or self._restart is not None:
             return
+        await self._leave()
+        await asyncio.sleep(ADDRESS_REUSE_S)
+        await self.start()
+
+    async def _leave(self) -> None:
+        """Drain, deregister and end this lifetime."""
         self.is_leaving = True
         self.books.is_leaving = True
         if await self._send_report('heartbeat', 'draining'):
@@ -270,8 +310,36 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         await self._send_report('deregister', 'draining')
         self.stop()
-        await asyncio.sleep(ADDRESS_REUSE_S)
-        await self.start()
+
+    async def end_lifetime(self, form: str, for_s: float) -> bool:
+        """End this lifetime.
+
+        Parameters
+        ----------
+        form : str
+            `drain`; `dark`, to be silent first; otherwise it crashes.
+        for_s : float
+            How long it is silent or down.
+
+        Returns
+        -------
+        bool
+            False if it was ending already.
+        """
+        if self.is_leaving or self._restart is not None:
+            return False
+        if form == 'drain':
+            await self._leave()
+            return True
+        self.is_leaving = True
+        self._heartbeats.cancel()
+        if form == 'dark':
+            self.books.is_silent = True
+        else:
+            self.stop()
+        await asyncio.sleep(for_s)
+        self.stop()
+        return True
 
     async def leave_with_delayed_reports(
         self, form: str, for_s: float, seed: str
@@ -410,7 +478,7 @@
             self.daemon.target_set,
             state,
             self._sequence,
-            SLOTS,
+            self.slots,
             self._started_at_ms,
             self.version,
         )
--- a/soak/_trial.py
+++ b/soak/_trial.py
@@ -3,7 +3,6 @@
 from soak import _callers
 from soak import _daemons
 from soak import _faults
-from soak import _long_requests
 from soak import _lost
 from soak import _world
 
@@ -22,6 +21,9 @@
     _Kind.STORE: _Scope.STORE,
     _Kind.TARGET_HABIT: _Scope.TARGET,
     _Kind.TARGET_ENDS: _Scope.TARGET,
+    _Kind.STORE_SLOW: _Scope.STORE,
+    _Kind.TARGET_CRASH: _Scope.TARGET,
+    _Kind.TARGET_MOVES: _Scope.TARGET,
 }
 _PLANNED = {
     _Kind.TERMINATE: _lost.WorkKind.TERMINATE,
@@ -70,19 +72,13 @@
 def _make_request(
     world: _world.World, record: _callers.CallRecord
 ) -> _lost.Request:
-    is_long = record.path.startswith(
-        (_long_requests.REPEATABLE_PATH, _long_requests.ONCE_PATH)
-    )
-    timeout_s = (
-        _long_requests.TIMEOUT_S if is_long else _callers.ROUTE_TIMEOUT_S
-    )
     return _lost.Request(
         record.request_id,
         record.host,
         record.last_byte_s,
         record.done_s,
         _find_end(record),
-        min(record.deadline_ms / 1000, timeout_s),
+        min(record.deadline_ms / 1000, record.timeout_s),
         record.is_kept,
         record.is_behind,
         work=tuple(world.ledger.work.get(record.request_id, ())),
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -17,6 +17,7 @@
 from soak import _callers
 from soak import _crash_requests
 from soak import _daemons
+from soak import _day_faults
 from soak import _documents
 from soak import _faults
 from soak import _host_faults
@@ -28,6 +29,7 @@
 from soak import _probes
 from soak import _rollouts
 from soak import _settings
+from soak import _site_callers
 from soak import _targets
 
 __all__ = ['Disturbance', 'World']
@@ -94,7 +96,7 @@
                 folder,
                 number,
                 _documents.choose_set(number, world_settings),
-                DATA_CENTRES[number % len(DATA_CENTRES)],
+                _choose_data_centre(number, world_settings),
                 self.store.address,
                 {'relay_from_hosts': world_settings.relay_from_hosts},
             )
@@ -103,6 +105,14 @@
         self.targets = [
             _targets.Target(daemon, self.ledger) for daemon in self.daemons
         ]
+        #: How often each part of the configuration of a site has changed.
+        self.changes: dict[str, int] = {}
+        self._day_faults: tuple[_faults.Fault, ...] = ()
+        if world_settings.site is not None:
+            self._day_faults = _day_faults.make_day_faults(world_settings)
+            hosts = world_settings.site.hosts
+            for target, host in zip(self.targets, hosts, strict=True):
+                target.slots = host.slots
         for number, target in enumerate(self.targets):
             target.on_crash = functools.partial(self._record_crash, number)
         #: Targets of the version that is ordered.
@@ -153,6 +163,10 @@
                 seed = f'{world_settings.seed} {caller.name}'
                 caller.keys = _keys.KeyChooser(seed)
         self._active_keys: set[tuple] = set()
+        if world_settings.site is not None:
+            self.callers = _site_callers.make_site_callers(
+                world_settings, self.daemons
+            )
 
     def list_records(self) -> list[_callers.CallRecord]:
         """List the requests of all callers that have ended."""
@@ -169,12 +183,14 @@
         """Run the plan of the seed and wait for the mesh to recover."""
         await self._start()
         settings = self.settings
-        plan = _faults.make_plan(
-            settings.seed,
-            settings.hosts,
-            settings.seconds,
-            settings.long_callers > 0,
-        )
+        plan = self._day_faults
+        if settings.site is None:
+            plan = _faults.make_plan(
+                settings.seed,
+                settings.hosts,
+                settings.seconds,
+                settings.long_callers > 0,
+            )
         tasks = []
         if self.rollout is not None:
             tasks += [
@@ -191,10 +207,19 @@
                 settings.has_early_signals,
             )
             tasks.append(asyncio.ensure_future(self._inject_all(host_plan)))
+        if settings.site is not None:
+            tasks.append(
+                asyncio.ensure_future(asyncio.sleep(settings.site.length_s))
+            )
         await asyncio.gather(self._inject_all(plan), *tasks)
-        for loss in _power_loss.make_power_losses(
+        losses = _power_loss.make_power_losses(
             settings.seed, settings.hosts, settings.power_losses
-        ):
+        )
+        if settings.day is not None and settings.day.closing is not None:
+            losses = _power_loss.make_closing(
+                settings.seed, settings.day.closing.down_s
+            )
+        for loss in losses:
             await _power_loss.lose_power(self, loss)
         # Their requests under way end before the final load does.
         for caller in self.long_callers:
@@ -235,8 +260,15 @@
         for daemon in self.daemons:
             await daemon.start_links()
             await daemon.start()
+        late = {
+            self.targets[fault.host]
+            for fault in self._day_faults
+            if fault.kind is _Kind.TARGET_JOINS
+        }
         for target in self.targets:
-            if target not in self.new_targets:
+            if target in late:
+                target.is_leaving = True
+            elif target not in self.new_targets:
                 await target.start()
         await _wait_for(
             self._are_all_ready, 'not all daemons are ready after their start'
@@ -257,7 +289,7 @@
         for fault in plan:
             delay_s = started_s + fault.at_s - time.monotonic()
             await asyncio.sleep(max(0.0, delay_s))
-            tasks.append(asyncio.ensure_future(self._inject(fault)))
+            tasks.append(asyncio.ensure_future(self.inject(fault)))
         await asyncio.gather(*tasks)
 
     async def _roll_out(self, rollout: _rollouts.Rollout) -> None:
@@ -295,15 +327,20 @@
         rows = platform.decode_rows(answer.body)
         return _rollouts.read_state(rows[0].value) if rows else ''
 
-    async def _inject(self, fault: _faults.Fault) -> None:
-        """Inject a fault, unless a conflicting fault is active."""
+    async def inject(self, fault: _faults.Fault) -> None:
+        """Inject a fault, unless a conflicting fault is active.
+
+        Steps of days wait for the end of such a fault.
+        """
         key = (fault.kind, fault.host)
         if fault.kind in _PROCESS_KINDS:
             key = ('process', fault.host)
         elif fault.kind is _faults.FaultKind.STORE:
             key = ('store',)
-        if key in self._active_keys:
-            return
+        while key in self._active_keys:
+            if self.settings.site is None:
+                return
+            await asyncio.sleep(POLL_INTERVAL_S)
         self._active_keys.add(key)
         disturbance = Disturbance(fault, time.monotonic())
         self.disturbances.append(disturbance)
@@ -316,7 +353,7 @@
     async def _kill(self, fault: _faults.Fault) -> None:
         daemon = self.daemons[fault.host]
         await daemon.kill()
-        await asyncio.sleep(RESTART_DELAY_S)
+        await asyncio.sleep(float(fault.detail or RESTART_DELAY_S))
         await self._restart_daemon(fault.host)
 
     async def _terminate(self, fault: _faults.Fault) -> None:
@@ -415,11 +452,12 @@
         await _break_link(self.daemons[fault.host].store_link, fault)
 
     async def _break_store(self, fault: _faults.Fault) -> None:
-        await self._control_store({'mode': fault.detail})
+        await self.control_store({'mode': fault.detail})
         await asyncio.sleep(fault.for_s)
-        await self._control_store({})
+        await self.control_store({})
 
-    async def _change_version(self, _fault: _faults.Fault) -> None:
+    async def _change_version(self, fault: _faults.Fault) -> None:
+        self.changes[fault.detail] = self.changes.get(fault.detail, 0) + 1
         await self.change_version()
 
     async def change_version(self) -> None:
@@ -434,9 +472,12 @@
 
     async def _change_target_habit(self, fault: _faults.Fault) -> None:
         target = self.targets[fault.host]
-        target.books.habit = testing.TargetHabit(fault.detail)
+        habit, _, share = fault.detail.partition('|')
+        target.books.habit_share = float(share or 1)
+        target.books.habit = testing.TargetHabit(habit)
         await asyncio.sleep(fault.for_s)
         target.books.habit = testing.TargetHabit.SOUND
+        target.books.habit_share = 1.0
 
     async def _limit_target(self, fault: _faults.Fault) -> None:
         fields = fault.detail.split('|')
@@ -462,14 +503,16 @@
         )
         left.cancel()
         for end in ends if has_left.is_set() else ():
-            await self._inject(
+            await self.inject(
                 _faults.Fault(fault.at_s, _Kind(end), fault.host, 0.0)
             )
         await leaving
 
     async def _write_version(self) -> bool:
         """Write the newest version; return whether the store accepted it."""
-        document = _documents.make_document(self.version, self.settings)
+        document = _documents.make_document(
+            self.version, self.settings, self.changes
+        )
         path, body = testing.encode_write('op', 'config', document)
         return await self._write_row(path, body)
 
@@ -478,7 +521,8 @@
         answer = await self._call_store(path, body)
         return answer is not None and answer.status == 200
 
-    async def _control_store(self, faults: dict) -> None:
+    async def control_store(self, faults: dict) -> None:
+        """Set the faults of the store."""
         await self._call_store('/standin/faults', json.dumps(faults).encode())
 
     async def _call_store(
@@ -489,6 +533,12 @@
         )
 
 
+def _choose_data_centre(number: int, settings) -> str:
+    if settings.site is not None:
+        return settings.site.hosts[number].data_centre
+    return DATA_CENTRES[number % len(DATA_CENTRES)]
+
+
 async def _break_link(link: _links.Link, fault: _faults.Fault) -> None:
     link.set_mode(_links.LinkMode(fault.detail))
     await asyncio.sleep(fault.for_s)
@@ -540,4 +590,5 @@
     _Kind.SUSPEND: World._suspend,
     _Kind.FATAL_REQUEST: World._send_crash_requests,
     **_host_faults.ACTIONS,
+    **_day_faults.ACTIONS,
 }
