--- a/features/site_days.feature
+++ b/features/site_days.feature
@@ -46,6 +46,11 @@
       | an unknown service  |
       | a share that is text |
 
+  # Guards against requests that count as cut though their caller left.
+  Scenario: A request behind one whose caller left is left, too
+    When a caller leaves a connection with 2 unanswered requests
+    Then both count as left by their caller
+
   Scenario: The page of the soak has a line for each kind
     Then docs/soak.md tells how each kind of entry is played, or that it is refused
 
--- a/features/steps/site_day_steps.py
+++ b/features/steps/site_day_steps.py
@@ -2,6 +2,7 @@
 
 import itertools
 import pathlib
+import socket
 import tempfile
 
 from behave import given
@@ -11,6 +12,7 @@
 from sedgering import exceptions
 from sedgering import testing
 from soak import __main__ as soak_main
+from soak import _site_callers
 from soak import _world
 from soak import days
 
@@ -181,6 +183,33 @@
         assert ('| refused' in rows[kind.value]) != is_played, kind
 
 
+@when('a caller leaves a connection with {count:d} unanswered requests')
+def step_leave(context, count):
+    class ListedDaemon:
+        name = 'host-0'
+        address = '127.0.0.1'
+
+    site = read_site('three-hosts')
+    caller = _site_callers.SiteCaller(
+        'caller', ListedDaemon, 1, site.classes, 1.0
+    )
+    caller.patience_s = 0.05
+    ours, theirs = socket.socketpair()
+    caller._socket, caller._stream = ours, ours.makefile('rb')
+    context.records = [
+        caller._make_class_record(number, site.classes[0])
+        for number in range(count)
+    ]
+    caller._exchange(context.records)
+    theirs.close()
+
+
+@then('both count as left by their caller')
+def step_left(context):
+    left = [record.has_left for record in context.records]
+    assert left == [True, True], left
+
+
 @when('the day "{name}" of "{site}" is played')
 def step_play(context, name, site):
     settings = days.make_day_settings(read_site(site), name, 1, rate_share=1.0)
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -201,6 +201,8 @@
             record.last_byte_s = time.monotonic()
         for record in records:
             record.began_s = records[0].began_s
+            # What is behind a request is left with it.
+            record.has_left = records[0].has_left
             if self._socket is not None and not self._read(record):
                 self._disconnect()
 
