--- a/features/site_days.feature
+++ b/features/site_days.feature
@@ -20,6 +20,8 @@
       | platform_down    | nodes revoke  | SDG-7002: without revoke | store link                     |
       | platform_down    | busy          | nothing                  | store                          |
       | core_cut         | one_way drain | nothing                  | peer link, store link, target leaves |
+      | roll_term        | busy          | nothing                  | terminate                      |
+      | garble           | extra late    | nothing                  | target habit                   |
       | config_change    | weights       | SDG-7002: without weights | version                       |
 
   Scenario: A seed always gives the same steps
--- a/sedgering/testing/_mesh_target.py
+++ b/sedgering/testing/_mesh_target.py
@@ -13,6 +13,8 @@
 #: Value of SO_LINGER: enabled with a timeout of 0 s.
 NO_LINGER = struct.pack('ii', 1, 0)
 RESET_DELAY_S = 0.05
+#: Time from an answer to one that belongs to no request.
+EXTRA_DELAY_S = 0.3
 #: Signature with which the target proves that it sent the response.
 SIGNATURE = '3e1b.07.5a2.600.0.c9f2a4d1'
 
@@ -27,6 +29,7 @@
     UNSIGNED = 'no proof'
     FOREIGN_RESPONSE_FIRST = 'foreign answer first'
     EXTRA_RESPONSE_AFTER = 'extra answer after'
+    EXTRA_RESPONSE_LATE = 'extra answer late'
     UNFRAMED = 'unframed'
     UNFRAMED_RESET = 'unframed and reset'
     TRUNCATED = 'cut short'
@@ -136,6 +139,15 @@
         elif habit is TargetHabit.EXTRA_RESPONSE_AFTER:
             self._write('200 OK', own_headers, body)
             self._write('200 OK', own_headers, b'another body')
+        elif habit is TargetHabit.EXTRA_RESPONSE_LATE:
+            self._write('200 OK', own_headers, body)
+            asyncio.get_running_loop().call_later(
+                EXTRA_DELAY_S,
+                self._write,
+                '200 OK',
+                own_headers,
+                b'another body',
+            )
         elif habit is TargetHabit.UNFRAMED:
             self._write('200 OK', own_headers, body, is_framed=False)
             self.transport.close()
--- a/sedgering/testing/_site_days.py
+++ b/sedgering/testing/_site_days.py
@@ -204,8 +204,8 @@
     def restart_in_turn(self, event: _sites.DayEvent) -> Iterator[_Fault]:
         """Terminate daemons in turn; they start again."""
         numbers = self.choose_hosts(event, 1.0)
-        terminate = _FaultKind.TERMINATE
-        yield from self._apply_to(numbers, event, terminate, '', event.gap_s)
+        kind = _FaultKind.TERMINATE
+        yield from self._apply_to(numbers, event, kind, event.how, event.gap_s)
 
     def cut_hosts(self, event: _sites.DayEvent) -> Iterator[_Fault]:
         """Cut links to hosts, and their way to the store."""
@@ -281,6 +281,7 @@
     ('answer_lost', 'reset'): (_Habit.RESET, 0.5, 0.03),
     ('garble', ''): (_Habit.TRUNCATED, 0.5, 0.02),
     ('garble', 'extra'): (_Habit.EXTRA_RESPONSE_AFTER, 0.5, 0.02),
+    ('garble', 'extra late'): (_Habit.EXTRA_RESPONSE_LATE, 0.5, 0.02),
     ('garble', 'unframed'): (_Habit.UNFRAMED_RESET, 0.5, 0.02),
     ('srv_grey', ''): (_Habit.FAILING, 0.15, 0.5),
     ('srv_grey', 'shed'): (_Habit.SHED, 0.15, 0.5),
@@ -322,8 +323,9 @@
     _Kind.TARGET_CRASH: frozenset(('dark', 'gone')),
     _Kind.TARGET_SHEDS: frozenset(('shed', 'all')),
     _Kind.LOST_ANSWERS: frozenset(('reset',)),
-    _Kind.SPOILT_ANSWERS: frozenset(('extra', 'unframed')),
+    _Kind.SPOILT_ANSWERS: frozenset(('extra', 'late', 'unframed')),
     _Kind.ADDRESS_REUSE: frozenset(('drain', 'dark', 'side')),
+    _Kind.ROLLING_RESTART: frozenset(('busy',)),
     _Kind.HOST_KILL: frozenset(('power', 'meet', 'race', 'drain')),
     _Kind.MANY_KILLS: frozenset(('power', 'off')),
     _Kind.KILL_AFTER_ACK: frozenset(('kill',)),
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -149,6 +149,8 @@
         self._rng = random.Random(seed)
         self._socket: socket.socket | None = None
         self._stream = None
+        #: Whether it has sent a request that has not ended.
+        self.is_waiting = False
         #: Whether the connection has carried an answer.
         self._has_answers = False
 
@@ -163,6 +165,7 @@
                 self._disconnect()
                 for record in records:
                     record.end = repr(error)
+            self.is_waiting = False
             for record in records:
                 record.done_s = record.done_s or time.monotonic()
             self.records += records
@@ -199,6 +202,7 @@
             record.is_behind = record is not records[0]
             self._send(_encode_request(record))
             record.last_byte_s = time.monotonic()
+            self.is_waiting = True
         for record in records:
             record.began_s = records[0].began_s
             # What is behind a request is left with it.
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -65,7 +65,11 @@
 _HABITS = tuple(
     habit
     for habit in testing.TargetHabit
-    if habit is not testing.TargetHabit.SOUND
+    if habit
+    not in (
+        testing.TargetHabit.SOUND,
+        testing.TargetHabit.EXTRA_RESPONSE_LATE,
+    )
 )
 _DETAILS_BY_KIND = {
     FaultKind.PEER_LINK: _LINK_MODES,
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -37,6 +37,7 @@
 DATA_CENTRES = ('north', 'south')
 WAIT_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.1
+BUSY_INTERVAL_S = 0.005
 #: Time after the last fault in which the mesh must recover: a killed daemon
 #: starts within a second, and a suspect is avoided for at most 4 s.
 RECOVERY_S = 7.0
@@ -357,9 +358,23 @@
         await self._restart_daemon(fault.host)
 
     async def _terminate(self, fault: _faults.Fault) -> None:
+        if fault.detail == 'busy':
+            await self._wait_until_busy(self.daemons[fault.host])
         await self.terminate_daemon(self.daemons[fault.host], _daemons.GRACE_S)
         await self._restart_daemon(fault.host)
 
+    async def _wait_until_busy(self, daemon: _daemons.Daemon) -> None:
+        """Wait until a daemon has a request that it has not answered."""
+
+        async def is_busy() -> bool:
+            return any(
+                caller.is_waiting
+                for caller in self._list_callers()
+                if caller.host_daemon is daemon
+            )
+
+        await _wait_for(is_busy, 'no caller asks a daemon', BUSY_INTERVAL_S)
+
     @contextlib.contextmanager
     def record_disturbance(self, kind: _faults.FaultKind, host: int):
         """Record that part of a fault is active."""
@@ -545,7 +560,9 @@
     link.set_mode(_links.LinkMode.OPEN)
 
 
-async def _wait_for(condition, problem: str) -> None:
+async def _wait_for(
+    condition, problem: str, interval_s: float = POLL_INTERVAL_S
+) -> None:
     """Wait until a condition holds.
 
     Raises
@@ -557,7 +574,7 @@
     while not await condition():
         if time.monotonic() > end_s:
             raise TimeoutError(problem)
-        await asyncio.sleep(POLL_INTERVAL_S)
+        await asyncio.sleep(interval_s)
 
 
 _Kind = _faults.FaultKind
