--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -15,6 +15,8 @@
 from behave import then
 from behave import when
 
+from sedgering import testing
+from sedgering.testing import judges
 from soak import __main__ as soak_main
 from soak import _callers
 from soak import _checks
@@ -22,7 +24,6 @@
 from soak import _host_faults
 from soak import _links
 from soak import _long_requests
-from soak import _lost
 from soak import _power_loss
 from soak import _rollouts
 from soak import _settings
@@ -45,10 +46,10 @@
 )
 #: Kinds in plans that must not cause requests to fail.
 LOSSLESS_PLAN_KINDS = (
-    _faults.PLANNED_KINDS
-    | _faults.STORE_KINDS
-    | _faults.SIGNAL_KINDS
-    | _faults.DEPARTURE_KINDS
+    testing.PLANNED_KINDS
+    | testing.STORE_KINDS
+    | testing.SIGNAL_KINDS
+    | testing.DEPARTURE_KINDS
     | {_faults.FaultKind.THROTTLE}
 )
 CRASH_AND_SUSPEND_KINDS = frozenset(
@@ -56,7 +57,7 @@
 )
 #: Kinds that were added to the plans of seeds after throttled links.
 ADDED_KINDS = (
-    CRASH_AND_SUSPEND_KINDS | _faults.SIGNAL_KINDS | _faults.DEPARTURE_KINDS
+    CRASH_AND_SUSPEND_KINDS | testing.SIGNAL_KINDS | testing.DEPARTURE_KINDS
 )
 #: SIGTERM handlers of a program that stands for a daemon.  The program prints
 #: a line when its handler is installed.
@@ -243,7 +244,7 @@
 
 
 def end_by_itself(results):
-    end = _lost.ProcessEnd('host-0', SENT_AT_S, SENT_AT_S + 1, -1)
+    end = judges.ProcessEnd('host-0', SENT_AT_S, SENT_AT_S + 1, -1)
     results.world.daemons[0].ends.append(end)
 
 
@@ -498,7 +499,8 @@
     # The crash of a target follows from a request and is never planned.
     assert kinds == (
         set(_faults.FaultKind)
-        - _faults.HOST_PLAN_KINDS
+        - testing.HOST_PLAN_KINDS
+        - testing.DAY_KINDS
         - {_faults.FaultKind.TARGET_ENDS}
     )
 
@@ -516,7 +518,7 @@
     assert len(set(plans)) == SEEDS
     kinds = {fault.kind for plan in plans for fault in plan}
     planned = {_faults.FaultKind.TERMINATE}
-    assert kinds == _faults.HOST_PLAN_KINDS | planned
+    assert kinds == testing.HOST_PLAN_KINDS | planned
     for seed, plan in enumerate(plans):
         assert _faults.has_unplanned_faults(seed) or not any(
             fault.kind in _host_faults.UNPLANNED_KINDS for fault in plan
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -18,6 +18,7 @@
 HEADERS = platform.HEADERS
 REPEATABLE_PATH = '/read/'
 ONCE_PATH = '/once/'
+BODY = 'notes'
 HOST_HEADER = 'soak.example'
 DEADLINE_MS = 1500
 #: Timeout of the routes of the usual callers.
@@ -72,6 +73,14 @@
         was sent behind an unanswered request.
     has_left : bool
         Whether the caller left before the answer, on purpose.
+    timeout_s : float
+        Timeout of its route.
+    body_bytes : int
+        Size of the body of a request that must run at most once.
+    has_proof : bool
+        Whether the answer carries the proof of a target.
+    target_set : str
+        Set that its route leads to; empty if not known.
     """
 
     request_id: str
@@ -93,6 +102,15 @@
     is_kept: bool = False
     is_behind: bool = False
     has_left: bool = False
+    timeout_s: float = ROUTE_TIMEOUT_S
+    body_bytes: int = len(BODY)
+    has_proof: bool = False
+    target_set: str = ''
+
+    @property
+    def method(self) -> str:
+        """Method of the request."""
+        return 'POST' if self.is_once else 'GET'
 
     @property
     def is_forged(self) -> bool:
@@ -131,6 +149,8 @@
         self._rng = random.Random(seed)
         self._socket: socket.socket | None = None
         self._stream = None
+        #: Whether it has sent a request that has not ended.
+        self.is_waiting = False
         #: Whether the connection has carried an answer.
         self._has_answers = False
 
@@ -145,6 +165,7 @@
                 self._disconnect()
                 for record in records:
                     record.end = repr(error)
+            self.is_waiting = False
             for record in records:
                 record.done_s = record.done_s or time.monotonic()
             self.records += records
@@ -181,8 +202,11 @@
             record.is_behind = record is not records[0]
             self._send(_encode_request(record))
             record.last_byte_s = time.monotonic()
+            self.is_waiting = True
         for record in records:
             record.began_s = records[0].began_s
+            # What is behind a request is left with it.
+            record.has_left = records[0].has_left
             if self._socket is not None and not self._read(record):
                 self._disconnect()
 
@@ -239,8 +263,9 @@
         record.done_s = time.monotonic()
         self._has_answers = True
         expected = f'answer to {record.request_id}'.encode()
+        record.has_proof = headers[HEADERS.proof] is not None
         record.is_own = (
-            headers[HEADERS.proof] is not None
+            record.has_proof
             and headers[HEADERS.request_id] == record.request_id
             and body == expected.ljust(record.size_bytes)
         )
@@ -261,9 +286,9 @@
 
 def _encode_request(record: CallRecord) -> bytes:
     """Encode the request of a record."""
-    method, body = ('POST', 'notes') if record.is_once else ('GET', '')
+    body = BODY.ljust(record.body_bytes) if record.is_once else ''
     lines = (
-        f'{method} {record.path} HTTP/1.1',
+        f'{record.method} {record.path} HTTP/1.1',
         f'Host: {HOST_HEADER}',
         f'{HEADERS.request_id}: {record.request_id}',
         f'{HEADERS.deadline_ms}: {record.deadline_ms}',
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -9,12 +9,13 @@
 
 from sedgering import platform
 from sedgering import testing
+from sedgering.testing import judges
 from sedgering import transport
 from soak import _crash_requests
 from soak import _daemons
 from soak import _keys
 from soak import _long_requests
-from soak import _lost
+from soak import _probes
 from soak import _rollouts
 from soak import _signals
 
@@ -65,6 +66,8 @@
         Ids of requests that reached a target with their API key.
     work : dict
         Runs of a request, by its id.
+    departures : list of Departure
+        Departures that were acknowledged.
     """
 
     def __init__(self):
@@ -77,7 +80,8 @@
         #: Times at which requests began to run, by the version of the target.
         self.version_runs_s: dict[str, list[float]] = {}
         self.keys_seen: list[str] = []
-        self.work: dict[str, list[_lost.Work]] = {}
+        self.work: dict[str, list[judges.Work]] = {}
+        self.departures: list[judges.Departure] = []
 
     def record_identity_headers(
         self, request_id: str, fields: list[tuple[str, str]]
@@ -101,12 +105,20 @@
         ledger: Ledger,
         version: str = _rollouts.OLD_VERSION,
         host: str = '',
+        slots: int = SLOTS,
     ):
+        #: Share of the answers that its habit concerns.
+        self.habit_share = 1.0
         super().__init__(target)
         self.version = version
         self.host = host
+        self.slots = slots
+        #: Factor by which work lasts longer.
+        self.work_factor = 1.0
+        #: Whether it receives and sends nothing.
+        self.is_silent = False
         #: Runs that have not ended, by request id.
-        self.open_work: dict[str, _lost.Work] = {}
+        self.open_work: dict[str, judges.Work] = {}
         #: Connections whose request is running.
         self.busy_transports: set[asyncio.Transport] = set()
         self.label = f'{target}#{lifetime}'
@@ -118,6 +130,16 @@
         #: Sizes of answers by request id.
         self.sizes_bytes: dict[str, int] = {}
 
+    @property
+    def habit(self) -> testing.TargetHabit:
+        """How it treats the next request."""
+        is_concerned = random.random() < self.habit_share
+        return self._habit if is_concerned else testing.TargetHabit.SOUND
+
+    @habit.setter
+    def habit(self, habit: testing.TargetHabit) -> None:
+        self._habit = habit
+
     def note_run(self, request_id, line, headers, body) -> None:
         """Record when a request began to run."""
         super().note_run(request_id, line, headers, body)
@@ -125,13 +147,21 @@
         self.work_s, self.sizes_bytes[request_id] = _long_requests.decode_work(
             line, WORK_S
         )
+        self.work_s *= self.work_factor
         for fields in self.fields:
             self.ledger.record_identity_headers(request_id, fields)
         # A long soak would otherwise accumulate the headers of all requests.
         self.fields.clear()
         now_s = time.monotonic()
         self.ledger.runs.setdefault(request_id, []).append(now_s)
-        work = _lost.Work(self.target, self.host, now_s)
+        work = judges.Work(
+            self.label,
+            self.host,
+            now_s,
+            due_s=now_s + self.work_s,
+            line=line.rpartition(' ')[0],
+            origin=headers.get(platform.HEADERS.origin, ''),
+        )
         self.open_work[request_id] = work
         self.ledger.work.setdefault(request_id, []).append(work)
         runs_s = self.ledger.version_runs_s
@@ -151,16 +181,19 @@
         loop has not yet seen it.
         """
         running = self.running
-        if running > max(SLOTS, self.most_running):
+        if running > max(self.slots, self.most_running):
             running -= sum(map(_is_closed_by_peer, self.busy_transports))
         self.most_running = max(self.most_running, running)
 
-    def end_work(self, request_id: str | None, is_sound: bool = True) -> None:
-        """Record that a run has ended."""
+    def end_work(
+        self, request_id: str | None, is_sound: bool = True, status: int = 0
+    ) -> None:
+        """Record that a run has ended, and what its target answers."""
         work = self.open_work.pop(request_id, None)
         if work is not None:
             work.ended_s = time.monotonic()
             work.is_sound = is_sound
+            work.status = status
 
     def break_off(self) -> None:
         """Record that the target ends, and all runs with it."""
@@ -171,6 +204,15 @@
 class _Connection(testing.TargetStandin):
     """Answers each request with the size that it asks for."""
 
+    def data_received(self, data):
+        """Handle what arrives, unless the target is silent."""
+        if not self.state.is_silent:
+            super().data_received(data)
+
+    def _write(self, *arguments, **options) -> None:
+        if not self.state.is_silent:
+            super()._write(*arguments, **options)
+
     async def _answer(self, line: str, headers, body: bytes) -> None:
         request_id = transport.find_header(headers, 'x-request-id')
         self.state.busy_transports.add(self.transport)
@@ -181,7 +223,9 @@
             self.state.end_work(request_id)
 
     def _finish(self, request_id: str, habit: testing.TargetHabit) -> None:
-        self.state.end_work(request_id, habit is testing.TargetHabit.SOUND)
+        status = 500 if habit is testing.TargetHabit.FAILING else 200
+        is_sound = habit is testing.TargetHabit.SOUND
+        self.state.end_work(request_id, is_sound, status)
         self.state.body_bytes = self.state.sizes_bytes[request_id]
         state = self.state
         state.ledger.signals.record_answer(
@@ -205,10 +249,15 @@
         Daemon of the same host.
     ledger : Ledger
         Record shared by all targets.
+    slots : int
+        Requests that it runs at once.
     """
 
-    def __init__(self, daemon: _daemons.Daemon, ledger: Ledger):
+    def __init__(
+        self, daemon: _daemons.Daemon, ledger: Ledger, slots: int = SLOTS
+    ):
         self.daemon = daemon
+        self.slots = slots
         self.ledger = ledger
         self.most_running = 0
         self.lifetime = 0
@@ -245,6 +294,7 @@
             self.ledger,
             self.version,
             self.daemon.name,
+            self.slots,
         )
         self.books.habit = self.habit
         self.books.fatal_urls = {_crash_requests.FATAL_PATH}
@@ -260,17 +310,51 @@
         """Drain, deregister and start a new lifetime."""
         if self.is_leaving or self._restart is not None:
             return
+        await self._leave()
+        await asyncio.sleep(ADDRESS_REUSE_S)
+        await self.start()
+
+    async def _leave(self) -> None:
+        """Drain, deregister and end this lifetime."""
         self.is_leaving = True
         self.books.is_leaving = True
         if await self._send_report('heartbeat', 'draining'):
-            self.books.acknowledged_s = time.monotonic()
+            self._note_acknowledged()
         await asyncio.sleep(DRAIN_SERVING_S)
         while self.books.running:
             await asyncio.sleep(POLL_INTERVAL_S)
         await self._send_report('deregister', 'draining')
         self.stop()
-        await asyncio.sleep(ADDRESS_REUSE_S)
-        await self.start()
+
+    async def end_lifetime(self, form: str, for_s: float) -> bool:
+        """End this lifetime.
+
+        Parameters
+        ----------
+        form : str
+            `drain`; `dark`, to be silent first; otherwise it crashes.
+        for_s : float
+            How long it is silent or down.
+
+        Returns
+        -------
+        bool
+            False if it was ending already.
+        """
+        if self.is_leaving or self._restart is not None:
+            return False
+        if form == 'drain':
+            await self._leave()
+            return True
+        self.is_leaving = True
+        self._heartbeats.cancel()
+        if form == 'dark':
+            self.books.is_silent = True
+        else:
+            self.stop()
+        await asyncio.sleep(for_s)
+        self.stop()
+        return True
 
     async def leave_with_delayed_reports(
         self, form: str, for_s: float, seed: str
@@ -315,10 +399,20 @@
         verb = 'deregister' if form == 'deregister' else 'heartbeat'
         while time.monotonic() < end_s:
             if await self._send_report(verb, 'draining'):
-                self.books.acknowledged_s = time.monotonic()
+                self._note_acknowledged()
                 return
             await asyncio.sleep(POLL_INTERVAL_S)
 
+    def _note_acknowledged(self) -> None:
+        self.books.acknowledged_s = time.monotonic()
+        self.ledger.departures.append(
+            judges.Departure(
+                self.books.label,
+                self.daemon.name,
+                self.books.acknowledged_s,
+            )
+        )
+
     def _delay_reports(self, delays_s: list[float]) -> asyncio.Future:
         """Send the next reports that it is ready, to arrive later."""
 
@@ -409,34 +503,21 @@
             self.daemon.target_set,
             state,
             self._sequence,
-            SLOTS,
+            self.slots,
             self._started_at_ms,
             self.version,
         )
 
     async def _send(self, request: transport.Request) -> bool:
         """Send a message; return whether the daemon acknowledged it."""
-        try:
-            async with asyncio.timeout(REPORT_TIMEOUT_S):
-                connection = await transport.connect(
-                    self.daemon.address,
-                    _daemons.REPORTS_PORT,
-                    REPORT_TIMEOUT_S,
-                )
-                try:
-                    response = await connection.exchange(
-                        transport.encode_request(request), lambda _answer: True
-                    )
-                finally:
-                    connection.close()
-        except (
-            transport.ConnectFailed,
-            transport.ExchangeFailed,
-            TimeoutError,
-        ):
-            # The daemon is down or paused; the next heartbeat tries again.
-            return False
-        return response.status == 200
+        answer = await _probes.exchange(
+            self.daemon.address,
+            _daemons.REPORTS_PORT,
+            request,
+            REPORT_TIMEOUT_S,
+        )
+        # Without an answer the next heartbeat tries again.
+        return answer is not None and answer.status == 200
 
 
 def _is_closed_by_peer(stream: asyncio.Transport) -> bool:
