A caller that stops reading is not taken for a lost host

The kernel tells both apart: with a closed window all that was sent has been acknowledged, so the queue holds unsent bytes only (SIOCOUTQNSD equals SIOCOUTQ); data to a lost host stays between the two. One timer for each service looks once a second at the connections that have sent something and gives those with a closed window the operator's idle timeout, which bounds how long a caller may do nothing. The usual 4 s are back as soon as data is under way or everything is acknowledged. Without SIOCOUTQNSD nothing changes.

features/paused_callers.feature: with a pause of 6 s the answers of 1 MB and 12 MB were reset before (2 of 2), and are whole now (2 of 2). That a caller beyond the idle timeout is cut, and that 4 s are in force again after a pause, passed before and after.

--- /dev/null
+++ b/features/paused_callers.feature
@@ -0,0 +1,27 @@
+Feature: Callers that stop reading for a while
+  Data that a closed window holds back is not data that got lost.
+
+  # Guards against cutting the answer of a caller that pauses for over 4 s.
+  Scenario Outline: A caller that pauses within the idle timeout is not cut off
+    Given a service with an idle timeout of 9000 ms
+    When a caller reads a piece of <size> MB and pauses for <pause_s> s
+    And it reads the rest
+    Then it has got all of it
+
+    Examples:
+      | size | pause_s |
+      | 1    | 6       |
+      | 12   | 6       |
+
+  Scenario: A caller that pauses for longer is cut off
+    Given a service with an idle timeout of 5000 ms
+    When a caller reads a piece of 12 MB and pauses for 9 s
+    And it reads the rest
+    Then its connection was reset
+
+  # Guards against a lost host that is noticed late once its caller has paused.
+  Scenario: A caller that reads on is given 4 s again to acknowledge
+    Given a service with an idle timeout of 9000 ms
+    When a caller reads a piece of 12 MB and pauses for 2.5 s
+    And it reads the rest
+    Then its connection may leave data unacknowledged for 4 s
--- a/features/steps/idle_connection_steps.py
+++ b/features/steps/idle_connection_steps.py
@@ -40,9 +40,10 @@
     def __init__(self, idle_timeout_ms):
         super().__init__()
         self.idle_timeout_ms = idle_timeout_ms
+        self.body = b''
 
     async def answer(self, request):
-        return transport.Response(200, [], b'')
+        return transport.Response(200, [], self.body)
 
     def find_limits(self):
         return transport.CallerLimits(
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -24,6 +24,7 @@
 from sedgering.transport import _messages
 from sedgering.transport import _pacing
 from sedgering.transport import _pending
+from sedgering.transport import _send_watch
 from sedgering.transport import _sockets
 from sedgering.transport import _upgrade
 
@@ -109,6 +110,10 @@
         self.last_request_s = -math.inf
         #: Connections closed at the idle timeout since the start.
         self.expired_connections = 0
+        #: Connections whose caller may not read what is sent.
+        self.sending = _send_watch.SendWatch(
+            TCP_USER_TIMEOUT_MS, self._find_pause_ms
+        )
         self._check_timer: asyncio.TimerHandle | None = None
         self._held_timer: asyncio.TimerHandle | None = None
 
@@ -140,6 +145,10 @@
     def find_limits(self) -> CallerLimits:
         """Return the limits in force now."""
 
+    def _find_pause_ms(self) -> int:
+        """Return how long a caller may read nothing of an answer."""
+        return self.find_limits().idle_timeout_ms
+
     def add_connection(self, connection: 'ServerConnection') -> None:
         """Register a connection and start the timeout checks."""
         self.connections.add(connection)
@@ -343,6 +352,7 @@
         self._is_closing = True
         self.service.connections.discard(self)
         self.service.holding.discard(self)
+        self.service.sending.discard(self.transport)
         if self._timer is not None:
             self._timer.cancel()
         if self._half_close_probe is not None:
@@ -708,20 +718,25 @@
         self._written_bytes += len(data)
         pacer = self.service.pacer
         if pacer is None:
-            self.transport.write(data)
+            self._send(data)
         elif (
             not self._paced_writes
             and len(data) < _pacing.PACING_THRESHOLD_BYTES
         ):
-            self.transport.write(data)
+            self._send(data)
             pacer.note_small(len(data))
         else:
             paced = _pacing.PacedWrite(
-                self.transport.write, data, self._remove_paced_write
+                self._send, data, self._remove_paced_write
             )
             self._paced_writes.append(paced)
             pacer.submit(paced)
 
+    def _send(self, data: bytes | memoryview) -> None:
+        """Write response data, and watch whether the caller reads it."""
+        self.transport.write(data)
+        self.service.sending.add(self.transport, self.loop)
+
     def _remove_paced_write(self):
         """Remove the first paced response, which is completely written."""
         self._paced_writes.popleft()
--- a/sedgering/transport/_sockets.py
+++ b/sedgering/transport/_sockets.py
@@ -7,12 +7,20 @@
 import struct
 import termios
 
-__all__ = ['configure_socket', 'find_unacknowledged_bytes', 'has_unread']
+__all__ = [
+    'configure_socket',
+    'find_unacknowledged_bytes',
+    'has_closed_window',
+    'has_unread',
+    'set_user_timeout',
+]
 
 LOG = logging.getLogger(__name__)
 
 #: Unanswered TCP keep-alive probes after which the connection fails.
 KEEPALIVE_PROBES = 2
+#: Request for the bytes of the send queue that were never sent (SIOCOUTQNSD).
+UNSENT_QUEUE = 0x894B
 
 
 def configure_socket(
@@ -35,12 +43,17 @@
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, user_timeout_ms)
+    set_user_timeout(sock, user_timeout_ms)
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, keepalive_interval_s)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, keepalive_interval_s)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
+def set_user_timeout(sock: socket.socket, timeout_ms: int) -> None:
+    """Set the longest time for which sent data may stay unacknowledged."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
 def find_unacknowledged_bytes(transport: asyncio.Transport) -> int:
     """Return the bytes in the kernel that the peer has not acknowledged.
 
@@ -56,6 +69,20 @@
     return _find_queued_bytes(transport, termios.TIOCOUTQ)
 
 
+def has_closed_window(transport: asyncio.Transport) -> bool:
+    """Whether the peer has acknowledged all that was sent and takes no more.
+
+    Parameters
+    ----------
+    transport : Transport
+        Transport of a TCP connection.
+    """
+    unsent_bytes = _find_queued_bytes(transport, UNSENT_QUEUE)
+    return unsent_bytes > 0 and unsent_bytes == find_unacknowledged_bytes(
+        transport
+    )
+
+
 def has_unread(transport: asyncio.Transport) -> bool:
     """Whether data has arrived that the event loop has not read yet.
 
