A receiver that pauses amid a request is not taken for a lost host

While the window is closed the kernel's limit is 60 s: whoever began an exchange gives it up at its deadline, and closes the connection then. Data that a lost host does not acknowledge is still noticed after 2 s.

--- a/sedgering/transport/_client.py
+++ b/sedgering/transport/_client.py
@@ -13,6 +13,7 @@
 
 from sedgering.transport import _headers
 from sedgering.transport import _messages
+from sedgering.transport import _send_watch
 from sedgering.transport import _sockets
 
 __all__ = ['ClientConnection', 'ConnectFailed', 'ExchangeFailed', 'connect']
@@ -22,6 +23,11 @@
 #: TCP_USER_TIMEOUT: the connection fails when sent data stays
 #: unacknowledged for longer.
 TCP_USER_TIMEOUT_MS = 2000
+#: The same while the peer has no room; whoever began an exchange limits its
+#: time.
+PAUSED_TIMEOUT_MS = 60_000
+#: Smaller requests fit into the receive buffer of a peer that reads nothing.
+WATCHED_BYTES = 8 * 1024
 #: Idle time before the first TCP keep-alive probe, and between probes.
 KEEPALIVE_INTERVAL_S = 1
 #: Largest response body; the exchange fails when it is exceeded.
@@ -110,6 +116,8 @@
         self._skipped_responses = 0
         self._is_close_delimited = False
         self._is_head = False
+        #: Present once a large request was sent.
+        self._send_watch: _send_watch.SendWatch | None = None
 
     async def exchange(
         self,
@@ -182,6 +190,16 @@
         self.received_bytes = 0
         self._bodies_bytes = 0
         self.transport.write(data)
+        if len(data) >= WATCHED_BYTES:
+            self._watch_sending()
+
+    def _watch_sending(self) -> None:
+        """Let the peer pause before it has read the whole request."""
+        if self._send_watch is None:
+            self._send_watch = _send_watch.SendWatch(
+                TCP_USER_TIMEOUT_MS, lambda: PAUSED_TIMEOUT_MS
+            )
+        self._send_watch.add(self.transport, self.loop)
 
     def _notify_end(self) -> None:
         """Call the callback if the exchange has ended."""
@@ -298,6 +316,8 @@
     def connection_lost(self, exc):
         """Fail the exchange in progress."""
         self.is_sound = False
+        if self._send_watch is not None:
+            self._send_watch.discard(self.transport)
         self._fail(f'connection lost: {exc}')
         self._notify_end()
         # The parser refers to this connection.  Dropping it breaks the
