--- a/sedgering/transport/_send_watch.py
+++ b/sedgering/transport/_send_watch.py
@@ -1,6 +1,6 @@
-"""Tells callers that do not read from lost hosts.
+"""Tells peers that do not read from lost hosts.
 
-TCP_USER_TIMEOUT ends both alike.  The host of a caller that does not read has
+TCP_USER_TIMEOUT ends both alike.  The host of a peer that does not read has
 acknowledged all that was sent, and its window holds the rest back; data to a
 lost host stays unacknowledged.
 """
@@ -24,7 +24,7 @@
     lost_timeout_ms : int
         Longest time for which sent data may stay unacknowledged.
     find_paused_timeout_ms : callable
-        Returns how long a caller may read nothing.
+        Returns how long a peer may read nothing.
     """
 
     def __init__(
@@ -38,21 +38,25 @@
         self._extended: dict[asyncio.Transport, bool] = {}
         self._timer: asyncio.TimerHandle | None = None
 
-    def add(self, transport: asyncio.Transport) -> None:
+    def add(
+        self, transport: asyncio.Transport, loop: asyncio.AbstractEventLoop
+    ) -> None:
         """Watch a connection until all that it sends is acknowledged."""
         self._extended.setdefault(transport, False)
         if self._timer is None:
-            self._schedule()
+            self._schedule(loop)
 
     def discard(self, transport: asyncio.Transport) -> None:
-        """Stop to watch a connection."""
+        """Stop watching a connection."""
         self._extended.pop(transport, None)
+        if not self._extended and self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
 
-    def _schedule(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(CHECK_INTERVAL_S, self._check)
+    def _schedule(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._timer = loop.call_later(CHECK_INTERVAL_S, self._check, loop)
 
-    def _check(self) -> None:
+    def _check(self, loop: asyncio.AbstractEventLoop) -> None:
         self._timer = None
         for transport, was_extended in list(self._extended.items()):
             is_extended = _sockets.has_closed_window(transport)
@@ -63,7 +67,7 @@
             else:
                 del self._extended[transport]
         if self._extended:
-            self._schedule()
+            self._schedule(loop)
 
     def _set_timeout(
         self, transport: asyncio.Transport, is_extended: bool
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -739,7 +739,7 @@
     def _send(self, data: bytes | memoryview) -> None:
         """Write response data, and watch whether the caller reads it."""
         self.transport.write(data)
-        self.service.sending.add(self.transport)
+        self.service.sending.add(self.transport, self.loop)
 
     def _remove_paced_write(self):
         """Remove the first paced response, which is completely written."""
