--- a/sedgering/transport/__init__.py
+++ b/sedgering/transport/__init__.py
@@ -22,9 +22,9 @@
 from sedgering.transport._pacing import PacedWrite
 from sedgering.transport._pending import BodyMemory
 from sedgering.transport._pool import ConnectionPool
-from sedgering.transport._server import CallerLimits
 from sedgering.transport._server import serve
-from sedgering.transport._server import Service
+from sedgering.transport._service import CallerLimits
+from sedgering.transport._service import Service
 
 __all__ = [
     'BodyMemory',
--- a/sedgering/transport/_listening.py
+++ b/sedgering/transport/_listening.py
@@ -5,6 +5,7 @@
 import socket
 
 from sedgering.transport import _server
+from sedgering.transport import _service
 
 __all__ = ['stop_listening']
 
@@ -12,7 +13,7 @@
 
 
 async def stop_listening(
-    server: asyncio.AbstractServer, service: _server.Service
+    server: asyncio.AbstractServer, service: _service.Service
 ) -> None:
     """Stop listening; accept the connections that are already established.
 
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -4,16 +4,12 @@
 connection are sent in the order of its requests.
 """
 
-import abc
 import asyncio
 import collections
-from collections.abc import Coroutine
 import logging
-import math
 import socket
 
 import httptools
-import msgspec
 
 from sedgering import ports
 from sedgering.transport import _connection_use
@@ -24,11 +20,11 @@
 from sedgering.transport import _messages
 from sedgering.transport import _pacing
 from sedgering.transport import _pending
-from sedgering.transport import _send_watch
+from sedgering.transport import _service
 from sedgering.transport import _sockets
 from sedgering.transport import _upgrade
 
-__all__ = ['CallerLimits', 'Service', 'serve']
+__all__ = ['ServerConnection', 'serve']
 
 LOG = logging.getLogger(__name__)
 
@@ -38,11 +34,6 @@
 #: Unsent response data of one connection from which on no further request of
 #: it is begun, until its caller has read most of that.
 UNREAD_BYTES = 256 * 1024
-#: A caller that takes no response data for so long does not read.
-STALL_S = 0.25
-#: TCP_USER_TIMEOUT: the connection fails when sent data stays
-#: unacknowledged for longer.
-TCP_USER_TIMEOUT_MS = 4000
 #: Idle time before the first TCP keep-alive probe, and between probes.
 KEEPALIVE_INTERVAL_S = 2
 #: Largest total size of the request bodies that one process holds; beyond it,
@@ -53,8 +44,6 @@
 #: descriptor, each failed attempt is logged and repeated on its own, so that
 #: several would multiply.
 ACCEPTS = 1
-#: Time beyond the idle timeout for a request that was sent within it.
-IDLE_SLACK_MS = 1000
 #: How long a caller may take to close after its last response; also the
 #: interval at which unsent data is checked while lingering.
 LINGER_S = 1.0
@@ -68,196 +57,6 @@
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
-class CallerLimits(msgspec.Struct, frozen=True):
-    """Size and time limits for callers.
-
-    Parameters
-    ----------
-    header_bytes, body_bytes : int
-        Largest head and body of a request.
-    header_timeout_ms : int
-        Longest time from the first to the last byte of a head.
-    body_timeout_ms : int
-        Longest time without received data within a body.
-    idle_timeout_ms : int
-        Longest time without a request on a persistent connection.  A lower
-        value applies to a caller once a response has told it.
-    """
-
-    header_bytes: int = 64 * 1024
-    body_bytes: int = 64 * 1024 * 1024
-    header_timeout_ms: int = 5000
-    body_timeout_ms: int = 10_000
-    idle_timeout_ms: int = 60_000
-
-
-class Service(abc.ABC):
-    """Answers the requests of one listener."""
-
-    #: Whether responses carry ``Connection: close``.
-    is_closing = False
-    #: Whether a caller that has closed only its sending side is answered.
-    keeps_half_closed = False
-    #: Paces large responses on the link; None if that is not needed.
-    pacer: _pacing.LinkPacer | None = None
-    #: Response data held for all callers together above which connections
-    #: whose callers do not read are closed.
-    held_limit_bytes = math.inf
-
-    def __init__(self):
-        self.connections: set[ServerConnection] = set()
-        #: Connections that may hold response data.
-        self.holding: set[ServerConnection] = set()
-        #: Bytes received on all connections since the start.
-        self.received_bytes = 0
-        #: When the last request of any connection began to arrive.
-        self.last_request_s = -math.inf
-        #: Connections closed at the idle timeout since the start.
-        self.expired_connections = 0
-        #: Connections whose caller may not read what is sent.
-        self.sending = _send_watch.SendWatch(
-            TCP_USER_TIMEOUT_MS, self._find_pause_ms
-        )
-        self._check_timer: asyncio.TimerHandle | None = None
-        self._held_timer: asyncio.TimerHandle | None = None
-
-    @abc.abstractmethod
-    async def answer(
-        self, request: _messages.Request
-    ) -> _messages.Response | None:
-        """Answer one request.
-
-        The call is cancelled when the caller disconnects.
-
-        Returns
-        -------
-        Response or None
-            None closes the connection without a response.
-        """
-
-    def begin(
-        self, request: _messages.Request
-    ) -> Coroutine | _messages.Response:
-        """Return a response, or a coroutine that returns it.
-
-        A response that is available immediately needs no task, which saves
-        0.1 ms.
-        """
-        return self.answer(request)
-
-    @abc.abstractmethod
-    def find_limits(self) -> CallerLimits:
-        """Return the limits in force now."""
-
-    def _find_pause_ms(self) -> int:
-        """Return how long a caller may read nothing of an answer."""
-        return self.find_limits().idle_timeout_ms
-
-    def add_connection(self, connection: 'ServerConnection') -> None:
-        """Register a connection and start the timeout checks."""
-        self.connections.add(connection)
-        if self._check_timer is None:
-            self._schedule_check()
-
-    def _schedule_check(self) -> None:
-        """Schedule the next timeout check.
-
-        The interval is a quarter of the shorter of the two timeouts.
-        """
-        limits = self.find_limits()
-        wait_ms = min(limits.header_timeout_ms, limits.idle_timeout_ms) / 4
-        self._check_timer = asyncio.get_running_loop().call_later(
-            wait_ms / 1000, self._check_connections
-        )
-
-    def _check_connections(self) -> None:
-        """Check the timeouts of all connections.
-
-        One timer serves all connections: a daemon has some hundred, and a
-        timer for each would wake up the process far more often.
-        """
-        self._check_timer = None
-        if self.connections:
-            self._schedule_check()
-        limits = self.find_limits()
-        for connection in list(self.connections):
-            connection.check_timeouts(limits)
-
-    def count_uses(self) -> collections.Counter:
-        """Return the number of connections by their use."""
-        return collections.Counter(item.use for item in self.connections)
-
-    def awaits_request(self, now_s: float, quiet_s: float) -> bool:
-        """Whether the caller of an idle connection is likely to use it.
-
-        A caller connects in order to send a request, and may take the time
-        of a head to begin.  One that has been answered counts until no caller
-        has sent a request for some time.
-
-        Parameters
-        ----------
-        now_s : float
-            Time of the event loop.
-        quiet_s : float
-            Time without requests after which kept connections do not count.
-        """
-        header_s = self.find_limits().header_timeout_ms / 1000
-        is_quiet = now_s - self.last_request_s >= quiet_s
-        for connection in self.connections:
-            use = connection.use
-            if use is _connection_use.ConnectionUse.KEPT and not is_quiet:
-                return True
-            is_young = now_s - connection.opened_s < header_s
-            if use is _connection_use.ConnectionUse.NEW and is_young:
-                return True
-        return False
-
-    def find_load(self) -> _load.ServiceLoad:
-        """Return the pending requests and responses of all connections."""
-        load = _load.ServiceLoad()
-        for connection in self.connections:
-            connection.add_load(load)
-        return load
-
-    @property
-    def held_bytes(self) -> int:
-        """Response data that all callers together have not taken yet."""
-        return sum(connection.held_bytes for connection in self.holding)
-
-    def limit_held(self) -> None:
-        """Close connections whose callers do not read while it is too much.
-
-        The largest goes first.  A caller that reads, however slowly, keeps its
-        connection.
-        """
-        if self.held_bytes <= self.held_limit_bytes:
-            return
-        for connection in self.holding:
-            connection.note_taken()
-        stalled = [item for item in self.holding if item.is_stalled]
-        stalled.sort(key=lambda item: item.held_bytes)
-        while stalled and self.held_bytes > self.held_limit_bytes:
-            largest = stalled.pop()
-            LOG.warning(
-                'caller does not read',
-                extra={'detail': f'{largest.held_bytes} bytes held'},
-            )
-            self.holding.discard(largest)
-            largest.transport.abort()
-        if self._held_timer is None and self.held_bytes:
-            self._held_timer = asyncio.get_running_loop().call_later(
-                STALL_S, self._check_held
-            )
-
-    def _check_held(self) -> None:
-        self._held_timer = None
-        self.limit_held()
-
-    def make_error_response(self, status: int) -> _messages.Response:
-        """Make the response to a request that failed or cannot be read."""
-        return _messages.make_json_response(status, {'error': status})
-
-
 class ServerConnection(asyncio.Protocol):
     """One connection of a caller.
 
@@ -269,7 +68,9 @@
         Event loop of the connection.
     """
 
-    def __init__(self, service: Service, loop: asyncio.AbstractEventLoop):
+    def __init__(
+        self, service: _service.Service, loop: asyncio.AbstractEventLoop
+    ):
         self.service = service
         self.loop = loop
         self.transport: asyncio.Transport | None = None
@@ -335,7 +136,7 @@
         self.transport = transport
         _sockets.configure_socket(
             transport.get_extra_info('socket'),
-            TCP_USER_TIMEOUT_MS,
+            _service.TCP_USER_TIMEOUT_MS,
             KEEPALIVE_INTERVAL_S,
         )
         transport.set_write_buffer_limits(UNREAD_BYTES)
@@ -683,7 +484,7 @@
     def is_stalled(self) -> bool:
         """Whether nothing was taken for some time, as of the last look."""
         stalled_s = self.loop.time() - self._taken_since_s
-        return self._has_unsent and stalled_s >= STALL_S
+        return self._has_unsent and stalled_s >= _service.STALL_S
 
     def _note_held(self):
         """Tell the service whether this connection holds response data."""
@@ -717,7 +518,7 @@
         """Write a response behind those that are still being written."""
         if len(data) >= _pacing.PACING_THRESHOLD_BYTES:
             # The connection fails if data is unacknowledged for longer.
-            limit_s = TCP_USER_TIMEOUT_MS / 1000
+            limit_s = _service.TCP_USER_TIMEOUT_MS / 1000
             self._large_unacknowledged_until_s = self.loop.time() + limit_s
         self._written_bytes += len(data)
         pacer = self.service.pacer
@@ -881,7 +682,7 @@
 
     # Timeouts.
 
-    def check_timeouts(self, limits: CallerLimits) -> None:
+    def check_timeouts(self, limits: _service.CallerLimits) -> None:
         """Refuse the request or close the connection after a timeout."""
         if self._is_closing:
             return
@@ -889,7 +690,10 @@
         inactive_ms = (now_s - self.last_activity_s) * 1000
         if self._request is None:
             told_ms = max(limits.idle_timeout_ms, self._told_idle_ms)
-            if inactive_ms > told_ms + IDLE_SLACK_MS and self.close_idle():
+            if (
+                inactive_ms > told_ms + _service.IDLE_SLACK_MS
+                and self.close_idle()
+            ):
                 self.service.expired_connections += 1
         elif self._is_reading_head:
             age_ms = (now_s - self._request.received_s) * 1000
@@ -900,7 +704,7 @@
 
 
 async def serve(
-    service: Service,
+    service: _service.Service,
     address: str,
     port: int,
     listener: socket.socket | None = None,
