--- a/sedgering/transport/_service.py
+++ b/sedgering/transport/_service.py
@@ -129,7 +129,8 @@
         The interval is a quarter of the shorter of the two timeouts.
         """
         limits = self.find_limits()
-        wait_ms = min(limits.header_timeout_ms, limits.idle_timeout_ms) / 4
+        held_ms = limits.idle_timeout_ms + IDLE_SLACK_MS
+        wait_ms = min(limits.header_timeout_ms, held_ms) / 4
         self._check_timer = asyncio.get_running_loop().call_later(
             wait_ms / 1000, self._check_connections
         )
