The interpreter's own end no longer takes part of the grace time

After the line `ended` the interpreter waited for threads, ran exit handlers and took all modules down: 9 to 16 ms of an idle machine, and up to some hundred beside a load, in which nothing is owed and the process may be killed. The program now flushes its log and leaves the rest to the kernel.

Failed before: the scenario with a thread that goes on (the process outstays its grace time).

--- a/features/process_signals.feature
+++ b/features/process_signals.feature
@@ -36,6 +36,14 @@
     Then the process ends with status 0 within its grace time
     And the process logs "ended"
 
+  # Guards against an end that takes part of the grace time, or outstays it,
+  # after the last answer.
+  Scenario: Nothing that is not owed delays the end of a daemon
+    Given a daemon process with a thread that goes on for 60 s
+    When the process gets SIGTERM
+    Then the process ends with status 0 within its grace time
+    And the process logs "ended"
+
   Scenario: A daemon logs what it waits for after its tasks were cancelled
     Given a task that goes on for 0.2 s after it was cancelled
     Then it is logged once the other tasks of the daemon have ended
--- a/features/steps/daemon_process.py
+++ b/features/steps/daemon_process.py
@@ -26,6 +26,9 @@
 class DaemonProcess:
     """The daemon's program with its ports opened first, as deployed."""
 
+    #: Arguments of the interpreter.
+    program = '-P', '-m', 'sedgering.cli.daemon'
+
     def __init__(self, folder: pathlib.Path):
         self.address = _daemons.make_address(HOST_NUMBER)
         self.settings_path = folder / 'settings.json'
@@ -67,7 +70,7 @@
         with self.log_path.open('ab') as output:
             self.process = subprocess.Popen(
                 [
-                    *(sys.executable, '-P', '-m', 'sedgering.cli.daemon'),
+                    *(sys.executable, *self.program),
                     *(f'{self.address}:{port}' for port in ports),
                 ],
                 cwd=ROOT,
--- a/features/steps/process_signal_steps.py
+++ b/features/steps/process_signal_steps.py
@@ -17,6 +17,12 @@
 from soak import _daemons
 
 SIGNAL_INTERVAL_S = 0.001
+THREAD_PROGRAM = """
+import sys, threading, time
+from sedgering.cli import daemon
+threading.Thread(target=time.sleep, args=({},)).start()
+daemon.main(sys.argv[1:])
+"""
 DESCRIPTOR_LIMIT = 60
 IDLE_CALLERS = 100
 INCOMPLETE_REQUEST = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n'
@@ -39,6 +45,14 @@
     context.daemon.wait_log('"started"')
 
 
+@given('a daemon process with a thread that goes on for {pause:d} s')
+def step_thread(context, pause):
+    context.daemon = daemon_process.make_daemon_process(context)
+    context.daemon.program = '-P', '-c', THREAD_PROGRAM.format(pause)
+    context.daemon.start()
+    context.daemon.wait_log('"started"')
+
+
 def send_signal(context, name):
     context.signalled_s = time.monotonic()
     context.daemon.send_signal(name)
--- a/sedgering/cli/_host.py
+++ b/sedgering/cli/_host.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import logging
+import os
 import pathlib
 import sys
+from typing import NoReturn
 
 from sedgering import exceptions
 from sedgering import mesh
@@ -61,6 +63,17 @@
         receiver,
         open_ports,
     )
+    _end_process()
+
+
+def _end_process() -> NoReturn:
+    """End without the interpreter's own end, which may outstay the grace time.
+
+    All answers have been given.  Modules, threads and memory are left to the
+    kernel.
+    """
+    logging.shutdown()
+    os._exit(0)
 
 
 def end_start(
