A daemon is started by its path and receives signals sooner

Until a process has its handlers, a signal ends it with -15 or -1; SIGHUP there looks like a process that ended by itself. No port is open then, so no request is lost. Half of that time was spent by `-m`: runpy and what it imports. The compiled program runs by its path as well, and what is left is the interpreter's own start, which a program cannot shorten.

Failed before: the scenario on the deployed command (runpy, importlib.util, contextlib, collections and functools are loaded first). Now 17 of 17 scenarios of features/start.feature pass.

--- a/features/start.feature
+++ b/features/start.feature
@@ -24,6 +24,14 @@
     Then it ends with status 2 and one line with a code
     And no module was compiled by its start
 
+  # Guards against a signal that ends a process before its first instruction,
+  # which looks like a process that ended by itself.
+  Scenario: The deployed command receives signals before it loads a library
+    Given the daemon's modules, compiled twice into one folder
+    When the deployed command is started from them without its settings
+    Then it ends with status 2 and one line with a code
+    And only the interpreter's own modules are loaded before its signals
+
   Scenario: A compiled module without a source is removed
     Given the daemon's modules, compiled twice into one folder
     When a compiled module without a source is added to them
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 import time
+import tomllib
 
 from behave import given
 from behave import then
@@ -373,10 +374,15 @@
 
 @when("the daemon's program is started from them without its settings")
 def step_start_compiled(context):
+    words = '-S', '-P', '-m', 'sedgering.cli.daemon'
+    context.ended = _run_compiled(context, words)
+
+
+def _run_compiled(context, words):
     libraries = pathlib.Path(msgspec.__file__).parent.parent
     path = os.pathsep.join(map(str, (context.compiled.folder, libraries)))
-    context.ended = subprocess.run(
-        [sys.executable, '-S', '-P', '-m', 'sedgering.cli.daemon'],
+    return subprocess.run(
+        [sys.executable, *words],
         cwd=ROOT,
         env={'PYTHONPATH': path},
         capture_output=True,
@@ -384,6 +390,33 @@
     )
 
 
+@when('the deployed command is started from them without its settings')
+def step_start_deployed(context):
+    deploy = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
+    (role,) = deploy['roles'].values()
+    folder = f'{context.compiled.folder}/'
+    _interpreter, *words = role['run'].replace('target/deps/', folder).split()
+    words = [word for word in words if not word.startswith('{{')]
+    context.ended = _run_compiled(context, words)
+    context.traced = _run_compiled(context, ['-X', 'importtime', *words])
+
+
+@then("only the interpreter's own modules are loaded before its signals")
+def step_loaded_first(context):
+    lines = context.traced.stderr.splitlines()
+    loaded = [line.rpartition('|')[2].strip() for line in lines]
+    before = set(loaded[: loaded.index('sedgering.signals')])
+    assert 'encodings' in before, before
+    late = {
+        'runpy',
+        'contextlib',
+        'collections',
+        'functools',
+        'importlib.util',
+    }
+    assert not late & before, late & before
+
+
 @then('no module was compiled by its start')
 def step_none_compiled(context):
     assert context.compiled.list_files() == context.files
--- a/sedgering/cli/daemon.py
+++ b/sedgering/cli/daemon.py
@@ -1,6 +1,6 @@
 """The daemon as the platform starts it: opens ports before loading the rest.
 
-    python3 -S -m sedgering.cli.daemon [--config=FILE] [ADDRESS:PORT ...]
+    python3 -S -P sedgering/cli/daemon.pyc [--config=FILE] [ADDRESS:PORT ...]
 
 After a power failure all hosts start this program at the same time, while
 the target and all other programs of the host start too.  It therefore imports
