A leaving sedgering-proxy awaits the requests that may still come

A request that was on its way then ended without an answer; it had not run, but a caller cannot know that.

Cause: "no request is in flight" was taken for "nobody will send". The end waited for Gate.wait_idle, then stopped cheroot's server: its manager of connections closes all kept ones at once, and the listening socket was closed with its queue. The manager's idle timeout went by the wall clock: a step of it closed all kept connections.

Why this works: a loop of our own, with the interface of cheroot's manager, knows each connection: new, kept or with a request. A leaving proxy accepts what is established before it closes its port, and goes on until no request is under way, each new connection has sent one or is 5 s old, and no caller has sent anything for 1 s (those that do are told to close), at most for drain_limit_ms. Connections with input unread are answered at the end and at the idle timeout. New connections wait in the loop instead of holding a worker. The timeout goes by the monotonic clock.

--- a/sedgering/proxy/_connection.py
+++ b/sedgering/proxy/_connection.py
@@ -7,10 +7,10 @@
 through its public hooks.
 """
 
-import select
-
 from cheroot import server as cheroot_server
 
+from sedgering.proxy import _connection_loop
+
 __all__ = ['CallerConnection']
 
 #: Time for which a worker waits on its connection for the next request.
@@ -154,6 +154,11 @@
                 return True
         return False
 
+    def close(self) -> None:
+        """Close the connection; nothing more is expected on it."""
+        self.server.connections.discard(self)
+        super().close()
+
     def _answer(self) -> bool:
         try:
             return super().communicate()
@@ -172,6 +177,4 @@
     def _has_more(self) -> bool:
         if self.rfile.has_data():
             return True
-        poller = select.poll()
-        poller.register(self.socket, select.POLLIN)
-        return bool(poller.poll(LINGER_MS))
+        return _connection_loop.has_input(self.socket, LINGER_MS)
--- a/sedgering/proxy/_daemon.py
+++ b/sedgering/proxy/_daemon.py
@@ -104,15 +104,15 @@
         """Leave without cutting a request.
 
         Peers and targets' callers learn that the host is leaving while
-        it still accepts; then whatever is in flight is finished, bounded
-        by `drain_limit_ms`; then the host is gone.
+        it still accepts; then whatever is in flight or on its way is
+        finished, bounded by `drain_limit_ms`; then the host is gone.
         """
         limits = self.tables.settings.traffic
         self._set_state(peer.HostState.DRAINING)
         self.state.gate.is_leaving = True
         time.sleep(limits.drain_grace_ms / 1000)
-        if not self.state.gate.wait_idle(limits.drain_limit_ms / 1000):
-            LOG.warning('requests in flight at the drain limit')
+        if not self.data_path.finish(limits.drain_limit_ms / 1000):
+            LOG.warning('requests in flight or expected at the drain limit')
         self.data_path.stop()
         self._set_state(peer.HostState.GONE)
         # A few ticks, so that the news leaves this host.
--- a/sedgering/proxy/_data_path.py
+++ b/sedgering/proxy/_data_path.py
@@ -2,10 +2,12 @@
 
 import logging
 import threading
+import time
 
 from cheroot import server as cheroot_server
 
 from sedgering.proxy import _connection
+from sedgering.proxy import _connection_loop
 from sedgering.proxy import _exchange
 from sedgering.proxy import _shared
 from sedgering.proxy import _upstream
@@ -17,6 +19,8 @@
 
 MAX_HEADER_BYTES = 64 * 1024
 KEPT_CONNECTIONS = 1000
+#: Interval between checks while the proxy shuts down.
+CHECK_INTERVAL_S = 0.05
 
 
 class _Gateway(cheroot_server.Gateway):
@@ -37,16 +41,32 @@
             state.gate.leave()
 
 
+class _Server(cheroot_server.HTTPServer):
+    """Serves connections of its own loop."""
+
+    @property
+    def connections(self) -> _connection_loop.ConnectionLoop:
+        """The connections of callers."""
+        return self._connections
+
+    def prepare(self) -> None:
+        """Bind the port."""
+        super().prepare()
+        # cheroot has no hook for a connection manager.
+        self._connections.close()
+        self._connections = _connection_loop.ConnectionLoop(self)
+
+
 class DataPath:
     """The request side of one proxy.
 
     Parameters
     ----------
-    server : HTTPServer
+    server : _Server
         Listens for callers.
     """
 
-    def __init__(self, server: cheroot_server.HTTPServer):
+    def __init__(self, server: _Server):
         self.server = server
 
     def start(self) -> None:
@@ -56,8 +76,34 @@
             target=self.server.serve, name='data-path', daemon=True
         ).start()
 
+    def finish(self, timeout_s: float) -> bool:
+        """Stop listening; answer the requests that can still be expected.
+
+        A request may be on its way on any connection whose caller was not
+        told that it closes.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether no request is under way or expected.
+        """
+        deadline_s = time.monotonic() + timeout_s
+        connections = self.server.connections
+        connections.stop_listening()
+        while connections.expects_request():
+            if time.monotonic() >= deadline_s:
+                return False
+            time.sleep(CHECK_INTERVAL_S)
+        return True
+
     def stop(self) -> None:
-        """Stop listening and end idle connections."""
+        """Stop listening and close the connections without a request."""
+        self.server.connections.stop_listening()
         self.server.stop()
 
 
@@ -74,7 +120,7 @@
         Shared by all requests.
     """
     limits = proxy_settings.traffic
-    server = cheroot_server.HTTPServer(
+    server = _Server(
         (str(proxy_settings.address), proxy_settings.data_port),
         _Gateway,
         minthreads=limits.threads,
--- a/sedgering/proxy/_shared.py
+++ b/sedgering/proxy/_shared.py
@@ -26,7 +26,7 @@
         self.is_open = False
         self.is_leaving = False
         self._in_flight = 0
-        self._changed = threading.Condition()
+        self._lock = threading.Lock()
 
     @property
     def in_flight(self) -> int:
@@ -35,21 +35,13 @@
 
     def enter(self) -> None:
         """Count a request in."""
-        with self._changed:
+        with self._lock:
             self._in_flight += 1
 
     def leave(self) -> None:
         """Count a request out."""
-        with self._changed:
+        with self._lock:
             self._in_flight -= 1
-            self._changed.notify_all()
-
-    def wait_idle(self, timeout_s: float) -> bool:
-        """Wait until no request is in flight."""
-        with self._changed:
-            return self._changed.wait_for(
-                lambda: self._in_flight == 0, timeout_s
-            )
 
 
 class RequestState:
--- a/sedgering/settings.py
+++ b/sedgering/settings.py
@@ -186,8 +186,8 @@
     drain_grace_ms : int
         Time for which a proxy that shuts down still accepts requests.
     drain_limit_ms : int
-        Longest time for which a proxy that shuts down waits for requests in
-        flight.
+        Longest time for which a proxy that shuts down waits for requests that
+        are in flight or on their way.
     heartbeat_limit_ms : int
         Time without a heartbeat after which a target counts as leaving.
     """
