sedgering-proxy pauses its accepts when no descriptor is left

What callers saw: with no free descriptor, a sedgering-proxy tried to accept without a pause: one core was busy, each try wrote an error with a traceback, and no idle connection expired meanwhile, which is what would have freed descriptors. Callers waited in the listen queue.

Cause: the failure of accept left the loop before its look for expired connections, and the queue stays readable, so that the next turn failed at once.

Connections wait in the queue.

--- a/features/proxy_connections.feature
+++ b/features/proxy_connections.feature
@@ -35,3 +35,11 @@
     And 2 callers of the proxy that were answered
     When the wall clock jumps by an hour, and they send
     Then each caller of the proxy gets an answer
+
+  # Guards against a loop of failed accepts, in which no connection expires.
+  Scenario: A proxy has no descriptor left
+    Given a target that answers
+    And 2 callers of the proxy that were answered
+    When the proxy cannot accept a connection for 1 s
+    Then it has tried at most 4 times
+    And a caller that connected meanwhile gets an answer
--- a/features/steps/proxy_connection_steps.py
+++ b/features/steps/proxy_connection_steps.py
@@ -1,5 +1,6 @@
 """Steps for callers' connections to sedgering-proxy without a request."""
 
+import errno
 import http.client
 import socket
 import threading
@@ -30,6 +31,23 @@
 ).encode()
 
 
+class FullTable:
+    """A listening socket whose process has no descriptor left."""
+
+    def __init__(self, listener):
+        self.listener = listener
+        self.tries = 0
+
+    def accept(self):
+        """Fail as no descriptor is left."""
+        self.tries += 1
+        raise OSError(errno.EMFILE, 'Too many open files')
+
+    def __getattr__(self, name):
+        """Pass everything else on."""
+        return getattr(self.listener, name)
+
+
 def connect(context):
     caller = socket.create_connection((ADDRESS, context.requests.port))
     caller.settimeout(WAIT_S)
@@ -142,6 +160,16 @@
         context.answers = [ask(caller) for caller in context.callers]
 
 
+@when('the proxy cannot accept a connection for {span_s:g} s')
+def step_full(context, span_s):
+    server = context.requests.path.server
+    listener = server.socket
+    context.listener = server.socket = FullTable(listener)
+    context.late = connect(context)
+    time.sleep(span_s)
+    server.socket = listener
+
+
 @then('each caller of the proxy gets an answer')
 def step_each(context):
     assert context.answers
@@ -152,3 +180,13 @@
 @then('it has left within {span_s:g} s')
 def step_left(context, span_s):
     assert context.left_after_s < span_s, context.left_after_s
+
+
+@then('it has tried at most {count:d} times')
+def step_tries(context, count):
+    assert 0 < context.listener.tries <= count, context.listener.tries
+
+
+@then('a caller that connected meanwhile gets an answer')
+def step_late(context):
+    assert ask(context.late) == OK
--- a/sedgering/proxy/_connection_loop.py
+++ b/sedgering/proxy/_connection_loop.py
@@ -144,6 +144,7 @@
             if now_s >= next_check_s:
                 next_check_s = now_s + interval_s
                 self._expire(now_s)
+                self._listen_again()
 
     def _wake(self) -> None:
         os.eventfd_write(self._wakeup, 1)
@@ -164,6 +165,11 @@
             accepted, address = self.server.socket.accept()
         except BlockingIOError:
             return
+        except OSError as error:
+            # Without a free descriptor, the next try would fail at once too.
+            LOG.warning('not accepted', extra={'detail': str(error)})
+            self._selector.unregister(self.server.socket)
+            return
         self._add(accepted, address)
 
     def _add(self, accepted: socket.socket, address: tuple[str, int]) -> None:
@@ -184,7 +190,8 @@
     def _accept_all(self) -> list[tuple[socket.socket, tuple[str, int]]]:
         """Accept what waits in the queue: closing would reset it."""
         listener, self.server.socket = self.server.socket, None
-        self._selector.unregister(listener)
+        if listener in self._selector.get_map():
+            self._selector.unregister(listener)
         accepted = []
         with listener:
             try:
@@ -198,6 +205,12 @@
                 )
         return accepted
 
+    def _listen_again(self) -> None:
+        listener = self.server.socket
+        if listener is None or listener in self._selector.get_map():
+            return
+        self._selector.register(listener, selectors.EVENT_READ)
+
     def _keep(self, connection, is_new: bool) -> None:
         descriptor = connection.socket.fileno()
         item = _Idle(connection, time.monotonic(), is_new)
