--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -35,10 +35,14 @@
     records = world.list_records()
     succeeded = sum(record.status == _checks.STATUS_OK for record in records)
     faults = len(world.disturbances)
+    unanswered = sum(
+        bool(record.last_byte_s) and not (record.status or record.has_left)
+        for record in records
+    )
     crashes = len(world.ledger.ends_s)
     return violations, (
         f'{len(records)} calls, {succeeded} good, {faults} faults,'
-        f' {crashes} targets ended'
+        f' {crashes} targets ended, {unanswered} without an answer'
     )
 
 
