No connection is established between the last accept and the close

Cause: accept fails because the queue is empty, and close follows; between them the thread waits for the interpreter lock, and the kernel goes on with handshakes.

Why this works: a filter on the listening socket drops segments that start a handshake, first; those that have begun get 50 ms to end. Then nothing can join the queue while it is emptied. Who connects meanwhile is refused when its kernel asks again, 1 s later, and has sent nothing.

--- a/features/proxy_connections.feature
+++ b/features/proxy_connections.feature
@@ -21,6 +21,12 @@
     When the proxy leaves while 40 callers connect anew and pause 0.03 s
     Then each caller of the proxy gets an answer
 
+  # Guards against a reset between the last accept and the close of the port.
+  Scenario: A caller connects as the port of a leaving proxy closes
+    Given a target that answers
+    When the proxy leaves while a caller connects after its last accept
+    Then the caller is not connected
+
   # Guards against a proxy that waits for a caller which sends nothing.
   Scenario: Silent callers do not hold up the end of a proxy
     Given a target that answers
--- a/features/steps/proxy_connection_steps.py
+++ b/features/steps/proxy_connection_steps.py
@@ -31,6 +31,38 @@
 ).encode()
 
 
+class LateQueue:
+    """A listening socket to which a caller connects once it is empty."""
+
+    def __init__(self, listener):
+        self.listener = listener
+        self.outcome = None
+
+    def accept(self):
+        """Accept; connect after the last connection."""
+        try:
+            return self.listener.accept()
+        except BlockingIOError:
+            caller = socket.socket()
+            with caller:
+                caller.settimeout(TURN_S)
+                address = self.listener.getsockname()
+                self.outcome = caller.connect_ex(address)
+            raise
+
+    def __enter__(self):
+        """Use the socket."""
+        return self
+
+    def __exit__(self, *error):
+        """Close the socket."""
+        self.listener.close()
+
+    def __getattr__(self, name):
+        """Pass everything else on."""
+        return getattr(self.listener, name)
+
+
 class FullTable:
     """A listening socket whose process has no descriptor left."""
 
@@ -150,6 +182,13 @@
     context.left_after_s = time.monotonic() - started_s
 
 
+@when('the proxy leaves while a caller connects after its last accept')
+def step_late_caller(context):
+    server = context.requests.path.server
+    context.queue = server.socket = LateQueue(server.socket)
+    begin_leave(context).join()
+
+
 @when('the wall clock jumps by an hour, and they send')
 def step_jump(context):
     # Workers wait for a moment before they give a connection back.
@@ -177,6 +216,11 @@
     assert not bad, (len(bad), len(context.answers), bad[0])
 
 
+@then('the caller is not connected')
+def step_not_connected(context):
+    assert context.queue.outcome, context.queue.outcome
+
+
 @then('it has left within {span_s:g} s')
 def step_left(context, span_s):
     assert context.left_after_s < span_s, context.left_after_s
--- a/sedgering/proxy/_data_path.py
+++ b/sedgering/proxy/_data_path.py
@@ -9,6 +9,7 @@
 from sedgering.proxy import _connection
 from sedgering.proxy import _connection_loop
 from sedgering.proxy import _exchange
+from sedgering.proxy import _handshakes
 from sedgering.proxy import _shared
 from sedgering.proxy import _upstream
 from sedgering import settings
@@ -94,6 +95,9 @@
         """
         deadline_s = time.monotonic() + timeout_s
         connections = self.server.connections
+        _handshakes.refuse_handshakes(self.server.socket)
+        # For handshakes that have begun.
+        time.sleep(CHECK_INTERVAL_S)
         connections.stop_listening()
         while connections.expects_request():
             if time.monotonic() >= deadline_s:
