No connection is made to a daemon between its last accept and the close

Cause: a connection can be established after the accept that finds the queue empty and before the socket is closed, which resets it.

Why this works: the filter on the listening socket that sedgering-proxy got serves both programs now. From then on handshakes that begin are dropped, those that have begun have 50 ms, then the queue is emptied and closed. Who connects in these 50 ms is refused a second later instead of at once. All ports of a daemon stop side by side, so that an end grows by 0.1 s at most. Where the kernel takes no filter, a line says so.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -117,3 +117,8 @@
       | 1     | callers |
       | 200   | callers |
       | 20    | peers   |
+
+  # Guards against a reset between the last accept and the close of a port.
+  Scenario: No connection is made after the last accept
+    When a caller connects after the last accept of a leaving daemon
+    Then no caller is connected
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -3,12 +3,16 @@
 import asyncio
 import socket
 import time
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
+import late_queue
 import slow_reader
 
+from sedgering.transport import _listening
+
 #: Time in which a request or an answer arrives.
 PAUSE_S = 0.1
 DEADLINE_MS = 9000
@@ -379,3 +383,23 @@
     for caller in context.late_callers:
         caller.settimeout(PAUSE_S)
         assert caller.recv(4096).startswith(b'HTTP/1.1 ')
+
+
+@when('a caller connects after the last accept of a leaving daemon')
+def step_late_handshake(context):
+    duplicate = _listening._duplicate
+    context.queues = []
+
+    def duplicate_late(server):
+        queues = [late_queue.LateQueue(item) for item in duplicate(server)]
+        context.queues += queues
+        return queues
+
+    with mock.patch.object(_listening, '_duplicate', duplicate_late):
+        context.mesh.fleet.run(_end(context.mesh.first.daemon, GRACE_MS))
+
+
+@then('no caller is connected')
+def step_not_connected(context):
+    outcomes = [queue.outcome for queue in context.queues]
+    assert outcomes and all(outcomes), outcomes
--- a/features/steps/proxy_connection_steps.py
+++ b/features/steps/proxy_connection_steps.py
@@ -11,6 +11,7 @@
 from behave import given
 from behave import then
 from behave import when
+import late_queue
 from request_subject import HOST
 from request_subject import PATHS
 
@@ -31,38 +32,6 @@
 ).encode()
 
 
-class LateQueue:
-    """A listening socket to which a caller connects once it is empty."""
-
-    def __init__(self, listener):
-        self.listener = listener
-        self.outcome = None
-
-    def accept(self):
-        """Accept; connect after the last connection."""
-        try:
-            return self.listener.accept()
-        except BlockingIOError:
-            caller = socket.socket()
-            with caller:
-                caller.settimeout(TURN_S)
-                address = self.listener.getsockname()
-                self.outcome = caller.connect_ex(address)
-            raise
-
-    def __enter__(self):
-        """Use the socket."""
-        return self
-
-    def __exit__(self, *error):
-        """Close the socket."""
-        self.listener.close()
-
-    def __getattr__(self, name):
-        """Pass everything else on."""
-        return getattr(self.listener, name)
-
-
 class FullTable:
     """A listening socket whose process has no descriptor left."""
 
@@ -185,7 +154,7 @@
 @when('the proxy leaves while a caller connects after its last accept')
 def step_late_caller(context):
     server = context.requests.path.server
-    context.queue = server.socket = LateQueue(server.socket)
+    context.queue = server.socket = late_queue.LateQueue(server.socket)
     begin_leave(context).join()
 
 
--- a/sedgering/proxy/_handshakes.py
+++ b/sedgering/handshakes.py
@@ -1,6 +1,6 @@
 """Keeps a listening socket from starting new handshakes."""
 
-import ctypes
+import array
 import logging
 import socket
 import struct
@@ -36,10 +36,9 @@
     listener : socket
         Listening TCP socket.
     """
-    code = ctypes.create_string_buffer(_FILTER, len(_FILTER))
-    program = struct.pack(
-        'HP', len(_FILTER) // _INSTRUCTION.size, ctypes.addressof(code)
-    )
+    code = array.array('B', _FILTER)
+    address, size_bytes = code.buffer_info()
+    program = struct.pack('HP', size_bytes // _INSTRUCTION.size, address)
     try:
         listener.setsockopt(socket.SOL_SOCKET, ATTACH_FILTER, program)
     except OSError as error:
--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -752,8 +752,11 @@
 async def _stop_listening(
     servers: dict[transport.Service, asyncio.AbstractServer],
 ) -> None:
-    for service, server in servers.items():
-        await transport.stop_listening(server, service)
+    stopping = [
+        transport.stop_listening(server, service)
+        for service, server in servers.items()
+    ]
+    await asyncio.gather(*stopping)
 
 
 def _may_be_delayed(report: _messages.TargetReport) -> bool:
--- a/sedgering/proxy/_data_path.py
+++ b/sedgering/proxy/_data_path.py
@@ -6,10 +6,10 @@
 
 from cheroot import server as cheroot_server
 
+from sedgering import handshakes
 from sedgering.proxy import _connection
 from sedgering.proxy import _connection_loop
 from sedgering.proxy import _exchange
-from sedgering.proxy import _handshakes
 from sedgering.proxy import _shared
 from sedgering.proxy import _upstream
 from sedgering import settings
@@ -95,7 +95,7 @@
         """
         deadline_s = time.monotonic() + timeout_s
         connections = self.server.connections
-        _handshakes.refuse_handshakes(self.server.socket)
+        handshakes.refuse_handshakes(self.server.socket)
         # For handshakes that have begun.
         time.sleep(CHECK_INTERVAL_S)
         connections.stop_listening()
--- a/sedgering/transport/_listening.py
+++ b/sedgering/transport/_listening.py
@@ -4,6 +4,7 @@
 import logging
 import socket
 
+from sedgering import handshakes
 from sedgering.transport import _server
 from sedgering.transport import _service
 
@@ -11,6 +12,9 @@
 
 LOG = logging.getLogger(__name__)
 
+#: Time for handshakes that have begun.
+HANDSHAKE_S = 0.05
+
 
 async def stop_listening(
     server: asyncio.AbstractServer, service: _service.Service
@@ -27,6 +31,9 @@
     service : Service
         Answers the requests of its connections.
     """
+    for listener in server.sockets:
+        handshakes.refuse_handshakes(listener)
+    await asyncio.sleep(HANDSHAKE_S)
     listeners = _duplicate(server)
     server.close()
     loop = asyncio.get_running_loop()
