A test's event loop ends only once no task is left

Cause: as a test's loop is finished, its tasks are cancelled in one more iteration, in which a socket that still listens may accept a connection: a task that never starts. Since one connection is accepted in an iteration, so more of them wait for that one.

Only the code of tests changes.

--- a/sedgering/testing/_loops.py
+++ b/sedgering/testing/_loops.py
@@ -10,17 +10,18 @@
 
     A request that arrives in the last iteration of the loop creates a task
     that has not started.  Without one more iteration its coroutine is never
-    awaited, and Python issues a warning.
+    awaited, and Python issues a warning.  Sockets that still listen may accept
+    a connection in that iteration, too.
 
     Parameters
     ----------
     loop : AbstractEventLoop
         Stopped loop whose thread has ended.
     """
-    tasks = asyncio.all_tasks(loop)
-    for task in tasks:
-        task.cancel()
-    loop.run_until_complete(_await_all(tasks))
+    while tasks := asyncio.all_tasks(loop):
+        for task in tasks:
+            task.cancel()
+        loop.run_until_complete(_await_all(tasks))
     loop.close()
 
 
