A leaving daemon begins no work that it is known not to end

What callers saw: after SIGTERM a daemon took requests for 2.5 s of a grace time of 6 s however long their work was known to last. What was not done near the end got 504 or 502 while its target was at work, and the caller of a request that may not be repeated did not know whether it ran.

Cause: until callers should have stopped, nothing compared the time that the daemon has left with that of the work, neither at the callers' daemon nor at the target's, and what waited in the queue of the target at SIGTERM began as if the daemon stayed.

Now ServingDeadline compares both: three quarters of the recent calls of the route have to end in the time left. It is asked at the callers' daemon before each attempt (so after a wait for quota, too, and before retries), with the times of calls as this daemon saw them, the wait for a slot included; and at the target's gate for each call that enters, waits or leaves the queue. Daemons of the previous version read it as `leaving`. A request whose own time ends before the daemon does, and a route of which no call has ended, are served as before.

--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -653,6 +653,7 @@
         self.is_leaving = True
         for service in (self.outbound, *self._other_servers):
             service.is_closing = True
+        self.state.target_client.gate.review_end()
         self.state.quotas.leave()
         self._publish_last_row()
         LOG.info('leaving', extra={'detail': f'{grace_ms} ms left'})
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -113,6 +113,8 @@
         self.request_status: _request_status.RequestStatus | None = None
         #: Whether a target refused because of its rate limit.
         self.is_rate_limited = False
+        #: Whether no attempt was begun because this daemon would end first.
+        self.outlasts_daemon = False
         self.answered: _messages.CallAnswer | None = None
         self.answered_by = base.HostId('')
 
@@ -148,8 +150,7 @@
             self._set_times()
         except ValueError:
             return self._refuse(exceptions.Code.REQUEST_MALFORMED)
-        if self.state.serving.would_cut_off(self.deadline_s):
-            # The body arrived slowly, or the request was pipelined.
+        if self._would_be_cut_off():
             return self._refuse(exceptions.Code.REQUEST_LEAVING)
         if self.request_status.is_quarantined:
             return self._refuse(exceptions.Code.REQUEST_QUARANTINED)
@@ -293,7 +294,7 @@
 
     async def _run_attempts(self) -> transport.Response:
         """Start attempts and process their answers until one is final."""
-        peer = self.chooser.choose()
+        peer = self._choose()
         while True:
             if peer is not None:
                 self._start(peer)
@@ -309,6 +310,20 @@
                 return self._forward(answer)
             peer = self._choose_next(answer)
 
+    def _choose(self) -> _peers.Peer | None:
+        """Choose the target of an attempt; None if it could not end."""
+        self.outlasts_daemon = self._would_be_cut_off()
+        return None if self.outlasts_daemon else self.chooser.choose()
+
+    def _would_be_cut_off(self) -> bool:
+        """Whether this daemon is likely to end before an attempt does."""
+        return self.state.serving.would_cut_off(
+            self.deadline_s,
+            self._now_s,
+            self.state.peers.call_times,
+            self.route.name,
+        )
+
     def _start(self, peer: _peers.Peer) -> None:
         """Start an attempt at a target."""
         if not self.chooser.asked_hosts:
@@ -345,6 +360,9 @@
             self.state.peers.end_times.note(
                 self.route.name, attempt.expected_ms, elapsed_ms
             )
+            if answer.response.status < SERVER_ERROR:
+                # A target that fails at once does not work fast.
+                self.state.peers.call_times.note(self.route.name, elapsed_ms)
 
     def _note_signals(
         self, attempt: _attempt.Attempt, answer: _messages.CallAnswer
@@ -426,9 +444,11 @@
         elif answer.reason in _CLOSING_REASONS:
             peer.close(self._now_s, answer.reason)
             if answer.reason is _Reason.TARGET_UNKNOWN:
-                self.chooser.uncounted_hops += (
-                    self.chooser.uncounted_hops < UNCOUNTED_HOPS_LIMIT
-                )
+                self._uncount_hop()
+        elif answer.reason is _Reason.ENDING:
+            # Shorter work may still run there.
+            peer.shed_until_s = self._now_s + answer.retry_after_ms / 1000
+            self._uncount_hop()
         elif answer.reason is _Reason.SUSPECTED:
             # A suspect request may run on one target only: possibly this one.
             self.chooser.tried.discard(peer.row.host)
@@ -453,6 +473,12 @@
                 self._find_logged_fingerprint(),
             )
 
+    def _uncount_hop(self) -> None:
+        """Leave the last attempt out of the hops, unless many are."""
+        self.chooser.uncounted_hops += (
+            self.chooser.uncounted_hops < UNCOUNTED_HOPS_LIMIT
+        )
+
     def _learn_demand(self, peer: _peers.Peer, demand_percent: int) -> None:
         """Record the demand that a target reports."""
         now_s = self._now_s
@@ -498,7 +524,7 @@
             # Nothing reached a target, so that the next attempt counts neither
             # towards the limit of attempts nor towards the retry budget.
             return (
-                self.chooser.choose()
+                self._choose()
                 if self.chooser.shed_refusals < SHEDS_LIMIT
                 else None
             )
@@ -510,7 +536,7 @@
         """Choose the target of a retry if attempts and budget allow one."""
         if not self._may_retry():
             return None
-        peer = self.chooser.choose()
+        peer = self._choose()
         if peer is None or not self._spend_retry(has_run):
             return None
         return peer
@@ -562,6 +588,8 @@
             return self._refuse(exceptions.Code.REQUEST_UNKNOWN)
         if self.request_status.is_quarantined:
             return self._refuse(exceptions.Code.REQUEST_QUARANTINED)
+        if self.outlasts_daemon:
+            return self._refuse(exceptions.Code.REQUEST_LEAVING)
         if self.last is None:
             return self._refuse(exceptions.Code.REQUEST_NO_TARGET)
         if self.is_rate_limited and not self.chooser.shed_refusals:
--- a/sedgering/mesh/_gate.py
+++ b/sedgering/mesh/_gate.py
@@ -23,6 +23,7 @@
 from sedgering import base
 from sedgering.mesh import _demand
 from sedgering.mesh import _messages
+from sedgering.mesh import _serving
 from sedgering.mesh import _settings
 from sedgering.mesh import _work
 from sedgering import overload
@@ -175,6 +176,7 @@
     ):
         self.mesh_settings = mesh_settings
         self.now_s = now_s
+        self.serving = _serving.ServingDeadline()
         #: Maximum number of concurrent calls, as the target reports it.
         self.limit = 1
         #: Calls that the rate limit of the target allows; None without one.
@@ -304,6 +306,7 @@
         if not is_late and (can_start or ticket.may_wait):
             self._demand.note(self.work.find_mean_ms(ticket.route))
         if can_start:
+            self._check_end(ticket)
             self._occupy_slot(ticket)
             return
         wait_ms = self._estimate_wait_ms(ticket, is_late)
@@ -312,6 +315,7 @@
                 _messages.RefusalReason.BUSY,
                 int(min(wait_ms, MAX_RETRY_AFTER_MS)),
             )
+        self._check_end(ticket, wait_ms)
         if not self._can_end_in_time(ticket, is_late, wait_ms):
             raise GateRefused(
                 self._find_shed_reason(),
@@ -407,9 +411,13 @@
                 self._schedule_admission()
                 return
             waiter = heapq.heappop(self._queue)[-1]
-            if not waiter.future.done():
-                self._occupy_slot(waiter.ticket)
-                waiter.future.set_result(None)
+            if waiter.future.done():
+                continue
+            if self._would_cut_off(waiter.ticket):
+                self._refuse(waiter, _messages.RefusalReason.ENDING)
+                continue
+            self._occupy_slot(waiter.ticket)
+            waiter.future.set_result(None)
 
     def _can_start(self, ticket: Ticket, is_late: bool) -> bool:
         """Whether a call that has just arrived can start without waiting."""
@@ -451,6 +459,35 @@
 
     # Estimates of whether a call can end in time.
 
+    def review_end(self) -> None:
+        """Refuse queued calls that the end of the daemon would cut off."""
+        for waiter in [entry[-1] for entry in self._queue]:
+            wait_ms = self._estimate_wait_ms(waiter.ticket, waiter.is_late)
+            if self._would_cut_off(waiter.ticket, wait_ms):
+                self._remove(waiter)
+                self._refuse(waiter, _messages.RefusalReason.ENDING)
+
+    def _would_cut_off(self, ticket: Ticket, wait_ms: float = 0.0) -> bool:
+        """Whether the daemon is likely to end before a call does."""
+        return self.serving.would_cut_off(
+            ticket.deadline_s, self.now_s(), self.work, ticket.route, wait_ms
+        )
+
+    def _check_end(self, ticket: Ticket, wait_ms: float = 0.0) -> None:
+        """Check that a call is likely to end before the daemon does.
+
+        Raises
+        ------
+        GateRefused
+            When it is not.
+        """
+        if self._would_cut_off(ticket, wait_ms):
+            left_ms = self.serving.find_left_ms(self.now_s())
+            raise GateRefused(
+                _messages.RefusalReason.ENDING,
+                int(min(left_ms, MAX_RETRY_AFTER_MS)),
+            )
+
     def _can_end_in_time(
         self, ticket: Ticket, is_late: bool, wait_ms: float
     ) -> bool:
--- a/sedgering/mesh/_hop.py
+++ b/sedgering/mesh/_hop.py
@@ -61,6 +61,8 @@
 CRASHES = 'sedgering-crashes'
 #: Actual reason of a refusal, if the previous version does not know it.
 REASON = 'sedgering-reason'
+#: Reason of a refusal, if the previous version does not know it in `REASON`.
+LATER_REASON = 'sedgering-later-reason'
 SEPARATOR = '|'
 #: Separates crash ids, which contain no spaces.
 ID_SEPARATOR = ' '
@@ -264,6 +266,9 @@
     if reason in _EXTENDED_REASONS:
         headers.append((REASON, reason.value))
         reason = _messages.RefusalReason.SHED
+    elif reason is _messages.RefusalReason.ENDING:
+        headers.append((LATER_REASON, reason.value))
+        reason = _messages.RefusalReason.LEAVING
     outcome = (
         answer.outcome.value,
         reason.value,
@@ -310,7 +315,9 @@
     fields = (value or '').split(SEPARATOR, 4)
     try:
         outcome = _messages.CallOutcome(fields[0])
-        reason = _messages.RefusalReason(response.find(REASON) or fields[1])
+        reason = _messages.RefusalReason(
+            response.find(LATER_REASON) or response.find(REASON) or fields[1]
+        )
         retry_after_ms, reached = map(_parse_count, fields[2:4])
         detail = fields[4]
         load = _decode_load(response)
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -94,6 +94,8 @@
     TARGET_UNKNOWN = 'target unknown'
     #: The target or its host is leaving.
     LEAVING = 'leaving'
+    #: The daemon of the target ends before the call could.
+    ENDING = 'ending'
     #: The call could not have finished in time.
     SHED = 'shed'
     #: All slots are taken, and the call may not wait for one.
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -13,6 +13,7 @@
 from sedgering.mesh import _messages
 from sedgering.mesh import _settings
 from sedgering.mesh import _signal_table
+from sedgering.mesh import _work
 from sedgering import transport
 
 __all__ = ['PeerTable']
@@ -66,6 +67,8 @@
 #: Weight of the newest answer in the mean work time and answer size of a route
 #: over all targets.
 TYPICAL_WEIGHT = 0.05
+#: Quantile of the times of calls that is kept up to date.
+CALL_QUANTILE = 0.85
 #: Weight of the newest report in the mean number of calls at a target.
 USUAL_WEIGHT = 0.2
 
@@ -503,6 +506,9 @@
         self.signals = _signal_table.SignalTable()
         #: Actual against estimated durations of calls.
         self.end_times = balance.EndTimes()
+        #: Times of served calls as their sender sees them: with the wait for
+        #: a slot, over all targets.
+        self.call_times = _work.WorkTimes(CALL_QUANTILE)
         self._typical_ms: dict[base.RouteName, float] = {}
         self._answer_bytes: dict[base.RouteName, float] = {}
 
@@ -564,6 +570,7 @@
             for route in table.keys() - set(routes):
                 del table[route]
         self.end_times.retain(routes)
+        self.call_times.retain(routes)
         for peer in self._peers.values():
             peer.retain_routes(routes)
 
--- a/sedgering/mesh/_serving.py
+++ b/sedgering/mesh/_serving.py
@@ -3,8 +3,15 @@
 import asyncio
 import math
 
+from sedgering import base
+from sedgering.mesh import _work
+
 __all__ = ['ServingDeadline']
 
+#: Quantile of the recent work times of a route that has to fit into the time
+#: that the daemon has left.
+WORK_QUANTILE = 0.75
+
 
 class ServingDeadline:
     """Bounds the requests of a daemon by its own end.
@@ -24,18 +31,41 @@
         self.is_over = False
         self._limits: set[asyncio.Timeout] = set()
 
-    def would_cut_off(self, deadline_s: float) -> bool:
-        """Whether a request that is complete only now may be cut off.
+    def would_cut_off(
+        self,
+        deadline_s: float,
+        now_s: float,
+        work: _work.WorkTimes,
+        route: base.RouteName,
+        wait_ms: float = 0.0,
+    ) -> bool:
+        """Whether work that begins now is likely to be cut off by the end.
 
         A request whose own deadline is before the end of the daemon, such as
-        the call of a target that has work in flight, is served.
+        the call of a target that has work in flight, is served.  So is one of
+        a route whose work is not known, until callers should have stopped.
 
         Parameters
         ----------
-        deadline_s : float
-            Deadline of the request, as time of the event loop.
+        deadline_s, now_s : float
+            Deadline of the request and present time, of the event loop.
+        work : WorkTimes
+            Recent times of the calls of each route.
+        route : str
+            Route of the request.
+        wait_ms : float
+            Time before the work begins.
         """
-        return self.is_over and deadline_s >= self.end_s
+        if deadline_s < self.end_s:
+            return False
+        if self.is_over:
+            return True
+        work_ms = work.find_known_ms(route, WORK_QUANTILE)
+        return now_s + (wait_ms + work_ms) / 1000 > self.end_s
+
+    def find_left_ms(self, now_s: float) -> float:
+        """Return the time until the last answers; infinite until it leaves."""
+        return max(0.0, self.end_s - now_s) * 1000
 
     def limit(self, deadline_s: float) -> asyncio.Timeout:
         """Make a timeout that ends with the daemon at the latest.
--- a/sedgering/mesh/_state.py
+++ b/sedgering/mesh/_state.py
@@ -16,7 +16,6 @@
 from sedgering.mesh import _quotas
 from sedgering.mesh import _search
 from sedgering.mesh import _sender
-from sedgering.mesh import _serving
 from sedgering.mesh import _settings
 from sedgering.mesh import _start
 from sedgering.mesh import _target_client
@@ -84,7 +83,7 @@
         self.admission = overload.AdmissionController()
         self.centres = balance.CentreDemand()
         self.start = _start.StartupWait()
-        self.serving = _serving.ServingDeadline()
+        self.serving = target_client.gate.serving
         #: Returns how current the version in force is.
         self.find_freshness: Callable[[], access.Freshness] = access.Freshness
         self.workspace_counts = access.WorkspaceCounts()
--- a/sedgering/mesh/_work.py
+++ b/sedgering/mesh/_work.py
@@ -85,6 +85,22 @@
             return DEFAULT_QUANTILE_FACTOR * self.find_mean_ms(route)
         return route_work.quantile_ms
 
+    def find_known_ms(self, route: base.RouteName, quantile: float) -> float:
+        """Return a quantile of the recent calls of a route; 0 if none ended.
+
+        Parameters
+        ----------
+        route : str
+            Route of the calls.
+        quantile : float
+            From 0 to 1; the longest of a few calls stands for a high one.
+        """
+        route_work = self._routes.get(route)
+        if route_work is None:
+            return 0.0
+        ordered = sorted(route_work.samples)
+        return ordered[int(quantile * len(ordered))]
+
     def retain(self, routes: Collection[base.RouteName]) -> None:
         """Remove routes that are no longer configured."""
         for route in [name for name in self._routes if name not in routes]:
