--- a/sedgering/transport/__init__.py
+++ b/sedgering/transport/__init__.py
@@ -22,6 +22,9 @@
 from sedgering.transport._pacing import PacedWrite
 from sedgering.transport._pending import BodyMemory
 from sedgering.transport._pool import ConnectionPool
+from sedgering.transport._response_memory import make_response_memory
+from sedgering.transport._response_memory import ResponseHolder
+from sedgering.transport._response_memory import ResponseMemory
 from sedgering.transport._server import serve
 from sedgering.transport._service import CallerLimits
 from sedgering.transport._service import Service
@@ -41,6 +44,8 @@
     'PacedWrite',
     'Request',
     'Response',
+    'ResponseHolder',
+    'ResponseMemory',
     'Service',
     'ServiceLoad',
     'connect',
@@ -49,6 +54,7 @@
     'find_header',
     'make_json_response',
     'make_pacer',
+    'make_response_memory',
     'serve',
     'stop_listening',
     'strip_hop_headers',
--- /dev/null
+++ b/sedgering/transport/_response_memory.py
@@ -0,0 +1,206 @@
+"""Bounds the response data that a process holds for all requests together.
+
+Response data is held while it is received, and until the caller has taken it.
+Small responses are always received.  A larger one is read only as far as there
+is room for it; until then, flow control holds it back at its sender.  While one
+waits, what is expected to stay longest gives way: a body that does not end, a
+sender that has stopped, a caller that does not read.
+"""
+
+import abc
+import asyncio
+from collections.abc import Callable
+import logging
+
+import msgspec
+
+__all__ = ['ResponseHolder', 'ResponseMemory', 'make_response_memory']
+
+LOG = logging.getLogger(__name__)
+
+#: Responses up to this size are received without waiting for room.
+SMALL_BYTES = 64 * 1024
+#: Longest wait for room before something held has to give way; also the
+#: shortest time after which something held counts as stalled.
+PATIENCE_S = 0.25
+#: Share of the memory limit of the process.
+MEMORY_SHARE = 0.2
+#: Memory limit assumed when the settings state none: the smallest one.
+DEFAULT_MEMORY_MB = 200
+BYTES_PER_MB = 1024 * 1024
+
+
+class ResponseHolder(abc.ABC):
+    """Something that holds response data."""
+
+    @abc.abstractmethod
+    def find_drain_s(self, now_s: float) -> float:
+        """Return the expected time until nothing is held, in seconds.
+
+        Infinite if no progress was made for `PATIENCE_S`.
+
+        Parameters
+        ----------
+        now_s : float
+            Time of the event loop.
+        """
+
+    @abc.abstractmethod
+    def give_way(self) -> None:
+        """Drop what is held and close the connection."""
+
+
+class _Wait(msgspec.Struct, eq=False):
+    """A response that waits for room.
+
+    Parameters
+    ----------
+    holder : ResponseHolder
+        Holds what has been received of it.
+    size_bytes : int
+        What it will hold.
+    on_granted : callable
+        Called once there is room.
+    """
+
+    holder: ResponseHolder
+    size_bytes: int
+    on_granted: Callable[[], None]
+
+
+class ResponseMemory:
+    """Bounds the response data held by all holders together.
+
+    Parameters
+    ----------
+    limit_bytes : int
+        Largest sum, without what is granted to small responses beyond it.
+    """
+
+    def __init__(self, limit_bytes: int):
+        self.limit_bytes = limit_bytes
+        #: Sum over all holders.
+        self.used_bytes = 0
+        #: Number of times that a holder had to give way, since the start.
+        self.released_holders = 0
+        self._held: dict[ResponseHolder, int] = {}
+        self._waiting: dict[ResponseHolder, _Wait] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def is_short(self) -> bool:
+        """Whether a response waits for room."""
+        return bool(self._waiting)
+
+    def find_held(self, holder: ResponseHolder) -> int:
+        """Return the number of bytes recorded for a holder."""
+        return self._held.get(holder, 0)
+
+    def set_held(self, holder: ResponseHolder, size_bytes: int) -> None:
+        """Record what a holder holds, as a number of bytes."""
+        previous = self._held.get(holder, 0)
+        if size_bytes:
+            self._held[holder] = size_bytes
+        else:
+            self._held.pop(holder, None)
+        self.used_bytes += size_bytes - previous
+        if size_bytes < previous and self._waiting:
+            self._grant()
+
+    def request(
+        self,
+        holder: ResponseHolder,
+        size_bytes: int,
+        on_granted: Callable[[], None],
+    ) -> bool:
+        """Ask for room.
+
+        Parameters
+        ----------
+        holder : ResponseHolder
+            Will hold the response; asks once at a time.
+        size_bytes : int
+            What it will hold in all.
+        on_granted : callable
+            Called once there is room, unless there is now.
+
+        Returns
+        -------
+        bool
+            Whether there is room now.
+        """
+        if size_bytes <= SMALL_BYTES or self._has_room(holder, size_bytes):
+            self.set_held(holder, size_bytes)
+            return True
+        self._waiting[holder] = _Wait(holder, size_bytes, on_granted)
+        if self._timer is None:
+            self._schedule()
+        return False
+
+    def forget(self, holder: ResponseHolder) -> None:
+        """Drop a holder, whether it holds something or waits."""
+        self._waiting.pop(holder, None)
+        self.set_held(holder, 0)
+
+    def _has_room(self, holder: ResponseHolder, size_bytes: int) -> bool:
+        others_bytes = self.used_bytes - self._held.get(holder, 0)
+        return others_bytes + size_bytes <= self.limit_bytes
+
+    def _grant(self) -> None:
+        """Grant room to those that wait, the smallest first."""
+        for wait in sorted(self._waiting.values(), key=_find_size):
+            if not self._has_room(wait.holder, wait.size_bytes):
+                return
+            if self._waiting.pop(wait.holder, None) is not None:
+                self.set_held(wait.holder, wait.size_bytes)
+                wait.on_granted()
+
+    def _schedule(self) -> None:
+        self._timer = asyncio.get_running_loop().call_later(
+            PATIENCE_S, self._check
+        )
+
+    def _check(self) -> None:
+        """Make room for those that have waited for too long."""
+        self._timer = None
+        if not self._waiting:
+            return
+        self._schedule()
+        now_s = asyncio.get_running_loop().time()
+        candidates = [
+            (holder.find_drain_s(now_s), size_bytes, holder)
+            for holder, size_bytes in self._held.items()
+            if size_bytes > SMALL_BYTES
+        ]
+        candidates = [item for item in candidates if item[0] >= PATIENCE_S]
+        candidates.sort(key=lambda item: item[:2])
+        while candidates and self._waiting and not self._has_any_room():
+            drain_s, size_bytes, holder = candidates.pop()
+            LOG.warning(
+                'response data gives way',
+                extra={'detail': f'{size_bytes} bytes for {drain_s:.1f} s'},
+            )
+            self.released_holders += 1
+            holder.give_way()
+            self.forget(holder)
+
+    def _has_any_room(self) -> bool:
+        """Whether the smallest of those that wait has room."""
+        wait = min(self._waiting.values(), key=_find_size)
+        return self._has_room(wait.holder, wait.size_bytes)
+
+
+def _find_size(wait: _Wait) -> int:
+    return wait.size_bytes
+
+
+def make_response_memory(memory_mb: int) -> ResponseMemory:
+    """Make the bound for a process.
+
+    Parameters
+    ----------
+    memory_mb : int
+        Memory limit of the process in MB; 0 when unknown.
+    """
+    memory_bytes = (memory_mb or DEFAULT_MEMORY_MB) * BYTES_PER_MB
+    return ResponseMemory(int(memory_bytes * MEMORY_SHARE))
