--- a/sedgering/transport/_response_memory.py
+++ b/sedgering/transport/_response_memory.py
@@ -1,10 +1,10 @@
 """Bounds the response data that a process holds for all requests together.
 
-Response data is held while it is received, and until the caller has taken it.
+Response data is held while it arrives, and until the caller has taken it.
 Small responses are always received.  A larger one is read only as far as there
-is room for it; until then, flow control holds it back at its sender.  While one
-waits, what is expected to stay longest gives way: a body that does not end, a
-sender that has stopped, a caller that does not read.
+is room for it; until then, flow control holds it back at its sender.  While
+one waits, what is expected to stay longest gives way: a body that does not
+end, a sender that has stopped, a caller that does not read.
 """
 
 import abc
