The bodies of all responses together have a bound

What callers saw: with targets whose answers do not end, requests of the host and of other services got no answer at all.

Cause: each exchange kept up to 16 MB of a body, a failed one until the request ended, and nothing bounded the sum. A body of tiny chunks took a multiple of its size, as each chunk was an object.

Now a body above 64 kB is read only as far as the ResponseMemory of the daemon has room, a fifth of limits.memory_mb: for a known length all at once (above 16 MB the exchange fails at its head), otherwise in steps that double, granted so that one of them can always grow to the largest size. Without room, reading is paused. What has stalled for 0.25 s, or would take 2 s or longer, gives way to what waits. A body is one buffer, and is dropped with its exchange. A peer is not suspected where its answer gave way here.

--- a/sedgering/mesh/_daemon.py
+++ b/sedgering/mesh/_daemon.py
@@ -119,6 +119,8 @@
             identity, state.fleet, state.peers, source
         )
         self.inbound.pacer = state.target_client.answer_admission.pacer
+        for service in (self.outbound, self.inbound):
+            service.response_memory = state.response_memory
         state.target_client.link.watch(self.inbound, self.outbound)
         self.backlog = _backlog.AnswerBacklog(
             self.inbound, state.target_client.answer_admission
@@ -549,6 +551,7 @@
                     self.state, self.outbound, self.inbound, self.source.loop
                 ),
                 **self.state.quotas.find_gauges(),
+                **self.state.response_memory.find_gauges(),
             },
             self.state.workspace_counts.list_largest(),
         )
@@ -793,6 +796,7 @@
     pacer = transport.make_pacer(identity.link_mbps, loop)
     rng = random.Random()
     gate = _gate.Gate(mesh_settings, now_s)
+    response_memory = transport.make_response_memory(identity.memory_mb)
     target_client = _target_client.TargetClient(
         names,
         addresses,
@@ -802,6 +806,7 @@
         _link.LinkMeter(identity.link_mbps, now_s),
         _link_reservations.LinkReservations(identity.link_mbps, now_s),
         _answer_admission.AnswerAdmission(pacer, now_s),
+        response_memory,
     )
     decisions = _decisions.DecisionLog(
         mesh_settings.success_log_every, mesh_settings.log_lines_per_s, now_s
@@ -812,7 +817,7 @@
         mesh_settings,
         _config.ConfigHolder(mesh),
         _fleet.FleetTable(),
-        _peers.PeerTable(mesh_settings),
+        _peers.PeerTable(mesh_settings, response_memory),
         target_client,
         budget,
         decisions,
--- a/sedgering/mesh/_messages.py
+++ b/sedgering/mesh/_messages.py
@@ -191,12 +191,15 @@
         Target set of the target on the same host.
     link_mbps : float
         Bandwidth of the link of its host in Mbit/s; 0 when unknown.
+    memory_mb : int
+        Memory limit of the process in MB; 0 when unknown.
     """
 
     host: base.HostId
     data_centre: base.DataCentre
     target_set: base.TargetSetName
     link_mbps: float = 0.0
+    memory_mb: int = 0
 
 
 class Addresses(msgspec.Struct, frozen=True):
--- a/sedgering/mesh/_peers.py
+++ b/sedgering/mesh/_peers.py
@@ -495,10 +495,17 @@
     ----------
     mesh_settings : MeshSettings
         Limits.
+    response_memory : ResponseMemory or None
+        Bounds the response data of all requests together.
     """
 
-    def __init__(self, mesh_settings: _settings.MeshSettings):
+    def __init__(
+        self,
+        mesh_settings: _settings.MeshSettings,
+        response_memory: transport.ResponseMemory | None = None,
+    ):
         self.mesh_settings = mesh_settings
+        self.response_memory = response_memory
         self._peers: dict[base.HostId, Peer] = {}
         self.signals = _signal_table.SignalTable()
         #: Actual against estimated durations of calls.
@@ -599,6 +606,7 @@
             self.mesh_settings.connect_timeout_ms / 1000,
             IDLE_CONNECTIONS,
             self.mesh_settings.peer_idle_ms / 1000,
+            self.response_memory,
         )
 
     def mark_silent(self, now_s: float) -> None:
--- a/sedgering/mesh/_sender.py
+++ b/sedgering/mesh/_sender.py
@@ -190,7 +190,8 @@
     ) -> _messages.CallAnswer:
         """Make the answer of a call whose connection or response failed."""
         connection.close()
-        peer.fail(asyncio.get_running_loop().time(), str(error))
+        if not isinstance(error, transport.ResponseGaveWay):
+            peer.fail(asyncio.get_running_loop().time(), str(error))
         return _messages.CallAnswer(
             _Outcome.UNKNOWN if is_sent else _Outcome.NOT_RUN,
             reason=_Reason.CONNECTION_LOST,
--- a/sedgering/mesh/_state.py
+++ b/sedgering/mesh/_state.py
@@ -72,6 +72,9 @@
         self.config = config
         self.fleet = fleet
         self.peers = peers
+        #: Bounds the response data of all requests together; None without a
+        #: bound.
+        self.response_memory = peers.response_memory
         self.target_client = target_client
         self.crashes = target_client.crashes
         self.budget = budget
--- a/sedgering/mesh/_target_client.py
+++ b/sedgering/mesh/_target_client.py
@@ -60,6 +60,8 @@
         Reservations for large request bodies to this host.
     answer_admission : AnswerAdmission
         Admission control for large answers from this host.
+    response_memory : ResponseMemory or None
+        Bounds the response data of all requests together.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         link: _link.LinkMeter,
         link_reservations: _link_reservations.LinkReservations,
         answer_admission: _answer_admission.AnswerAdmission,
+        response_memory: transport.ResponseMemory | None = None,
     ):
         self.names = names
         self.target = target
@@ -82,6 +85,7 @@
             mesh_settings.target_connect_timeout_ms / 1000,
             gate.limit + SPARE_CONNECTIONS,
             mesh_settings.target_idle_ms / 1000,
+            response_memory,
         )
         self.gate_log = _gate_log.GateLog()
         self.link = link
--- a/sedgering/platform/_settings.py
+++ b/sedgering/platform/_settings.py
@@ -115,6 +115,7 @@
 
 class _Limits(msgspec.Struct):
     link_mbps: float = 0.0
+    memory_mb: base.Count = 0
 
 
 class _SettingsFile(msgspec.Struct):
@@ -225,6 +226,7 @@
             base.DataCentre(file.zone),
             base.TargetSetName(file.service),
             file.limits.link_mbps,
+            file.limits.memory_mb,
         ),
         addresses=mesh.Addresses(
             address=file.ip,
--- a/sedgering/testing/_mesh_fleet.py
+++ b/sedgering/testing/_mesh_fleet.py
@@ -155,6 +155,8 @@
         Whether all daemons are configured for the first start of the fleet.
     has_rollouts : bool
         Whether all daemons are configured to follow the operator's rollouts.
+    memory_mb : int
+        Memory limit of each daemon in MB; 0 if it is unknown.
     """
 
     def __init__(
@@ -163,7 +165,9 @@
         link_mbps: float = 0,
         is_first_start: bool = False,
         has_rollouts: bool = False,
+        memory_mb: int = 0,
     ):
+        self.memory_mb = memory_mb
         self.is_first_start = is_first_start
         self.has_rollouts = has_rollouts
         self.link_mbps = link_mbps
@@ -406,6 +410,7 @@
             base.DataCentre('hall'),
             base.TargetSetName(host.target_set),
             self.link_mbps,
+            self.memory_mb,
         )
         client = platform.StoreClient(
             platform.LoopCarrier(
--- a/sedgering/transport/__init__.py
+++ b/sedgering/transport/__init__.py
@@ -4,6 +4,7 @@
 from sedgering.transport._client import connect
 from sedgering.transport._client import ConnectFailed
 from sedgering.transport._client import ExchangeFailed
+from sedgering.transport._client import ResponseGaveWay
 from sedgering.transport._connection_use import ConnectionUse
 from sedgering.transport._headers import find_header
 from sedgering.transport._headers import Headers
@@ -44,6 +45,7 @@
     'PacedWrite',
     'Request',
     'Response',
+    'ResponseGaveWay',
     'ResponseHolder',
     'ResponseMemory',
     'Service',
--- a/sedgering/transport/_client.py
+++ b/sedgering/transport/_client.py
@@ -11,12 +11,20 @@
 
 import httptools
 
+from sedgering.transport import _body_room
 from sedgering.transport import _headers
 from sedgering.transport import _messages
+from sedgering.transport import _response_memory
 from sedgering.transport import _send_watch
 from sedgering.transport import _sockets
 
-__all__ = ['ClientConnection', 'ConnectFailed', 'ExchangeFailed', 'connect']
+__all__ = [
+    'ClientConnection',
+    'ConnectFailed',
+    'ExchangeFailed',
+    'ResponseGaveWay',
+    'connect',
+]
 
 LOG = logging.getLogger(__name__)
 
@@ -30,8 +38,6 @@
 WATCHED_BYTES = 8 * 1024
 #: Idle time before the first TCP keep-alive probe, and between probes.
 KEEPALIVE_INTERVAL_S = 1
-#: Largest response body; the exchange fails when it is exceeded.
-BODY_LIMIT_BYTES = 16 * 1024 * 1024
 #: Largest size of what is not body: status lines, fields, interim responses,
 #: chunk size lines, and trailers.  A body of tiny chunks has several bytes of
 #: framing for each of its own.
@@ -72,6 +78,10 @@
     """No complete response arrived; the request may have been executed."""
 
 
+class ResponseGaveWay(ExchangeFailed):
+    """The response was dropped because others waited for its room."""
+
+
 #: Receives the response, or the reason why there is none.
 ExchangeCallback = Callable[[_messages.Response | ExchangeFailed], None]
 
@@ -87,10 +97,18 @@
     ----------
     loop : AbstractEventLoop
         Event loop of the connection.
+    response_memory : ResponseMemory or None
+        Bounds the response data of all connections together; None for a peer
+        whose responses need no bound.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop):
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        response_memory: _response_memory.ResponseMemory | None = None,
+    ):
         self.loop = loop
+        self.response_memory = response_memory
         self.transport: asyncio.Transport | None = None
         #: Whether the connection may be used for another exchange.
         self.is_sound = True
@@ -109,8 +127,13 @@
             None
         )
         self._response: _messages.Response | None = None
-        self._chunks: list[bytes] = []
-        self._body_size = 0
+        #: One object for the parts of any number: a body of tiny chunks would
+        #: take a multiple of its size.
+        self._body: bytes | bytearray = b''
+        #: Present while a large body arrives.
+        self._room: _body_room.BodyRoom | None = None
+        #: Present once the head states it.
+        self._body_length: int | None = None
         #: Size of the bodies of all responses of the current exchange.
         self._bodies_bytes = 0
         self._skipped_responses = 0
@@ -208,6 +231,8 @@
             return
         on_end, self._on_end = self._on_end, None
         is_failed = isinstance(outcome, ExchangeFailed)
+        if is_failed:
+            self._drop_body()
         if is_failed or self.transport.get_write_buffer_size():
             # The response arrived before the request body was sent
             # completely: the peer would read the rest of the body as the
@@ -248,6 +273,7 @@
     def abandon(self) -> None:
         """Close immediately without calling the callback."""
         self._on_end = None
+        self._drop_body()
         self.close()
 
     @property
@@ -320,6 +346,7 @@
             self._send_watch.discard(self.transport)
         self._fail(f'connection lost: {exc}')
         self._notify_end()
+        self._drop_body()
         # The parser refers to this connection.  Dropping it breaks the
         # reference cycle, which would keep both in memory.
         self._parser = None
@@ -336,8 +363,7 @@
             self._response = None
             return
         self._response = _messages.Response(0, [])
-        self._chunks = []
-        self._body_size = 0
+        self._drop_body()
 
     def on_status(self, status):
         """Append to the reason phrase."""
@@ -364,18 +390,69 @@
         if self._is_head and response.status >= 200:
             self.is_sound = False
             self._complete()
+        elif is_framed and not is_bodiless:
+            self._note_length(response)
+
+    def _note_length(self, response: _messages.Response) -> None:
+        """Ask for room for the whole body if its length is known."""
+        length = response.find('content-length')
+        if length is None or 'transfer-encoding' in response.fields:
+            return
+        self._body_length = int(length)
+        if self._body_length > _response_memory.BODY_LIMIT_BYTES:
+            self._refuse_body()
+        elif self._body_length > _response_memory.SMALL_BYTES:
+            self._find_room(0)
 
     def on_body(self, body):
         """Add a part of the body."""
         if self._response is None:
             return
-        self._body_size += len(body)
         self._bodies_bytes += len(body)
-        if self._body_size > BODY_LIMIT_BYTES:
-            self.is_sound = False
-            self._fail('answer too large')
-            return
-        self._chunks.append(body)
+        if not self._body:
+            self._body = body
+        else:
+            if not isinstance(self._body, bytearray):
+                self._body = bytearray(self._body)
+            self._body += body
+        if len(self._body) > _response_memory.BODY_LIMIT_BYTES:
+            self._refuse_body()
+        elif len(self._body) > _response_memory.SMALL_BYTES:
+            self._find_room(len(self._body))
+
+    def _refuse_body(self) -> None:
+        self.is_sound = False
+        self._response = None
+        self._fail('answer too large')
+
+    def _find_room(self, size_bytes: int) -> None:
+        """Read on only if there is room for a body that is large."""
+        if self._room is None:
+            if self.response_memory is None:
+                return
+            self._room = _body_room.BodyRoom(
+                self.response_memory,
+                self.transport,
+                self.loop,
+                self._body_length,
+                self._give_way,
+            )
+        self._room.note_received(size_bytes)
+
+    def _give_way(self) -> None:
+        """Fail the exchange: others wait for its room."""
+        self.is_sound = False
+        self._response = None
+        if not self._is_answered():
+            self._outcome = ResponseGaveWay('gave way to other answers')
+        self._notify_end()
+
+    def _drop_body(self) -> None:
+        self._body = b''
+        self._body_length = None
+        if self._room is not None:
+            room, self._room = self._room, None
+            room.release()
 
     def on_message_complete(self):
         """Complete a response whose length is known."""
@@ -390,8 +467,8 @@
     def _complete(self):
         response = self._response
         self._response = None
-        response.body = b''.join(self._chunks)
-        self._chunks = []
+        response.body = bytes(self._body)
+        self._drop_body()
         if not self._matches_request(response):
             # A late response to an earlier request; the expected one may
             # follow.
@@ -447,7 +524,10 @@
 
 
 async def connect(
-    address: str, port: int, timeout_s: float
+    address: str,
+    port: int,
+    timeout_s: float,
+    response_memory: _response_memory.ResponseMemory | None = None,
 ) -> ClientConnection:
     """Open a connection.
 
@@ -457,6 +537,8 @@
         Where to connect.
     timeout_s : float
         Longest time to establish the connection, in seconds.
+    response_memory : ResponseMemory or None
+        As in :class:`ClientConnection`.
 
     Raises
     ------
@@ -470,7 +552,7 @@
         # for each call.
         async with asyncio.timeout(timeout_s):
             _transport, connection = await loop.create_connection(
-                lambda: ClientConnection(loop), address, port
+                lambda: ClientConnection(loop, response_memory), address, port
             )
     except (OSError, TimeoutError) as error:
         detail = f'{address}:{port}: {type(error).__name__}: {error}'
--- a/sedgering/transport/_pool.py
+++ b/sedgering/transport/_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from sedgering.transport import _client
+from sedgering.transport import _response_memory
 
 __all__ = ['ConnectionPool']
 
@@ -21,6 +22,8 @@
     idle_s : float
         Longest idle time, in seconds, after which a connection is reused,
         unless the peer announces a shorter one.
+    response_memory : ResponseMemory or None
+        Bounds the response data of all connections together.
     """
 
     def __init__(
@@ -30,12 +33,14 @@
         connect_timeout_s: float,
         idle_limit: int,
         idle_s: float,
+        response_memory: _response_memory.ResponseMemory | None = None,
     ):
         self.address = address
         self.port = port
         self.connect_timeout_s = connect_timeout_s
         self.idle_limit = idle_limit
         self.idle_s = idle_s
+        self.response_memory = response_memory
         self._idle: list[tuple[float, _client.ClientConnection]] = []
         self._is_retired = False
 
@@ -86,7 +91,10 @@
             If it cannot be established.
         """
         return await _client.connect(
-            self.address, self.port, self.connect_timeout_s
+            self.address,
+            self.port,
+            self.connect_timeout_s,
+            self.response_memory,
         )
 
     def put(self, connection: _client.ClientConnection) -> None:
--- a/sedgering/transport/_response_memory.py
+++ b/sedgering/transport/_response_memory.py
@@ -5,6 +5,10 @@
 is room for it; until then, flow control holds it back at its sender.  While
 one waits, what is expected to stay longest gives way: a body that does not
 end, a sender that has stopped, a caller that does not read.
+
+Responses of unknown length ask for room as they grow.  As with the banker's
+algorithm, room is granted to them only if one of them can still grow to the
+largest size, so that they do not wait for each other for ever.
 """
 
 import abc
@@ -23,6 +27,11 @@
 #: Longest wait for room before something held has to give way; also the
 #: shortest time after which something held counts as stalled.
 PATIENCE_S = 0.25
+#: Expected time from which on something held gives way although it makes
+#: progress.
+LONG_DRAIN_S = 2.0
+#: Largest body of a response.
+BODY_LIMIT_BYTES = 16 * 1024 * 1024
 #: Share of the memory limit of the process.
 MEMORY_SHARE = 0.2
 #: Memory limit assumed when the settings state none: the smallest one.
@@ -61,11 +70,14 @@
         What it will hold.
     on_granted : callable
         Called once there is room.
+    is_growing : bool
+        Whether it may ask for more.
     """
 
     holder: ResponseHolder
     size_bytes: int
     on_granted: Callable[[], None]
+    is_growing: bool
 
 
 class ResponseMemory:
@@ -84,6 +96,8 @@
         #: Number of times that a holder had to give way, since the start.
         self.released_holders = 0
         self._held: dict[ResponseHolder, int] = {}
+        #: Those whose length is unknown.
+        self._growing: set[ResponseHolder] = set()
         self._waiting: dict[ResponseHolder, _Wait] = {}
         self._timer: asyncio.TimerHandle | None = None
 
@@ -92,6 +106,14 @@
         """Whether a response waits for room."""
         return bool(self._waiting)
 
+    def find_gauges(self) -> dict[str, int]:
+        """Return gauges for the metrics."""
+        return {
+            'response_bytes': self.used_bytes,
+            'responses_waiting': len(self._waiting),
+            'responses_given_way': self.released_holders,
+        }
+
     def find_held(self, holder: ResponseHolder) -> int:
         """Return the number of bytes recorded for a holder."""
         return self._held.get(holder, 0)
@@ -104,7 +126,7 @@
         else:
             self._held.pop(holder, None)
         self.used_bytes += size_bytes - previous
-        if size_bytes < previous and self._waiting:
+        if size_bytes < previous:
             self._grant()
 
     def request(
@@ -112,6 +134,7 @@
         holder: ResponseHolder,
         size_bytes: int,
         on_granted: Callable[[], None],
+        is_growing: bool = False,
     ) -> bool:
         """Ask for room.
 
@@ -123,16 +146,21 @@
             What it will hold in all.
         on_granted : callable
             Called once there is room, unless there is now.
+        is_growing : bool
+            Whether its length is unknown, so that it may ask for more.
 
         Returns
         -------
         bool
             Whether there is room now.
         """
-        if size_bytes <= SMALL_BYTES or self._has_room(holder, size_bytes):
+        wait = _Wait(holder, size_bytes, on_granted, is_growing)
+        if is_growing:
+            self._growing.add(holder)
+        if size_bytes <= SMALL_BYTES or self._may_grant(wait):
             self.set_held(holder, size_bytes)
             return True
-        self._waiting[holder] = _Wait(holder, size_bytes, on_granted)
+        self._waiting[holder] = wait
         if self._timer is None:
             self._schedule()
         return False
@@ -140,21 +168,48 @@
     def forget(self, holder: ResponseHolder) -> None:
         """Drop a holder, whether it holds something or waits."""
         self._waiting.pop(holder, None)
-        self.set_held(holder, 0)
-
-    def _has_room(self, holder: ResponseHolder, size_bytes: int) -> bool:
-        others_bytes = self.used_bytes - self._held.get(holder, 0)
-        return others_bytes + size_bytes <= self.limit_bytes
+        self._growing.discard(holder)
+        self.used_bytes -= self._held.pop(holder, 0)
+        self._grant()
+
+    def _may_grant(self, wait: _Wait) -> bool:
+        held_bytes = self._held.get(wait.holder, 0)
+        others_bytes = self.used_bytes - held_bytes
+        if not others_bytes:
+            # Whatever the limit, one response passes.
+            return True
+        free_bytes = self.limit_bytes - others_bytes - wait.size_bytes
+        if not wait.is_growing:
+            return free_bytes >= 0
+        largest_bytes = max(self.find_held(item) for item in self._growing)
+        if held_bytes < largest_bytes and self._has_known_waiting():
+            return False
+        most_bytes = max(largest_bytes, wait.size_bytes)
+        return free_bytes >= BODY_LIMIT_BYTES - most_bytes
+
+    def _has_known_waiting(self) -> bool:
+        """Whether a response of known length waits."""
+        return any(not wait.is_growing for wait in self._waiting.values())
 
     def _grant(self) -> None:
-        """Grant room to those that wait, the smallest first."""
-        for wait in sorted(self._waiting.values(), key=_find_size):
-            if not self._has_room(wait.holder, wait.size_bytes):
-                return
-            if self._waiting.pop(wait.holder, None) is not None:
+        """Grant room to those that wait, those of known length first.
+
+        Of these the smallest comes first, of the others the largest.
+        """
+        if not self._waiting:
+            return
+        for wait in sorted(self._waiting.values(), key=self._find_turn):
+            is_waiting = self._waiting.get(wait.holder) is wait
+            if is_waiting and self._may_grant(wait):
+                del self._waiting[wait.holder]
                 self.set_held(wait.holder, wait.size_bytes)
                 wait.on_granted()
 
+    def _find_turn(self, wait: _Wait) -> tuple[bool, int]:
+        if wait.is_growing:
+            return True, -self.find_held(wait.holder)
+        return False, wait.size_bytes
+
     def _schedule(self) -> None:
         self._timer = asyncio.get_running_loop().call_later(
             PATIENCE_S, self._check
@@ -166,32 +221,37 @@
         if not self._waiting:
             return
         self._schedule()
+        before, used_bytes = self.released_holders, self.used_bytes
+        for _drain_s, _size_bytes, holder in self._list_long_held():
+            if not self._waiting or self._may_grant_any():
+                break
+            if holder in self._held:
+                self.released_holders += 1
+                holder.give_way()
+                self.forget(holder)
+        released = self.released_holders - before
+        if released:
+            LOG.warning(
+                'responses give way',
+                extra={'detail': f'{released}, {used_bytes} bytes were held'},
+            )
+
+    def _list_long_held(self) -> list[tuple[float, int, ResponseHolder]]:
+        """Return what stays for long: times, sizes and holders.
+
+        What is expected to stay longest comes first.
+        """
         now_s = asyncio.get_running_loop().time()
-        candidates = [
+        items = [
             (holder.find_drain_s(now_s), size_bytes, holder)
             for holder, size_bytes in self._held.items()
             if size_bytes > SMALL_BYTES
         ]
-        candidates = [item for item in candidates if item[0] >= PATIENCE_S]
-        candidates.sort(key=lambda item: item[:2])
-        while candidates and self._waiting and not self._has_any_room():
-            drain_s, size_bytes, holder = candidates.pop()
-            LOG.warning(
-                'response data gives way',
-                extra={'detail': f'{size_bytes} bytes for {drain_s:.1f} s'},
-            )
-            self.released_holders += 1
-            holder.give_way()
-            self.forget(holder)
-
-    def _has_any_room(self) -> bool:
-        """Whether the smallest of those that wait has room."""
-        wait = min(self._waiting.values(), key=_find_size)
-        return self._has_room(wait.holder, wait.size_bytes)
-
+        items = [item for item in items if item[0] >= LONG_DRAIN_S]
+        return sorted(items, key=lambda item: item[:2], reverse=True)
 
-def _find_size(wait: _Wait) -> int:
-    return wait.size_bytes
+    def _may_grant_any(self) -> bool:
+        return any(self._may_grant(wait) for wait in self._waiting.values())
 
 
 def make_response_memory(memory_mb: int) -> ResponseMemory:
