--- a/features/steps/body_room_steps.py
+++ b/features/steps/body_room_steps.py
@@ -6,6 +6,7 @@
 from behave import then
 from behave import when
 
+from sedgering import platform
 from sedgering import testing
 from sedgering import transport
 
@@ -201,7 +202,19 @@
 
 @given('a daemon whose settings allow {memory:d} MB')
 def step_daemon(context, memory):
-    context.fleet = testing.MeshFleet(memory_mb=memory)
+    names = 'callers', 'readiness', 'reports', 'peers', 'target', 'store'
+    data = testing.make_daemon_settings(
+        'front',
+        'hall',
+        'calendar',
+        ADDRESS,
+        dict.fromkeys(names, 1),
+        0,
+        False,
+        memory,
+    )
+    identity = platform.decode_settings(data).identity
+    context.fleet = testing.MeshFleet(memory_mb=identity.memory_mb)
     context.cleanups.append(context.fleet.stop)
     context.front = context.fleet.add_host('front')
 
