Memory of large bodies goes back to the system with them

Cause: bodies that failed at 16 MB left pieces in the allocator's heap that the next ones did not fit into, so that the process held more than twice the bound of 60 MB.

A body above 256 kB now has a private anonymous mapping, which grows without a copy and is gone once the body is.

--- a/sedgering/transport/_client.py
+++ b/sedgering/transport/_client.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from sedgering.transport import _body_buffer
 from sedgering.transport import _body_room
 from sedgering.transport import _headers
 from sedgering.transport import _messages
@@ -127,9 +128,7 @@
             None
         )
         self._response: _messages.Response | None = None
-        #: One object for the parts of any number: a body of tiny chunks would
-        #: take a multiple of its size.
-        self._body: bytes | bytearray = b''
+        self._body = _body_buffer.BodyBuffer()
         #: Present while a large body arrives.
         self._room: _body_room.BodyRoom | None = None
         #: Present once the head states it.
@@ -409,16 +408,13 @@
         if self._response is None:
             return
         self._bodies_bytes += len(body)
-        if not self._body:
-            self._body = body
-        else:
-            if not isinstance(self._body, bytearray):
-                self._body = bytearray(self._body)
-            self._body += body
-        if len(self._body) > _response_memory.BODY_LIMIT_BYTES:
+        size_bytes = len(self._body) + len(body)
+        if size_bytes > _response_memory.BODY_LIMIT_BYTES:
             self._refuse_body()
-        elif len(self._body) > _response_memory.SMALL_BYTES:
-            self._find_room(len(self._body))
+            return
+        self._body.add(body)
+        if size_bytes > _response_memory.SMALL_BYTES:
+            self._find_room(size_bytes)
 
     def _refuse_body(self) -> None:
         self.is_sound = False
@@ -448,7 +444,7 @@
         self._notify_end()
 
     def _drop_body(self) -> None:
-        self._body = b''
+        self._body.clear()
         self._body_length = None
         if self._room is not None:
             room, self._room = self._room, None
@@ -467,7 +463,7 @@
     def _complete(self):
         response = self._response
         self._response = None
-        response.body = bytes(self._body)
+        response.body = self._body.take()
         self._drop_body()
         if not self._matches_request(response):
             # A late response to an earlier request; the expected one may
