--- a/sedgering/transport/__init__.py
+++ b/sedgering/transport/__init__.py
@@ -4,6 +4,7 @@
 from sedgering.transport._client import connect
 from sedgering.transport._client import ConnectFailed
 from sedgering.transport._client import ExchangeFailed
+from sedgering.transport._client import ResponseGaveWay
 from sedgering.transport._connection_use import ConnectionUse
 from sedgering.transport._headers import find_header
 from sedgering.transport._headers import Headers
@@ -22,6 +23,9 @@
 from sedgering.transport._pacing import PacedWrite
 from sedgering.transport._pending import BodyMemory
 from sedgering.transport._pool import ConnectionPool
+from sedgering.transport._response_memory import make_response_memory
+from sedgering.transport._response_memory import ResponseHolder
+from sedgering.transport._response_memory import ResponseMemory
 from sedgering.transport._server import serve
 from sedgering.transport._service import CallerLimits
 from sedgering.transport._service import Service
@@ -41,6 +45,9 @@
     'PacedWrite',
     'Request',
     'Response',
+    'ResponseGaveWay',
+    'ResponseHolder',
+    'ResponseMemory',
     'Service',
     'ServiceLoad',
     'connect',
@@ -49,6 +56,7 @@
     'find_header',
     'make_json_response',
     'make_pacer',
+    'make_response_memory',
     'serve',
     'stop_listening',
     'strip_hop_headers',
