Responses are sent in pieces, and who reads slowest gives way

What callers saw: six callers that read nothing of 12 MB answers made the daemon refuse every new request of its host (5020); forty of them made it grow by some 400 MB.

Cause: a response was copied behind its head, and again by the transport, which keeps what the kernel does not take. Above 32 MB of such data every request was refused, whoever made it and however small its answer; only above 64 MB a connection was closed, and a caller that read some bytes a second never was.

Now a connection passes a response on in pieces of 64 kB as its caller takes them (transport/_sending.py, moved out of _server.py), so that the body exists once. Each connection is a holder of the memory of the responses of all requests: with the rate at which its caller took data lately it tells when it will hold nothing. What stays longest is closed once room is short, also if nobody waits but responses that had arrived already exceed the limit (ResponseMemory.limit_sum). A request is refused only without room, and only if the usual answer of its route is large.

An interim response (100 Continue) stays behind what is still being sent. A cancelled paced write keeps no view of its response any more.

features/steps/unread_steps.py: the services are given a ResponseMemory of the same limit in place of held_limit_bytes, which no longer exists; the mesh one gets the memory of the smallest limit, 40 MB, until the daemon wires its own. No assertion changed.

--- a/features/steps/unread_steps.py
+++ b/features/steps/unread_steps.py
@@ -30,6 +30,7 @@
         route = {'timeout': f'{TIMEOUT_MS}ms'}
         self.fleet.configure(testing.make_document(1, [route]))
         self.fleet.wait_ready()
+        self.outbound.response_memory = transport.make_response_memory(0)
         self.callers: list[slow_reader.SlowReader] = []
         self.most_held_bytes = 0
         self.most_at_once = 0
@@ -126,7 +127,7 @@
 
     def __init__(self, limit_bytes: int):
         super().__init__()
-        self.held_limit_bytes = limit_bytes
+        self.response_memory = transport.ResponseMemory(limit_bytes)
         self.body = b''
         self.is_open = asyncio.Event()
 
--- a/sedgering/mesh/_outbound.py
+++ b/sedgering/mesh/_outbound.py
@@ -3,6 +3,7 @@
 from collections.abc import Coroutine
 
 from sedgering import base
+from sedgering import bundle as bundles
 from sedgering import exceptions
 from sedgering.mesh import _exchange
 from sedgering.mesh import _pause
@@ -12,12 +13,6 @@
 
 __all__ = ['OutboundService']
 
-#: Response data held for callers above which new requests are refused, and
-#: above which connections whose callers do not read are closed.  With the
-#: bodies of requests that is half of the smallest memory limit, 200 MB.
-REFUSE_HELD_BYTES = 32 * 1024 * 1024
-CLOSE_HELD_BYTES = 64 * 1024 * 1024
-
 
 class OutboundService(transport.Service):
     """Answers the callers of this host.
@@ -31,7 +26,6 @@
     """
 
     keeps_half_closed = True
-    held_limit_bytes = CLOSE_HELD_BYTES
 
     def __init__(
         self, state: _state.RequestState, pause: _pause.PauseDetector
@@ -49,10 +43,23 @@
     def begin(
         self, request: transport.Request
     ) -> Coroutine | transport.Response:
-        """Refuse a request while callers leave too many answers unread."""
-        if self.holding and self.held_bytes > REFUSE_HELD_BYTES:
-            return self._refuse_unread(request)
-        return self.answer(request)
+        """Refuse a request whose answer there is no room for."""
+        memory = self.response_memory
+        if memory is None or memory.has_room:
+            return self.answer(request)
+        if memory.may_hold(self._find_usual_bytes(request)):
+            return self.answer(request)
+        return self._refuse_unread(request)
+
+    def _find_usual_bytes(self, request: transport.Request) -> float:
+        """Return the usual size of an answer; 0 when unknown."""
+        snapshot = self.state.config.snapshot
+        if snapshot is None:
+            return 0.0
+        route = bundles.find_route(snapshot, _make_head(request))
+        if route is None:
+            return 0.0
+        return self.state.peers.typical_answer_bytes(route.name)
 
     def _refuse_unread(self, request: transport.Request) -> transport.Response:
         code = exceptions.Code.REQUEST_UNREAD
@@ -75,3 +82,14 @@
             return await exchange.run()
         finally:
             self.in_flight.discard(exchange)
+
+
+def _make_head(request: transport.Request) -> bundles.RequestHead:
+    """Make what a route is found by."""
+    host = request.find('host') or ''
+    return bundles.RequestHead(
+        request.method,
+        host.partition(':')[0].lower(),
+        request.url.partition('?')[0],
+        {},
+    )
--- a/sedgering/transport/_messages.py
+++ b/sedgering/transport/_messages.py
@@ -8,6 +8,7 @@
 from sedgering.transport import _headers
 
 __all__ = [
+    'EncodedResponse',
     'Request',
     'Response',
     'encode_request',
@@ -15,6 +16,9 @@
     'make_json_response',
 ]
 
+#: Larger bodies are not copied behind the head.
+JOINED_BYTES = 8 * 1024
+
 _REASON_PHRASES = {int(item): item.phrase for item in http.HTTPStatus}
 
 
@@ -95,6 +99,26 @@
         return self.fields.get(name)
 
 
+class EncodedResponse(msgspec.Struct):
+    """A response as it is sent.
+
+    Parameters
+    ----------
+    head : bytes
+        Head, with a small body behind it.
+    body : bytes
+        A large body; empty otherwise.
+    """
+
+    head: bytes
+    body: bytes = b''
+
+    @property
+    def size_bytes(self) -> int:
+        """Size of head and body."""
+        return len(self.head) + len(self.body)
+
+
 def encode_request(
     request: Request, headers: _headers.Headers | None = None
 ) -> bytes:
@@ -119,7 +143,7 @@
 
 def encode_response(
     response: Response, connection: str, is_head: bool = False
-) -> bytes:
+) -> EncodedResponse:
     """Encode a response with the Content-Length of its body.
 
     Parameters
@@ -140,7 +164,11 @@
         lines.append(f'Content-Length: {len(response.body)}')
     lines.append('\r\n')
     head = '\r\n'.join(lines).encode('latin-1')
-    return head if is_head or not has_body else head + response.body
+    if is_head or not has_body:
+        return EncodedResponse(head)
+    if len(response.body) <= JOINED_BYTES:
+        return EncodedResponse(head + response.body)
+    return EncodedResponse(head, response.body)
 
 
 def make_json_response(status: int, value: object) -> Response:
--- a/sedgering/transport/_pacing.py
+++ b/sedgering/transport/_pacing.py
@@ -35,9 +35,11 @@
     write : callable
         Called with each piece.
     data : bytes
-        Encoded response.
+        Encoded response, or its body.
     on_end : callable
         Called once everything is written.
+    head : bytes
+        Written before the first piece, and together with it.
     """
 
     def __init__(
@@ -45,20 +47,27 @@
         write: Callable[[memoryview], None],
         data: bytes,
         on_end: Callable[[], None],
+        head: bytes = b'',
     ):
         self.write = write
         self.remaining = memoryview(data)
         self.on_end = on_end
+        self._head = head
 
     def cancel(self) -> None:
         """Stop writing; `on_end` is not called."""
-        self.remaining = self.remaining[:0]
+        self._head = b''
+        # A view of the data would keep all of it.
+        self.remaining = memoryview(b'')
         self.on_end = _do_nothing
 
     def write_piece(self) -> int:
         """Write the next piece and return its size in bytes."""
         piece = self.remaining[:PIECE_BYTES]
         self.remaining = self.remaining[PIECE_BYTES:]
+        head, self._head = self._head, b''
+        if head:
+            piece = memoryview(head + piece)
         self.write(piece)
         return len(piece)
 
--- a/sedgering/transport/_pending.py
+++ b/sedgering/transport/_pending.py
@@ -21,16 +21,16 @@
     __slots__ = (
         'coroutine',
         'body_bytes',
-        'data',
         'is_head',
         'must_close',
         'received_s',
         'request',
+        'response',
         'task',
     )
 
     def __init__(self):
-        self.data: bytes | None = None
+        self.response: _messages.EncodedResponse | None = None
         self.is_head = False
         self.must_close = False
         self.received_s = math.inf
--- a/sedgering/transport/_response_memory.py
+++ b/sedgering/transport/_response_memory.py
@@ -23,6 +23,9 @@
 #: Longest wait for room before something held has to give way; also the
 #: shortest time after which something held counts as stalled.
 PATIENCE_S = 0.25
+#: Expected time from which on something held gives way although it makes
+#: progress.
+LONG_DRAIN_S = 2.0
 #: Share of the memory limit of the process.
 MEMORY_SHARE = 0.2
 #: Memory limit assumed when the settings state none: the smallest one.
@@ -137,6 +140,27 @@
             self._schedule()
         return False
 
+    def limit_sum(self) -> None:
+        """Make room soon if more is held than the limit.
+
+        Who takes over what has arrived already does not wait for room.
+        """
+        if self._is_exceeded and self._timer is None:
+            self._schedule()
+
+    @property
+    def has_room(self) -> bool:
+        """Whether nothing waits, and no more is held than the limit."""
+        return not self._waiting and not self._is_exceeded
+
+    def may_hold(self, size_bytes: float) -> bool:
+        """Whether a response of this size would not have to wait now."""
+        return self.has_room or size_bytes <= SMALL_BYTES
+
+    @property
+    def _is_exceeded(self) -> bool:
+        return self.used_bytes > self.limit_bytes
+
     def forget(self, holder: ResponseHolder) -> None:
         """Drop a holder, whether it holds something or waits."""
         self._waiting.pop(holder, None)
@@ -163,7 +187,7 @@
     def _check(self) -> None:
         """Make room for those that have waited for too long."""
         self._timer = None
-        if not self._waiting:
+        if self.has_room:
             return
         self._schedule()
         now_s = asyncio.get_running_loop().time()
@@ -172,9 +196,9 @@
             for holder, size_bytes in self._held.items()
             if size_bytes > SMALL_BYTES
         ]
-        candidates = [item for item in candidates if item[0] >= PATIENCE_S]
+        candidates = [item for item in candidates if item[0] >= LONG_DRAIN_S]
         candidates.sort(key=lambda item: item[:2])
-        while candidates and self._waiting and not self._has_any_room():
+        while candidates and self._needs_room():
             drain_s, size_bytes, holder = candidates.pop()
             LOG.warning(
                 'response data gives way',
@@ -184,6 +208,11 @@
             holder.give_way()
             self.forget(holder)
 
+    def _needs_room(self) -> bool:
+        if self._is_exceeded:
+            return True
+        return self.is_short and not self._has_any_room()
+
     def _has_any_room(self) -> bool:
         """Whether the smallest of those that wait has room."""
         wait = min(self._waiting.values(), key=_find_size)
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -16,10 +16,9 @@
 from sedgering.transport import _framing
 from sedgering.transport import _half_close
 from sedgering.transport import _headers
-from sedgering.transport import _load
 from sedgering.transport import _messages
-from sedgering.transport import _pacing
 from sedgering.transport import _pending
+from sedgering.transport import _sending
 from sedgering.transport import _service
 from sedgering.transport import _sockets
 from sedgering.transport import _upgrade
@@ -31,9 +30,6 @@
 #: Pipelined requests of one connection that are answered concurrently.
 #: Reading pauses at this number; callers rarely pipeline more than a few.
 PIPELINE_DEPTH = 16
-#: Unsent response data of one connection from which on no further request of
-#: it is begun, until its caller has read most of that.
-UNREAD_BYTES = 256 * 1024
 #: Idle time before the first TCP keep-alive probe, and between probes.
 KEEPALIVE_INTERVAL_S = 2
 #: Largest total size of the request bodies that one process holds; beyond it,
@@ -57,7 +53,7 @@
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(_sending.SendingConnection):
     """One connection of a caller.
 
     Parameters
@@ -71,27 +67,13 @@
     def __init__(
         self, service: _service.Service, loop: asyncio.AbstractEventLoop
     ):
-        self.service = service
-        self.loop = loop
-        self.transport: asyncio.Transport | None = None
-        self.pending: collections.deque[_pending.PendingRequest] = (
-            collections.deque()
-        )
+        super().__init__(service, loop)
         #: Those at the end of `pending` that have not been begun.
         self._waiting: collections.deque[_pending.PendingRequest] = (
             collections.deque()
         )
-        #: Size of the responses that wait for an earlier one.
-        self._ready_bytes = 0
         self._is_beginning = False
-        self._is_write_paused = False
-        #: Response data written so far, how much of it the kernel had taken
-        #: at the last look, and since when.
-        self._written_bytes = 0
-        self._taken_bytes = 0
-        self._taken_since_s = loop.time()
         self.opened_s = loop.time()
-        self.last_activity_s = self.opened_s
         #: The idle timeout that the caller may rely on.
         self._told_idle_ms = service.find_limits().idle_timeout_ms
         self._parser = httptools.HttpRequestParser(self)
@@ -120,44 +102,23 @@
         self._half_close_probe: _half_close.HalfCloseProbe | None = None
         #: Present while reading is paused.
         self._pause_probe: _half_close.HalfCloseProbe | None = None
-        #: Time until which a large response may be unacknowledged.  Finding
-        #: out takes a system call, which connections with only small
-        #: responses avoid.
-        self._large_unacknowledged_until_s = 0.0
-        #: Responses that are being written in pieces.
-        self._paced_writes: collections.deque[_pacing.PacedWrite] = (
-            collections.deque()
-        )
 
     # Callbacks of asyncio.Protocol.
 
     def connection_made(self, transport):
         """Configure the socket and register the connection."""
-        self.transport = transport
+        super().connection_made(transport)
         _sockets.configure_socket(
             transport.get_extra_info('socket'),
             _service.TCP_USER_TIMEOUT_MS,
             KEEPALIVE_INTERVAL_S,
         )
-        transport.set_write_buffer_limits(UNREAD_BYTES)
         self.service.add_connection(self)
 
-    def pause_writing(self):
-        """Begin no further request: the caller does not read."""
-        self._is_write_paused = True
-
-    def resume_writing(self):
-        """Begin the requests that wait: the caller has read."""
-        self._is_write_paused = False
-        self._note_held()
-        self._begin_waiting()
-
     def connection_lost(self, exc):
         """Cancel all requests in progress: the caller has disconnected."""
         self._is_closing = True
         self.service.connections.discard(self)
-        self.service.holding.discard(self)
-        self.service.sending.discard(self.transport)
         if self._timer is not None:
             self._timer.cancel()
         if self._half_close_probe is not None:
@@ -165,12 +126,10 @@
         if self._pause_probe is not None:
             self._pause_probe.cancel()
         self._release_body()
-        for paced in self._paced_writes:
-            paced.cancel()
-        self._paced_writes.clear()
         for item in self.pending:
             item.cancel()
         self._forget_pending()
+        self._stop_sending()
 
     def data_received(self, data):
         """Feed the parser, which starts each request once it is complete."""
@@ -257,7 +216,7 @@
             return False
         if self.pending and not self._accepts_interim:
             return False
-        if not self.pending and not self._paced_writes:
+        if not self.pending and not self._is_writing:
             return False
         # The rest of an incomplete request can no longer arrive.
         self._is_discarding_input = True
@@ -271,7 +230,7 @@
 
     def _awaits_response(self) -> bool:
         """Whether the next data to write is the start of a response."""
-        return bool(self.pending) and not self._paced_writes
+        return bool(self.pending) and not self._is_writing
 
     # Callbacks of the parser.
 
@@ -331,8 +290,12 @@
             raise _framing.RefusedRequest(413)
         expects = request.find('expect')
         if expects and expects.lower() == '100-continue' and not self.pending:
-            if self._accepts_interim and not self._parser.should_upgrade():
-                self.transport.write(_CONTINUE)
+            if (
+                self._accepts_interim
+                and not self._parser.should_upgrade()
+                and not self._paced_writes
+            ):
+                self._write_interim(_CONTINUE)
 
     def on_body(self, body):
         """Add a part of the body."""
@@ -392,7 +355,7 @@
     def _may_begin(self) -> bool:
         """Whether another request may be begun."""
         begun = len(self.pending) - len(self._waiting)
-        return begun < PIPELINE_DEPTH and not self._is_write_paused
+        return begun < PIPELINE_DEPTH and not self._is_unread
 
     def _begin(self, item: _pending.PendingRequest):
         request, item.request = item.request, None
@@ -456,52 +419,23 @@
             self._told_idle_ms = 1000 * idle_s
             connection = f'Keep-Alive: timeout={idle_s}'
         try:
-            item.data = _messages.encode_response(
+            item.response = _messages.encode_response(
                 response, connection, item.is_head
             )
         except UnicodeEncodeError:
-            item.data = _messages.encode_response(
+            item.response = _messages.encode_response(
                 self._make_defect_response(), connection, item.is_head
             )
-        self._ready_bytes += len(item.data)
+        self._ready_bytes += item.response.size_bytes
         self._flush()
         self._note_held()
 
-    @property
-    def held_bytes(self) -> int:
-        """Size of the responses that are ready and not sent."""
-        return self._ready_bytes + self.transport.get_write_buffer_size()
-
-    def note_taken(self) -> None:
-        """Look how much of the response data the caller's side has taken."""
-        unsent_bytes = self.transport.get_write_buffer_size()
-        taken_bytes = self._written_bytes - unsent_bytes
-        if taken_bytes != self._taken_bytes:
-            self._taken_bytes = taken_bytes
-            self._taken_since_s = self.loop.time()
-
-    @property
-    def is_stalled(self) -> bool:
-        """Whether nothing was taken for some time, as of the last look."""
-        stalled_s = self.loop.time() - self._taken_since_s
-        return self._has_unsent and stalled_s >= _service.STALL_S
-
-    def _note_held(self):
-        """Tell the service whether this connection holds response data."""
-        if not self.held_bytes:
-            if self.service.holding:
-                self.service.holding.discard(self)
-        elif not self._is_closing:
-            self.service.holding.add(self)
-            self.note_taken()
-            self.service.limit_held()
-
     def _flush(self):
         """Write the responses that are ready, in the order of the requests."""
-        while self.pending and self.pending[0].data is not None:
+        while self.pending and self.pending[0].response is not None:
             item = self.pending.popleft()
-            self._ready_bytes -= len(item.data)
-            self._write(item.data)
+            self._ready_bytes -= item.response.size_bytes
+            self._write(item.response)
             if item.must_close:
                 self._close()
                 return
@@ -514,40 +448,8 @@
         if self._waiting:
             self._begin_waiting()
 
-    def _write(self, data: bytes):
-        """Write a response behind those that are still being written."""
-        if len(data) >= _pacing.PACING_THRESHOLD_BYTES:
-            # The connection fails if data is unacknowledged for longer.
-            limit_s = _service.TCP_USER_TIMEOUT_MS / 1000
-            self._large_unacknowledged_until_s = self.loop.time() + limit_s
-        self._written_bytes += len(data)
-        pacer = self.service.pacer
-        if pacer is None:
-            self._send(data)
-        elif (
-            not self._paced_writes
-            and len(data) < _pacing.PACING_THRESHOLD_BYTES
-        ):
-            self._send(data)
-            pacer.note_small(len(data))
-        else:
-            paced = _pacing.PacedWrite(
-                self._send, data, self._remove_paced_write
-            )
-            self._paced_writes.append(paced)
-            pacer.submit(paced)
-
-    def _send(self, data: bytes | memoryview) -> None:
-        """Write response data, and watch whether the caller reads it."""
-        self.transport.write(data)
-        self.service.sending.add(self.transport, self.loop)
-
-    def _remove_paced_write(self):
-        """Remove the first paced response, which is completely written."""
-        self._paced_writes.popleft()
-        self.last_activity_s = self.loop.time()
-        if self._paced_writes:
-            return
+    def _on_written(self):
+        """Close after the last response."""
         if self._is_closing:
             self._linger()
         elif self._half_close_probe is not None and not self.pending:
@@ -562,7 +464,8 @@
         # Further input is read and discarded.
         self._is_discarding_input = True
         self._resume()
-        if not self._paced_writes:
+        self._note_held()
+        if not self._is_writing:
             self._linger()
 
     def _linger(self):
@@ -596,15 +499,10 @@
         self._waiting.clear()
         self._ready_bytes = 0
 
-    @property
-    def _has_unsent(self) -> bool:
-        """Whether the write buffer still holds response data."""
-        return self.transport.get_write_buffer_size() > 0
-
     @property
     def is_idle(self) -> bool:
         """Whether no request or response is in progress."""
-        is_done = not self.pending and not self._paced_writes
+        is_done = not self.pending and not self._is_writing
         is_sent = not self._is_lingering and not self._has_unsent
         return is_done and is_sent and self._request is None
 
@@ -623,7 +521,7 @@
 
         That is a whole request without its answer, or data still to be read.
         """
-        if any(not item.data for item in self.pending):
+        if any(item.response is None for item in self.pending):
             return True
         is_reading = not self._is_paused and not self._is_closing
         return is_reading and _sockets.has_unread(self.transport)
@@ -655,31 +553,6 @@
         )
         self._chunks = []
 
-    # Load.
-
-    def add_load(self, load: _load.ServiceLoad) -> None:
-        """Add the pending requests and responses of this connection."""
-        ready = [len(item.data) for item in self.pending if item.data]
-        paced = [len(item.remaining) for item in self._paced_writes]
-        unwritten = self.transport.get_write_buffer_size()
-        unacknowledged = 0
-        if self.loop.time() < self._large_unacknowledged_until_s:
-            unacknowledged = _sockets.find_unacknowledged_bytes(self.transport)
-        written = len(paced) or int(unwritten > 0)
-        load.requests += len(self.pending) - len(ready)
-        load.answers += len(ready) + (written or int(unacknowledged > 0))
-        load.held_answers += len(ready) + written
-        load.held_bytes += sum(ready) + sum(paced) + unwritten
-        load.unacknowledged_bytes += unacknowledged
-        if self.pending:
-            load.oldest_since_s = min(
-                load.oldest_since_s, self.pending[0].received_s
-            )
-        elif written or unacknowledged:
-            load.oldest_since_s = min(
-                load.oldest_since_s, self.last_activity_s
-            )
-
     # Timeouts.
 
     def check_timeouts(self, limits: _service.CallerLimits) -> None:
--- a/sedgering/transport/_service.py
+++ b/sedgering/transport/_service.py
@@ -4,7 +4,6 @@
 import asyncio
 import collections
 from collections.abc import Coroutine
-import logging
 import math
 import typing
 
@@ -14,6 +13,7 @@
 from sedgering.transport import _load
 from sedgering.transport import _messages
 from sedgering.transport import _pacing
+from sedgering.transport import _response_memory
 from sedgering.transport import _send_watch
 
 if typing.TYPE_CHECKING:
@@ -21,10 +21,6 @@
 
 __all__ = ['CallerLimits', 'Service']
 
-LOG = logging.getLogger(__name__)
-
-#: A caller that takes no response data for so long does not read.
-STALL_S = 0.25
 #: TCP_USER_TIMEOUT: the connection fails when sent data stays
 #: unacknowledged for longer.
 TCP_USER_TIMEOUT_MS = 4000
@@ -64,14 +60,11 @@
     keeps_half_closed = False
     #: Paces large responses on the link; None if that is not needed.
     pacer: _pacing.LinkPacer | None = None
-    #: Response data held for all callers together above which connections
-    #: whose callers do not read are closed.
-    held_limit_bytes = math.inf
+    #: Bounds the response data of all requests together; None if unbounded.
+    response_memory: _response_memory.ResponseMemory | None = None
 
     def __init__(self):
         self.connections: set['_server.ServerConnection'] = set()
-        #: Connections that may hold response data.
-        self.holding: set['_server.ServerConnection'] = set()
         #: Bytes received on all connections since the start.
         self.received_bytes = 0
         #: When the last request of any connection began to arrive.
@@ -83,7 +76,6 @@
             TCP_USER_TIMEOUT_MS, self._find_pause_ms
         )
         self._check_timer: asyncio.TimerHandle | None = None
-        self._held_timer: asyncio.TimerHandle | None = None
 
     @abc.abstractmethod
     async def answer(
@@ -184,40 +176,6 @@
             connection.add_load(load)
         return load
 
-    @property
-    def held_bytes(self) -> int:
-        """Response data that all callers together have not taken yet."""
-        return sum(connection.held_bytes for connection in self.holding)
-
-    def limit_held(self) -> None:
-        """Close connections whose callers do not read while it is too much.
-
-        The largest goes first.  A caller that reads, however slowly, keeps its
-        connection.
-        """
-        if self.held_bytes <= self.held_limit_bytes:
-            return
-        for connection in self.holding:
-            connection.note_taken()
-        stalled = [item for item in self.holding if item.is_stalled]
-        stalled.sort(key=lambda item: item.held_bytes)
-        while stalled and self.held_bytes > self.held_limit_bytes:
-            largest = stalled.pop()
-            LOG.warning(
-                'caller does not read',
-                extra={'detail': f'{largest.held_bytes} bytes held'},
-            )
-            self.holding.discard(largest)
-            largest.transport.abort()
-        if self._held_timer is None and self.held_bytes:
-            self._held_timer = asyncio.get_running_loop().call_later(
-                STALL_S, self._check_held
-            )
-
-    def _check_held(self) -> None:
-        self._held_timer = None
-        self.limit_held()
-
     def make_error_response(self, status: int) -> _messages.Response:
         """Make the response to a request that failed or cannot be read."""
         return _messages.make_json_response(status, {'error': status})
