--- a/sedgering/transport/_response_memory.py
+++ b/sedgering/transport/_response_memory.py
@@ -165,6 +165,27 @@
             self._schedule()
         return False
 
+    def limit_sum(self) -> None:
+        """Make room soon if more is held than the limit.
+
+        Who takes over what has arrived already does not wait for room.
+        """
+        if self._is_exceeded and self._timer is None:
+            self._schedule()
+
+    @property
+    def has_room(self) -> bool:
+        """Whether nothing waits, and no more is held than the limit."""
+        return not self._waiting and not self._is_exceeded
+
+    def may_hold(self, size_bytes: float) -> bool:
+        """Whether a response of this size would not have to wait now."""
+        return self.has_room or size_bytes <= SMALL_BYTES
+
+    @property
+    def _is_exceeded(self) -> bool:
+        return self.used_bytes > self.limit_bytes
+
     def forget(self, holder: ResponseHolder) -> None:
         """Drop a holder, whether it holds something or waits."""
         self._waiting.pop(holder, None)
@@ -218,12 +239,12 @@
     def _check(self) -> None:
         """Make room for those that have waited for too long."""
         self._timer = None
-        if not self._waiting:
+        if self.has_room:
             return
         self._schedule()
         before, used_bytes = self.released_holders, self.used_bytes
         for _drain_s, _size_bytes, holder in self._list_long_held():
-            if not self._waiting or self._may_grant_any():
+            if not self._needs_room():
                 break
             if holder in self._held:
                 self.released_holders += 1
@@ -250,8 +271,12 @@
         items = [item for item in items if item[0] >= LONG_DRAIN_S]
         return sorted(items, key=lambda item: item[:2], reverse=True)
 
-    def _may_grant_any(self) -> bool:
-        return any(self._may_grant(wait) for wait in self._waiting.values())
+    def _needs_room(self) -> bool:
+        """Whether the sum is too large, or nothing that waits may go on."""
+        if self._is_exceeded:
+            return True
+        waiting = self._waiting.values()
+        return self.is_short and not any(map(self._may_grant, waiting))
 
 
 def make_response_memory(memory_mb: int) -> ResponseMemory:
