--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -776,7 +776,7 @@
         port = server.sockets[0].getsockname()[1]
         link = _links.Link('127.0.0.1', 0, '127.0.0.1', port)
         await link.start()
-        link.bytes_per_s = THROTTLE_BYTES_PER_S
+        link.set_rate(THROTTLE_BYTES_PER_S)
         reader, writer = await asyncio.open_connection(
             *link._server.sockets[0].getsockname()
         )
--- a/sedgering/testing/__init__.py
+++ b/sedgering/testing/__init__.py
@@ -26,6 +26,7 @@
 from sedgering.testing._fault_kinds import PLANNED_KINDS
 from sedgering.testing._fault_kinds import SIGNAL_KINDS
 from sedgering.testing._fault_kinds import STORE_KINDS
+from sedgering.testing._fault_kinds import STRAIN_KINDS
 from sedgering.testing._fleet import Fleet
 from sedgering.testing._fleet import free_ports
 from sedgering.testing._fleet import is_listening
@@ -35,6 +36,8 @@
 from sedgering.testing._mesh_fleet import make_member_row
 from sedgering.testing._mesh_fleet import MeshFleet
 from sedgering.testing._mesh_fleet import MeshHost
+from sedgering.testing._mesh_target import make_answer_body
+from sedgering.testing._mesh_target import make_answer_fields
 from sedgering.testing._mesh_target import TargetBooks
 from sedgering.testing._mesh_target import TargetHabit
 from sedgering.testing._mesh_target import TargetStandin
@@ -44,6 +47,7 @@
 from sedgering.testing._platform_calls import encode_read
 from sedgering.testing._platform_calls import encode_write
 from sedgering.testing._platform_calls import make_daemon_settings
+from sedgering.testing._platform_calls import make_process_limits
 from sedgering.testing._platform_calls import make_report
 from sedgering.testing._replay import OutcomeDiffers
 from sedgering.testing._replay import replay_trace
@@ -95,6 +99,7 @@
     'ProxyProcess',
     'SIGNAL_KINDS',
     'STORE_KINDS',
+    'STRAIN_KINDS',
     'Site',
     'SiteClass',
     'SiteDay',
@@ -114,6 +119,8 @@
     'free_ports',
     'is_listening',
     'judge_calls',
+    'make_answer_body',
+    'make_answer_fields',
     'make_daemon_settings',
     'make_day_plan',
     'make_document',
@@ -121,6 +128,7 @@
     'make_member_row',
     'make_mixed_day',
     'make_passthrough',
+    'make_process_limits',
     'make_report',
     'make_sample_bundle',
     'make_single_day',
--- a/sedgering/testing/_fault_kinds.py
+++ b/sedgering/testing/_fault_kinds.py
@@ -15,6 +15,7 @@
     'PLANNED_KINDS',
     'SIGNAL_KINDS',
     'STORE_KINDS',
+    'STRAIN_KINDS',
 ]
 
 
@@ -60,6 +61,8 @@
     TARGET_MOVES = 'target moves'
     #: A target leaves for good.
     TARGET_GOES = 'target goes'
+    #: A target sends bytes without an end, or that are no answer.
+    BAD_BYTES = 'bad bytes'
     #: Callers send more, repeat or leave.
     CALLERS = 'callers'
     #: A target has crashed on such a request; never planned.
@@ -100,6 +103,9 @@
     FaultKind.TARGET_CRASH,
     FaultKind.TARGET_MOVES,
 }
+#: Kinds that only strained days have; what they do to other requests than
+#: their own is not excused.
+STRAIN_KINDS = frozenset((FaultKind.BAD_BYTES,))
 #: Faults of the store, which alone must not cause a request to fail.
 STORE_KINDS = frozenset((FaultKind.STORE, FaultKind.STORE_LINK))
 #: Faults that stop a process without notice.
--- a/sedgering/testing/_mesh_target.py
+++ b/sedgering/testing/_mesh_target.py
@@ -8,7 +8,13 @@
 
 from sedgering import transport
 
-__all__ = ['TargetBooks', 'TargetHabit', 'TargetStandin']
+__all__ = [
+    'TargetBooks',
+    'TargetHabit',
+    'TargetStandin',
+    'make_answer_body',
+    'make_answer_fields',
+]
 
 #: Value of SO_LINGER: enabled with a timeout of 0 s.
 NO_LINGER = struct.pack('ii', 1, 0)
@@ -36,6 +42,16 @@
     FAILING = 'failing'
 
 
+def make_answer_fields(request_id: str) -> list[tuple[str, str]]:
+    """Make the header fields that prove whose answer it is."""
+    return [('X-Request-Id', request_id), ('X-Response-Signature', SIGNATURE)]
+
+
+def make_answer_body(request_id: str, size_bytes: int) -> bytes:
+    """Make the body of an answer, padded to a minimum size."""
+    return f'answer to {request_id}'.encode().ljust(size_bytes)
+
+
 class TargetStandin(asyncio.Protocol):
     """One raw HTTP connection that responds correctly or faultily.
 
@@ -119,11 +135,8 @@
         self._finish(request_id, state.habit)
 
     def _finish(self, request_id: str, habit: TargetHabit) -> None:
-        own_headers = [
-            ('X-Request-Id', request_id),
-            ('X-Response-Signature', SIGNATURE),
-        ]
-        body = f'answer to {request_id}'.encode().ljust(self.state.body_bytes)
+        own_headers = make_answer_fields(request_id)
+        body = make_answer_body(request_id, self.state.body_bytes)
         if habit is TargetHabit.RESET:
             self.transport.abort()
         elif habit is TargetHabit.ENCODED:
--- a/sedgering/testing/_platform_calls.py
+++ b/sedgering/testing/_platform_calls.py
@@ -4,12 +4,14 @@
 import json
 import urllib.parse
 
+from sedgering.testing import _sites
 from sedgering import transport
 
 __all__ = [
     'encode_read',
     'encode_write',
     'make_daemon_settings',
+    'make_process_limits',
     'make_report',
 ]
 
@@ -89,6 +91,15 @@
     return '/v1/rows-tx', json.dumps(body).encode()
 
 
+def make_process_limits(host: _sites.SiteHost) -> dict[str, int]:
+    """Make the limits in the settings of a host that its site states."""
+    limits = {
+        'memory_mb': host.memory_mb,
+        'max_fds': host.max_descriptors,
+    }
+    return {name: limit for name, limit in limits.items() if limit}
+
+
 def make_daemon_settings(
     host: str,
     data_centre: str,
@@ -97,6 +108,7 @@
     ports: dict[str, int],
     link_mbps: float,
     has_rollouts: bool = False,
+    limits: dict[str, int] | None = None,
 ) -> bytes:
     """Make the settings file of one daemon.
 
@@ -111,6 +123,8 @@
         Capacity of the link of the host in Mbit/s.
     has_rollouts : bool
         Whether the operator uses rollouts.
+    limits : dict
+        Other limits of a process, by their names in the settings.
     """
     fields = {
         'node': host,
@@ -126,6 +140,6 @@
         'internal_ports': [ports['peers'], ports['peers'] + 15],
         'bounds': BOUNDS + (ROLLOUT_BOUNDS if has_rollouts else ()),
         'platform': {'address': f'{address}:{ports["store"]}'},
-        'limits': {'link_mbps': link_mbps},
+        'limits': {'link_mbps': link_mbps, **(limits or {})},
     }
     return json.dumps(fields).encode()
--- a/sedgering/testing/_sites.py
+++ b/sedgering/testing/_sites.py
@@ -68,12 +68,18 @@
         Requests that the target runs at once.
     rate_per_s : float
         Requests that callers send to it.
+    memory_mb : int
+        Memory above which a process is killed; 0 for unlimited.
+    max_descriptors : int
+        Descriptors of a process; 0 for unlimited.
     """
 
     data_centre: str
     target_set: str
     slots: int
     rate_per_s: float
+    memory_mb: int = 0
+    max_descriptors: int = 0
 
 
 class SiteClass(msgspec.Struct, frozen=True):
@@ -174,6 +180,8 @@
         Its hosts, classes of requests and days.
     samples : tuple of DayEvent
         An entry of each kind that the site may meet, without times.
+    caller_delay_ms : float
+        Delay of the links of callers in each direction.
     """
 
     name: str
@@ -182,6 +190,7 @@
     classes: tuple[SiteClass, ...]
     days: tuple[SiteDay, ...]
     samples: tuple[DayEvent, ...]
+    caller_delay_ms: float = 0.0
 
 
 def make_site_routes(site: Site, timeout_factor: float = 1.0) -> list[dict]:
@@ -224,6 +233,7 @@
             _make_classes(data),
             tuple(map(_make_day, data.get('day', ()))),
             tuple(map(_make_event, data.get('troubles', ()))),
+            float(data.get('net', {}).get('client_ms', 0)),
         )
     except (
         KeyError,
@@ -240,21 +250,23 @@
 
 def _make_hosts(data: dict) -> tuple[SiteHost, ...]:
     slots = {item['name']: item['slots'] for item in data['services']}
-    places = [
-        (group['zone'], group['app'])
+    groups = [
+        group
         for group in data['machines']
         for _ in range(group.get('count', 1))
     ]
     rates = {item['zone']: item['per_s'] for item in data['traffic']}
-    zones = [zone for zone, _service in places]
+    zones = [group['zone'] for group in groups]
     return tuple(
         SiteHost(
-            zone,
-            service,
-            slots[service],
-            rates.get(zone, 0.0) / zones.count(zone),
+            group['zone'],
+            group['app'],
+            slots[group['app']],
+            rates.get(group['zone'], 0.0) / zones.count(group['zone']),
+            int(group.get('memory_mb', 0)),
+            int(group.get('fds', 0)),
         )
-        for zone, service in places
+        for group in groups
     )
 
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 
 from soak import _checks
 from soak import _faults
+from soak import _limits
 from soak import _rollouts
 from soak import _settings
 from soak import _world
@@ -40,9 +41,13 @@
         for record in records
     )
     crashes = len(world.ledger.ends_s)
+    peak = _limits.Usage()
+    for watch in world.watches:
+        peak.add(watch.peak)
     return violations, (
         f'{len(records)} calls, {succeeded} good, {faults} faults,'
-        f' {crashes} targets ended, {unanswered} without an answer'
+        f' {crashes} targets ended, {unanswered} without an answer,'
+        f' a daemon used {peak} at most'
     )
 
 
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -31,6 +31,9 @@
 #: Receive buffer of a slow reader, much smaller than a large answer.
 RECEIVE_BUFFER_BYTES = 8 * 1024
 READ_BYTES = 16 * 1024
+#: The shortest idle limit of a site: a daemon may close a connection on which
+#: nothing has been read for longer.
+MAX_PAUSE_S = 2.0
 #: An interim response, which callers skip.
 CONTINUE_STATUS = b'HTTP/1.1 100 '
 
@@ -63,6 +66,8 @@
         When an answer began to arrive, its own or the one before it on the
         connection, and the time that the caller deliberately spends on
         reading those answers.
+    paused_s : float
+        The part of it in which the caller reads nothing.
     key, workspace : str
         Key that was sent, and the workspace that owns it; empty for a forged
         key.
@@ -95,6 +100,7 @@
     size_bytes: int = 0
     began_s: float = 0.0
     reading_s: float = 0.0
+    paused_s: float = 0.0
     end: str = ''
     key: str = ''
     workspace: str = ''
@@ -112,6 +118,11 @@
         """Method of the request."""
         return 'POST' if self.is_once else 'GET'
 
+    @property
+    def is_unread(self) -> bool:
+        """Whether its caller read nothing for longer than is waited for."""
+        return self.paused_s > MAX_PAUSE_S
+
     @property
     def is_forged(self) -> bool:
         """Whether its key was never issued."""
@@ -133,6 +144,8 @@
 
     #: Socket timeout: how long the daemon may send nothing.
     receive_timeout_s = 8.0
+    #: Port that it connects to.
+    port = _daemons.CALLERS_PORT
     #: Pause after an answered request.
     pause_s = REQUEST_PAUSE_S
 
@@ -232,7 +245,7 @@
             self._socket.setsockopt(
                 socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
             )
-        self._socket.connect((self.host_daemon.address, _daemons.CALLERS_PORT))
+        self._socket.connect((self.host_daemon.address, self.port))
 
     def _read(self, record: CallRecord) -> bool:
         """Read an answer; return whether the connection stays open."""
@@ -247,11 +260,11 @@
         record.began_s = time.monotonic()
         headers = http.client.parse_headers(self._stream)
         remaining_bytes = int(headers['Content-Length'])
-        body = b''
+        body = bytearray()
         while remaining_bytes:
             chunk = self._stream.read(min(READ_BYTES, remaining_bytes))
             if not chunk:
-                raise http.client.IncompleteRead(body, remaining_bytes)
+                raise http.client.IncompleteRead(bytes(body), remaining_bytes)
             body += chunk
             remaining_bytes -= len(chunk)
             time.sleep(
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -62,6 +62,7 @@
         ),
         *_check_targets(world),
         *world.bad_exits,
+        *(kill for watch in world.watches for kill in watch.kills),
         *map(str, judges.judge_trial(_trial.make_trial(world, records))),
         *_check_recovery(world, records),
     ]
@@ -149,7 +150,7 @@
         has_run = _was_answered(world, request_id)
     if status not in (0, STATUS_BAD_GATEWAY) or not has_run:
         return
-    if record.has_left:
+    if record.has_left or record.is_unread and not status:
         return
     cut_delay_s = None if status else _find_cut_delay_s(world, record)
     if cut_delay_s:
--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -184,6 +184,8 @@
         self.link_mbps = LINK_MBPS
         #: Whether the operator uses rollouts.
         self.has_rollouts = False
+        #: Limits of its processes in the settings.
+        self.limits: dict[str, int] = {}
         #: Whether the settings state a slightly higher link capacity.
         self.has_other_link_rate = False
         #: Number of starts so far.
@@ -250,4 +252,5 @@
             PORTS,
             self.link_mbps + OTHER_LINK_MBPS * self.has_other_link_rate,
             self.has_rollouts,
+            self.limits,
         )
--- a/soak/_documents.py
+++ b/soak/_documents.py
@@ -19,7 +19,7 @@
 SET_SHARES = (6, 4, 3)
 #: Idle limits between which versions of a site change, and the factor by
 #: which their timeouts do.
-IDLE_LIMITS_S = (5, 2)
+IDLE_LIMITS_S = (5, _callers.MAX_PAUSE_S)
 OTHER_TIMEOUT_FACTOR = 1.2
 #: Fields of routes that require no key.
 _PUBLIC = {'public': True}
@@ -101,4 +101,4 @@
     ]
     routes = [{'host': _callers.HOST_HEADER, **fields} for fields in routes]
     idle_s = IDLE_LIMITS_S[changes.get('idle', 0) % 2]
-    return testing.make_document(version, routes, idle_timeout=f'{idle_s}s')
+    return testing.make_document(version, routes, idle_timeout=f'{idle_s:g}s')
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -49,6 +49,7 @@
     *testing.DEPARTURE_KINDS,
     *testing.HOST_PLAN_KINDS,
     *testing.DAY_KINDS,
+    *testing.STRAIN_KINDS,
 }
 #: Store faults are longer by this factor, so that they outlast the shutdown
 #: of a daemon.
--- a/soak/_links.py
+++ b/soak/_links.py
@@ -4,6 +4,8 @@
 import contextlib
 import enum
 
+from soak import _pacing
+
 __all__ = ['Link', 'LinkMode']
 
 READ_BYTES = 64 * 1024
@@ -46,12 +48,9 @@
         self.target_address = target_address
         self.target_port = target_port
         self.mode = LinkMode.OPEN
-        #: Rate of each direction, shared by all connections; 0 for
-        #: unlimited.
-        self.bytes_per_s = 0.0
-        #: When each direction will have forwarded everything that was read;
-        #: the key says whether it is the direction of answers.
-        self._idle_at_s = {False: 0.0, True: 0.0}
+        #: Rate of each direction, shared by all connections; the key says
+        #: whether it is the direction of answers.
+        self._pacers = {False: _pacing.Pacer(), True: _pacing.Pacer()}
         self._writers: set[asyncio.StreamWriter] = set()
         #: Connections from before the last change are silent for good.
         self._epoch = 0
@@ -64,6 +63,11 @@
             self._serve, self.address, self.port
         )
 
+    def set_rate(self, bytes_per_s: float) -> None:
+        """Change the rate of each direction; 0 for unlimited."""
+        for pacer in self._pacers.values():
+            pacer.bytes_per_s = bytes_per_s
+
     def set_mode(self, mode: LinkMode) -> None:
         """Change how bytes are forwarded from now on."""
         self.mode = mode
@@ -141,18 +145,10 @@
                     continue
                 for start in range(0, len(data), PACED_CHUNK_BYTES):
                     chunk = data[start : start + PACED_CHUNK_BYTES]
-                    await self._wait_for_rate(is_answer, len(chunk))
+                    await self._pacers[is_answer].wait(len(chunk))
                     writer.write(chunk)
                     await writer.drain()
 
-    async def _wait_for_rate(self, is_answer: bool, size_bytes: int) -> None:
-        if not self.bytes_per_s:
-            return
-        now_s = asyncio.get_running_loop().time()
-        idle_at_s = max(now_s, self._idle_at_s[is_answer])
-        self._idle_at_s[is_answer] = idle_at_s + size_bytes / self.bytes_per_s
-        await asyncio.sleep(idle_at_s - now_s)
-
     async def _wait_until_open(self, is_answer: bool) -> None:
         while self.mode is LinkMode.SILENT or (
             is_answer and self.mode is LinkMode.ONE_WAY
--- a/soak/_settings.py
+++ b/soak/_settings.py
@@ -42,6 +42,8 @@
         Number of losses of power of all hosts after the plan.
     site, day : Site and SiteDay or None
         Day of a site that is played in place of the plan.
+    strains : frozenset of Strain
+        Strains on that day.
     rate_share : float
         Share of the requests of the site that callers send.
     """
@@ -61,4 +63,5 @@
     power_losses: int = 0
     site: testing.Site | None = None
     day: testing.SiteDay | None = None
+    strains: frozenset = frozenset()
     rate_share: float = 0.25
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -11,10 +11,12 @@
 from sedgering import testing
 from sedgering.testing import judges
 from sedgering import transport
+from soak import _bad_bytes
 from soak import _crash_requests
 from soak import _daemons
 from soak import _keys
 from soak import _long_requests
+from soak import _pacing
 from soak import _probes
 from soak import _rollouts
 from soak import _signals
@@ -22,6 +24,8 @@
 __all__ = ['Ledger', 'Target']
 
 SLOTS = 4
+#: Capacity of the link of a target that sends without an end: 1 Gbit/s.
+LINK_BYTES_PER_S = 125_000_000.0
 NS_PER_MS = 1_000_000
 WORK_S = 0.03
 HEARTBEAT_INTERVAL_S = 0.5
@@ -117,6 +121,10 @@
         self.work_factor = 1.0
         #: Whether it receives and sends nothing.
         self.is_silent = False
+        #: What it sends in place of a share of its answers.
+        self.bad_bytes: _bad_bytes.BadBytes | None = None
+        self.bad_share = 1.0
+        self.pacer = _pacing.Pacer(LINK_BYTES_PER_S)
         #: Runs that have not ended, by request id.
         self.open_work: dict[str, judges.Work] = {}
         #: Connections whose request is running.
@@ -195,6 +203,13 @@
             work.is_sound = is_sound
             work.status = status
 
+    @property
+    def spoils_next(self) -> bool:
+        """Whether it sends bad bytes in place of the next answer."""
+        return self.bad_bytes is not None and (
+            random.random() < self.bad_share
+        )
+
     def break_off(self) -> None:
         """Record that the target ends, and all runs with it."""
         for request_id in list(self.open_work):
@@ -204,6 +219,9 @@
 class _Connection(testing.TargetStandin):
     """Answers each request with the size that it asks for."""
 
+    #: Sends bytes without an end.
+    bad_task: asyncio.Task | None = None
+
     def data_received(self, data):
         """Handle what arrives, unless the target is silent."""
         if not self.state.is_silent:
@@ -223,6 +241,9 @@
             self.state.end_work(request_id)
 
     def _finish(self, request_id: str, habit: testing.TargetHabit) -> None:
+        if self.state.spoils_next:
+            self._send_bad_bytes(request_id)
+            return
         status = 500 if habit is testing.TargetHabit.FAILING else 200
         is_sound = habit is testing.TargetHabit.SOUND
         self.state.end_work(request_id, is_sound, status)
@@ -239,6 +260,19 @@
             answer = time.monotonic(), self.state.target
             self.state.ledger.answers[request_id] = answer
 
+    def _send_bad_bytes(self, request_id: str) -> None:
+        """Send bad bytes; the run ends with them, and is not sound."""
+        state = self.state
+        state.end_work(request_id, is_sound=False)
+        start = state.bad_bytes.make_start(
+            request_id, state.sizes_bytes[request_id]
+        )
+        self.bad_task = asyncio.ensure_future(
+            _bad_bytes.send_bad_bytes(
+                self.transport, start, state.bad_bytes.piece, state.pacer
+            )
+        )
+
 
 class Target:
     """Target of one host across all of its lifetimes.
@@ -427,6 +461,17 @@
             )
         )
 
+    async def send_bad_bytes(
+        self, bad_bytes: _bad_bytes.BadBytes, share: float, for_s: float
+    ) -> None:
+        """Send bad bytes in place of a share of the answers."""
+        books = self.books
+        if books is None:
+            return
+        books.bad_bytes, books.bad_share = bad_bytes, share
+        await asyncio.sleep(for_s)
+        books.bad_bytes = None
+
     async def leave_unreported(self, for_s: float) -> None:
         """State in answers only that it is leaving, and leave later."""
         if self.is_leaving or self._restart is not None:
--- a/soak/_trial.py
+++ b/soak/_trial.py
@@ -118,8 +118,9 @@
 
 
 def _find_end(record: _callers.CallRecord) -> judges.End:
-    if record.has_left:
+    is_cut = not record.status
+    if record.has_left or is_cut and record.is_unread:
         return judges.End.CALLER_LEFT
-    if not record.status:
+    if is_cut:
         return judges.End.CUT
     return judges.End.ANSWERED if record.is_own else judges.End.OWN_ANSWER
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -19,9 +19,11 @@
 from soak import _daemons
 from soak import _day_faults
 from soak import _documents
+from soak import _far_links
 from soak import _faults
 from soak import _host_faults
 from soak import _keys
+from soak import _limits
 from soak import _links
 from soak import _long_requests
 from soak import _odd_callers
@@ -30,6 +32,7 @@
 from soak import _rollouts
 from soak import _settings
 from soak import _site_callers
+from soak import _strains
 from soak import _targets
 
 __all__ = ['Disturbance', 'World']
@@ -114,6 +117,19 @@
             hosts = world_settings.site.hosts
             for target, host in zip(self.targets, hosts, strict=True):
                 target.slots = host.slots
+                target.daemon.limits = testing.make_process_limits(host)
+            self._day_faults = tuple(
+                sorted(
+                    (
+                        *self._day_faults,
+                        *_strains.make_strain_plan(world_settings),
+                    ),
+                    key=lambda fault: fault.at_s,
+                )
+            )
+        self.watches = [_limits.LimitWatch(item) for item in self.daemons]
+        self._watching: list[asyncio.Task] = []
+        self.far_links: list[_far_links.FarLink] = []
         for number, target in enumerate(self.targets):
             target.on_crash = functools.partial(self._record_crash, number)
         #: Targets of the version that is ordered.
@@ -168,6 +184,14 @@
             self.callers = _site_callers.make_site_callers(
                 world_settings, self.daemons
             )
+            self.far_links = _strains.make_far_links(
+                world_settings, self.daemons
+            )
+            for caller in self.callers[1::2] if self.far_links else ():
+                caller.port = _strains.FAR_PORT
+            self.callers += _strains.make_large_readers(
+                world_settings, self.daemons
+            )
 
     def list_records(self) -> list[_callers.CallRecord]:
         """List the requests of all callers that have ended."""
@@ -245,6 +269,10 @@
         for target in self.targets:
             if target.books is not None:
                 target.stop()
+        for watching in self._watching:
+            watching.cancel()
+        for link in self.far_links:
+            link.close()
         for daemon in self.daemons:
             daemon.peer_link.close()
             daemon.store_link.close()
@@ -261,6 +289,14 @@
         for daemon in self.daemons:
             await daemon.start_links()
             await daemon.start()
+        for link in self.far_links:
+            await link.start()
+        self._watching = [
+            asyncio.ensure_future(
+                watch.run(functools.partial(self._restart_killed, number))
+            )
+            for number, watch in enumerate(self.watches)
+        ]
         late = {
             self.targets[fault.host]
             for fault in self._day_faults
@@ -421,6 +457,18 @@
                 f', of which it waited {max(0.0, delay_s):.2f} s to be run'
             )
 
+    async def _restart_killed(self, host: int) -> None:
+        """Start a daemon that was killed at its limit."""
+        key = ('process', host)
+        if key in self._active_keys:
+            # The fault that is active starts it again.
+            return
+        self._active_keys.add(key)
+        try:
+            await self._restart_daemon(host)
+        finally:
+            self._active_keys.discard(key)
+
     async def _restart_daemon(self, host: int) -> None:
         await self.daemons[host].start()
         await self.wait_until_responding(host)
@@ -459,9 +507,9 @@
 
     async def _throttle(self, fault: _faults.Fault) -> None:
         link = self.daemons[fault.host].peer_link
-        link.bytes_per_s = float(fault.detail)
+        link.set_rate(float(fault.detail))
         await asyncio.sleep(fault.for_s)
-        link.bytes_per_s = 0.0
+        link.set_rate(0.0)
 
     async def _break_store_link(self, fault: _faults.Fault) -> None:
         await _break_link(self.daemons[fault.host].store_link, fault)
@@ -608,4 +656,5 @@
     _Kind.FATAL_REQUEST: World._send_crash_requests,
     **_host_faults.ACTIONS,
     **_day_faults.ACTIONS,
+    **_strains.ACTIONS,
 }
--- a/soak/days.py
+++ b/soak/days.py
@@ -13,6 +13,7 @@
 from sedgering import testing
 from soak import __main__ as soak_main
 from soak import _settings
+from soak import _strains
 
 __all__ = ['make_day_settings']
 
@@ -69,6 +70,10 @@
     rate_share: Annotated[
         float, typer.Option(help='Share of the requests of the site.')
     ] = 0.25,
+    strain: Annotated[
+        list[_strains.Strain],
+        typer.Option(help='Strain beside the day; may be given repeatedly.'),
+    ] = [],
     partial: Annotated[
         bool, typer.Option(help='Play a day without what is refused.')
     ] = False,
@@ -82,7 +87,12 @@
         site = testing.read_site(path)
         runs = [
             make_day_settings(
-                site, name, number, callers=callers, rate_share=rate_share
+                site,
+                name,
+                number,
+                callers=callers,
+                rate_share=rate_share,
+                strains=frozenset(strain),
             )
             for name in day
             for number in range(seed, seed + seeds)
