Links of far callers run in a process of their own

Links run in a process of their own, a far caller waits for the handshake before it sends, and the judges get the times at the daemon. reset_connection stands in one place.

--- a/features/steps/strain_steps.py
+++ b/features/steps/strain_steps.py
@@ -6,7 +6,6 @@
 import itertools
 import pathlib
 import socket
-import struct
 import subprocess
 import sys
 import tempfile
@@ -37,8 +36,6 @@
     'except OSError: pass\nprint(len(files), flush=True)\ninput()'
 )
 DELAY_S = 0.01
-#: Value of SO_LINGER: enabled with a timeout of 0 s.
-NO_LINGER = struct.pack('ii', 1, 0)
 TIMEOUT_S = 10.0
 
 
@@ -225,10 +222,7 @@
     async def run():
         async def answer(reader, writer):
             if await reader.read(1) == b'r':
-                writer.get_extra_info('socket').setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
-                )
-                writer.transport.abort()
+                transport.reset_connection(writer.transport)
                 return
             writer.write(context.sent)
             writer.close()
--- a/sedgering/testing/_mesh_target.py
+++ b/sedgering/testing/_mesh_target.py
@@ -3,8 +3,6 @@
 import asyncio
 from collections.abc import Callable
 import enum
-import socket
-import struct
 
 from sedgering import transport
 
@@ -16,8 +14,6 @@
     'make_answer_fields',
 ]
 
-#: Value of SO_LINGER: enabled with a timeout of 0 s.
-NO_LINGER = struct.pack('ii', 1, 0)
 RESET_DELAY_S = 0.05
 #: Time from an answer to one that belongs to no request.
 EXTRA_DELAY_S = 0.3
@@ -178,9 +174,7 @@
 
     def _reset(self) -> None:
         """Close with a TCP reset (SO_LINGER of 0 s) instead of a FIN."""
-        sock = self.transport.get_extra_info('socket')
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-        self.transport.abort()
+        transport.reset_connection(self.transport)
 
     def _write(
         self,
--- a/sedgering/transport/__init__.py
+++ b/sedgering/transport/__init__.py
@@ -25,6 +25,7 @@
 from sedgering.transport._server import serve
 from sedgering.transport._service import CallerLimits
 from sedgering.transport._service import Service
+from sedgering.transport._sockets import reset_connection
 
 __all__ = [
     'BodyMemory',
@@ -49,6 +50,7 @@
     'find_header',
     'make_json_response',
     'make_pacer',
+    'reset_connection',
     'serve',
     'stop_listening',
     'strip_hop_headers',
--- a/sedgering/transport/_sockets.py
+++ b/sedgering/transport/_sockets.py
@@ -12,6 +12,7 @@
     'find_unacknowledged_bytes',
     'has_closed_window',
     'has_unread',
+    'reset_connection',
     'set_user_timeout',
 ]
 
@@ -21,6 +22,8 @@
 KEEPALIVE_PROBES = 2
 #: Request for the bytes of the send queue that were never sent (SIOCOUTQNSD).
 UNSENT_QUEUE = 0x894B
+#: Value of SO_LINGER: enabled with a timeout of 0 s.
+NO_LINGER = struct.pack('ii', 1, 0)
 
 
 def configure_socket(
@@ -54,6 +57,13 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
+def reset_connection(transport: asyncio.Transport) -> None:
+    """Close with a reset, so that nothing is left in the send queue."""
+    sock = transport.get_extra_info('socket')
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    transport.abort()
+
+
 def find_unacknowledged_bytes(transport: asyncio.Transport) -> int:
     """Return the bytes in the kernel that the peer has not acknowledged.
 
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -66,6 +66,8 @@
         When an answer began to arrive, its own or the one before it on the
         connection, and the time that the caller deliberately spends on
         reading those answers.
+    delay_s : float
+        Delay of the link of its caller in each direction.
     paused_s : float
         The part of it in which the caller reads nothing.
     key, workspace : str
@@ -100,6 +102,7 @@
     size_bytes: int = 0
     began_s: float = 0.0
     reading_s: float = 0.0
+    delay_s: float = 0.0
     paused_s: float = 0.0
     end: str = ''
     key: str = ''
@@ -146,6 +149,8 @@
     receive_timeout_s = 8.0
     #: Port that it connects to.
     port = _daemons.CALLERS_PORT
+    #: Delay of its link in each direction.
+    delay_s = 0.0
     #: Pause after an answered request.
     pause_s = REQUEST_PAUSE_S
 
@@ -195,6 +200,7 @@
         name = f'{self.name}-{len(self.records) + number}'
         host, now_s = self.host_daemon.name, time.monotonic()
         record = CallRecord(name, is_once, host, path, now_s)
+        record.delay_s = self.delay_s
         if self.keys is not None:
             sent_key = self.keys.choose_key()
             record.key, record.workspace = sent_key.key, sent_key.workspace
@@ -246,6 +252,9 @@
                 socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
             )
         self._socket.connect((self.host_daemon.address, self.port))
+        # A link accepts for its daemon, and resets what that refuses after
+        # the time of a handshake.
+        time.sleep(2 * self.delay_s)
 
     def _read(self, record: CallRecord) -> bool:
         """Read an answer; return whether the connection stays open."""
--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -17,7 +17,7 @@
 from soak import _links
 from soak import _slow_logs
 
-__all__ = ['Daemon', 'StoreProcess', 'make_address']
+__all__ = ['Daemon', 'FarLinkProcess', 'StoreProcess', 'make_address']
 
 CALLERS_PORT = 7101
 READINESS_PORT = 7102
@@ -150,6 +150,27 @@
         )
 
 
+class FarLinkProcess(_Process):
+    """Links of the callers that are far away.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder of its log.
+    links : list of str
+        Arguments of the program.
+    """
+
+    def __init__(self, folder: pathlib.Path, links: list[str]):
+        super().__init__(folder, 'links')
+        self.links = links
+
+    async def start(self) -> None:
+        """Start the process if there are links."""
+        if self.links:
+            await self._start(['soak._far_links', *self.links])
+
+
 class Daemon(_Process):
     """One daemon with its links to peers and to the store.
 
--- a/soak/_far_links.py
+++ b/soak/_far_links.py
@@ -1,15 +1,19 @@
-"""Links of callers that are far away."""
+"""Links of callers that are far away, in a process of their own.
+
+    python -m soak._far_links ADDRESS:PORT:TARGET_PORT:DELAY_S ...
+
+The threads of the callers would delay links in the process of the soak.
+"""
 
 import asyncio
 import contextlib
-import socket
-import struct
+import sys
 
-__all__ = ['FarLink']
+from sedgering import transport
+
+__all__ = ['FarLink', 'encode_link']
 
 READ_BYTES = 64 * 1024
-#: Value of SO_LINGER: enabled with a timeout of 0 s.
-NO_LINGER = struct.pack('ii', 1, 0)
 #: Pieces that are under way at most in one direction of a connection.
 PIECES = 64
 
@@ -66,7 +70,7 @@
         except OSError:
             # The daemon is down; its kernel would reset the connection.
             with contextlib.suppress(OSError):
-                _reset(writer)
+                transport.reset_connection(writer.transport)
         finally:
             for open_writer in writers:
                 self._writers.discard(open_writer)
@@ -101,16 +105,28 @@
                     writer.write(data)
                     await writer.drain()
                 elif data is None:
-                    _reset(writer)
+                    transport.reset_connection(writer.transport)
                 else:
                     writer.write_eof()
             if not data:
                 return
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
-    """Close with a reset."""
-    writer.get_extra_info('socket').setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
-    )
-    writer.transport.abort()
+def encode_link(
+    address: str, port: int, target_port: int, delay_s: float
+) -> str:
+    """Encode a link as an argument of the program."""
+    return f'{address}:{port}:{target_port}:{delay_s}'
+
+
+async def _run(arguments: list[str]) -> None:
+    """Forward the connections of all links until the process ends."""
+    for argument in arguments:
+        address, port, target_port, delay_s = argument.split(':')
+        link = FarLink(address, int(port), int(target_port), float(delay_s))
+        await link.start()
+    await asyncio.Event().wait()
+
+
+if __name__ == '__main__':
+    asyncio.run(_run(sys.argv[1:]))
--- a/soak/_strains.py
+++ b/soak/_strains.py
@@ -17,9 +17,9 @@
 __all__ = [
     'ACTIONS',
     'Strain',
-    'make_far_links',
     'make_large_readers',
     'make_strain_plan',
+    'move_far',
 ]
 
 #: Mean time between targets that send bad bytes, the most that do so at once,
@@ -85,20 +85,23 @@
     )
 
 
-def make_far_links(settings, daemons: list) -> list[_far_links.FarLink]:
-    """Make a link for the callers of each host that are far away."""
+def move_far(settings, callers: list) -> list[str]:
+    """Move every second caller away; return the links that this needs."""
     if Strain.DISTANCE not in settings.strains:
         return []
     rng = random.Random(f'distance {settings.seed}')
     delays_ms = (settings.site.caller_delay_ms, *DELAYS_MS)
+    links = {}
+    for caller in callers[1::2]:
+        address = caller.host_daemon.address
+        if address not in links:
+            links[address] = rng.choice(delays_ms) / 1000
+        caller.port, caller.delay_s = FAR_PORT, links[address]
     return [
-        _far_links.FarLink(
-            daemon.address,
-            FAR_PORT,
-            _daemons.CALLERS_PORT,
-            rng.choice(delays_ms) / 1000,
+        _far_links.encode_link(
+            address, FAR_PORT, _daemons.CALLERS_PORT, delay_s
         )
-        for daemon in daemons
+        for address, delay_s in links.items()
     ]
 
 
--- a/soak/_trial.py
+++ b/soak/_trial.py
@@ -79,11 +79,14 @@
     origins: dict[str, str],
 ) -> judges.Request:
     is_read_late = record.reading_s or record.is_behind
+    # Times are those at the daemon: what its caller sends, or that it leaves,
+    # gets there later, and what the daemon does is seen later.
+    end_delay_s = record.delay_s if record.has_left else -record.delay_s
     return judges.Request(
         record.request_id,
         record.host,
-        record.last_byte_s,
-        record.done_s,
+        record.last_byte_s + record.delay_s,
+        record.done_s + end_delay_s,
         _find_end(record),
         min(record.deadline_ms / 1000, record.timeout_s),
         record.is_kept,
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -19,7 +19,6 @@
 from soak import _daemons
 from soak import _day_faults
 from soak import _documents
-from soak import _far_links
 from soak import _faults
 from soak import _host_faults
 from soak import _keys
@@ -129,7 +128,7 @@
             )
         self.watches = [_limits.LimitWatch(item) for item in self.daemons]
         self._watching: list[asyncio.Task] = []
-        self.far_links: list[_far_links.FarLink] = []
+        self.far_links = _daemons.FarLinkProcess(folder, [])
         for number, target in enumerate(self.targets):
             target.on_crash = functools.partial(self._record_crash, number)
         #: Targets of the version that is ordered.
@@ -184,11 +183,8 @@
             self.callers = _site_callers.make_site_callers(
                 world_settings, self.daemons
             )
-            self.far_links = _strains.make_far_links(
-                world_settings, self.daemons
-            )
-            for caller in self.callers[1::2] if self.far_links else ():
-                caller.port = _strains.FAR_PORT
+            links = _strains.move_far(world_settings, self.callers)
+            self.far_links = _daemons.FarLinkProcess(folder, links)
             self.callers += _strains.make_large_readers(
                 world_settings, self.daemons
             )
@@ -271,13 +267,13 @@
                 target.stop()
         for watching in self._watching:
             watching.cancel()
-        for link in self.far_links:
-            link.close()
         for daemon in self.daemons:
             daemon.peer_link.close()
             daemon.store_link.close()
         await asyncio.gather(
-            *(daemon.kill() for daemon in self.daemons), self.store.kill()
+            *(daemon.kill() for daemon in self.daemons),
+            self.store.kill(),
+            self.far_links.kill(),
         )
 
     async def _start(self) -> None:
@@ -289,8 +285,7 @@
         for daemon in self.daemons:
             await daemon.start_links()
             await daemon.start()
-        for link in self.far_links:
-            await link.start()
+        await self.far_links.start()
         self._watching = [
             asyncio.ensure_future(
                 watch.run(functools.partial(self._restart_killed, number))
