--- a/features/paused_callers.feature
+++ b/features/paused_callers.feature
@@ -13,6 +13,13 @@
       | 1    | 6       |
       | 12   | 6       |
 
+  # Guards against the kernel's count from the first closed window on, which
+  # cut off callers that go on reading.
+  Scenario: A caller that reads on slowly is not cut off
+    Given a service with an idle timeout of 4000 ms
+    When a caller reads 240 kB, 16 kB at a time in 0.45 s each
+    Then it has got all of it
+
   Scenario: A caller that pauses for longer is cut off
     Given a service with an idle timeout of 5000 ms
     When a caller reads a piece of 12 MB and pauses for 9 s
--- a/features/steps/paused_caller_steps.py
+++ b/features/steps/paused_caller_steps.py
@@ -8,7 +8,7 @@
 
 import slow_reader
 
-MB = 1024 * 1024
+KB, MB = 1024, 1024 * 1024
 PIECE_BYTES = 4096
 #: Time in which the service has noticed that a caller reads on.
 NOTICE_S = 1.5
@@ -29,6 +29,39 @@
     context.runner.run(run())
 
 
+@when(
+    'a caller reads {size:d} kB, {piece:d} kB at a time in {pause_s:g} s each'
+)
+def step_read_slowly(context, size, piece, pause_s):
+    context.service.body = bytes(size * KB)
+    context.ended = ''
+
+    async def run():
+        caller = slow_reader.SlowReader(context.port)
+        context.cleanups.append(caller.socket.close)
+        await caller.ask('slow')
+        left = size * KB
+        while left > 0:
+            # The head comes on top.
+            read = 0
+            while read < min(piece * KB, left):
+                try:
+                    data = await caller.loop.sock_recv(
+                        caller.socket, piece * KB - read
+                    )
+                except OSError as error:
+                    context.ended = repr(error)
+                    return
+                if not data:
+                    context.ended = f'the end, {left - read} bytes early'
+                    return
+                read += len(data)
+            left -= read
+            await asyncio.sleep(pause_s)
+
+    context.runner.run(run())
+
+
 @when('it reads the rest')
 def step_read_on(context):
     context.ended = ''
