--- a/features/steps/unread_steps.py
+++ b/features/steps/unread_steps.py
@@ -30,7 +30,6 @@
         route = {'timeout': f'{TIMEOUT_MS}ms'}
         self.fleet.configure(testing.make_document(1, [route]))
         self.fleet.wait_ready()
-        self.outbound.response_memory = transport.make_response_memory(0)
         self.callers: list[slow_reader.SlowReader] = []
         self.most_held_bytes = 0
         self.most_at_once = 0
--- a/sedgering/transport/_response_memory.py
+++ b/sedgering/transport/_response_memory.py
@@ -275,8 +275,10 @@
         """Whether the sum is too large, or nothing that waits may go on."""
         if self._is_exceeded:
             return True
-        waiting = self._waiting.values()
-        return self.is_short and not any(map(self._may_grant, waiting))
+        return self.is_short and not self._may_grant_any()
+
+    def _may_grant_any(self) -> bool:
+        return any(self._may_grant(wait) for wait in self._waiting.values())
 
 
 def make_response_memory(memory_mb: int) -> ResponseMemory:
