--- a/features/steps/strain_steps.py
+++ b/features/steps/strain_steps.py
@@ -215,6 +215,19 @@
     results.record_runs('slow', soak_steps.SENT_AT_S)
 
 
+@given(
+    'results of a soak in which a target sent bad bytes to {whom} as a '
+    'request ended unanswered'
+)
+def step_spoilt(context, whom):
+    context.soak = results = soak_steps.SoakResults()
+    results.add_fault(testing.FaultKind.BAD_BYTES, 0)
+    caller = results.world.callers[0]
+    results.add_request(caller, 'cut', status=0, is_own=False)
+    results.record_runs('cut', soak_steps.SENT_AT_S)
+    results.world.ledger.spoilt.add('cut' if whom == 'it' else 'other')
+
+
 @when('{size:d} kB and the end of the stream are sent over a far link')
 def step_far(context, size):
     context.sent = b'x' * size * 1024
--- a/features/strained_days.feature
+++ b/features/strained_days.feature
@@ -53,6 +53,15 @@
       | 6.0     | 2.0    | closed without an answer |
       | 6.0     | 2.1    | no violation             |
 
+  Scenario Outline: Bad bytes excuse only the requests that they answer
+    Given results of a soak in which a target sent bad bytes to <whom> as a request ended unanswered
+    Then the soak reports <finding>
+
+    Examples:
+      | whom    | finding                  |
+      | it      | no violation             |
+      | another | closed without an answer |
+
   Scenario: What is on its way on a far link arrives before the end
     When 300 kB and the end of the stream are sent over a far link
     Then they arrive whole
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -152,6 +152,9 @@
         return
     if record.has_left or record.is_unread and not status:
         return
+    if request_id in world.ledger.spoilt:
+        # Its target broke off.
+        return
     cut_delay_s = None if status else _find_cut_delay_s(world, record)
     if cut_delay_s:
         detail = f'{cut_delay_s:.2f} s after SIGTERM: {record.end}'
@@ -217,6 +220,7 @@
     """
     return any(
         not disturbance.fault.is_planned
+        and disturbance.fault.kind not in testing.STRAIN_KINDS
         and not (
             on_any_host and disturbance.fault.kind in testing.LOSSLESS_KINDS
         )
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -72,6 +72,8 @@
         Runs of a request, by its id.
     departures : list of Departure
         Departures that were acknowledged.
+    spoilt : set of str
+        Ids of requests whose target sent bad bytes in place of an answer.
     """
 
     def __init__(self):
@@ -86,6 +88,7 @@
         self.keys_seen: list[str] = []
         self.work: dict[str, list[judges.Work]] = {}
         self.departures: list[judges.Departure] = []
+        self.spoilt: set[str] = set()
 
     def record_identity_headers(
         self, request_id: str, fields: list[tuple[str, str]]
@@ -264,6 +267,7 @@
         """Send bad bytes; the run ends with them, and is not sound."""
         state = self.state
         state.end_work(request_id, is_sound=False)
+        state.ledger.spoilt.add(request_id)
         start = state.bad_bytes.make_start(
             request_id, state.sizes_bytes[request_id]
         )
