--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,7 @@
 """Command line of the soak."""
 
 import asyncio
+import itertools
 import pathlib
 import tempfile
 from typing import Annotated
@@ -93,11 +94,21 @@
             print(f'    {line}', flush=True)
         if violations and keep is not None:
             keep.mkdir(parents=True, exist_ok=True)
-            folder.rename(keep / name.replace(' ', '-'))
+            folder.rename(_find_free(keep / name.replace(' ', '-')))
             folder.mkdir()
     return not violations
 
 
+def _find_free(path: pathlib.Path) -> pathlib.Path:
+    """Return a path, with a number if there is such a folder already."""
+    numbered = (
+        path.with_name(f'{path.name}-{number}')
+        for number in itertools.count(2)
+    )
+    candidates = itertools.chain([path], numbered)
+    return next(item for item in candidates if not item.exists())
+
+
 @app.command()
 def main(
     seed: Annotated[int, typer.Option(help='First seed.')] = 1,
