Small responses that nobody takes have a bound together

A response up to 64 kB is received without waiting for room, and did not count among those that give way, so that a thousand callers that read nothing could hold 64 MB and more beside the bound. They count while the sum is above it. The scenario failed before (the sum stayed at 2 MB of 1 MB for 20 s).

--- a/features/body_room.feature
+++ b/features/body_room.feature
@@ -45,6 +45,13 @@
     And all requests are cancelled
     Then no room is used, and an answer of 12 MB arrives
 
+  # Guards against a bound that many small responses pass together.
+  Scenario: Small responses that nobody takes have a bound together
+    Given response data of 1 MB in all
+    When 40 callers hold 50 kB each and take nothing
+    Then no more than 1 MB is held after a while
+    And the callers that gave way are as few as possible
+
   # Guards against a bound that a daemon makes and does not use.
   Scenario: A daemon bounds the answers of its target and of other daemons
     Given a daemon whose settings allow 300 MB
--- a/features/steps/body_room_steps.py
+++ b/features/steps/body_room_steps.py
@@ -1,6 +1,7 @@
 """Steps for the bound of all response bodies together."""
 
 import asyncio
+import math
 
 from behave import given
 from behave import then
@@ -200,6 +201,47 @@
     assert len(task.result().body) == LARGE_BYTES
 
 
+class SilentHolder(transport.ResponseHolder):
+    """Holds a response that its caller does not take."""
+
+    has_given_way = False
+
+    def find_drain_s(self, now_s):
+        return math.inf
+
+    def give_way(self):
+        self.has_given_way = True
+
+
+@when('{count:d} callers hold {size:d} kB each and take nothing')
+def step_small_responses(context, count, size):
+    async def hold():
+        for holder in context.holders:
+            context.bodies.memory.set_held(holder, size * 1000)
+        context.bodies.memory.limit_sum()
+
+    context.size_bytes = size * 1000
+    context.holders = [SilentHolder() for _ in range(count)]
+    context.bodies.loop.run_until_complete(hold())
+
+
+@then('no more than {bound:d} MB is held after a while')
+def step_bound_holds(context, bound):
+    async def wait():
+        async with asyncio.timeout(TIMEOUT_S):
+            while memory.used_bytes > bound * BYTES_PER_MB:
+                await asyncio.sleep(0.01)
+
+    memory = context.bodies.memory
+    context.bodies.loop.run_until_complete(wait())
+
+
+@then('the callers that gave way are as few as possible')
+def step_few_gave_way(context):
+    kept = sum(not holder.has_given_way for holder in context.holders)
+    assert kept == context.bodies.bound_bytes // context.size_bytes, kept
+
+
 @given('a daemon whose settings allow {memory:d} MB')
 def step_daemon(context, memory):
     names = 'callers', 'readiness', 'reports', 'peers', 'target', 'store'
--- a/sedgering/transport/_response_memory.py
+++ b/sedgering/transport/_response_memory.py
@@ -266,7 +266,7 @@
         items = [
             (holder.find_drain_s(now_s), size_bytes, holder)
             for holder, size_bytes in self._held.items()
-            if size_bytes > SMALL_BYTES
+            if size_bytes > SMALL_BYTES or self._is_exceeded
         ]
         items = [item for item in items if item[0] >= LONG_DRAIN_S]
         return sorted(items, key=lambda item: item[:2], reverse=True)
