A request body that does not arrive gives way to those of others

What callers saw: forty callers that send 1 MB of an announced 60 MB and stop make the daemon refuse every request with a body (503) for as long as they stay, up to the body timeout.

Cause: 40 MB is a sum over all bodies; whoever comes after it is full is refused, and those that filled it keep it.

Now, without room, the bodies give way (408) that are expected to take longest: by the rate at which each arrived lately and what its head states to be left, or as much again as has arrived. One that arrives within 2 s never gives way. ProgressRate (transport/_progress.py) is that of the sending side, moved.

Not done: the reading of connections is not paused, so that bodies at full speed beyond the sum are refused as before; and a body is still copied as it is passed on.

--- a/sedgering/transport/__init__.py
+++ b/sedgering/transport/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 on an asyncio event loop: messages, client and server side."""
 
+from sedgering.transport._body_memory import BodyMemory
 from sedgering.transport._client import ClientConnection
 from sedgering.transport._client import connect
 from sedgering.transport._client import ConnectFailed
@@ -21,7 +22,6 @@
 from sedgering.transport._pacing import LinkPacer
 from sedgering.transport._pacing import make_pacer
 from sedgering.transport._pacing import PacedWrite
-from sedgering.transport._pending import BodyMemory
 from sedgering.transport._pool import ConnectionPool
 from sedgering.transport._response_memory import make_response_memory
 from sedgering.transport._response_memory import ResponseHolder
--- a/sedgering/transport/_pending.py
+++ b/sedgering/transport/_pending.py
@@ -4,15 +4,10 @@
 from collections.abc import Coroutine
 import math
 
+from sedgering.transport import _body_memory
 from sedgering.transport import _messages
 
-__all__ = ['BodyMemory', 'PendingRequest']
-
-
-class BodyMemory:
-    """Total size of the request bodies that this process holds."""
-
-    used_bytes = 0
+__all__ = ['PendingRequest']
 
 
 class PendingRequest:
@@ -44,7 +39,7 @@
 
     def release_body(self) -> None:
         """Subtract the body from `BodyMemory`."""
-        BodyMemory.used_bytes -= self.body_bytes
+        _body_memory.BodyMemory.used_bytes -= self.body_bytes
         self.body_bytes = 0
 
     def cancel(self) -> None:
--- a/sedgering/transport/_sending.py
+++ b/sedgering/transport/_sending.py
@@ -8,12 +8,12 @@
 import asyncio
 import collections
 import logging
-import math
 
 from sedgering.transport import _load
 from sedgering.transport import _messages
 from sedgering.transport import _pacing
 from sedgering.transport import _pending
+from sedgering.transport import _progress
 from sedgering.transport import _response_memory
 from sedgering.transport import _service
 from sedgering.transport import _sockets
@@ -28,47 +28,6 @@
 #: it is begun, until its caller has read most of that.
 UNREAD_BYTES = 256 * 1024
 UNREAD_LOW_BYTES = UNREAD_BYTES // 4
-#: The rate at which a caller takes data is a mean over half of this time at
-#: least, if it has been looked at so often.
-RATE_WINDOW_S = 1.0
-
-
-class _TakeRate:
-    """Rate at which a caller takes the data that is sent to it."""
-
-    def __init__(self):
-        #: Time and data taken, at the start of the window and later.
-        self._start = self._next_start = (0.0, 0)
-        self._taken_bytes = 0
-        self._changed_s = 0.0
-
-    def restart(self, now_s: float, taken_bytes: int) -> None:
-        """Begin to measure: something is being sent from now on."""
-        self._start = self._next_start = (now_s, taken_bytes)
-        self._taken_bytes = taken_bytes
-        self._changed_s = now_s
-
-    def note(self, now_s: float, taken_bytes: int) -> None:
-        """Record how much has been taken since the connection was opened."""
-        if taken_bytes != self._taken_bytes:
-            self._taken_bytes = taken_bytes
-            self._changed_s = now_s
-        if now_s - self._next_start[0] >= RATE_WINDOW_S / 2:
-            self._start = self._next_start
-            self._next_start = (now_s, taken_bytes)
-
-    def find_duration_s(self, now_s: float, size_bytes: int) -> float:
-        """Return the time for which data would last at this rate.
-
-        Infinite if nothing has been taken for some time.
-        """
-        if now_s - self._changed_s >= _response_memory.PATIENCE_S:
-            return math.inf
-        start_s, start_bytes = self._start
-        taken_bytes = self._taken_bytes - start_bytes
-        if not taken_bytes:
-            return 0.0
-        return size_bytes * (now_s - start_s) / taken_bytes
 
 
 class SendingConnection(asyncio.Protocol, _response_memory.ResponseHolder):
@@ -114,7 +73,7 @@
         #: their ends among the submitted data, and their sizes.
         self._kept: collections.deque[tuple[int, int]] = collections.deque()
         self._kept_bytes = 0
-        self._take_rate = _TakeRate()
+        self._take_rate = _progress.ProgressRate()
         #: Time until which a large response may be unacknowledged.  Finding
         #: out takes a system call, which connections with only small
         #: responses avoid.
--- a/sedgering/transport/_server.py
+++ b/sedgering/transport/_server.py
@@ -12,12 +12,14 @@
 import httptools
 
 from sedgering import ports
+from sedgering.transport import _body_memory
 from sedgering.transport import _connection_use
 from sedgering.transport import _framing
 from sedgering.transport import _half_close
 from sedgering.transport import _headers
 from sedgering.transport import _messages
 from sedgering.transport import _pending
+from sedgering.transport import _progress
 from sedgering.transport import _sending
 from sedgering.transport import _service
 from sedgering.transport import _sockets
@@ -32,10 +34,6 @@
 PIPELINE_DEPTH = 16
 #: Idle time before the first TCP keep-alive probe, and between probes.
 KEEPALIVE_INTERVAL_S = 2
-#: Largest total size of the request bodies that one process holds; beyond it,
-#: requests with a body are refused.  It is a fifth of the smallest memory
-#: limit, 200 MB.
-BODY_MEMORY_LIMIT_BYTES = 40 * 1024 * 1024
 #: Connections accepted in one iteration of the event loop.  Without a free
 #: descriptor, each failed attempt is logged and repeated on its own, so that
 #: several would multiply.
@@ -53,7 +51,7 @@
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
-class ServerConnection(_sending.SendingConnection):
+class ServerConnection(_sending.SendingConnection, _body_memory.BodyReceiver):
     """One connection of a caller.
 
     Parameters
@@ -81,6 +79,9 @@
         self._request: _messages.Request | None = None
         self._chunks: list[bytes] = []
         self._body_size = 0
+        #: Size of the body that the head states, if it does.
+        self._stated_bytes: int | None = None
+        self._body_rate = _progress.ProgressRate()
         self._fields_bytes = 0
         #: Requests begun, and what has arrived of the current one besides its
         #: body, without the piece in which it began.
@@ -288,6 +289,8 @@
         limit = self.service.find_limits().body_bytes
         if length is not None and int(length) > limit:
             raise _framing.RefusedRequest(413)
+        self._stated_bytes = None if length is None else int(length)
+        self._body_rate.restart(self.last_activity_s, 0)
         expects = request.find('expect')
         if expects and expects.lower() == '100-continue' and not self.pending:
             if (
@@ -302,12 +305,10 @@
         self._body_size += len(body)
         if self._body_size > self.service.find_limits().body_bytes:
             raise _framing.RefusedRequest(413)
-        if (
-            _pending.BodyMemory.used_bytes + len(body)
-            > BODY_MEMORY_LIMIT_BYTES
-        ):
+        now_s = self.last_activity_s
+        if not _body_memory.BodyMemory.add(self, len(body), now_s):
             raise _framing.RefusedRequest(503)
-        _pending.BodyMemory.used_bytes += len(body)
+        self._body_rate.note(now_s, self._body_size)
         self._chunks.append(body)
 
     def on_message_complete(self):
@@ -327,6 +328,7 @@
             return
         request.body = b''.join(self._chunks)
         self._chunks = []
+        _body_memory.BodyMemory.receivers.discard(self)
         self._request = None
         item = _pending.PendingRequest()
         item.is_head = request.method == 'HEAD'
@@ -548,11 +550,27 @@
         self._finish(item, self.service.make_error_response(status))
 
     def _release_body(self):
-        _pending.BodyMemory.used_bytes -= sum(
+        _body_memory.BodyMemory.used_bytes -= sum(
             len(chunk) for chunk in self._chunks
         )
+        _body_memory.BodyMemory.receivers.discard(self)
         self._chunks = []
 
+    def find_arrival_s(self, now_s: float) -> float:
+        """Return the expected time until the body is complete.
+
+        What is left of a body without a stated size is taken to be as long as
+        what has arrived.
+        """
+        rest_bytes = self._body_size
+        if self._stated_bytes is not None:
+            rest_bytes = self._stated_bytes - self._body_size
+        return self._body_rate.find_duration_s(now_s, rest_bytes)
+
+    def refuse_slow_body(self) -> None:
+        """Refuse a request whose body takes too long."""
+        self._refuse(408)
+
     # Timeouts.
 
     def check_timeouts(self, limits: _service.CallerLimits) -> None:
