--- a/sedgering/exceptions.py
+++ b/sedgering/exceptions.py
@@ -99,7 +99,7 @@
     REQUEST_KEY_UNSURE = 5017, 'proxy may be behind on keys; not run'
     REQUEST_QUOTA = 5018, 'its workspace is beyond its quota; not run'
     REQUEST_RATE_LIMITED = 5019, 'targets take no more for now; not run'
-    REQUEST_UNREAD = 5020, 'callers leave too many answers unread; not run'
+    REQUEST_UNREAD = 5020, 'no room for another large answer; not run'
 
     REPORT_UNREADABLE = 6001, 'report cannot be decoded; nothing changed'
     REPORT_SET = 6002, 'report is of an unknown target set; nothing changed'
--- a/sedgering/mesh/_outbound.py
+++ b/sedgering/mesh/_outbound.py
@@ -49,7 +49,7 @@
             return self.answer(request)
         if memory.may_hold(self._find_usual_bytes(request)):
             return self.answer(request)
-        return self._refuse_unread(request)
+        return self._refuse_large(request)
 
     def _find_usual_bytes(self, request: transport.Request) -> float:
         """Return the usual size of an answer; 0 when unknown."""
@@ -61,7 +61,7 @@
             return 0.0
         return self.state.peers.typical_answer_bytes(route.name)
 
-    def _refuse_unread(self, request: transport.Request) -> transport.Response:
+    def _refuse_large(self, request: transport.Request) -> transport.Response:
         code = exceptions.Code.REQUEST_UNREAD
         self.state.decisions.counts.count('refused', str(int(code)))
         id_field = self.state.names.request_id
