What makes progress gives way only after five seconds

Five sound answers of 12 MB over a link of 100 Mbit/s take 4.8 s together; with 2 s they would give way to a sixth that is no faster (computed from the link, not played).

--- a/sedgering/transport/_response_memory.py
+++ b/sedgering/transport/_response_memory.py
@@ -29,7 +29,7 @@
 PATIENCE_S = 0.25
 #: Expected time from which on something held gives way although it makes
 #: progress.
-LONG_DRAIN_S = 2.0
+LONG_DRAIN_S = 5.0
 #: Largest body of a response.
 BODY_LIMIT_BYTES = 16 * 1024 * 1024
 #: Share of the memory limit of the process.
