--- a/features/steps/body_room_steps.py
+++ b/features/steps/body_room_steps.py
@@ -210,8 +210,7 @@
         ADDRESS,
         dict.fromkeys(names, 1),
         0,
-        False,
-        memory,
+        limits={'memory_mb': memory},
     )
     identity = platform.decode_settings(data).identity
     context.fleet = testing.MeshFleet(memory_mb=identity.memory_mb)
--- a/sedgering/testing/_platform_calls.py
+++ b/sedgering/testing/_platform_calls.py
@@ -97,7 +97,7 @@
     ports: dict[str, int],
     link_mbps: float,
     has_rollouts: bool = False,
-    memory_mb: int = 300,
+    limits: dict[str, int] | None = None,
 ) -> bytes:
     """Make the settings file of one daemon.
 
@@ -112,8 +112,8 @@
         Capacity of the link of the host in Mbit/s.
     has_rollouts : bool
         Whether the operator uses rollouts.
-    memory_mb : int
-        Memory limit of the daemon in MB.
+    limits : dict
+        Other limits of a process, by their names in the settings.
     """
     fields = {
         'node': host,
@@ -129,6 +129,6 @@
         'internal_ports': [ports['peers'], ports['peers'] + 15],
         'bounds': BOUNDS + (ROLLOUT_BOUNDS if has_rollouts else ()),
         'platform': {'address': f'{address}:{ports["store"]}'},
-        'limits': {'link_mbps': link_mbps, 'memory_mb': memory_mb},
+        'limits': {'link_mbps': link_mbps, **(limits or {})},
     }
     return json.dumps(fields).encode()
