--- a/features/steps/strain_steps.py
+++ b/features/steps/strain_steps.py
@@ -249,8 +249,14 @@
         await link.start()
         context.arrived = await ask('127.0.0.1', far_port, b's')
         context.reset = await ask('127.0.0.1', far_port, b'r')
-        link.close()
         server.close()
+        await server.wait_closed()
+        reader, _writer = await asyncio.open_connection('127.0.0.1', far_port)
+        try:
+            context.refused = await reader.read(1)
+        except ConnectionResetError as error:
+            context.refused = error
+        link.close()
 
     asyncio.run(run())
 
@@ -258,6 +264,8 @@
 async def ask(address, port, data):
     """Send data and return what arrives, or the error."""
     reader, writer = await asyncio.open_connection(address, port)
+    connected = await reader.readexactly(len(_far_links.CONNECTED))
+    assert connected == _far_links.CONNECTED
     writer.write(data)
     try:
         return await asyncio.wait_for(reader.read(-1), TIMEOUT_S)
@@ -277,6 +285,11 @@
     assert isinstance(context.reset, ConnectionResetError), context.reset
 
 
+@then('a refused connection is never established')
+def step_refused(context):
+    assert isinstance(context.refused, ConnectionResetError), context.refused
+
+
 @when('the day "{name}" of "{site}" is played with all strains')
 def step_play(context, name, site):
     settings = days.make_day_settings(
--- a/features/strained_days.feature
+++ b/features/strained_days.feature
@@ -66,6 +66,7 @@
     When 300 kB and the end of the stream are sent over a far link
     Then they arrive whole
     And a reset arrives as a reset
+    And a refused connection is never established
 
   Scenario: A short strained day of real processes keeps all guarantees
     When the day "planned" of "three-hosts" is played with all strains
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -11,6 +11,7 @@
 
 from sedgering import platform
 from soak import _daemons
+from soak import _far_links
 from soak import _keys
 
 __all__ = ['CallRecord', 'Caller', 'ONCE_PATH', 'REPEATABLE_PATH']
@@ -252,9 +253,9 @@
                 socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
             )
         self._socket.connect((self.host_daemon.address, self.port))
-        # A link accepts for its daemon, and resets what that refuses after
-        # the time of a handshake.
-        time.sleep(2 * self.delay_s)
+        connected = _far_links.CONNECTED
+        if self.delay_s and self._socket.recv(len(connected)) != connected:
+            raise ConnectionRefusedError('refused behind a link')
 
     def _read(self, record: CallRecord) -> bool:
         """Read an answer; return whether the connection stays open."""
--- a/soak/_far_links.py
+++ b/soak/_far_links.py
@@ -11,9 +11,12 @@
 
 from sedgering import transport
 
-__all__ = ['FarLink', 'encode_link']
+__all__ = ['CONNECTED', 'FarLink', 'encode_link']
 
 READ_BYTES = 64 * 1024
+#: What a caller gets first once its connection is established at the other
+#: end; the link itself accepts before that is known.
+CONNECTED = b'\0'
 #: Pieces that are under way at most in one direction of a connection.
 PIECES = 64
 
@@ -64,6 +67,8 @@
             )
             writers.append(remote_writer)
             self._writers.add(remote_writer)
+            await asyncio.sleep(self.delay_s)
+            writer.write(CONNECTED)
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._forward(reader, remote_writer))
                 group.create_task(self._forward(remote_reader, writer))
