Callers of a leaving daemon are told to return once it has ended

The same daemon was then still leaving: it refused again, or no process listened yet, and the few attempts of a caller were used up.

Retry-After is now the time until the daemon ends, and 0.2 to 0.6 s in which the next process begins to listen. Callers that wait for a part of their own time only, as the users' page says of theirs, are not held longer by it.

--- a/features/ending_daemons.feature
+++ b/features/ending_daemons.feature
@@ -20,6 +20,12 @@
       | safe           |
       | non_idempotent |
 
+  # Guards against callers that return while the same daemon still refuses.
+  Scenario: Callers are told to return once the daemon has ended
+    Given a safe route "/known/" whose work takes 1 s
+    When the first host has 2 s to shut down, and 0.85 s later 3 callers with 2000 ms ask it for "/known/"
+    Then each of them is told to return after 1.7 s of that time
+
   # Guards against starting work for peers that outlasts the target's daemon.
   Scenario Outline: Long work goes to a daemon that stays
     Given a <kind> route "/known/" whose work takes 1 s
--- a/features/steps/ending_daemon_steps.py
+++ b/features/steps/ending_daemon_steps.py
@@ -107,7 +107,7 @@
     mesh = context.mesh
     leaving = _find_hosts(mesh, hosts)
     asked_host = mesh.third if asked == 'the third' else mesh.first
-    context.is_asked_leaving = asked_host in leaving
+    context.answered_s = {}
 
     async def leave(host):
         await asyncio.sleep(max(0.0, -late_s))
@@ -118,8 +118,11 @@
         await asyncio.sleep(max(0.0, late_s))
         name = f'late {path} {number}'
         answer = await _ask(mesh, asked_host, path, name, deadline_ms)
+        context.answered_s[name] = mesh.fleet.loop.time() - started_s
         return name, path, answer
 
+    started_s = mesh.fleet.loop.time()
+
     async def run():
         ends = [asyncio.ensure_future(leave(host)) for host in leaving]
         context.answers = await asyncio.gather(
@@ -180,6 +183,14 @@
         assert answer.find('connection') == 'close', (name, answer.headers)
 
 
+@then('each of them is told to return after {end_s:g} s of that time')
+def step_told_when(context, end_s):
+    for name, _path, answer in context.answers:
+        _check_refused(context, name, answer)
+        return_s = context.answered_s[name] + float(answer.find('retry-after'))
+        assert return_s > end_s, (name, return_s)
+
+
 @then('none of these requests ran')
 def step_none_ran(context):
     assert not any(name.startswith('late') for name in context.runs)
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -44,6 +44,8 @@
 #: of this daemon. An outdated daemon gets the newest version within about 2 s,
 #: and an earlier retry may reach a daemon that is up to date.
 KEY_RETRY_AFTER_S = (0.3, 1.0)
+#: Bounds of the time in which the next process of a daemon begins to listen.
+RESTART_S = (0.2, 0.6)
 
 _Outcome = _messages.CallOutcome
 _Reason = _messages.RefusalReason
@@ -655,6 +657,10 @@
             return self.state.quotas.find_retry_after_s(
                 self.identity.workspace
             )
+        if code is exceptions.Code.REQUEST_LEAVING:
+            # The next process listens only once this one has ended.
+            left_ms = self.state.serving.find_left_ms(self._now_s)
+            return left_ms / 1000 + self.state.rng.uniform(*RESTART_S)
         limits = self.state.mesh_settings
         left_ms = self.stated_timeout_ms - self._elapsed_ms()
         share = self.state.rng.uniform(*self.retry_after_shares)
