Retries go on until a leaving daemon ends, unless they would outlast it

What callers would have seen: since, once a daemon had stopped to take new requests, a request that it had taken before got no second attempt, even if there was time for it, as the check for new requests was asked for each attempt. It is now asked for new requests only; each attempt is compared with the time left.

--- a/features/ending_daemons.feature
+++ b/features/ending_daemons.feature
@@ -65,6 +65,21 @@
     When the first host has 2 s to shut down, and 0.1 s later 3 callers ask it for "/known/"
     Then each of them gets status 200
 
+  # Guards against a repeat that only holds the answer back until the end.
+  Scenario: A retry that would outlast the daemon is not begun
+    Given a safe route "/known/" whose work takes 1 s
+    And the targets are reset
+    When the first host has 2 s to shut down, and 0.1 s before 2 callers ask the first for "/known/"
+    Then each of these requests ran once
+
+  # Guards against refusing retries once the daemon takes no new requests.
+  Scenario: A retry that ends before the daemon is begun until then
+    Given a safe route "/short/" whose work takes 0.3 s
+    And the store is reset
+    And the target of the first host is failing
+    When the first host has 2 s to shut down, and 0.85 s later 6 callers ask it for "/short/"
+    Then each of them gets status 200
+
   # Guards against refusing what the daemon would not cut.
   Scenario: A request whose own time ends before the daemon does is served
     Given a non_idempotent route "/known/" whose work takes 1 s
--- a/features/steps/ending_daemon_steps.py
+++ b/features/steps/ending_daemon_steps.py
@@ -8,6 +8,7 @@
 
 from sedgering import mesh as meshes
 from sedgering.mesh import _hop
+from sedgering import testing
 
 DEADLINE_MS = 9000
 SLOTS = 12
@@ -89,6 +90,11 @@
     _set_slots(context.mesh, 1)
 
 
+@given('the target of the first host is {habit}')
+def step_first_habit(context, habit):
+    context.mesh.first.books.habit = testing.TargetHabit(habit)
+
+
 def _find_hosts(mesh, hosts):
     return (
         (mesh.first, mesh.second)
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -152,7 +152,9 @@
             self._set_times()
         except ValueError:
             return self._refuse(exceptions.Code.REQUEST_MALFORMED)
-        if self._would_be_cut_off():
+        is_too_late = self.state.serving.is_too_late(self.deadline_s)
+        if is_too_late or self._would_be_cut_off():
+            # The body may have arrived slowly, or the request was pipelined.
             return self._refuse(exceptions.Code.REQUEST_LEAVING)
         if self.request_status.is_quarantined:
             return self._refuse(exceptions.Code.REQUEST_QUARANTINED)
--- a/sedgering/mesh/_serving.py
+++ b/sedgering/mesh/_serving.py
@@ -31,6 +31,19 @@
         self.is_over = False
         self._limits: set[asyncio.Timeout] = set()
 
+    def is_too_late(self, deadline_s: float) -> bool:
+        """Whether a request that is complete only now is refused in any case.
+
+        A request whose own deadline is before the end of the daemon, such as
+        the call of a target that has work in flight, is served.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Deadline of the request, as time of the event loop.
+        """
+        return self.is_over and deadline_s >= self.end_s
+
     def would_cut_off(
         self,
         deadline_s: float,
@@ -41,9 +54,8 @@
     ) -> bool:
         """Whether work that begins now is likely to be cut off by the end.
 
-        A request whose own deadline is before the end of the daemon, such as
-        the call of a target that has work in flight, is served.  So is one of
-        a route whose work is not known, until callers should have stopped.
+        Work whose own deadline is before the end of the daemon is not, nor
+        that of a route whose calls are not known.
 
         Parameters
         ----------
@@ -58,8 +70,6 @@
         """
         if deadline_s < self.end_s:
             return False
-        if self.is_over:
-            return True
         work_ms = work.find_known_ms(route, WORK_QUANTILE)
         return now_s + (wait_ms + work_ms) / 1000 > self.end_s
 
