--- a/features/ending_daemons.feature
+++ b/features/ending_daemons.feature
@@ -20,6 +20,12 @@
       | safe           |
       | non_idempotent |
 
+  # Guards against callers that return while the same daemon still refuses.
+  Scenario: Callers are told to return once the daemon has ended
+    Given a safe route "/known/" whose work takes 1 s
+    When the first host has 2 s to shut down, and 0.85 s later 3 callers with 2000 ms ask it for "/known/"
+    Then each of them is told to return after 1.7 s of that time
+
   # Guards against starting work for peers that outlasts the target's daemon.
   Scenario Outline: Long work goes to a daemon that stays
     Given a <kind> route "/known/" whose work takes 1 s
@@ -59,6 +65,21 @@
     When the first host has 2 s to shut down, and 0.1 s later 3 callers ask it for "/known/"
     Then each of them gets status 200
 
+  # Guards against a repeat that only holds the answer back until the end.
+  Scenario: A retry that would outlast the daemon is not begun
+    Given a safe route "/known/" whose work takes 1 s
+    And the targets are reset
+    When the first host has 2 s to shut down, and 0.1 s before 2 callers ask the first for "/known/"
+    Then each of these requests ran once
+
+  # Guards against refusing retries once the daemon takes no new requests.
+  Scenario: A retry that ends before the daemon is begun until then
+    Given a safe route "/short/" whose work takes 0.3 s
+    And the store is reset
+    And the target of the first host is failing
+    When the first host has 2 s to shut down, and 0.85 s later 6 callers ask it for "/short/"
+    Then each of them gets status 200
+
   # Guards against refusing what the daemon would not cut.
   Scenario: A request whose own time ends before the daemon does is served
     Given a non_idempotent route "/known/" whose work takes 1 s
