--- a/features/steps/body_room_steps.py
+++ b/features/steps/body_room_steps.py
@@ -44,6 +44,8 @@
             asyncio.start_server(self._serve, ADDRESS)
         )
         self.senders: set[asyncio.Task] = set()
+        #: Connections that the client has closed early.
+        self.send_errors: list[OSError] = []
         self.exchanges: dict[asyncio.Task, transport.ClientConnection] = {}
         self.most_held_bytes = 0
 
@@ -67,7 +69,9 @@
             if field == CHUNKED and name != UNFINISHED:
                 writer.write(b'0\r\n\r\n')
             await reader.read()
-        except OSError:
+        except OSError as error:
+            self.send_errors.append(error)
+        finally:
             writer.transport.abort()
 
     async def request(self, name: str) -> asyncio.Task:
@@ -112,6 +116,8 @@
         await asyncio.gather(
             *self.exchanges, *self.senders, return_exceptions=True
         )
+        # Aborted connections end in the next iteration of the event loop.
+        await asyncio.sleep(0)
 
     def cancel(self) -> None:
         """Cancel all exchanges."""
