Other daemons may read nothing for two seconds

Cause: a daemon holds back the answers of its peers until its own callers have made room. Its peers took that for a caller that does not read and closed the connection after 0.25 s, if they were short of memory themselves; the daemon then suspected sound peers, for what its callers did.

Now a service states how long its callers may take nothing, 2 s between daemons.

--- a/features/slow_readers.feature
+++ b/features/slow_readers.feature
@@ -21,6 +21,14 @@
     When 8 callers ask it and read nothing
     Then it holds no more than 24 MB after 2 s, and some connections are kept
 
+  # Guards against daemons that suspect each other for what their callers do.
+  Scenario: A daemon may read nothing for longer than a caller
+    Given 24 MB for the answers of a service, each of 12 MB
+    And its callers are other daemons
+    When 8 callers ask it and read nothing
+    Then all 8 connections are kept for 1 s
+    And it holds no more than 24 MB after 3 s, and some connections are kept
+
   # Guards against cutting callers at full speed for what drip readers hold.
   Scenario: A caller that reads a little at a time gives way before others
     Given 16 MB for the answers of a service, each of 12 MB
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -8,6 +8,7 @@
 from behave import then
 from behave import when
 
+from sedgering.mesh import _inbound
 from sedgering import ports
 from sedgering import testing
 from sedgering import transport
@@ -203,6 +204,19 @@
     context.cleanups.append(context.silent.close)
 
 
+@given('its callers are other daemons')
+def step_daemons(context):
+    context.silent.service.patience_s = _inbound.InboundService.patience_s
+
+
+@then('all {count:d} connections are kept for {for_s:g} s')
+def step_kept(context, count, for_s):
+    subject = context.silent
+    subject.run(asyncio.sleep(for_s))
+    connections = len(subject.service.connections)
+    assert connections == count, connections
+
+
 @when('{count:d} caller asks it and reads nothing')
 def step_one_reads_nothing(context, count):
     context.silent.run(context.silent.ask_and_hold(count))
--- a/sedgering/mesh/_inbound.py
+++ b/sedgering/mesh/_inbound.py
@@ -28,6 +28,9 @@
 #: Limits between daemons are wide: the caller's limits have already been
 #: checked by the sending daemon.
 PEER_LIMITS = transport.CallerLimits(header_bytes=256 * 1024)
+#: A daemon reads nothing of a large answer until its own callers have made
+#: room for it.
+PEER_PATIENCE_S = 2.0
 
 
 class InboundService(transport.Service):
@@ -47,6 +50,8 @@
         Answers daemons that request quota tokens.
     """
 
+    patience_s = PEER_PATIENCE_S
+
     def __init__(
         self,
         target_client: _target_client.TargetClient,
--- a/sedgering/transport/_progress.py
+++ b/sedgering/transport/_progress.py
@@ -12,9 +12,16 @@
 
 
 class ProgressRate:
-    """Rate at which data is sent or received."""
+    """Rate at which data is sent or received.
 
-    def __init__(self):
+    Parameters
+    ----------
+    patience_s : float
+        Time without progress after which none is expected.
+    """
+
+    def __init__(self, patience_s: float = _response_memory.PATIENCE_S):
+        self.patience_s = patience_s
         #: Time and progress, at the start of the window and later.
         self._start = self._next_start = (0.0, 0)
         self._done_bytes = 0
@@ -40,7 +47,7 @@
 
         Infinite if nothing has made progress for some time.
         """
-        if now_s - self._changed_s >= _response_memory.PATIENCE_S:
+        if now_s - self._changed_s >= self.patience_s:
             return math.inf
         start_s, start_bytes = self._start
         done_bytes = self._done_bytes - start_bytes
--- a/sedgering/transport/_sending.py
+++ b/sedgering/transport/_sending.py
@@ -73,7 +73,7 @@
         #: their ends among the submitted data, and their sizes.
         self._kept: collections.deque[tuple[int, int]] = collections.deque()
         self._kept_bytes = 0
-        self._take_rate = _progress.ProgressRate()
+        self._take_rate = _progress.ProgressRate(service.patience_s)
         #: Time until which a large response may be unacknowledged.  Finding
         #: out takes a system call, which connections with only small
         #: responses avoid.
--- a/sedgering/transport/_service.py
+++ b/sedgering/transport/_service.py
@@ -62,6 +62,8 @@
     pacer: _pacing.LinkPacer | None = None
     #: Bounds the response data of all requests together; None if unbounded.
     response_memory: _response_memory.ResponseMemory | None = None
+    #: A caller that takes no response data for so long does not read.
+    patience_s = _response_memory.PATIENCE_S
 
     def __init__(self):
         self.connections: set['_server.ServerConnection'] = set()
