--- a/sedgering/transport/__init__.py
+++ b/sedgering/transport/__init__.py
@@ -29,6 +29,7 @@
 from sedgering.transport._server import serve
 from sedgering.transport._service import CallerLimits
 from sedgering.transport._service import Service
+from sedgering.transport._sockets import reset_connection
 
 __all__ = [
     'BodyMemory',
@@ -57,6 +58,7 @@
     'make_json_response',
     'make_pacer',
     'make_response_memory',
+    'reset_connection',
     'serve',
     'stop_listening',
     'strip_hop_headers',
