--- a/features/slow_readers.feature
+++ b/features/slow_readers.feature
@@ -50,3 +50,15 @@
     Given 64 MB for the answers of a service, each of 6 MB
     When a caller asks it, and then announces a body with "100-continue"
     Then it gets a whole answer, the interim response, and another answer
+
+  # Guards against closing before all of a queued answer has been passed on.
+  Scenario Outline: A caller that half-closes gets the rest of a large answer
+    Given 64 MB for the answers of a service, each of 12 MB
+    And it <treats> callers that have closed their sending side
+    When a caller asks it, half-closes during the answer, and then reads
+    Then it gets the whole answer, and the connection ends
+
+    Examples:
+      | treats   |
+      | answers  |
+      | gives up |
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -19,7 +19,7 @@
 BYTES_PER_KB = 1024
 TIMEOUT_MS = 15_000
 WAIT_S = 10.0
-UNEXPECTED_INTERIM_S = 0.2
+PAUSE_S = 0.2
 #: Time between two requests of others; half of them come after the time for
 #: which one that waits for room is patient.
 BETWEEN_S = 0.05
@@ -356,7 +356,7 @@
         while subject.service.find_load().held_answers < 1:
             await asyncio.sleep(0.01)
         writer.write(EXPECTING)
-        await asyncio.sleep(UNEXPECTED_INTERIM_S)
+        await asyncio.sleep(PAUSE_S)
         context.sizes = [await read_answer(reader)]
         context.interim = await reader.readexactly(len(INTERIM))
         writer.write(b'ab')
@@ -372,3 +372,34 @@
     size_bytes = len(context.silent.service.body)
     assert context.sizes == [size_bytes, size_bytes], context.sizes
     assert context.interim == INTERIM, context.interim
+
+
+@given('it {treats} callers that have closed their sending side')
+def step_half_closed(context, treats):
+    context.silent.service.keeps_half_closed = treats == 'answers'
+
+
+@when('a caller asks it, half-closes during the answer, and then reads')
+def step_half_closes(context):
+    subject = context.silent
+
+    async def run():
+        reader, writer = await asyncio.open_connection(
+            slow_reader.ADDRESS, subject.port, limit=BYTES_PER_KB
+        )
+        writer.write(REQUEST)
+        while subject.service.find_load().held_answers < 1:
+            await asyncio.sleep(0.01)
+        writer.write_eof()
+        await asyncio.sleep(PAUSE_S)
+        context.size = await read_answer(reader)
+        context.rest = await reader.read()
+        writer.close()
+
+    subject.run(run())
+
+
+@then('it gets the whole answer, and the connection ends')
+def step_gets_whole(context):
+    assert context.size == len(context.silent.service.body), context.size
+    assert not context.rest, context.rest
