--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -241,6 +241,9 @@
             await super()._answer(line, headers, body)
         finally:
             self.state.busy_transports.discard(self.transport)
+            if self.bad_task is not None:
+                # Bad bytes on its connection are taken for its answer.
+                self._note_spoilt(request_id)
             self.state.end_work(request_id)
 
     def _finish(self, request_id: str, habit: testing.TargetHabit) -> None:
@@ -266,8 +269,7 @@
     def _send_bad_bytes(self, request_id: str) -> None:
         """Send bad bytes; the run ends with them, and is not sound."""
         state = self.state
-        state.end_work(request_id, is_sound=False)
-        state.ledger.spoilt.add(request_id)
+        self._note_spoilt(request_id)
         start = state.bad_bytes.make_start(
             request_id, state.sizes_bytes[request_id]
         )
@@ -277,6 +279,10 @@
             )
         )
 
+    def _note_spoilt(self, request_id: str | None) -> None:
+        self.state.end_work(request_id, is_sound=False)
+        self.state.ledger.spoilt.add(request_id)
+
 
 class Target:
     """Target of one host across all of its lifetimes.
