Peers that take something are timed by progress, however they are met

What is left to send at two looks tells progress without the window. A peer that has taken something, or whose window is closed, is timed by SendWatch until all is acknowledged; one that has taken nothing with an open window by the kernel as before.

Of the five rows of the scenario the ones with progress fail before.

--- a/features/paused_callers.feature
+++ b/features/paused_callers.feature
@@ -20,6 +20,21 @@
     When a caller reads 240 kB, 16 kB at a time in 0.45 s each
     Then it has got all of it
 
+  # Guards against a caller whose pauses fall between all looks at it.
+  Scenario Outline: Who takes something is timed here, and who does not by the kernel
+    Given a connection whose window is open at each look
+    When <left> bytes are left at the looks at it
+    Then its connection may leave data unacknowledged for <limit> ms
+    And that connection is <end>
+
+    Examples:
+      | left               | limit | end    |
+      | 9, 9, 9            | 4000  | open   |
+      | 9, 8, 7            | 0     | open   |
+      | 9, 8, 0            | 4000  | open   |
+      | 9, 8, 8, 8, 8      | 0     | open   |
+      | 9, 8, 8, 8, 8, 8   | 0     | reset  |
+
   Scenario: A caller that pauses for longer is cut off
     Given a service with an idle timeout of 5000 ms
     When a caller reads a piece of 12 MB and pauses for 9 s
--- a/features/steps/paused_caller_steps.py
+++ b/features/steps/paused_caller_steps.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import socket
+from unittest import mock
 
+from behave import given
 from behave import then
 from behave import when
 
+from sedgering.transport import _send_watch
 import slow_reader
 
 KB, MB = 1024, 1024 * 1024
+LOST_TIMEOUT_MS = 4000
 PIECE_BYTES = 4096
 #: Time in which the service has noticed that a caller reads on.
 NOTICE_S = 1.5
@@ -96,6 +100,66 @@
 @then('its connection may leave data unacknowledged for {limit_s:d} s')
 def step_usual_limit(context, limit_s):
     (connection,) = context.service.connections
-    sock = connection.transport.get_extra_info('socket')
-    limit_ms = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+    limit_ms = find_limit_ms(connection.transport.get_extra_info('socket'))
     assert limit_ms == 1000 * limit_s, limit_ms
+
+
+def find_limit_ms(sock):
+    """Return for how long data may stay unacknowledged."""
+    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+
+
+class LookedAtConnection:
+    """A socket, and a loop whose time passes with the looks at it."""
+
+    def __init__(self):
+        self.socket = socket.socket()
+        self.is_reset = False
+        self.now_s = 0.0
+
+    def time(self):
+        return self.now_s
+
+    def call_later(self, delay_s, _check, _loop):
+        self.now_s += delay_s
+        return mock.Mock()
+
+    def get_extra_info(self, _name):
+        return self.socket
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def abort(self):
+        self.is_reset = True
+
+
+@given('a connection whose window is open at each look')
+def step_looked_at(context):
+    context.looked_at = LookedAtConnection()
+    context.add_cleanup(context.looked_at.socket.close)
+
+
+@when('{left} bytes are left at the looks at it')
+def step_looks(context, left):
+    connection = context.looked_at
+    watch = _send_watch.SendWatch(LOST_TIMEOUT_MS, lambda: 0)
+    _send_watch._sockets.set_user_timeout(connection.socket, LOST_TIMEOUT_MS)
+    watch.add(connection, connection)
+    for left_bytes in map(int, left.split(', ')):
+        with mock.patch.multiple(
+            _send_watch._sockets,
+            find_unacknowledged_bytes=lambda _item, left=left_bytes: left,
+            has_closed_window=lambda _item: False,
+        ):
+            watch._check(connection)
+
+
+@then('its connection may leave data unacknowledged for {limit_ms:d} ms')
+def step_limit(context, limit_ms):
+    assert find_limit_ms(context.looked_at.socket) == limit_ms
+
+
+@then('that connection is {end}')
+def step_end(context, end):
+    assert context.looked_at.is_reset == (end == 'reset')
--- a/sedgering/transport/_send_watch.py
+++ b/sedgering/transport/_send_watch.py
@@ -4,7 +4,8 @@
 acknowledged all that was sent, and its window holds the rest back; data to a
 lost host stays unacknowledged.  The kernel counts from the first probe of a
 closed window on, even if the peer reads a little in between.  Hence the time
-without progress is counted here once a window was seen closed.
+without progress is counted here for a peer that takes something, or whose
+window was seen closed.
 """
 
 import asyncio
@@ -36,23 +37,33 @@
 
     def __init__(self, transport: asyncio.Transport, now_s: float):
         self.transport = transport
-        #: Whether its window was closed within the timeout of a lost host.
+        #: Whether the time without progress is counted here.
         self.is_extended = False
-        self.closed_s = self.progress_s = now_s
-        self._left_bytes = 0
-
-    def look(self, now_s: float) -> bool:
-        """Look at what is left to send; return whether anything is."""
+        #: When progress was last seen.
+        self.progress_s = now_s
+        #: Bytes in the kernel and in the buffer of this process.
+        self._left_bytes: int | None = None
+
+    def look(self, now_s: float) -> tuple[bool, bool]:
+        """Look at what is left to send.
+
+        Returns
+        -------
+        tuple of bool
+            Whether anything is, and whether the peer has taken some of it
+            since the last look.
+        """
         unacknowledged_bytes = _sockets.find_unacknowledged_bytes(
             self.transport
         )
         left_bytes = (
             unacknowledged_bytes + self.transport.get_write_buffer_size()
         )
-        if left_bytes != self._left_bytes:
-            self._left_bytes = left_bytes
+        has_moved = self._left_bytes not in (None, left_bytes)
+        self._left_bytes = left_bytes
+        if has_moved:
             self.progress_s = now_s
-        return unacknowledged_bytes > 0
+        return unacknowledged_bytes > 0, has_moved
 
 
 class SendWatch:
@@ -103,27 +114,23 @@
             self._schedule(loop)
 
     def _check_one(self, sending: _Sending, now_s: float) -> None:
-        has_more = sending.look(now_s)
+        has_more, has_moved = sending.look(now_s)
         is_closed = _sockets.has_closed_window(sending.transport)
-        if is_closed:
-            sending.closed_s = now_s
-        lost_timeout_s = self.lost_timeout_ms / 1000
-        # The kernel may still count from an earlier probe.
-        is_extended = is_closed or (
-            has_more
-            and sending.is_extended
-            and now_s - sending.closed_s < lost_timeout_s
+        # A window that is open at each look may have been closed in between.
+        is_extended = has_more and (
+            is_closed or has_moved or sending.is_extended
         )
         if is_extended != sending.is_extended:
             sending.is_extended = is_extended
             self._set_timeout(sending)
-        if not has_more and not is_closed:
+        if not has_more:
             del self._sending[sending.transport]
         elif is_extended:
-            limit_s = lost_timeout_s
+            limit_ms = self.lost_timeout_ms
             if is_closed:
-                limit_s = max(limit_s, self.find_paused_timeout_ms() / 1000)
-            self._limit_time(sending, now_s - sending.progress_s, limit_s)
+                limit_ms = max(limit_ms, self.find_paused_timeout_ms())
+            waited_s = now_s - sending.progress_s
+            self._limit_time(sending, waited_s, limit_ms / 1000)
 
     def _limit_time(
         self, sending: _Sending, waited_s: float, limit_s: float
