--- a/features/steps/strain_steps.py
+++ b/features/steps/strain_steps.py
@@ -15,6 +15,7 @@
 from behave import when
 
 from sedgering import testing
+from sedgering.testing import judges
 from sedgering import transport
 import site_day_steps
 from soak import __main__ as soak_main
@@ -25,6 +26,7 @@
 from soak import _settings
 from soak import _strains
 from soak import _targets
+from soak import _world
 from soak import days
 import soak_steps
 
@@ -228,6 +230,36 @@
     results.world.ledger.spoilt.add('cut' if whom == 'it' else 'other')
 
 
+@given(
+    'results of a soak in which a caller that reads for {reading_s:g} s is '
+    'cut off after two SIGTERM'
+)
+def step_two_ends(context, reading_s):
+    context.soak = results = soak_steps.SoakResults()
+    first_s = soak_steps.FAULT_START_S
+    for start_s in (first_s, first_s + 7):
+        fault = testing.Fault(0.0, testing.FaultKind.TERMINATE, 0)
+        results.world.disturbances.append(
+            _world.Disturbance(fault, start_s, start_s + 6)
+        )
+    results.world.daemons[0].ends = [
+        judges.ProcessEnd(
+            'host-0', first_s - 9, first_s + 5.6, 0, terminated_s=first_s
+        )
+    ]
+    caller = results.world.callers[0]
+    results.add_request(
+        caller,
+        'cut',
+        first_s + 0.5,
+        status=0,
+        began_s=first_s + 0.7,
+        reading_s=reading_s,
+        done_s=first_s + 8,
+    )
+    results.record_runs('cut', first_s + 0.5)
+
+
 @when('{size:d} kB and the end of the stream are sent over a far link')
 def step_far(context, size):
     context.sent = b'x' * size * 1024
--- a/features/strained_days.feature
+++ b/features/strained_days.feature
@@ -62,6 +62,16 @@
       | it      | no violation             |
       | another | closed without an answer |
 
+  # Guards against an excuse that is measured from the SIGTERM of a later process.
+  Scenario Outline: A cut belongs to the process that got the request
+    Given results of a soak in which a caller that reads for <reading> s is cut off after two SIGTERM
+    Then the soak reports <finding>
+
+    Examples:
+      | reading | finding                  |
+      | 6.0     | no violation             |
+      | 4.0     | closed without an answer |
+
   Scenario: What is on its way on a far link arrives before the end
     When 300 kB and the end of the stream are sent over a far link
     Then they arrive whole
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -203,6 +203,7 @@
     sigterm_s = own_starts_s.get(_faults.FaultKind.TERMINATE)
     if sigterm_s is None or own_starts_s.keys() & testing.HALTING_KINDS:
         return None
+    sigterm_s = _find_own_sigterm_s(world, record) or sigterm_s
     end_s = sigterm_s + _daemons.GRACE_S - GRACE_MARGIN_S
     if record.began_s and record.began_s + record.reading_s > end_s:
         return 0.0
@@ -210,6 +211,22 @@
     return record.done_s - sigterm_s if is_accepted else None
 
 
+def _find_own_sigterm_s(
+    world: _world.World, record: _callers.CallRecord
+) -> float:
+    """Return when the process that got a request got SIGTERM, 0 if unknown.
+
+    The next one may have got it, too, before a slow caller has read what the
+    kernel still held.
+    """
+    for daemon in world.daemons:
+        for end in daemon.ends if daemon.name == record.host else ():
+            is_own = end.started_s <= record.sent_s < end.ended_s
+            if is_own and end.terminated_s < end.ended_s:
+                return end.terminated_s
+    return 0.0
+
+
 def _is_explained(
     world: _world.World, record: _callers.CallRecord, on_any_host: bool
 ) -> bool:
