A caller that has read everything holds nothing

What callers would have seen: kept connections cut with a request at work, once the sum of what was recorded as held passed the bound, although nothing was held.

Cause: the transport told of its buffer only once that had been above 64 kB, so that a rest below it stayed recorded.

--- a/features/slow_readers.feature
+++ b/features/slow_readers.feature
@@ -62,3 +62,9 @@
       | treats   |
       | answers  |
       | gives up |
+
+  # Guards against callers that have read all and are cut for what others hold.
+  Scenario: A caller that has read everything holds nothing
+    Given 24 MB for the answers of a service, each of 1 MB
+    When 30 callers behind narrow buffers read whole answers and stay
+    Then nothing is recorded as held for them
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -23,6 +23,7 @@
 #: Time between two requests of others; half of them come after the time for
 #: which one that waits for room is patient.
 BETWEEN_S = 0.05
+NARROW_BUFFER_BYTES = 30_000
 REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
 EXPECTING = (
     b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n'
@@ -403,3 +404,66 @@
 def step_gets_whole(context):
     assert context.size == len(context.silent.service.body), context.size
     assert not context.rest, context.rest
+
+
+@when('{count:d} callers behind narrow buffers read whole answers and stay')
+def step_narrow(context, count):
+    subject = context.silent
+    for listener in subject.server.sockets:
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, NARROW_BUFFER_BYTES
+        )
+
+    async def read():
+        streams = [
+            await asyncio.open_connection(slow_reader.ADDRESS, subject.port)
+            for _ in range(count)
+        ]
+        for _reader, writer in streams:
+            writer.write(REQUEST)
+        for reader, _writer in streams:
+            await read_answer(reader)
+        await asyncio.sleep(BETWEEN_S)
+        context.used_bytes = subject.service.response_memory.used_bytes
+        for _reader, writer in streams:
+            writer.close()
+
+    subject.run(read())
+
+
+@then('nothing is recorded as held for them')
+def step_none_recorded(context):
+    assert context.used_bytes == 0, context.used_bytes
+
+
+@when('{count:d} callers ask it and read {size:d} MB each {pause_ms:d} ms')
+def step_bursts(context, count, size, pause_ms):
+    subject = context.silent
+
+    async def read():
+        stream = await asyncio.open_connection(
+            slow_reader.ADDRESS, subject.port, limit=BYTES_PER_KB
+        )
+        reader, writer = stream
+        writer.write(REQUEST)
+        left_bytes = len(subject.service.body)
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert b' 200 ' in head
+        while left_bytes:
+            await asyncio.sleep(pause_ms / 1000)
+            piece_bytes = min(left_bytes, size * BYTES_PER_MB)
+            await reader.readexactly(piece_bytes)
+            left_bytes -= piece_bytes
+        writer.close()
+
+    async def read_all():
+        return await asyncio.gather(
+            *(read() for _ in range(count)), return_exceptions=True
+        )
+
+    context.ends = subject.run(read_all())
+
+
+@then('all {count:d} of them get whole answers')
+def step_all_whole(context, count):
+    assert context.ends == [None] * count, context.ends
--- a/sedgering/transport/_sending.py
+++ b/sedgering/transport/_sending.py
@@ -22,7 +22,7 @@
 
 LOG = logging.getLogger(__name__)
 
-#: Size of a piece, and of the write buffer above which no piece is passed on.
+#: Size of a piece; the next one is passed on once the kernel has taken it.
 PIECE_BYTES = 64 * 1024
 #: Unsent response data of one connection from which on no further request of
 #: it is begun, until its caller has read most of that.
@@ -90,9 +90,9 @@
     # Callbacks of asyncio.Protocol.
 
     def connection_made(self, transport):
-        """Bound the write buffer."""
+        """Ask to be told once the write buffer is empty."""
         self.transport = transport
-        transport.set_write_buffer_limits(PIECE_BYTES)
+        transport.set_write_buffer_limits(0)
 
     def pause_writing(self):
         """Pass on no further piece: the caller does not read."""
