A large server error is not kept while other targets are asked

What callers would see: the memory of the daemon filled by one target that fails with large bodies.

Now one above 64 kB is dropped once another target is asked; if that fails, too, the caller is told that the request may have run (502) instead of the target's own error.

--- a/features/body_room.feature
+++ b/features/body_room.feature
@@ -56,3 +56,11 @@
   Scenario: A daemon bounds the answers of its target and of other daemons
     Given a daemon whose settings allow 300 MB
     Then its responses may take 60 MB, of the target, of peers and to callers
+
+  # Guards against server errors that are kept beside the bound while other
+  # targets are asked.
+  Scenario: A large server error is not kept while another target is asked
+    Given a target that fails with 1 MB, and one that works for a second
+    When 6 requests come of which some meet the first one
+    Then none of its bodies is kept while the other one works
+    And all of the requests are answered with 200
--- a/features/steps/body_room_steps.py
+++ b/features/steps/body_room_steps.py
@@ -19,6 +19,8 @@
 #: read of the event loop.
 EXCESS_BYTES = (64 + 256) * 1024
 TIMEOUT_S = 20
+#: More than there are requests.
+SLOTS = 18
 CHUNKED = 'Transfer-Encoding: chunked'
 #: Field that delimits the body, and bytes sent; None for no end.
 BODIES = {
@@ -283,3 +285,61 @@
         daemon.inbound,
     ):
         assert user.response_memory is memory, user
+
+
+@given('a target that fails with {size:d} MB, and one that works for a second')
+def step_failing(context, size):
+    fleet = context.fleet = testing.MeshFleet()
+    context.cleanups.append(fleet.stop)
+    context.front = fleet.add_host('front', 'ledger')
+    failing, working = fleet.add_host('failing'), fleet.add_host('working')
+    route = {'timeout': '9000ms', 'kind': 'safe', 'attempts': 3}
+    fleet.configure(testing.make_document(1, [route]))
+    fleet.wait_ready()
+    for host in (failing, working):
+        host.slots = SLOTS
+        fleet.report(host)
+    failing.books.habit = testing.TargetHabit.FAILING
+    failing.books.body_bytes = size * BYTES_PER_MB
+    working.books.work_s = 1.0
+    context.failing = failing
+
+
+@when('{count:d} requests come of which some meet the first one')
+def step_meet(context, count):
+    async def call_all():
+        port = context.front.addresses.callers_port
+        calls = [
+            asyncio.ensure_future(
+                context.fleet.start_call(port, '/r0/', X_Request_Id=f'r{item}')
+            )
+            for item in range(count)
+        ]
+        most_bytes = 0
+        while not all(call.done() for call in calls):
+            most_bytes = max(most_bytes, find_kept_bytes(context.front))
+            await asyncio.sleep(0.01)
+        return most_bytes, [call.result().status for call in calls]
+
+    context.most_kept_bytes, context.statuses = context.fleet.run(call_all())
+
+
+def find_kept_bytes(host):
+    """Return the size of the responses that requests under way keep."""
+    kept = [item.last for item in host.daemon.outbound.in_flight]
+    return sum(
+        len(answer.response.body)
+        for answer in kept
+        if answer is not None and answer.response is not None
+    )
+
+
+@then('none of its bodies is kept while the other one works')
+def step_none_kept(context):
+    assert context.failing.books.runs
+    assert context.most_kept_bytes == 0, context.most_kept_bytes
+
+
+@then('all of the requests are answered with {status:d}')
+def step_statuses(context, status):
+    assert set(context.statuses) == {status}, context.statuses
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -38,6 +38,9 @@
 #: more.
 LOGGED_ATTEMPTS_LIMIT = 4
 SERVER_ERROR = 500
+#: Largest server error that is kept while other targets are asked, for the
+#: case that these fail too.
+KEPT_RESPONSE_BYTES = 64 * 1024
 #: Label under which the answers of targets are counted for each workspace.
 COUNTED_ANSWER = 'answered'
 #: Bounds of Retry-After for a caller whose key may be newer than the version
@@ -313,6 +316,20 @@
             if self._is_final(answer):
                 return self._forward(answer)
             peer = self._choose_next(answer)
+            if peer is not None or self.attempts:
+                self._drop_large(answer)
+
+    def _drop_large(self, answer: _messages.CallAnswer) -> None:
+        """Drop a large response that is not final while others are awaited.
+
+        It would be held beside the bound of all responses.
+        """
+        response = answer.response
+        if response is None or len(response.body) <= KEPT_RESPONSE_BYTES:
+            return
+        answer.response = None
+        if self.answered is answer:
+            self.answered = None
 
     def _choose(self) -> _peers.Peer | None:
         """Choose the target of an attempt; None if it could not end."""
