Calls wait at a target only as long as their leaving sender can end them

What callers saw: with targets that are full, a request at a leaving daemon was passed on, waited for a slot and was cut by the end of its daemon: 504, though it often had not run, and nobody could tell.

Cause: the call told the target the deadline of the leaving daemon, but the latency goal as if the daemon stayed, and the gate decides by the goal who may wait. The goal is now limited by the end, too, so that the gate refuses at once what it does not expect to end by then, as not run. Nothing changes while the daemon stays.

The scenario "Calls wait at a target only as long as their sender can end them" failed on and on.

--- a/features/ending_daemons.feature
+++ b/features/ending_daemons.feature
@@ -68,6 +68,7 @@
   # Guards against a repeat that only holds the answer back until the end.
   Scenario: A retry that would outlast the daemon is not begun
     Given a safe route "/known/" whose work takes 1 s
+    And the store is reset
     And the targets are reset
     When the first host has 2 s to shut down, and 0.1 s before 2 callers ask the first for "/known/"
     Then each of these requests ran once
@@ -92,7 +93,14 @@
     And targets with one slot
     When both calendar hosts have 2 s to shut down, and 0.1 s before 4 callers ask the first for "/known/"
     Then 2 of them get status 200
-    And the others are told to return, and did not run
+    And the others than those served are told to return, and did not run
+
+  # Guards against calls that wait for a slot beyond the end of their sender.
+  Scenario: Calls wait at a target only as long as their sender can end them
+    Given a non_idempotent route "/known/" whose work takes 0.7 s
+    And targets with one slot
+    When the third host has 2 s to shut down, and 0.05 s later 6 callers ask it for "/known/"
+    Then the others than those served are told to return, and did not run
 
   # Guards against a refusal that the previous version cannot read: its sender
   # would not know whether the call ran.
--- a/features/steps/ending_daemon_steps.py
+++ b/features/steps/ending_daemon_steps.py
@@ -12,9 +12,9 @@
 
 DEADLINE_MS = 9000
 SLOTS = 12
-#: Calls of each host from which the work of a route is known: more than there
-#: are targets, so that each target gets some.
-KNOWN_CALLS = 4
+#: Calls of each host from which the work of a route is known: together as many
+#: as the targets have slots, so that each target gets enough.
+KNOWN_CALLS = 8
 REFUSED = 503
 
 
@@ -96,11 +96,11 @@
 
 
 def _find_hosts(mesh, hosts):
-    return (
-        (mesh.first, mesh.second)
-        if hosts == 'both calendar hosts have'
-        else (mesh.first,)
-    )
+    return {
+        'the first host has': (mesh.first,),
+        'the third host has': (mesh.third,),
+        'both calendar hosts have': (mesh.first, mesh.second),
+    }[hosts]
 
 
 def _leave_and_ask(
@@ -112,7 +112,7 @@
     """
     mesh = context.mesh
     leaving = _find_hosts(mesh, hosts)
-    asked_host = mesh.third if asked == 'the third' else mesh.first
+    asked_host = mesh.third if asked == 'the third' else leaving[0]
     context.answered_s = {}
 
     async def leave(host):
@@ -234,7 +234,7 @@
     assert statuses.count(status) == count, statuses
 
 
-@then('the others are told to return, and did not run')
+@then('the others than those served are told to return, and did not run')
 def step_others(context):
     for name, _path, answer in context.answers:
         if answer.status != 200:
--- a/sedgering/mesh/_exchange.py
+++ b/sedgering/mesh/_exchange.py
@@ -391,6 +391,8 @@
         now_s = self._now_s
         # A result cannot be delivered after this daemon has ended.
         deadline_s = min(self.deadline_s, self.state.serving.end_s)
+        goal_ms = self.chooser.find_goal_ms(now_s)
+        left_ms = self.state.serving.find_left_ms(now_s)
         call = _messages.TargetCall(
             request=self.request,
             request_id=self.request_id,
@@ -402,7 +404,7 @@
             is_repeatable=self.route.repeatable,
             urgency=self.urgency,
             remaining_ms=max(0, int((deadline_s - now_s) * 1000)),
-            goal_ms=self.chooser.find_goal_ms(now_s),
+            goal_ms=int(min(goal_ms, left_ms)),
             version=self.version,
             may_wait=not self.chooser.search.is_on,
             workspace=self.identity.workspace,
