A small response takes no way through the queue

What a connection can pass on at once is written directly, and the memory of responses is not told of nothing.

--- a/sedgering/transport/_sending.py
+++ b/sedgering/transport/_sending.py
@@ -73,6 +73,8 @@
         #: their ends among the submitted data, and their sizes.
         self._kept: collections.deque[tuple[int, int]] = collections.deque()
         self._kept_bytes = 0
+        #: Whether the memory of responses has been told of any.
+        self._is_holding = False
         self._take_rate = _progress.ProgressRate(service.patience_s)
         #: Time until which a large response may be unacknowledged.  Finding
         #: out takes a system call, which connections with only small
@@ -159,14 +161,20 @@
         if not data:
             return
         had_unsent = self._has_unsent
-        taken_bytes = self._taken_bytes
-        self._queue.append(memoryview(data))
-        self._queue_bytes += len(data)
-        self._pass_on()
-        if self._has_unsent and not had_unsent:
-            self._take_rate.restart(self.loop.time(), taken_bytes)
-        if self._unsent_bytes > UNREAD_BYTES:
-            self._is_unread = True
+        passed_bytes = self._passed_bytes
+        if self._queue or self._is_buffer_full or len(data) > PIECE_BYTES:
+            self._queue.append(memoryview(data))
+            self._queue_bytes += len(data)
+            self._pass_on()
+        else:
+            self._passed_bytes += len(data)
+            self.transport.write(data)
+            self.service.sending.add(self.transport, self.loop)
+        if self._has_unsent:
+            if not had_unsent:
+                self._take_rate.restart(self.loop.time(), passed_bytes)
+            if self._unsent_bytes > UNREAD_BYTES:
+                self._is_unread = True
 
     def _pass_on(self) -> None:
         """Give the transport what it has room for, and watch the caller."""
@@ -224,7 +232,7 @@
 
     @property
     def _has_unsent(self) -> bool:
-        return self._unsent_bytes > 0
+        return bool(self._queue or self.transport.get_write_buffer_size())
 
     @property
     def _taken_bytes(self) -> int:
@@ -240,6 +248,9 @@
             return
         held_bytes = self._ready_bytes + self._kept_bytes
         held_bytes += self.transport.get_write_buffer_size()
+        if not held_bytes and not self._is_holding:
+            return
+        self._is_holding = held_bytes > 0
         memory.set_held(self, held_bytes)
         if held_bytes:
             self._take_rate.note(self.loop.time(), self._taken_bytes)
