What is written behind what was taken hides no progress

Cause: SendWatch tells progress by what is left in the kernel and in the write buffer. Since a large response is passed on in pieces, a slow caller's buffer is refilled with as much as it takes, and what is left may be the same at all looks; a caller that reads would be reset as paused.

Now the connection tells how much it has written, and what was taken is compared. The client side, which writes a request whole, tells nothing and is watched as before.

--- a/features/paused_callers.feature
+++ b/features/paused_callers.feature
@@ -47,3 +47,15 @@
     When a caller reads a piece of 12 MB and pauses for 2.5 s
     And it reads the rest
     Then its connection may leave data unacknowledged for 4 s
+
+  # Guards against taking a caller for paused whose data is replaced by as much
+  # of a large answer as it takes.
+  Scenario Outline: What is written behind what was taken hides no progress
+    Given a connection whose window is open at each look
+    When <left> bytes are left at the looks at it, and <written> more are written before each
+    Then that connection is <end>
+
+    Examples:
+      | left                                       | written | end   |
+      | 6000, 5000, 5000, 5000, 5000, 5000, 5000   | 1000    | open  |
+      | 6000, 6900, 7900, 8900, 9900, 10900, 11900 | 1000    | reset |
--- a/features/steps/paused_caller_steps.py
+++ b/features/steps/paused_caller_steps.py
@@ -142,11 +142,26 @@
 
 @when('{left} bytes are left at the looks at it')
 def step_looks(context, left):
+    look_at(context, left, 0)
+
+
+@when(
+    '{left} bytes are left at the looks at it, and {written:d} more are '
+    'written before each'
+)
+def step_looks_and_writes(context, left, written):
+    look_at(context, left, written)
+
+
+def look_at(context, left, written_bytes):
+    """Look at the connection; data is written before each look."""
     connection = context.looked_at
     watch = _send_watch.SendWatch(LOST_TIMEOUT_MS, lambda: 0)
     _send_watch._sockets.set_user_timeout(connection.socket, LOST_TIMEOUT_MS)
     watch.add(connection, connection)
     for left_bytes in map(int, left.split(', ')):
+        if written_bytes:
+            watch.add(connection, connection, written_bytes)
         with mock.patch.multiple(
             _send_watch._sockets,
             find_unacknowledged_bytes=lambda _item, left=left_bytes: left,
--- a/sedgering/transport/_send_watch.py
+++ b/sedgering/transport/_send_watch.py
@@ -39,10 +39,13 @@
         self.transport = transport
         #: Whether the time without progress is counted here.
         self.is_extended = False
+        #: Bytes written since it is watched.
+        self.written_bytes = 0
         #: When progress was last seen.
         self.progress_s = now_s
-        #: Bytes in the kernel and in the buffer of this process.
-        self._left_bytes: int | None = None
+        #: Bytes written less those in the kernel and in the buffer of this
+        #: process: those taken, up to a constant.
+        self._taken_bytes: int | None = None
 
     def look(self, now_s: float) -> tuple[bool, bool]:
         """Look at what is left to send.
@@ -59,8 +62,9 @@
         left_bytes = (
             unacknowledged_bytes + self.transport.get_write_buffer_size()
         )
-        has_moved = self._left_bytes not in (None, left_bytes)
-        self._left_bytes = left_bytes
+        taken_bytes = self.written_bytes - left_bytes
+        has_moved = self._taken_bytes not in (None, taken_bytes)
+        self._taken_bytes = taken_bytes
         if has_moved:
             self.progress_s = now_s
         return unacknowledged_bytes > 0, has_moved
@@ -88,11 +92,26 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def add(
-        self, transport: asyncio.Transport, loop: asyncio.AbstractEventLoop
+        self,
+        transport: asyncio.Transport,
+        loop: asyncio.AbstractEventLoop,
+        written_bytes: int = 0,
     ) -> None:
-        """Watch a connection until all that it sends is acknowledged."""
+        """Watch a connection until all that it sends is acknowledged.
+
+        Parameters
+        ----------
+        transport : Transport
+            Transport of the connection.
+        loop : AbstractEventLoop
+            Its event loop.
+        written_bytes : int
+            What has been written since the last call, so that it does not
+            hide what the peer has taken meanwhile.
+        """
         if transport not in self._sending:
             self._sending[transport] = _Sending(transport, loop.time())
+        self._sending[transport].written_bytes += written_bytes
         if self._timer is None:
             self._schedule(loop)
 
--- a/sedgering/transport/_sending.py
+++ b/sedgering/transport/_sending.py
@@ -169,7 +169,7 @@
         else:
             self._passed_bytes += len(data)
             self.transport.write(data)
-            self.service.sending.add(self.transport, self.loop)
+            self.service.sending.add(self.transport, self.loop, len(data))
         if self._has_unsent:
             if not had_unsent:
                 self._take_rate.restart(self.loop.time(), passed_bytes)
@@ -180,6 +180,7 @@
         """Give the transport what it has room for, and watch the caller."""
         if self._queue_bytes >= _pacing.PACING_THRESHOLD_BYTES:
             self._expect_unacknowledged()
+        passed_bytes = self._passed_bytes
         while self._queue and not self._is_buffer_full:
             view = self._queue.popleft()
             if len(view) > PIECE_BYTES:
@@ -192,7 +193,9 @@
             _end_bytes, size_bytes = self._kept.popleft()
             self._kept_bytes -= size_bytes
         self._awaits_room = self._awaits_room or bool(self._queue)
-        self.service.sending.add(self.transport, self.loop)
+        self.service.sending.add(
+            self.transport, self.loop, self._passed_bytes - passed_bytes
+        )
 
     def _remove_paced_write(self) -> None:
         """Remove the first paced response, which is completely written."""
