--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -501,6 +501,7 @@
         set(_faults.FaultKind)
         - testing.HOST_PLAN_KINDS
         - testing.DAY_KINDS
+        - testing.STRAIN_KINDS
         - {_faults.FaultKind.TARGET_ENDS}
     )
 
