The census allows what each peer states of the only route once

Traced: an entry of it counts three times (its name, the work time, the time of the report), and the peer that had not stated a work time among the first 60 requests did so among the next 150: two peers, one route, six. The check was wrong: it took the first statement for a leak.

What each peer may state once is allowed for it, as for its report: three for each of three peers, whatever the number of requests. A leak for each request or each of the fifty replacements is found as before.

--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -26,8 +26,9 @@
 SETTLE_S = 1.5
 #: Collections that follow the time, or the kinds of answers seen so far.
 BOUNDED = ('_Counts.buckets', 'GateLog._counts', 'RequestCounts.counts')
-#: Objects of which each peer has one at most, once it has answered.
-ONE_PER_PEER = ('LoadReport',)
+#: Entries of each peer at most, once it has answered: a report, and for the
+#: only route its name, its work time and the time of that report.
+MOST_PER_PEER = {'LoadReport': 1, 'Peer._route_work': 3}
 
 
 class MemorySubject:
@@ -139,8 +140,8 @@
     def find_grown(self) -> dict[str, tuple[int, int]]:
         """Return the counts before and after of what has grown."""
         peers = len(self.front.daemon.state.peers._peers)
-        per_peer = collections.Counter(dict.fromkeys(ONE_PER_PEER, peers))
-        bounds = self.before | per_peer
+        per_peer = {name: n * peers for name, n in MOST_PER_PEER.items()}
+        bounds = self.before | collections.Counter(per_peer)
         return {
             name: (bounds[name], count)
             for name, count in self.count().items()
