A route with few calls counts for a version only as far as they show

Cause: calls on a route counted as not slow until the old version had run 16 of them there, so that they spoke for the version; and where too few calls came for the accepted share, the end of the trial took that as good.

Change: until the old version has run 16 calls, an upper bound of its median (order statistic, 90 in 100) takes the median's place; without a bound, calls say nothing on slowness. Where calls are too few to show odds of 20 to 1 for the accepted share, a second test, against half of the calls being bad, decides: its odds of 20 to 1 end the trial as good, or undo it where more than one target is bad. In the move the same odds undo a version on routes that were not shown. The tests are a module of their own, a class for those in total and one for those on a route.

Why this works: five calls tell all calls being good from half of them being bad, where the accepted share needs twelve.

--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -342,6 +342,12 @@
     context.new_version = make_version(usual, seldom)
 
 
+@given('a new one that is {factor:g} times slower on the seldom route')
+def step_trial_slow_route(context, factor):
+    context.new_version = make_version(0, 0)
+    context.new_version.slowdowns = {rollout_trial.SELDOM: factor}
+
+
 @given('one of two targets of the new version is slow')
 def step_trial_slow_target(context):
     context.new_version.has_slow_target = True
--- a/sedgering/rollout/__init__.py
+++ b/sedgering/rollout/__init__.py
@@ -33,6 +33,7 @@
 from sedgering.rollout._verdict import choose_verdict
 from sedgering.rollout._verdict import describe_open_tests
 from sedgering.rollout._verdict import is_clearly_failing
+from sedgering.rollout._verdict import list_unshown_routes
 
 __all__ = [
     'Evidence',
@@ -56,6 +57,7 @@
     'describe_open_tests',
     'find_majority',
     'is_clearly_failing',
+    'list_unshown_routes',
     'make_permits',
     'make_record',
     'make_rollout',
