The status of a rollout names the routes on which nothing could be shown

What operators saw: `succeeded`, and nothing of a route with so few calls that the new version could not be judged there.

Cause: the row and the status had no place for it.

A route that calls show during the move drops out.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -238,6 +238,21 @@
       | 60   | 0   | good    | good |
       | 60   | 12  | open    | bad  |
 
+  # Guards against a version being called good in silence on a route on which no
+  # sample could show it.
+  Scenario Outline: The status names routes without enough calls
+    Given old targets of which each ran 60 calls well
+    And a new version that ran <runs> more calls on another route
+    And of these <bad> were bad
+    Then the operator reads <code> for <routes> once the calls have moved
+
+    Examples:
+      | runs | bad | code     | routes   |
+      | 0    | 0   | SDG-6202 | book     |
+      | 4    | 0   | SDG-6202 | book     |
+      | 8    | 0   | no code  | no route |
+      | 60   | 0   | no code  | no route |
+
   # Guards against a version that fails all calls on a route which nobody used
   # during the trial being kept: the move waited for as many calls as the trial.
   Scenario Outline: A few calls during the move show gross harm on a new route
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 import hypothesis
 from hypothesis import strategies as st
+import msgspec
 import rollout_subject
 import rollout_trial
 
@@ -420,6 +421,20 @@
             evidence.note(OTHER_ROUTE, False, WORK_MS)
 
 
+@then('the operator reads {code} for {routes} once the calls have moved')
+def step_status(context, code, routes):
+    observation = rollout.Observation(
+        make_order(), 6000, context.new, context.old
+    )
+    row = rollout.advance(make_row('trial'), rollout.Stage.MOVING, observation)
+    status = msgspec.to_builtins(_rollouts.make_status(row))
+    expected = [] if routes == 'no route' else routes.split()
+    assert list(status.get('routes', ())) == expected, status
+    assert status.get('code', 'no code') == code, status
+    row = rollout.advance(row, rollout.Stage.ROLLED_BACK, observation)
+    assert 'code' not in msgspec.to_builtins(_rollouts.make_status(row))
+
+
 @then('it is {verdict}, and {late} when the trial ends')
 def step_late_verdict(context, verdict, late):
     found = rollout.choose_verdict(context.new, context.old)
--- a/sedgering/rollout/__init__.py
+++ b/sedgering/rollout/__init__.py
@@ -22,6 +22,7 @@
 from sedgering.rollout._permits import make_permits
 from sedgering.rollout._permits import Permits
 from sedgering.rollout._permits import UNKNOWN_VERSION
+from sedgering.rollout._plan import advance
 from sedgering.rollout._plan import make_rollout
 from sedgering.rollout._plan import Observation
 from sedgering.rollout._plan import plan_next
@@ -33,7 +34,6 @@
 from sedgering.rollout._verdict import choose_verdict
 from sedgering.rollout._verdict import describe_open_tests
 from sedgering.rollout._verdict import is_clearly_failing
-from sedgering.rollout._verdict import list_unshown_routes
 
 __all__ = [
     'Evidence',
@@ -48,6 +48,7 @@
     'Stage',
     'UNKNOWN_VERSION',
     'Verdict',
+    'advance',
     'choose_exposed',
     'choose_late_verdict',
     'choose_move_verdict',
@@ -57,7 +58,6 @@
     'describe_open_tests',
     'find_majority',
     'is_clearly_failing',
-    'list_unshown_routes',
     'make_permits',
     'make_record',
     'make_rollout',
