A single slow target does not decide on a route with few calls

Cause: where a route had too few calls, odds of 20 to 1 over all targets undid the version, also if the calls without the worst target spoke for it.

Change: those calls have to speak against it, too.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -182,6 +182,15 @@
     When its trial is played 40 times
     Then 2 of them at most end with the calls left where they were
 
+  # Guards against the calls of a single target deciding on a route with few.
+  Scenario: One slow target does not undo a version for a seldom used route
+    Given a set with 124 usual and 2 seldom calls a second
+    And an old version that fails 0.004 of its calls
+    And a new one that fails 0.004 of the usual and 0.004 of the rest
+    And one of two targets of the new version is slow
+    When its trial is played 80 times
+    Then 2 of them at most end with the calls left where they were
+
   # Guards against a trial that lasts until its latest end although the version
   # is good, because a seldom used route shows a little less than the others.
   Scenario Outline: A good version is found good soon after the trial may end
--- a/sedgering/rollout/_criteria.py
+++ b/sedgering/rollout/_criteria.py
@@ -132,7 +132,9 @@
             return True
         if self.whole.has_enough_calls:
             return self.whole.log_ratio <= 0
-        return not (self.whole.is_bad_by_odds or self.is_gross_harm_likely)
+        is_bad = self.whole.is_bad_by_odds or self.gross.is_bad_by_odds
+        # A single target that is bad says nothing.
+        return not (is_bad and self.rest.log_ratio > 0)
 
     @property
     def is_gross_harm_likely(self) -> bool:
--- a/sedgering/rollout/_verdict.py
+++ b/sedgering/rollout/_verdict.py
@@ -161,10 +161,11 @@
     The version as a whole is good only by odds of 20 to 1 for the accepted
     share.  A route with enough calls to show a good version must be more
     likely good than bad.  Routes with fewer calls leave the verdict to the
-    total, unless the odds are 20 to 1 for harm or for gross harm; they are
-    told by :func:`list_unshown_routes`, and the calls that follow during the
-    move still count.  A route on which only one target is bad does not speak
-    against the version if the odds without it are 5 to 1.
+    total, unless the odds are 20 to 1 for harm or for gross harm at more than
+    one target; they are told by :func:`list_unshown_routes`, and the calls
+    that follow during the move still count.  A route on which only one target
+    is bad does not speak against the version if the odds without it are 5 to
+    1.
 
     Parameters
     ----------
