--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -138,6 +138,21 @@
       | 480   | 24     | 0.12  | 0.12   | 1     |
       | 480   | 24     | 0.004 | 0.3    | 1     |
 
+  # Guards against a version being found good on a route with so few calls that
+  # none of them could be told to be slow.
+  Scenario Outline: A version that is slow on a seldom used route is undone
+    Given a set with <usual> usual and <seldom> seldom calls a second
+    And an old version that fails 0 of its calls
+    And a new one that is <factor> times slower on the seldom route
+    When its trial is played 40 times
+    Then <wrong> of them at most end with the calls moved
+
+    Examples: both the slowness and the number of calls tell
+      | usual | seldom | factor | wrong |
+      | 120   | 6      | 8      | 0     |
+      | 122   | 4      | 8      | 2     |
+      | 124   | 2      | 16     | 4     |
+
   # Guards against a good version being undone by a rule that asks for more
   # evidence than its calls can give.  The error probabilities are 1 in 4,000
   # while calls come, and 1 in 20 as the trial ends.
@@ -167,6 +182,15 @@
     When its trial is played 40 times
     Then 2 of them at most end with the calls left where they were
 
+  # Guards against the calls of a single target deciding on a route with few.
+  Scenario: One slow target does not undo a version for a seldom used route
+    Given a set with 124 usual and 2 seldom calls a second
+    And an old version that fails 0.004 of its calls
+    And a new one that fails 0.004 of the usual and 0.004 of the rest
+    And one of two targets of the new version is slow
+    When its trial is played 80 times
+    Then 2 of them at most end with the calls left where they were
+
   # Guards against a trial that lasts until its latest end although the version
   # is good, because a seldom used route shows a little less than the others.
   Scenario Outline: A good version is found good soon after the trial may end
@@ -181,6 +205,22 @@
       | 0     |
       | 0.02  |
 
+  # Guards against a trial that lasts until its latest end because a route gets
+  # too few calls to exclude all harm, though enough to exclude gross harm.
+  Scenario Outline: A good version does not wait for calls that cannot come
+    Given a set with <usual> usual and <seldom> seldom calls a second
+    And an old version that fails 0 of its calls
+    And a new one that is 1 times slower on the seldom route
+    When its trial is played 40 times
+    Then <share> of 10 trials end within 8800 ms
+    And 1 of them at most end with the calls left where they were
+
+    Examples:
+      | usual | seldom | share |
+      | 94    | 32     | 9     |
+      | 122   | 4      | 9     |
+      | 124   | 2      | 8     |
+
   Scenario: Seldom used routes put a larger part of their calls on trial
     Given a set with 120 usual and 6 seldom calls a second
     And an old version that fails 0 of its calls
@@ -207,6 +247,36 @@
       | 60   | 0   | good    | good |
       | 60   | 12  | open    | bad  |
 
+  # Guards against a version being called good in silence on a route on which no
+  # sample could show it.
+  Scenario Outline: The status names routes without enough calls
+    Given old targets of which each ran 60 calls well
+    And a new version that ran <runs> more calls on another route
+    And of these <bad> were bad
+    Then the operator reads <code> for <routes> once the calls have moved
+
+    Examples:
+      | runs | bad | code     | routes   |
+      | 0    | 0   | SDG-6202 | book     |
+      | 4    | 0   | SDG-6202 | book     |
+      | 8    | 0   | no code  | no route |
+      | 60   | 0   | no code  | no route |
+
+  # Guards against a version that fails all calls on a route which nobody used
+  # during the trial being kept: the move waited for as many calls as the trial.
+  Scenario Outline: A few calls during the move show gross harm on a new route
+    Given old targets of which each ran 60 calls well
+    And a new version that ran <runs> more calls on another route
+    And of these <bad> were bad
+    Then the verdict on the move is <verdict>
+
+    Examples:
+      | runs | bad | verdict |
+      | 4    | 0   | open    |
+      | 4    | 1   | open    |
+      | 4    | 4   | bad     |
+      | 12   | 2   | open    |
+
   Scenario: Updates of orders and rollouts arrive in any order
     Then the newest of each set is kept, whatever the order of updates
 
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 import hypothesis
 from hypothesis import strategies as st
+import msgspec
 import rollout_subject
 import rollout_trial
 
@@ -342,6 +343,12 @@
     context.new_version = make_version(usual, seldom)
 
 
+@given('a new one that is {factor:g} times slower on the seldom route')
+def step_trial_slow_route(context, factor):
+    context.new_version = make_version(0, 0)
+    context.new_version.slowdowns = {rollout_trial.SELDOM: factor}
+
+
 @given('one of two targets of the new version is slow')
 def step_trial_slow_target(context):
     context.new_version.has_slow_target = True
@@ -378,11 +385,18 @@
 
 
 @then('half of the trials end within {limit_ms:d} ms')
-def step_trials_soon(context, limit_ms):
+def step_half_soon(context, limit_ms):
     ends_ms = sorted(trial.ended_ms for trial in context.trials)
     assert ends_ms[len(ends_ms) // 2] <= limit_ms, ends_ms
 
 
+@then('{count:d} of 10 trials end within {limit_ms:d} ms')
+def step_trials_soon(context, count, limit_ms):
+    ends_ms = sorted(trial.ended_ms for trial in context.trials)
+    soon = sum(end_ms <= limit_ms for end_ms in ends_ms)
+    assert soon * 10 >= count * len(ends_ms), ends_ms
+
+
 @then(
     'between {least:g} and {most:g} of the seldom calls were exposed, and a '
     'tenth of all at most'
@@ -414,6 +428,20 @@
             evidence.note(OTHER_ROUTE, False, WORK_MS)
 
 
+@then('the operator reads {code} for {routes} once the calls have moved')
+def step_status(context, code, routes):
+    observation = rollout.Observation(
+        make_order(), 6000, context.new, context.old
+    )
+    row = rollout.advance(make_row('trial'), rollout.Stage.MOVING, observation)
+    status = msgspec.to_builtins(_rollouts.make_status(row))
+    expected = [] if routes == 'no route' else routes.split()
+    assert list(status.get('routes', ())) == expected, status
+    assert status.get('code', 'no code') == code, status
+    row = rollout.advance(row, rollout.Stage.ROLLED_BACK, observation)
+    assert 'code' not in msgspec.to_builtins(_rollouts.make_status(row))
+
+
 @then('it is {verdict}, and {late} when the trial ends')
 def step_late_verdict(context, verdict, late):
     found = rollout.choose_verdict(context.new, context.old)
--- a/features/steps/rollout_trial.py
+++ b/features/steps/rollout_trial.py
@@ -31,10 +31,13 @@
         Share of the calls that fail, by route.
     has_slow_target : bool
         Whether one of its targets is slow.
+    slowdowns : dict of str to float
+        Factors on the work time of its calls, by route.
     """
 
     failed_shares: dict[base.RouteName, float]
     has_slow_target: bool = False
+    slowdowns: dict[base.RouteName, float] = {}
 
 
 class Trial:
@@ -119,6 +122,7 @@
     ) -> None:
         rng = self.rng
         work_ms = WORK_MS * rng.lognormvariate(0, SPREAD)
+        work_ms *= version.slowdowns.get(route, 1)
         target = rng.choice(targets)
         if version.has_slow_target:
             is_slow = rng.random() < SLOW_TARGET_SHARE
--- a/sedgering/exceptions.py
+++ b/sedgering/exceptions.py
@@ -111,6 +111,10 @@
     )
     MEMBER_UNREADABLE = 6101, 'member row cannot be decoded; names no target'
     ROLLOUT_UNREADABLE = 6201, 'order or row of a rollout cannot be decoded'
+    ROLLOUT_NOT_SHOWN = (
+        6202,
+        'too few calls on some routes to judge the new version there',
+    )
     ANSWER_SIGNAL = (
         6301,
         'field of an answer of a target is malformed; ignored',
--- a/sedgering/mesh/_rollout_driver.py
+++ b/sedgering/mesh/_rollout_driver.py
@@ -8,8 +8,6 @@
 import asyncio
 import logging
 
-import msgspec
-
 from sedgering import base
 from sedgering import exceptions
 from sedgering.mesh import _evidence_hop
@@ -169,9 +167,7 @@
         stage = rollout.plan_next(row, observation)
         self._log_evaluation(row, observation, stage)
         if stage is not row.stage:
-            row = msgspec.structs.replace(
-                row, stage=stage, stage_ms=observation.now_ms
-            )
+            row = rollout.advance(row, stage, observation)
             await self._write(row, entry.revision)
 
     def _list_away(
@@ -289,6 +285,7 @@
             self.source.merge_rollouts(
                 _rollout_log.RolloutUpdate((), (entry,))
             )
+            self._warn_if_not_shown(row)
             return
         LOG.info(
             'rollout not written',
@@ -298,3 +295,18 @@
                 'detail': outcome.detail,
             },
         )
+
+    @staticmethod
+    def _warn_if_not_shown(row: rollout.Rollout) -> None:
+        """Log on which routes a version took over without enough calls."""
+        is_over = row.stage is _Stage.SUCCEEDED
+        if not is_over or not row.unshown_routes:
+            return
+        LOG.warning(
+            'rollout not shown on all routes',
+            extra={
+                'target_set': row.target_set,
+                'code': int(exceptions.Code.ROLLOUT_NOT_SHOWN),
+                'detail': f'{row.new}: {", ".join(row.unshown_routes)}',
+            },
+        )
--- a/sedgering/platform/_rollouts.py
+++ b/sedgering/platform/_rollouts.py
@@ -14,7 +14,7 @@
 from sedgering import rollout
 from sedgering import storage
 
-__all__ = ['PlatformRollouts', 'decode_order']
+__all__ = ['PlatformRollouts', 'decode_order', 'make_status']
 
 #: Prefix of the keys of orders, which are in the table of the operator's
 #: document, and of the keys of status rows.
@@ -43,10 +43,13 @@
     duration: str
 
 
-class _Status(msgspec.Struct):
+class _Status(msgspec.Struct, omit_defaults=True):
     service: str
     to: str
     state: str
+    #: Number of the errors' table, and the routes that it is about.
+    code: str = ''
+    routes: tuple[str, ...] = ()
 
 
 def decode_order(row: storage.Row) -> rollout.Order | None:
@@ -101,7 +104,7 @@
     ) -> storage.Outcome:
         """Write a row and its status; see :class:`RolloutStore`."""
         key = row.target_set
-        status = _Status(key, row.new, _STATUS_BY_STAGE[row.stage])
+        status = make_status(row)
         status_put = storage.Put(
             f'{ORDER_PREFIX}{key}', msgspec.json.encode(status)
         )
@@ -141,5 +144,14 @@
         return storage.Outcome(storage.OutcomeKind.DONE, revision=written)
 
 
+def make_status(row: rollout.Rollout) -> _Status:
+    """Make the status of a rollout for the operator."""
+    status = _Status(row.target_set, row.new, _STATUS_BY_STAGE[row.stage])
+    if row.unshown_routes:
+        status.code = f'SDG-{int(exceptions.Code.ROLLOUT_NOT_SHOWN)}'
+        status.routes = row.unshown_routes
+    return status
+
+
 def _make_error(detail: str) -> exceptions.RolloutError:
     return exceptions.RolloutError(exceptions.Code.ROLLOUT_UNREADABLE, detail)
--- a/sedgering/rollout/__init__.py
+++ b/sedgering/rollout/__init__.py
@@ -22,6 +22,7 @@
 from sedgering.rollout._permits import make_permits
 from sedgering.rollout._permits import Permits
 from sedgering.rollout._permits import UNKNOWN_VERSION
+from sedgering.rollout._plan import advance
 from sedgering.rollout._plan import make_rollout
 from sedgering.rollout._plan import Observation
 from sedgering.rollout._plan import plan_next
@@ -47,6 +48,7 @@
     'Stage',
     'UNKNOWN_VERSION',
     'Verdict',
+    'advance',
     'choose_exposed',
     'choose_late_verdict',
     'choose_move_verdict',
--- a/sedgering/rollout/_evidence.py
+++ b/sedgering/rollout/_evidence.py
@@ -74,6 +74,39 @@
                 return bucket
         return None
 
+    def find_median_bound(self, confidence: float) -> int | None:
+        """Return a bucket that the true median does not exceed.
+
+        Of `n` independent calls all are below their median with probability
+        ``2**-n``; the smallest order statistic of sufficient confidence is
+        taken.
+
+        Parameters
+        ----------
+        confidence : float
+            Probability that the bound holds, 0 to 1.
+
+        Returns
+        -------
+        int or None
+            None if there are too few calls.
+        """
+        count = sum(self.calls_by_bucket.values())
+        below_share = 0.0
+        rank = 0
+        for number in range(count):
+            below_share += math.comb(count, number) / 2**count
+            rank = number + 1
+            if below_share >= confidence:
+                break
+        if below_share < confidence:
+            return None
+        for bucket in sorted(self.calls_by_bucket):
+            rank -= self.calls_by_bucket[bucket]
+            if rank <= 0:
+                return bucket
+        return None
+
 
 class Evidence(msgspec.Struct, array_like=True):
     """Results of the calls to one target since an order was first seen.
--- a/sedgering/rollout/_model.py
+++ b/sedgering/rollout/_model.py
@@ -56,7 +56,7 @@
     revision: int
 
 
-class Rollout(msgspec.Struct, frozen=True):
+class Rollout(msgspec.Struct, frozen=True, omit_defaults=True):
     """Stored state of the rollout of one target set.
 
     A set without an order has a row, too: it records which version is in use,
@@ -77,6 +77,9 @@
         Time of the store's clock at which the order was first seen.
     stage_ms : int
         Time of the store's clock at which the current stage began.
+    unshown_routes : tuple of str
+        Routes on which too few calls have come to judge the new version, once
+        the calls have moved.
     """
 
     target_set: _Text
@@ -86,6 +89,7 @@
     stage: Stage
     began_ms: base.Count = 0
     stage_ms: base.Count = 0
+    unshown_routes: tuple[str, ...] = ()
 
     @property
     def final_version(self) -> base.SoftwareVersion:
@@ -113,5 +117,8 @@
     if previous is None:
         return Rollout(target_set, version, version, NO_ORDER, Stage.SUCCEEDED)
     return msgspec.structs.replace(
-        previous, old=previous.final_version, new=version
+        previous,
+        old=previous.final_version,
+        new=version,
+        unshown_routes=(),
     )
--- a/sedgering/rollout/_plan.py
+++ b/sedgering/rollout/_plan.py
@@ -7,7 +7,7 @@
 from sedgering.rollout import _sequential
 from sedgering.rollout import _verdict
 
-__all__ = ['Observation', 'make_rollout', 'plan_next']
+__all__ = ['Observation', 'advance', 'make_rollout', 'plan_next']
 
 #: Bounds of the trial, as shares of the duration in the order.  A good version
 #: gets all calls no earlier than the first bound: some versions turn bad
@@ -128,6 +128,33 @@
     return _plan_settling(observation, stage_age_ms)
 
 
+def advance(
+    rollout: _model.Rollout, stage: _model.Stage, observation: Observation
+) -> _model.Rollout:
+    """Return the rollout in another stage.
+
+    Parameters
+    ----------
+    rollout : Rollout
+        Its stored state.
+    stage : Stage
+        Its next stage; see :func:`plan_next`.
+    observation : Observation
+        What is known of it now.
+    """
+    unshown_routes = ()
+    if stage not in (_Stage.TRIAL, _Stage.ROLLED_BACK):
+        unshown_routes = tuple(
+            _verdict.list_unshown_routes(observation.new, observation.old)
+        )
+    return msgspec.structs.replace(
+        rollout,
+        stage=stage,
+        stage_ms=observation.now_ms,
+        unshown_routes=unshown_routes,
+    )
+
+
 def _is_ending(rollout: _model.Rollout, observation: Observation) -> bool:
     """Whether too little is left of the duration to wait any longer."""
     age_ms = observation.now_ms - rollout.began_ms
--- a/sedgering/rollout/_sequential.py
+++ b/sedgering/rollout/_sequential.py
@@ -100,6 +100,11 @@
         """Whether so many calls could have shown a good version."""
         return self.clean_log_ratio <= math.log(FALSE_GOOD_PROBABILITY)
 
+    @property
+    def may_show_odds(self) -> bool:
+        """Whether so many calls could have shown odds of 20 to 1."""
+        return self.clean_log_ratio <= -math.log(LATE_ODDS)
+
     @property
     def is_good_by_odds(self) -> bool:
         """Whether the odds for the accepted share are 20 to 1."""
--- a/sedgering/rollout/_verdict.py
+++ b/sedgering/rollout/_verdict.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from sedgering import base
+from sedgering.rollout import _criteria
 from sedgering.rollout import _evidence
 from sedgering.rollout import _sequential
 
@@ -25,6 +26,7 @@
     'choose_verdict',
     'describe_open_tests',
     'is_clearly_failing',
+    'list_unshown_routes',
 ]
 
 #: A call is slow if it takes more than four times (8 buckets) the median of
@@ -33,14 +35,10 @@
 #: If half of the calls of a version are eight times slower, 32 to 45 % are
 #: slow.
 SLOW_BUCKETS = 8
-#: Number of calls of the old version on a route before its median is used.
-MIN_OLD_RUNS = 16
-#: Failures do not depend on the speed of a target.  On a single route, fewer
-#: calls must suffice.
-FAILURES = _sequential.Tolerance(0.03, 0.08, 2.0)
-ROUTE_FAILURES = _sequential.Tolerance(0.03, 0.18, 2.0)
-#: The new version has few targets, and some targets are slower than others.
-SLOW_OR_FAILED = _sequential.Tolerance(0.08, 0.2)
+#: Number of calls of the old version on a route from which on their median is
+#: used.  Before, an upper bound of it with this confidence takes its place.
+MEDIAN_RUNS = 16
+MEDIAN_CONFIDENCE = 0.9
 #: Failures at one target, and their share of its calls, at which its daemon
 #: stops the trial on its own.  The row with the verdict would reach the daemon
 #: only a second later.
@@ -52,68 +50,52 @@
 _Verdict = _sequential.Verdict
 
 
-class _Tally(msgspec.Struct, frozen=True):
-    """Calls of one version by route, and those that are bad."""
-
-    failed: dict[base.RouteName, _sequential.CallCounts]
-    #: Includes calls that are slow; see `SLOW_BUCKETS`.
-    slow_or_failed: dict[base.RouteName, _sequential.CallCounts]
-
-
-class _Test(msgspec.Struct, frozen=True):
-    """One criterion, for one route or for all calls.
+class _Criterion(msgspec.Struct, frozen=True):
+    """What counts as bad, and how much of it is accepted.
 
     Parameters
     ----------
     name : str
-        Name of the test in logs.
-    whole : SequentialTest
-        Test of the calls of all targets.
-    rest : SequentialTest
-        The same without the target with the largest share of bad calls.
-    needs_evidence : bool
-        Whether the version is not good without evidence from this test.
+        Name in logs.
+    in_total : Tolerance
+        Tolerance in total.
+    on_route : Tolerance
+        Tolerance on a single route.
+    gross : Tolerance
+        Tolerance up to about half of the calls on a route, which few calls
+        can tell.
     """
 
     name: str
-    whole: _sequential.SequentialTest
-    rest: _sequential.SequentialTest
-    needs_evidence: bool
-
-    @property
-    def verdict(self) -> _Verdict:
-        """Verdict without the worst target, if that has one.
-
-        Otherwise that of all targets counts, for a bad version only if the
-        others are likely bad, too.
-        """
-        if self.rest.verdict is not _Verdict.OPEN:
-            return self.rest.verdict
-        is_bad = self.whole.verdict is _Verdict.BAD
-        if is_bad and not self.rest.is_bad_by_odds:
-            return _Verdict.OPEN
-        return self.whole.verdict
-
-    @property
-    def is_good_when_due(self) -> bool:
-        """Whether the trial may end as far as this test is concerned."""
-        if self.verdict is not _Verdict.OPEN or self.needs_evidence:
-            return self.verdict is _Verdict.GOOD
-        return self.whole.is_good_by_odds
-
-    @property
-    def is_good_late(self) -> bool:
-        """Whether the test speaks for the version as the trial ends."""
-        if self.whole.is_good_by_odds or self.rest.is_good_by_odds:
-            return True
-        if self.needs_evidence:
-            return False
-        if self.rest.is_good_by_route_odds:
-            # What speaks against the version comes from one target only.
-            return True
-        if self.whole.has_enough_calls:
-            return self.whole.log_ratio <= 0
-        return not self.whole.is_bad_by_odds
+    in_total: _sequential.Tolerance
+    on_route: _sequential.Tolerance
+    gross: _sequential.Tolerance
+
+
+#: Failures do not depend on the speed of a target.  On a single route, fewer
+#: calls must suffice.
+FAILED = _Criterion(
+    'failed',
+    _sequential.Tolerance(0.03, 0.08, 2.0),
+    _sequential.Tolerance(0.03, 0.18, 2.0),
+    _sequential.Tolerance(0.03, 0.36, 2.0),
+)
+#: The new version has few targets, and some targets are slower than others.
+SLOW_OR_FAILED = _Criterion(
+    'slow or failed',
+    _sequential.Tolerance(0.08, 0.2),
+    _sequential.Tolerance(0.08, 0.2),
+    _sequential.Tolerance(0.08, 0.4),
+)
+
+
+class _Tally(msgspec.Struct, frozen=True):
+    """Calls of one version by route, and those that are bad."""
+
+    failed: dict[base.RouteName, _sequential.CallCounts]
+    #: Includes calls that are slow; see `SLOW_BUCKETS`.  Without any on routes
+    #: on which a slow call cannot be told.
+    slow_or_failed: dict[base.RouteName, _sequential.CallCounts]
 
 
 def is_clearly_failing(evidence: _evidence.Evidence) -> bool:
@@ -155,8 +137,9 @@
     """Choose the verdict once the trial may end.
 
     As :func:`choose_verdict`, but on a single route odds of 20 to 1 for the
-    accepted share suffice.  Calls on a seldom used route come slowly, and
-    those that follow during the move still count.
+    accepted share suffice; where calls are too few to show these, odds of 5
+    to 1 against gross harm do.  Calls on a seldom used route come
+    slowly, and those that follow during the move still count.
 
     Parameters
     ----------
@@ -166,7 +149,7 @@
     tests = _make_tests(new, old)
     if any(test.verdict is _Verdict.BAD for test in tests):
         return _Verdict.BAD
-    is_good = all(test.is_good_when_due for test in tests)
+    is_good = all(test.may_end for test in tests)
     return _Verdict.GOOD if is_good else _Verdict.OPEN
 
 
@@ -178,9 +161,11 @@
     The version as a whole is good only by odds of 20 to 1 for the accepted
     share.  A route with enough calls to show a good version must be more
     likely good than bad.  Routes with fewer calls leave the verdict to the
-    total, unless the odds are 20 to 1 against them; the calls that follow
-    during the move still count.  A route on which only one target is bad does
-    not speak against the version if the odds without it are 5 to 1.
+    total, unless the odds are 20 to 1 for harm or for gross harm at more than
+    one target; they are told by :func:`list_unshown_routes`, and the calls
+    that follow during the move still count.  A route on which only one target
+    is bad does not speak against the version if the odds without it are 5 to
+    1.
 
     Parameters
     ----------
@@ -207,7 +192,8 @@
 
     The old version has no calls of the same time any more; the shares that it
     had until then are the ones to compare with.  A version may show harm only
-    under all calls.
+    under all calls.  On routes that were not shown, odds of 20 to 1 for gross
+    harm suffice, as at the end of the trial.
 
     Parameters
     ----------
@@ -215,9 +201,31 @@
         One item for each target of the version.
     """
     tests = _make_tests(new, old)
-    if any(test.verdict is _Verdict.BAD for test in tests):
-        return _Verdict.BAD
-    return _Verdict.OPEN
+    is_bad = any(
+        test.verdict is _Verdict.BAD
+        or (not test.is_shown and test.is_gross_harm_likely)
+        for test in tests
+    )
+    return _Verdict.BAD if is_bad else _Verdict.OPEN
+
+
+def list_unshown_routes(
+    new: list[_evidence.Evidence], old: list[_evidence.Evidence]
+) -> list[base.RouteName]:
+    """Return the routes of which too few calls have come to be judged.
+
+    Parameters
+    ----------
+    new, old : list of Evidence
+        One item for each target of the version.
+    """
+    return sorted(
+        {
+            test.route
+            for test in _make_tests(new, old)
+            if test.route is not None and not test.is_shown
+        }
+    )
 
 
 def describe_open_tests(
@@ -242,52 +250,56 @@
 
 def _make_tests(
     new: list[_evidence.Evidence], old: list[_evidence.Evidence]
-) -> list[_Test]:
+) -> list[_criteria.Test]:
     old_routes = _evidence.merge_routes(old)
     slow_limits = _find_slow_limits(old_routes)
     old_tally = _tally(old_routes, slow_limits)
     whole = _tally(_evidence.merge_routes(new), slow_limits)
     rest_targets = _leave_out_worst_target(new, slow_limits)
     rest = _tally(_evidence.merge_routes(rest_targets), slow_limits)
+    routes = sorted(old_tally.failed.keys() | whole.failed.keys())
+    comparable = [
+        route for route in slow_limits if old_routes[route].runs >= MEDIAN_RUNS
+    ]
     return [
         *_make_criterion_tests(
-            'slow or failed',
+            SLOW_OR_FAILED,
             old_tally.slow_or_failed,
             whole.slow_or_failed,
             rest.slow_or_failed,
-            (SLOW_OR_FAILED, SLOW_OR_FAILED),
-            slow_limits,
+            routes,
+            comparable,
         ),
         *_make_criterion_tests(
-            'failed',
+            FAILED,
             old_tally.failed,
             whole.failed,
             rest.failed,
-            (FAILURES, ROUTE_FAILURES),
-            slow_limits,
+            routes,
+            comparable,
         ),
     ]
 
 
 def _make_criterion_tests(
-    name: str,
+    criterion: _Criterion,
     old: dict[base.RouteName, _sequential.CallCounts],
     whole: dict[base.RouteName, _sequential.CallCounts],
     rest: dict[base.RouteName, _sequential.CallCounts],
-    tolerances: tuple[_sequential.Tolerance, _sequential.Tolerance],
+    routes: Iterable[base.RouteName],
     comparable: Iterable[base.RouteName],
-) -> list[_Test]:
+) -> list[_criteria.Test]:
     """Make the tests of one criterion, in total and for each route.
 
     Parameters
     ----------
-    name : str
-        Name of the criterion.
+    criterion : _Criterion
+        Name and tolerances.
     old, whole, rest : dict
         Calls by route: of the old version, of the new one, and of the new one
         without its worst target.
-    tolerances : tuple of Tolerance
-        Tolerance in total, and that on a route.
+    routes : iterable of str
+        Routes that either version has run.
     comparable : iterable of str
         Routes that count in total for a version to be good.
     """
@@ -295,35 +307,35 @@
     old_total = _sum_counts(old.values())
     set_share = old_total.bad / max(1, old_total.runs)
     total_share = _sequential.estimate_share(old_total, set_share)
-    routes = sorted(old.keys() | whole.keys())
-
-    def make_total(names: Iterable[base.RouteName], title: str) -> _Test:
-        return _Test(
-            f'{name} {title}',
-            *(
-                _sequential.run_sequential_test(
-                    _sum_counts(counts.get(route, none) for route in names),
-                    total_share,
-                    tolerances[0],
-                )
-                for counts in (whole, rest)
-            ),
-            needs_evidence=True,
+    tests: list[_criteria.Test] = []
+    for names, title in (
+        (routes, 'in total'),
+        (comparable, 'where comparable'),
+    ):
+        results = (
+            _sequential.run_sequential_test(
+                _sum_counts(counts.get(route, none) for route in names),
+                total_share,
+                criterion.in_total,
+            )
+            for counts in (whole, rest)
+        )
+        tests.append(
+            _criteria.TotalTest(f'{criterion.name} {title}', *results)
         )
-
-    tests = [
-        make_total(routes, 'in total'),
-        make_total(list(comparable), 'where comparable'),
-    ]
     for route in routes:
         share = _sequential.estimate_share(old.get(route, none), set_share)
         results = (
             _sequential.run_sequential_test(
-                counts.get(route, none), share, tolerances[1], len(routes)
+                counts.get(route, none), share, tolerance, len(routes)
+            )
+            for counts, tolerance in (
+                (whole, criterion.on_route),
+                (rest, criterion.on_route),
+                (whole, criterion.gross),
             )
-            for counts in (whole, rest)
         )
-        tests.append(_Test(f'{name} on {route}', *results, False))
+        tests.append(_criteria.RouteTest(criterion.name, route, *results))
     return tests
 
 
@@ -333,8 +345,11 @@
     """Return the last latency bucket that is not slow, by route."""
     slow_limits = {}
     for route, route_evidence in routes.items():
-        median = route_evidence.find_median_bucket()
-        if median is not None and route_evidence.runs >= MIN_OLD_RUNS:
+        if route_evidence.runs >= MEDIAN_RUNS:
+            median = route_evidence.find_median_bucket()
+        else:
+            median = route_evidence.find_median_bound(MEDIAN_CONFIDENCE)
+        if median is not None:
             slow_limits[route] = median + SLOW_BUCKETS
     return slow_limits
 
@@ -346,14 +361,13 @@
     """Count the calls and the bad calls of each route."""
     tally = _Tally({}, {})
     for route, evidence in routes.items():
-        slow_limit = slow_limits.get(route, _evidence.LAST_BUCKET)
-        slow = evidence.count_slower(slow_limit)
-        tally.failed[route] = _sequential.CallCounts(
-            evidence.runs, evidence.failures
-        )
-        tally.slow_or_failed[route] = _sequential.CallCounts(
-            evidence.runs, evidence.failures + slow
-        )
+        failed = _sequential.CallCounts(evidence.runs, evidence.failures)
+        tally.failed[route] = failed
+        if route in slow_limits:
+            slow = evidence.count_slower(slow_limits[route])
+            tally.slow_or_failed[route] = failed + _sequential.CallCounts(
+                0, slow
+            )
     return tally
 
 
